Lay out the workspace, the tool chain and the interfaces between packages

Cause: an empty repository; the whole path needs packages that can be built side by side. Ruled out: running TypeScript without a loader, which Node.js 20 cannot. The bundle has no entry points yet.

--- /dev/null
+++ b/packages/common/src/address.ts
@@ -0,0 +1,28 @@
+/**
+ * Addresses of listeners and endpoints: IP number and port.
+ */
+
+import { isIP } from "node:net";
+
+/** IP number and port, formatted as `127.0.0.1:8080` or `[::1]:8080`. */
+export type Address = string;
+
+/** Parts of an address. */
+export interface AddressParts {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Parses an address; undefined unless it is an IP number with a port. */
+export function parseAddress(text: string): AddressParts | undefined {
+  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+  if (match === null) return undefined;
+  const host = match[1] ?? match[2] ?? "";
+  const port = Number(match[3]);
+  return isIP(host) === 0 || port > 65_535 ? undefined : { host, port };
+}
+
+/** Formats an address. */
+export function formatAddress(host: string, port: number): Address {
+  return isIP(host) === 6 ? `[${host}]:${port}` : `${host}:${port}`;
+}
--- /dev/null
+++ b/packages/common/src/manual_clock.ts
@@ -0,0 +1,76 @@
+/**
+ * A clock that tests advance by hand.
+ *
+ * Sleepers wake in order of their due time, and each wake-up is followed by a
+ * turn of the event loop so that the code it resumes can run before the next.
+ */
+
+import type { Clock } from "./clock.ts";
+
+interface Sleeper {
+  readonly due: number;
+  readonly wake: () => void;
+}
+
+/** Clock whose time moves only by `advance`. */
+export class ManualClock implements Clock {
+  #now = 0;
+  #sleepers: Sleeper[] = [];
+  readonly #wallOrigin: number;
+
+  private constructor(wallOrigin: number) {
+    this.#wallOrigin = wallOrigin;
+  }
+
+  static create(wallOrigin = 1_700_000_000_000): ManualClock {
+    return new ManualClock(wallOrigin);
+  }
+
+  now(): number {
+    return this.#now;
+  }
+
+  wallTime(): number {
+    return this.#wallOrigin + this.#now;
+  }
+
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) return resolve();
+      const sleeper: Sleeper = { due: this.#now + ms, wake: resolve };
+      this.#sleepers.push(sleeper);
+      signal?.addEventListener("abort", () => {
+        this.#sleepers = this.#sleepers.filter((other) => other !== sleeper);
+        resolve();
+      }, { once: true });
+    });
+  }
+
+  /** Moves time forward by `ms`, waking sleepers in order of due time. */
+  async advance(ms: number): Promise<void> {
+    const end = this.#now + ms;
+    await this.#runPending();
+    for (;;) {
+      const next = this.#findNext(end);
+      if (next === undefined) break;
+      this.#sleepers = this.#sleepers.filter((other) => other !== next);
+      this.#now = Math.max(this.#now, next.due);
+      next.wake();
+      await this.#runPending();
+    }
+    this.#now = end;
+  }
+
+  #findNext(end: number): Sleeper | undefined {
+    let first: Sleeper | undefined;
+    for (const sleeper of this.#sleepers) {
+      if (sleeper.due > end) continue;
+      if (first === undefined || sleeper.due < first.due) first = sleeper;
+    }
+    return first;
+  }
+
+  #runPending(): Promise<void> {
+    return new Promise((resolve) => setImmediate(resolve));
+  }
+}
--- /dev/null
+++ b/packages/platform/src/object_store.ts
@@ -0,0 +1,95 @@
+/**
+ * The platform's object API as the system uses it.
+ *
+ * Objects are JSON values with a version. Versions come from one sequence for
+ * the whole store, so they order all writes. A write is conditional, and its
+ * outcome may be unknown: then the caller reads back before it writes again.
+ *
+ * Wire, HTTP with JSON:
+ *
+ *     GET    /objects/KEY                      200 StoredObject | 404
+ *     GET    /objects?prefix=P                 200 ObjectList
+ *     PUT    /objects/KEY  If-Match: VERSION | If-None-Match: *
+ *                                              200 {version} | 409 {current: StoredObject|null}
+ *     DELETE /objects/KEY  If-Match: VERSION   200 {version} | 409 | 404
+ *     GET    /watch?prefix=P&since=V&waitMs=N  200 WatchBatch | 410 history gone, list again
+ *
+ * KEY is percent-encoded as one path segment. A PUT body is the bare JSON value
+ * of at most one megabyte (413 beyond). 429 with `retry-after-ms` when the call
+ * rate is exceeded, 503 in an outage. A waiting watch counts as a call.
+ */
+
+import type { Either } from "purify-ts";
+import type { PlatformError } from "./platform_error.ts";
+
+/** Largest value the object API holds. */
+export const maxObjectBytes = 1_048_576;
+
+/** One object at one version. */
+export interface StoredObject {
+  readonly key: string;
+  readonly version: number;
+  readonly value: unknown;
+}
+
+/** All objects below a prefix, as of `version` of the store. */
+export interface ObjectList {
+  readonly version: number;
+  readonly objects: readonly StoredObject[];
+}
+
+/** One change; a removed object has no value. */
+export type ObjectChange =
+  | { readonly kind: "written"; readonly object: StoredObject }
+  | {
+    readonly kind: "removed";
+    readonly key: string;
+    readonly version: number;
+  };
+
+/** Changes after `since`, empty when the wait ended first. */
+export interface WatchBatch {
+  readonly version: number;
+  readonly changes: readonly ObjectChange[];
+}
+
+/** What must hold for a write to take effect. */
+export type WriteCondition =
+  | { readonly kind: "absent" }
+  | { readonly kind: "version"; readonly version: number };
+
+/** Outcome of a conditional write that was answered. */
+export type WriteOutcome =
+  | { readonly kind: "written"; readonly version: number }
+  /** The condition did not hold; `current` is undefined when nothing is stored. */
+  | { readonly kind: "conflict"; readonly current: StoredObject | undefined };
+
+/** Outcome of a watch call. */
+export type WatchOutcome =
+  | { readonly kind: "changes"; readonly batch: WatchBatch }
+  /** The store no longer has the history since the given version. */
+  | { readonly kind: "expired" };
+
+/** Client of the object API. No method throws for a failed call. */
+export interface ObjectStore {
+  read(
+    key: string,
+  ): Promise<Either<PlatformError, StoredObject | undefined>>;
+  list(prefix: string): Promise<Either<PlatformError, ObjectList>>;
+  write(
+    key: string,
+    value: unknown,
+    condition: WriteCondition,
+  ): Promise<Either<PlatformError, WriteOutcome>>;
+  /** Removes an object if it still has `version`. */
+  remove(
+    key: string,
+    version: number,
+  ): Promise<Either<PlatformError, WriteOutcome>>;
+  /** Waits up to `waitMs` for changes below `prefix` after version `since`. */
+  watch(
+    prefix: string,
+    since: number,
+    waitMs: number,
+  ): Promise<Either<PlatformError, WatchOutcome>>;
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,32 @@
+/**
+ * Bundles the programs into `dist/`, one CommonJS file each.
+ *
+ * `almondcrank.cjs` is the product, `standin.cjs` the test side's stand-ins.
+ */
+
+import { build } from "esbuild";
+import { existsSync } from "node:fs";
+import process from "node:process";
+
+const programs = [
+  { entry: "packages/cli/src/main.ts", output: "dist/almondcrank.cjs" },
+  { entry: "packages/standin/src/main.ts", output: "dist/standin.cjs" },
+];
+
+for (const { entry, output } of programs) {
+  if (!existsSync(entry)) {
+    process.stderr.write(`bundle: ${entry} is missing, skipped.\n`);
+    continue;
+  }
+  await build({
+    entryPoints: [entry],
+    outfile: output,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    sourcemap: "inline",
+    sourcesContent: false,
+    logLevel: "warning",
+  });
+}
