--- /dev/null
+++ b/packages/cli/src/operator_client.ts
@@ -0,0 +1,129 @@
+/**
+ * Client of a node's operators' listener.
+ */
+
+import { readFile } from "node:fs/promises";
+import process from "node:process";
+import { type Either, Left, Right } from "purify-ts";
+import { request } from "undici";
+import { formatThrown, KindError } from "@almondcrank/common/kind_error.ts";
+import { parseAddress } from "@almondcrank/common/address.ts";
+
+const defaultTimeoutMs = 15_000;
+
+export type OperatorErrorDetail =
+  | { readonly kind: "bad_address"; readonly node: string }
+  | { readonly kind: "no_key" }
+  | {
+    readonly kind: "unreachable";
+    readonly node: string;
+    readonly reason: string;
+  }
+  | {
+    readonly kind: "refused";
+    readonly status: number;
+    readonly body: unknown;
+  };
+
+/** A call to a node that failed. */
+export class OperatorError extends KindError<OperatorErrorDetail> {
+  static create(detail: OperatorErrorDetail): OperatorError {
+    return new OperatorError(detail, formatOperatorError(detail));
+  }
+}
+
+function formatOperatorError(detail: OperatorErrorDetail): string {
+  switch (detail.kind) {
+    case "bad_address":
+      return `"${detail.node}" is not an IP number with a port; pass --node like 127.0.0.1:9000`;
+    case "no_key":
+      return "no operators' key; set ALMONDCRANK_OPERATOR_KEY or pass --key-file";
+    case "unreachable":
+      return `node ${detail.node} does not answer (${detail.reason}); try another node`;
+    case "refused":
+      return formatRefusalBody(detail.status, detail.body);
+  }
+}
+
+function formatRefusalBody(status: number, body: unknown): string {
+  const error = (body as { error?: { message?: unknown } } | null)?.error;
+  return typeof error?.message === "string"
+    ? error.message
+    : `node answered with status ${status}; look at its log`;
+}
+
+/** How to reach a node. */
+export interface OperatorClientOptions {
+  /** Address of its operators' listener. */
+  readonly node: string;
+  readonly keyFile?: string | undefined;
+}
+
+/** One node's operators' listener. */
+export class OperatorClient {
+  readonly #node: string;
+  readonly #key: string;
+
+  private constructor(node: string, key: string) {
+    this.#node = node;
+    this.#key = key;
+  }
+
+  static async create(
+    options: OperatorClientOptions,
+  ): Promise<Either<OperatorError, OperatorClient>> {
+    const { node, keyFile } = options;
+    if (parseAddress(node) === undefined) {
+      return Left(OperatorError.create({ kind: "bad_address", node }));
+    }
+    const key = keyFile === undefined
+      ? process.env["ALMONDCRANK_OPERATOR_KEY"]
+      : (await readFile(keyFile, "utf8")).trim();
+    if (key === undefined || key === "") {
+      return Left(OperatorError.create({ kind: "no_key" }));
+    }
+    return Right(new OperatorClient(node, key));
+  }
+
+  /** Reads a resource. */
+  read(path: string): Promise<Either<OperatorError, unknown>> {
+    return this.#call("GET", path);
+  }
+
+  /** Sends a command. */
+  send(path: string, body: unknown): Promise<Either<OperatorError, unknown>> {
+    return this.#call("POST", path, body);
+  }
+
+  async #call(
+    method: "GET" | "POST",
+    path: string,
+    body?: unknown,
+  ): Promise<Either<OperatorError, unknown>> {
+    try {
+      const answer = await request(`http://${this.#node}${path}`, {
+        method,
+        headers: {
+          authorization: `Bearer ${this.#key}`,
+          "content-type": "application/json",
+        },
+        body: body === undefined ? null : JSON.stringify(body),
+        headersTimeout: defaultTimeoutMs,
+        bodyTimeout: defaultTimeoutMs,
+      });
+      const value: unknown = JSON.parse(await answer.body.text());
+      if (answer.statusCode < 300) return Right(value);
+      return Left(OperatorError.create({
+        kind: "refused",
+        status: answer.statusCode,
+        body: value,
+      }));
+    } catch (thrown) {
+      return Left(OperatorError.create({
+        kind: "unreachable",
+        node: this.#node,
+        reason: formatThrown(thrown),
+      }));
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/chat_front.ts
@@ -0,0 +1,316 @@
+/**
+ * Answers chat requests: whole, streamed, and resumed after a lost connection.
+ */
+
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type {
+  ConfigurationSource,
+  ModelService,
+  Team,
+} from "@almondcrank/common/configuration.ts";
+import {
+  type HttpExchange,
+  readJsonBody,
+  sendJson,
+} from "@almondcrank/common/http_server.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type {
+  ModelRouter,
+  ModelStream,
+} from "@almondcrank/routing/model_router.ts";
+import type { Refusal } from "@almondcrank/routing/refusal.ts";
+import {
+  type ChatAnswerHead,
+  ChatEventFormatter,
+  type ChatRequest,
+  formatWholeAnswer,
+  parseChatRequest,
+  parseEventId,
+} from "./chat_protocol.ts";
+import { sendBadRequest, sendRefusal } from "./refusal_answer.ts";
+import { readTimeout } from "./request_timeout.ts";
+
+const millisecondsPerSecond = 1_000;
+
+const eventStreamHeaders = {
+  "content-type": "text/event-stream; charset=utf-8",
+  "cache-control": "no-store",
+  "x-accel-buffering": "no",
+} as const;
+
+/** Services that `ChatFront` works with. */
+export interface ChatFrontOptions {
+  readonly configuration: ConfigurationSource;
+  readonly router: ModelRouter;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly maxBodyBytes: number;
+}
+
+interface Target {
+  readonly service: ModelService;
+  readonly adapter: string | undefined;
+}
+
+/** Front of the model services. */
+export class ChatFront {
+  readonly #options: ChatFrontOptions;
+
+  private constructor(options: ChatFrontOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ChatFrontOptions): ChatFront {
+    return new ChatFront(options);
+  }
+
+  /** Lists the model services and their adapters. */
+  listModels(exchange: HttpExchange): void {
+    const { services } = this.#options.configuration.current();
+    const names = services.flatMap((service) =>
+      service.kind === "model"
+        ? [
+          service.name,
+          ...service.adapters.map((adapter) => `${service.name}:${adapter}`),
+        ]
+        : []
+    );
+    const data = names.map((id) => ({
+      id,
+      object: "model",
+      created: 0,
+      owned_by: "almondcrank",
+    }));
+    sendJson(exchange.response, 200, { object: "list", data });
+  }
+
+  /** Answers one chat request of a team. */
+  async handle(exchange: HttpExchange, team: Team): Promise<void> {
+    const lastEventId = exchange.request.headers["last-event-id"];
+    if (typeof lastEventId === "string") {
+      return await this.#handleResume(exchange, team, lastEventId);
+    }
+    const body = await readJsonBody(
+      exchange.request,
+      this.#options.maxBodyBytes,
+    );
+    if (body.isLeft()) {
+      const error = body.extract();
+      const status = error.kind === "body_too_large" ? 413 : 400;
+      exchange.response.setHeader("connection", "close");
+      return sendBadRequest(exchange.response, {
+        status,
+        kind: error.kind,
+        message: error.message,
+      });
+    }
+    const chat = parseChatRequest(body.extract());
+    if (chat.isLeft()) {
+      return sendBadRequest(exchange.response, {
+        status: 400,
+        kind: "bad_request",
+        message: String(chat.extract()),
+      });
+    }
+    await this.#handleChat(exchange, team, chat.extract() as ChatRequest);
+  }
+
+  async #handleChat(
+    exchange: HttpExchange,
+    team: Team,
+    chat: ChatRequest,
+  ): Promise<void> {
+    const target = this.#findTarget(chat.model);
+    if (target === undefined) {
+      return sendBadRequest(exchange.response, {
+        status: 404,
+        kind: "unknown_model",
+        message:
+          `no service offers model "${chat.model}"; list them at /v1/models`,
+      });
+    }
+    const { service, adapter } = target;
+    const started = this.#options.clock.now();
+    const opened = await this.#options.router.open({
+      team,
+      service,
+      ...(adapter === undefined ? {} : { adapter }),
+      prompt: chat.prompt,
+      maxTokens: Math.min(
+        chat.maxTokens ?? service.maxOutputTokens,
+        service.maxOutputTokens,
+      ),
+      deadline: started + readTimeout(exchange.request, service.timeoutMs),
+    });
+    if (opened.isLeft()) {
+      return sendRefusal(exchange.response, opened.extract() as Refusal);
+    }
+    const stream = opened.extract() as ModelStream;
+    const head = this.#createHead(stream, chat.model);
+    if (!chat.stream) return await this.#sendWhole(exchange, stream, head);
+    const formatter = ChatEventFormatter.create(head, chat.includeUsage);
+    await this.#sendEvents(exchange.response, {
+      stream,
+      formatter,
+      from: 0,
+      started,
+    });
+  }
+
+  async #handleResume(
+    exchange: HttpExchange,
+    team: Team,
+    lastEventId: string,
+  ): Promise<void> {
+    exchange.request.resume();
+    const position = parseEventId(lastEventId);
+    if (position === undefined) {
+      return sendBadRequest(exchange.response, {
+        status: 400,
+        kind: "bad_event_id",
+        message:
+          "Last-Event-ID is not one of ours; send the id of the last event received",
+      });
+    }
+    const found = await this.#options.router.find(position.streamId, team);
+    if (found.isLeft()) {
+      return sendRefusal(exchange.response, found.extract() as Refusal);
+    }
+    const stream = found.extract() as ModelStream;
+    const head = this.#createHead(stream, "");
+    this.#options.metrics.count("almondcrank_streams_returned_total");
+    await this.#sendEvents(exchange.response, {
+      stream,
+      formatter: ChatEventFormatter.create(head, true),
+      from: position.index + 1,
+      started: this.#options.clock.now(),
+    });
+  }
+
+  #createHead(stream: ModelStream, model: string): ChatAnswerHead {
+    const created = Math.floor(
+      this.#options.clock.wallTime() / millisecondsPerSecond,
+    );
+    return { streamId: stream.id, model, created };
+  }
+
+  #findTarget(model: string): Target | undefined {
+    const separator = model.indexOf(":");
+    const name = separator < 0 ? model : model.slice(0, separator);
+    const adapter = separator < 0 ? undefined : model.slice(separator + 1);
+    const service = this.#options.configuration.current().services.find(
+      (candidate) => candidate.name === name,
+    );
+    if (service?.kind !== "model") return undefined;
+    if (adapter !== undefined && !service.adapters.includes(adapter)) {
+      return undefined;
+    }
+    return { service, adapter };
+  }
+
+  async #sendWhole(
+    exchange: HttpExchange,
+    stream: ModelStream,
+    head: ChatAnswerHead,
+  ): Promise<void> {
+    const { response } = exchange;
+    const gone = new AbortController();
+    response.once("close", () => gone.abort());
+    let text = "";
+    for await (const event of stream.read(0, gone.signal)) {
+      switch (event.kind) {
+        case "token":
+          text += event.text;
+          break;
+        case "end":
+          return sendJson(
+            response,
+            200,
+            formatWholeAnswer(head, {
+              text,
+              reason: event.reason,
+              usage: event.usage,
+            }),
+          );
+        case "failed":
+          return sendRefusal(response, event.refusal);
+      }
+    }
+    // A whole answer cannot be picked up later, so nobody waits for the rest.
+    stream.cancel();
+  }
+
+  async #sendEvents(
+    response: ServerResponse,
+    sending: {
+      readonly stream: ModelStream;
+      readonly formatter: ChatEventFormatter;
+      readonly from: number;
+      readonly started: number;
+    },
+  ): Promise<void> {
+    const { stream, formatter, from, started } = sending;
+    const gone = new AbortController();
+    response.once("close", () => gone.abort());
+    const recorder = LatencyRecorder.create(this.#options, started);
+    for await (const event of stream.read(from, gone.signal)) {
+      if (!response.headersSent) {
+        if (event.kind === "failed") {
+          return sendRefusal(response, event.refusal);
+        }
+        response.writeHead(200, eventStreamHeaders);
+        if (from === 0) response.write(formatter.formatRole());
+      }
+      recorder.record(event.kind);
+      const flushed = response.write(formatter.format(event));
+      if (!flushed) await waitDrained(response, gone.signal);
+    }
+    response.end();
+  }
+}
+
+/** Waits until a slow caller has read on, or is gone. */
+async function waitDrained(
+  response: ServerResponse,
+  gone: AbortSignal,
+): Promise<void> {
+  if (gone.aborted) return;
+  await once(response, "drain", { signal: gone }).catch(() => undefined);
+}
+
+/** Records time to first token and between tokens of one answer. */
+class LatencyRecorder {
+  readonly #clock: Clock;
+  readonly #metrics: Metrics;
+  readonly #started: number;
+  #last: number | undefined;
+
+  private constructor(options: ChatFrontOptions, started: number) {
+    this.#clock = options.clock;
+    this.#metrics = options.metrics;
+    this.#started = started;
+  }
+
+  static create(options: ChatFrontOptions, started: number): LatencyRecorder {
+    return new LatencyRecorder(options, started);
+  }
+
+  record(kind: "token" | "end" | "failed"): void {
+    if (kind !== "token") return;
+    const now = this.#clock.now();
+    if (this.#last === undefined) {
+      this.#metrics.recordDuration(
+        "almondcrank_first_token_seconds",
+        now - this.#started,
+      );
+    } else {
+      this.#metrics.recordDuration(
+        "almondcrank_between_tokens_seconds",
+        now - this.#last,
+      );
+    }
+    this.#last = now;
+  }
+}
--- /dev/null
+++ b/packages/node/src/plain_front.ts
@@ -0,0 +1,129 @@
+/**
+ * Passes calls of plain services on and issues idempotency keys.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type {
+  ConfigurationSource,
+  PlainService,
+  Team,
+} from "@almondcrank/common/configuration.ts";
+import {
+  type HttpExchange,
+  readBody,
+  sendJson,
+} from "@almondcrank/common/http_server.ts";
+import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
+import type { PlainRouter } from "@almondcrank/routing/plain_router.ts";
+import { sendBadRequest, sendRefusal } from "./refusal_answer.ts";
+import { readTimeout } from "./request_timeout.ts";
+
+const maxKeyLength = 512;
+
+/** Services that `PlainFront` works with. */
+export interface PlainFrontOptions {
+  readonly configuration: ConfigurationSource;
+  readonly router: PlainRouter;
+  readonly clock: Clock;
+  readonly maxBodyBytes: number;
+}
+
+/** Front of the plain services. */
+export class PlainFront {
+  readonly #options: PlainFrontOptions;
+
+  private constructor(options: PlainFrontOptions) {
+    this.#options = options;
+  }
+
+  static create(options: PlainFrontOptions): PlainFront {
+    return new PlainFront(options);
+  }
+
+  /** Issues a key that binds one call to this process. */
+  issueKey(exchange: HttpExchange, team: Team): void {
+    exchange.request.resume();
+    this.#options.router.issueKey(team).caseOf({
+      Left: (refusal) => sendRefusal(exchange.response, refusal),
+      Right: (key) => sendJson(exchange.response, 201, { key }),
+    });
+  }
+
+  /** Passes one call of a team on. */
+  async handle(exchange: HttpExchange, team: Team): Promise<void> {
+    const { request, response } = exchange;
+    const service = this.#findService(exchange.parameters["name"] ?? "");
+    if (service === undefined) {
+      request.resume();
+      return sendBadRequest(response, {
+        status: 404,
+        kind: "unknown_service",
+        message: `no plain service "${
+          exchange.parameters["name"]
+        }"; ask the operators for its name`,
+      });
+    }
+    const key = request.headers["idempotency-key"];
+    if (typeof key === "string" && (key === "" || key.length > maxKeyLength)) {
+      request.resume();
+      return sendBadRequest(response, {
+        status: 422,
+        kind: "bad_key",
+        message:
+          `idempotency-key is empty or longer than ${maxKeyLength} characters; send a shorter one`,
+      });
+    }
+    const deadline = this.#options.clock.now() +
+      readTimeout(request, service.timeoutMs);
+    const body = await readBody(request, this.#options.maxBodyBytes);
+    if (body.isLeft()) {
+      const error = body.extract();
+      response.setHeader("connection", "close");
+      return sendBadRequest(response, {
+        status: 413,
+        kind: "body_unreadable",
+        message: error instanceof Error ? error.message : "",
+      });
+    }
+    const gone = new AbortController();
+    response.once("close", () => gone.abort());
+    const answer = await this.#options.router.call({
+      team,
+      service,
+      method: request.method ?? "GET",
+      path: computePath(request.url ?? "/", service.name),
+      contentType: request.headers["content-type"],
+      body: body.extract() as Buffer,
+      key: typeof key === "string" ? key : undefined,
+      deadline,
+    }, gone.signal);
+    answer.caseOf({
+      Left: (refusal) => sendRefusal(response, refusal),
+      Right: (whole) => sendAnswer(exchange, whole),
+    });
+  }
+
+  #findService(name: string): PlainService | undefined {
+    const found = this.#options.configuration.current().services.find(
+      (service) => service.name === name,
+    );
+    return found?.kind === "plain" ? found : undefined;
+  }
+}
+
+/** Path and query below the service. */
+function computePath(url: string, service: string): string {
+  const rest = url.slice(`/services/${service}`.length);
+  return rest.startsWith("/") ? rest : `/${rest}`;
+}
+
+function sendAnswer(exchange: HttpExchange, answer: PlainAnswer): void {
+  exchange.response.writeHead(answer.status, {
+    "content-length": answer.body.length,
+    "x-run": "ran",
+    ...(answer.contentType === undefined
+      ? {}
+      : { "content-type": answer.contentType }),
+  });
+  exchange.response.end(answer.body);
+}
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,82 @@
+/**
+ * Settings of one node, from a file in JSON with comments.
+ *
+ * The schema is the one table of all options with their defaults and checks.
+ * Addresses are IP numbers with a port; nothing is looked up by name.
+ */
+
+import { type Either } from "purify-ts";
+import { z } from "zod";
+import { parseAddress } from "@almondcrank/common/address.ts";
+import {
+  type FileError,
+  parseJsoncFile,
+} from "@almondcrank/common/jsonc_file.ts";
+import { logLevels } from "@almondcrank/common/logs.ts";
+
+const minKeyLength = 16;
+
+const address = z.string().refine(
+  (text) => parseAddress(text) !== undefined,
+  "is not an IP number with a port, such as 10.0.0.7:8080",
+);
+const name = z.string().regex(
+  /^[a-z0-9][a-z0-9-]{0,62}$/,
+  "is not a name of lower-case letters, digits and hyphens",
+);
+const key = z.string().min(
+  minKeyLength,
+  `is shorter than ${minKeyLength} characters; draw a longer one at random`,
+);
+
+const schema = z.strictObject({
+  /** Name of the node, unique and stable over restarts. */
+  node: name,
+  /** Data centre of the node. */
+  zone: name,
+  /** Region of the data centre. */
+  region: name.default("default"),
+  listen: z.strictObject({
+    callers: address,
+    peers: address,
+    operators: address,
+  }),
+  /** Peer addresses of some other nodes; the rest is learnt from them. */
+  peers: z.array(address).default([]),
+  /** Proves peers to each other. */
+  peerKey: key,
+  /** Proves operators to the node. */
+  operatorKey: key,
+  platform: z.strictObject({
+    objectApi: address,
+    hostList: address.optional(),
+    cloudApi: address.optional(),
+    weightStore: address.optional(),
+  }),
+  /** Choice of replica; the others are baselines for comparison. */
+  policy: z.enum(["predicted", "least_load", "round_robin", "random"])
+    .default("predicted"),
+  /** Time a leaving node lets its requests run before it hands them over. */
+  drainMs: z.int().min(0).max(600_000).default(10_000),
+  limits: z.strictObject({
+    maxBodyBytes: z.int().min(1_024).max(67_108_864).default(4_194_304),
+    maxHeaderBytes: z.int().min(1_024).max(1_048_576).default(16_384),
+    maxConnections: z.int().min(1).max(1_000_000).default(4_096),
+    requestTimeoutMs: z.int().min(100).max(600_000).default(15_000),
+  }).prefault({}),
+  log: z.strictObject({
+    level: z.enum(logLevels).default("info"),
+    format: z.enum(["text", "json"]).default("text"),
+  }).prefault({}),
+});
+
+/** Checked settings of one node. */
+export type NodeSettings = z.output<typeof schema>;
+
+/** Parses and checks a settings file. */
+export function parseNodeSettings(
+  file: string,
+  text: string,
+): Either<FileError, NodeSettings> {
+  return parseJsoncFile({ file, text, schema }).map((checked) => checked.value);
+}
