--- /dev/null
+++ b/packages/cli/src/serve_command.ts
@@ -0,0 +1,60 @@
+/**
+ * `almondcrank serve`: runs one node until it is told to stop.
+ */
+
+import { readFile } from "node:fs/promises";
+import process from "node:process";
+import { Command, Option } from "clipanion";
+import { TslogLog } from "@almondcrank/common/logs.ts";
+import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { Node } from "@almondcrank/node/node.ts";
+import { parseNodeSettings } from "@almondcrank/node/settings.ts";
+import { exitCodes } from "./exit_codes.ts";
+
+/** Runs a node. SIGTERM and SIGINT drain it. */
+export class ServeCommand extends Command {
+  static override paths = [["serve"]];
+  static override usage = Command.Usage({
+    description: "run a node",
+    details:
+      "Runs one node with the settings of a file. SIGTERM drains it: it turns not ready, finishes its requests, hands the rest to a peer and ends.",
+    examples: [["Run a node", "almondcrank serve --settings node.jsonc"]],
+  });
+
+  settings = Option.String("--settings", { required: true });
+
+  override async execute(): Promise<number> {
+    let text: string;
+    try {
+      text = await readFile(this.settings, "utf8");
+    } catch (thrown) {
+      this.context.stderr.write(
+        `${formatThrown(thrown)}; name a file that can be read\n`,
+      );
+      return exitCodes.invalid;
+    }
+    const settings = parseNodeSettings(this.settings, text);
+    return await settings.caseOf({
+      Left: (error) => {
+        this.context.stderr.write(`${error.message}\n`);
+        return Promise.resolve<number>(exitCodes.invalid);
+      },
+      Right: async (checked) => {
+        const log = TslogLog.create("node", checked.log);
+        const node = await Node.open({ settings: checked, log });
+        process.stdout.write(`listening ${JSON.stringify(node.addresses)}\n`);
+        await waitForSignal();
+        await node.drain();
+        return exitCodes.done;
+      },
+    });
+  }
+}
+
+function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+      process.once(signal, () => resolve());
+    }
+  });
+}
