Call plain services over undici with precise run states

Cause: the request path needs to know whether a failed call can have run. undici's onRequestStart marks the moment before the first byte, so a failure before it is not_run, one after it unknown; a second start is aborted. Ruled out: deriving it from error codes, which differ by kernel and version and do not tell a queued request from a written one.

--- /dev/null
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -0,0 +1,314 @@
+/**
+ * Client of a plain service's endpoint over HTTP/1.1 by undici.
+ *
+ * Each call has a connection to itself and is written at most once. undici
+ * tells through `onRequestStart` when it is about to write, so a failure before
+ * that is known not to have run, and the deadline is checked at that moment: a
+ * process that was paused while the call waited for a connection sends nothing
+ * after it wakes.
+ */
+
+import { type Dispatcher, Pool } from "undici";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import type { Address } from "@almondcrank/common/address.ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { EndpointError, type EndpointErrorDetail } from "./endpoint_error.ts";
+import type {
+  PlainAnswer,
+  PlainCall,
+  PlainEndpoint,
+  PlainLoad,
+} from "./plain_service.ts";
+
+const defaultMaxAnswerBytes = 4_194_304;
+const connectTimeoutMs = 1_000;
+const loadTimeoutMs = 1_000;
+const maxConnections = 256;
+const keepAliveMs = 4_000;
+
+const loadSchema = z.object({
+  ageMs: z.number(),
+  running: z.number(),
+  queued: z.number(),
+});
+
+/** Options of an endpoint's client. */
+export interface HttpPlainEndpointOptions {
+  readonly name: string;
+  readonly address: Address;
+  readonly clock: Clock;
+  /** Largest answer that is taken, in bytes. */
+  readonly maxAnswerBytes?: number;
+}
+
+/** Failure without the endpoint's name. */
+type Failure = EndpointErrorDetail extends infer D
+  ? D extends { endpoint: string } ? Omit<D, "endpoint"> : never
+  : never;
+
+interface Exchange {
+  readonly options: Dispatcher.DispatchOptions;
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+interface RawAnswer extends PlainAnswer {
+  readonly declined: boolean;
+}
+
+/** Endpoint reached by HTTP. */
+export class HttpPlainEndpoint implements PlainEndpoint, Disposable {
+  readonly name: string;
+  readonly #clock: Clock;
+  readonly #pool: Pool;
+  readonly #maxAnswerBytes: number;
+
+  private constructor(options: HttpPlainEndpointOptions) {
+    this.name = options.name;
+    this.#clock = options.clock;
+    this.#maxAnswerBytes = options.maxAnswerBytes ?? defaultMaxAnswerBytes;
+    this.#pool = new Pool(`http://${options.address}`, {
+      connections: maxConnections,
+      pipelining: 1,
+      connectTimeout: connectTimeoutMs,
+      keepAliveTimeout: keepAliveMs,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  static create(options: HttpPlainEndpointOptions): HttpPlainEndpoint {
+    return new HttpPlainEndpoint(options);
+  }
+
+  async call(
+    call: PlainCall,
+    signal: AbortSignal,
+  ): Promise<Either<EndpointError, PlainAnswer>> {
+    const answer = await this.#exchange({
+      options: {
+        method: call.method as Dispatcher.HttpMethod,
+        path: call.path,
+        headers: createHeaders(call),
+        body: call.body.length > 0 ? call.body : null,
+      },
+      timeoutMs: call.remainingMs,
+      signal,
+    });
+    return answer.chain((raw) => {
+      if (raw.declined) {
+        return Left(this.#createError({
+          kind: "declined",
+          reason: "it answered 503 with x-run: not_run",
+        }));
+      }
+      const { status, contentType, body } = raw;
+      return Right({ status, contentType, body });
+    });
+  }
+
+  async readLoad(): Promise<Either<EndpointError, PlainLoad>> {
+    const answer = await this.#exchange({
+      options: { method: "GET", path: "/load" },
+      timeoutMs: loadTimeoutMs,
+      signal: new AbortController().signal,
+    });
+    return answer.chain((raw) => this.#parseLoad(raw));
+  }
+
+  dispose(): void {
+    void this.#pool.destroy();
+  }
+
+  #parseLoad(raw: RawAnswer): Either<EndpointError, PlainLoad> {
+    try {
+      const text = new TextDecoder().decode(raw.body);
+      return Right(loadSchema.parse(JSON.parse(text)));
+    } catch (thrown) {
+      const reason = formatThrown(thrown);
+      return Left(this.#createError({ kind: "bad_answer", reason }));
+    }
+  }
+
+  #exchange(exchange: Exchange): Promise<Either<EndpointError, RawAnswer>> {
+    return new Promise((resolve) => {
+      const handler = AnswerHandler.create({
+        clock: this.#clock,
+        exchange,
+        maxAnswerBytes: this.#maxAnswerBytes,
+        finish: (result) =>
+          resolve(result.mapLeft((failure) => this.#createError(failure))),
+      });
+      if (handler.finished) return;
+      this.#pool.dispatch(exchange.options, handler);
+    });
+  }
+
+  #createError(failure: Failure): EndpointError {
+    const detail = { ...failure, endpoint: this.name } as EndpointErrorDetail;
+    return EndpointError.create(detail);
+  }
+}
+
+function createHeaders(call: PlainCall): Record<string, string> {
+  const headers: Record<string, string> = {
+    "x-remaining-ms": String(Math.max(0, Math.floor(call.remainingMs))),
+    "x-priority": String(call.priority),
+  };
+  if (call.contentType !== undefined) {
+    headers["content-type"] = call.contentType;
+  }
+  if (call.idempotencyKey !== undefined) {
+    headers["idempotency-key"] = call.idempotencyKey;
+  }
+  return headers;
+}
+
+interface AnswerHandlerOptions {
+  readonly clock: Clock;
+  readonly exchange: Exchange;
+  readonly maxAnswerBytes: number;
+  readonly finish: (result: Either<Failure, RawAnswer>) => void;
+}
+
+/** Collects one answer and knows whether the request may have been written. */
+class AnswerHandler implements Dispatcher.DispatchHandler {
+  readonly #options: AnswerHandlerOptions;
+  readonly #deadline: number;
+  readonly #timer = new AbortController();
+  readonly #chunks: Buffer[] = [];
+  #controller: Dispatcher.DispatchController | undefined;
+  #size = 0;
+  #status = 0;
+  #contentType: string | undefined;
+  #declined = false;
+  #finished = false;
+
+  private constructor(options: AnswerHandlerOptions) {
+    this.#options = options;
+    this.#deadline = options.clock.now() + options.exchange.timeoutMs;
+  }
+
+  static create(options: AnswerHandlerOptions): AnswerHandler {
+    const handler = new AnswerHandler(options);
+    const { signal, timeoutMs } = options.exchange;
+    if (signal.aborted) handler.#handleAbort();
+    else if (timeoutMs <= 0) handler.#handleTimeout();
+    else handler.#watch();
+    return handler;
+  }
+
+  get finished(): boolean {
+    return this.#finished;
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#finished || this.#controller !== undefined) {
+      controller.abort(new Error("the request must not be written again"));
+      return;
+    }
+    if (this.#options.clock.now() >= this.#deadline) {
+      this.#handleTimeout();
+      controller.abort(new Error("the deadline passed before the request"));
+      return;
+    }
+    this.#controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (status < 200) return;
+    this.#status = status;
+    const contentType = headers["content-type"];
+    this.#contentType = typeof contentType === "string"
+      ? contentType
+      : undefined;
+    this.#declined = status === 503 && headers["x-run"] === "not_run";
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#size += chunk.length;
+    this.#chunks.push(chunk);
+    if (this.#size > this.#options.maxAnswerBytes) {
+      const reason = `answer exceeds ${this.#options.maxAnswerBytes} bytes`;
+      this.#fail({ kind: "bad_answer", reason });
+    }
+  }
+
+  onResponseEnd(): void {
+    this.#finish(Right({
+      status: this.#status,
+      contentType: this.#contentType,
+      body: Buffer.concat(this.#chunks),
+      declined: this.#declined,
+    }));
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    const reason = formatThrown(error);
+    this.#fail(
+      this.#controller === undefined
+        ? { kind: "unreachable", reason }
+        : { kind: "connection_lost", reason },
+    );
+  }
+
+  #watch(): void {
+    const { clock, exchange } = this.#options;
+    exchange.signal.addEventListener("abort", this.#handleAbort, {
+      once: true,
+    });
+    void clock.sleep(exchange.timeoutMs, this.#timer.signal)
+      .then(() => this.#handleTimeout());
+  }
+
+  readonly #handleAbort = (): void => {
+    const reason = "the caller gave up";
+    this.#fail(
+      this.#controller === undefined
+        ? { kind: "unreachable", reason }
+        : { kind: "connection_lost", reason },
+    );
+  };
+
+  #handleTimeout(): void {
+    const { timeoutMs } = this.#options.exchange;
+    this.#fail(
+      this.#controller === undefined
+        ? {
+          kind: "unreachable",
+          reason: `no connection within ${Math.round(timeoutMs)} ms`,
+        }
+        : { kind: "timeout", timeoutMs },
+    );
+  }
+
+  #fail(failure: Failure): void {
+    if (this.#finished) return;
+    this.#finish(Left(failure));
+    this.#controller?.abort(new Error(failure.kind));
+  }
+
+  #finish(result: Either<Failure, RawAnswer>): void {
+    if (this.#finished) return;
+    this.#finished = true;
+    this.#timer.abort();
+    this.#options.exchange.signal.removeEventListener(
+      "abort",
+      this.#handleAbort,
+    );
+    this.#options.finish(result);
+  }
+}
--- /dev/null
+++ b/packages/endpoint/src/http_plain_endpoint_test.ts
@@ -0,0 +1,169 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { createServer as createTcpServer, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { Buffer } from "node:buffer";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { SystemClock } from "@almondcrank/common/clock.ts";
+import { HttpPlainEndpoint } from "./http_plain_endpoint.ts";
+import type { PlainCall } from "./plain_service.ts";
+
+const never = new AbortController().signal;
+
+const booking: PlainCall = {
+  method: "POST",
+  path: "/slots",
+  contentType: "application/json",
+  body: Buffer.from('{"bay":3}'),
+  idempotencyKey: "k-1",
+  priority: 2,
+  remainingMs: 5_000,
+};
+
+/** Runs `body` against a raw server that reacts to the whole first packet. */
+async function runWith(
+  react: (socket: Socket, received: string) => void,
+  body: (address: string) => Promise<void>,
+): Promise<void> {
+  const sockets = new Set<Socket>();
+  const server = createTcpServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("data", (data) => react(socket, data.toString()));
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  try {
+    await body(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  } finally {
+    for (const socket of sockets) socket.destroy();
+    await new Promise((resolve) => server.close(resolve));
+  }
+}
+
+function createEndpoint(address: string): HttpPlainEndpoint {
+  const clock = SystemClock.create();
+  return HttpPlainEndpoint.create({ name: "booking-1", address, clock });
+}
+
+async function readFailure(address: string): Promise<[string, string]> {
+  const endpoint = createEndpoint(address);
+  const result = await endpoint.call(booking, never);
+  endpoint.dispose();
+  const error = result.swap().unsafeCoerce();
+  return [error.kind, error.run];
+}
+
+test("a call carries body, key, priority and remaining time", async () => {
+  let seen = "";
+  await runWith((socket, received) => {
+    seen += received;
+    if (seen.includes("bay")) {
+      socket.end("HTTP/1.1 201 Created\r\ncontent-length: 2\r\n\r\nok");
+    }
+  }, async (address) => {
+    const endpoint = createEndpoint(address);
+    const answer = (await endpoint.call(booking, never)).unsafeCoerce();
+    endpoint.dispose();
+    assert.is(answer.status, 201);
+    assert.is(Buffer.from(answer.body).toString(), "ok");
+  });
+  assert.match(seen, /^POST \/slots HTTP\/1.1/);
+  assert.match(seen, /idempotency-key: k-1/);
+  assert.match(seen, /x-priority: 2/);
+  assert.match(seen, /x-remaining-ms: 5000/);
+});
+
+test("a refused connection did not run", async () => {
+  let free = "";
+  await runWith(() => {}, (address) => {
+    free = address;
+    return Promise.resolve();
+  });
+  assert.equal(await readFailure(free), ["unreachable", "not_run"]);
+});
+
+test("a connection cut after the request may have run", async () => {
+  await runWith((socket) => socket.destroy(), async (address) => {
+    assert.equal(await readFailure(address), ["connection_lost", "unknown"]);
+  });
+});
+
+test("an answer cut in its body may have run", async () => {
+  await runWith((socket) => {
+    socket.end("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart");
+  }, async (address) => {
+    assert.equal(await readFailure(address), ["connection_lost", "unknown"]);
+  });
+});
+
+test("a decline did not run, an ordinary 503 is an answer", async () => {
+  let head = "x-run: not_run\r\n";
+  await runWith((socket) => {
+    socket.end(
+      `HTTP/1.1 503 Service Unavailable\r\n${head}content-length: 0\r\n\r\n`,
+    );
+  }, async (address) => {
+    assert.equal(await readFailure(address), ["declined", "not_run"]);
+    head = "";
+    const endpoint = createEndpoint(address);
+    const answer = await endpoint.call(booking, never);
+    endpoint.dispose();
+    assert.is(answer.unsafeCoerce().status, 503);
+  });
+});
+
+test("an answer after the timeout is dropped, the call may have run", async () => {
+  const clock = ManualClock.create();
+  let arrived = (): void => {};
+  const arrival = new Promise<void>((resolve) => arrived = resolve);
+  await runWith(() => arrived(), async (address) => {
+    const endpoint = HttpPlainEndpoint.create({ name: "b", address, clock });
+    const pending = endpoint.call(booking, never);
+    await arrival;
+    await clock.advance(5_000);
+    const error = (await pending).swap().unsafeCoerce();
+    endpoint.dispose();
+    assert.is(error.kind, "timeout");
+    assert.is(error.run, "unknown");
+  });
+});
+
+test("a process paused past the deadline sends nothing on waking", async () => {
+  const clock = ManualClock.create();
+  // Jumps ahead without waking the timer, as a paused process sees it.
+  const paused = {
+    now: () => clock.now() + jump,
+    wallTime: () => clock.wallTime(),
+    sleep: (ms: number, signal?: AbortSignal) => clock.sleep(ms, signal),
+  };
+  let jump = 0;
+  let received = 0;
+  await runWith(() => received++, async (address) => {
+    const endpoint = HttpPlainEndpoint.create({
+      name: "b",
+      address,
+      clock: paused,
+    });
+    const pending = endpoint.call(booking, never);
+    jump = 6_000;
+    const error = (await pending).swap().unsafeCoerce();
+    endpoint.dispose();
+    assert.is(error.run, "not_run");
+  });
+  assert.is(received, 0);
+});
+
+test("a caller that gives up cancels the call", async () => {
+  const gone = new AbortController();
+  await runWith(() => gone.abort(), async (address) => {
+    const endpoint = createEndpoint(address);
+    const error = (await endpoint.call(booking, gone.signal)).swap()
+      .unsafeCoerce();
+    endpoint.dispose();
+    assert.is(error.run, "unknown");
+  });
+});
+
+test.run();
