--- /dev/null
+++ b/packages/routing/src/plain_attempts_test.ts
@@ -0,0 +1,176 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { Left, Right } from "purify-ts";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import type {
+  Endpoint,
+  PlainService,
+} from "@almondcrank/common/configuration.ts";
+import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
+import type {
+  PlainAnswer,
+  PlainCall,
+} from "@almondcrank/endpoint/plain_service.ts";
+import { PlainAttempts } from "./plain_attempts.ts";
+import { noLoadReports, PlainChoice } from "./plain_choice.ts";
+import type { PlainRequest } from "./plain_router.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+const service: PlainService = {
+  kind: "plain",
+  name: "booking",
+  idempotentMethods: ["GET"],
+  timeoutMs: 5_000,
+};
+const team = { name: "counter", keyHash: "", priority: 1, share: 1 };
+const answer: PlainAnswer = {
+  status: 200,
+  contentType: undefined,
+  body: new Uint8Array(),
+};
+type Reaction = "answer" | "unreachable" | "declined" | "lost" | "late";
+
+/** Endpoints that react in the given order, whichever of them is asked. */
+function createWorld(reactions: Reaction[]) {
+  const clock = ManualClock.create();
+  const metrics = Metrics.create();
+  const sent: string[] = [];
+  const react = async (endpoint: string, call: PlainCall) => {
+    sent.push(endpoint);
+    switch (reactions.shift() ?? "answer") {
+      case "answer":
+        return Right(answer);
+      case "unreachable":
+        return Left(
+          EndpointError.create({ kind: "unreachable", endpoint, reason: "" }),
+        );
+      case "declined":
+        return Left(
+          EndpointError.create({ kind: "declined", endpoint, reason: "" }),
+        );
+      case "lost":
+        return Left(
+          EndpointError.create({
+            kind: "connection_lost",
+            endpoint,
+            reason: "",
+          }),
+        );
+      case "late": {
+        const timeoutMs = call.remainingMs;
+        await clock.sleep(timeoutMs);
+        return Left(
+          EndpointError.create({ kind: "timeout", endpoint, timeoutMs }),
+        );
+      }
+    }
+  };
+  const attempts = PlainAttempts.create({
+    clock,
+    metrics,
+    budget: RetryBudget.create({ metrics }),
+    endpoints: ({ name }) => ({
+      name,
+      call: (call) => react(name, call),
+      readLoad: () =>
+        Promise.resolve(Right({ ageMs: 0, running: 0, queued: 0 })),
+    }),
+  });
+  const choice = PlainChoice.create({
+    clock,
+    random: Random.create(1),
+    loads: noLoadReports,
+  });
+  const run = (method: string) =>
+    attempts.run({
+      request: createRequest(method),
+      endpoints: ["a", "b", "c"].map(createEndpoint),
+      choice,
+      signal: new AbortController().signal,
+    });
+  return { clock, metrics, sent, run };
+}
+
+function createRequest(method: string): PlainRequest {
+  return {
+    team,
+    service,
+    method,
+    path: "/slots",
+    contentType: undefined,
+    body: new Uint8Array(),
+    key: undefined,
+    deadline: 5_000,
+  };
+}
+
+function createEndpoint(name: string): Endpoint {
+  return {
+    name,
+    service: "booking",
+    address: "127.0.0.1:1",
+    host: name,
+    zone: "muc-1",
+    machineClass: "small",
+    market: "on_demand",
+    checksFencing: false,
+  };
+}
+
+test("a call that did not run goes to another endpoint", async () => {
+  for (const reaction of ["unreachable", "declined"] as const) {
+    const world = createWorld([reaction]);
+    assert.ok((await world.run("POST")).isRight());
+    assert.is(new Set(world.sent).size, 2);
+  }
+});
+
+test("a call that may have run is not sent again", async () => {
+  const world = createWorld(["lost"]);
+  const refusal = (await world.run("POST")).swap().unsafeCoerce();
+  assert.is(refusal.kind, "outcome_unknown");
+  assert.is(refusal.run, "unknown");
+  assert.is(world.sent.length, 1);
+});
+
+test("an idempotent call that may have run is sent again", async () => {
+  const world = createWorld(["lost"]);
+  assert.ok((await world.run("GET")).isRight());
+  assert.is(world.sent.length, 2);
+});
+
+test("an idempotent call that failed everywhere may have run", async () => {
+  const world = createWorld(["lost", "unreachable", "declined"]);
+  const refusal = (await world.run("GET")).swap().unsafeCoerce();
+  assert.is(refusal.kind, "endpoint_failed");
+  assert.is(refusal.run, "unknown");
+});
+
+test("a call that every endpoint declined did not run", async () => {
+  const world = createWorld(["declined", "unreachable", "declined"]);
+  const refusal = (await world.run("POST")).swap().unsafeCoerce();
+  assert.is(refusal.run, "not_run");
+  assert.is(world.sent.length, 3);
+});
+
+test("nothing is sent after the deadline", async () => {
+  const world = createWorld(["late"]);
+  const pending = world.run("GET");
+  await world.clock.advance(5_000);
+  const refusal = (await pending).swap().unsafeCoerce();
+  assert.is(refusal.kind, "deadline");
+  assert.is(refusal.run, "unknown");
+  assert.is(world.sent.length, 1);
+});
+
+test("retries stop when the budget is spent", async () => {
+  const world = createWorld(Array<Reaction>(400).fill("declined"));
+  for (let i = 0; i < 100; i++) await world.run("POST");
+  // Two initial tokens at each of three endpoints, one more per ten first sends.
+  assert.ok(world.sent.length <= 100 + 6 + 10, `${world.sent.length} sends`);
+  assert.ok(world.metrics.readCounterTotal("retries_denied_total") > 0);
+});
+
+test.run();
