Add HTTP clients of the platform's services and the configuration reader

Cause: nothing spoke to the platform yet. Change: one caller with deadline, breaker, rate-limit pause and counters, four clients over it, and HeadReader, which merges the head with the rented endpoints of each shard under one revision. Ruled out: retries inside the caller, which would be a second layer and raise the call rate in bad times.

--- /dev/null
+++ b/packages/platform/src/breaker.ts
@@ -0,0 +1,67 @@
+/**
+ * Circuit breaker of one service.
+ *
+ * Consecutive failures open it. While it is open one call a pause passes, as a
+ * probe; a success closes the breaker, and each probe doubles the pause up to a
+ * bound. Pauses are jittered so that processes do not probe in step. A probe may
+ * be a long wait, so the next probe does not wait for its outcome.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Random } from "@almondcrank/common/random.ts";
+
+const failuresToOpen = 5;
+const shortestOpenMs = 500;
+const longestOpenMs = 5_000;
+
+/** Verdict on one call. */
+export type BreakerVerdict =
+  | { readonly kind: "pass" }
+  | { readonly kind: "open"; readonly retryAfterMs: number };
+
+/** Breaker of one service. */
+export class Breaker {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  #failures = 0;
+  #openMs = shortestOpenMs;
+  #openUntil: number | undefined;
+
+  private constructor(clock: Clock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  static create(clock: Clock, random: Random): Breaker {
+    return new Breaker(clock, random);
+  }
+
+  /** Checks whether a call may be sent; a passed call must be recorded. */
+  check(): BreakerVerdict {
+    if (this.#openUntil === undefined) return { kind: "pass" };
+    const remainingMs = this.#openUntil - this.#clock.now();
+    if (remainingMs > 0) return { kind: "open", retryAfterMs: remainingMs };
+    this.#open();
+    return { kind: "pass" };
+  }
+
+  /** Records that the service answered. */
+  recordSuccess(): void {
+    this.#failures = 0;
+    this.#openMs = shortestOpenMs;
+    this.#openUntil = undefined;
+  }
+
+  /** Records a call that failed or got no answer. */
+  recordFailure(): void {
+    this.#failures += 1;
+    const isOpen = this.#openUntil !== undefined;
+    if (this.#failures >= failuresToOpen && !isOpen) this.#open();
+  }
+
+  #open(): void {
+    const pauseMs = this.#openMs * (0.5 + this.#random.next() / 2);
+    this.#openUntil = this.#clock.now() + pauseMs;
+    this.#openMs = Math.min(longestOpenMs, this.#openMs * 2);
+  }
+}
--- /dev/null
+++ b/packages/platform/src/head_reader_test.ts
@@ -0,0 +1,139 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import type { Endpoint } from "@almondcrank/common/configuration.ts";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { encodeValue, headKey, rentedPrefix } from "./head_codec.ts";
+import { HeadReader } from "./head_reader.ts";
+import { MemoryObjectStore } from "./memory_object_store.ts";
+
+const service = {
+  kind: "plain",
+  name: "booking",
+  idempotentMethods: ["GET"],
+  timeoutMs: 1_000,
+} as const;
+
+function createEndpoint(name: string): Endpoint {
+  return {
+    name,
+    service: "booking",
+    address: "127.0.0.1:1",
+    host: name,
+    zone: "muc-1",
+    machineClass: "small",
+    market: "reclaimable",
+    checksFencing: true,
+  };
+}
+
+function createHead(endpoints: readonly Endpoint[]): unknown {
+  return encodeValue({
+    writes: [],
+    configuration: {
+      teams: [],
+      models: [],
+      adapters: [],
+      services: [service],
+      endpoints,
+    },
+  });
+}
+
+async function writeHead(
+  store: MemoryObjectStore,
+  endpoints: readonly Endpoint[],
+): Promise<void> {
+  const current = (await store.read(headKey)).unsafeCoerce();
+  await store.write(
+    headKey,
+    createHead(endpoints),
+    current === undefined
+      ? { kind: "absent" }
+      : { kind: "version", version: current.version },
+  );
+}
+
+test("an empty store gives revision 0", async () => {
+  const reader = HeadReader.create(
+    MemoryObjectStore.create(ManualClock.create()),
+  );
+  assert.is((await reader.read()).unsafeCoerce().revision, 0);
+});
+
+test("rented endpoints are merged and raise the revision", async () => {
+  const store = MemoryObjectStore.create(ManualClock.create());
+  const reader = HeadReader.create(store);
+  await writeHead(store, [createEndpoint("a")]);
+  const first = (await reader.read()).unsafeCoerce();
+  const rented = encodeValue({ endpoints: [createEndpoint("r")] });
+  await store.write(`${rentedPrefix}muc-1`, rented, { kind: "absent" });
+  const second = (await reader.wait(first.revision, 1)).unsafeCoerce();
+  assert.equal(second?.endpoints.map(({ name }) => name), ["a", "r"]);
+  assert.is(second?.revision, first.revision + 1);
+});
+
+test("thousands of endpoints survive the encoding", async () => {
+  const store = MemoryObjectStore.create(ManualClock.create());
+  const endpoints = Array.from(
+    { length: 3_000 },
+    (_, i) => createEndpoint(`endpoint-${i}`),
+  );
+  await writeHead(store, endpoints);
+  const read = (await HeadReader.create(store).read()).unsafeCoerce();
+  assert.equal(read.endpoints, endpoints);
+});
+
+test("an expired history is answered by listing again", async () => {
+  const store = MemoryObjectStore.create(ManualClock.create());
+  const reader = HeadReader.create(store);
+  await writeHead(store, []);
+  const first = (await reader.read()).unsafeCoerce();
+  await writeHead(store, [createEndpoint("a")]);
+  store.removeHistory();
+  const next = (await reader.wait(first.revision, 1)).unsafeCoerce();
+  assert.is(next?.endpoints.length, 1);
+});
+
+test("a wait that ends without change gives nothing", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const reader = HeadReader.create(store);
+  await writeHead(store, []);
+  const first = (await reader.read()).unsafeCoerce();
+  const waiting = reader.wait(first.revision, 1_000);
+  await clock.advance(1_000);
+  assert.is((await waiting).unsafeCoerce(), undefined);
+});
+
+test("a stale list does not take the configuration back", async () => {
+  const clock = ManualClock.create();
+  const stale = MemoryObjectStore.create(clock);
+  const store = MemoryObjectStore.create(clock);
+  await writeHead(stale, []);
+  await writeHead(store, []);
+  await writeHead(store, [createEndpoint("a")]);
+  let source = store;
+  const switched = store.createClient(() => "pass");
+  switched.list = (prefix) => source.list(prefix);
+  const reader = HeadReader.create(switched);
+  await reader.read();
+  source = stale;
+  const read = (await reader.read()).unsafeCoerce();
+  assert.is(read.revision, 2);
+  assert.is(read.endpoints.length, 1);
+});
+
+test("an unreadable head is reported and the last good one kept", async () => {
+  const store = MemoryObjectStore.create(ManualClock.create());
+  const reader = HeadReader.create(store);
+  await writeHead(store, [createEndpoint("a")]);
+  const first = (await reader.read()).unsafeCoerce();
+  const version = first.revision;
+  await store.write(headKey, { nonsense: 1 }, { kind: "version", version });
+  assert.is((await reader.wait(version, 1)).isLeft(), true);
+  await writeHead(store, [createEndpoint("a"), createEndpoint("b")]);
+  const mended = (await reader.wait(version, 1)).unsafeCoerce();
+  assert.is(mended?.endpoints.length, 2);
+});
+
+test.run();
--- /dev/null
+++ b/packages/platform/src/http_weight_store.ts
@@ -0,0 +1,40 @@
+/**
+ * Client of the weight store over HTTP; `weight_store.ts` gives the wire.
+ */
+
+import type { Either } from "purify-ts";
+import { z } from "zod";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import {
+  PlatformCaller,
+  type PlatformClientOptions,
+} from "./platform_caller.ts";
+import type { PlatformError } from "./platform_error.ts";
+import type { WeightRate, WeightStore } from "./weight_store.ts";
+
+const weightRate: z.ZodType<WeightRate> = z.object({
+  bytesPerSecond: z.number().nonnegative(),
+  activeLoads: z.number().int().nonnegative(),
+});
+
+/** Weight store at one address. */
+export class HttpWeightStore implements WeightStore, Disposable {
+  readonly #caller: PlatformCaller;
+
+  private constructor(caller: PlatformCaller) {
+    this.#caller = caller;
+  }
+
+  static create(options: PlatformClientOptions): HttpWeightStore {
+    return new HttpWeightStore(PlatformCaller.create("weight_store", options));
+  }
+
+  async readRate(): Promise<Either<PlatformError, WeightRate>> {
+    const answer = await this.#caller.call({ method: "GET", path: "/rate" });
+    return answer.chain((answer) => this.#caller.parse(weightRate, answer));
+  }
+
+  dispose(): void {
+    this.#caller.dispose();
+  }
+}
