--- a/packages/cli/src/status_commands.ts
+++ b/packages/cli/src/status_commands.ts
@@ -10,7 +10,7 @@
 import { type ExitCode, exitCodes } from "./exit_codes.ts";
 import type { OperatorClient } from "./operator_client.ts";
 import { OperatorCommand } from "./operator_command.ts";
-import { formatTable } from "./text_table.ts";
+import { formatTable } from "@almondcrank/common/text_table.ts";
 
 const millisecondsPerSecond = 1_000;
 
--- /dev/null
+++ b/packages/load/src/arrivals.ts
@@ -0,0 +1,83 @@
+/**
+ * Open-loop arrivals: times are drawn ahead, independent of the answers, so a
+ * slow system cannot slow its own load down.
+ */
+
+import { type Either, Left, Right } from "purify-ts";
+import type { Random } from "@almondcrank/common/random.ts";
+
+const millisecondsPerSecond = 1_000;
+
+/** Part of a run in which the rate moves from `fromRate` to `toRate`. */
+export interface Phase {
+  /** Arrivals a second. */
+  readonly fromRate: number;
+  readonly toRate: number;
+  readonly durationMs: number;
+}
+
+/**
+ * Parses phases such as `20:5s,20-60:10s,60:30s`: rate or ramp, then duration.
+ * `Left` is a message.
+ */
+export function parsePhases(text: string): Either<string, readonly Phase[]> {
+  const phases: Phase[] = [];
+  for (const part of text.split(",")) {
+    const match = /^(\d+(?:\.\d+)?)(?:-(\d+(?:\.\d+)?))?:(\d+(?:\.\d+)?)s$/
+      .exec(part.trim());
+    if (match === null) {
+      return Left(
+        `"${part}" is not a phase; write RATE:SECONDSs or FROM-TO:SECONDSs, such as 20-60:10s`,
+      );
+    }
+    const fromRate = Number(match[1]);
+    phases.push({
+      fromRate,
+      toRate: match[2] === undefined ? fromRate : Number(match[2]),
+      durationMs: Number(match[3]) * millisecondsPerSecond,
+    });
+  }
+  return Right(phases);
+}
+
+/** Total duration in milliseconds. */
+export function computeDuration(phases: readonly Phase[]): number {
+  return phases.reduce((sum, phase) => sum + phase.durationMs, 0);
+}
+
+/**
+ * Draws arrival times of a Poisson process over the phases.
+ *
+ * @returns Milliseconds since the start, ascending.
+ */
+export function computeArrivals(
+  phases: readonly Phase[],
+  random: Random,
+): readonly number[] {
+  const times: number[] = [];
+  let start = 0;
+  for (const phase of phases) {
+    addArrivals(times, start, { phase, random });
+    start += phase.durationMs;
+  }
+  return times;
+}
+
+/** Thinning: draws at the highest rate and keeps the share of the present one. */
+function addArrivals(
+  times: number[],
+  start: number,
+  draw: { readonly phase: Phase; readonly random: Random },
+): void {
+  const { phase, random } = draw;
+  const highest = Math.max(phase.fromRate, phase.toRate);
+  if (highest <= 0) return;
+  const mean = millisecondsPerSecond / highest;
+  let at = random.nextExponential(mean);
+  while (at < phase.durationMs) {
+    const progress = at / phase.durationMs;
+    const rate = phase.fromRate + (phase.toRate - phase.fromRate) * progress;
+    if (random.next() * highest < rate) times.push(start + at);
+    at += random.nextExponential(mean);
+  }
+}
--- /dev/null
+++ b/packages/load/src/load_report.ts
@@ -0,0 +1,211 @@
+/**
+ * Reports of load runs: latencies, share on time, tokens, refusals by reason.
+ */
+
+import { build, type Histogram } from "hdr-histogram-js";
+import type { LatencyTarget } from "@almondcrank/common/configuration.ts";
+import { formatTable } from "@almondcrank/common/text_table.ts";
+import type { RequestResult } from "./load_client.ts";
+
+const microsecondsPerMillisecond = 1_000;
+const millisecondsPerSecond = 1_000;
+const targetPercentile = 95;
+
+/** Percentiles in milliseconds. */
+export interface Latency {
+  readonly count: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+  readonly max: number;
+}
+
+/** One second of a run. */
+export interface SecondOfRun {
+  /** Seconds since the start. */
+  readonly second: number;
+  readonly due: number;
+  readonly onTime: number;
+  readonly refused: number;
+  readonly failed: number;
+  readonly firstP95: number;
+}
+
+/** Figures of one run. */
+export interface LoadReport {
+  readonly target: string;
+  readonly seconds: number;
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Share of all requests that were answered on time. */
+  readonly onTimeShare: number;
+  readonly firstToken: Latency;
+  readonly betweenTokens: Latency;
+  readonly whole: Latency;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly cachedTokens: number;
+  readonly recomputedTokens: number;
+  /** Attempts sent to endpoints per answered chat turn. */
+  readonly attemptsPerAnswer: number;
+  readonly reasons: Readonly<Record<string, number>>;
+  readonly timeline: readonly SecondOfRun[];
+}
+
+/** Computes the figures of a run. */
+export function computeReport(
+  target: string,
+  results: readonly RequestResult[],
+  contract: LatencyTarget,
+): LoadReport {
+  const answered = results.filter((result) => result.outcome === "answered");
+  const onTime = answered.filter((result) => isOnTime(result, contract));
+  const end = Math.max(0, ...results.map((result) => result.due));
+  const chats = answered.filter((result) => result.usage !== undefined);
+  const attempts = sumUsage(chats, (usage) => usage.attempts);
+  return {
+    target,
+    seconds: end / millisecondsPerSecond,
+    requests: results.length,
+    answered: answered.length,
+    refused: countOutcome(results, "refused"),
+    failed: countOutcome(results, "failed"),
+    onTimeShare: results.length === 0 ? 0 : onTime.length / results.length,
+    firstToken: computeLatency(chats.flatMap((r) => r.firstMs ?? [])),
+    betweenTokens: computeLatency(chats.flatMap((r) => r.gapsMs)),
+    whole: computeLatency(answered.map((r) => r.totalMs)),
+    promptTokens: sumUsage(chats, (usage) => usage.prompt_tokens),
+    outputTokens: sumUsage(chats, (usage) => usage.completion_tokens),
+    cachedTokens: sumUsage(
+      chats,
+      (usage) => usage.prompt_tokens_details.cached_tokens,
+    ),
+    recomputedTokens: sumUsage(chats, (usage) => usage.recomputed_tokens),
+    attemptsPerAnswer: chats.length === 0 ? 0 : attempts / chats.length,
+    reasons: countReasons(results),
+    timeline: computeTimeline(results, contract),
+  };
+}
+
+/** Whether an answer met the contract. */
+export function isOnTime(
+  result: RequestResult,
+  contract: LatencyTarget,
+): boolean {
+  if (result.outcome !== "answered" || result.firstMs === undefined) {
+    return false;
+  }
+  if (result.firstMs > contract.firstTokenMs) return false;
+  const slow = result.gapsMs.filter((gap) => gap > contract.betweenTokensMs);
+  const allowed = result.gapsMs.length * (100 - targetPercentile) / 100;
+  return slow.length <= allowed;
+}
+
+function countOutcome(
+  results: readonly RequestResult[],
+  outcome: RequestResult["outcome"],
+): number {
+  return results.filter((result) => result.outcome === outcome).length;
+}
+
+function countReasons(
+  results: readonly RequestResult[],
+): Readonly<Record<string, number>> {
+  const reasons: Record<string, number> = {};
+  for (const { reason } of results) {
+    if (reason !== undefined) reasons[reason] = (reasons[reason] ?? 0) + 1;
+  }
+  return reasons;
+}
+
+function sumUsage(
+  results: readonly RequestResult[],
+  read: (usage: NonNullable<RequestResult["usage"]>) => number,
+): number {
+  return results.reduce(
+    (sum, { usage }) => usage === undefined ? sum : sum + read(usage),
+    0,
+  );
+}
+
+function createHistogram(values: readonly number[]): Histogram {
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  for (const value of values) {
+    const micros = Math.round(value * microsecondsPerMillisecond);
+    histogram.recordValue(Math.max(0, micros));
+  }
+  return histogram;
+}
+
+function computeLatency(values: readonly number[]): Latency {
+  const histogram = createHistogram(values);
+  const read = (percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / microsecondsPerMillisecond;
+  return {
+    count: values.length,
+    p50: read(50),
+    p95: read(95),
+    p99: read(99),
+    max: histogram.maxValue / microsecondsPerMillisecond,
+  };
+}
+
+function computeTimeline(
+  results: readonly RequestResult[],
+  contract: LatencyTarget,
+): readonly SecondOfRun[] {
+  const seconds = new Map<number, RequestResult[]>();
+  for (const result of results) {
+    const second = Math.floor(result.due / millisecondsPerSecond);
+    const list = seconds.get(second) ?? [];
+    list.push(result);
+    seconds.set(second, list);
+  }
+  return [...seconds.entries()].sort(([a], [b]) => a - b).map((
+    [second, list],
+  ) => ({
+    second,
+    due: list.length,
+    onTime: list.filter((result) => isOnTime(result, contract)).length,
+    refused: countOutcome(list, "refused"),
+    failed: countOutcome(list, "failed"),
+    firstP95: computeLatency(list.flatMap((r) => r.firstMs ?? [])).p95,
+  }));
+}
+
+/** Writes reports side by side for people. */
+export function formatReports(reports: readonly LoadReport[]): string {
+  const rows: readonly [string, (report: LoadReport) => string][] = [
+    ["requests", (r) => `${r.requests} in ${r.seconds.toFixed(1)} s`],
+    ["answered", (r) => String(r.answered)],
+    ["refused", (r) => String(r.refused)],
+    ["failed", (r) => String(r.failed)],
+    ["on time", (r) => `${(r.onTimeShare * 100).toFixed(2)} %`],
+    ["first token ms p50/p95/p99", (r) => formatLatency(r.firstToken)],
+    ["between tokens ms p50/p95/p99", (r) => formatLatency(r.betweenTokens)],
+    ["whole answer ms p50/p95/p99", (r) => formatLatency(r.whole)],
+    ["prompt tokens", (r) => String(r.promptTokens)],
+    ["output tokens", (r) => String(r.outputTokens)],
+    ["cached tokens", (r) => String(r.cachedTokens)],
+    ["recomputed tokens", (r) => String(r.recomputedTokens)],
+    ["attempts per answer", (r) => r.attemptsPerAnswer.toFixed(3)],
+    ["reasons", (r) => formatReasons(r.reasons)],
+  ];
+  return formatTable(
+    ["", ...reports.map((report) => report.target)],
+    rows.map(([label, read]) => [label, ...reports.map(read)]),
+  );
+}
+
+function formatLatency(latency: Latency): string {
+  return [latency.p50, latency.p95, latency.p99].map((ms) => ms.toFixed(1))
+    .join(" / ");
+}
+
+function formatReasons(reasons: Readonly<Record<string, number>>): string {
+  const entries = Object.entries(reasons);
+  if (entries.length === 0) return "none";
+  return entries.map(([reason, count]) => `${reason} ${count}`).join(", ");
+}
--- /dev/null
+++ b/packages/load/src/load_report_test.ts
@@ -0,0 +1,48 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import type { RequestResult } from "./load_client.ts";
+import { computeReport, isOnTime } from "./load_report.ts";
+
+const contract = { firstTokenMs: 1_600, betweenTokensMs: 32 };
+
+function createResult(changes: Partial<RequestResult>): RequestResult {
+  return {
+    name: "chat",
+    outcome: "answered",
+    reason: undefined,
+    run: undefined,
+    due: 0,
+    firstMs: 100,
+    totalMs: 500,
+    gapsMs: Array.from({ length: 100 }, () => 20),
+    text: "",
+    usage: undefined,
+    ...changes,
+  };
+}
+
+test("an answer is late by its first token or by more than 5 in 100 gaps", () => {
+  assert.ok(isOnTime(createResult({}), contract));
+  assert.not(isOnTime(createResult({ firstMs: 1_601 }), contract));
+  const gaps = (slow: number): number[] =>
+    Array.from({ length: 100 }, (_, index) => (index < slow ? 40 : 20));
+  assert.ok(isOnTime(createResult({ gapsMs: gaps(5) }), contract));
+  assert.not(isOnTime(createResult({ gapsMs: gaps(6) }), contract));
+});
+
+test("refused and failed requests count against the share on time", () => {
+  const report = computeReport("x", [
+    createResult({}),
+    createResult({ outcome: "refused", reason: "overload" }),
+    createResult({ outcome: "failed", reason: "cut", due: 1_500 }),
+    createResult({ due: 1_600 }),
+  ], contract);
+  assert.is(report.onTimeShare, 0.5);
+  assert.equal(report.reasons, { overload: 1, cut: 1 });
+  assert.equal(report.timeline.map(({ second, due }) => [second, due]), [
+    [0, 2],
+    [1, 2],
+  ]);
+});
+
+test.run();
