Add stand-ins for the platform's services, engines and plain services

Cause: tests, scenarios and measurements need the outside systems. Change: object API, host list, cloud API, weight store, engine and plain service on the documented wires, one fault switch shared by all, and the program standin, which starts any of them from one settings file. The bundler takes the module entry of libraries, since jsonc-parser's main entry loads its parts in a way that cannot be bundled.

--- /dev/null
+++ b/packages/standin/src/cache_event_log.ts
@@ -0,0 +1,77 @@
+/**
+ * Cache events as an engine publishes them: late, with gaps, for a limited time.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Random } from "@almondcrank/common/random.ts";
+import type {
+  CacheEvent,
+  CacheEventBatch,
+} from "@almondcrank/endpoint/engine.ts";
+import type { CacheChange } from "./prefix_cache.ts";
+
+const keptEvents = 4_096;
+const maxBatchEvents = 1_024;
+
+/** Lag and loss at the moment. */
+export interface CacheEventFaults {
+  readonly cacheEventLagMs: number;
+  readonly cacheEventLoss: number;
+}
+
+interface TimedEvent {
+  readonly at: number;
+  readonly event: CacheEvent;
+}
+
+/** Bounded log of cache events. */
+export class CacheEventLog {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  #events: TimedEvent[] = [];
+  #sequence = 0;
+
+  private constructor(clock: Clock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  static create(clock: Clock, random: Random): CacheEventLog {
+    return new CacheEventLog(clock, random);
+  }
+
+  /** Records a change of the cache; a lost event still takes its number. */
+  record(change: CacheChange, faults: CacheEventFaults): void {
+    this.#add("evicted", change.evicted, faults);
+    this.#add("stored", change.stored, faults);
+  }
+
+  /** Reads events after `since` that are old enough to be seen. */
+  read(since: number, faults: CacheEventFaults): CacheEventBatch {
+    const newest = this.#clock.now() - faults.cacheEventLagMs;
+    const events: CacheEvent[] = [];
+    for (const { at, event } of this.#events) {
+      if (at > newest || events.length === maxBatchEvents) break;
+      if (event.sequence > since) events.push(event);
+    }
+    return { sequence: events.at(-1)?.sequence ?? since, events };
+  }
+
+  #add(
+    kind: CacheEvent["kind"],
+    blocks: readonly number[],
+    { cacheEventLoss }: CacheEventFaults,
+  ): void {
+    if (blocks.length === 0) return;
+    const sequence = ++this.#sequence;
+    if (cacheEventLoss > 0 && this.#random.next() < cacheEventLoss) return;
+    this.#events.push({
+      at: this.#clock.now(),
+      event: { sequence, kind, blocks },
+    });
+    // Trims in batches, so that an event costs the same on average.
+    if (this.#events.length > 2 * keptEvents) {
+      this.#events = this.#events.slice(-keptEvents);
+    }
+  }
+}
--- /dev/null
+++ b/packages/standin/src/main.ts
@@ -0,0 +1,66 @@
+/**
+ * The program `standin`: starts the stand-ins of a settings file.
+ *
+ * Prints `ready` on standard output when all parts listen; ends on SIGTERM or
+ * SIGINT.
+ */
+
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { Builtins, Cli, Command, Option } from "clipanion";
+import { SystemClock } from "@almondcrank/common/clock.ts";
+import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { StandinSet } from "./standin_set.ts";
+import { parseStandinSettings } from "./standin_settings.ts";
+
+class StandinCommand extends Command {
+  static override readonly paths = [Command.Default];
+  static override readonly usage = Command.Usage({
+    description: "Starts stand-ins for the platform and the endpoints.",
+    examples: [["Start all parts of a file", "standin --settings FILE"]],
+  });
+
+  readonly settings = Option.String("--settings", {
+    required: true,
+    description: "JSON with comments; see docs/STANDIN.md.",
+  });
+
+  override async execute(): Promise<number> {
+    const parsed = parseStandinSettings(readFileSync(this.settings, "utf8"));
+    return await parsed.caseOf({
+      Left: (message) => Promise.resolve(this.#fail(message)),
+      Right: async (settings) => {
+        const set = await StandinSet.open(settings, {
+          clock: SystemClock.create(),
+        });
+        this.context.stdout.write("ready\n");
+        await waitSignal();
+        set.dispose();
+        return 0;
+      },
+    });
+  }
+
+  override catch(error: unknown): Promise<void> {
+    this.#fail(formatThrown(error));
+    process.exitCode = 1;
+    return Promise.resolve();
+  }
+
+  #fail(message: string): number {
+    this.context.stderr.write(`standin: ${this.settings}: ${message}\n`);
+    return 1;
+  }
+}
+
+function waitSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+}
+
+const cli = new Cli({ binaryLabel: "standin", binaryName: "standin" });
+cli.register(StandinCommand);
+cli.register(Builtins.HelpCommand);
+void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/standin/src/object_api_standin.ts
@@ -0,0 +1,296 @@
+/**
+ * Stand-in for the platform's object API, on the wire of `object_store.ts`.
+ */
+
+import { z } from "zod";
+import type { Address } from "@almondcrank/common/address.ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import {
+  type HttpExchange,
+  parseJsonBody,
+  readBody,
+} from "@almondcrank/common/http_server.ts";
+import {
+  maxObjectBytes,
+  type WriteCondition,
+  type WriteOutcome,
+} from "@almondcrank/platform/object_store.ts";
+import { CallRate } from "./call_rate.ts";
+import type { PartFaults } from "./fault_settings.ts";
+import { FaultSwitch } from "./fault_switch.ts";
+import {
+  type ControlCall,
+  createAnswer,
+  createControlError,
+  type Part,
+  type PartAnswer,
+  PartServer,
+} from "./part_server.ts";
+import { findKey, VersionedObjects } from "./versioned_objects.ts";
+
+const maxWatchMs = 60_000;
+
+/** Settings of the object API. */
+export const objectApiSettings = z.strictObject({
+  writesPerSecond: z.number().min(1).default(400),
+  /** Reads, lists and watches together. */
+  readsPerSecond: z.number().min(1).default(2_000),
+  /** Changes that a watch can still read. */
+  historyLimit: z.number().int().min(1).default(10_000),
+});
+export type ObjectApiSettings = z.infer<typeof objectApiSettings>;
+
+/** Calls by kind since the start; a waiting watch is one call. */
+export interface ObjectApiCounts {
+  read: number;
+  list: number;
+  write: number;
+  remove: number;
+  watch: number;
+  conflict: number;
+  rateLimited: number;
+}
+
+/** Options of the object API stand-in. */
+export interface ObjectApiOptions extends Partial<ObjectApiSettings> {
+  readonly address: Address;
+  readonly clock: Clock;
+  readonly name?: string;
+}
+
+/** Running object API. */
+export class ObjectApiStandin implements Part {
+  readonly name: string;
+  readonly faults: FaultSwitch<PartFaults>;
+  readonly objects: VersionedObjects;
+  readonly #clock: Clock;
+  readonly #writes: CallRate;
+  readonly #reads: CallRate;
+  readonly #ended = new AbortController();
+  #server!: PartServer;
+  #counts = createCounts();
+
+  private constructor(options: ObjectApiOptions, settings: ObjectApiSettings) {
+    this.name = options.name ?? "objectApi";
+    this.#clock = options.clock;
+    this.faults = FaultSwitch.createForPart(options.clock);
+    this.objects = VersionedObjects.create(settings.historyLimit);
+    this.#writes = CallRate.create(options.clock, settings.writesPerSecond);
+    this.#reads = CallRate.create(options.clock, settings.readsPerSecond);
+  }
+
+  static async open(options: ObjectApiOptions): Promise<ObjectApiStandin> {
+    const { address, clock, name: _name, ...settings } = options;
+    const standin = new ObjectApiStandin(
+      options,
+      objectApiSettings.parse(settings),
+    );
+    standin.#server = await PartServer.open({
+      address,
+      clock,
+      faults: standin.faults,
+      routes: [
+        // A wildcard, since the router bounds the length of named parameters.
+        { method: "GET", path: "/objects/*", handle: (e) => standin.#read(e) },
+        { method: "GET", path: "/objects", handle: (e) => standin.#list(e) },
+        { method: "PUT", path: "/objects/*", handle: (e) => standin.#write(e) },
+        {
+          method: "DELETE",
+          path: "/objects/*",
+          handle: (e) => standin.#remove(e),
+        },
+        { method: "GET", path: "/watch", handle: (e) => standin.#watch(e) },
+      ],
+      controls: {
+        "GET /control/counts": () => createAnswer(200, standin.#counts),
+        "POST /control/counts/reset": () => standin.#resetCounts(),
+        "POST /control/history/drop": () => standin.#dropHistory(),
+        "POST /control/rates": (call) => standin.#setRates(call),
+      },
+    });
+    return standin;
+  }
+
+  get address(): Address {
+    return this.#server.address;
+  }
+
+  get counts(): Readonly<ObjectApiCounts> {
+    return this.#counts;
+  }
+
+  callControl(call: ControlCall): PartAnswer {
+    return this.#server.callControl(call);
+  }
+
+  dispose(): void {
+    this.#ended.abort();
+    this.#server.dispose();
+  }
+
+  #read(exchange: HttpExchange): PartAnswer {
+    const refusal = this.#claim("read");
+    if (refusal !== undefined) return refusal;
+    const object = this.objects.find(parseKey(exchange));
+    return object === undefined
+      ? createAnswer(404, { reason: "no such object" })
+      : createAnswer(200, object);
+  }
+
+  #list({ query }: HttpExchange): PartAnswer {
+    return this.#claim("list") ??
+      createAnswer(200, this.objects.list(query.get("prefix") ?? ""));
+  }
+
+  async #write(exchange: HttpExchange): Promise<PartAnswer> {
+    const refusal = this.#claim("write");
+    if (refusal !== undefined) return refusal;
+    const condition = parseCondition(exchange);
+    if (condition === undefined) return createMissingCondition();
+    const body = await readBody(exchange.request, maxObjectBytes);
+    return body.chain(parseJsonBody).caseOf({
+      Left: (error) =>
+        createAnswer(error.kind === "body_too_large" ? 413 : 400, {
+          reason: error.message,
+        }),
+      Right: (value) =>
+        this.#createWriteAnswer(
+          this.objects.write(parseKey(exchange), value, condition),
+        ),
+    });
+  }
+
+  #remove(exchange: HttpExchange): PartAnswer {
+    const refusal = this.#claim("remove");
+    if (refusal !== undefined) return refusal;
+    const condition = parseCondition(exchange);
+    if (condition?.kind !== "version") return createMissingCondition();
+    const outcome = this.objects.remove(parseKey(exchange), condition.version);
+    return outcome === undefined
+      ? createAnswer(404, { reason: "no such object" })
+      : this.#createWriteAnswer(outcome);
+  }
+
+  async #watch({ query, response }: HttpExchange): Promise<PartAnswer> {
+    const refusal = this.#claim("watch");
+    if (refusal !== undefined) return refusal;
+    const prefix = query.get("prefix") ?? "";
+    const since = Number(query.get("since"));
+    const waitMs = Math.min(Number(query.get("waitMs")), maxWatchMs);
+    if (!(since >= 0 && waitMs >= 0)) {
+      return createAnswer(400, { reason: "since and waitMs must be numbers" });
+    }
+    let outcome = this.objects.readChanges(prefix, since);
+    if (
+      outcome.kind === "changes" && outcome.batch.changes.length === 0 &&
+      waitMs > 0
+    ) {
+      const gone = new AbortController();
+      response.once("close", () => gone.abort());
+      await this.#waitChange(prefix, waitMs, gone.signal);
+      outcome = this.objects.readChanges(prefix, since);
+    }
+    switch (outcome.kind) {
+      case "changes":
+        return createAnswer(200, outcome.batch);
+      case "expired":
+        return createAnswer(410, { reason: "history gone; list again" });
+    }
+  }
+
+  async #waitChange(
+    prefix: string,
+    waitMs: number,
+    gone: AbortSignal,
+  ): Promise<void> {
+    const woken = new AbortController();
+    const wake = (): void => woken.abort();
+    const subscription = this.objects.onChange((change) => {
+      if (findKey(change).startsWith(prefix)) wake();
+    });
+    this.#ended.signal.addEventListener("abort", wake);
+    gone.addEventListener("abort", wake);
+    await this.#clock.sleep(waitMs, woken.signal);
+    this.#ended.signal.removeEventListener("abort", wake);
+    subscription.dispose();
+  }
+
+  /** Counts a call; answers 429 when its rate is exceeded. */
+  #claim(
+    kind: "read" | "list" | "write" | "remove" | "watch",
+  ): PartAnswer | undefined {
+    this.#counts[kind] += 1;
+    const isWrite = kind === "write" || kind === "remove";
+    const waitMs = (isWrite ? this.#writes : this.#reads).claim();
+    if (waitMs === 0) return undefined;
+    this.#counts.rateLimited += 1;
+    return createAnswer(429, { reason: "call rate exceeded" }, {
+      "retry-after-ms": String(waitMs),
+    });
+  }
+
+  #createWriteAnswer(outcome: WriteOutcome): PartAnswer {
+    switch (outcome.kind) {
+      case "written":
+        return createAnswer(200, { version: outcome.version });
+      case "conflict":
+        this.#counts.conflict += 1;
+        return createAnswer(409, { current: outcome.current ?? null });
+    }
+  }
+
+  #resetCounts(): PartAnswer {
+    this.#counts = createCounts();
+    return createAnswer(200, this.#counts);
+  }
+
+  #dropHistory(): PartAnswer {
+    this.objects.removeHistory();
+    return createAnswer(200, { version: this.objects.version });
+  }
+
+  #setRates({ body }: ControlCall): PartAnswer {
+    const parsed = objectApiSettings.pick({
+      writesPerSecond: true,
+      readsPerSecond: true,
+    }).safeParse(body);
+    if (!parsed.success) {
+      return createControlError(z.prettifyError(parsed.error));
+    }
+    this.#writes.setRate(parsed.data.writesPerSecond);
+    this.#reads.setRate(parsed.data.readsPerSecond);
+    return createAnswer(200, parsed.data);
+  }
+}
+
+function createCounts(): ObjectApiCounts {
+  return {
+    read: 0,
+    list: 0,
+    write: 0,
+    remove: 0,
+    watch: 0,
+    conflict: 0,
+    rateLimited: 0,
+  };
+}
+
+function parseKey({ path }: HttpExchange): string {
+  return decodeURIComponent(path.slice("/objects/".length));
+}
+
+function parseCondition(
+  { request }: HttpExchange,
+): WriteCondition | undefined {
+  if (request.headers["if-none-match"] === "*") return { kind: "absent" };
+  const match = /^"?(\d+)"?$/.exec(request.headers["if-match"] ?? "");
+  return match === null
+    ? undefined
+    : { kind: "version", version: Number(match[1]) };
+}
+
+function createMissingCondition(): PartAnswer {
+  return createAnswer(428, {
+    reason: "send If-Match: VERSION, or If-None-Match: * for a new object",
+  });
+}
--- /dev/null
+++ b/packages/standin/src/part_server.ts
@@ -0,0 +1,278 @@
+/**
+ * The listener of one stand-in: routes behind its faults, and control orders.
+ *
+ * Handlers return their answer instead of sending it, so that an answer can be
+ * lost after the call took effect. Control orders pass by all faults; while the
+ * listener is closed by an outage they come through `callControl`.
+ */
+
+import type { ServerResponse } from "node:http";
+import type { Address } from "@almondcrank/common/address.ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "@almondcrank/common/disposables.ts";
+import {
+  type HttpExchange,
+  type HttpRoute,
+  HttpServer,
+  readJsonBody,
+  sendJson,
+} from "@almondcrank/common/http_server.ts";
+import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import type { PartFaults } from "./fault_settings.ts";
+import type { FaultSwitch } from "./fault_switch.ts";
+
+const reopenRetryMs = 50;
+const maxReopenTries = 100;
+const maxPartBodyBytes = 8_388_608;
+
+/** Answer of a handler. */
+export type PartAnswer =
+  | {
+    readonly kind: "json";
+    readonly status: number;
+    readonly value: unknown;
+    readonly headers?: Readonly<Record<string, string>>;
+  }
+  /** The handler writes to the response itself. */
+  | { readonly kind: "streamed" }
+  /** The connection is cut with no answer. */
+  | { readonly kind: "cut" };
+
+/** Creates a JSON answer. */
+export function createAnswer(
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): PartAnswer {
+  return { kind: "json", status, value, headers };
+}
+
+/** One route of a part's wire. */
+export interface PartRoute {
+  readonly method: HttpRoute["method"];
+  readonly path: string;
+  readonly handle: (
+    exchange: HttpExchange,
+  ) => Promise<PartAnswer> | PartAnswer;
+}
+
+/** One control order. */
+export interface ControlCall {
+  readonly method: string;
+  /** `/control` or a path below it. */
+  readonly path: string;
+  readonly query: URLSearchParams;
+  readonly body: unknown;
+}
+
+/** Control orders of a part by method and path, as `POST /control/reclaim`. */
+export type ControlTable = Readonly<
+  Record<string, (call: ControlCall) => PartAnswer>
+>;
+
+/** What a program needs to know of any part. */
+export interface Part extends Disposable {
+  readonly name: string;
+  readonly address: Address;
+  callControl(call: ControlCall): PartAnswer;
+}
+
+/** Options of a part's listener. */
+export interface PartServerOptions {
+  readonly address: Address;
+  readonly clock: Clock;
+  readonly faults: FaultSwitch<PartFaults>;
+  readonly routes: readonly PartRoute[];
+  readonly controls?: ControlTable;
+}
+
+/** Listening socket of one part. */
+export class PartServer implements Disposable {
+  readonly #store = DisposableStore.create();
+  readonly #options: PartServerOptions;
+  #server: HttpServer | undefined;
+  #address: Address;
+  #isSettling = false;
+  #disposed = false;
+
+  private constructor(options: PartServerOptions) {
+    this.#options = options;
+    this.#address = options.address;
+    this.#store.register(options.faults);
+    this.#store.register(
+      options.faults.onChange(() => void this.#settleListener()),
+    );
+  }
+
+  static async open(options: PartServerOptions): Promise<PartServer> {
+    const server = new PartServer(options);
+    await server.#listen();
+    return server;
+  }
+
+  /** Bound address, kept while the listener is closed by an outage. */
+  get address(): Address {
+    return this.#address;
+  }
+
+  /** Handles one control order. */
+  callControl(call: ControlCall): PartAnswer {
+    const { faults, controls } = this.#options;
+    const operation = `${call.method} ${call.path}`;
+    if (operation === "GET /control") return createAnswer(200, faults.settings);
+    if (operation === "POST /control") {
+      return faults.apply(call.body).caseOf({
+        Left: (message) => createControlError(message),
+        Right: (settings) => createAnswer(200, settings),
+      });
+    }
+    const handle = controls?.[operation];
+    if (handle !== undefined) return handle(call);
+    const known = ["GET /control", "POST /control"]
+      .concat(Object.keys(controls ?? {})).join(", ");
+    return createControlError(
+      `no control order "${operation}"; use ${known}`,
+      404,
+    );
+  }
+
+  dispose(): void {
+    if (this.#disposed) return;
+    this.#disposed = true;
+    this.#server?.dispose();
+    this.#store.dispose();
+  }
+
+  async #listen(): Promise<void> {
+    const routes: HttpRoute[] = this.#options.routes.map((route) => ({
+      method: route.method,
+      path: route.path,
+      handle: (exchange) => this.#handle(route, exchange),
+    }));
+    for (const path of ["/control", "/control/*"]) {
+      routes.unshift({
+        method: "ALL",
+        path,
+        handle: (exchange) => this.#handleControl(exchange),
+      });
+    }
+    this.#server = await HttpServer.open({
+      address: this.#address,
+      routes,
+      limits: { maxBodyBytes: maxPartBodyBytes },
+    });
+    this.#address = this.#server.address;
+  }
+
+  /** Brings the listener to what the outage asks: closed or open. */
+  async #settleListener(): Promise<void> {
+    if (this.#isSettling || this.#disposed) return;
+    this.#isSettling = true;
+    try {
+      for (let tries = 0; tries < maxReopenTries; tries++) {
+        const wanted = this.#options.faults.outage !== "refuse";
+        if (this.#disposed || wanted === (this.#server !== undefined)) break;
+        if (wanted) await this.#reopen();
+        else await this.#closeListener();
+      }
+    } finally {
+      this.#isSettling = false;
+    }
+    if (this.#disposed) await this.#closeListener();
+  }
+
+  /** Lets the answer to the order that closes the listener out first. */
+  async #closeListener(): Promise<void> {
+    await new Promise((resolve) => setImmediate(resolve));
+    this.#server?.dispose();
+    this.#server = undefined;
+  }
+
+  async #reopen(): Promise<void> {
+    try {
+      await this.#listen();
+    } catch {
+      // Another socket may hold the port for a moment.
+      await this.#options.clock.sleep(reopenRetryMs);
+    }
+  }
+
+  async #handle(route: PartRoute, exchange: HttpExchange): Promise<void> {
+    const { faults, clock } = this.#options;
+    const { response } = exchange;
+    const outage = faults.outage;
+    switch (outage) {
+      case "none":
+        break;
+      case "error":
+        sendJson(response, 503, { reason: "outage" });
+        return;
+      case "hang":
+        await faults.waitOutageEnd("hang");
+        response.destroy();
+        return;
+      case "refuse":
+        response.destroy();
+        return;
+    }
+    if (faults.settings.frozen) await faults.waitThawed();
+    const { slowMs } = faults.settings;
+    if (slowMs > 0) await clock.sleep(slowMs);
+    const answer = await route.handle(exchange);
+    if (faults.settings.frozen) await faults.waitThawed();
+    const isWrite = exchange.request.method !== "GET";
+    if (answer.kind === "json" && isWrite && faults.claimLostAnswer()) {
+      response.destroy();
+      return;
+    }
+    sendAnswer(response, answer);
+  }
+
+  async #handleControl(exchange: HttpExchange): Promise<void> {
+    const { request, response, query, path } = exchange;
+    const call = { method: request.method ?? "GET", path, query };
+    sendAnswer(
+      response,
+      await readControlBody(
+        exchange,
+        (body) => this.callControl({ ...call, body }),
+      ),
+    );
+  }
+}
+
+/** Reads the body of a control order, if it has one, and handles the order. */
+export async function readControlBody(
+  exchange: HttpExchange,
+  handle: (body: unknown) => PartAnswer,
+): Promise<PartAnswer> {
+  if (exchange.request.method === "GET") return handle(undefined);
+  const body = await readJsonBody(exchange.request, maxPartBodyBytes);
+  return body.caseOf({
+    Left: (error) => createControlError(formatThrown(error)),
+    Right: handle,
+  });
+}
+
+/** Answer to an order that cannot be carried out. */
+export function createControlError(message: string, status = 400): PartAnswer {
+  return createAnswer(status, { error: { kind: "bad_control", message } });
+}
+
+/** Sends a handler's answer, unless the caller is gone. */
+export function sendAnswer(response: ServerResponse, answer: PartAnswer): void {
+  switch (answer.kind) {
+    case "json":
+      if (response.destroyed) return;
+      sendJson(response, answer.status, answer.value, answer.headers);
+      return;
+    case "cut":
+      response.destroy();
+      return;
+    case "streamed":
+      return;
+  }
+}
--- /dev/null
+++ b/packages/standin/src/plain_standin.ts
@@ -0,0 +1,302 @@
+/**
+ * Stand-in for a plain service that takes bookings, on the wire of
+ * `plain_service.ts`.
+ *
+ * Every call other than a read books: it adds an entry to the slot that its JSON
+ * body names. The service does not recognise repeated calls, so a call that runs
+ * twice shows as two entries with one key.
+ */
+
+import { z } from "zod";
+import type { Address } from "@almondcrank/common/address.ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import { type Hasher, openHasher } from "@almondcrank/common/hashing.ts";
+import {
+  type HttpExchange,
+  parseJsonBody,
+  readBody,
+} from "@almondcrank/common/http_server.ts";
+import type { Random } from "@almondcrank/common/random.ts";
+import type { PlainLoad } from "@almondcrank/endpoint/plain_service.ts";
+import {
+  noPlainFaults,
+  type PlainFaults,
+  plainFaultsSchema,
+} from "./fault_settings.ts";
+import { FaultSwitch } from "./fault_switch.ts";
+import {
+  type ControlCall,
+  createAnswer,
+  type Part,
+  type PartAnswer,
+  PartServer,
+} from "./part_server.ts";
+import { RecordList } from "./record_list.ts";
+
+const keptRecords = 20_000;
+const readMethods = ["GET", "HEAD", "OPTIONS"];
+
+/** Settings of a plain service's endpoint. */
+export const plainSettings = z.strictObject({
+  /** Mean time a call runs. */
+  serviceMs: z.number().min(0).default(20),
+  /** Largest deviation from the mean, as a share of it. */
+  serviceSpread: z.number().min(0).max(1).default(0.2),
+  /** Calls that run at once. */
+  concurrency: z.number().int().min(1).default(8),
+  /** Calls that wait at once; more are declined. */
+  queueLimit: z.number().int().min(0).default(64),
+  loadPublishMs: z.number().min(0).default(100),
+});
+export type PlainSettings = z.infer<typeof plainSettings>;
+
+/** One call that ran. */
+export interface PlainRecord {
+  /** Grows by one per run. */
+  readonly run: number;
+  /** Wall time at which it took effect, in milliseconds. */
+  readonly at: number;
+  readonly method: string;
+  readonly path: string;
+  readonly key: string | undefined;
+  /** Hash of method, path and body. */
+  readonly requestHash: number;
+  readonly slot: string | undefined;
+}
+
+/** Bookings that stand where at most one should. */
+export interface DoubleRuns {
+  /** Keys that ran more than once. */
+  readonly keys: readonly string[];
+  /** Slots booked more than once. */
+  readonly slots: readonly string[];
+}
+
+/** Options of a plain service stand-in. */
+export interface PlainOptions extends Partial<PlainSettings> {
+  readonly name?: string;
+  readonly address: Address;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** Running endpoint of a plain service. */
+export class PlainServiceStandin implements Part {
+  readonly name: string;
+  readonly faults: FaultSwitch<PlainFaults>;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #hasher: Hasher;
+  readonly #settings: PlainSettings;
+  readonly #records = RecordList.create<PlainRecord>(keptRecords);
+  readonly #bookings = new Map<string, PlainRecord[]>();
+  readonly #waiting: (() => void)[] = [];
+  #running = 0;
+  #published: { readonly at: number; readonly load: PlainLoad };
+  #server!: PartServer;
+
+  private constructor(
+    options: PlainOptions,
+    settings: PlainSettings,
+    hasher: Hasher,
+  ) {
+    this.name = options.name ?? "plain";
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#hasher = hasher;
+    this.#settings = settings;
+    this.faults = FaultSwitch.create({
+      schema: plainFaultsSchema,
+      initial: noPlainFaults,
+      clock: options.clock,
+    });
+    this.#published = { at: options.clock.now(), load: this.load };
+  }
+
+  static async open(options: PlainOptions): Promise<PlainServiceStandin> {
+    const { name: _name, address, clock, random: _random, ...settings } =
+      options;
+    const standin = new PlainServiceStandin(
+      options,
+      plainSettings.parse(settings),
+      await openHasher(),
+    );
+    standin.#server = await PartServer.open({
+      address,
+      clock,
+      faults: standin.faults,
+      routes: [
+        { method: "GET", path: "/load", handle: () => standin.#readLoad() },
+        { method: "ALL", path: "/*", handle: (e) => standin.#handle(e) },
+      ],
+      controls: {
+        "GET /control/records": () => standin.#listRecords(),
+        "GET /control/doubles": () => createAnswer(200, standin.findDoubles()),
+      },
+    });
+    return standin;
+  }
+
+  get address(): Address {
+    return this.#server.address;
+  }
+
+  /** Calls that ran, oldest first. */
+  get records(): readonly PlainRecord[] {
+    return this.#records.list();
+  }
+
+  /** Load at this moment, without lag or lie. */
+  get load(): PlainLoad {
+    return {
+      ageMs: 0,
+      running: this.#running,
+      queued: this.#waiting.length,
+    };
+  }
+
+  /** Finds keys that ran twice and slots that were booked twice. */
+  findDoubles(): DoubleRuns {
+    const runs = new Map<string, number>();
+    for (const { key, method } of this.records) {
+      if (key === undefined || readMethods.includes(method)) continue;
+      runs.set(key, (runs.get(key) ?? 0) + 1);
+    }
+    const keys = [...runs].filter(([, count]) => count > 1)
+      .map(([key]) => key);
+    const slots = [...this.#bookings].filter(([, list]) => list.length > 1)
+      .map(([slot]) => slot);
+    return { keys, slots };
+  }
+
+  callControl(call: ControlCall): PartAnswer {
+    return this.#server.callControl(call);
+  }
+
+  dispose(): void {
+    this.#server.dispose();
+    for (const wake of this.#waiting.splice(0)) wake();
+  }
+
+  async #handle(exchange: HttpExchange): Promise<PartAnswer> {
+    if (this.faults.settings.cutBeforeRun) return { kind: "cut" };
+    const body = await readBody(exchange.request);
+    if (body.isLeft()) {
+      return createAnswer(400, { reason: "body is too large or incomplete" });
+    }
+    if (
+      this.#running >= this.#settings.concurrency &&
+      this.#waiting.length >= this.#settings.queueLimit
+    ) {
+      return createAnswer(503, { reason: "queue is full" }, {
+        "x-run": "not_run",
+      });
+    }
+    await this.#acquire();
+    try {
+      // A caller that left while the call waited no longer wants it run.
+      if (exchange.response.destroyed) return { kind: "cut" };
+      await this.#clock.sleep(this.#chooseServiceMs());
+      await this.faults.waitThawed();
+      return this.#runCall(exchange, body.orDefault(Buffer.alloc(0)));
+    } finally {
+      this.#release();
+    }
+  }
+
+  async #acquire(): Promise<void> {
+    this.#publishLoad();
+    if (this.#running < this.#settings.concurrency) {
+      this.#running += 1;
+      return;
+    }
+    await new Promise<void>((resolve) => this.#waiting.push(resolve));
+  }
+
+  /** Passes the place to the call that waits longest, or frees it. */
+  #release(): void {
+    this.#publishLoad();
+    const wake = this.#waiting.shift();
+    if (wake === undefined) this.#running -= 1;
+    else wake();
+  }
+
+  #chooseServiceMs(): number {
+    const { serviceMs, serviceSpread } = this.#settings;
+    const deviation = serviceSpread * (2 * this.#random.next() - 1);
+    return serviceMs * (1 + deviation) * this.faults.settings.slowdown;
+  }
+
+  #runCall({ request, path }: HttpExchange, body: Buffer): PartAnswer {
+    const method = request.method ?? "GET";
+    const isRead = readMethods.includes(method);
+    const key = request.headers["idempotency-key"];
+    const record: PlainRecord = {
+      run: this.#records.total + 1,
+      at: this.#clock.wallTime(),
+      method,
+      path,
+      key: typeof key === "string" ? key : undefined,
+      requestHash: this.#hasher.hash32(`${method} ${path} ${body.toString()}`),
+      slot: isRead ? undefined : findSlot(body),
+    };
+    this.#records.add(record);
+    if (isRead) return this.#createReadAnswer(path);
+    if (record.slot !== undefined) {
+      const bookings = this.#bookings.get(record.slot) ?? [];
+      bookings.push(record);
+      this.#bookings.set(record.slot, bookings);
+    }
+    const { run, slot, requestHash } = record;
+    return createAnswer(201, {
+      status: "booked",
+      confirmation: `B${run}-${requestHash.toString(16)}`,
+      slot,
+      key: record.key,
+    });
+  }
+
+  /** Answers with the bookings of the slot that the path ends with. */
+  #createReadAnswer(path: string): PartAnswer {
+    const slot = decodeURIComponent(path.slice(path.lastIndexOf("/") + 1));
+    const bookings = (this.#bookings.get(slot) ?? [])
+      .map(({ run, key }) => ({ run, key }));
+    return createAnswer(200, { path, slot, bookings });
+  }
+
+  #readLoad(): PartAnswer {
+    this.#publishLoad();
+    const { at, load } = this.#published;
+    const { loadFactor } = this.faults.settings;
+    const report: PlainLoad = {
+      ageMs: this.#clock.now() - at,
+      running: Math.round(load.running * loadFactor),
+      queued: Math.round(load.queued * loadFactor),
+    };
+    return createAnswer(200, report);
+  }
+
+  /** Publishes the load if an interval has ended; called before each change. */
+  #publishLoad(): void {
+    const { loadPublishMs } = this.#settings;
+    const now = this.#clock.now();
+    if (now - this.#published.at < loadPublishMs) return;
+    const at = loadPublishMs === 0 ? now : now - now % loadPublishMs;
+    this.#published = { at, load: this.load };
+  }
+
+  #listRecords(): PartAnswer {
+    return createAnswer(200, {
+      total: this.#records.total,
+      records: this.records,
+    });
+  }
+}
+
+/** Slot that a body names, if it is a JSON object with one. */
+function findSlot(body: Uint8Array): string | undefined {
+  const value = parseJsonBody(body).toMaybe().extract();
+  if (typeof value !== "object" || value === null) return undefined;
+  const slot = (value as { readonly slot?: unknown }).slot;
+  return typeof slot === "string" ? slot : undefined;
+}
--- /dev/null
+++ b/packages/standin/src/versioned_objects.ts
@@ -0,0 +1,136 @@
+/**
+ * Objects with versions from one sequence, and the history of their changes.
+ */
+
+import type {
+  ObjectChange,
+  ObjectList,
+  StoredObject,
+  WatchOutcome,
+  WriteCondition,
+  WriteOutcome,
+} from "@almondcrank/platform/object_store.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+
+/** Objects of the object API, in memory. */
+export class VersionedObjects {
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #changed = Emitter.create<ObjectChange>();
+  readonly #historyLimit: number;
+  #history: ObjectChange[] = [];
+  /** Watches from an older version than this have expired. */
+  #oldestSince = 0;
+  #version = 0;
+
+  private constructor(historyLimit: number) {
+    this.#historyLimit = historyLimit;
+  }
+
+  /** @param historyLimit Changes that watches can still read. */
+  static create(historyLimit: number): VersionedObjects {
+    return new VersionedObjects(historyLimit);
+  }
+
+  readonly onChange: Event<ObjectChange> = (listener) =>
+    this.#changed.event(listener);
+
+  get version(): number {
+    return this.#version;
+  }
+
+  find(key: string): StoredObject | undefined {
+    return this.#objects.get(key);
+  }
+
+  list(prefix: string): ObjectList {
+    const objects = [...this.#objects.values()]
+      .filter((object) => object.key.startsWith(prefix))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return { version: this.#version, objects };
+  }
+
+  write(
+    key: string,
+    value: unknown,
+    condition: WriteCondition,
+  ): WriteOutcome {
+    const current = this.#objects.get(key);
+    if (!isMet(condition, current)) return { kind: "conflict", current };
+    const version = ++this.#version;
+    const object = { key, version, value };
+    this.#objects.set(key, object);
+    this.#recordChange({ kind: "written", object });
+    return { kind: "written", version };
+  }
+
+  /** Removes an object at a version; undefined when there is none. */
+  remove(key: string, version: number): WriteOutcome | undefined {
+    const current = this.#objects.get(key);
+    if (current === undefined) return undefined;
+    if (current.version !== version) return { kind: "conflict", current };
+    this.#objects.delete(key);
+    this.#version += 1;
+    this.#recordChange({ kind: "removed", key, version: this.#version });
+    return { kind: "written", version: this.#version };
+  }
+
+  /** Lists changes below `prefix` after `since`, without waiting. */
+  readChanges(prefix: string, since: number): WatchOutcome {
+    if (since < this.#oldestSince || since > this.#version) {
+      return { kind: "expired" };
+    }
+    const changes = this.#history.slice(this.#findIndexAfter(since))
+      .filter((change) => findKey(change).startsWith(prefix));
+    return { kind: "changes", batch: { version: this.#version, changes } };
+  }
+
+  /** Drops the history, so that every older watch expires. */
+  removeHistory(): void {
+    this.#history = [];
+    this.#oldestSince = this.#version;
+  }
+
+  /** Finds the first change after `since`; versions in the history are sorted. */
+  #findIndexAfter(since: number): number {
+    let low = 0;
+    let high = this.#history.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (findVersion(this.#history[middle]!) <= since) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+
+  #recordChange(change: ObjectChange): void {
+    this.#history.push(change);
+    // Trims in batches, so that a write costs the same on average.
+    if (this.#history.length > 2 * this.#historyLimit) {
+      this.#history = this.#history.slice(-this.#historyLimit);
+    }
+    const first = this.#history.at(-this.#historyLimit);
+    if (first !== undefined) this.#oldestSince = findVersion(first) - 1;
+    this.#changed.fire(change);
+  }
+}
+
+function isMet(
+  condition: WriteCondition,
+  current: StoredObject | undefined,
+): boolean {
+  switch (condition.kind) {
+    case "absent":
+      return current === undefined;
+    case "version":
+      return current?.version === condition.version;
+  }
+}
+
+/** Key of the object that changed. */
+export function findKey(change: ObjectChange): string {
+  return change.kind === "written" ? change.object.key : change.key;
+}
+
+function findVersion(change: ObjectChange): number {
+  return change.kind === "written" ? change.object.version : change.version;
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -25,6 +25,8 @@
     platform: "node",
     target: "node20",
     format: "cjs",
+    // jsonc-parser's `main` loads its parts in a way that cannot be bundled.
+    mainFields: ["module", "main"],
     sourcemap: "inline",
     sourcesContent: false,
     logLevel: "warning",
