--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,7 +5,7 @@
  */
 
 import { build } from "esbuild";
-import { existsSync } from "node:fs";
+import { existsSync, readFileSync } from "node:fs";
 import process from "node:process";
 
 const programs = [
@@ -13,6 +13,11 @@
   { entry: "packages/standin/src/main.ts", output: "dist/standin.cjs" },
 ];
 
+/** Text of an installed file as a literal of the bundle. */
+function readLiteral(path) {
+  return JSON.stringify(readFileSync(`node_modules/${path}`, "utf8"));
+}
+
 for (const { entry, output } of programs) {
   if (!existsSync(entry)) {
     process.stderr.write(`bundle: ${entry} is missing, skipped.\n`);
@@ -29,6 +34,10 @@
     mainFields: ["module", "main"],
     sourcemap: "inline",
     sourcesContent: false,
+    define: {
+      builtInPlotScript: readLiteral("uplot/dist/uPlot.iife.min.js"),
+      builtInPlotStyle: readLiteral("uplot/dist/uPlot.min.css"),
+    },
     logLevel: "warning",
   });
 }
