Route model requests: engine client, replica choice, streams that resume

Cause: requests of model services had interfaces only. Change: HttpEngine over one undici pool per endpoint; RoutedModels with a load table corrected by own sends, choice by predicted time, admission, streams whose token log outlives attempts, migration on a notice, hand-over between nodes.

--- /dev/null
+++ b/packages/endpoint/src/engine_pool.ts
@@ -0,0 +1,53 @@
+/**
+ * Engine clients by endpoint, created on first use.
+ *
+ * A client belongs to one name at one address: when a host is replaced under
+ * the same name, the old client is disposed.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Endpoint } from "@almondcrank/common/configuration.ts";
+import { HttpEngine } from "./http_engine.ts";
+
+interface PooledEngine {
+  readonly address: string;
+  readonly engine: HttpEngine;
+}
+
+/** Owner of the HTTP clients of all engines. */
+export class EnginePool {
+  readonly #clock: Clock;
+  readonly #engines = new Map<string, PooledEngine>();
+
+  private constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  static create(clock: Clock): EnginePool {
+    return new EnginePool(clock);
+  }
+
+  /** Client of `endpoint`. */
+  find(endpoint: Pick<Endpoint, "name" | "address">): HttpEngine {
+    const pooled = this.#engines.get(endpoint.name);
+    if (pooled?.address === endpoint.address) return pooled.engine;
+    pooled?.engine.dispose();
+    const engine = HttpEngine.create({ endpoint, clock: this.#clock });
+    this.#engines.set(endpoint.name, { address: endpoint.address, engine });
+    return engine;
+  }
+
+  /** Disposes the clients of endpoints that are not listed. */
+  apply(endpoints: readonly Pick<Endpoint, "name">[]): void {
+    const names = new Set(endpoints.map((endpoint) => endpoint.name));
+    for (const [name, { engine }] of this.#engines) {
+      if (names.has(name)) continue;
+      engine.dispose();
+      this.#engines.delete(name);
+    }
+  }
+
+  dispose(): void {
+    this.apply([]);
+  }
+}
--- /dev/null
+++ b/packages/endpoint/src/http_engine_test.ts
@@ -0,0 +1,173 @@
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import type { ServerResponse } from "node:http";
+import { HttpEngine } from "./http_engine.ts";
+import type { GenerateRequest } from "./engine.ts";
+
+const request: GenerateRequest = {
+  id: "a1",
+  model: "m",
+  prompt: "one two",
+  tokensSoFar: [],
+  maxTokens: 8,
+  priority: 0,
+  remainingMs: 5_000,
+};
+const end = {
+  kind: "end",
+  reason: "stop",
+  usage: {
+    promptTokens: 2,
+    cachedTokens: 0,
+    computedTokens: 2,
+    outputTokens: 1,
+  },
+};
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+async function openServer(handle: Handler): Promise<Server> {
+  const server = createServer(handle);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return server;
+}
+
+function createEngine(server: Server, clock = ManualClock.create()) {
+  const { port } = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  return HttpEngine.create({ endpoint: { name: "e", address }, clock });
+}
+
+async function collect(engine: HttpEngine): Promise<string[]> {
+  const seen: string[] = [];
+  for await (
+    const item of engine.generate(request, new AbortController().signal)
+  ) {
+    item.caseOf({
+      Left: (error) => seen.push(`${error.kind}/${error.run}`),
+      Right: (event) =>
+        seen.push(event.kind === "token" ? event.text : event.reason),
+    });
+  }
+  return seen;
+}
+
+async function run(handle: Handler): Promise<string[]> {
+  const server = await openServer(handle);
+  const engine = createEngine(server);
+  const seen = await collect(engine);
+  engine.dispose();
+  server.closeAllConnections();
+  server.close();
+  return seen;
+}
+
+test("events are read although chunks cut lines and characters", async () => {
+  const text = JSON.stringify({ kind: "token", index: 0, text: " é" }) + "\n" +
+    JSON.stringify(end) + "\n";
+  const bytes = Buffer.from(text);
+  const seen = await run(async (_, response) => {
+    for (const byte of bytes) {
+      response.write(Buffer.of(byte));
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    response.end();
+  });
+  assert.equal(seen, [" é", "stop"]);
+});
+
+test("an answer without its end mark is lost, not complete", async () => {
+  const token = JSON.stringify({ kind: "token", index: 0, text: "a" });
+  const whole = await run((_, response) => response.end(token + "\n"));
+  assert.equal(whole, ["a", "connection_lost/unknown"]);
+  const cut = await run((_, response) => {
+    response.write(token + "\n", () => response.destroy());
+  });
+  assert.equal(cut, ["a", "connection_lost/unknown"]);
+});
+
+test("run states tell whether the engine may have run", async () => {
+  const declined = await run((_, response) => {
+    response.writeHead(503).end(JSON.stringify({ reason: "full" }));
+  });
+  assert.equal(declined, ["declined/not_run"]);
+  const killed = await run((_, response) => response.destroy());
+  assert.equal(killed, ["connection_lost/unknown"]);
+  const garbled = await run((_, response) => response.end("{}\n"));
+  assert.equal(garbled, ["bad_answer/unknown"]);
+  const server = await openServer(() => {});
+  const engine = createEngine(server);
+  await new Promise((resolve) => server.close(resolve));
+  assert.equal(await collect(engine), ["unreachable/not_run"]);
+  engine.dispose();
+});
+
+test("an aborted generation is cancelled on the engine", async () => {
+  const paths: string[] = [];
+  let cancelled = (): void => {};
+  const cancel = new Promise<void>((resolve) => cancelled = resolve);
+  const server = await openServer((incoming, response) => {
+    paths.push(incoming.url ?? "");
+    if (incoming.url === "/generate") {
+      response.write(JSON.stringify({ kind: "token", index: 0, text: "a" }));
+      response.write("\n");
+      return;
+    }
+    response.end("{}");
+    cancelled();
+  });
+  const engine = createEngine(server);
+  const abort = new AbortController();
+  for await (const item of engine.generate(request, abort.signal)) {
+    assert.ok(item.isRight());
+    abort.abort();
+  }
+  await cancel;
+  assert.equal(paths, ["/generate", "/cancel"]);
+  engine.dispose();
+  server.closeAllConnections();
+  server.close();
+});
+
+test("a call without answer times out", async () => {
+  const clock = ManualClock.create();
+  let asked = (): void => {};
+  const reached = new Promise<void>((resolve) => asked = resolve);
+  const server = await openServer(() => asked());
+  const engine = createEngine(server, clock);
+  const load = engine.readLoad();
+  await reached;
+  await clock.advance(2_000);
+  assert.is((await load).swap().extract()?.toString().includes("2000"), true);
+  engine.dispose();
+  server.closeAllConnections();
+  server.close();
+});
+
+test("a stale fencing number tells the newer one", async () => {
+  const server = await openServer((_, response) => {
+    response.writeHead(412).end(JSON.stringify({ known: 9 }));
+  });
+  const engine = createEngine(server);
+  const answer = await engine.sendOrder({
+    fencing: 3,
+    holder: "n1",
+    role: "serve",
+    models: [],
+  });
+  const error = answer.swap().extract() as { detail: unknown };
+  assert.equal(error.detail, {
+    kind: "stale_fencing",
+    endpoint: "e",
+    sent: 3,
+    known: 9,
+  });
+  engine.dispose();
+  server.closeAllConnections();
+  server.close();
+});
+
+test.run();
--- /dev/null
+++ b/packages/routing/src/admission.ts
@@ -0,0 +1,93 @@
+/**
+ * Admission of requests to model services.
+ *
+ * A request that is predicted to miss its deadline or the service's target for
+ * the first token is refused at once, so that the queues of engines stay short
+ * enough for those that are accepted. The higher a team's priority, the more of
+ * the target it may use up by waiting: under overload the lowest priority meets
+ * its limit first and is shed first.
+ */
+
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { ModelRequest } from "./model_router.ts";
+import { Refusal } from "./refusal.ts";
+import type { Choice } from "./replica_choice.ts";
+
+/** Share of the first-token target that the first priority may wait. */
+const highestShare = 0.85;
+/** Share taken off for each step of priority. */
+const shareStep = 0.06;
+/** Time constant of the counts behind `Retry-After`, in milliseconds. */
+const demandDecayMs = 2_000;
+const minRetryAfterMs = 50;
+const maxRetryAfterMs = 30_000;
+/** Demand beyond capacity is at most taken as this factor. */
+const maxDemandFactor = 10;
+
+/** Decides whether a request is worth starting. */
+export class Admission {
+  readonly #clock: Clock;
+  #accepted = 0;
+  #refused = 0;
+  #countedAt = 0;
+
+  private constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  static create(clock: Clock): Admission {
+    return new Admission(clock);
+  }
+
+  /** Accepts or refuses a request by what is predicted of its best replica. */
+  check(request: ModelRequest, choice: Choice): Either<Refusal, void> {
+    const now = this.#clock.now();
+    this.#decayCounts(now);
+    const limitMs = computeFirstTokenLimit(request);
+    const lateMs = Math.max(
+      choice.firstTokenMs - limitMs,
+      now + choice.totalMs - request.deadline,
+    );
+    if (lateMs <= 0) {
+      this.#accepted++;
+      return Right(undefined);
+    }
+    this.#refused++;
+    return Left(this.#createRefusal(lateMs));
+  }
+
+  /**
+   * The backlog drains one millisecond a millisecond when nothing is added, and
+   * slower by the demand that competes for it.
+   */
+  #createRefusal(lateMs: number): Refusal {
+    const demand = (this.#accepted + this.#refused) /
+      Math.max(1, this.#accepted);
+    const factor = Math.min(maxDemandFactor, demand);
+    const retryAfterMs = Math.min(
+      maxRetryAfterMs,
+      Math.max(minRetryAfterMs, Math.ceil(lateMs * factor)),
+    );
+    return Refusal.create({
+      kind: "overload",
+      run: "not_run",
+      retryAfterMs,
+      message: `the request would be ${Math.ceil(lateMs)} ms late; ` +
+        `send it again in ${retryAfterMs} ms or allow more time`,
+    });
+  }
+
+  #decayCounts(now: number): void {
+    const keep = Math.exp((this.#countedAt - now) / demandDecayMs);
+    this.#accepted *= keep;
+    this.#refused *= keep;
+    this.#countedAt = now;
+  }
+}
+
+/** Longest predicted wait for the first token at which a request is accepted. */
+function computeFirstTokenLimit({ service, team }: ModelRequest): number {
+  const share = highestShare - shareStep * team.priority;
+  return service.target.firstTokenMs * share;
+}
--- /dev/null
+++ b/packages/routing/src/load_table.ts
@@ -0,0 +1,176 @@
+/**
+ * Load and state of all replicas as this node knows them.
+ *
+ * Fed by the digests of the pollers and by the outcomes of this node's own
+ * attempts. A replica that is leaving gets no new work and stays leaving until
+ * the configuration replaces it, whatever reports or lists say.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Endpoint } from "@almondcrank/common/configuration.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import type { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
+import type {
+  EndpointLoad,
+  LeavingEndpoint,
+} from "@almondcrank/membership/membership.ts";
+import { type AssumedLoad, ReplicaLoad } from "./replica_load.ts";
+
+const defaultAssumedLoad: AssumedLoad = {
+  slots: 8,
+  prefillTokensPerSecond: 4_000,
+  betweenTokensMs: 25,
+};
+
+/** Time a leaving endpoint counts as recent for its zone, in milliseconds. */
+const zoneReclaimMs = 60_000;
+const outputWeight = 0.02;
+const defaultMeanOutputTokens = 128;
+
+/** Options of a table. */
+export interface LoadTableOptions {
+  readonly clock: Clock;
+  readonly assumed?: AssumedLoad;
+}
+
+/** Loads of all endpoints this node may send to. */
+export class LoadTable {
+  readonly #clock: Clock;
+  readonly #assumed: AssumedLoad;
+  readonly #replicas = new Map<string, ReplicaLoad>();
+  readonly #zones = new Map<string, string>();
+  readonly #reclaimedZones = new Map<string, number>();
+  readonly #leaving = Emitter.create<LeavingEndpoint>();
+  #meanOutputTokens = defaultMeanOutputTokens;
+
+  private constructor(options: LoadTableOptions) {
+    this.#clock = options.clock;
+    this.#assumed = options.assumed ?? defaultAssumedLoad;
+  }
+
+  static create(options: LoadTableOptions): LoadTable {
+    return new LoadTable(options);
+  }
+
+  /** Fires once for each endpoint that becomes known to be leaving. */
+  get onLeaving(): Event<LeavingEndpoint> {
+    return this.#leaving.event;
+  }
+
+  /** Mean output of finished requests, in tokens. */
+  get meanOutputTokens(): number {
+    return this.#meanOutputTokens;
+  }
+
+  /** Keeps exactly the given endpoints; one at a new address starts afresh. */
+  apply(endpoints: readonly Endpoint[]): void {
+    const names = new Set<string>();
+    for (const endpoint of endpoints) {
+      names.add(endpoint.name);
+      this.#zones.set(endpoint.name, endpoint.zone);
+      const known = this.#replicas.get(endpoint.name);
+      if (known?.address === endpoint.address) continue;
+      this.#replicas.set(
+        endpoint.name,
+        ReplicaLoad.create(endpoint, this.#assumed),
+      );
+    }
+    for (const name of [...this.#replicas.keys()]) {
+      if (names.has(name)) continue;
+      this.#replicas.delete(name);
+      this.#zones.delete(name);
+    }
+  }
+
+  /** Load of an endpoint; undefined when it is not in the configuration. */
+  find(endpoint: string): ReplicaLoad | undefined {
+    return this.#replicas.get(endpoint);
+  }
+
+  /** Takes a report of a poller. */
+  record(load: EndpointLoad): void {
+    const replica = this.#replicas.get(load.endpoint);
+    if (replica === undefined) return;
+    const now = this.#clock.now();
+    if (load.reachable) replica.record(load, now - load.ageMs);
+    else if (replica.isUsable(now)) {
+      replica.recordFailure("unreachable", now);
+    }
+  }
+
+  /** Marks an endpoint as leaving, gone in `remainingMs`. */
+  markLeaving(endpoint: string, remainingMs: number): void {
+    const now = this.#clock.now();
+    const replica = this.#replicas.get(endpoint);
+    if (replica === undefined) return;
+    if (!replica.markLeaving(now + remainingMs)) return;
+    const zone = this.#zones.get(endpoint);
+    if (zone !== undefined) this.#reclaimedZones.set(zone, now);
+    this.#leaving.fire({ endpoint, remainingMs });
+  }
+
+  /** Marks an endpoint as drained: it holds no work and gets none. */
+  markDrained(endpoint: string): void {
+    this.#replicas.get(endpoint)?.markDrained();
+  }
+
+  /** Endpoints that are leaving, for digests. */
+  listLeaving(): readonly LeavingEndpoint[] {
+    const now = this.#clock.now();
+    const leaving: LeavingEndpoint[] = [];
+    for (const { name, state } of this.#replicas.values()) {
+      if (state.kind !== "leaving") continue;
+      const remainingMs = Math.max(0, state.goneAt - now);
+      leaving.push({ endpoint: name, remainingMs });
+    }
+    return leaving;
+  }
+
+  /** Whether hosts of the zone were reclaimed lately. */
+  isReclaiming(zone: string): boolean {
+    const at = this.#reclaimedZones.get(zone);
+    return at !== undefined && this.#clock.now() - at < zoneReclaimMs;
+  }
+
+  recordSend(endpoint: string, uncachedTokens: number): void {
+    const now = this.#clock.now();
+    this.#replicas.get(endpoint)?.recordSend(uncachedTokens, now);
+  }
+
+  recordEnd(endpoint: string): void {
+    this.#replicas.get(endpoint)?.recordEnd(this.#clock.now());
+  }
+
+  /** Records the whole output of a finished request. */
+  recordOutput(tokens: number): void {
+    this.#meanOutputTokens += outputWeight * (tokens - this.#meanOutputTokens);
+  }
+
+  /** @param excessMs Observed wait for the first token beyond the predicted. */
+  recordFirstToken(endpoint: string, excessMs: number): void {
+    const now = this.#clock.now();
+    this.#replicas.get(endpoint)?.recordFirstToken(excessMs, now);
+  }
+
+  recordTokenGap(endpoint: string, gapMs: number): void {
+    const now = this.#clock.now();
+    this.#replicas.get(endpoint)?.recordTokenGap(gapMs, now);
+  }
+
+  /** Records a failed attempt; a declined one tells nothing about health. */
+  recordFailure(error: EndpointError): void {
+    const replica = this.#replicas.get(error.detail.endpoint);
+    const now = this.#clock.now();
+    switch (error.kind) {
+      case "unreachable":
+        return replica?.recordFailure("unreachable", now);
+      case "connection_lost":
+      case "timeout":
+      case "bad_answer":
+        return replica?.recordFailure("suspect", now);
+      case "declined":
+      case "stale_fencing":
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/replica_choice.ts
@@ -0,0 +1,324 @@
+/**
+ * Choice of a replica for one request.
+ *
+ * The cost of a decision does not grow with the fleet: it looks at a few
+ * replicas drawn at random, at those known to hold the longest prefix of the
+ * prompt, and at the prompt's home replicas on the hash ring. Among them it
+ * takes the least predicted time: backlog, wait for a slot, prefill of tokens
+ * that are not cached, decoding, and the expected loss by a reclaim. Drawing
+ * candidates at random keeps nodes with the same lagged view from choosing the
+ * same replica.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Endpoint } from "@almondcrank/common/configuration.ts";
+import type { Random } from "@almondcrank/common/random.ts";
+import { blockTokens } from "@almondcrank/endpoint/tokens.ts";
+import type { LoadTable } from "./load_table.ts";
+import type { PrefixIndex, PrefixMatch } from "./prefix_index.ts";
+import type { ReplicaLoad } from "./replica_load.ts";
+import type { ReplicaDirectory, ServiceReplicas } from "./service_replicas.ts";
+
+/** How replicas are chosen; all but `predicted` are baselines. */
+export type ChoicePolicy =
+  | { readonly kind: "random" }
+  | { readonly kind: "round_robin" }
+  | { readonly kind: "least_load" }
+  | { readonly kind: "predicted" };
+
+/** What a choice is made for. */
+export interface ChoiceRequest {
+  readonly service: string;
+  /** Chain of block hashes of the input. */
+  readonly chain: readonly number[];
+  readonly inputTokens: number;
+  /** Output tokens still to come. */
+  readonly outputTokens: number;
+  /** Endpoints not to be chosen. */
+  readonly excluded?: ReadonlySet<string>;
+}
+
+/** A chosen replica with what is predicted of it. */
+export interface Choice {
+  readonly endpoint: Endpoint;
+  /** Predicted time to the first token, in milliseconds. */
+  readonly firstTokenMs: number;
+  /** Predicted time to the last token, in milliseconds. */
+  readonly totalMs: number;
+  /** Input tokens expected in the replica's cache. */
+  readonly cachedTokens: number;
+  /** Input tokens seen before, wherever they were computed. */
+  readonly seenTokens: number;
+}
+
+/** Options of a chooser. */
+export interface ReplicaChooserOptions {
+  readonly policy: ChoicePolicy;
+  readonly directory: ReplicaDirectory;
+  readonly loads: LoadTable;
+  readonly prefixes: PrefixIndex;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Time to a zone and back, in milliseconds. */
+  readonly zoneDistanceMs?: (zone: string) => number;
+}
+
+const sampledCandidates = 8;
+const maxHolders = 6;
+const homeCandidates = 2;
+/** Fleets up to this size are looked at whole. */
+const smallFleet = 16;
+/** Share of a conversation's blocks expected at its home without knowing. */
+const homeCachedShare = 0.5;
+/** Mean time between reclaims of a reclaimable host, in milliseconds. */
+const reclaimIntervalMs = 6 * 3_600_000;
+/** The same in a zone where hosts are being reclaimed. */
+const reclaimIntervalInWaveMs = 20_000;
+
+const noMatch: PrefixMatch = { holders: [], sharedBlocks: 0, seenBlocks: 0 };
+
+interface Candidate {
+  readonly endpoint: Endpoint;
+  readonly load: ReplicaLoad;
+  readonly cachedTokens: number;
+}
+
+/** Chooses replicas by one policy. */
+export class ReplicaChooser {
+  readonly #options: ReplicaChooserOptions;
+  #turn = 0;
+
+  private constructor(options: ReplicaChooserOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ReplicaChooserOptions): ReplicaChooser {
+    return new ReplicaChooser(options);
+  }
+
+  /** Chooses a replica; undefined when none can take work. */
+  choose(request: ChoiceRequest): Choice | undefined {
+    const replicas = this.#options.directory.find(request.service);
+    const match = request.chain.length === 0
+      ? noMatch
+      : this.#options.prefixes.find(request.chain, maxHolders);
+    const candidate = this.#chooseCandidate(request, replicas, match);
+    if (candidate === undefined) return undefined;
+    return this.#createChoice(candidate, request, match);
+  }
+
+  #chooseCandidate(
+    request: ChoiceRequest,
+    replicas: ServiceReplicas,
+    match: PrefixMatch,
+  ): Candidate | undefined {
+    const { policy, random } = this.#options;
+    const { endpoints } = replicas;
+    switch (policy.kind) {
+      case "random":
+        return this.#findUsable(
+          request,
+          endpoints,
+          random.nextInt(Math.max(1, endpoints.length)),
+        );
+      case "round_robin":
+        return this.#findUsable(request, endpoints, this.#turn++);
+      case "least_load":
+        return this.#chooseLeast(
+          this.#listSampled(request, endpoints),
+          (candidate) => candidate.load.computeRequests(),
+        );
+      case "predicted":
+        return this.#chooseLeast(
+          this.#listCandidates(request, replicas, match),
+          (candidate) => this.#computeCost(candidate, request),
+        );
+    }
+  }
+
+  /** First usable replica from position `start` on. */
+  #findUsable(
+    request: ChoiceRequest,
+    endpoints: readonly Endpoint[],
+    start: number,
+  ): Candidate | undefined {
+    for (let step = 0; step < endpoints.length; step++) {
+      const endpoint = endpoints[(start + step) % endpoints.length];
+      const candidate = this.#createCandidate(request, endpoint, 0);
+      if (candidate !== undefined) return candidate;
+    }
+    return undefined;
+  }
+
+  #chooseLeast(
+    candidates: readonly Candidate[],
+    computeCost: (candidate: Candidate) => number,
+  ): Candidate | undefined {
+    let best: Candidate | undefined;
+    let least = Infinity;
+    let ties = 1;
+    for (const candidate of candidates) {
+      const cost = computeCost(candidate);
+      if (cost > least) continue;
+      ties = cost === least ? ties + 1 : 1;
+      least = cost;
+      if (ties === 1 || this.#options.random.nextInt(ties) === 0) {
+        best = candidate;
+      }
+    }
+    return best;
+  }
+
+  #listSampled(
+    request: ChoiceRequest,
+    endpoints: readonly Endpoint[],
+  ): Candidate[] {
+    const { random } = this.#options;
+    const candidates: Candidate[] = [];
+    const whole = endpoints.length <= smallFleet;
+    const draws = whole ? endpoints.length : sampledCandidates;
+    for (let draw = 0; draw < draws; draw++) {
+      const at = whole ? draw : random.nextInt(endpoints.length);
+      const candidate = this.#createCandidate(request, endpoints[at], 0);
+      if (candidate !== undefined) candidates.push(candidate);
+    }
+    if (candidates.length === 0 && !whole) {
+      const start = random.nextInt(endpoints.length);
+      const usable = this.#findUsable(request, endpoints, start);
+      if (usable !== undefined) candidates.push(usable);
+    }
+    return candidates;
+  }
+
+  #listCandidates(
+    request: ChoiceRequest,
+    replicas: ServiceReplicas,
+    match: PrefixMatch,
+  ): Candidate[] {
+    const { directory } = this.#options;
+    const candidates: Candidate[] = [];
+    for (const { endpoint: name, blocks } of match.holders) {
+      const endpoint = directory.findEndpoint(name);
+      if (endpoint?.service !== request.service) continue;
+      const cachedTokens = blocks * blockTokens;
+      const holder = this.#createCandidate(request, endpoint, cachedTokens);
+      if (holder !== undefined) candidates.push(holder);
+    }
+    this.#addHomes(candidates, request, replicas, match);
+    for (const sampled of this.#listSampled(request, replicas.endpoints)) {
+      if (!hasEndpoint(candidates, sampled.endpoint)) candidates.push(sampled);
+    }
+    return candidates;
+  }
+
+  /**
+   * Adds the replicas to which other nodes would send this conversation, unless
+   * this node knows where it is cached.
+   */
+  #addHomes(
+    candidates: Candidate[],
+    request: ChoiceRequest,
+    replicas: ServiceReplicas,
+    match: PrefixMatch,
+  ): void {
+    const { chain } = request;
+    const { sharedBlocks } = match;
+    const key = chain[Math.min(sharedBlocks, chain.length - 1)];
+    if (key === undefined) return;
+    if ((match.holders[0]?.blocks ?? 0) > sharedBlocks) return;
+    const own = chain.length - sharedBlocks;
+    const blocks = sharedBlocks + Math.floor(own * homeCachedShare);
+    const homes = replicas.findHomes(key, homeCandidates);
+    for (const [rank, endpoint] of homes.entries()) {
+      const cachedTokens = rank === 0 ? blocks * blockTokens : 0;
+      const home = this.#createCandidate(request, endpoint, cachedTokens);
+      if (home === undefined) continue;
+      const at = candidates.findIndex((other) => other.endpoint === endpoint);
+      if (at === -1) candidates.push(home);
+      else if (rank === 0) candidates[at] = home;
+    }
+  }
+
+  #createCandidate(
+    request: ChoiceRequest,
+    endpoint: Endpoint | undefined,
+    cachedTokens: number,
+  ): Candidate | undefined {
+    if (endpoint === undefined) return undefined;
+    if (request.excluded?.has(endpoint.name)) return undefined;
+    const load = this.#options.loads.find(endpoint.name);
+    if (load === undefined || !load.isUsable(this.#options.clock.now())) {
+      return undefined;
+    }
+    return { endpoint, load, cachedTokens };
+  }
+
+  #computeFirstTokenMs(candidate: Candidate, inputTokens: number): number {
+    const { clock, loads, zoneDistanceMs } = this.#options;
+    const { load, cachedTokens, endpoint } = candidate;
+    const now = clock.now();
+    const ahead = load.computeRequests() - load.slots + 1;
+    const serviceMs = loads.meanOutputTokens * load.computeBetweenTokensMs(now);
+    const slotMs = ahead > 0 ? ahead * serviceMs / load.slots : 0;
+    const uncached = Math.max(0, inputTokens - cachedTokens);
+    const distanceMs = zoneDistanceMs?.(endpoint.zone) ?? 0;
+    return distanceMs + Math.max(load.computeBacklogMs(now), slotMs) +
+      load.computePrefillMs(uncached);
+  }
+
+  #computeCost(candidate: Candidate, request: ChoiceRequest): number {
+    const { load } = candidate;
+    const now = this.#options.clock.now();
+    const firstTokenMs = this.#computeFirstTokenMs(
+      candidate,
+      request.inputTokens,
+    );
+    const decodeMs = request.outputTokens * load.computeBetweenTokensMs(now);
+    const totalMs = firstTokenMs + decodeMs;
+    return totalMs + this.#computeReclaimMs(candidate, request, totalMs);
+  }
+
+  /** Expected time lost by a reclaim during the request. */
+  #computeReclaimMs(
+    { endpoint, load }: Candidate,
+    request: ChoiceRequest,
+    totalMs: number,
+  ): number {
+    if (endpoint.market === "on_demand") return 0;
+    const intervalMs = this.#options.loads.isReclaiming(endpoint.zone)
+      ? reclaimIntervalInWaveMs
+      : reclaimIntervalMs;
+    const tokens = request.inputTokens + request.outputTokens / 2;
+    return Math.min(1, totalMs / intervalMs) * load.computePrefillMs(tokens);
+  }
+
+  #createChoice(
+    candidate: Candidate,
+    request: ChoiceRequest,
+    match: PrefixMatch,
+  ): Choice {
+    const { endpoint, load } = candidate;
+    const known = match.holders.find((holder) =>
+      holder.endpoint === endpoint.name
+    );
+    const knownTokens = (known?.blocks ?? 0) * blockTokens;
+    const cachedTokens = Math.max(knownTokens, candidate.cachedTokens);
+    const expected = { ...candidate, cachedTokens };
+    const firstTokenMs = this.#computeFirstTokenMs(
+      expected,
+      request.inputTokens,
+    );
+    const now = this.#options.clock.now();
+    const decodeMs = request.outputTokens * load.computeBetweenTokensMs(now);
+    const totalMs = firstTokenMs + decodeMs;
+    const seenTokens = match.seenBlocks * blockTokens;
+    return { endpoint, firstTokenMs, totalMs, cachedTokens, seenTokens };
+  }
+}
+
+function hasEndpoint(
+  candidates: readonly Candidate[],
+  endpoint: Endpoint,
+): boolean {
+  return candidates.some((candidate) => candidate.endpoint === endpoint);
+}
--- /dev/null
+++ b/packages/routing/src/request_limits.ts
@@ -0,0 +1,25 @@
+/**
+ * What the request path of model services needs of limits and retry budgets.
+ */
+
+import type { Either } from "purify-ts";
+import type { Team } from "@almondcrank/common/configuration.ts";
+import type { Refusal } from "./refusal.ts";
+
+/** Share of a team taken by one request until released. */
+export interface LimitLease {
+  release(): void;
+}
+
+/** Limits of teams. */
+export interface RequestLimiter {
+  /** @param cost Tokens the request may take, input and output. */
+  admit(team: Team, cost: number): Either<Refusal, LimitLease>;
+}
+
+/** Retry budget per endpoint. */
+export interface RetryPermits {
+  recordSend(endpoint: string): void;
+  /** Takes one retry out of the budget; false when it is spent. */
+  takeRetry(endpoint: string): boolean;
+}
--- /dev/null
+++ b/packages/routing/src/routed_models.ts
@@ -0,0 +1,288 @@
+/**
+ * The request path of model services on one node.
+ *
+ * `open` admits a request, chooses its replica and starts the task that sees it
+ * through. `find` gives a caller that comes back its stream, from this node or
+ * from the peer that owns it now.
+ */
+
+import { setMaxListeners } from "node:events";
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type {
+  ConfigurationSource,
+  Endpoint,
+  Team,
+} from "@almondcrank/common/configuration.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "@almondcrank/common/disposables.ts";
+import type { Hasher } from "@almondcrank/common/hashing.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { Random } from "@almondcrank/common/random.ts";
+import type { Engine } from "@almondcrank/endpoint/engine.ts";
+import { Admission } from "./admission.ts";
+import type { LoadTable } from "./load_table.ts";
+import type { ModelRequest, ModelRouter, ModelStream } from "./model_router.ts";
+import { PrefixIndex } from "./prefix_index.ts";
+import { Refusal, type RefusalKind } from "./refusal.ts";
+import {
+  type Choice,
+  type ChoicePolicy,
+  ReplicaChooser,
+} from "./replica_choice.ts";
+import type {
+  LimitLease,
+  RequestLimiter,
+  RetryPermits,
+} from "./request_limits.ts";
+import {
+  computeInput,
+  noPast,
+  RoutedStream,
+  type RoutedStreamOptions,
+  type StreamInput,
+} from "./routed_stream.ts";
+import { ReplicaDirectory } from "./service_replicas.ts";
+import { StreamExchange } from "./stream_exchange.ts";
+import { formatStreamId } from "./stream_id.ts";
+import { defaultStreamLimits, type StreamLimits } from "./stream_limits.ts";
+import type { StreamPeers } from "./stream_peers.ts";
+import { StreamRun, type StreamRunServices } from "./stream_run.ts";
+import { StreamSet } from "./stream_set.ts";
+
+/** Options of the router. */
+export interface RoutedModelsOptions {
+  readonly nodeName: string;
+  /** Drawn anew at each start of the process. */
+  readonly incarnation: string;
+  readonly configuration: ConfigurationSource;
+  readonly engines: (endpoint: Endpoint) => Engine;
+  readonly loads: LoadTable;
+  readonly limiter: RequestLimiter;
+  readonly retries: RetryPermits;
+  readonly peers: StreamPeers;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly hasher: Hasher;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  readonly policy?: ChoicePolicy;
+  readonly limits?: Partial<StreamLimits>;
+  readonly prefixes?: PrefixIndex;
+  readonly zoneDistanceMs?: (zone: string) => number;
+}
+
+type OpenOptions = Pick<RoutedStreamOptions, "id" | "request" | "past"> & {
+  readonly input: StreamInput;
+  readonly lease: LimitLease;
+  readonly choice: Choice | undefined;
+};
+
+const drainingRetryMs = 100;
+const noEndpointRetryMs = 1_000;
+
+/** Model router of one node. */
+export class RoutedModels implements ModelRouter, Disposable {
+  readonly #options: RoutedModelsOptions;
+  readonly #services: StreamRunServices;
+  readonly #admission: Admission;
+  readonly #streams: StreamSet;
+  readonly #exchange: StreamExchange;
+  readonly #lifetime = new AbortController();
+  readonly #disposables = DisposableStore.create();
+  #draining = false;
+  #opened = 0;
+
+  private constructor(options: RoutedModelsOptions) {
+    this.#options = options;
+    this.#services = createServices(options);
+    this.#admission = Admission.create(options.clock);
+    const { limits } = this.#services;
+    const { signal } = this.#lifetime;
+    // Each stream sleeps on it while its caller is away.
+    setMaxListeners(0, signal);
+    this.#streams = StreamSet.create(options.clock, { limits, signal });
+    this.#exchange = StreamExchange.create({
+      ...options,
+      streams: this.#streams,
+      signal,
+      open: (opening) => this.#resumeFromPeer(opening),
+    });
+    this.#disposables.register(options.loads.onLeaving((leaving) => {
+      for (const run of this.#streams.list()) {
+        if (run.endpoint === leaving.endpoint) run.migrate(leaving.remainingMs);
+      }
+    }));
+  }
+
+  static create(options: RoutedModelsOptions): RoutedModels {
+    return new RoutedModels(options);
+  }
+
+  /** Streams that have not ended. */
+  get running(): number {
+    return this.#streams.running;
+  }
+
+  /** Knowledge of prefix caches, to be corrected by cache events. */
+  get prefixes(): PrefixIndex {
+    return this.#services.prefixes;
+  }
+
+  /** Answers peers' questions about streams of this node. */
+  get exchange(): StreamExchange {
+    return this.#exchange;
+  }
+
+  open(request: ModelRequest): Promise<Either<Refusal, ModelStream>> {
+    const opened = this.#checkOpen(request).chain(() => this.#admit(request));
+    opened.ifLeft((refusal) => {
+      const { kind } = refusal;
+      this.#options.metrics.count("model_refusals", { reason: kind });
+    });
+    return Promise.resolve(opened);
+  }
+
+  find(id: string, team: Team): Promise<Either<Refusal, ModelStream>> {
+    return this.#exchange.find(id, team);
+  }
+
+  /**
+   * Stops taking requests, lets streams finish for a part of the notice, and
+   * hands the rest to peers.
+   *
+   * @param noticeMs Time until the process has to end.
+   */
+  async drain(noticeMs: number): Promise<void> {
+    this.#draining = true;
+    await this.#exchange.drain(noticeMs);
+  }
+
+  dispose(): void {
+    this.#lifetime.abort();
+    for (const run of this.#streams.list()) run.cancel();
+    this.#disposables.dispose();
+  }
+
+  #checkOpen(request: ModelRequest): Either<Refusal, void> {
+    if (this.#draining) {
+      return refuse("draining", drainingRetryMs, "the node is leaving");
+    }
+    if (request.deadline <= this.#options.clock.now()) {
+      return refuse("deadline", undefined, "the deadline has passed already");
+    }
+    if (this.#streams.isFull) {
+      return refuse(
+        "overload",
+        noEndpointRetryMs,
+        "the node holds as many streams as it may",
+      );
+    }
+    return Right(undefined);
+  }
+
+  #admit(request: ModelRequest): Either<Refusal, ModelStream> {
+    const input = computeInput(this.#options.hasher, request.prompt);
+    const cost = input.promptTokens.length + request.maxTokens;
+    return this.#options.limiter.admit(request.team, cost).chain((lease) => {
+      const choice = this.#choose(request, input);
+      return choice.ifLeft(() => lease.release()).map((chosen) =>
+        this.#start({
+          id: formatStreamId(
+            this.#options,
+            ++this.#opened,
+            this.#options.random,
+          ),
+          request,
+          input,
+          past: noPast,
+          lease,
+          choice: chosen,
+        })
+      );
+    });
+  }
+
+  #choose(request: ModelRequest, input: StreamInput): Either<Refusal, Choice> {
+    const { loads, metrics, clock } = this.#options;
+    const startedAt = clock.now();
+    const choice = this.#services.chooser.choose({
+      service: request.service.name,
+      chain: input.chain,
+      inputTokens: input.promptTokens.length,
+      outputTokens: Math.min(request.maxTokens, loads.meanOutputTokens),
+    });
+    metrics.recordDuration("choice_seconds", clock.now() - startedAt);
+    if (choice === undefined) {
+      return refuse(
+        "no_endpoint",
+        noEndpointRetryMs,
+        `no endpoint of service ${request.service.name} can take work`,
+      );
+    }
+    return this.#admission.check(request, choice).map(() => choice);
+  }
+
+  #start(opening: OpenOptions): RoutedStream {
+    const { clock, metrics } = this.#options;
+    const stream = RoutedStream.create({
+      ...opening,
+      clock,
+      limits: this.#services.limits,
+      signal: this.#lifetime.signal,
+      onCancel: (reason) => {
+        metrics.count("streams_cancelled", { reason });
+        run.cancel();
+      },
+    });
+    const run = StreamRun.create(stream, this.#services);
+    metrics.count("streams_opened");
+    const ended = run.run(opening.choice).finally(() =>
+      opening.lease.release()
+    );
+    void this.#streams.add(run, ended);
+    return stream;
+  }
+
+  /** Goes on with a stream of a peer, under its id. */
+  #resumeFromPeer(
+    opening: Pick<OpenOptions, "id" | "request" | "past">,
+  ): Either<Refusal, ModelStream> {
+    if (this.#draining) {
+      return refuse("draining", drainingRetryMs, "the node is leaving");
+    }
+    const input = computeInput(this.#options.hasher, opening.request.prompt);
+    const lease: LimitLease = { release: () => {} };
+    return Right(this.#start({ ...opening, input, lease, choice: undefined }));
+  }
+}
+
+function createServices(options: RoutedModelsOptions): StreamRunServices {
+  const { configuration, hasher } = options;
+  const directory = ReplicaDirectory.create(configuration, hasher);
+  const prefixes = options.prefixes ?? PrefixIndex.create();
+  const policy = options.policy ?? { kind: "predicted" };
+  const chooser = ReplicaChooser.create({
+    ...options,
+    directory,
+    prefixes,
+    policy,
+  });
+  const limits = { ...defaultStreamLimits, ...options.limits };
+  return { ...options, prefixes, chooser, limits };
+}
+
+function refuse(
+  kind: RefusalKind,
+  retryAfterMs: number | undefined,
+  reason: string,
+): Either<Refusal, never> {
+  const remedy = retryAfterMs === undefined
+    ? "allow more time"
+    : `send it again in ${retryAfterMs} ms`;
+  const message = `${reason}; ${remedy}`;
+  return Left(Refusal.create({ kind, run: "not_run", retryAfterMs, message }));
+}
--- /dev/null
+++ b/packages/routing/src/testing/fake_engine.ts
@@ -0,0 +1,206 @@
+/**
+ * A model engine in memory, for tests: its pace and its failures are set by
+ * hand, and its text tells prompt and index, so that a foreign token shows.
+ */
+
+import { setMaxListeners } from "node:events";
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type {
+  CacheEventBatch,
+  CacheExport,
+  CacheImport,
+  Engine,
+  EngineState,
+  GenerateEvent,
+  GenerateRequest,
+  LoadReport,
+} from "@almondcrank/endpoint/engine.ts";
+import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
+import { splitTokens } from "@almondcrank/endpoint/tokens.ts";
+
+/** What the engine does; may be changed while it runs. */
+export interface FakeBehaviour {
+  firstTokenMs: number;
+  betweenTokensMs: number;
+  outputTokens: number;
+  /** Index before which the connection is cut. */
+  cutAt: number | undefined;
+  /** Index before which the engine stops until `wake`. */
+  freezeAt: number | undefined;
+  declines: boolean;
+  /** Goes on sending after the request was aborted. */
+  ignoresAbort: boolean;
+  /** Added to each token's index. */
+  indexShift: number;
+  exports: "works" | "fails" | "hangs";
+}
+
+/** Text of an output token. */
+export function formatToken(prompt: string, index: number): string {
+  return ` ${prompt.slice(0, 8)}#${index}`;
+}
+
+/** Engine in memory. */
+export class FakeEngine implements Engine {
+  readonly name: string;
+  readonly behaviour: FakeBehaviour = {
+    firstTokenMs: 10,
+    betweenTokensMs: 10,
+    outputTokens: 20,
+    cutAt: undefined,
+    freezeAt: undefined,
+    declines: false,
+    ignoresAbort: false,
+    indexShift: 0,
+    exports: "works",
+  };
+  readonly requests: GenerateRequest[] = [];
+  readonly aborted: string[] = [];
+  readonly exported: string[] = [];
+  readonly imported: CacheImport[] = [];
+  running = 0;
+  maxAhead = 0;
+  readonly #clock: Clock;
+  readonly #dead = new AbortController();
+  #wake = new AbortController();
+
+  private constructor(name: string, clock: Clock) {
+    this.name = name;
+    this.#clock = clock;
+    setMaxListeners(0, this.#dead.signal);
+  }
+
+  static create(name: string, clock: Clock): FakeEngine {
+    return new FakeEngine(name, clock);
+  }
+
+  /** Cuts all connections and accepts none from now on. */
+  kill(): void {
+    this.#dead.abort();
+    this.#wake.abort();
+  }
+
+  /** Lets frozen generations go on. */
+  wake(): void {
+    this.behaviour.freezeAt = undefined;
+    this.#wake.abort();
+    this.#wake = new AbortController();
+  }
+
+  async *generate(
+    request: GenerateRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<Either<EndpointError, GenerateEvent>, void, void> {
+    this.requests.push(request);
+    if (this.#dead.signal.aborted) return yield this.#fail("unreachable");
+    if (this.behaviour.declines) return yield this.#fail("declined");
+    const abort = (): void => void this.aborted.push(request.id);
+    signal.addEventListener("abort", abort);
+    this.running++;
+    try {
+      yield* this.#generateTokens(request, signal);
+    } finally {
+      this.running--;
+      signal.removeEventListener("abort", abort);
+    }
+  }
+
+  async *#generateTokens(
+    request: GenerateRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<Either<EndpointError, GenerateEvent>, void, void> {
+    const { behaviour } = this;
+    const from = request.tokensSoFar.length;
+    const to = Math.min(request.maxTokens, behaviour.outputTokens);
+    for (let index = from; index <= to; index++) {
+      const pause = index === from
+        ? behaviour.firstTokenMs
+        : behaviour.betweenTokensMs;
+      await this.#clock.sleep(pause, this.#dead.signal);
+      while (behaviour.freezeAt !== undefined && index >= behaviour.freezeAt) {
+        await this.#waitWake();
+      }
+      if (this.#dead.signal.aborted || index === behaviour.cutAt) {
+        return yield this.#fail("connection_lost");
+      }
+      if (signal.aborted && !behaviour.ignoresAbort) return;
+      if (index === to) break;
+      yield Right({
+        kind: "token",
+        index: index + behaviour.indexShift,
+        text: formatToken(request.prompt, index),
+      });
+    }
+    yield Right(this.#createEnd(request, to));
+  }
+
+  #createEnd(request: GenerateRequest, outputTokens: number): GenerateEvent {
+    const promptTokens = splitTokens(request.prompt).length;
+    const input = promptTokens + request.tokensSoFar.length;
+    const cachedTokens = request.importId === undefined ? 0 : input;
+    const computedTokens = input - cachedTokens;
+    const reason = outputTokens === request.maxTokens ? "length" : "stop";
+    const usage = {
+      promptTokens,
+      cachedTokens,
+      computedTokens,
+      outputTokens,
+    };
+    return { kind: "end", reason, usage };
+  }
+
+  #waitWake(): Promise<void> {
+    const { signal } = this.#wake;
+    return new Promise((resolve) => {
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+  }
+
+  #fail(
+    kind: "unreachable" | "declined" | "connection_lost",
+  ): Either<EndpointError, never> {
+    const endpoint = this.name;
+    return Left(EndpointError.create({ kind, endpoint, reason: "fake" }));
+  }
+
+  async exportCache(id: string): Promise<Either<EndpointError, CacheExport>> {
+    this.exported.push(id);
+    if (this.behaviour.exports === "fails" || this.#dead.signal.aborted) {
+      return this.#fail("connection_lost");
+    }
+    if (this.behaviour.exports === "hangs") {
+      await new Promise<void>((resolve) => {
+        this.#dead.signal.addEventListener("abort", () => resolve());
+      });
+      return this.#fail("connection_lost");
+    }
+    await this.#clock.sleep(5, this.#dead.signal);
+    return Right({ handle: `${this.name}/${id}`, tokens: 10, bytes: 1_000 });
+  }
+
+  async importCache(
+    order: CacheImport,
+  ): Promise<Either<EndpointError, number>> {
+    await this.#clock.sleep(5, this.#dead.signal);
+    if (this.#dead.signal.aborted) return this.#fail("connection_lost");
+    this.imported.push(order);
+    return Right(10);
+  }
+
+  readLoad(): Promise<Either<EndpointError, LoadReport>> {
+    return Promise.resolve(this.#fail("unreachable"));
+  }
+
+  readCacheEvents(): Promise<Either<EndpointError, CacheEventBatch>> {
+    return Promise.resolve(this.#fail("unreachable"));
+  }
+
+  sendOrder(): Promise<Either<EndpointError, EngineState>> {
+    return Promise.resolve(this.#fail("unreachable"));
+  }
+
+  readState(): Promise<Either<EndpointError, EngineState>> {
+    return Promise.resolve(this.#fail("unreachable"));
+  }
+}
