Run calls that arrived before a freeze late, and share body checks in the stand-ins

Cause: a frozen part read the body after it was thawed, so a call whose caller had left never ran; a stopped process would have run it from its socket buffer. Change: the whole body is read before faults apply.

--- a/packages/standin/src/cloud_api_standin.ts
+++ b/packages/standin/src/cloud_api_standin.ts
@@ -8,15 +8,12 @@
 import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
-import {
-  type HttpExchange,
-  readJsonBody,
-} from "@almondcrank/common/http_server.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type {
   Instance,
   InstanceRequest,
   NoticeBatch,
+  Price,
   ReclaimNotice,
 } from "@almondcrank/platform/cloud_api.ts";
 import type { PartFaults } from "./fault_settings.ts";
@@ -27,8 +24,11 @@
   type ControlCall,
   createAnswer,
   createControlError,
+  handleOrder,
+  handleParsed,
   type Part,
   type PartAnswer,
+  type PartCall,
   PartServer,
 } from "./part_server.ts";
 
@@ -119,7 +119,12 @@
         {
           method: "POST",
           path: "/instances",
-          handle: (e) => standin.#request(e),
+          handle: ({ body }) =>
+            handleParsed(
+              instanceBody,
+              body,
+              (wanted) => standin.#request(wanted),
+            ),
         },
         {
           method: "DELETE",
@@ -192,15 +197,9 @@
     this.#server.dispose();
   }
 
-  async #request({ request }: HttpExchange): Promise<PartAnswer> {
-    const parsed = instanceBody.safeParse(
-      (await readJsonBody(request)).toMaybe().extract(),
-    );
-    if (!parsed.success) {
-      return createAnswer(400, { reason: z.prettifyError(parsed.error) });
-    }
-    const known = this.#tokens.get(parsed.data.token);
-    if (known === undefined) return this.#grant(parsed.data);
+  #request(wanted: InstanceRequest): PartAnswer {
+    const known = this.#tokens.get(wanted.token);
+    if (known === undefined) return this.#grant(wanted);
     const instance = this.#options.inventory.find(known);
     return instance === undefined
       ? createAnswer(409, { reason: "the instance of this token has ended" })
@@ -252,7 +251,7 @@
     if (part !== undefined) inventory.setRunning(host, part);
   }
 
-  #return({ parameters }: HttpExchange): PartAnswer {
+  #return({ parameters }: PartCall): PartAnswer {
     return this.#options.inventory.remove(parameters["host"] ?? "")
       ? createAnswer(200, {})
       : createAnswer(404, { reason: "no such host" });
@@ -276,7 +275,7 @@
     });
   }
 
-  async #waitNotices({ query, response }: HttpExchange): Promise<PartAnswer> {
+  async #waitNotices({ query, response }: PartCall): Promise<PartAnswer> {
     const since = Number(query.get("since") ?? 0);
     const waitMs = Math.min(Number(query.get("waitMs") ?? 0), maxWaitMs);
     if (!(since >= 0 && waitMs >= 0)) {
@@ -296,30 +295,26 @@
     return createAnswer(200, batch);
   }
 
-  #orderReclaim({ body }: ControlCall): PartAnswer {
-    const parsed = reclaimOrder.safeParse(body);
-    if (!parsed.success) {
-      return createControlError(z.prettifyError(parsed.error));
-    }
-    const hosts = this.reclaim(parsed.data);
-    return parsed.data.host !== undefined && hosts.length === 0
-      ? createControlError(`no host "${parsed.data.host}"`, 404)
-      : createAnswer(200, { hosts });
+  #orderReclaim(call: ControlCall): PartAnswer {
+    return handleOrder(reclaimOrder, call, (order) => {
+      const hosts = this.reclaim(order);
+      return order.host !== undefined && hosts.length === 0
+        ? createControlError(`no host "${order.host}"`, 404)
+        : createAnswer(200, { hosts });
+    });
   }
 
-  #setOffers({ body }: ControlCall): PartAnswer {
-    const parsed = offerOrder.safeParse(body);
-    if (!parsed.success) {
-      return createControlError(z.prettifyError(parsed.error));
-    }
-    this.#bill();
-    const matched = this.#offers.apply(parsed.data);
-    return matched === 0
-      ? createControlError("no offer matches; see GET /control/offers", 404)
-      : createAnswer(200, { matched });
+  #setOffers(call: ControlCall): PartAnswer {
+    return handleOrder(offerOrder, call, (order) => {
+      this.#bill();
+      const matched = this.#offers.apply(order);
+      return matched === 0
+        ? createControlError("no offer matches; see GET /control/offers", 404)
+        : createAnswer(200, { matched });
+    });
   }
 
-  #listPrices() {
+  #listPrices(): readonly Price[] {
     return this.#offers.listPrices(this.#computeAge());
   }
 
--- a/packages/standin/src/engine_scheduler.ts
+++ b/packages/standin/src/engine_scheduler.ts
@@ -16,6 +16,8 @@
 import type { CacheChange, PrefixCache } from "./prefix_cache.ts";
 
 const millisecondsPerSecond = 1_000;
+/** Overdue steps that run without a pause. */
+const maxStepsAtOnce = 8;
 
 /** How a generation ended. */
 export type GenerationOutcome = "ended" | "cancelled" | "cut";
@@ -119,6 +121,7 @@
     const { clock, faults } = this.#options;
     const { signal } = this.#ended;
     let dueAt = clock.now();
+    let stepsAhead = 0;
     while (!signal.aborted) {
       this.#admit();
       if (this.#running.length === 0) {
@@ -128,9 +131,16 @@
       }
       const plan = this.#planStep();
       dueAt += plan.durationMs;
+      stepsAhead += 1;
       if (dueAt > clock.now()) {
+        stepsAhead = 0;
         this.#flush();
         await clock.sleep(dueAt - clock.now(), signal);
+      } else if (stepsAhead >= maxStepsAtOnce) {
+        // Overdue steps leave other tasks their turn.
+        stepsAhead = 0;
+        this.#flush();
+        await new Promise((resolve) => setImmediate(resolve));
       }
       if (faults.settings.frozen) {
         await faults.waitThawed();
@@ -172,7 +182,8 @@
       found * blockTokens,
       this.#options.countImported(generation),
     );
-    generation.cachedTokens = Math.min(cached, generation.inputTokens - 1);
+    const mostCached = Math.max(0, generation.inputTokens - 1);
+    generation.cachedTokens = Math.min(cached, mostCached);
     this.#pin(generation, found);
   }
 
--- a/packages/standin/src/engine_standin.ts
+++ b/packages/standin/src/engine_standin.ts
@@ -4,20 +4,19 @@
 
 import type { ServerResponse } from "node:http";
 import { request } from "undici";
-import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import { type Hasher, openHasher } from "@almondcrank/common/hashing.ts";
-import {
-  type HttpExchange,
-  readJsonBody,
-} from "@almondcrank/common/http_server.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type {
   CacheExport,
+  CacheImport,
   EngineState,
+  GenerateRequest,
   LoadReport,
+  Order,
 } from "@almondcrank/endpoint/engine.ts";
+import { blockTokens } from "@almondcrank/endpoint/tokens.ts";
 import { CacheEventLog } from "./cache_event_log.ts";
 import { EngineModels, type OrderRecord } from "./engine_models.ts";
 import {
@@ -41,13 +40,14 @@
 import {
   type ControlCall,
   createAnswer,
+  handleParsed,
   type Part,
   type PartAnswer,
+  type PartRoute,
   PartServer,
 } from "./part_server.ts";
 import { type CacheChange, PrefixCache } from "./prefix_cache.ts";
 import { RecordList } from "./record_list.ts";
-import { blockTokens } from "@almondcrank/endpoint/tokens.ts";
 import {
   cacheImportBody,
   generateBody,
@@ -167,37 +167,7 @@
       address,
       clock,
       faults: standin.faults,
-      routes: [
-        { method: "POST", path: "/generate", handle: (e) => standin.#run(e) },
-        { method: "POST", path: "/cancel", handle: (e) => standin.#cancel(e) },
-        { method: "GET", path: "/load", handle: () => standin.#readLoad() },
-        {
-          method: "GET",
-          path: "/cache-events",
-          handle: (e) => standin.#readCacheEvents(e),
-        },
-        {
-          method: "POST",
-          path: "/kv/export",
-          handle: (e) => standin.#exportCache(e),
-        },
-        {
-          method: "POST",
-          path: "/kv/import",
-          handle: (e) => standin.#importCache(e),
-        },
-        {
-          method: "GET",
-          path: "/kv/:handle",
-          handle: (e) => standin.#sendCache(e),
-        },
-        { method: "POST", path: "/orders", handle: (e) => standin.#order(e) },
-        {
-          method: "GET",
-          path: "/state",
-          handle: () => createAnswer(200, standin.state),
-        },
-      ],
+      routes: standin.#createRoutes(),
       controls: {
         "GET /control/records": () => standin.#listRecords(),
         "GET /control/orders": () =>
@@ -243,10 +213,66 @@
     this.#server.dispose();
   }
 
-  async #run(exchange: HttpExchange): Promise<PartAnswer> {
-    const body = await readParsed(exchange, generateBody);
-    if (typeof body === "string") return createAnswer(400, { reason: body });
-    const { response } = exchange;
+  #createRoutes(): readonly PartRoute[] {
+    return [
+      {
+        method: "POST",
+        path: "/generate",
+        handle: ({ body, response }) =>
+          handleParsed(
+            generateBody,
+            body,
+            (request) => this.#generate(request, response),
+          ),
+      },
+      {
+        method: "POST",
+        path: "/cancel",
+        handle: ({ body }) =>
+          handleParsed(idBody, body, ({ id }) => this.#cancel(id)),
+      },
+      {
+        method: "POST",
+        path: "/kv/export",
+        handle: ({ body }) =>
+          handleParsed(idBody, body, ({ id }) => this.#exportCache(id)),
+      },
+      {
+        method: "POST",
+        path: "/kv/import",
+        handle: ({ body }) =>
+          handleParsed(
+            cacheImportBody,
+            body,
+            (order) => this.#importCache(order),
+          ),
+      },
+      {
+        method: "POST",
+        path: "/orders",
+        handle: ({ body }) =>
+          handleParsed(orderBody, body, (order) => this.#order(order)),
+      },
+      {
+        method: "GET",
+        path: "/kv/:handle",
+        handle: ({ parameters }) => this.#sendCache(parameters["handle"] ?? ""),
+      },
+      {
+        method: "GET",
+        path: "/cache-events",
+        handle: ({ query }) => this.#readCacheEvents(query),
+      },
+      { method: "GET", path: "/load", handle: () => this.#readLoad() },
+      {
+        method: "GET",
+        path: "/state",
+        handle: () => createAnswer(200, this.state),
+      },
+    ];
+  }
+
+  #generate(body: GenerateRequest, response: ServerResponse): PartAnswer {
     if (response.destroyed) return { kind: "cut" };
     const refusal = this.#models.findRefusal(body.model, body.adapter) ??
       this.#findQueueRefusal(body.id);
@@ -270,10 +296,8 @@
       : undefined;
   }
 
-  async #cancel(exchange: HttpExchange): Promise<PartAnswer> {
-    const body = await readParsed(exchange, idBody);
-    if (typeof body === "string") return createAnswer(400, { reason: body });
-    const generation = this.#scheduler.find(body.id);
+  #cancel(id: string): PartAnswer {
+    const generation = this.#scheduler.find(id);
     if (generation !== undefined) this.#scheduler.cancel(generation);
     return createAnswer(200, {});
   }
@@ -310,7 +334,7 @@
     this.#published = { at, load: this.#scheduler.load };
   }
 
-  #readCacheEvents({ query }: HttpExchange): PartAnswer {
+  #readCacheEvents(query: URLSearchParams): PartAnswer {
     const since = Number(query.get("since") ?? 0);
     if (!(since >= 0)) {
       return createAnswer(400, { reason: "since must be a number" });
@@ -318,10 +342,8 @@
     return createAnswer(200, this.#events.read(since, this.faults.settings));
   }
 
-  async #exportCache(exchange: HttpExchange): Promise<PartAnswer> {
-    const body = await readParsed(exchange, idBody);
-    if (typeof body === "string") return createAnswer(400, { reason: body });
-    const generation = this.#scheduler.find(body.id);
+  #exportCache(id: string): PartAnswer {
+    const generation = this.#scheduler.find(id);
     if (generation === undefined || generation.kvTokens === 0) {
       return createAnswer(404, { reason: "no cache for this id" });
     }
@@ -330,8 +352,8 @@
   }
 
   /** Sends an exported cache, in the time its bytes take. */
-  async #sendCache({ parameters }: HttpExchange): Promise<PartAnswer> {
-    const transfer = this.#kv.findExport(parameters["handle"] ?? "");
+  async #sendCache(handle: string): Promise<PartAnswer> {
+    const transfer = this.#kv.findExport(handle);
     if (transfer === undefined) {
       return createAnswer(404, { reason: "no such handle" });
     }
@@ -341,23 +363,19 @@
     return createAnswer(200, transfer);
   }
 
-  async #importCache(exchange: HttpExchange): Promise<PartAnswer> {
-    const body = await readParsed(exchange, cacheImportBody);
-    if (typeof body === "string") return createAnswer(400, { reason: body });
-    const transfer = await fetchCache(body.from, body.handle);
+  async #importCache(order: CacheImport): Promise<PartAnswer> {
+    const transfer = await fetchCache(order.from, order.handle);
     if (transfer === undefined) {
       return createAnswer(404, { reason: "the exported cache is gone" });
     }
-    this.#kv.import(body.importId, transfer);
+    this.#kv.import(order.importId, transfer);
     this.#recordCacheChange(this.#cache.add(transfer.blocks));
     this.#recordCacheChange(this.#cache.release(transfer.blocks));
     return createAnswer(200, { tokens: transfer.tokens });
   }
 
-  async #order(exchange: HttpExchange): Promise<PartAnswer> {
-    const body = await readParsed(exchange, orderBody);
-    if (typeof body === "string") return createAnswer(400, { reason: body });
-    return this.#models.apply(body)
+  #order(order: Order): PartAnswer {
+    return this.#models.apply(order)
       ? createAnswer(200, this.state)
       : createAnswer(412, { known: this.state.fencing });
   }
@@ -403,21 +421,6 @@
   }
 }
 
-/** Reads a body of the given shape; a string says what is wrong with it. */
-async function readParsed<T extends object>(
-  exchange: HttpExchange,
-  schema: z.ZodType<T>,
-): Promise<T | string> {
-  const body = await readJsonBody(exchange.request);
-  return body.caseOf({
-    Left: (error): T | string => error.message,
-    Right: (value) => {
-      const parsed = schema.safeParse(value);
-      return parsed.success ? parsed.data : z.prettifyError(parsed.error);
-    },
-  });
-}
-
 /** Writes events into a response; headers go out with the first of them. */
 function createSink(response: ServerResponse): GenerationSink {
   const start = (): void => {
--- a/packages/standin/src/host_inventory.ts
+++ b/packages/standin/src/host_inventory.ts
@@ -5,7 +5,6 @@
  * so changes are kept with their times.
  */
 
-import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
@@ -109,11 +108,6 @@
       : createListedHost(instance);
   }
 
-  /** Finds the address of a host's endpoint. */
-  findAddress(host: string): Address | undefined {
-    return this.find(host)?.address;
-  }
-
   dispose(): void {
     for (const { part } of this.#hosts.values()) part?.dispose();
     this.#hosts.clear();
--- a/packages/standin/src/host_list_standin.ts
+++ b/packages/standin/src/host_list_standin.ts
@@ -18,7 +18,7 @@
 import {
   type ControlCall,
   createAnswer,
-  createControlError,
+  handleOrder,
   type Part,
   type PartAnswer,
   PartServer,
@@ -123,17 +123,15 @@
     this.#server.dispose();
   }
 
-  #setList({ body }: ControlCall): PartAnswer {
-    const parsed = listOrder.safeParse(body);
-    if (!parsed.success) {
-      return createControlError(z.prettifyError(parsed.error));
-    }
-    this.#lagMs = parsed.data.lagMs ?? this.#lagMs;
-    for (const [host, claim] of Object.entries(parsed.data.claims ?? {})) {
-      if (claim === null) this.#claims.delete(host);
-      else this.#claims.set(host, claim);
-    }
-    const claims = Object.fromEntries(this.#claims);
-    return createAnswer(200, { lagMs: this.#lagMs, claims });
+  #setList(call: ControlCall): PartAnswer {
+    return handleOrder(listOrder, call, (order) => {
+      this.#lagMs = order.lagMs ?? this.#lagMs;
+      for (const [host, claim] of Object.entries(order.claims ?? {})) {
+        if (claim === null) this.#claims.delete(host);
+        else this.#claims.set(host, claim);
+      }
+      const claims = Object.fromEntries(this.#claims);
+      return createAnswer(200, { lagMs: this.#lagMs, claims });
+    });
   }
 }
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -9,9 +9,10 @@
 import process from "node:process";
 import { Builtins, Cli, Command, Option } from "clipanion";
 import { SystemClock } from "@almondcrank/common/clock.ts";
+import { parseJsoncFile } from "@almondcrank/common/jsonc_file.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { StandinSet } from "./standin_set.ts";
-import { parseStandinSettings } from "./standin_settings.ts";
+import { standinSettings } from "./standin_settings.ts";
 
 class StandinCommand extends Command {
   static override readonly paths = [Command.Default];
@@ -26,11 +27,15 @@
   });
 
   override async execute(): Promise<number> {
-    const parsed = parseStandinSettings(readFileSync(this.settings, "utf8"));
+    const parsed = parseJsoncFile({
+      file: this.settings,
+      text: readFileSync(this.settings, "utf8"),
+      schema: standinSettings,
+    });
     return await parsed.caseOf({
-      Left: (message) => Promise.resolve(this.#fail(message)),
-      Right: async (settings) => {
-        const set = await StandinSet.open(settings, {
+      Left: (error) => Promise.resolve(this.#fail(error.message)),
+      Right: async ({ value }) => {
+        const set = await StandinSet.open(value, {
           clock: SystemClock.create(),
         });
         this.context.stdout.write("ready\n");
@@ -48,7 +53,7 @@
   }
 
   #fail(message: string): number {
-    this.context.stderr.write(`standin: ${this.settings}: ${message}\n`);
+    this.context.stderr.write(`standin: ${message}\n`);
     return 1;
   }
 }
--- a/packages/standin/src/object_api_standin.ts
+++ b/packages/standin/src/object_api_standin.ts
@@ -5,11 +5,7 @@
 import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
-import {
-  type HttpExchange,
-  parseJsonBody,
-  readBody,
-} from "@almondcrank/common/http_server.ts";
+import { parseJsonBody } from "@almondcrank/common/http_server.ts";
 import {
   maxObjectBytes,
   type WriteCondition,
@@ -21,9 +17,10 @@
 import {
   type ControlCall,
   createAnswer,
-  createControlError,
+  handleOrder,
   type Part,
   type PartAnswer,
+  type PartCall,
   PartServer,
 } from "./part_server.ts";
 import { findKey, VersionedObjects } from "./versioned_objects.ts";
@@ -40,6 +37,11 @@
 });
 export type ObjectApiSettings = z.infer<typeof objectApiSettings>;
 
+const ratesOrder = z.strictObject({
+  writesPerSecond: z.number().min(1),
+  readsPerSecond: z.number().min(1),
+});
+
 /** Calls by kind since the start; a waiting watch is one call. */
 export interface ObjectApiCounts {
   read: number;
@@ -128,50 +130,49 @@
     this.#server.dispose();
   }
 
-  #read(exchange: HttpExchange): PartAnswer {
+  #read(call: PartCall): PartAnswer {
     const refusal = this.#claim("read");
     if (refusal !== undefined) return refusal;
-    const object = this.objects.find(parseKey(exchange));
+    const object = this.objects.find(parseKey(call));
     return object === undefined
       ? createAnswer(404, { reason: "no such object" })
       : createAnswer(200, object);
   }
 
-  #list({ query }: HttpExchange): PartAnswer {
+  #list({ query }: PartCall): PartAnswer {
     return this.#claim("list") ??
       createAnswer(200, this.objects.list(query.get("prefix") ?? ""));
   }
 
-  async #write(exchange: HttpExchange): Promise<PartAnswer> {
+  #write(call: PartCall): PartAnswer {
     const refusal = this.#claim("write");
     if (refusal !== undefined) return refusal;
-    const condition = parseCondition(exchange);
+    const condition = parseCondition(call);
     if (condition === undefined) return createMissingCondition();
-    const body = await readBody(exchange.request, maxObjectBytes);
-    return body.chain(parseJsonBody).caseOf({
-      Left: (error) =>
-        createAnswer(error.kind === "body_too_large" ? 413 : 400, {
-          reason: error.message,
-        }),
+    if (call.body.length > maxObjectBytes) {
+      return createAnswer(413, { reason: "value exceeds one megabyte" });
+    }
+    return parseJsonBody(call.body).caseOf({
+      Left: (error) => createAnswer(400, { reason: error.message }),
       Right: (value) =>
         this.#createWriteAnswer(
-          this.objects.write(parseKey(exchange), value, condition),
+          this.objects.write(parseKey(call), value, condition),
         ),
     });
   }
 
-  #remove(exchange: HttpExchange): PartAnswer {
+  #remove(call: PartCall): PartAnswer {
     const refusal = this.#claim("remove");
     if (refusal !== undefined) return refusal;
-    const condition = parseCondition(exchange);
+    const condition = parseCondition(call);
     if (condition?.kind !== "version") return createMissingCondition();
-    const outcome = this.objects.remove(parseKey(exchange), condition.version);
+    const outcome = this.objects.remove(parseKey(call), condition.version);
     return outcome === undefined
       ? createAnswer(404, { reason: "no such object" })
       : this.#createWriteAnswer(outcome);
   }
 
-  async #watch({ query, response }: HttpExchange): Promise<PartAnswer> {
+  async #watch({ query, response }: PartCall): Promise<PartAnswer> {
     const refusal = this.#claim("watch");
     if (refusal !== undefined) return refusal;
     const prefix = query.get("prefix") ?? "";
@@ -249,17 +250,12 @@
     return createAnswer(200, { version: this.objects.version });
   }
 
-  #setRates({ body }: ControlCall): PartAnswer {
-    const parsed = objectApiSettings.pick({
-      writesPerSecond: true,
-      readsPerSecond: true,
-    }).safeParse(body);
-    if (!parsed.success) {
-      return createControlError(z.prettifyError(parsed.error));
-    }
-    this.#writes.setRate(parsed.data.writesPerSecond);
-    this.#reads.setRate(parsed.data.readsPerSecond);
-    return createAnswer(200, parsed.data);
+  #setRates(call: ControlCall): PartAnswer {
+    return handleOrder(ratesOrder, call, (rates) => {
+      this.#writes.setRate(rates.writesPerSecond);
+      this.#reads.setRate(rates.readsPerSecond);
+      return createAnswer(200, rates);
+    });
   }
 }
 
@@ -275,12 +271,12 @@
   };
 }
 
-function parseKey({ path }: HttpExchange): string {
+function parseKey({ path }: PartCall): string {
   return decodeURIComponent(path.slice("/objects/".length));
 }
 
 function parseCondition(
-  { request }: HttpExchange,
+  { request }: PartCall,
 ): WriteCondition | undefined {
   if (request.headers["if-none-match"] === "*") return { kind: "absent" };
   const match = /^"?(\d+)"?$/.exec(request.headers["if-match"] ?? "");
--- a/packages/standin/src/part_server.ts
+++ b/packages/standin/src/part_server.ts
@@ -6,7 +6,8 @@
  * listener is closed by an outage they come through `callControl`.
  */
 
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import {
@@ -17,6 +18,8 @@
   type HttpExchange,
   type HttpRoute,
   HttpServer,
+  parseJsonBody,
+  readBody,
   readJsonBody,
   sendJson,
 } from "@almondcrank/common/http_server.ts";
@@ -27,6 +30,7 @@
 const reopenRetryMs = 50;
 const maxReopenTries = 100;
 const maxPartBodyBytes = 8_388_608;
+const noBody = new Uint8Array(0);
 
 /** Answer of a handler. */
 export type PartAnswer =
@@ -50,13 +54,16 @@
   return { kind: "json", status, value, headers };
 }
 
+/** One call on a part's wire, with its whole body. */
+export interface PartCall extends HttpExchange {
+  readonly body: Uint8Array;
+}
+
 /** One route of a part's wire. */
 export interface PartRoute {
   readonly method: HttpRoute["method"];
   readonly path: string;
-  readonly handle: (
-    exchange: HttpExchange,
-  ) => Promise<PartAnswer> | PartAnswer;
+  readonly handle: (call: PartCall) => Promise<PartAnswer> | PartAnswer;
 }
 
 /** One control order. */
@@ -202,7 +209,7 @@
 
   async #handle(route: PartRoute, exchange: HttpExchange): Promise<void> {
     const { faults, clock } = this.#options;
-    const { response } = exchange;
+    const { request, response } = exchange;
     const outage = faults.outage;
     switch (outage) {
       case "none":
@@ -218,13 +225,18 @@
         response.destroy();
         return;
     }
+    // A call that has arrived runs late even if its caller left meanwhile.
+    const body = await readCallBody(request);
+    if (body === undefined) {
+      response.destroy();
+      return;
+    }
     if (faults.settings.frozen) await faults.waitThawed();
     const { slowMs } = faults.settings;
     if (slowMs > 0) await clock.sleep(slowMs);
-    const answer = await route.handle(exchange);
+    const answer = await route.handle({ ...exchange, body });
     if (faults.settings.frozen) await faults.waitThawed();
-    const isWrite = exchange.request.method !== "GET";
-    if (answer.kind === "json" && isWrite && faults.claimLostAnswer()) {
+    if (isEffect(request, answer) && faults.claimLostAnswer()) {
       response.destroy();
       return;
     }
@@ -244,6 +256,50 @@
   }
 }
 
+/** Reads a whole body; undefined when it cannot be had. */
+async function readCallBody(
+  request: IncomingMessage,
+): Promise<Uint8Array | undefined> {
+  if (request.method === "GET") return noBody;
+  return (await readBody(request, maxPartBodyBytes)).toMaybe().extract();
+}
+
+/** Whether an answer tells of a write that took effect. */
+function isEffect(request: IncomingMessage, answer: PartAnswer): boolean {
+  return request.method !== "GET" && answer.kind === "json" &&
+    answer.status < 300;
+}
+
+/** Handles a JSON body of the given shape; answers 400 for any other. */
+export function handleParsed<T, A extends PartAnswer | Promise<PartAnswer>>(
+  schema: z.ZodType<T>,
+  body: Uint8Array,
+  handle: (value: T) => A,
+): A | PartAnswer {
+  return parseJsonBody(body).caseOf({
+    Left: (error): A | PartAnswer =>
+      createAnswer(400, { reason: error.message }),
+    Right: (value) => {
+      const parsed = schema.safeParse(value);
+      return parsed.success
+        ? handle(parsed.data)
+        : createAnswer(400, { reason: z.prettifyError(parsed.error) });
+    },
+  });
+}
+
+/** Handles a control order of the given shape. */
+export function handleOrder<T>(
+  schema: z.ZodType<T>,
+  call: ControlCall,
+  handle: (order: T) => PartAnswer,
+): PartAnswer {
+  const parsed = schema.safeParse(call.body);
+  return parsed.success
+    ? handle(parsed.data)
+    : createControlError(z.prettifyError(parsed.error));
+}
+
 /** Reads the body of a control order, if it has one, and handles the order. */
 export async function readControlBody(
   exchange: HttpExchange,
--- a/packages/standin/src/plain_standin.ts
+++ b/packages/standin/src/plain_standin.ts
@@ -11,11 +11,7 @@
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import { type Hasher, openHasher } from "@almondcrank/common/hashing.ts";
-import {
-  type HttpExchange,
-  parseJsonBody,
-  readBody,
-} from "@almondcrank/common/http_server.ts";
+import { parseJsonBody } from "@almondcrank/common/http_server.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type { PlainLoad } from "@almondcrank/endpoint/plain_service.ts";
 import {
@@ -29,6 +25,7 @@
   createAnswer,
   type Part,
   type PartAnswer,
+  type PartCall,
   PartServer,
 } from "./part_server.ts";
 import { RecordList } from "./record_list.ts";
@@ -178,12 +175,8 @@
     for (const wake of this.#waiting.splice(0)) wake();
   }
 
-  async #handle(exchange: HttpExchange): Promise<PartAnswer> {
+  async #handle(call: PartCall): Promise<PartAnswer> {
     if (this.faults.settings.cutBeforeRun) return { kind: "cut" };
-    const body = await readBody(exchange.request);
-    if (body.isLeft()) {
-      return createAnswer(400, { reason: "body is too large or incomplete" });
-    }
     if (
       this.#running >= this.#settings.concurrency &&
       this.#waiting.length >= this.#settings.queueLimit
@@ -192,25 +185,27 @@
         "x-run": "not_run",
       });
     }
-    await this.#acquire();
+    const hasWaited = await this.#acquire();
     try {
       // A caller that left while the call waited no longer wants it run.
-      if (exchange.response.destroyed) return { kind: "cut" };
+      if (hasWaited && call.response.destroyed) return { kind: "cut" };
       await this.#clock.sleep(this.#chooseServiceMs());
       await this.faults.waitThawed();
-      return this.#runCall(exchange, body.orDefault(Buffer.alloc(0)));
+      return this.#runCall(call);
     } finally {
       this.#release();
     }
   }
 
-  async #acquire(): Promise<void> {
+  /** Takes a place among the running calls; true if that took a wait. */
+  async #acquire(): Promise<boolean> {
     this.#publishLoad();
     if (this.#running < this.#settings.concurrency) {
       this.#running += 1;
-      return;
+      return false;
     }
     await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    return true;
   }
 
   /** Passes the place to the call that waits longest, or frees it. */
@@ -227,7 +222,7 @@
     return serviceMs * (1 + deviation) * this.faults.settings.slowdown;
   }
 
-  #runCall({ request, path }: HttpExchange, body: Buffer): PartAnswer {
+  #runCall({ request, path, body }: PartCall): PartAnswer {
     const method = request.method ?? "GET";
     const isRead = readMethods.includes(method);
     const key = request.headers["idempotency-key"];
@@ -237,7 +232,7 @@
       method,
       path,
       key: typeof key === "string" ? key : undefined,
-      requestHash: this.#hasher.hash32(`${method} ${path} ${body.toString()}`),
+      requestHash: this.#hasher.hash32(`${method} ${path} ${decodeText(body)}`),
       slot: isRead ? undefined : findSlot(body),
     };
     this.#records.add(record);
@@ -293,6 +288,10 @@
   }
 }
 
+function decodeText(body: Uint8Array): string {
+  return new TextDecoder().decode(body);
+}
+
 /** Slot that a body names, if it is a JSON object with one. */
 function findSlot(body: Uint8Array): string | undefined {
   const value = parseJsonBody(body).toMaybe().extract();
--- a/packages/standin/src/standin_settings.ts
+++ b/packages/standin/src/standin_settings.ts
@@ -2,8 +2,6 @@
  * Settings of the program `standin`: which parts to start, as JSON with comments.
  */
 
-import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
-import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
 import { cloudApiSettings } from "./cloud_api_standin.ts";
 import { engineSettings } from "./engine_settings.ts";
@@ -53,20 +51,3 @@
   StandinSettings["engines"][number],
   keyof typeof placed
 >;
-
-/** Parses settings; the message names what to correct. */
-export function parseStandinSettings(
-  text: string,
-): Either<string, StandinSettings> {
-  const errors: ParseError[] = [];
-  const value: unknown = parse(text, errors, { allowTrailingComma: true });
-  const first = errors[0];
-  if (first !== undefined) {
-    const line = text.slice(0, first.offset).split("\n").length;
-    return Left(`line ${line}: ${printParseErrorCode(first.error)}`);
-  }
-  const parsed = standinSettings.safeParse(value);
-  return parsed.success
-    ? Right(parsed.data)
-    : Left(z.prettifyError(parsed.error));
-}
--- a/packages/standin/src/weight_store_standin.ts
+++ b/packages/standin/src/weight_store_standin.ts
@@ -8,16 +8,16 @@
 import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
-import type { HttpExchange } from "@almondcrank/common/http_server.ts";
 import type { WeightRate } from "@almondcrank/platform/weight_store.ts";
 import type { PartFaults } from "./fault_settings.ts";
 import { FaultSwitch } from "./fault_switch.ts";
 import {
   type ControlCall,
   createAnswer,
-  createControlError,
+  handleOrder,
   type Part,
   type PartAnswer,
+  type PartCall,
   PartServer,
 } from "./part_server.ts";
 import { RecordList } from "./record_list.ts";
@@ -130,7 +130,7 @@
     this.#loads.clear();
   }
 
-  async #load({ path, query, response }: HttpExchange): Promise<PartAnswer> {
+  async #load({ path, query, response }: PartCall): Promise<PartAnswer> {
     const bytes = Number(query.get("bytes"));
     if (!(bytes >= 0)) {
       return createAnswer(400, { reason: "bytes must be a number" });
@@ -190,14 +190,12 @@
     this.#schedule();
   }
 
-  #setRate({ body }: ControlCall): PartAnswer {
-    const parsed = weightStoreSettings.safeParse(body);
-    if (!parsed.success) {
-      return createControlError(z.prettifyError(parsed.error));
-    }
-    this.#share();
-    this.#bytesPerSecond = parsed.data.bytesPerSecond;
-    this.#schedule();
-    return createAnswer(200, this.rate);
+  #setRate(call: ControlCall): PartAnswer {
+    return handleOrder(weightStoreSettings, call, ({ bytesPerSecond }) => {
+      this.#share();
+      this.#bytesPerSecond = bytesPerSecond;
+      this.#schedule();
+      return createAnswer(200, this.rate);
+    });
   }
 }
