Add the scenario runner over real processes

Cause: kills, freezes, cuts and outages need separate processes. Change: one process of stand-ins, one per node, relays that can be cut, callers that leave and return; checks of every token, of bookings and of reverts at the end of each scenario. Result: not run yet, since the node is not wired.

--- a/packages/node/src/operator_messages.ts
+++ b/packages/node/src/operator_messages.ts
@@ -55,9 +55,23 @@
   readonly queued: number | undefined;
 }
 
+/** A stream that has not ended. */
+export interface StreamRow {
+  readonly id: string;
+  readonly service: string;
+  /** Endpoint that generates it at this moment. */
+  readonly endpoint: string | undefined;
+}
+
+/** Answer of `GET /streams`. */
+export interface StreamList {
+  readonly streams: readonly StreamRow[];
+}
+
 /** Answer of `GET /status`. */
 export interface NodeStatus {
   readonly node: string;
+  readonly incarnation: string;
   readonly readiness: "ready" | "starting" | "draining";
   readonly revision: number;
   readonly requests: number;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -40,6 +40,8 @@
     callers: address,
     peers: address,
     operators: address,
+    /** Address under which peers reach this node, if it is another one. */
+    advertisedPeers: address.optional(),
   }),
   /** Peer addresses of some other nodes; the rest is learnt from them. */
   peers: z.array(address).default([]),
--- /dev/null
+++ b/packages/scenario/src/session.ts
@@ -0,0 +1,502 @@
+/**
+ * Runs one scenario against a fleet of real processes.
+ *
+ * Each step writes one line of the transcript. Lines hold stable facts only, so
+ * that the transcript of a seed is the same each time and can be kept as a
+ * golden file. A step that does not hold is a finding; the run goes on.
+ */
+
+import type { Hasher } from "@almondcrank/common/hashing.ts";
+import { computeExpectedTokens } from "@almondcrank/standin/expected_tokens.ts";
+import {
+  type CallerTarget,
+  ChatCall,
+  issueKey,
+  type Outcome,
+  sendBooking,
+  type ToldRun,
+} from "./caller.ts";
+import { formatTeamKey, model } from "./fleet_files.ts";
+import type { StreamRow } from "@almondcrank/node/operator_messages.ts";
+import { InvariantWatch } from "./invariant_watch.ts";
+import { RunningFleet } from "./running_fleet.ts";
+import { createEngineFault, createStoreFault } from "./stand_in_faults.ts";
+import type {
+  EngineReference,
+  Expectation,
+  KeyReference,
+  PlacedStep,
+  Scenario,
+  Step,
+} from "./step.ts";
+
+const pollMs = 25;
+
+/** Result of one scenario. */
+export interface SessionResult {
+  readonly scenario: Scenario;
+  readonly seed: number;
+  /** One line a step. */
+  readonly transcript: readonly string[];
+  /** What did not hold. */
+  readonly findings: readonly string[];
+  /** Logs of all processes when something did not hold. */
+  readonly logs: string;
+}
+
+/** A booking that has been sent. */
+interface Booking {
+  readonly slot: string;
+  readonly key: string | undefined;
+  readonly ended: Promise<Outcome>;
+}
+
+/** An apply that has been sent. */
+interface Apply {
+  readonly team: string;
+  readonly ended: Promise<{ readonly status: number; readonly body: unknown }>;
+}
+
+/** Runs a scenario with a seed. */
+export async function runScenario(
+  scenario: Scenario,
+  options: { readonly seed: number; readonly hasher: Hasher },
+): Promise<SessionResult> {
+  const session = Session.create(scenario, options);
+  return await session.run();
+}
+
+class Session {
+  readonly #scenario: Scenario;
+  readonly #seed: number;
+  readonly #hasher: Hasher;
+  readonly #transcript: string[] = [];
+  readonly #findings: string[] = [];
+  readonly #chats = new Map<string, ChatCall>();
+  readonly #bookings = new Map<string, Booking>();
+  readonly #applies = new Map<string, Apply>();
+  #fleet: RunningFleet | undefined;
+  #watch: InvariantWatch | undefined;
+
+  private constructor(
+    scenario: Scenario,
+    options: { readonly seed: number; readonly hasher: Hasher },
+  ) {
+    this.#scenario = scenario;
+    this.#seed = options.seed;
+    this.#hasher = options.hasher;
+  }
+
+  static create(
+    scenario: Scenario,
+    options: { readonly seed: number; readonly hasher: Hasher },
+  ): Session {
+    return new Session(scenario, options);
+  }
+
+  async run(): Promise<SessionResult> {
+    let logs = "";
+    try {
+      for (const placed of this.#scenario.steps) await this.#runPlaced(placed);
+      await this.#checkEnd();
+    } catch (thrown) {
+      this.#findings.push(`stopped: ${(thrown as Error).stack}`);
+    } finally {
+      if (this.#findings.length > 0) logs = this.#fleet?.formatLogs() ?? "";
+      await this.#watch?.stop();
+      await this.#fleet?.close();
+    }
+    return {
+      scenario: this.#scenario,
+      seed: this.#seed,
+      transcript: this.#transcript,
+      findings: this.#findings,
+      logs,
+    };
+  }
+
+  async #runPlaced({ line, text, step }: PlacedStep): Promise<void> {
+    const finding = await this.#runStep(step) ?? undefined;
+    this.#transcript.push(
+      finding === undefined ? text : `${text} -- ${finding}`,
+    );
+    if (finding !== undefined) {
+      this.#findings.push(`line ${line}: ${text}: ${finding}`);
+    }
+  }
+
+  /** Runs one step; a string says what did not hold. */
+  async #runStep(step: Step): Promise<string | void> {
+    switch (step.kind) {
+      case "title":
+      case "promise":
+      case "fault":
+        return;
+      case "fleet":
+        this.#fleet = await RunningFleet.open(step, this.#seed);
+        this.#watch = InvariantWatch.create(this.#fleet);
+        return;
+      case "chat":
+        return this.#startChat(step);
+      case "leave":
+        return this.#findChat(step.name).leave();
+      case "return":
+        return this.#findChat(step.name).resume(
+          this.#findTarget(step.node, "counter"),
+        );
+      case "book":
+        return await this.#startBooking(step);
+      case "apply":
+        return this.#startApply(step);
+      case "after_tokens":
+        return await this.#findChat(step.name).waitTokens(step.tokens);
+      case "after_ms":
+        return await sleep(step.ms);
+      case "finish":
+        return await this.#finish(step.name);
+      case "process":
+        return await this.#applyProcessFault(step);
+      case "engine":
+        return await this.#control(
+          await this.#findEngine(step.engine),
+          createEngineFault(step.fault),
+        );
+      case "booking_fault":
+        return await this.#control(
+          `booking-${step.service}`,
+          createEngineFault(step.fault),
+        );
+      case "store":
+        return await this.#control("objectApi", createStoreFault(step.fault));
+      case "cut":
+        return this.#readFleet().setCut(step.node, step.cut);
+      case "reclaim_zone":
+        return await this.#reclaim({
+          zone: `zone-${step.zone}`,
+          noticeMs: step.noticeMs,
+        });
+      case "reclaim_engine":
+        return await this.#reclaim({
+          host: await this.#findEngine(step.engine),
+          noticeMs: step.noticeMs,
+        });
+      case "expect":
+        return await this.#checkExpectation(step.name, step.expectation);
+      case "expect_slot":
+        return await this.#checkSlot(step);
+      case "expect_in_force":
+        return await this.#checkInForce(step);
+      case "expect_no_work":
+        return await this.#checkNoWork(step);
+    }
+  }
+
+  #startChat(step: Extract<Step, { readonly kind: "chat" }>): undefined {
+    const chat = ChatCall.create(step.prompt, step.tokens);
+    chat.start(this.#findTarget(step.node, step.team));
+    this.#chats.set(step.name, chat);
+  }
+
+  async #startBooking(
+    step: Extract<Step, { readonly kind: "book" }>,
+  ): Promise<undefined> {
+    const key = await this.#findKey(step.key);
+    const target = this.#findTarget(step.node, "counter");
+    this.#bookings.set(step.name, {
+      slot: step.slot,
+      key,
+      ended: sendBooking(target, { slot: step.slot, key }),
+    });
+  }
+
+  #startApply(step: Extract<Step, { readonly kind: "apply" }>): undefined {
+    const note = {
+      add: {
+        teams: [{
+          name: step.team,
+          keyHash: "0".repeat(64),
+          priority: 5,
+          share: 1,
+        }],
+      },
+    };
+    const ended = this.#readFleet().callOperator(step.node, "/apply", {
+      file: `${step.name}.jsonc`,
+      text: JSON.stringify(note),
+      writeId: `scenario-${step.name}`,
+    });
+    this.#applies.set(step.name, { team: step.team, ended });
+  }
+
+  async #finish(name: string): Promise<string | undefined> {
+    await this.#chats.get(name)?.waitEnd();
+    await this.#bookings.get(name)?.ended;
+    await this.#applies.get(name)?.ended;
+    return undefined;
+  }
+
+  async #applyProcessFault(
+    step: Extract<Step, { readonly kind: "process" }>,
+  ): Promise<string | void> {
+    const fleet = this.#readFleet();
+    switch (step.fault) {
+      case "kill":
+        return await fleet.killNode(step.node);
+      case "freeze":
+        return fleet.findProgram(step.node).signal("SIGSTOP");
+      case "thaw":
+        return fleet.findProgram(step.node).signal("SIGCONT");
+      case "start":
+        return await fleet.startNode(step.node);
+      case "stop": {
+        const code = await fleet.stopNode(step.node);
+        return code === 0 ? undefined : `the process ended with ${code}`;
+      }
+    }
+  }
+
+  async #control(part: string, order: object): Promise<undefined> {
+    await this.#readFleet().control(part, "", order);
+  }
+
+  async #reclaim(order: object): Promise<undefined> {
+    await this.#readFleet().control("cloudApi", "/reclaim", order);
+  }
+
+  async #checkExpectation(
+    name: string,
+    expectation: Expectation,
+  ): Promise<string | undefined> {
+    const outcome = await this.#waitOutcome(name);
+    switch (expectation.kind) {
+      case "answered":
+        return outcome.kind === "answered" ? undefined : format(outcome);
+      case "whole":
+        return this.#checkWhole(name, outcome);
+      case "refused":
+        return outcome.kind === "refused" &&
+            outcome.reason === expectation.reason
+          ? undefined
+          : format(outcome);
+      case "run": {
+        const told = findToldRun(outcome);
+        return expectation.states.includes(told) ? undefined : format(outcome);
+      }
+    }
+  }
+
+  async #waitOutcome(name: string): Promise<Outcome> {
+    const apply = this.#applies.get(name);
+    if (apply !== undefined) return toOutcome(await apply.ended);
+    const booking = this.#bookings.get(name);
+    if (booking !== undefined) return await booking.ended;
+    return await this.#findChat(name).waitEnd();
+  }
+
+  /** Every token received must be the right one, and none may be missing. */
+  #checkWhole(name: string, outcome: Outcome): string | undefined {
+    const wrong = this.#checkTokens(name, this.#findChat(name));
+    if (wrong !== undefined) return wrong;
+    return outcome.kind === "answered" ? undefined : format(outcome);
+  }
+
+  #checkTokens(name: string, chat: ChatCall): string | undefined {
+    const expected = computeExpectedTokens(this.#hasher, {
+      model,
+      prompt: `<user> ${chat.prompt}\n<assistant>`,
+      maxTokens: chat.maxTokens,
+    }).tokens;
+    for (const [index, token] of chat.tokens.entries()) {
+      if (token === expected[index]) continue;
+      return `token ${index} of ${name} is "${token}", not "${
+        expected[index]
+      }"`;
+    }
+    return undefined;
+  }
+
+  async #checkSlot(
+    step: Extract<Step, { readonly kind: "expect_slot" }>,
+  ): Promise<string | undefined> {
+    const count = await this.#countBookings(step.slot);
+    return count >= step.atLeast && count <= step.atMost
+      ? undefined
+      : `booked ${count} times`;
+  }
+
+  async #countBookings(slot: string): Promise<number> {
+    const fleet = this.#readFleet();
+    let count = 0;
+    for (let service = 1; service <= fleet.size.bookings; service++) {
+      const answer = await fleet.control(`booking-${service}`, "/records");
+      const { records } = answer.body as {
+        records: readonly { slot?: string }[];
+      };
+      count += records.filter((record) => record.slot === slot).length;
+    }
+    return count;
+  }
+
+  async #checkInForce(
+    step: Extract<Step, { readonly kind: "expect_in_force" }>,
+  ): Promise<string | undefined> {
+    const apply = this.#applies.get(step.name);
+    if (apply === undefined) throw new Error(`no apply ${step.name}`);
+    const answer = await apply.ended;
+    if (answer.status !== 200) return format(toOutcome(answer));
+    const { revision } = answer.body as { revision: number };
+    const fleet = this.#readFleet();
+    const end = Date.now() + step.withinMs;
+    let behind = fleet.running;
+    while (Date.now() < end) {
+      const revisions = await this.#readRevisions(behind);
+      behind = behind.filter((node) => (revisions.get(node) ?? 0) < revision);
+      if (behind.length === 0) return undefined;
+      await sleep(pollMs);
+    }
+    return `not in force at nodes ${behind.join(", ")}`;
+  }
+
+  async #readRevisions(
+    nodes: readonly number[],
+  ): Promise<ReadonlyMap<number, number>> {
+    const fleet = this.#readFleet();
+    const revisions = new Map<number, number>();
+    await Promise.all(nodes.map(async (node) => {
+      const answer = await fleet.callOperator(node, "/status")
+        .catch(() => undefined);
+      const body = answer?.body as { revision?: number } | undefined;
+      revisions.set(node, body?.revision ?? 0);
+    }));
+    return revisions;
+  }
+
+  async #checkNoWork(
+    step: Extract<Step, { readonly kind: "expect_no_work" }>,
+  ): Promise<string | undefined> {
+    const from = await this.#readArrivals(step.engine);
+    await sleep(step.forMs);
+    const to = await this.#readArrivals(step.engine);
+    return to > from ? `${to - from} new requests arrived` : undefined;
+  }
+
+  async #readArrivals(engine: number): Promise<number> {
+    const answer = await this.#readFleet().control(
+      `engine-${engine}`,
+      "/records",
+    );
+    return (answer.body as { totals: { calls: number } }).totals.calls;
+  }
+
+  /** What must hold at the end of every scenario. */
+  async #checkEnd(): Promise<void> {
+    for (const [name, chat] of this.#chats) {
+      const wrong = this.#checkTokens(name, chat);
+      if (wrong !== undefined) this.#findings.push(`at the end: ${wrong}`);
+    }
+    await this.#checkBookings();
+    this.#findings.push(...this.#watch?.findings ?? []);
+  }
+
+  async #checkBookings(): Promise<void> {
+    const slots = new Set<string>();
+    for (const { slot } of this.#bookings.values()) slots.add(slot);
+    for (const slot of slots) {
+      const sent = [...this.#bookings.values()].filter((b) => b.slot === slot);
+      const runs = await this.#countBookings(slot);
+      const keys = new Set(sent.map((booking) => booking.key ?? booking)).size;
+      if (runs > keys) {
+        this.#findings.push(`at the end: slot ${slot} ran ${runs} times`);
+      }
+      const told = await Promise.all(sent.map((booking) => booking.ended));
+      const allNotRun = told.every((o) => findToldRun(o) === "not_run");
+      if (allNotRun && runs > 0) {
+        this.#findings.push(`at the end: slot ${slot} ran after not_run`);
+      }
+    }
+  }
+
+  async #findKey(reference: KeyReference): Promise<string | undefined> {
+    switch (reference.kind) {
+      case "none":
+        return undefined;
+      case "own":
+        return reference.text;
+      case "issued":
+        return await issueKey(this.#findTarget(reference.node, "counter"));
+      case "of":
+        return this.#bookings.get(reference.booking)?.key;
+    }
+  }
+
+  async #findEngine(reference: EngineReference): Promise<string> {
+    if (reference.kind === "number") return `engine-${reference.engine}`;
+    const { streamId } = this.#findChat(reference.chat);
+    for (const node of this.#readFleet().running) {
+      const answer = await this.#readFleet().callOperator(node, "/streams");
+      const { streams } = answer.body as { streams: readonly StreamRow[] };
+      const found = streams.find((stream) => stream.id === streamId);
+      if (found?.endpoint !== undefined) return found.endpoint;
+    }
+    throw new Error(`no engine serves chat ${reference.chat}`);
+  }
+
+  #findChat(name: string): ChatCall {
+    const chat = this.#chats.get(name);
+    if (chat === undefined) throw new Error(`there is no chat ${name}`);
+    return chat;
+  }
+
+  #findTarget(node: number, team: string): CallerTarget {
+    const { callers } = this.#readFleet().find(node);
+    return { address: callers, key: formatTeamKey(team) };
+  }
+
+  #readFleet(): RunningFleet {
+    if (this.#fleet === undefined) {
+      throw new Error("no fleet yet; write a fleet step first");
+    }
+    return this.#fleet;
+  }
+}
+
+function sleep(ms: number): Promise<undefined> {
+  return new Promise((resolve) => setTimeout(() => resolve(undefined), ms));
+}
+
+function findToldRun(outcome: Outcome): ToldRun {
+  switch (outcome.kind) {
+    case "answered":
+      return "ran";
+    case "refused":
+      return outcome.run;
+    case "cut":
+      return "unknown";
+  }
+}
+
+function format(outcome: Outcome): string {
+  switch (outcome.kind) {
+    case "answered":
+      return "answered";
+    case "refused":
+      return `refused ${outcome.reason}, run ${outcome.run}`;
+    case "cut":
+      return "cut without an answer";
+  }
+}
+
+/** Outcome of an operators' call. */
+function toOutcome(
+  answer: { readonly status: number; readonly body: unknown },
+): Outcome {
+  if (answer.status === 200) return { kind: "answered", body: "" };
+  const error = (answer.body as {
+    error?: { kind?: string; run?: ToldRun };
+  }).error;
+  return {
+    kind: "refused",
+    reason: error?.kind ?? "unnamed",
+    run: error?.run ?? "unknown",
+  };
+}
