Add release notes, diff and the conditional writer of the head

Cause: operators had no way to change the configuration. Change: JSONC notes checked whole with file, line, column, key and remedy; a plan against a base; one conditional write whose lost answer is settled by its write id. Ruled out: repeating a write on a newer version, which could apply a note to a configuration the operator has not seen.

--- /dev/null
+++ b/packages/fleet/src/release_error.ts
@@ -0,0 +1,57 @@
+/**
+ * Failures of checking and applying release notes.
+ */
+
+import { KindError } from "@almondcrank/common/kind_error.ts";
+import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
+import { formatFault, type NoteFault } from "./note_source.ts";
+
+export type ReleaseErrorDetail =
+  /** The note is refused whole. */
+  | { readonly kind: "invalid_note"; readonly faults: readonly NoteFault[] }
+  /** Others changed the configuration since the base revision. */
+  | {
+    readonly kind: "conflict";
+    readonly base: number;
+    readonly current: number;
+    /** What changed since the base, in words, oldest first. */
+    readonly changes: readonly string[];
+    /** Whether older changes than those named may be missing. */
+    readonly isPartial: boolean;
+  }
+  /** The configuration would exceed the object API's size limit. */
+  | {
+    readonly kind: "too_large";
+    readonly bytes: number;
+    readonly limitBytes: number;
+  }
+  /** The answer was lost and could not be settled in time. */
+  | { readonly kind: "outcome_unknown"; readonly writeId: string }
+  /** This call wrote nothing. */
+  | { readonly kind: "platform"; readonly cause: PlatformError };
+
+/** A release note that was not applied, or whose outcome is unknown. */
+export class ReleaseError extends KindError<ReleaseErrorDetail> {
+  static create(detail: ReleaseErrorDetail): ReleaseError {
+    return new ReleaseError(detail, formatReleaseError(detail));
+  }
+}
+
+function formatReleaseError(detail: ReleaseErrorDetail): string {
+  switch (detail.kind) {
+    case "invalid_note":
+      return detail.faults.map(formatFault).join("\n");
+    case "conflict": {
+      const changes = detail.changes.length === 0
+        ? "they are too old to be listed"
+        : detail.changes.join("; ");
+      return `the configuration went from revision ${detail.base} to ${detail.current} (${changes}); run diff again and apply to revision ${detail.current}`;
+    }
+    case "too_large":
+      return `the configuration would take ${detail.bytes} bytes of ${detail.limitBytes}; withdraw endpoints or services that are not needed`;
+    case "outcome_unknown":
+      return `the outcome of write ${detail.writeId} is unknown; apply again with the same write id, which cannot take effect twice`;
+    case "platform":
+      return `this call wrote nothing: ${detail.cause.message}`;
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/release_writer_test.ts
@@ -0,0 +1,338 @@
+import fc from "fast-check";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { createSilentLog } from "@almondcrank/common/logs.ts";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import { decodeHead, headKey } from "@almondcrank/platform/head_codec.ts";
+import { HeadReader } from "@almondcrank/platform/head_reader.ts";
+import {
+  type ChooseFate,
+  MemoryObjectStore,
+  type StoreCall,
+  type StoreFate,
+} from "@almondcrank/platform/memory_object_store.ts";
+import {
+  createEndpoint,
+  firstNoteText,
+  parseNote,
+} from "./release_fixtures.ts";
+import type { ParsedNote } from "./release_note.ts";
+import { ReleaseWriter } from "./release_writer.ts";
+
+function createWriter(
+  store: MemoryObjectStore,
+  clock: ManualClock,
+  choose: ChooseFate = () => "pass",
+): ReleaseWriter {
+  return ReleaseWriter.create({
+    store: store.createClient(choose),
+    clock,
+    random: Random.create(1),
+    metrics: Metrics.create(),
+    log: createSilentLog(),
+  });
+}
+
+function createTeamNote(name: string): ParsedNote {
+  return parseNote({
+    add: { teams: [{ name, keyHash: "b".repeat(64) }] },
+  });
+}
+
+/** Fates of the writes in turn; every other call passes. */
+function chooseWrites(...fates: StoreFate[]): ChooseFate {
+  return (call) => call === "write" ? fates.shift() ?? "pass" : "pass";
+}
+
+/** Lets time pass until `promise` settles. */
+async function waitFor<T>(clock: ManualClock, promise: Promise<T>): Promise<T> {
+  let isSettled = false;
+  void promise.finally(() => isSettled = true);
+  for (let i = 0; i < 2_000 && !isSettled; i++) await clock.advance(50);
+  return promise;
+}
+
+test("a note is applied to the revision that the operator saw", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const writer = createWriter(store, clock);
+  const note = parseNote(firstNoteText);
+  const first = await writer.apply({ note, base: 0, writeId: "w1" });
+  const { revision, changes } = first.unsafeCoerce();
+  assert.is(changes.length, 6);
+  const read = (await HeadReader.create(store).read()).unsafeCoerce();
+  assert.is(read.revision, revision);
+  assert.is(read.services.length, 2);
+});
+
+test("the loser of a race learns what changed", async () => {
+  const clock = ManualClock.create();
+  const writer = createWriter(MemoryObjectStore.create(clock), clock);
+  await writer.apply({ note: createTeamNote("a"), base: 0, writeId: "w1" });
+  const lost = await writer.apply({
+    note: createTeamNote("b"),
+    base: 0,
+    writeId: "w2",
+  });
+  const { detail, message } = lost.swap().unsafeCoerce();
+  assert.equal(detail, {
+    kind: "conflict",
+    base: 0,
+    current: 1,
+    changes: ["add team a"],
+    isPartial: false,
+  });
+  assert.match(message, "run diff again");
+});
+
+test("a lost answer after the effect is settled by reading", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const writer = createWriter(store, clock, chooseWrites("lost_after"));
+  const applying = writer.apply({
+    note: createTeamNote("a"),
+    base: 0,
+    writeId: "w1",
+  });
+  const { revision, changes } = (await waitFor(clock, applying)).unsafeCoerce();
+  assert.is(revision, 1);
+  assert.is(changes.length, 1);
+  assert.is(store.counts.get("write"), 1, "it is not written again");
+});
+
+test("a lost answer is settled although others wrote since", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const writer = createWriter(store, clock, chooseWrites("lost_after"));
+  const applying = writer.apply({
+    note: createTeamNote("a"),
+    base: 0,
+    writeId: "w1",
+  });
+  await clock.advance(10);
+  const other = createWriter(store, clock);
+  await other.apply({ note: createTeamNote("b"), base: 1, writeId: "w2" });
+  const { revision } = (await waitFor(clock, applying)).unsafeCoerce();
+  assert.is(revision, 1);
+});
+
+test("a write lost before its effect is repeated with the same id", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const writer = createWriter(store, clock, chooseWrites("lost_before"));
+  const applying = writer.apply({
+    note: createTeamNote("a"),
+    base: 0,
+    writeId: "w1",
+  });
+  assert.is((await waitFor(clock, applying)).unsafeCoerce().revision, 1);
+});
+
+test("an outage after a lost answer ends as unknown, and a repeat settles", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  let isOut = false;
+  const writer = createWriter(store, clock, (call) => {
+    if (isOut) return "unavailable";
+    if (call !== "write") return "pass";
+    isOut = true;
+    return "lost_after";
+  });
+  const order = { note: createTeamNote("a"), base: 0, writeId: "w1" };
+  const lost = await waitFor(clock, writer.apply(order));
+  assert.is(lost.swap().unsafeCoerce().kind, "outcome_unknown");
+  isOut = false;
+  assert.is((await writer.apply(order)).unsafeCoerce().revision, 1);
+  assert.is(store.counts.get("write"), 1);
+});
+
+test("an outage from the start writes nothing and says so", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const writer = createWriter(store, clock, () => "unavailable");
+  const failed = await writer.apply({
+    note: createTeamNote("a"),
+    base: 0,
+    writeId: "w1",
+  });
+  assert.is(failed.swap().unsafeCoerce().kind, "platform");
+});
+
+test("a configuration beyond the size limit is refused", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const writer = createWriter(store, clock);
+  const random = Random.create(1);
+  const teams = Array.from({ length: 20_000 }, (_, i) => ({
+    name: `team-${i}`,
+    keyHash: Array.from({ length: 64 }, () => random.nextInt(16).toString(16))
+      .join(""),
+  }));
+  const note = parseNote({ add: { teams } });
+  const refused = await writer.apply({ note, base: 0, writeId: "w1" });
+  const error = refused.swap().unsafeCoerce();
+  assert.is(error.kind, "too_large");
+  assert.match(error.message, "withdraw");
+  assert.is(store.counts.get("write"), undefined);
+});
+
+test("5,500 replicas fit into the head", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const writer = createWriter(store, clock);
+  const first = parseNote(firstNoteText);
+  await writer.apply({ note: first, base: 0, writeId: "w1" });
+  const endpoints = Array.from(
+    { length: 5_500 },
+    (_, i) =>
+      createEndpoint(`engine-${i + 2}`, {
+        address: `10.${i % 16}.${i >> 8}.${i & 255}:9000`,
+        host: `host-${i}`,
+        zone: `zone-${i % 16}`,
+      }),
+  );
+  const note = parseNote({ add: { endpoints } });
+  const applied = await writer.apply({ note, base: 1, writeId: "w2" });
+  assert.is(applied.isRight(), true);
+});
+
+/** What one operator of a history was told. */
+interface Told {
+  readonly writeId: string;
+  readonly team: string;
+  readonly outcome: string;
+  readonly revision: number;
+}
+
+/** Random fates, delays and crashes of one operator's calls. */
+function createFaults(clock: ManualClock, random: Random): ChooseFate {
+  let isCrashed = false;
+  const hang = (): Promise<StoreFate> => new Promise(() => {});
+  return async (call: StoreCall) => {
+    if (isCrashed) return hang();
+    await clock.sleep(random.nextInt(300));
+    const draw = random.next();
+    if (draw < 0.03) {
+      isCrashed = true;
+      if (call !== "write" || draw < 0.015) return hang();
+      return "lost_after";
+    }
+    if (draw < 0.2) return "lost_before";
+    if (draw < 0.4) return "lost_after";
+    return draw < 0.45 ? "unavailable" : "pass";
+  };
+}
+
+/** Applies notes one after the other, as one operator does. */
+async function runOperator(
+  name: string,
+  { store, clock, random, told }: {
+    readonly store: MemoryObjectStore;
+    readonly clock: ManualClock;
+    readonly random: Random;
+    readonly told: Told[];
+  },
+): Promise<void> {
+  const choose = createFaults(clock, random);
+  const writer = createWriter(store, clock, choose);
+  const reader = HeadReader.create(store.createClient(choose));
+  for (let i = 0; i < 4; i++) {
+    const base = (await reader.read()).map(({ revision }) => revision);
+    if (base.isLeft()) continue;
+    const writeId = `${name}-${i}`;
+    const order = {
+      note: createTeamNote(writeId),
+      base: base.unsafeCoerce(),
+      writeId,
+    };
+    const attempts = 1 + random.nextInt(2);
+    for (let attempt = 0; attempt < attempts; attempt++) {
+      const last = told.findLast((other) => other.writeId === writeId);
+      const isRefused = last !== undefined &&
+        !["applied", "outcome_unknown"].includes(last.outcome);
+      if (isRefused) break;
+      const result = await writer.apply(order);
+      told.push(result.caseOf<Told>({
+        Left: (error) => ({
+          writeId,
+          team: writeId,
+          outcome: error.kind,
+          revision: 0,
+        }),
+        Right: ({ revision }) => ({
+          writeId,
+          team: writeId,
+          outcome: "applied",
+          revision,
+        }),
+      }));
+    }
+  }
+}
+
+/** Checks what operators were told against the store's whole history. */
+async function checkHistory(
+  store: MemoryObjectStore,
+  told: readonly Told[],
+): Promise<void> {
+  const outcome = (await store.watch(headKey, 0, 0)).unsafeCoerce();
+  if (outcome.kind !== "changes") throw new Error("history lost");
+  const versions = outcome.batch.changes.flatMap((change) =>
+    change.kind === "written" ? [change.object] : []
+  );
+  const writers = new Map<string, number>();
+  let teams: readonly string[] = [];
+  for (const object of versions) {
+    const head = decodeHead(object).unsafeCoerce();
+    const writeId = head.writes.at(-1)?.writeId ?? "";
+    assert.not.ok(writers.has(writeId), `${writeId} took effect twice`);
+    writers.set(writeId, object.version);
+    const next = head.configuration.teams.map(({ name }) => name);
+    assert.equal(next.slice(0, teams.length), teams, "nothing reverts");
+    teams = next;
+  }
+  told.forEach(({ writeId, outcome, revision }, i) => {
+    if (outcome === "applied") assert.is(writers.get(writeId), revision);
+    if (outcome === "applied" || outcome === "outcome_unknown") return;
+    // A repeat that could not read says nothing about the calls before it.
+    const isRepeat = told.slice(0, i).some((other) =>
+      other.writeId === writeId
+    );
+    const isDefinite = outcome !== "platform" || !isRepeat;
+    if (isDefinite) assert.not.ok(writers.has(writeId), writeId + outcome);
+  });
+}
+
+for (const operators of [2, 5]) {
+  test(`${operators} racing operators, lost answers and crashes: no apply lost or doubled`, async () => {
+    let applied = 0;
+    await fc.assert(
+      fc.asyncProperty(fc.integer(), async (seed) => {
+        const clock = ManualClock.create();
+        const store = MemoryObjectStore.create(clock);
+        const random = Random.create(seed);
+        const told: Told[] = [];
+        const revisions: number[] = [];
+        const observer = HeadReader.create(store);
+        for (let i = 0; i < operators; i++) {
+          const operator = Random.create(random.nextInt(1 << 30));
+          void runOperator(`op${i}`, { store, clock, random: operator, told });
+        }
+        for (let ms = 0; ms < 60_000; ms += 2_000) {
+          await clock.advance(2_000);
+          const seen = (await observer.read()).unsafeCoerce();
+          revisions.push(seen.revision);
+        }
+        await checkHistory(store, told);
+        assert.equal(revisions, [...revisions].sort((a, b) => a - b));
+        applied += told.filter(({ outcome }) => outcome === "applied").length;
+      }),
+      { numRuns: 120, seed: 20_261_203 + operators },
+    );
+    assert.ok(applied > 120, `only ${applied} applies were acknowledged`);
+  });
+}
+
+test.run();
--- a/packages/platform/src/memory_object_store.ts
+++ b/packages/platform/src/memory_object_store.ts
@@ -183,7 +183,7 @@
     waitMs: number,
   ): Promise<WatchOutcome> {
     if (since < this.#expiredUntil) return { kind: "expired" };
-    if (this.#find(prefix, since).length === 0) {
+    if (waitMs > 0 && this.#find(prefix, since).length === 0) {
       const woken = new AbortController();
       const subscription = this.#changed.event(() => {
         if (this.#find(prefix, since).length > 0) woken.abort();
