--- a/packages/cli/src/load_command.ts
+++ b/packages/cli/src/load_command.ts
@@ -9,7 +9,11 @@
 import { parseAddress } from "@almondcrank/common/address.ts";
 import { SystemClock } from "@almondcrank/common/clock.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
-import { computeDuration, parsePhases, type Phase } from "@almondcrank/load/arrivals.ts";
+import {
+  computeDuration,
+  parsePhases,
+  type Phase,
+} from "@almondcrank/load/arrivals.ts";
 import { LoadClient } from "@almondcrank/load/load_client.ts";
 import {
   computeReport,
--- a/packages/routing/src/request_limits.ts
+++ b/packages/routing/src/request_limits.ts
@@ -5,6 +5,7 @@
 import type { Either } from "purify-ts";
 import type { Team } from "@almondcrank/common/configuration.ts";
 import type { Refusal } from "./refusal.ts";
+import type { RetryReason } from "./retry_budget.ts";
 
 /** Share of a team taken by one request until released. */
 export interface LimitLease {
@@ -21,5 +22,5 @@
 export interface RetryPermits {
   recordSend(endpoint: string): void;
   /** Takes one retry out of the budget; false when it is spent. */
-  takeRetry(endpoint: string): boolean;
+  takeRetry(endpoint: string, reason: RetryReason): boolean;
 }
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -141,7 +141,7 @@
     const opened = this.#checkOpen(request).chain(() => this.#admit(request));
     opened.ifLeft((refusal) => {
       const { kind } = refusal;
-      this.#options.metrics.count("model_refusals", { reason: kind });
+      this.#options.metrics.count("model_refusals_total", { reason: kind });
     });
     return Promise.resolve(opened);
   }
@@ -234,12 +234,12 @@
       limits: this.#services.limits,
       signal: this.#lifetime.signal,
       onCancel: (reason) => {
-        metrics.count("streams_cancelled", { reason });
+        metrics.count("streams_cancelled_total", { reason });
         run.cancel();
       },
     });
     const run = StreamRun.create(stream, this.#services);
-    metrics.count("streams_opened");
+    metrics.count("streams_opened_total");
     const ended = run.run(opening.choice).finally(() =>
       opening.lease.release()
     );
--- a/packages/routing/src/stream_exchange.ts
+++ b/packages/routing/src/stream_exchange.ts
@@ -85,14 +85,16 @@
         waitMs: 0,
       });
       if (batch.isLeft()) continue;
-      this.#options.metrics.count("streams_found", { where: "peer" });
+      this.#options.metrics.count("streams_found_total", { where: "peer" });
       const { peers, clock } = this.#options;
       const owners = (): readonly string[] => this.listOwners(id);
       return Right(
         PeerStream.create({ id, team: team.name, node, peers, clock, owners }),
       );
     }
-    this.#options.metrics.count("model_refusals", { reason: "stream_lost" });
+    this.#options.metrics.count("model_refusals_total", {
+      reason: "stream_lost",
+    });
     return Left(createLost());
   }
 
@@ -147,7 +149,7 @@
     };
     const past = { tokens, attempts, recomputedTokens };
     return open({ id, request, past }).map(() => {
-      metrics.count("streams_taken_over");
+      metrics.count("streams_taken_over_total");
     });
   }
 
@@ -183,7 +185,7 @@
     for (const node of heirs.slice(0, peersAsked)) {
       if (!await this.#offer(node, run)) continue;
       run.release(this.#createPeerStream(node, stream));
-      metrics.count("stream_hand_overs", { result: "taken" });
+      metrics.count("stream_hand_overs_total", { result: "taken" });
       return true;
     }
     run.resume();
@@ -203,7 +205,7 @@
       const taken = await peers.handOver(node, this.#createHandOver(run));
       if (taken.isRight()) return true;
       taken.ifLeft(({ kind }) => {
-        metrics.count("stream_hand_overs", { result: kind });
+        metrics.count("stream_hand_overs_total", { result: kind });
       });
     }
     void peers.cancel(node, id, request.team.name);
--- a/packages/routing/src/stream_failures_test.ts
+++ b/packages/routing/src/stream_failures_test.ts
@@ -48,13 +48,16 @@
   const { engines, metrics } = await checkWhole(() => {}, 5);
   const sent = [...engines.values()].flatMap((engine) => engine.requests);
   assert.is(sent.length, 1);
-  assert.is(metrics.readCounter("streams_finished", { reason: "stop" }), 1);
+  assert.is(
+    metrics.readCounter("streams_finished_total", { reason: "stop" }),
+    1,
+  );
 });
 
 test("a replica killed before the first byte", async () => {
   const { metrics } = await checkWhole((engine) => engine.kill(), 5);
   const reason = "connection_lost";
-  assert.is(metrics.readCounter("stream_retries", { reason }), 1);
+  assert.is(metrics.readCounter("stream_retries_total", { reason }), 1);
 });
 
 test("a replica killed mid-stream is resumed after its last token", async () => {
@@ -63,10 +66,10 @@
     .find((sent) => sent.tokensSoFar.length > 0);
   assert.is(resumed?.tokensSoFar.length, 9);
   assert.is(
-    metrics.readCounter("stream_resumes", { reason: "connection_lost" }),
+    metrics.readCounter("stream_resumes_total", { reason: "connection_lost" }),
     1,
   );
-  assert.ok(metrics.readCounterTotal("tokens_recomputed") > 0);
+  assert.ok(metrics.readCounterTotal("tokens_recomputed_total") > 0);
 });
 
 test("killed after the last token but before the end mark", async () => {
@@ -120,7 +123,10 @@
   const { metrics } = await checkWhole((engine) => {
     engine.behaviour.freezeAt = 0;
   }, 5);
-  assert.is(metrics.readCounter("stream_retries", { reason: "timeout" }), 1);
+  assert.is(
+    metrics.readCounter("stream_retries_total", { reason: "timeout" }),
+    1,
+  );
 });
 
 test("a token out of order fails the attempt, not the answer", async () => {
@@ -128,7 +134,7 @@
     engine.behaviour.indexShift = 1;
   }, 50);
   assert.is(
-    metrics.readCounter("stream_resumes", { reason: "bad_answer" }),
+    metrics.readCounter("stream_resumes_total", { reason: "bad_answer" }),
     1,
   );
 });
@@ -232,7 +238,9 @@
   assert.is(busy.aborted.length, 1);
   assert.is(busy.running, 0);
   assert.is(
-    setup.metrics.readCounter("streams_cancelled", { reason: "abandoned" }),
+    setup.metrics.readCounter("streams_cancelled_total", {
+      reason: "abandoned",
+    }),
     1,
   );
   setup.router.dispose();
--- a/packages/routing/src/stream_migration.ts
+++ b/packages/routing/src/stream_migration.ts
@@ -52,14 +52,14 @@
     const { clock, metrics } = services;
     const goneAt = clock.now() + remainingMs;
     if (this.#computeRestMs() <= remainingMs * finishShare) {
-      metrics.count("stream_migrations", { reason: "fits_notice" });
+      metrics.count("stream_migrations_total", { reason: "fits_notice" });
       return;
     }
     let pauseMs = services.limits.firstPauseMs;
     while (!this.attempt.settled && !signal.aborted && clock.now() < goneAt) {
       const target = this.#options.choose();
       if (target !== undefined) return await this.#move(target, goneAt);
-      metrics.count("stream_pauses", { reason: "no_migration_target" });
+      metrics.count("stream_pauses_total", { reason: "no_migration_target" });
       await clock.sleep(pauseMs, this.attempt.ended);
       pauseMs *= 2;
     }
@@ -88,7 +88,7 @@
     if (to === undefined) return;
     const kept = usable ? importId : undefined;
     const reason = kept === undefined ? "prefill" : "cache";
-    metrics.count("stream_migrations", { reason });
+    metrics.count("stream_migrations_total", { reason });
     this.attempt.stop({ kind: "moved", to, importId: kept });
   }
 
@@ -121,7 +121,7 @@
     const { engines, metrics } = services;
     const exported = await this.attempt.engine.exportCache(this.attempt.id);
     if (exported.isLeft()) {
-      metrics.count("cache_moves_failed", { reason: "export" });
+      metrics.count("cache_moves_failed_total", { reason: "export" });
       return undefined;
     }
     const importId = `${this.attempt.id}.import`;
@@ -132,7 +132,7 @@
       handle,
     });
     if (imported.isLeft()) {
-      metrics.count("cache_moves_failed", { reason: "import" });
+      metrics.count("cache_moves_failed_total", { reason: "import" });
       return undefined;
     }
     return importId;
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -232,7 +232,7 @@
         await clock.sleep(waitMs, attempt.ended);
         continue;
       }
-      if (retries.takeRetry(attempt.engine.name)) {
+      if (retries.takeRetry(attempt.engine.name, "timeout")) {
         const endpoint = attempt.engine.name;
         const timeoutMs = idleMs;
         const error = EndpointError.create({
@@ -242,7 +242,7 @@
         });
         return attempt.stop({ kind: "failed", error });
       }
-      metrics.count("retries_refused", { reason: "timeout" });
+      metrics.count("retries_refused_total", { reason: "timeout" });
       patience *= 2;
     }
   }
@@ -288,11 +288,13 @@
       return undefined;
     }
     if (usage.attempts >= limits.maxAttempts || !this.#takeRetry(error)) {
-      metrics.count("retries_refused", { reason: error.kind });
+      metrics.count("retries_refused_total", { reason: error.kind });
       this.#giveUp("endpoint_failed", error.message);
       return undefined;
     }
-    const kind = log.tokens.length > 0 ? "stream_resumes" : "stream_retries";
+    const kind = log.tokens.length > 0
+      ? "stream_resumes_total"
+      : "stream_retries_total";
     metrics.count(kind, { reason: error.kind });
     return await this.#waitChoice();
   }
@@ -307,7 +309,10 @@
         return true;
       case "declined":
       case "stale_fencing":
-        return this.#services.retries.takeRetry(error.detail.endpoint);
+        return this.#services.retries.takeRetry(
+          error.detail.endpoint,
+          "declined",
+        );
     }
   }
 
@@ -320,7 +325,7 @@
       const choice = this.#choose(undefined);
       if (choice !== undefined) return choice;
       if (clock.now() + pauseMs >= request.deadline) break;
-      metrics.count("stream_pauses", { reason: "no_endpoint" });
+      metrics.count("stream_pauses_total", { reason: "no_endpoint" });
       await clock.sleep(pauseMs, this.#ended.signal);
       if (this.#isOver()) return undefined;
       pauseMs *= 2;
@@ -359,17 +364,17 @@
     prefixes.recordSend(this.#computeChain(), choice.endpoint.name);
     loads.recordOutput(log.tokens.length);
     const total = usage.compute(log.tokens.length);
-    metrics.count("streams_finished", { reason });
-    metrics.count("tokens_computed", {}, total.computedTokens);
-    metrics.count("tokens_recomputed", {}, total.recomputedTokens);
-    metrics.count("tokens_cached", {}, total.cachedTokens);
+    metrics.count("streams_finished_total", { reason });
+    metrics.count("tokens_computed_total", {}, total.computedTokens);
+    metrics.count("tokens_recomputed_total", {}, total.recomputedTokens);
+    metrics.count("tokens_cached_total", {}, total.cachedTokens);
     log.finish({ kind: "end", reason, usage: total });
   }
 
   #giveUp(kind: RefusalKind, message: string): void {
     const { log } = this.stream;
     if (log.final !== undefined) return;
-    this.#services.metrics.count("streams_failed", { reason: kind });
+    this.#services.metrics.count("streams_failed_total", { reason: kind });
     const ran = log.tokens.length > 0;
     const unsettled = this.#mayHaveRun || this.#attempt?.settled === false ||
       kind === "deadline";
