--- a/packages/routing/src/replica_load.ts
+++ b/packages/routing/src/replica_load.ts
@@ -145,7 +145,8 @@
     this.#slots = Math.max(1, load.slots);
     this.#tokensPerMs = Math.max(1, load.prefillTokensPerSecond) /
       millisecondsPerSecond;
-    this.#betweenTokensMs = load.betweenTokensMs;
+    // An idle replica reports 0: it has no pace at the moment.
+    if (load.betweenTokensMs > 0) this.#betweenTokensMs = load.betweenTokensMs;
     this.#sends = this.#sends.filter((send) => send.at > reportedAt);
     this.#ends = this.#ends.filter((at) => at > reportedAt);
     this.#backlogTokens = load.queuedTokens;
--- a/packages/routing/src/routed_stream.ts
+++ b/packages/routing/src/routed_stream.ts
@@ -47,6 +47,21 @@
   readonly onCancel: (reason: "caller" | "abandoned") => void;
 }
 
+const trailingSpace = /\s+$/;
+
+/** Tokens of a prompt followed by output, as a later prompt would hold them. */
+export function computeContext(
+  prompt: string,
+  promptTokens: readonly string[],
+  output: readonly string[],
+): readonly string[] {
+  const [first, ...rest] = output;
+  if (first === undefined) return promptTokens;
+  const joint = trailingSpace.exec(prompt)?.[0] ?? " ";
+  const joined = trailingSpace.test(first[0] ?? "") ? first : joint + first;
+  return [...promptTokens, joined, ...rest];
+}
+
 /** Cuts a prompt into tokens and hashes its blocks. */
 export function computeInput(hasher: Hasher, prompt: string): StreamInput {
   const promptTokens = splitTokens(prompt);
--- /dev/null
+++ b/packages/routing/src/stream_exchange_test.ts
@@ -0,0 +1,202 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import type { ModelStream } from "./model_router.ts";
+import { formatToken } from "./testing/fake_engine.ts";
+import {
+  createRequest,
+  type ModelSetup,
+  openModelSetup,
+  startReading,
+  testTeam,
+} from "./testing/model_setup.ts";
+import { TestPeers } from "./testing/test_peers.ts";
+
+interface Nodes {
+  readonly peers: TestPeers;
+  readonly setups: ReadonlyMap<string, ModelSetup>;
+  readonly first: ModelSetup;
+}
+
+const names = ["n1", "n2", "n3", "n4"];
+
+async function openNodes(outputTokens = 100): Promise<Nodes> {
+  const peers = TestPeers.create();
+  const setups = new Map<string, ModelSetup>();
+  let shared: ModelSetup | undefined;
+  for (const nodeName of names) {
+    const setup: ModelSetup = await openModelSetup({
+      nodeName,
+      peers: peers.createChannel(nodeName),
+      ...(shared === undefined ? {} : { shared }),
+    });
+    shared ??= setup;
+    setups.set(nodeName, setup);
+    peers.add(nodeName, setup.router);
+  }
+  if (shared === undefined) throw new Error("no node");
+  for (const engine of shared.engines.values()) {
+    engine.behaviour.outputTokens = outputTokens;
+  }
+  return { peers, setups, first: shared };
+}
+
+function findNode(nodes: Nodes, name: string): ModelSetup {
+  const setup = nodes.setups.get(name);
+  if (setup === undefined) throw new Error(`node ${name} does not exist`);
+  return setup;
+}
+
+async function open(nodes: Nodes): Promise<ModelStream> {
+  const request = createRequest(nodes.first.clock);
+  return (await nodes.first.router.open(request)).unsafeCoerce();
+}
+
+function expectTokens(nodes: Nodes, from: number, to = 100): string[] {
+  const { prompt } = createRequest(nodes.first.clock);
+  return Array.from(
+    { length: to - from },
+    (_, i) => formatToken(prompt, from + i),
+  );
+}
+
+function dispose(nodes: Nodes): void {
+  for (const { router } of nodes.setups.values()) router.dispose();
+}
+
+test("any node finds a stream of another", async () => {
+  const nodes = await openNodes();
+  const { clock } = nodes.first;
+  const stream = await open(nodes);
+  await clock.advance(300);
+  const found = await findNode(nodes, "n3").router.find(stream.id, testTeam);
+  const reading = startReading(found.unsafeCoerce(), 10);
+  await clock.advance(5_000);
+  assert.equal(reading.texts, expectTokens(nodes, 10));
+  assert.is(reading.outcome, "length");
+  const other = { ...testTeam, name: "other" };
+  const refused = await findNode(nodes, "n3").router.find(stream.id, other);
+  assert.is(refused.swap().unsafeCoerce().kind, "stream_lost");
+  dispose(nodes);
+});
+
+test("a leaving node lets streams end that fit its notice", async () => {
+  const nodes = await openNodes(30);
+  const reading = startReading(await open(nodes));
+  nodes.peers.leaving.add("n1");
+  const drained = nodes.first.router.drain(5_000);
+  const refused = await nodes.first.router.open(
+    createRequest(nodes.first.clock),
+  );
+  assert.is(refused.swap().unsafeCoerce().kind, "draining");
+  await nodes.first.clock.advance(2_000);
+  await drained;
+  assert.equal(reading.texts, expectTokens(nodes, 0, 30));
+  assert.is(
+    nodes.first.metrics.readCounterTotal("stream_hand_overs_total"),
+    0,
+  );
+  dispose(nodes);
+});
+
+/** Drains n1 in the middle of a stream; returns its reader before the end. */
+async function drainFirst(nodes: Nodes, stream: ModelStream) {
+  const abort = new AbortController();
+  const before = startReading(stream, 0, abort.signal);
+  await nodes.first.clock.advance(205);
+  nodes.peers.leaving.add("n1");
+  const drained = nodes.first.router.drain(400);
+  await nodes.first.clock.advance(250);
+  await drained;
+  return { before, abort };
+}
+
+test("streams handed over are found on every node after the first left", async () => {
+  for (const asked of ["n2", "n3", "n4"]) {
+    const nodes = await openNodes();
+    const stream = await open(nodes);
+    const { before, abort } = await drainFirst(nodes, stream);
+    await nodes.first.clock.advance(100);
+    abort.abort();
+    nodes.peers.cut.add("n1");
+    const found = await findNode(nodes, asked).router.find(
+      stream.id,
+      testTeam,
+    );
+    const from = before.texts.length;
+    const after = startReading(found.unsafeCoerce(), from);
+    await nodes.first.clock.advance(5_000);
+    assert.equal([...before.texts, ...after.texts], expectTokens(nodes, 0));
+    assert.is(after.outcome, "length");
+    dispose(nodes);
+  }
+});
+
+test("a caller that stays connected to a leaving node sees no cut", async () => {
+  const nodes = await openNodes();
+  const { before } = await drainFirst(nodes, await open(nodes));
+  await nodes.first.clock.advance(5_000);
+  assert.equal(before.texts, expectTokens(nodes, 0));
+  assert.is(before.outcome, "length");
+  const taken = [...nodes.setups.values()].map(({ metrics }) =>
+    metrics.readCounter("streams_taken_over_total")
+  );
+  assert.is(taken.reduce((sum, count) => sum + count, 0), 1);
+  dispose(nodes);
+});
+
+test("the new owner leaves as well", async () => {
+  const nodes = await openNodes();
+  const stream = await open(nodes);
+  const { before, abort } = await drainFirst(nodes, stream);
+  abort.abort();
+  nodes.peers.cut.add("n1");
+  const owner =
+    names.find((name) =>
+      name !== "n1" && findNode(nodes, name).router.running > 0
+    ) ?? "";
+  nodes.peers.leaving.add(owner);
+  const drained = findNode(nodes, owner).router.drain(100);
+  await nodes.first.clock.advance(100);
+  await drained;
+  nodes.peers.cut.add(owner);
+  const last = names.find((name) => name !== "n1" && name !== owner) ?? "";
+  const found = await findNode(nodes, last).router.find(stream.id, testTeam);
+  const after = startReading(found.unsafeCoerce(), before.texts.length);
+  await nodes.first.clock.advance(5_000);
+  assert.equal([...before.texts, ...after.texts], expectTokens(nodes, 0));
+  dispose(nodes);
+});
+
+test("a hand-over whose answer is lost runs in one place", async () => {
+  const nodes = await openNodes();
+  for (const name of names) nodes.peers.mute.add(name);
+  const { before } = await drainFirst(nodes, await open(nodes));
+  await nodes.first.clock.advance(100);
+  const running = names.filter((name) =>
+    findNode(nodes, name).router.running > 0
+  );
+  assert.equal(running, ["n1"]);
+  await nodes.first.clock.advance(5_000);
+  assert.equal(before.texts, expectTokens(nodes, 0));
+  dispose(nodes);
+});
+
+test("an entry node that died unannounced: lost, run unknown", async () => {
+  const nodes = await openNodes();
+  const stream = await open(nodes);
+  await nodes.first.clock.advance(205);
+  const found = await findNode(nodes, "n2").router.find(stream.id, testTeam);
+  const reading = startReading(found.unsafeCoerce());
+  await nodes.first.clock.advance(1);
+  nodes.peers.cut.add("n1");
+  await nodes.first.clock.advance(10_000);
+  assert.is(reading.outcome, "stream_lost/ran");
+  const refused = await findNode(nodes, "n3").router.find(stream.id, testTeam);
+  const { kind, run } = refused.swap().unsafeCoerce().detail;
+  assert.equal([kind, run], ["stream_lost", "unknown"]);
+  const bad = await findNode(nodes, "n3").router.find("x", testTeam);
+  assert.is(bad.swap().unsafeCoerce().kind, "stream_lost");
+  dispose(nodes);
+});
+
+test.run();
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -25,7 +25,7 @@
 import type { RetryPermits } from "./request_limits.ts";
 import { type AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
 import { StreamMigration } from "./stream_migration.ts";
-import type { RoutedStream } from "./routed_stream.ts";
+import { computeContext, type RoutedStream } from "./routed_stream.ts";
 import type { StreamLimits } from "./stream_limits.ts";
 
 /** What all runs of a node share. */
@@ -352,10 +352,10 @@
   }
 
   #computeChain(): readonly number[] {
-    const { promptTokens, chain, log } = this.stream;
+    const { promptTokens, chain, log, request } = this.stream;
     if (log.tokens.length === 0) return chain;
-    const tokens = promptTokens.concat(log.tokens);
-    return computeBlockHashes(this.#services.hasher, tokens);
+    const context = computeContext(request.prompt, promptTokens, log.tokens);
+    return computeBlockHashes(this.#services.hasher, context);
   }
 
   #finish(reason: "stop" | "length", choice: Choice): void {
--- /dev/null
+++ b/packages/routing/src/testing/test_peers.ts
@@ -0,0 +1,76 @@
+/**
+ * The peers' channel between routers of one process, for tests.
+ */
+
+import { type Either, Left, Right } from "purify-ts";
+import type { RoutedModels } from "../routed_models.ts";
+import type {
+  EventBatch,
+  PeerFailure,
+  ReadEventsRequest,
+  StreamHandOver,
+  StreamPeers,
+} from "../stream_peers.ts";
+import { TestPeerFailure } from "./model_setup.ts";
+
+/** Nodes that can be cut off or leave. */
+export class TestPeers {
+  readonly #nodes = new Map<string, RoutedModels>();
+  readonly cut = new Set<string>();
+  readonly leaving = new Set<string>();
+  /** Nodes that act on a hand-over but whose answer is lost. */
+  readonly mute = new Set<string>();
+
+  static create(): TestPeers {
+    return new TestPeers();
+  }
+
+  add(node: string, router: RoutedModels): void {
+    this.#nodes.set(node, router);
+  }
+
+  /** Channel of one node to the others. */
+  createChannel(self: string): StreamPeers {
+    return {
+      list: () =>
+        [...this.#nodes.keys()].filter((node) =>
+          node !== self && !this.leaving.has(node) && !this.cut.has(node)
+        ),
+      readEvents: (request) => this.#readEvents(request),
+      cancel: (node, id, team) => {
+        this.#find(node)?.exchange.cancel(id, team);
+        return Promise.resolve();
+      },
+      handOver: (node, stream) => Promise.resolve(this.#handOver(node, stream)),
+    };
+  }
+
+  async #readEvents(
+    request: ReadEventsRequest,
+  ): Promise<Either<PeerFailure, EventBatch>> {
+    const router = this.#find(request.node);
+    if (router === undefined) {
+      return Left(TestPeerFailure.create("peer_unreachable"));
+    }
+    const batch = await router.exchange.readEvents(request);
+    return batch === undefined
+      ? Left(TestPeerFailure.create("unknown_stream"))
+      : Right(batch);
+  }
+
+  #handOver(
+    node: string,
+    stream: StreamHandOver,
+  ): Either<PeerFailure, void> {
+    const router = this.#find(node);
+    const taken = router?.exchange.receive(stream);
+    if (taken === undefined || this.mute.has(node)) {
+      return Left(TestPeerFailure.create("peer_unreachable"));
+    }
+    return taken.mapLeft(() => TestPeerFailure.create("unknown_stream"));
+  }
+
+  #find(node: string): RoutedModels | undefined {
+    return this.cut.has(node) ? undefined : this.#nodes.get(node);
+  }
+}
