Wire the whole path through separate processes

Cause: callers, nodes, engines, bookings and the platform were parts only. Change: the node with its three listeners, trpc between nodes for streams and keyed calls, operators' routes, a first scenario over 3 nodes and 3 engines. Members come from the seed addresses until membership replaces it.

--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,32 @@
+/**
+ * The program `almondcrank`.
+ */
+
+import process from "node:process";
+import { Builtins, Cli } from "clipanion";
+import { LoadCommand } from "./load_command.ts";
+import { ApplyCommand, DiffCommand } from "./release_commands.ts";
+import { ServeCommand } from "./serve_command.ts";
+import { DrainCommand, StatusCommand, TopCommand } from "./status_commands.ts";
+
+const cli = new Cli({
+  binaryLabel: "almondcrank",
+  binaryName: "almondcrank",
+  binaryVersion: "0.1.0",
+});
+for (
+  const command of [
+    ServeCommand,
+    DiffCommand,
+    ApplyCommand,
+    StatusCommand,
+    TopCommand,
+    DrainCommand,
+    LoadCommand,
+    Builtins.HelpCommand,
+    Builtins.VersionCommand,
+  ]
+) {
+  cli.register(command);
+}
+void cli.runExit(process.argv.slice(2), Cli.defaultContext);
--- /dev/null
+++ b/packages/node/src/operators_front.ts
@@ -0,0 +1,237 @@
+/**
+ * The listener for operators: release notes, status, drains, metrics.
+ *
+ * Every command proves the operators' key; metrics and health are open to the
+ * platform's own monitoring.
+ */
+
+import { type Either, EitherAsync } from "purify-ts";
+import type { z } from "zod";
+import type { ConfigurationSource } from "@almondcrank/common/configuration.ts";
+import {
+  type HttpExchange,
+  type HttpRoute,
+  readJsonBody,
+  sendJson,
+} from "@almondcrank/common/http_server.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
+import { formatChange } from "@almondcrank/fleet/configuration_diff.ts";
+import type { ReleaseError } from "@almondcrank/fleet/release_error.ts";
+import { parseReleaseNote } from "@almondcrank/fleet/release_note.ts";
+import { applyNote } from "@almondcrank/fleet/release_plan.ts";
+import type {
+  AppliedRelease,
+  ReleaseOrder,
+} from "@almondcrank/fleet/release_writer.ts";
+import { hasBearerKey } from "./authentication.ts";
+import { createHealthRoutes, type Readiness } from "./callers_front.ts";
+import { formatError } from "./chat_protocol.ts";
+import {
+  applyRequestSchema,
+  diffRequestSchema,
+  drainRequestSchema,
+  type NodeStatus,
+  type StreamList,
+} from "./operator_messages.ts";
+import { sendBadRequest } from "./refusal_answer.ts";
+
+/** Services that the operators' routes work with. */
+export interface OperatorsFrontOptions {
+  readonly operatorKey: string;
+  readonly configuration: ConfigurationSource;
+  readonly metrics: Metrics;
+  readonly readiness: () => Readiness;
+  readonly readStatus: () => NodeStatus;
+  readonly listStreams: () => StreamList;
+  readonly apply: (
+    order: ReleaseOrder,
+  ) => Promise<Either<ReleaseError, AppliedRelease>>;
+  /** Drains a node by name; `Left` is a message. */
+  readonly drain: (node: string) => Promise<Either<string, void>>;
+}
+
+/** Routes of the operators' listener. */
+export function createOperatorsRoutes(
+  options: OperatorsFrontOptions,
+): readonly HttpRoute[] {
+  const { metrics } = options;
+  const guard = (handle: HttpRoute["handle"]): HttpRoute["handle"] =>
+    createGuarded(options, handle);
+  return [
+    ...createHealthRoutes(options.readiness),
+    {
+      method: "GET",
+      path: "/metrics",
+      handle: ({ response }) => {
+        response.setHeader("content-type", "text/plain; version=0.0.4");
+        response.end(metrics.format());
+      },
+    },
+    {
+      method: "GET",
+      path: "/status",
+      handle: guard(({ response }) =>
+        sendJson(response, 200, options.readStatus())
+      ),
+    },
+    {
+      method: "GET",
+      path: "/streams",
+      handle: guard(({ response }) =>
+        sendJson(response, 200, options.listStreams())
+      ),
+    },
+    {
+      method: "GET",
+      path: "/configuration",
+      handle: guard(({ response }) =>
+        sendJson(response, 200, options.configuration.current())
+      ),
+    },
+    {
+      method: "POST",
+      path: "/diff",
+      handle: guard((exchange) => handleDiff(options, exchange)),
+    },
+    {
+      method: "POST",
+      path: "/apply",
+      handle: guard((exchange) => handleApply(options, exchange)),
+    },
+    {
+      method: "POST",
+      path: "/drain",
+      handle: guard((exchange) => handleDrain(options, exchange)),
+    },
+  ];
+}
+
+function createGuarded(
+  options: OperatorsFrontOptions,
+  handle: HttpRoute["handle"],
+): HttpRoute["handle"] {
+  return async (exchange) => {
+    if (hasBearerKey(exchange.request, options.operatorKey)) {
+      return await handle(exchange);
+    }
+    options.metrics.count("almondcrank_refusals_total", {
+      path: "operators",
+      reason: "unknown_operator",
+    });
+    exchange.response.setHeader("connection", "close");
+    sendBadRequest(exchange.response, {
+      status: 401,
+      kind: "unknown_operator",
+      message:
+        "operators' key is missing or wrong; set ALMONDCRANK_OPERATOR_KEY",
+    });
+  };
+}
+
+/** Reads and checks a body; answers 400 and gives undefined when it is wrong. */
+async function readChecked<T>(
+  exchange: HttpExchange,
+  schema: z.ZodType<T>,
+): Promise<T | undefined> {
+  const body = await readJsonBody(exchange.request);
+  const message = body.caseOf<string | undefined>({
+    Left: (error) => error.message,
+    Right: (value) => {
+      const parsed = schema.safeParse(value);
+      return parsed.success ? undefined : `${parsed.error.message}; correct it`;
+    },
+  });
+  if (message === undefined) return schema.parse(body.extract());
+  sendBadRequest(exchange.response, {
+    status: 400,
+    kind: "bad_request",
+    message,
+  });
+  return undefined;
+}
+
+async function handleDiff(
+  options: OperatorsFrontOptions,
+  exchange: HttpExchange,
+): Promise<void> {
+  const request = await readChecked(exchange, diffRequestSchema);
+  if (request === undefined) return;
+  const current = options.configuration.current();
+  const plan = parseReleaseNote(request.text, request.file)
+    .chain((note) => applyNote(note, current));
+  plan.caseOf({
+    Left: (error) => sendReleaseError(exchange, error),
+    Right: ({ changes }) =>
+      sendJson(exchange.response, 200, {
+        base: current.revision,
+        changes: changes.map(formatChange),
+      }),
+  });
+}
+
+async function handleApply(
+  options: OperatorsFrontOptions,
+  exchange: HttpExchange,
+): Promise<void> {
+  const request = await readChecked(exchange, applyRequestSchema);
+  if (request === undefined) return;
+  const base = request.base ?? options.configuration.current().revision;
+  const note = parseReleaseNote(request.text, request.file);
+  const applied = await EitherAsync.fromPromise(() => Promise.resolve(note))
+    .chain((parsed) =>
+      options.apply({ note: parsed, base, writeId: request.writeId })
+    );
+  applied.caseOf({
+    Left: (error) => sendReleaseError(exchange, error),
+    Right: ({ revision }) => sendJson(exchange.response, 200, { revision }),
+  });
+}
+
+async function handleDrain(
+  options: OperatorsFrontOptions,
+  exchange: HttpExchange,
+): Promise<void> {
+  const request = await readChecked(exchange, drainRequestSchema);
+  if (request === undefined) return;
+  const drained = await options.drain(request.node);
+  drained.caseOf({
+    Left: (message) =>
+      sendBadRequest(exchange.response, {
+        status: 404,
+        kind: "unknown_node",
+        message,
+      }),
+    Right: () =>
+      sendJson(exchange.response, 202, {
+        kind: "draining",
+        node: request.node,
+      }),
+  });
+}
+
+function sendReleaseError(exchange: HttpExchange, error: ReleaseError): void {
+  const { detail } = error;
+  const run = detail.kind === "outcome_unknown" ? "unknown" : "not_run";
+  sendJson(exchange.response, findReleaseStatus(error), {
+    error: {
+      ...formatError({ kind: detail.kind, message: error.message, run }),
+      ...(detail.kind === "conflict" ? { changes: detail.changes } : {}),
+      ...(detail.kind === "invalid_note" ? { faults: detail.faults } : {}),
+    },
+  });
+}
+
+function findReleaseStatus({ detail }: ReleaseError): number {
+  switch (detail.kind) {
+    case "invalid_note":
+      return 400;
+    case "conflict":
+      return 409;
+    case "too_large":
+      return 413;
+    case "outcome_unknown":
+      return 504;
+    case "platform":
+      return 503;
+  }
+}
--- /dev/null
+++ b/packages/node/src/request_peers.ts
@@ -0,0 +1,181 @@
+/**
+ * Calls of the request paths to other nodes: streams and keyed calls.
+ */
+
+import { type Either, Left, Right } from "purify-ts";
+import { KindError } from "@almondcrank/common/kind_error.ts";
+import type { Membership } from "@almondcrank/membership/membership.ts";
+import type { PeerClients } from "@almondcrank/membership/peer_clients.ts";
+import {
+  type ForwardedCall,
+  type ForwardedOutcome,
+  forwardedOutcomeSchema,
+  type KeyOwner,
+  KeyPeerError,
+  type KeyPeers,
+} from "@almondcrank/routing/key_peers.ts";
+import type {
+  EventBatch,
+  PeerFailure,
+  ReadEventsRequest,
+  StreamHandOver,
+  StreamPeers,
+} from "@almondcrank/routing/stream_peers.ts";
+import type { RequestRouter } from "./peer_router.ts";
+import {
+  decodeEventBatch,
+  encodeHandOver,
+  eventBatchSchema,
+} from "./stream_wire.ts";
+
+const callTimeoutMs = 2_000;
+const forwardTimeoutMs = 60_000;
+
+type StreamPeerErrorDetail =
+  | { readonly kind: "peer_unreachable" }
+  | { readonly kind: "unknown_stream" };
+
+class StreamPeerError extends KindError<StreamPeerErrorDetail> {
+  static create(detail: StreamPeerErrorDetail): StreamPeerError {
+    return new StreamPeerError(
+      detail,
+      detail.kind === "unknown_stream"
+        ? "the peer does not hold the stream; ask another"
+        : "the peer did not answer; ask another",
+    );
+  }
+}
+
+/** What calls to peers need. */
+export interface RequestPeersOptions {
+  readonly membership: Membership;
+  readonly clients: PeerClients<RequestRouter>;
+}
+
+/** Streams on other nodes. */
+export class NodeStreamPeers implements StreamPeers {
+  readonly #options: RequestPeersOptions;
+
+  private constructor(options: RequestPeersOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RequestPeersOptions): NodeStreamPeers {
+    return new NodeStreamPeers(options);
+  }
+
+  list(): readonly string[] {
+    return this.#options.membership.list()
+      .filter((member) => member.state === "alive")
+      .map((member) => member.identity.node);
+  }
+
+  async readEvents(
+    request: ReadEventsRequest,
+  ): Promise<Either<PeerFailure, EventBatch>> {
+    const { node, ...question } = request;
+    const address = this.#findAddress(node);
+    if (address === undefined) return Left(createUnreachable());
+    const answer = await this.#options.clients.call(address, {
+      timeoutMs: callTimeoutMs + question.waitMs,
+      send: ({ client, signal }) =>
+        client.readEvents.mutate(question, { signal }),
+    });
+    return answer.mapLeft(createUnreachable).chain((message) => {
+      const parsed = eventBatchSchema.safeParse(message);
+      if (!parsed.success) return Left(createUnreachable());
+      const batch = decodeEventBatch(parsed.data);
+      return batch === undefined
+        ? Left(StreamPeerError.create({ kind: "unknown_stream" }))
+        : Right(batch);
+    });
+  }
+
+  async cancel(node: string, id: string, team: string): Promise<void> {
+    const address = this.#findAddress(node);
+    if (address === undefined) return;
+    await this.#options.clients.call(address, {
+      send: ({ client, signal }) =>
+        client.cancelStream.mutate({ id, team }, { signal }),
+    });
+  }
+
+  async handOver(
+    node: string,
+    stream: StreamHandOver,
+  ): Promise<Either<PeerFailure, void>> {
+    const address = this.#findAddress(node);
+    if (address === undefined) return Left(createUnreachable());
+    const answer = await this.#options.clients.call(address, {
+      timeoutMs: callTimeoutMs,
+      send: ({ client, signal }) =>
+        client.handOver.mutate(encodeHandOver(stream), { signal }),
+    });
+    return answer.mapLeft(createUnreachable).chain((result) =>
+      result.kind === "taken"
+        ? Right(undefined)
+        : Left(StreamPeerError.create({ kind: "unknown_stream" }))
+    );
+  }
+
+  #findAddress(node: string): string | undefined {
+    return findAddress(this.#options.membership, node);
+  }
+}
+
+/** Processes that own keys. */
+export class NodeKeyPeers implements KeyPeers {
+  readonly #options: RequestPeersOptions;
+
+  private constructor(options: RequestPeersOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RequestPeersOptions): NodeKeyPeers {
+    return new NodeKeyPeers(options);
+  }
+
+  list(): readonly KeyOwner[] {
+    return this.#options.membership.list()
+      .filter((member) => member.state === "alive")
+      .map(({ identity: { node, incarnation } }) => ({ node, incarnation }));
+  }
+
+  async forward(
+    owner: KeyOwner,
+    call: ForwardedCall,
+    signal: AbortSignal,
+  ): Promise<Either<KeyPeerError, ForwardedOutcome>> {
+    const { node } = owner;
+    const address = findAddress(this.#options.membership, node);
+    if (address === undefined) {
+      return Left(KeyPeerError.create({ kind: "unknown_peer", node }));
+    }
+    const answer = await this.#options.clients.call(address, {
+      timeoutMs: forwardTimeoutMs,
+      signal,
+      send: ({ client, signal }) => client.forwardCall.mutate(call, { signal }),
+    });
+    return answer.mapLeft((error) => createForwardError(node, error.message))
+      .chain((message) => {
+        const parsed = forwardedOutcomeSchema.safeParse(message);
+        return parsed.success
+          ? Right(parsed.data)
+          : Left(createForwardError(node, "answer outside the protocol"));
+      });
+  }
+}
+
+function createForwardError(node: string, reason: string): KeyPeerError {
+  return KeyPeerError.create({ kind: "peer_failed", node, reason });
+}
+
+function createUnreachable(): StreamPeerError {
+  return StreamPeerError.create({ kind: "peer_unreachable" });
+}
+
+/** Peer address of the newest process of a node. */
+function findAddress(membership: Membership, node: string): string | undefined {
+  return membership.list().find((member) => member.identity.node === node)
+    ?.identity.peerAddress;
+}
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -84,6 +84,14 @@
 const drainingRetryMs = 100;
 const noEndpointRetryMs = 1_000;
 
+/** A stream that has not ended. */
+export interface RunningStream {
+  readonly id: string;
+  readonly service: string;
+  /** Endpoint that generates it at this moment. */
+  readonly endpoint: string | undefined;
+}
+
 /** Model router of one node. */
 export class RoutedModels implements ModelRouter, Disposable {
   readonly #options: RoutedModelsOptions;
@@ -127,6 +135,15 @@
     return this.#streams.running;
   }
 
+  /** Streams that have not ended, with the endpoints that serve them. */
+  listRunning(): readonly RunningStream[] {
+    return this.#streams.list().map(({ stream, endpoint }) => ({
+      id: stream.id,
+      service: stream.request.service.name,
+      endpoint,
+    }));
+  }
+
   /** Knowledge of prefix caches, to be corrected by cache events. */
   get prefixes(): PrefixIndex {
     return this.#services.prefixes;
