--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,8 @@
 
 import process from "node:process";
 import { Builtins, Cli } from "clipanion";
+import { CheckCommand } from "./check_command.ts";
+import { DemoCommand } from "./demo_command.ts";
 import { LoadCommand } from "./load_command.ts";
 import { ApplyCommand, DiffCommand } from "./release_commands.ts";
 import { ServeCommand } from "./serve_command.ts";
@@ -17,12 +19,14 @@
 for (
   const command of [
     ServeCommand,
+    CheckCommand,
     DiffCommand,
     ApplyCommand,
     StatusCommand,
     TopCommand,
     DrainCommand,
     LoadCommand,
+    DemoCommand,
     Builtins.HelpCommand,
     Builtins.VersionCommand,
   ]
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -117,6 +117,11 @@
     };
   }
 
+  /** Revision of the configuration in force. */
+  get revision(): number {
+    return this.#configuration.revision;
+  }
+
   /** Stops taking requests, finishes or hands over the rest, and ends. */
   drain(): Promise<void> {
     this.#draining ??= this.#runDrain();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,9 +13,9 @@
   { entry: "packages/standin/src/main.ts", output: "dist/standin.cjs" },
 ];
 
-/** Text of an installed file as a literal of the bundle. */
+/** Text of a file as a literal of the bundle. */
 function readLiteral(path) {
-  return JSON.stringify(readFileSync(`node_modules/${path}`, "utf8"));
+  return JSON.stringify(readFileSync(path, "utf8"));
 }
 
 for (const { entry, output } of programs) {
@@ -35,8 +35,11 @@
     sourcemap: "inline",
     sourcesContent: false,
     define: {
-      builtInPlotScript: readLiteral("uplot/dist/uPlot.iife.min.js"),
-      builtInPlotStyle: readLiteral("uplot/dist/uPlot.min.css"),
+      builtInExampleMix: readLiteral("examples/pruefplan/requests.jsonc"),
+      builtInPlotScript: readLiteral(
+        "node_modules/uplot/dist/uPlot.iife.min.js",
+      ),
+      builtInPlotStyle: readLiteral("node_modules/uplot/dist/uPlot.min.css"),
     },
     logLevel: "warning",
   });
