Count the input that running requests will still store when an engine admits

Cause: the new test "a request waits while running ones fill the memory" failed first: admission looked at pinned blocks only, so two large inputs started together and outgrew the KV memory. Change: blocks that running requests will fill with the rest of their input are reserved.

--- a/packages/standin/src/engine_scheduler.ts
+++ b/packages/standin/src/engine_scheduler.ts
@@ -166,7 +166,8 @@
       const next = this.#queue[0];
       if (next === undefined) return;
       const found = cache.countPrefix(next.chain);
-      const needed = cache.pinnedSize + next.chain.length - found;
+      const needed = cache.pinnedSize + this.#countReserved() +
+        next.chain.length - found;
       if (needed > cache.capacity && this.#running.length > 0) return;
       this.#options.onLoadChange();
       this.#queue.shift();
@@ -176,6 +177,14 @@
     }
   }
 
+  /** Counts blocks that running requests will fill with the rest of their input. */
+  #countReserved(): number {
+    return this.#running.reduce(
+      (sum, { chain, pinnedBlocks }) => sum + chain.length - pinnedBlocks,
+      0,
+    );
+  }
+
   /** Takes over cached input; at least the last token is always computed. */
   #startPrefill(generation: Generation, found: number): void {
     const cached = Math.max(
