--- a/packages/standin/src/fault_switch.ts
+++ b/packages/standin/src/fault_switch.ts
@@ -32,6 +32,7 @@
   #settings: T;
   #flapping: AbortController | undefined;
   #isFlappedDown = false;
+  #waiting = 0;
   #disposed = false;
 
   private constructor(options: FaultSwitchOptions<T>) {
@@ -70,6 +71,11 @@
     return outage === "none" ? "error" : outage;
   }
 
+  /** Calls and loops held by a freeze or a hanging outage. */
+  get waiting(): number {
+    return this.#waiting;
+  }
+
   /** Merges an order over the settings; the message names what is wrong with it. */
   apply(order: unknown): Either<string, T> {
     const parsed = this.#schema.partial().safeParse(order);
@@ -108,13 +114,15 @@
     this.#changed.dispose();
   }
 
-  #waitChange(): Promise<void> {
-    return new Promise((resolve) => {
+  async #waitChange(): Promise<void> {
+    this.#waiting += 1;
+    await new Promise<void>((resolve) => {
       const subscription = this.onChange(() => {
         subscription.dispose();
         resolve();
       });
     });
+    this.#waiting -= 1;
   }
 
   #startFlapping(): void {
--- a/packages/standin/src/part_server.ts
+++ b/packages/standin/src/part_server.ts
@@ -125,6 +125,11 @@
     return this.#address;
   }
 
+  /** Number of open connections. */
+  get connections(): number {
+    return this.#server?.connections ?? 0;
+  }
+
   /** Handles one control order. */
   callControl(call: ControlCall): PartAnswer {
     const { faults, controls } = this.#options;
--- a/packages/standin/src/plain_standin.ts
+++ b/packages/standin/src/plain_standin.ts
@@ -138,6 +138,11 @@
     return this.#server.address;
   }
 
+  /** Number of open connections. */
+  get connections(): number {
+    return this.#server.connections;
+  }
+
   /** Calls that ran, oldest first. */
   get records(): readonly PlainRecord[] {
     return this.#records.list();
@@ -189,7 +194,8 @@
     try {
       // A caller that left while the call waited no longer wants it run.
       if (hasWaited && call.response.destroyed) return { kind: "cut" };
-      await this.#clock.sleep(this.#chooseServiceMs());
+      const serviceMs = this.#chooseServiceMs();
+      if (serviceMs > 0) await this.#clock.sleep(serviceMs);
       await this.faults.waitThawed();
       return this.#runCall(call);
     } finally {
