Count an engine's calls when they arrive, and cut plain calls before or after they run

Cause: the scenarios read arrivals from the records' totals, which counted ended calls, so work that a leaving engine received showed only after it ended. They also order cuts of bookings, which the plain service did not know. Change: totals count calls on arrival, declined ones included; plain services take cut at before_run or first_byte. Publishing of load, which stood twice, and the engine's records are modules of their own.

--- a/packages/standin/src/engine_scheduler.ts
+++ b/packages/standin/src/engine_scheduler.ts
@@ -274,10 +274,7 @@
     if (at === "tokens" && generation.outputTokens < (cut.tokens ?? 1)) {
       return false;
     }
-    if (cut.times !== undefined) {
-      const times = cut.times - 1;
-      faults.apply({ cut: times === 0 ? null : { ...cut, times } });
-    }
+    faults.claimCut();
     this.#finish(generation, "cut");
     return true;
   }
--- a/packages/standin/src/engine_standin.ts
+++ b/packages/standin/src/engine_standin.ts
@@ -19,11 +19,7 @@
 import { blockTokens } from "@almondcrank/endpoint/tokens.ts";
 import { CacheEventLog } from "./cache_event_log.ts";
 import { EngineModels, type OrderRecord } from "./engine_models.ts";
-import {
-  EngineScheduler,
-  type GenerationOutcome,
-  type SchedulerLoad,
-} from "./engine_scheduler.ts";
+import { EngineScheduler, type SchedulerLoad } from "./engine_scheduler.ts";
 import {
   type EngineSettings,
   engineSettings,
@@ -35,7 +31,14 @@
   noEngineFaults,
 } from "./fault_settings.ts";
 import { FaultSwitch } from "./fault_switch.ts";
-import { Generation, type GenerationSink } from "./generation.ts";
+import { Generation } from "./generation.ts";
+import {
+  type EngineTotals,
+  type GenerateRecord,
+  GenerateRecords,
+} from "./generate_records.ts";
+import { createResponseSink } from "./generation_sink.ts";
+import { LoadPublisher } from "./load_publisher.ts";
 import { KvExchange, type KvTransfer } from "./kv_exchange.ts";
 import {
   type ControlCall,
@@ -47,7 +50,6 @@
   PartServer,
 } from "./part_server.ts";
 import { type CacheChange, PrefixCache } from "./prefix_cache.ts";
-import { RecordList } from "./record_list.ts";
 import {
   cacheImportBody,
   generateBody,
@@ -55,36 +57,6 @@
   orderBody,
 } from "./engine_bodies.ts";
 
-const keptRecords = 10_000;
-const jsonLines = { "content-type": "application/x-ndjson" };
-
-/** One generate call that has ended. Times are wall time in milliseconds. */
-export interface GenerateRecord {
-  readonly id: string;
-  readonly model: string;
-  readonly promptHash: number;
-  readonly priority: number;
-  readonly arrivedAt: number;
-  readonly startedAt: number | undefined;
-  readonly firstTokenAt: number | undefined;
-  readonly endedAt: number;
-  /** Output tokens the request brought with it. */
-  readonly tokensSoFar: number;
-  readonly cachedTokens: number;
-  readonly computedTokens: number;
-  readonly outputTokens: number;
-  readonly outcome: GenerationOutcome;
-}
-
-/** Sums over all generate calls that have ended, and calls declined. */
-export interface EngineTotals {
-  calls: number;
-  declined: number;
-  cachedTokens: number;
-  computedTokens: number;
-  outputTokens: number;
-}
-
 /** Options of an engine stand-in. */
 export interface EngineOptions extends EngineSettingsInput {
   readonly name?: string;
@@ -93,11 +65,6 @@
   readonly random: Random;
 }
 
-interface PublishedLoad {
-  readonly at: number;
-  readonly load: SchedulerLoad;
-}
-
 /** Running engine. */
 export class EngineStandin implements Part {
   readonly name: string;
@@ -110,15 +77,8 @@
   readonly #events: CacheEventLog;
   readonly #kv: KvExchange;
   readonly #scheduler: EngineScheduler;
-  readonly #records = RecordList.create<GenerateRecord>(keptRecords);
-  readonly #totals: EngineTotals = {
-    calls: 0,
-    declined: 0,
-    cachedTokens: 0,
-    computedTokens: 0,
-    outputTokens: 0,
-  };
-  #published: PublishedLoad;
+  readonly #records: GenerateRecords;
+  readonly #load: LoadPublisher<SchedulerLoad>;
   #server!: PartServer;
 
   private constructor(
@@ -136,6 +96,7 @@
       initial: { ...noEngineFaults, cacheEventLagMs: settings.cacheEventLagMs },
       clock,
     });
+    this.#records = GenerateRecords.create(clock, hasher);
     this.#models = EngineModels.create(clock, settings);
     this.#cache = PrefixCache.create(
       Math.floor(settings.cacheTokens / blockTokens),
@@ -149,10 +110,14 @@
       cache: this.#cache,
       countImported: (generation) => this.#kv.countImported(generation),
       onCacheChange: (change) => this.#recordCacheChange(change),
-      onEnd: (generation, outcome) => this.#recordEnd(generation, outcome),
-      onLoadChange: () => this.#publishLoad(),
+      onEnd: (generation, outcome) => this.#records.add(generation, outcome),
+      onLoadChange: () => this.#load.record(),
+    });
+    this.#load = LoadPublisher.create({
+      clock,
+      intervalMs: settings.loadPublishMs,
+      read: () => this.load,
     });
-    this.#published = { at: clock.now(), load: this.#scheduler.load };
   }
 
   static async open(options: EngineOptions): Promise<EngineStandin> {
@@ -190,8 +155,8 @@
     return this.#records.list();
   }
 
-  get totals(): Readonly<EngineTotals> {
-    return this.#totals;
+  get totals(): EngineTotals {
+    return this.#records.totals;
   }
 
   get orders(): readonly OrderRecord[] {
@@ -274,13 +239,14 @@
 
   #generate(body: GenerateRequest, response: ServerResponse): PartAnswer {
     if (response.destroyed) return { kind: "cut" };
+    this.#records.countCall();
     const refusal = this.#models.findRefusal(body.model, body.adapter) ??
       this.#findQueueRefusal(body.id);
     if (refusal !== undefined) {
-      this.#totals.declined += 1;
+      this.#records.countDeclined();
       return createAnswer(503, { reason: refusal });
     }
-    const generation = Generation.create(body, createSink(response), {
+    const generation = Generation.create(body, createResponseSink(response), {
       hasher: this.#hasher,
       now: this.#clock.now(),
     });
@@ -303,11 +269,10 @@
   }
 
   #readLoad(): PartAnswer {
-    this.#publishLoad();
-    const { at, load } = this.#published;
+    const { ageMs, load } = this.#load.read();
     const { loadFactor } = this.faults.settings;
     const report: LoadReport = {
-      ageMs: this.#clock.now() - at,
+      ageMs,
       queued: Math.round(load.queued * loadFactor),
       running: Math.round(load.running * loadFactor),
       slots: this.#settings.slots,
@@ -320,20 +285,6 @@
     return createAnswer(200, report);
   }
 
-  /**
-   * Publishes the load if an interval has ended since the last time.
-   *
-   * Called before each change, so the load is what it was at the interval's end
-   * and no timer is needed.
-   */
-  #publishLoad(): void {
-    const { loadPublishMs } = this.#settings;
-    const now = this.#clock.now();
-    if (now - this.#published.at < loadPublishMs) return;
-    const at = loadPublishMs === 0 ? now : now - now % loadPublishMs;
-    this.#published = { at, load: this.#scheduler.load };
-  }
-
   #readCacheEvents(query: URLSearchParams): PartAnswer {
     const since = Number(query.get("since") ?? 0);
     if (!(since >= 0)) {
@@ -393,58 +344,6 @@
   #recordCacheChange(change: CacheChange): void {
     this.#events.record(change, this.faults.settings);
   }
-
-  #recordEnd(generation: Generation, outcome: GenerationOutcome): void {
-    const { request: call, times, usage } = generation;
-    this.#totals.calls += 1;
-    this.#totals.cachedTokens += usage.cachedTokens;
-    this.#totals.computedTokens += usage.computedTokens;
-    this.#totals.outputTokens += usage.outputTokens;
-    const origin = this.#clock.wallTime() - this.#clock.now();
-    const toWall = (at: number | undefined): number | undefined =>
-      at === undefined ? undefined : origin + at;
-    this.#records.add({
-      id: call.id,
-      model: call.model,
-      promptHash: this.#hasher.hash32(call.prompt),
-      priority: call.priority,
-      arrivedAt: origin + times.arrivedAt,
-      startedAt: toWall(times.startedAt),
-      firstTokenAt: toWall(times.firstTokenAt),
-      endedAt: this.#clock.wallTime(),
-      tokensSoFar: call.tokensSoFar.length,
-      cachedTokens: usage.cachedTokens,
-      computedTokens: usage.computedTokens,
-      outputTokens: usage.outputTokens,
-      outcome,
-    });
-  }
-}
-
-/** Writes events into a response; headers go out with the first of them. */
-function createSink(response: ServerResponse): GenerationSink {
-  const start = (): void => {
-    if (!response.headersSent) response.writeHead(200, jsonLines);
-  };
-  return {
-    write: (lines) => {
-      start();
-      response.write(lines);
-    },
-    end: (lines) => {
-      if (response.destroyed) return;
-      start();
-      response.end(lines);
-    },
-    cut: (lines) => {
-      if (lines === "") {
-        response.destroy();
-        return;
-      }
-      start();
-      response.write(lines, () => response.destroy());
-    },
-  };
 }
 
 /** Fetches an exported cache; undefined when it cannot be had. */
--- a/packages/standin/src/engine_standin_test.ts
+++ b/packages/standin/src/engine_standin_test.ts
@@ -262,7 +262,8 @@
     assert.match((await engines.generate(engine)).text, "is not loaded");
     const state = await callJson<EngineState>(`${engine.address}/state`);
     assert.equal(state.models, []);
-    assert.is(engine.totals.declined, 2);
+    const { calls, declined, ended } = engine.totals;
+    assert.equal([calls, declined, ended], [3, 2, 1]);
   }));
 
 test("cache events come late, and lost ones leave a gap", () =>
--- a/packages/standin/src/fault_settings.ts
+++ b/packages/standin/src/fault_settings.ts
@@ -11,6 +11,9 @@
 const delayMs = z.number().min(0).max(maxDelayMs);
 const factor = z.number().min(0).max(1_000);
 
+/** Calls to cut; all when left out. */
+const cutTimes = z.number().int().min(1).optional();
+
 /** How a service that is down behaves. */
 export const outageKinds = ["none", "refuse", "hang", "error"] as const;
 export type Outage = (typeof outageKinds)[number];
@@ -42,8 +45,11 @@
   slowdown: factor,
   /** Multiplies the load it reports. */
   loadFactor: factor,
-  /** Cuts the connection of each call before it runs. */
-  cutBeforeRun: z.boolean(),
+  /** Cuts connections before the call runs, or after it ran with no answer. */
+  cut: z.strictObject({
+    at: z.enum(["before_run", "first_byte"]),
+    times: cutTimes,
+  }).nullable(),
 });
 export type PlainFaults = z.infer<typeof plainFaultsSchema>;
 
@@ -58,8 +64,7 @@
     at: z.enum(["first_byte", "tokens", "end"]),
     /** Tokens of the attempt that are still sent, for `tokens`. */
     tokens: z.number().int().min(1).optional(),
-    /** Streams to cut; all when left out. */
-    times: z.number().int().min(1).optional(),
+    times: cutTimes,
   }).nullable(),
   /** Age at which cache events become readable. */
   cacheEventLagMs: delayMs,
@@ -81,7 +86,7 @@
   ...noPartFaults,
   slowdown: 1,
   loadFactor: 1,
-  cutBeforeRun: false,
+  cut: null,
 };
 
 export const noEngineFaults: EngineFaults = {
--- a/packages/standin/src/fault_switch.ts
+++ b/packages/standin/src/fault_switch.ts
@@ -96,6 +96,19 @@
     return loseAnswers !== "none";
   }
 
+  /** Counts one cut; the fault ends with its last. */
+  claimCut(): void {
+    const { cut } = this.#settings as {
+      readonly cut?: { readonly times?: number | undefined } | null;
+    };
+    if (cut?.times === undefined) return;
+    const times = cut.times - 1;
+    this.#settings = {
+      ...this.#settings,
+      cut: times === 0 ? null : { ...cut, times },
+    };
+  }
+
   /** Resolves once the part is not frozen or has ended. */
   async waitThawed(): Promise<void> {
     while (this.#settings.frozen && !this.#disposed) await this.#waitChange();
--- a/packages/standin/src/plain_standin.ts
+++ b/packages/standin/src/plain_standin.ts
@@ -28,6 +28,7 @@
   type PartCall,
   PartServer,
 } from "./part_server.ts";
+import { LoadPublisher } from "./load_publisher.ts";
 import { RecordList } from "./record_list.ts";
 
 const keptRecords = 20_000;
@@ -89,7 +90,7 @@
   readonly #bookings = new Map<string, PlainRecord[]>();
   readonly #waiting: (() => void)[] = [];
   #running = 0;
-  #published: { readonly at: number; readonly load: PlainLoad };
+  readonly #load: LoadPublisher<PlainLoad>;
   #server!: PartServer;
 
   private constructor(
@@ -107,7 +108,11 @@
       initial: noPlainFaults,
       clock: options.clock,
     });
-    this.#published = { at: options.clock.now(), load: this.load };
+    this.#load = LoadPublisher.create({
+      clock: options.clock,
+      intervalMs: settings.loadPublishMs,
+      read: () => this.load,
+    });
   }
 
   static async open(options: PlainOptions): Promise<PlainServiceStandin> {
@@ -181,7 +186,7 @@
   }
 
   async #handle(call: PartCall): Promise<PartAnswer> {
-    if (this.faults.settings.cutBeforeRun) return { kind: "cut" };
+    if (this.#claimCut("before_run")) return { kind: "cut" };
     if (
       this.#running >= this.#settings.concurrency &&
       this.#waiting.length >= this.#settings.queueLimit
@@ -197,7 +202,8 @@
       const serviceMs = this.#chooseServiceMs();
       if (serviceMs > 0) await this.#clock.sleep(serviceMs);
       await this.faults.waitThawed();
-      return this.#runCall(call);
+      const answer = this.#runCall(call);
+      return this.#claimCut("first_byte") ? { kind: "cut" } : answer;
     } finally {
       this.#release();
     }
@@ -205,7 +211,7 @@
 
   /** Takes a place among the running calls; true if that took a wait. */
   async #acquire(): Promise<boolean> {
-    this.#publishLoad();
+    this.#load.record();
     if (this.#running < this.#settings.concurrency) {
       this.#running += 1;
       return false;
@@ -216,12 +222,19 @@
 
   /** Passes the place to the call that waits longest, or frees it. */
   #release(): void {
-    this.#publishLoad();
+    this.#load.record();
     const wake = this.#waiting.shift();
     if (wake === undefined) this.#running -= 1;
     else wake();
   }
 
+  /** Cuts the connection if a fault asks for it at this point. */
+  #claimCut(at: NonNullable<PlainFaults["cut"]>["at"]): boolean {
+    if (this.faults.settings.cut?.at !== at) return false;
+    this.faults.claimCut();
+    return true;
+  }
+
   #chooseServiceMs(): number {
     const { serviceMs, serviceSpread } = this.#settings;
     const deviation = serviceSpread * (2 * this.#random.next() - 1);
@@ -266,26 +279,16 @@
   }
 
   #readLoad(): PartAnswer {
-    this.#publishLoad();
-    const { at, load } = this.#published;
+    const { ageMs, load } = this.#load.read();
     const { loadFactor } = this.faults.settings;
     const report: PlainLoad = {
-      ageMs: this.#clock.now() - at,
+      ageMs,
       running: Math.round(load.running * loadFactor),
       queued: Math.round(load.queued * loadFactor),
     };
     return createAnswer(200, report);
   }
 
-  /** Publishes the load if an interval has ended; called before each change. */
-  #publishLoad(): void {
-    const { loadPublishMs } = this.#settings;
-    const now = this.#clock.now();
-    if (now - this.#published.at < loadPublishMs) return;
-    const at = loadPublishMs === 0 ? now : now - now % loadPublishMs;
-    this.#published = { at, load: this.load };
-  }
-
   #listRecords(): PartAnswer {
     return createAnswer(200, {
       total: this.#records.total,
--- a/packages/standin/src/plain_standin_test.ts
+++ b/packages/standin/src/plain_standin_test.ts
@@ -90,9 +90,13 @@
     plain.faults.apply({ loseAnswers: "next" });
     assert.is((await book(plain, "k1")).kind, "cut");
     assert.is(plain.records.length, 1);
-    plain.faults.apply({ cutBeforeRun: true });
+    plain.faults.apply({ cut: { at: "before_run", times: 1 } });
     assert.is((await book(plain, "k2")).kind, "cut");
     assert.is(plain.records.length, 1);
+    plain.faults.apply({ cut: { at: "first_byte" } });
+    assert.is((await book(plain, "k2")).kind, "cut");
+    assert.is((await book(plain, "k3")).kind, "cut");
+    assert.is(plain.records.length, 3);
   }));
 
 test("a frozen service books late, though the caller has given up", () =>
