--- a/packages/standin/src/cloud_api_standin.ts
+++ b/packages/standin/src/cloud_api_standin.ts
@@ -102,7 +102,7 @@
     this.#openedAt = options.clock.now();
     this.#offers = Offers.create(settings.offers);
     this.faults = FaultSwitch.createForPart(options.clock);
-    options.inventory.onWillChange(() => this.#bill());
+    options.inventory.onWillChange(() => this.#recordBill());
   }
 
   static async open(options: CloudApiOptions): Promise<CloudApiStandin> {
@@ -123,13 +123,13 @@
             handleParsed(
               instanceBody,
               body,
-              (wanted) => standin.#request(wanted),
+              (wanted) => standin.#handleRequest(wanted),
             ),
         },
         {
           method: "DELETE",
           path: "/instances/:host",
-          handle: (e) => standin.#return(e),
+          handle: (e) => standin.#handleReturn(e),
         },
         {
           method: "GET",
@@ -149,7 +149,7 @@
         },
       ],
       controls: {
-        "POST /control/reclaim": (call) => standin.#orderReclaim(call),
+        "POST /control/reclaim": (call) => standin.#handleReclaim(call),
         "POST /control/offers": (call) => standin.#setOffers(call),
         "GET /control/offers": () =>
           createAnswer(200, { offers: standin.#offers.all }),
@@ -165,16 +165,16 @@
 
   /** Cost of all hosts since the start. */
   readCost(): CloudCost {
-    this.#bill();
+    this.#recordBill();
     return this.#offers.cost;
   }
 
   /** Reclaims hosts; returns the names of those concerned. */
-  reclaim(input: ReclaimOrder): readonly string[] {
+  startReclaim(input: ReclaimOrder): readonly string[] {
     const order = reclaimOrder.parse(input);
     if (order.refuseReplacements) {
       const { zone } = order;
-      this.#bill();
+      this.#recordBill();
       this.#offers.apply({ zone, market: "reclaimable", hosts: 0 });
     }
     const concerned = this.#options.inventory.instances.filter((instance) =>
@@ -183,7 +183,7 @@
           (order.zone ?? instance.zone) === instance.zone
         : instance.host === order.host
     );
-    for (const instance of concerned) this.#startReclaim(instance, order);
+    for (const instance of concerned) this.#startNotice(instance, order);
     return concerned.map((instance) => instance.host);
   }
 
@@ -197,16 +197,16 @@
     this.#server.dispose();
   }
 
-  #request(wanted: InstanceRequest): PartAnswer {
+  #handleRequest(wanted: InstanceRequest): PartAnswer {
     const known = this.#tokens.get(wanted.token);
-    if (known === undefined) return this.#grant(wanted);
+    if (known === undefined) return this.#createInstance(wanted);
     const instance = this.#options.inventory.find(known);
     return instance === undefined
       ? createAnswer(409, { reason: "the instance of this token has ended" })
       : createAnswer(201, instance);
   }
 
-  #grant(wanted: InstanceRequest): PartAnswer {
+  #createInstance(wanted: InstanceRequest): PartAnswer {
     const refusal = this.#findRefusal(wanted);
     if (refusal !== undefined) return createAnswer(409, { reason: refusal });
     const host = `${wanted.zone}-h${this.#nextHost++}`;
@@ -251,13 +251,13 @@
     if (part !== undefined) inventory.setRunning(host, part);
   }
 
-  #return({ parameters }: PartCall): PartAnswer {
+  #handleReturn({ parameters }: PartCall): PartAnswer {
     return this.#options.inventory.remove(parameters["host"] ?? "")
       ? createAnswer(200, {})
       : createAnswer(404, { reason: "no such host" });
   }
 
-  #startReclaim(
+  #startNotice(
     instance: Instance,
     order: z.output<typeof reclaimOrder>,
   ): void {
@@ -295,9 +295,9 @@
     return createAnswer(200, batch);
   }
 
-  #orderReclaim(call: ControlCall): PartAnswer {
+  #handleReclaim(call: ControlCall): PartAnswer {
     return handleOrder(reclaimOrder, call, (order) => {
-      const hosts = this.reclaim(order);
+      const hosts = this.startReclaim(order);
       return order.host !== undefined && hosts.length === 0
         ? createControlError(`no host "${order.host}"`, 404)
         : createAnswer(200, { hosts });
@@ -306,7 +306,7 @@
 
   #setOffers(call: ControlCall): PartAnswer {
     return handleOrder(offerOrder, call, (order) => {
-      this.#bill();
+      this.#recordBill();
       const matched = this.#offers.apply(order);
       return matched === 0
         ? createControlError("no offer matches; see GET /control/offers", 404)
@@ -318,7 +318,7 @@
     return this.#offers.listPrices(this.#computeAge());
   }
 
-  #bill(): void {
+  #recordBill(): void {
     this.#offers.addBill(
       this.#options.inventory.instances,
       this.#computeAge(),
--- a/packages/standin/src/engine_models.ts
+++ b/packages/standin/src/engine_models.ts
@@ -139,13 +139,13 @@
     const name = encodeURIComponent(formatKey(model));
     const url = `http://${weightStore}/weights/${name}?bytes=${bytes}`;
     while (!signal.aborted) {
-      if (await fetchWeights(url, signal)) return;
+      if (await readWeights(url, signal)) return;
       await this.#clock.sleep(loadRetryMs, signal);
     }
   }
 }
 
-async function fetchWeights(
+async function readWeights(
   url: string,
   signal: AbortSignal,
 ): Promise<boolean> {
--- a/packages/standin/src/engine_scheduler.ts
+++ b/packages/standin/src/engine_scheduler.ts
@@ -109,7 +109,7 @@
   cancel(generation: Generation): void {
     if (generation.hasEnded) return;
     generation.addEnd(true);
-    this.#finish(generation, "cancelled");
+    this.#closeStream(generation, "cancelled");
   }
 
   dispose(): void {
@@ -123,23 +123,23 @@
     let dueAt = clock.now();
     let stepsAhead = 0;
     while (!signal.aborted) {
-      this.#admit();
+      this.#startWaiting();
       if (this.#running.length === 0) {
         await this.#waitWork();
         dueAt = clock.now();
         continue;
       }
-      const plan = this.#planStep();
+      const plan = this.#computeStep();
       dueAt += plan.durationMs;
       stepsAhead += 1;
       if (dueAt > clock.now()) {
         stepsAhead = 0;
-        this.#flush();
+        this.#sendLines();
         await clock.sleep(dueAt - clock.now(), signal);
       } else if (stepsAhead >= maxStepsAtOnce) {
         // Overdue steps leave other tasks their turn.
         stepsAhead = 0;
-        this.#flush();
+        this.#sendLines();
         await new Promise((resolve) => setImmediate(resolve));
       }
       if (faults.settings.frozen) {
@@ -160,7 +160,7 @@
   }
 
   /** Moves requests from the queue into free slots while memory allows. */
-  #admit(): void {
+  #startWaiting(): void {
     const { settings, cache, clock } = this.#options;
     while (this.#running.length < settings.slots) {
       const next = this.#queue[0];
@@ -193,11 +193,11 @@
     );
     const mostCached = Math.max(0, generation.inputTokens - 1);
     generation.cachedTokens = Math.min(cached, mostCached);
-    this.#pin(generation, found);
+    this.#addBlocks(generation, found);
   }
 
   /** Pins the chain of a request up to `count` blocks. */
-  #pin(generation: Generation, count: number): void {
+  #addBlocks(generation: Generation, count: number): void {
     const { chain, pinnedBlocks } = generation;
     if (count <= pinnedBlocks) return;
     const change = this.#options.cache.add(chain.slice(pinnedBlocks, count));
@@ -205,7 +205,7 @@
     this.#options.onCacheChange(change);
   }
 
-  #planStep(): StepPlan {
+  #computeStep(): StepPlan {
     const { settings, faults } = this.#options;
     const decoding: Generation[] = [];
     const prefilling: PrefillPart[] = [];
@@ -238,28 +238,31 @@
     for (const { generation, tokens } of plan.prefilling) {
       if (generation.hasEnded) continue;
       generation.computedTokens += tokens;
-      this.#pin(generation, Math.floor(generation.kvTokens / blockTokens));
-      if (generation.prefillLeft === 0) this.#decode(generation);
+      this.#addBlocks(
+        generation,
+        Math.floor(generation.kvTokens / blockTokens),
+      );
+      if (generation.prefillLeft === 0) this.#addToken(generation);
     }
     for (const generation of plan.decoding) {
-      if (!generation.hasEnded) this.#decode(generation);
+      if (!generation.hasEnded) this.#addToken(generation);
     }
   }
 
   /** Makes one token, and ends the request if it is the last. */
-  #decode(generation: Generation): void {
+  #addToken(generation: Generation): void {
     if (!generation.isComplete) {
       generation.times.firstTokenAt ??= this.#options.clock.now();
       if (this.#claimCut("first_byte", generation)) return;
       if (generation.addToken() !== undefined) {
-        this.#pin(generation, generation.chain.length);
+        this.#addBlocks(generation, generation.chain.length);
       }
       if (this.#claimCut("tokens", generation)) return;
     }
     if (!generation.isComplete) return;
     if (this.#claimCut("end", generation)) return;
     generation.addEnd(false);
-    this.#finish(generation, "ended");
+    this.#closeStream(generation, "ended");
   }
 
   /** Cuts the stream if a fault asks for it at this point. */
@@ -275,11 +278,11 @@
       return false;
     }
     faults.claimCut();
-    this.#finish(generation, "cut");
+    this.#closeStream(generation, "cut");
     return true;
   }
 
-  #finish(generation: Generation, outcome: GenerationOutcome): void {
+  #closeStream(generation: Generation, outcome: GenerationOutcome): void {
     this.#options.onLoadChange();
     generation.hasEnded = true;
     removeItem(this.#queue, generation);
@@ -294,7 +297,7 @@
   }
 
   /** Sends what the steps since the last flush made, one write a stream. */
-  #flush(): void {
+  #sendLines(): void {
     for (const generation of this.#running) {
       if (generation.lines === "") continue;
       generation.sink.write(generation.lines);
--- a/packages/standin/src/engine_standin.ts
+++ b/packages/standin/src/engine_standin.ts
@@ -137,7 +137,7 @@
         "GET /control/records": () => standin.#listRecords(),
         "GET /control/orders": () =>
           createAnswer(200, { orders: standin.orders }),
-        "POST /control/cache/drop": () => standin.#dropCache(),
+        "POST /control/cache/drop": () => standin.#removeIdleCache(),
       },
     });
     return standin;
@@ -187,7 +187,7 @@
           handleParsed(
             generateBody,
             body,
-            (request) => this.#generate(request, response),
+            (request) => this.#handleGenerate(request, response),
           ),
       },
       {
@@ -216,7 +216,7 @@
         method: "POST",
         path: "/orders",
         handle: ({ body }) =>
-          handleParsed(orderBody, body, (order) => this.#order(order)),
+          handleParsed(orderBody, body, (order) => this.#handleOrder(order)),
       },
       {
         method: "GET",
@@ -237,7 +237,7 @@
     ];
   }
 
-  #generate(body: GenerateRequest, response: ServerResponse): PartAnswer {
+  #handleGenerate(body: GenerateRequest, response: ServerResponse): PartAnswer {
     if (response.destroyed) return { kind: "cut" };
     this.#records.countCall();
     const refusal = this.#models.findRefusal(body.model, body.adapter) ??
@@ -315,7 +315,7 @@
   }
 
   async #importCache(order: CacheImport): Promise<PartAnswer> {
-    const transfer = await fetchCache(order.from, order.handle);
+    const transfer = await readExportedCache(order.from, order.handle);
     if (transfer === undefined) {
       return createAnswer(404, { reason: "the exported cache is gone" });
     }
@@ -325,7 +325,7 @@
     return createAnswer(200, { tokens: transfer.tokens });
   }
 
-  #order(order: Order): PartAnswer {
+  #handleOrder(order: Order): PartAnswer {
     return this.#models.apply(order)
       ? createAnswer(200, this.state)
       : createAnswer(412, { known: this.state.fencing });
@@ -335,7 +335,7 @@
     return createAnswer(200, { totals: this.totals, records: this.records });
   }
 
-  #dropCache(): PartAnswer {
+  #removeIdleCache(): PartAnswer {
     const change = this.#cache.removeIdle();
     this.#recordCacheChange(change);
     return createAnswer(200, { evicted: change.evicted.length });
@@ -347,7 +347,7 @@
 }
 
 /** Fetches an exported cache; undefined when it cannot be had. */
-async function fetchCache(
+async function readExportedCache(
   from: Address,
   handle: string,
 ): Promise<KvTransfer | undefined> {
--- a/packages/standin/src/generate_records.ts
+++ b/packages/standin/src/generate_records.ts
@@ -89,7 +89,7 @@
     this.#tokens.computed += computedTokens;
     this.#tokens.output += outputTokens;
     const origin = this.#clock.wallTime() - this.#clock.now();
-    const toWall = (at: number | undefined): number | undefined =>
+    const computeWallTime = (at: number | undefined): number | undefined =>
       at === undefined ? undefined : origin + at;
     this.#records.add({
       id: request.id,
@@ -97,8 +97,8 @@
       promptHash: this.#hasher.hash32(request.prompt),
       priority: request.priority,
       arrivedAt: origin + times.arrivedAt,
-      startedAt: toWall(times.startedAt),
-      firstTokenAt: toWall(times.firstTokenAt),
+      startedAt: computeWallTime(times.startedAt),
+      firstTokenAt: computeWallTime(times.firstTokenAt),
       endedAt: this.#clock.wallTime(),
       tokensSoFar: request.tokensSoFar.length,
       cachedTokens,
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -33,7 +33,7 @@
       schema: standinSettings,
     });
     return await parsed.caseOf({
-      Left: (error) => Promise.resolve(this.#fail(error.message)),
+      Left: (error) => Promise.resolve(this.#writeFailure(error.message)),
       Right: async ({ value }) => {
         const set = await StandinSet.open(value, {
           clock: SystemClock.create(),
@@ -47,12 +47,12 @@
   }
 
   override catch(error: unknown): Promise<void> {
-    this.#fail(formatThrown(error));
+    this.#writeFailure(formatThrown(error));
     process.exitCode = 1;
     return Promise.resolve();
   }
 
-  #fail(message: string): number {
+  #writeFailure(message: string): number {
     this.context.stderr.write(`standin: ${message}\n`);
     return 1;
   }
--- a/packages/standin/src/object_api_standin.ts
+++ b/packages/standin/src/object_api_standin.ts
@@ -105,8 +105,8 @@
       ],
       controls: {
         "GET /control/counts": () => createAnswer(200, standin.#counts),
-        "POST /control/counts/reset": () => standin.#resetCounts(),
-        "POST /control/history/drop": () => standin.#dropHistory(),
+        "POST /control/counts/reset": () => standin.#removeCounts(),
+        "POST /control/history/drop": () => standin.#removeHistory(),
         "POST /control/rates": (call) => standin.#setRates(call),
       },
     });
@@ -240,12 +240,12 @@
     }
   }
 
-  #resetCounts(): PartAnswer {
+  #removeCounts(): PartAnswer {
     this.#counts = createCounts();
     return createAnswer(200, this.#counts);
   }
 
-  #dropHistory(): PartAnswer {
+  #removeHistory(): PartAnswer {
     this.objects.removeHistory();
     return createAnswer(200, { version: this.objects.version });
   }
--- a/packages/standin/src/part_server.ts
+++ b/packages/standin/src/part_server.ts
@@ -102,7 +102,7 @@
   readonly #options: PartServerOptions;
   #server: HttpServer | undefined;
   #address: Address;
-  #isSettling = false;
+  #isApplying = false;
   #disposed = false;
 
   private constructor(options: PartServerOptions) {
@@ -110,13 +110,13 @@
     this.#address = options.address;
     this.#store.register(options.faults);
     this.#store.register(
-      options.faults.onChange(() => void this.#settleListener()),
+      options.faults.onChange(() => void this.#applyOutage()),
     );
   }
 
   static async open(options: PartServerOptions): Promise<PartServer> {
     const server = new PartServer(options);
-    await server.#listen();
+    await server.#openListener();
     return server;
   }
 
@@ -158,7 +158,7 @@
     this.#store.dispose();
   }
 
-  async #listen(): Promise<void> {
+  async #openListener(): Promise<void> {
     const routes: HttpRoute[] = this.#options.routes.map((route) => ({
       method: route.method,
       path: route.path,
@@ -180,18 +180,18 @@
   }
 
   /** Brings the listener to what the outage asks: closed or open. */
-  async #settleListener(): Promise<void> {
-    if (this.#isSettling || this.#disposed) return;
-    this.#isSettling = true;
+  async #applyOutage(): Promise<void> {
+    if (this.#isApplying || this.#disposed) return;
+    this.#isApplying = true;
     try {
       for (let tries = 0; tries < maxReopenTries; tries++) {
         const wanted = this.#options.faults.outage !== "refuse";
         if (this.#disposed || wanted === (this.#server !== undefined)) break;
-        if (wanted) await this.#reopen();
+        if (wanted) await this.#openAgain();
         else await this.#closeListener();
       }
     } finally {
-      this.#isSettling = false;
+      this.#isApplying = false;
     }
     if (this.#disposed) await this.#closeListener();
   }
@@ -203,9 +203,9 @@
     this.#server = undefined;
   }
 
-  async #reopen(): Promise<void> {
+  async #openAgain(): Promise<void> {
     try {
-      await this.#listen();
+      await this.#openListener();
     } catch {
       // Another socket may hold the port for a moment.
       await this.#options.clock.sleep(reopenRetryMs);
--- a/packages/standin/src/plain_standin.ts
+++ b/packages/standin/src/plain_standin.ts
@@ -195,7 +195,7 @@
         "x-run": "not_run",
       });
     }
-    const hasWaited = await this.#acquire();
+    const hasWaited = await this.#waitTurn();
     try {
       // A caller that left while the call waited no longer wants it run.
       if (hasWaited && call.response.destroyed) return { kind: "cut" };
@@ -210,7 +210,7 @@
   }
 
   /** Takes a place among the running calls; true if that took a wait. */
-  async #acquire(): Promise<boolean> {
+  async #waitTurn(): Promise<boolean> {
     this.#load.record();
     if (this.#running < this.#settings.concurrency) {
       this.#running += 1;
--- a/packages/standin/src/prefix_cache.ts
+++ b/packages/standin/src/prefix_cache.ts
@@ -58,7 +58,7 @@
       if (pins === 0 && !this.#idle.delete(block)) stored.push(block);
       this.#pinned.set(block, pins + 1);
     }
-    return { stored, evicted: this.#evict() };
+    return { stored, evicted: this.#removeOldest() };
   }
 
   /** Ends one request's use of blocks; the end of its chain is evicted first. */
@@ -71,7 +71,7 @@
         this.#idle.add(block);
       }
     }
-    return { stored: [], evicted: this.#evict() };
+    return { stored: [], evicted: this.#removeOldest() };
   }
 
   /** Drops every block that no request uses. */
@@ -81,7 +81,7 @@
     return { stored: [], evicted };
   }
 
-  #evict(): number[] {
+  #removeOldest(): number[] {
     const evicted: number[] = [];
     for (const block of this.#idle) {
       if (this.size <= this.capacity) break;
--- a/packages/standin/src/standin_set.ts
+++ b/packages/standin/src/standin_set.ts
@@ -153,14 +153,14 @@
   async #openEndpoints(): Promise<void> {
     const { engines, plainServices } = this.#settings;
     for (const settings of engines) {
-      const { place, model } = splitPlace(settings);
+      const { place, model } = parsePlace(settings);
       const template: ServiceTemplate = { kind: "engine", ...model };
-      this.#place(place, await this.#openEndpoint(template, place));
+      this.#addHost(place, await this.#openEndpoint(template, place));
     }
     for (const settings of plainServices) {
-      const { place, model } = splitPlace(settings);
+      const { place, model } = parsePlace(settings);
       const template: ServiceTemplate = { kind: "plain", ...model };
-      this.#place(place, await this.#openEndpoint(template, place));
+      this.#addHost(place, await this.#openEndpoint(template, place));
     }
   }
 
@@ -206,7 +206,7 @@
   }
 
   /** Puts an endpoint of the settings on a host of the cloud. */
-  #place(place: PlacedSettings, part: Part): void {
+  #addHost(place: PlacedSettings, part: Part): void {
     this.#add(part);
     const { zone, service, machineClass, market } = place;
     if (zone === undefined) return;
@@ -284,7 +284,7 @@
 }
 
 /** Separates where an endpoint stands from how it behaves. */
-function splitPlace<T extends PlacedSettings>(
+function parsePlace<T extends PlacedSettings>(
   settings: T,
 ): {
   readonly place: PlacedSettings;
--- a/packages/standin/src/weight_store_standin.ts
+++ b/packages/standin/src/weight_store_standin.ts
@@ -58,7 +58,7 @@
   readonly #loads = new Set<Load>();
   readonly #records = RecordList.create<WeightRecord>(keptRecords);
   #bytesPerSecond: number;
-  #sharedAt: number;
+  #recordedAt: number;
   #timer = new AbortController();
   #server!: PartServer;
 
@@ -69,7 +69,7 @@
     this.name = options.name ?? "weightStore";
     this.#clock = options.clock;
     this.#bytesPerSecond = settings.bytesPerSecond;
-    this.#sharedAt = options.clock.now();
+    this.#recordedAt = options.clock.now();
     this.faults = FaultSwitch.createForPart(options.clock);
   }
 
@@ -92,7 +92,7 @@
         {
           method: "GET",
           path: "/weights/*",
-          handle: (e) => standin.#load(e),
+          handle: (e) => standin.#handleLoad(e),
         },
       ],
       controls: {
@@ -130,7 +130,7 @@
     this.#loads.clear();
   }
 
-  async #load({ path, query, response }: PartCall): Promise<PartAnswer> {
+  async #handleLoad({ path, query, response }: PartCall): Promise<PartAnswer> {
     const bytes = Number(query.get("bytes"));
     if (!(bytes >= 0)) {
       return createAnswer(400, { reason: "bytes must be a number" });
@@ -139,9 +139,9 @@
     await new Promise<void>((resolve) => {
       const load: Load = { leftBytes: bytes, finish: resolve };
       response.once("close", () => this.#remove(load));
-      this.#share();
+      this.#recordProgress();
       this.#loads.add(load);
-      this.#schedule();
+      this.#startTimer();
     });
     if (response.destroyed) return { kind: "cut" };
     const name = decodeURIComponent(path.slice("/weights/".length));
@@ -152,23 +152,23 @@
 
   #remove(load: Load): void {
     if (!this.#loads.has(load)) return;
-    this.#share();
+    this.#recordProgress();
     this.#loads.delete(load);
     load.finish();
-    this.#schedule();
+    this.#startTimer();
   }
 
   /** Gives each load its share of the bytes since the last time. */
-  #share(): void {
+  #recordProgress(): void {
     const now = this.#clock.now();
-    const bytes = (now - this.#sharedAt) * this.#bytesPerSecond /
+    const bytes = (now - this.#recordedAt) * this.#bytesPerSecond /
       millisecondsPerSecond;
     for (const load of this.#loads) load.leftBytes -= bytes / this.#loads.size;
-    this.#sharedAt = now;
+    this.#recordedAt = now;
   }
 
   /** Ends loads that have all bytes, and waits for the next to have them. */
-  #schedule(): void {
+  #startTimer(): void {
     for (const load of this.#loads) {
       // Half a byte allows for rounding of the shares.
       if (load.leftBytes > 0.5) continue;
@@ -186,15 +186,15 @@
     const ms = left * millisecondsPerSecond / perLoad;
     await this.#clock.sleep(ms, signal);
     if (signal.aborted) return;
-    this.#share();
-    this.#schedule();
+    this.#recordProgress();
+    this.#startTimer();
   }
 
   #setRate(call: ControlCall): PartAnswer {
     return handleOrder(weightStoreSettings, call, ({ bytesPerSecond }) => {
-      this.#share();
+      this.#recordProgress();
       this.#bytesPerSecond = bytesPerSecond;
-      this.#schedule();
+      this.#startTimer();
       return createAnswer(200, this.rate);
     });
   }
