--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -12,7 +12,7 @@
 import { parseJsoncFile } from "@almondcrank/common/jsonc_file.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { StandinSet } from "./standin_set.ts";
-import { standinSettings } from "./standin_settings.ts";
+import { type StandinSettings, standinSettings } from "./standin_settings.ts";
 
 class StandinCommand extends Command {
   static override readonly paths = [Command.Default];
@@ -27,29 +27,30 @@
   });
 
   override async execute(): Promise<number> {
-    const parsed = parseJsoncFile({
-      file: this.settings,
-      text: readFileSync(this.settings, "utf8"),
-      schema: standinSettings,
-    });
-    return await parsed.caseOf({
-      Left: (error) => Promise.resolve(this.#writeFailure(error.message)),
-      Right: async ({ value }) => {
-        const set = await StandinSet.open(value, {
-          clock: SystemClock.create(),
-        });
-        this.context.stdout.write("ready\n");
-        await waitSignal();
-        set.dispose();
-        return 0;
-      },
-    });
+    try {
+      const parsed = parseJsoncFile({
+        file: this.settings,
+        text: readFileSync(this.settings, "utf8"),
+        schema: standinSettings,
+      });
+      return await parsed.caseOf({
+        Left: (error) => Promise.resolve(this.#writeFailure(error.message)),
+        Right: ({ value }) => this.#run(value),
+      });
+    } catch (thrown) {
+      // The file cannot be read or an address is taken.
+      return this.#writeFailure(formatThrown(thrown));
+    }
   }
 
-  override catch(error: unknown): Promise<void> {
-    this.#writeFailure(formatThrown(error));
-    process.exitCode = 1;
-    return Promise.resolve();
+  async #run(settings: StandinSettings): Promise<number> {
+    const set = await StandinSet.open(settings, {
+      clock: SystemClock.create(),
+    });
+    this.context.stdout.write("ready\n");
+    await waitSignal();
+    set.dispose();
+    return 0;
   }
 
   #writeFailure(message: string): number {
