--- a/packages/standin/src/main_test.ts
+++ b/packages/standin/src/main_test.ts
@@ -58,7 +58,7 @@
     '{\n"objectApi": { "adress": 1 } }',
   );
   assert.is(code, 1);
-  assert.match(output, "settings.jsonc:2:16: objectApi.adress");
+  assert.match(output, "settings.jsonc:2:26: objectApi.adress");
 });
 
 test("an address that cannot be bound ends it", async () => {
