--- a/packages/standin/src/engine_scheduler_test.ts
+++ b/packages/standin/src/engine_scheduler_test.ts
@@ -1,10 +1,12 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { type Hasher, openHasher } from "@almondcrank/common/hashing.ts";
 import type { GenerateRequest } from "@almondcrank/endpoint/engine.ts";
+import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { EngineScheduler, type GenerationOutcome } from "./engine_scheduler.ts";
 import { engineSettings, type EngineSettingsInput } from "./engine_settings.ts";
+import { computeExpectedTokens } from "./expected_tokens.ts";
 import { engineFaultsSchema, noEngineFaults } from "./fault_settings.ts";
 import { FaultSwitch } from "./fault_switch.ts";
 import { Generation } from "./generation.ts";
@@ -87,6 +89,18 @@
     return generation;
   }
 
+  /** Compares a stream with the expected output, whole unless cancelled. */
+  checkTokens(request: GenerateRequest): void {
+    const lines = this.sent.get(request.id)!.map((sent) => sent.lines).join("");
+    const events = lines.trim().split("\n").map((line) => JSON.parse(line));
+    const { reason } = events.pop();
+    const { tokens } = computeExpectedTokens(this.#hasher, request);
+    const texts = events.map((event) => event.text);
+    assert.equal(events.map((event) => event.index), [...texts.keys()]);
+    assert.equal(texts, tokens.slice(0, texts.length));
+    if (reason !== "cancelled") assert.is(texts.length, tokens.length);
+  }
+
   times(id: string): readonly number[] {
     return this.sent.get(id)!.map((sent) => sent.at);
   }
@@ -219,4 +233,37 @@
   assert.equal(bench.times("a"), [10, 1_015, 1_026]);
 });
 
+test("whatever is cancelled, streams are right and memory is freed", async () => {
+  const step = fc.record({
+    prefix: fc.constantFrom("a", "b", "c"),
+    words: fc.integer({ min: 0, max: 120 }),
+    maxTokens: fc.integer({ min: 0, max: 40 }),
+    priority: fc.integer({ min: 0, max: 2 }),
+    waitMs: fc.integer({ min: 0, max: 200 }),
+    cancels: fc.option(fc.nat({ max: 5 })),
+  });
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { maxLength: 12 }), async (steps) => {
+      const bench = await Bench.open();
+      const added: Generation[] = [];
+      for (const { prefix, words: count, waitMs, cancels, ...rest } of steps) {
+        const prompt = words(count, prefix);
+        added.push(bench.add(`g${added.length}`, { prompt, ...rest }));
+        await bench.clock.advance(waitMs);
+        const cancelled = cancels === null ? undefined : added.at(-cancels);
+        if (cancelled !== undefined) bench.scheduler.cancel(cancelled);
+      }
+      await bench.clock.advance(60_000);
+      assert.is(bench.ends.length, added.length);
+      assert.is(bench.cache.pinnedSize, 0);
+      assert.ok(bench.cache.size <= bench.cache.capacity);
+      for (const { request, hasEnded } of added) {
+        assert.ok(hasEnded);
+        bench.checkTokens(request);
+      }
+    }),
+    { seed: 1, numRuns: 60 },
+  );
+});
+
 test.run();
--- a/packages/standin/src/object_api_standin_test.ts
+++ b/packages/standin/src/object_api_standin_test.ts
@@ -187,6 +187,18 @@
     assert.equal(seen, ["none", "none", "error", "none", "none", "error"]);
   }));
 
+test("a flapping listener closes and opens", () =>
+  runWith({}, async (api, clock) => {
+    const flapping = { upMs: 100, downMs: 50 };
+    api.faults.apply({ flapping, outage: "refuse" });
+    for (let i = 0; i < 2; i++) {
+      await clock.advance(100);
+      while ((await callPart(`${api.address}/control`)).kind === "answered");
+      await clock.advance(50);
+      await waitUntilOpen(api);
+    }
+  }));
+
 test("a frozen service runs a call late, after its caller has left", () =>
   runWith({}, async (api) => {
     api.faults.apply({ frozen: true });
--- a/packages/standin/src/offers.ts
+++ b/packages/standin/src/offers.ts
@@ -11,6 +11,11 @@
 const market = z.enum(["reclaimable", "on_demand"]);
 const share = z.number().min(0).max(1);
 
+const priceTrace = z.array(z.strictObject({
+  atMs: z.number().min(0),
+  milliPerHour: z.number().min(0),
+}));
+
 /** One kind of host the cloud rents out. */
 export const offerSettings = z.strictObject({
   zone: z.string(),
@@ -23,10 +28,7 @@
   /** Share of requests refused although there is capacity. */
   refusedShare: share.default(0),
   /** Later prices, by time since the start. */
-  trace: z.array(z.strictObject({
-    atMs: z.number().min(0),
-    milliPerHour: z.number().min(0),
-  })).default([]),
+  trace: priceTrace.default([]),
 });
 export type Offer = z.infer<typeof offerSettings>;
 
@@ -35,8 +37,9 @@
   zone: z.string().optional(),
   machineClass: z.string().optional(),
   market: market.optional(),
-  /** A new price ends the trace. */
+  /** A new price ends the trace, unless the order brings another. */
   milliPerHour: z.number().min(0).optional(),
+  trace: priceTrace.optional(),
   hosts: z.number().int().min(0).optional(),
   refusedShare: share.optional(),
 });
@@ -88,12 +91,13 @@
     this.#offers = this.#offers.map((offer) => {
       if (!isMatch(offer, order)) return offer;
       matched += 1;
-      const milliPerHour = order.milliPerHour;
+      const keptTrace = order.milliPerHour === undefined ? offer.trace : [];
       return {
         ...offer,
         hosts: order.hosts ?? offer.hosts,
         refusedShare: order.refusedShare ?? offer.refusedShare,
-        ...(milliPerHour === undefined ? {} : { milliPerHour, trace: [] }),
+        milliPerHour: order.milliPerHour ?? offer.milliPerHour,
+        trace: order.trace ?? keptTrace,
       };
     });
     return matched;
--- a/packages/standin/src/standin_set_test.ts
+++ b/packages/standin/src/standin_set_test.ts
@@ -1,5 +1,9 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
-import type { Instance, NoticeBatch } from "@almondcrank/platform/cloud_api.ts";
+import type {
+  Instance,
+  NoticeBatch,
+  Price,
+} from "@almondcrank/platform/cloud_api.ts";
 import type { HostListing } from "@almondcrank/platform/host_list.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -154,6 +158,21 @@
     });
   }));
 
+test("a price trace bills each stretch at its price", () =>
+  runWith(async (set, clock) => {
+    const trace = [
+      { atMs: hourMs / 2, milliPerHour: 1_000 },
+      { atMs: hourMs, milliPerHour: 0 },
+    ];
+    await control(set, "cloudApi/control/offers", { zone: "muc-1", trace });
+    set.inventory.remove("b1");
+    await clock.advance(2 * hourMs);
+    assert.is(set.cloudApi!.readCost().milli, 200 + 500);
+    const url = `${set.cloudApi!.address}/prices`;
+    const { prices } = await callJson<{ prices: readonly Price[] }>(url);
+    assert.equal(prices.map((price) => price.milliPerHour), [0, 400]);
+  }));
+
 test("loads share the weight store's rate, and an order loads through it", () =>
   runWith(async (set, clock) => {
     const store = set.weightStore!;
