Test eviction order, cached output of earlier turns and a freeze during a call

Cause: of 25 faults put into the stand-ins on purpose, three went unnoticed: a prefix evicted from its beginning, output stored without the white space before it, and a running call that ignored a freeze. Change: a test for each; the three are noticed now.

--- a/packages/standin/src/engine_scheduler_test.ts
+++ b/packages/standin/src/engine_scheduler_test.ts
@@ -101,6 +101,13 @@
     if (reason !== "cancelled") assert.is(texts.length, tokens.length);
   }
 
+  /** Texts of the tokens that were sent. */
+  readTexts(id: string): readonly string[] {
+    return this.sent.get(id)!.map((sent) => sent.lines).join("").trim()
+      .split("\n").map((line) => JSON.parse(line))
+      .flatMap((event) => event.kind === "token" ? [event.text] : []);
+  }
+
   times(id: string): readonly number[] {
     return this.sent.get(id)!.map((sent) => sent.at);
   }
@@ -176,6 +183,33 @@
   assert.ok(evicted.cachedTokens < 63);
 });
 
+test("the end of an idle prefix is evicted before its beginning", async () => {
+  const bench = await Bench.open();
+  bench.add("a", { prompt: words(64, "a"), maxTokens: 1 });
+  await bench.clock.advance(200);
+  bench.add("b", { prompt: words(128, "b"), maxTokens: 1 });
+  await bench.clock.advance(200);
+  const again = bench.add("a2", { prompt: words(64, "a"), maxTokens: 1 });
+  await bench.clock.advance(200);
+  assert.is(again.cachedTokens, 32);
+});
+
+test("a next turn that repeats prompt and output finds both cached", async () => {
+  for (const joint of [" ", "\n"]) {
+    const bench = await Bench.open();
+    const prompt = words(30) + (joint === " " ? "" : joint);
+    bench.add("a", { prompt, maxTokens: 34 });
+    await bench.clock.advance(1_000);
+    const answer = bench.readTexts("a").join("");
+    const turn = words(30) + joint + answer + " and a new question";
+    const next = bench.add("b", { prompt: turn, maxTokens: 1 });
+    await bench.clock.advance(1_000);
+    const whole = 30 + bench.readTexts("a").length;
+    assert.is(next.cachedTokens, whole - whole % 16);
+    assert.ok(next.cachedTokens > 32);
+  }
+});
+
 test("a request waits while running ones fill the memory", async () => {
   const bench = await Bench.open();
   bench.add("a", { prompt: words(128, "a"), maxTokens: 2 });
@@ -190,9 +224,7 @@
   const bench = await Bench.open();
   bench.add("a", { maxTokens: 6 });
   await bench.clock.advance(200);
-  const lines = bench.sent.get("a")!.map((sent) => sent.lines).join("");
-  const tokens = lines.trim().split("\n").map((line) => JSON.parse(line))
-    .filter((event) => event.kind === "token").map((event) => event.text);
+  const tokens = bench.readTexts("a");
   const resumed = bench.add("b", {
     maxTokens: 6,
     tokensSoFar: tokens.slice(0, 4),
--- a/packages/standin/src/plain_standin_test.ts
+++ b/packages/standin/src/plain_standin_test.ts
@@ -112,6 +112,18 @@
     await waitUntil(() => plain.records.length === 1);
   }));
 
+test("a call that runs when the service freezes takes effect once it is thawed", () =>
+  runWith({ serviceMs: 10 }, async (plain, clock) => {
+    const call = book(plain, "k1");
+    await waitUntil(() => plain.load.running === 1);
+    plain.faults.apply({ frozen: true });
+    await clock.advance(1_000);
+    assert.is(plain.records.length, 0);
+    plain.faults.apply({ frozen: false });
+    assert.is((await call).kind, "answered");
+    assert.is(plain.records[0]?.at, clock.wallTime());
+  }));
+
 test("a slowdown stretches calls, and the reported load can lie", () =>
   runWith(
     { serviceMs: 10, serviceSpread: 0, loadPublishMs: 0 },
