--- /dev/null
+++ b/packages/standin/src/wire_test.ts
@@ -0,0 +1,217 @@
+import { SystemClock } from "@almondcrank/common/clock.ts";
+import { DisposableStore } from "@almondcrank/common/disposables.ts";
+import { openHasher } from "@almondcrank/common/hashing.ts";
+import { createSilentLog } from "@almondcrank/common/logs.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import type { GenerateRequest } from "@almondcrank/endpoint/engine.ts";
+import { HttpEngine } from "@almondcrank/endpoint/http_engine.ts";
+import { HttpPlainEndpoint } from "@almondcrank/endpoint/http_plain_endpoint.ts";
+import { HttpCloudApi } from "@almondcrank/platform/http_cloud_api.ts";
+import { HttpHostList } from "@almondcrank/platform/http_host_list.ts";
+import { HttpObjectStore } from "@almondcrank/platform/http_object_store.ts";
+import { HttpWeightStore } from "@almondcrank/platform/http_weight_store.ts";
+import type { Either } from "purify-ts";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { computeExpectedTokens } from "./expected_tokens.ts";
+import { StandinSet } from "./standin_set.ts";
+
+const address = "127.0.0.1:0";
+const clock = SystemClock.create();
+const random = Random.create(1);
+const metrics = Metrics.create();
+const log = createSilentLog();
+const models = [{ model: "m", version: "1", adapters: [] }];
+const place = { zone: "muc-1", machineClass: "gpu-l" };
+const offer = {
+  ...place,
+  market: "reclaimable",
+  milliPerHour: 4,
+  hosts: 3,
+} as const;
+const store = DisposableStore.create();
+let set: StandinSet;
+
+test.before(async () => {
+  const engine = { address, models, decodeBaseMs: 2 };
+  set = store.register(
+    await StandinSet.open({
+      objectApi: { address },
+      hostList: { address, lagMs: 0 },
+      weightStore: { address },
+      cloudApi: {
+        address,
+        startDelayMs: 0,
+        offers: [offer],
+        services: { assistant: { kind: "engine" } },
+      },
+      engines: [{ ...engine, ...place, name: "e1" }, { ...engine, name: "e2" }],
+      plainServices: [{ name: "b1", address, serviceMs: 1 }],
+    }, { clock }),
+  );
+});
+
+test.after(() => store.dispose());
+
+function platform(address: string | undefined) {
+  return { address: address!, clock, random, metrics, log };
+}
+
+function engineClient(name: string): HttpEngine {
+  const endpoint = { name, address: set.findPart(name)!.address };
+  return store.register(HttpEngine.create({ endpoint, clock }));
+}
+
+function right<E extends Error, T>(result: Either<E, T>): T {
+  return result.caseOf({
+    Left: (error) => {
+      throw error;
+    },
+    Right: (value) => value,
+  });
+}
+
+const request: GenerateRequest = {
+  id: "g1",
+  model: "m",
+  prompt: "the brake on the left wears unevenly",
+  tokensSoFar: [],
+  maxTokens: 8,
+  priority: 0,
+  remainingMs: 1_000,
+};
+
+test("the object store's client reads, writes, watches and removes", async () => {
+  const client = HttpObjectStore.create(platform(set.objectApi?.address));
+  store.register(client);
+  const written = right(
+    await client.write("a/b c", { n: 1 }, { kind: "absent" }),
+  );
+  assert.equal(written, { kind: "written", version: 1 });
+  assert.equal(right(await client.read("a/b c"))?.value, { n: 1 });
+  const lost = right(await client.write("a/b c", 2, { kind: "absent" }));
+  assert.is(lost.kind, "conflict");
+  assert.is(right(await client.list("a/")).objects.length, 1);
+  const watched = right(await client.watch("a/", 0, 0));
+  assert.is(watched.kind === "changes" && watched.batch.changes.length, 1);
+  assert.is(right(await client.watch("a/", 99, 0)).kind, "expired");
+  assert.is(right(await client.remove("a/b c", 1)).kind, "written");
+  set.objectApi!.faults.apply({ loseAnswers: "next" });
+  const unknown = await client.write("c", 1, { kind: "absent" });
+  unknown.ifRight(() => assert.unreachable());
+  unknown.ifLeft((error) => assert.is(error.kind, "outcome_unknown"));
+  assert.is(right(await client.read("c"))?.value, 1);
+});
+
+test("the cloud's and the host list's clients follow a host", async () => {
+  const cloud = HttpCloudApi.create(platform(set.cloudApi?.address));
+  const hosts = HttpHostList.create(platform(set.hostList?.address));
+  store.register(cloud);
+  store.register(hosts);
+  const wanted = {
+    ...place,
+    token: "t1",
+    service: "assistant",
+    market: "reclaimable",
+  } as const;
+  const outcome = right(await cloud.requestInstance(wanted));
+  assert.is(outcome.kind, "granted");
+  const elsewhere = { ...wanted, token: "t2", zone: "nue-1" };
+  assert.is(right(await cloud.requestInstance(elsewhere)).kind, "refused");
+  assert.is(right(await cloud.listPrices())[0]?.milliPerHour, 4);
+  const waiting = cloud.waitNotices(0, 5_000);
+  set.cloudApi!.startReclaim({ host: "muc-1-h1", noticeMs: 60_000 });
+  assert.is(right(await waiting).notices[0]?.host, "muc-1-h1");
+  const listed = right(await hosts.list()).hosts.map((host) => host.state);
+  assert.equal(listed, ["live", "leaving"]);
+  assert.ok((await cloud.returnInstance("muc-1-h1")).isRight());
+  assert.is(right(await cloud.listInstances()).length, 1);
+});
+
+test("the weight store's client reads the rate", async () => {
+  const client = HttpWeightStore.create(platform(set.weightStore?.address));
+  store.register(client);
+  assert.is(right(await client.readRate()).activeLoads, 0);
+});
+
+test("the engine's client streams, resumes from an imported cache and cancels", async () => {
+  const [from, to] = [engineClient("e1"), engineClient("e2")];
+  const { tokens } = computeExpectedTokens(await openHasher(), request);
+  const seen: string[] = [];
+  let handle = "";
+  for await (
+    const event of from.generate(request, new AbortController().signal)
+  ) {
+    const value = right(event);
+    if (value.kind === "token") seen.push(value.text);
+    if (seen.length !== 3 || handle !== "") continue;
+    handle = right(await from.exportCache("g1")).handle;
+  }
+  assert.equal(seen, tokens);
+  const { address } = set.findPart("e1")!;
+  const order = { importId: "i1", from: address, handle };
+  assert.ok(right(await to.importCache(order)) >= 9);
+  const resumed = {
+    ...request,
+    id: "g2",
+    tokensSoFar: tokens.slice(0, 2),
+    importId: "i1",
+  };
+  const rest: string[] = [];
+  for await (
+    const event of to.generate(resumed, new AbortController().signal)
+  ) {
+    const value = right(event);
+    if (value.kind === "token") rest.push(value.text);
+    else assert.is(value.usage.computedTokens, 1);
+  }
+  assert.equal(rest, tokens.slice(2));
+  const caller = new AbortController();
+  for await (
+    const _event of to.generate({ ...request, id: "g3" }, caller.signal)
+  ) {
+    caller.abort();
+  }
+  assert.is(right(await to.readLoad()).slots, 8);
+  assert.ok(right(await to.readCacheEvents(0)).sequence >= 0);
+});
+
+test("the engine's client learns of a refused order and of declined work", async () => {
+  const client = engineClient("e1");
+  const order = { fencing: 2, holder: "n1", role: "drain", models } as const;
+  assert.is(right(await client.sendOrder(order)).role, "drain");
+  const old = await client.sendOrder({ ...order, fencing: 1 });
+  old.ifRight(() => assert.unreachable());
+  old.ifLeft((error) => assert.is(error.kind, "stale_fencing"));
+  assert.is(right(await client.readState()).fencing, 2);
+  for await (
+    const event of client.generate(request, new AbortController().signal)
+  ) {
+    event.ifRight(() => assert.unreachable());
+    event.ifLeft((error) =>
+      assert.equal([error.kind, error.run], ["declined", "not_run"])
+    );
+  }
+});
+
+test("the plain service's client books once for each call", async () => {
+  const { address } = set.findPart("b1")!;
+  const client = HttpPlainEndpoint.create({ name: "b1", address, clock });
+  store.register(client);
+  const answer = right(
+    await client.call({
+      method: "POST",
+      path: "/bookings",
+      contentType: "application/json",
+      body: new TextEncoder().encode('{"slot":"s1"}'),
+      idempotencyKey: "k1",
+      priority: 0,
+      remainingMs: 5_000,
+    }, new AbortController().signal),
+  );
+  assert.is(answer.status, 201);
+  assert.is(right(await client.readLoad()).queued, 0);
+});
+
+test.run();
