Tighten tests that a fault could slip through

A late token with the next index, a deadline without retry budget and a double run after a hand-over now fail when the code that prevents them is taken out.

--- a/packages/routing/src/stream_exchange_test.ts
+++ b/packages/routing/src/stream_exchange_test.ts
@@ -134,6 +134,8 @@
 test("a caller that stays connected to a leaving node sees no cut", async () => {
   const nodes = await openNodes();
   const { before } = await drainFirst(nodes, await open(nodes));
+  const running = [...nodes.first.engines.values()].map((e) => e.running);
+  assert.is(running.reduce((sum, count) => sum + count, 0), 1);
   await nodes.first.clock.advance(5_000);
   assert.equal(before.texts, expectTokens(nodes, 0));
   assert.is(before.outcome, "length");
--- a/packages/routing/src/stream_failures_test.ts
+++ b/packages/routing/src/stream_failures_test.ts
@@ -119,6 +119,37 @@
   assert.equal(reading.texts, expectTokens(setup, 20));
 });
 
+test("a late token that fits the next index is dropped all the same", async () => {
+  const setup = await openModelSetup();
+  const reading = startReading(await open(setup));
+  await setup.clock.advance(55);
+  const frozen = findBusy(setup);
+  frozen.behaviour.freezeAt = 5;
+  frozen.behaviour.ignoresAbort = true;
+  for (let ms = 0; ms < 3_000 && frozen.aborted.length === 0; ms++) {
+    await setup.clock.advance(1);
+  }
+  frozen.wake();
+  await setup.clock.advance(5_000);
+  assert.equal(reading.texts, expectTokens(setup, 20));
+  const sent = [...setup.engines.values()].flatMap((e) => e.requests);
+  assert.is(sent.length, 2);
+  setup.router.dispose();
+});
+
+test("without retry budget a frozen replica is waited for until the deadline", async () => {
+  const setup = await openModelSetup();
+  setup.budget.retries = 0;
+  const reading = startReading(await open(setup));
+  await setup.clock.advance(55);
+  findBusy(setup).behaviour.freezeAt = 5;
+  await setup.clock.advance(29_900);
+  assert.is(reading.outcome, undefined);
+  await setup.clock.advance(100);
+  assert.is(reading.outcome, "deadline/ran");
+  setup.router.dispose();
+});
+
 test("a replica frozen before the first token", async () => {
   const { metrics } = await checkWhole((engine) => {
     engine.behaviour.freezeAt = 0;
