--- a/packages/routing/src/prefix_index.ts
+++ b/packages/routing/src/prefix_index.ts
@@ -7,6 +7,9 @@
  * events, which come late and with gaps, only correct blocks it already holds,
  * and a gap forgets the whole endpoint.
  *
+ * Of long prompts only every fourth block is kept, which costs at most three
+ * blocks of precision.
+ *
  * The table also learns which blocks are shared by many conversations, such as
  * a system prompt: those that at least three different blocks follow.
  */
@@ -17,6 +20,9 @@
 const ways = 4;
 const holdersPerBlock = 4;
 const followersPerBlock = 2;
+/** Depth up to which every block is kept; beyond it every fourth. */
+const denseDepth = 8;
+const depthStride = 4;
 const maxEndpoints = 65_536;
 const generationMask = 0xffff;
 
@@ -36,9 +42,19 @@
   readonly seenBlocks: number;
 }
 
+/** Deepest block of a chain that the index keeps. */
+function computeLastDepth(blocks: number): number {
+  if (blocks <= denseDepth) return blocks;
+  return blocks - (blocks - denseDepth) % depthStride;
+}
+
+function computePreviousDepth(depth: number): number {
+  return depth > denseDepth ? depth - depthStride : depth - 1;
+}
+
 /** Bounded knowledge of prefix caches. */
 export class PrefixIndex {
-  readonly #sets: number;
+  readonly #setMask: number;
   readonly #keys: Uint32Array;
   readonly #used: Uint32Array;
   readonly #holders: Uint32Array;
@@ -52,8 +68,10 @@
   #tick = 0;
 
   private constructor(maxBlocks: number) {
-    this.#sets = Math.ceil(maxBlocks / ways);
-    const slots = this.#sets * ways;
+    // A power of two, so that a mask finds the set of a hash.
+    const sets = 2 ** Math.ceil(Math.log2(Math.max(1, maxBlocks / ways)));
+    this.#setMask = sets - 1;
+    const slots = sets * ways;
     this.#keys = new Uint32Array(slots);
     this.#used = new Uint32Array(slots);
     this.#holders = new Uint32Array(slots * holdersPerBlock);
@@ -75,9 +93,11 @@
   /** Finds what is known of a prompt's chain of block hashes. */
   find(chain: readonly number[], maxHolders: number): PrefixMatch {
     const holders: PrefixHolder[] = [];
+    const known: number[] = [];
     let sharedBlocks = 0;
     let seenBlocks = 0;
-    for (let depth = chain.length; depth > 0; depth--) {
+    let depth = computeLastDepth(chain.length);
+    for (; depth > 0; depth = computePreviousDepth(depth)) {
       const slot = this.#findSlot(chain[depth - 1] ?? 0);
       if (slot === -1) continue;
       if (seenBlocks === 0) seenBlocks = depth;
@@ -85,9 +105,10 @@
         sharedBlocks = depth;
       }
       if (holders.length < maxHolders) {
-        this.#addHolders(holders, slot, depth, maxHolders);
+        this.#addHolders(holders, known, slot, depth);
       } else if (sharedBlocks > 0) break;
     }
+    holders.length = Math.min(holders.length, maxHolders);
     return { holders, sharedBlocks, seenBlocks };
   }
 
@@ -95,11 +116,14 @@
   recordSend(chain: readonly number[], endpoint: string): void {
     const holder = this.#encodeHolder(endpoint);
     this.#tick++;
-    for (let depth = 0; depth < chain.length; depth++) {
-      const slot = this.#claimSlot(chain[depth] ?? 0);
+    const last = computeLastDepth(chain.length);
+    let follower = 0;
+    for (let depth = last; depth > 0; depth = computePreviousDepth(depth)) {
+      const block = chain[depth - 1] ?? 0;
+      const slot = this.#claimSlot(block);
       this.#addHolder(slot, holder);
-      const follower = chain[depth + 1];
-      if (follower !== undefined) this.#addFollower(slot, follower);
+      if (depth < last) this.#addFollower(slot, follower);
+      follower = block;
     }
   }
 
@@ -159,41 +183,41 @@
   }
 
   #findSlot(key: number): number {
-    const start = (key % this.#sets) * ways;
+    const keys = this.#keys;
+    const start = (key & this.#setMask) * ways;
     for (let slot = start; slot < start + ways; slot++) {
-      if (this.#keys[slot] === key && this.#used[slot] !== 0) return slot;
+      if (keys[slot] === key && this.#used[slot] !== 0) return slot;
     }
     return -1;
   }
 
   /** Slot of a block, taken from the least recently used one if it is new. */
   #claimSlot(key: number): number {
-    const start = (key % this.#sets) * ways;
+    const known = this.#findSlot(key);
+    if (known !== -1) {
+      this.#used[known] = this.#tick;
+      return known;
+    }
+    const used = this.#used;
+    const start = (key & this.#setMask) * ways;
     let oldest = start;
-    for (let slot = start; slot < start + ways; slot++) {
-      const used = this.#used[slot] ?? 0;
-      if (used !== 0 && this.#keys[slot] === key) {
-        this.#used[slot] = this.#tick;
-        return slot;
-      }
-      if (used < (this.#used[oldest] ?? 0)) oldest = slot;
+    for (let slot = start + 1; slot < start + ways; slot++) {
+      if ((used[slot] ?? 0) < (used[oldest] ?? 0)) oldest = slot;
     }
+    this.#clearSlot(oldest);
     this.#keys[oldest] = key;
-    this.#used[oldest] = this.#tick;
-    this.#holders.fill(
-      0,
-      oldest * holdersPerBlock,
-      (oldest + 1) * holdersPerBlock,
-    );
-    this.#followers.fill(
-      0,
-      oldest * followersPerBlock,
-      (oldest + 1) * followersPerBlock,
-    );
-    this.#branches[oldest] = 0;
+    used[oldest] = this.#tick;
     return oldest;
   }
 
+  #clearSlot(slot: number): void {
+    const holders = slot * holdersPerBlock;
+    this.#holders.fill(0, holders, holders + holdersPerBlock);
+    const followers = slot * followersPerBlock;
+    this.#followers.fill(0, followers, followers + followersPerBlock);
+    this.#branches[slot] = 0;
+  }
+
   /** Moves a holder to the front of its block; the last one drops out. */
   #addHolder(slot: number, holder: number): void {
     const start = slot * holdersPerBlock;
@@ -219,18 +243,20 @@
     this.#branches[slot] = 1;
   }
 
+  /** @param known Encoded holders met so far; most blocks add none. */
   #addHolders(
     holders: PrefixHolder[],
+    known: number[],
     slot: number,
     blocks: number,
-    maxHolders: number,
   ): void {
     const start = slot * holdersPerBlock;
     for (let i = start; i < start + holdersPerBlock; i++) {
-      const endpoint = this.#decodeHolder(this.#holders[i] ?? 0);
-      if (endpoint === undefined || holders.length >= maxHolders) continue;
-      if (holders.some((holder) => holder.endpoint === endpoint)) continue;
-      holders.push({ endpoint, blocks });
+      const holder = this.#holders[i] ?? 0;
+      if (holder === 0 || known.includes(holder)) continue;
+      known.push(holder);
+      const endpoint = this.#decodeHolder(holder);
+      if (endpoint !== undefined) holders.push({ endpoint, blocks });
     }
   }
 
