--- /dev/null
+++ b/packages/bench/src/policy_bench.ts
@@ -0,0 +1,398 @@
+/**
+ * Several nodes before stand-in engines in virtual time, under a multi-turn mix.
+ *
+ * Each turn goes to a node drawn at random, as behind a balancer. Loads reach
+ * the nodes late. What a request recomputed is counted against all blocks that
+ * any engine had computed before.
+ */
+
+import { Right } from "purify-ts";
+import {
+  type Configuration,
+  emptyConfiguration,
+  type Endpoint,
+  type ModelService,
+  type Team,
+} from "@almondcrank/common/configuration.ts";
+import type { Hasher } from "@almondcrank/common/hashing.ts";
+import { createSilentLog } from "@almondcrank/common/logs.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import {
+  blockTokens,
+  computeBlockHashes,
+  splitTokens,
+} from "@almondcrank/endpoint/tokens.ts";
+import { LoadTable } from "@almondcrank/routing/load_table.ts";
+import type { ModelStream } from "@almondcrank/routing/model_router.ts";
+import type {
+  Choice,
+  ChoicePolicy,
+  ChoiceRequest,
+} from "@almondcrank/routing/replica_choice.ts";
+import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
+import type { EngineSettingsInput } from "@almondcrank/standin/engine_settings.ts";
+import { ScheduledEngine } from "./scheduled_engine.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+
+/** Policies of the product, and one that sees every cache and load. */
+export type MeasuredPolicy = ChoicePolicy["kind"] | "oracle";
+
+/** What is run. */
+export interface BenchOptions {
+  readonly policy: MeasuredPolicy;
+  readonly seed: number;
+  readonly hasher: Hasher;
+  readonly nodes: number;
+  readonly replicas: number;
+  readonly engine: EngineSettingsInput;
+  /** New conversations a second. */
+  readonly conversationsPerSecond: number;
+  readonly meanTurns: number;
+  readonly thinkMs: number;
+  readonly durationMs: number;
+  /** Requests before this time warm the caches and are not counted. */
+  readonly warmUpMs: number;
+  /** Priorities of the teams, one drawn for each conversation. */
+  readonly priorities: readonly number[];
+}
+
+/** Outcome of one turn. */
+export interface TurnRecord {
+  readonly at: number;
+  readonly priority: number;
+  readonly accepted: boolean;
+  readonly whole: boolean;
+  readonly firstTokenMs: number;
+  readonly betweenTokensMs: number;
+  readonly promptTokens: number;
+  readonly computedTokens: number;
+  readonly recomputedTokens: number;
+  readonly attempts: number;
+}
+
+/** Longest time between load reports, and their age on arrival. */
+const reportIntervalMs = 250;
+const reportAgeMs = 300;
+const systemPrompts = 6;
+const systemTokens = [400, 800] as const;
+const droppedNumbers = 64;
+const questionTokens = [30, 150] as const;
+const maxOutputTokens = 256;
+
+export const benchService: ModelService = {
+  kind: "model",
+  name: "assistant",
+  model: "base",
+  adapters: [],
+  target: { firstTokenMs: 1_600, betweenTokensMs: 32 },
+  timeoutMs: 60_000,
+  maxOutputTokens,
+};
+
+/** One run. */
+export class PolicyBench {
+  readonly #options: BenchOptions;
+  readonly #clock = VirtualClock.create();
+  readonly #random: Random;
+  readonly #engines: ReadonlyMap<string, ScheduledEngine>;
+  readonly #loads: LoadTable[] = [];
+  readonly #routers: RoutedModels[] = [];
+  readonly #computed = new Set<number>();
+  readonly #records: TurnRecord[] = [];
+  readonly #teams: readonly Team[];
+  #conversations = 0;
+  #ended = false;
+
+  private constructor(options: BenchOptions) {
+    this.#options = options;
+    this.#random = createRandom(options.seed);
+    const endpoints = Array.from({ length: options.replicas }, createEndpoint);
+    const { hasher, engine } = options;
+    this.#engines = new Map(endpoints.map(({ name }) => [
+      name,
+      ScheduledEngine.open({
+        name,
+        clock: this.#clock,
+        hasher,
+        settings: engine,
+      }),
+    ]));
+    this.#teams = options.priorities.map((priority) => ({
+      name: `team-${priority}`,
+      keyHash: "",
+      priority,
+      share: 1,
+    }));
+    const configuration: Configuration = {
+      ...emptyConfiguration,
+      teams: this.#teams,
+      services: [benchService],
+      endpoints,
+    };
+    for (let node = 0; node < options.nodes; node++) {
+      this.#addNode(node, configuration);
+    }
+  }
+
+  /** Runs the mix and returns the counted turns. */
+  static async run(options: BenchOptions): Promise<readonly TurnRecord[]> {
+    const bench = new PolicyBench(options);
+    void bench.#reportLoads();
+    void bench.#openConversations();
+    await bench.#clock.run(options.durationMs);
+    bench.#ended = true;
+    await bench.#clock.run(options.durationMs + 60_000);
+    for (const router of bench.#routers) router.dispose();
+    for (const engine of bench.#engines.values()) engine.dispose();
+    return bench.#records.filter(({ at }) => at >= options.warmUpMs);
+  }
+
+  #addNode(node: number, configuration: Configuration): void {
+    const { policy, seed, hasher } = this.#options;
+    const loads = LoadTable.create({ clock: this.#clock });
+    loads.apply(configuration.endpoints);
+    this.#loads.push(loads);
+    this.#routers.push(RoutedModels.create({
+      nodeName: `n${node}`,
+      incarnation: "1",
+      configuration: { current: () => configuration },
+      engines: ({ name }) => this.#findEngine(name),
+      loads,
+      limiter: { admit: () => Right({ release: () => {} }) },
+      retries: { recordSend: () => {}, takeRetry: () => false },
+      peers: {
+        list: () => [],
+        readEvents: () => Promise.reject(new Error("no peers")),
+        cancel: () => Promise.resolve(),
+        handOver: () => Promise.reject(new Error("no peers")),
+      },
+      clock: this.#clock,
+      random: createRandom(seed * 1_000 + node),
+      hasher,
+      metrics: Metrics.create(),
+      log: createSilentLog(),
+      ...(policy === "oracle"
+        ? {
+          chooser: {
+            choose: (request: ChoiceRequest) =>
+              this.#chooseByOracle(request, configuration.endpoints),
+          },
+        }
+        : { policy: { kind: policy } }),
+    }));
+  }
+
+  /** Least time to the last token, with all caches and loads known. */
+  #chooseByOracle(
+    request: ChoiceRequest,
+    endpoints: readonly Endpoint[],
+  ): Choice | undefined {
+    let best: Choice | undefined;
+    for (const endpoint of endpoints) {
+      const engine = this.#findEngine(endpoint.name);
+      const load = engine.computeLoad();
+      const cachedTokens = engine.cache.countPrefix(request.chain) *
+        blockTokens;
+      const waiting = load.queuedTokens + request.inputTokens - cachedTokens;
+      const prefillMs = waiting / load.prefillTokensPerSecond * 1_000;
+      const betweenMs = Math.max(12, load.betweenTokensMs);
+      const ahead = load.queued + load.running - load.slots + 1;
+      const slotMs = Math.max(0, ahead) * 128 * betweenMs / load.slots;
+      const firstTokenMs = prefillMs + slotMs;
+      const totalMs = firstTokenMs + request.outputTokens * betweenMs;
+      if (best === undefined || totalMs < best.totalMs) {
+        best = { endpoint, firstTokenMs, totalMs, cachedTokens, seenTokens: 0 };
+      }
+    }
+    return best;
+  }
+
+  async #reportLoads(): Promise<void> {
+    while (!this.#ended) {
+      for (const engine of this.#engines.values()) {
+        const load = engine.computeLoad();
+        void this.#clock.sleep(reportAgeMs).then(() => {
+          for (const loads of this.#loads) {
+            const { name: endpoint } = engine;
+            const ageMs = reportAgeMs;
+            loads.record({ ...load, endpoint, ageMs, reachable: true });
+          }
+        });
+      }
+      await this.#clock.sleep(reportIntervalMs);
+    }
+  }
+
+  async #openConversations(): Promise<void> {
+    const meanMs = 1_000 / this.#options.conversationsPerSecond;
+    while (!this.#ended) {
+      await this.#clock.sleep(this.#random.nextExponential(meanMs));
+      void this.#runConversation(this.#conversations++);
+    }
+  }
+
+  async #runConversation(number: number): Promise<void> {
+    const { meanTurns, thinkMs, seed } = this.#options;
+    const random = createRandom(seed * 1_000_003 + number);
+    const team = random.choose(this.#teams);
+    let prompt = formatSystemPrompt(random.nextInt(systemPrompts));
+    const turns = 1 + Math.floor(random.nextExponential(meanTurns - 1));
+    for (let turn = 0; turn < turns && !this.#ended; turn++) {
+      const question = drawBetween(random, questionTokens);
+      prompt += formatWords(question, `c${number}t${turn}`);
+      const answer = await this.#ask(prompt, team, random);
+      if (answer === undefined) return;
+      prompt += ` ${answer}`;
+      await this.#clock.sleep(random.nextExponential(thinkMs));
+    }
+  }
+
+  /** Sends one turn; undefined unless the whole answer came. */
+  async #ask(
+    prompt: string,
+    team: Team,
+    random: Random,
+  ): Promise<string | undefined> {
+    const at = this.#clock.now();
+    const chain = computeBlockHashes(this.#options.hasher, splitTokens(prompt));
+    const seenBlocks = this.#countComputed(chain);
+    const opened = await random.choose(this.#routers).open({
+      team,
+      service: benchService,
+      prompt,
+      maxTokens: maxOutputTokens,
+      deadline: at + benchService.timeoutMs,
+    });
+    const base = { at, priority: team.priority, promptTokens: 0 };
+    if (opened.isLeft()) {
+      this.#records.push({ ...base, ...noAnswer });
+      return undefined;
+    }
+    const stream = opened.unsafeCoerce();
+    const answer = await this.#readAnswer(stream, base, seenBlocks);
+    this.#addComputed(prompt, answer ?? "");
+    return answer;
+  }
+
+  async #readAnswer(
+    stream: ModelStream,
+    base: Pick<TurnRecord, "at" | "priority">,
+    seenBlocks: number,
+  ): Promise<string | undefined> {
+    let text = "";
+    let firstAt = 0;
+    let tokens = 0;
+    for await (const event of stream.read(0, new AbortController().signal)) {
+      if (event.kind === "token") {
+        if (tokens++ === 0) firstAt = this.#clock.now();
+        text += event.text;
+        continue;
+      }
+      const whole = event.kind === "end";
+      const usage = whole ? event.usage : noAnswer;
+      const cached = whole ? event.usage.cachedTokens : 0;
+      const lastMs = this.#clock.now() - firstAt;
+      this.#records.push({
+        ...base,
+        accepted: true,
+        whole,
+        firstTokenMs: firstAt - base.at,
+        betweenTokensMs: tokens > 1 ? lastMs / (tokens - 1) : 0,
+        promptTokens: whole ? event.usage.promptTokens : 0,
+        computedTokens: usage.computedTokens,
+        recomputedTokens: Math.max(0, seenBlocks * blockTokens - cached),
+        attempts: usage.attempts,
+      });
+      return whole ? text : undefined;
+    }
+    return undefined;
+  }
+
+  #countComputed(chain: readonly number[]): number {
+    let blocks = 0;
+    for (const block of chain) {
+      if (!this.#computed.has(block)) break;
+      blocks++;
+    }
+    return blocks;
+  }
+
+  #addComputed(prompt: string, answer: string): void {
+    const tokens = splitTokens(`${prompt} ${answer}`);
+    for (const block of computeBlockHashes(this.#options.hasher, tokens)) {
+      this.#computed.add(block);
+    }
+  }
+
+  #findEngine(name: string): ScheduledEngine {
+    const engine = this.#engines.get(name);
+    if (engine === undefined) throw new Error(`engine ${name} is unknown`);
+    return engine;
+  }
+}
+
+const noAnswer = {
+  accepted: false,
+  whole: false,
+  firstTokenMs: 0,
+  betweenTokensMs: 0,
+  computedTokens: 0,
+  recomputedTokens: 0,
+  attempts: 0,
+} as const;
+
+function createEndpoint(_: unknown, index: number): Endpoint {
+  return {
+    name: `e${index}`,
+    service: benchService.name,
+    address: `10.0.0.${index}:8000`,
+    host: `h${index}`,
+    zone: `zone-${index % 4}`,
+    machineClass: "a",
+    market: "reclaimable",
+    checksFencing: true,
+  };
+}
+
+/** The first numbers of neighbouring seeds are alike, so they are dropped. */
+function createRandom(seed: number): Random {
+  const random = Random.create(seed);
+  for (let i = 0; i < droppedNumbers; i++) random.next();
+  return random;
+}
+
+function drawBetween(
+  random: Random,
+  [low, high]: readonly [number, number],
+): number {
+  return low + random.nextInt(high - low);
+}
+
+function formatWords(count: number, name: string): string {
+  let words = "";
+  for (let i = 0; i < count; i++) words += ` ${name}w${i}`;
+  return words;
+}
+
+function formatSystemPrompt(number: number): string {
+  const length = drawBetween(createRandom(number + 1), systemTokens);
+  return formatWords(length, `s${number}`);
+}
+
+/** Whether a turn met the service's target. */
+export function isOnTime(turn: TurnRecord): boolean {
+  const { target } = benchService;
+  return turn.whole && turn.firstTokenMs <= target.firstTokenMs &&
+    turn.betweenTokensMs <= target.betweenTokensMs;
+}
+
+/** Value below which the given share of `values` lies. */
+export function computePercentile(
+  values: readonly number[],
+  percentile: number,
+): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const at = Math.ceil(sorted.length * percentile / 100) - 1;
+  return sorted[Math.max(0, at)] ?? 0;
+}
--- a/packages/routing/src/replica_choice.ts
+++ b/packages/routing/src/replica_choice.ts
@@ -51,6 +51,12 @@
   readonly seenTokens: number;
 }
 
+/** Chooses replicas. */
+export interface Chooser {
+  /** Chooses a replica; undefined when none can take work. */
+  choose(request: ChoiceRequest): Choice | undefined;
+}
+
 /** Options of a chooser. */
 export interface ReplicaChooserOptions {
   readonly policy: ChoicePolicy;
@@ -84,7 +90,7 @@
 }
 
 /** Chooses replicas by one policy. */
-export class ReplicaChooser {
+export class ReplicaChooser implements Chooser {
   readonly #options: ReplicaChooserOptions;
   #turn = 0;
 
@@ -96,7 +102,6 @@
     return new ReplicaChooser(options);
   }
 
-  /** Chooses a replica; undefined when none can take work. */
   choose(request: ChoiceRequest): Choice | undefined {
     const replicas = this.#options.directory.find(request.service);
     const match = request.chain.length === 0
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -31,6 +31,7 @@
 import {
   type Choice,
   type ChoicePolicy,
+  type Chooser,
   ReplicaChooser,
 } from "./replica_choice.ts";
 import type {
@@ -70,6 +71,8 @@
   readonly metrics: Metrics;
   readonly log: Log;
   readonly policy?: ChoicePolicy;
+  /** Replaces the choice by `policy`. */
+  readonly chooser?: Chooser;
   readonly limits?: Partial<StreamLimits>;
   readonly prefixes?: PrefixIndex;
   readonly zoneDistanceMs?: (zone: string) => number;
@@ -265,7 +268,7 @@
   const directory = ReplicaDirectory.create(configuration, hasher);
   const prefixes = options.prefixes ?? PrefixIndex.create();
   const policy = options.policy ?? { kind: "predicted" };
-  const chooser = ReplicaChooser.create({
+  const chooser = options.chooser ?? ReplicaChooser.create({
     ...options,
     directory,
     prefixes,
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -21,7 +21,7 @@
 import type { PrefixIndex } from "./prefix_index.ts";
 import type { RefusalKind } from "./refusal.ts";
 import { Refusal } from "./refusal.ts";
-import type { Choice, ReplicaChooser } from "./replica_choice.ts";
+import type { Choice, Chooser } from "./replica_choice.ts";
 import type { RetryPermits } from "./request_limits.ts";
 import { type AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
 import { StreamMigration } from "./stream_migration.ts";
@@ -33,7 +33,7 @@
   readonly engines: (endpoint: Endpoint) => Engine;
   readonly loads: LoadTable;
   readonly prefixes: PrefixIndex;
-  readonly chooser: ReplicaChooser;
+  readonly chooser: Chooser;
   readonly retries: RetryPermits;
   readonly clock: Clock;
   readonly hasher: Hasher;
