--- a/packages/bench/src/choice_time.ts
+++ b/packages/bench/src/choice_time.ts
@@ -117,6 +117,7 @@
       chain,
       inputTokens: chain.length * 16,
       outputTokens: 128,
+      betweenTokensMs: 32,
     });
     if (choice === undefined) throw new Error("no replica");
     const { endpoint, cachedTokens } = choice;
--- a/packages/routing/src/prefix_index.ts
+++ b/packages/routing/src/prefix_index.ts
@@ -3,7 +3,7 @@
  *
  * A set-associative table in typed arrays maps a block's hash to the endpoints
  * it was last sent to; the least recently used block of a full set makes room,
- * so memory is fixed: 37 bytes a block. The node's own sends fill it. Cache
+ * so memory is fixed: 50 bytes a block. The node's own sends fill it. Cache
  * events, which come late and with gaps, only correct blocks it already holds,
  * and a gap forgets the whole endpoint.
  *
@@ -20,6 +20,7 @@
 const ways = 4;
 const holdersPerBlock = 4;
 const followersPerBlock = 2;
+const betweenPerBlock = 3;
 /** Depth up to which every block is kept; beyond it every fourth. */
 const denseDepth = 8;
 const depthStride = 4;
@@ -59,7 +60,12 @@
   readonly #used: Uint32Array;
   readonly #holders: Uint32Array;
   readonly #followers: Uint32Array;
+  /** The blocks right after a kept one, up to the next kept one. */
+  readonly #between: Uint32Array;
+  /** 1 where at least three different blocks follow. */
   readonly #branches: Uint8Array;
+  /** Blocks after a kept one that its followers seen so far share. */
+  readonly #spans: Uint8Array;
   readonly #generations = new Uint16Array(maxEndpoints);
   readonly #names: (string | undefined)[] = [];
   readonly #ids = new Map<string, number>();
@@ -76,7 +82,9 @@
     this.#used = new Uint32Array(slots);
     this.#holders = new Uint32Array(slots * holdersPerBlock);
     this.#followers = new Uint32Array(slots * followersPerBlock);
+    this.#between = new Uint32Array(slots * betweenPerBlock);
     this.#branches = new Uint8Array(slots);
+    this.#spans = new Uint8Array(slots);
   }
 
   static create(maxBlocks: number = defaultMaxBlocks): PrefixIndex {
@@ -87,7 +95,8 @@
   get bytes(): number {
     return this.#keys.byteLength + this.#used.byteLength +
       this.#holders.byteLength + this.#followers.byteLength +
-      this.#branches.byteLength + this.#generations.byteLength;
+      this.#branches.byteLength + this.#spans.byteLength +
+      this.#between.byteLength + this.#generations.byteLength;
   }
 
   /** Finds what is known of a prompt's chain of block hashes. */
@@ -102,7 +111,8 @@
       if (slot === -1) continue;
       if (seenBlocks === 0) seenBlocks = depth;
       if (sharedBlocks === 0 && this.#branches[slot] === 1) {
-        sharedBlocks = depth;
+        const span = this.#spans[slot] ?? 0;
+        sharedBlocks = Math.min(chain.length, depth + span);
       }
       if (holders.length < maxHolders) {
         this.#addHolders(holders, known, slot, depth);
@@ -118,12 +128,17 @@
     this.#tick++;
     const last = computeLastDepth(chain.length);
     let follower = 0;
+    let next = last;
     for (let depth = last; depth > 0; depth = computePreviousDepth(depth)) {
       const block = chain[depth - 1] ?? 0;
       const slot = this.#claimSlot(block);
       this.#addHolder(slot, holder);
-      if (depth < last) this.#addFollower(slot, follower);
+      if (depth < last) {
+        this.#compareSpan(slot, chain, depth, next);
+        this.#addFollower(slot, follower);
+      }
       follower = block;
+      next = depth;
     }
   }
 
@@ -216,6 +231,7 @@
     const followers = slot * followersPerBlock;
     this.#followers.fill(0, followers, followers + followersPerBlock);
     this.#branches[slot] = 0;
+    this.#spans[slot] = 0;
   }
 
   /** Moves a holder to the front of its block; the last one drops out. */
@@ -230,6 +246,34 @@
     }
   }
 
+  /**
+   * Narrows the span that followers of a block share, or notes the first
+   * follower's blocks up to the next kept one.
+   */
+  #compareSpan(
+    slot: number,
+    chain: readonly number[],
+    depth: number,
+    next: number,
+  ): void {
+    const between = this.#between;
+    const start = slot * betweenPerBlock;
+    const blocks = next - depth - 1;
+    if (this.#followers[slot * followersPerBlock] === 0) {
+      for (let i = 0; i < blocks; i++) {
+        between[start + i] = chain[depth + i] ?? 0;
+      }
+      this.#spans[slot] = blocks;
+      return;
+    }
+    const known = Math.min(blocks, this.#spans[slot] ?? 0);
+    let same = 0;
+    while (same < known && between[start + same] === chain[depth + same]) {
+      same++;
+    }
+    this.#spans[slot] = same;
+  }
+
   #addFollower(slot: number, follower: number): void {
     const start = slot * followersPerBlock;
     for (let i = start; i < start + followersPerBlock; i++) {
--- a/packages/routing/src/prefix_index_test.ts
+++ b/packages/routing/src/prefix_index_test.ts
@@ -26,6 +26,16 @@
   assert.is(index.find([7], 4).sharedBlocks, 0);
 });
 
+test("the end of a shared prefix is exact between kept blocks", () => {
+  const shared = Array.from({ length: 27 }, (_, i) => i + 1);
+  const index = PrefixIndex.create(1_024);
+  for (const own of [100, 200, 300]) {
+    const chain = [...shared, own, own + 1, own + 2, own + 3, own + 4];
+    index.recordSend(chain, "a");
+  }
+  assert.is(index.find([...shared, 400, 401], 4).sharedBlocks, 27);
+});
+
 test("events correct known blocks, and a gap forgets the endpoint", () => {
   const index = PrefixIndex.create(1_024);
   index.recordSend([1, 2], "a");
--- a/packages/routing/src/replica_choice.ts
+++ b/packages/routing/src/replica_choice.ts
@@ -34,6 +34,8 @@
   readonly inputTokens: number;
   /** Output tokens still to come. */
   readonly outputTokens: number;
+  /** Target between output tokens, in milliseconds. */
+  readonly betweenTokensMs: number;
   /** Endpoints not to be chosen. */
   readonly excluded?: ReadonlySet<string>;
 }
@@ -75,7 +77,11 @@
 /** Fleets up to this size are looked at whole. */
 const smallFleet = 16;
 /** Share of a conversation's blocks expected at its home without knowing. */
-const homeCachedShare = 0.5;
+const homeCachedShare = 0.8;
+/** Share of the target between tokens up to which decoding costs nothing. */
+const easyPaceShare = 0.6;
+/** Weight of prefill beside the request's own wait: it delays other requests. */
+const recomputeWeight = 1;
 /** Mean time between reclaims of a reclaimable host, in milliseconds. */
 const reclaimIntervalMs = 6 * 3_600_000;
 /** The same in a zone where hosts are being reclaimed. */
@@ -271,16 +277,26 @@
       load.computePrefillMs(uncached);
   }
 
+  /**
+   * Time the choice costs. Decoding counts only as far as its pace comes near
+   * the target: below, a replica that holds the prefix is worth more than one
+   * that decodes a little faster.
+   */
   #computeCost(candidate: Candidate, request: ChoiceRequest): number {
-    const { load } = candidate;
+    const { load, cachedTokens } = candidate;
+    const { inputTokens, outputTokens } = request;
     const now = this.#options.clock.now();
-    const firstTokenMs = this.#computeFirstTokenMs(
-      candidate,
-      request.inputTokens,
-    );
-    const decodeMs = request.outputTokens * load.computeBetweenTokensMs(now);
-    const totalMs = firstTokenMs + decodeMs;
-    return totalMs + this.#computeReclaimMs(candidate, request, totalMs);
+    const firstTokenMs = this.#computeFirstTokenMs(candidate, inputTokens);
+    const betweenMs = load.computeBetweenTokensMs(now);
+    const slowMs = betweenMs - easyPaceShare * request.betweenTokensMs;
+    const uncached = Math.max(0, inputTokens - cachedTokens);
+    return firstTokenMs + recomputeWeight * load.computePrefillMs(uncached) +
+      outputTokens * Math.max(0, slowMs) +
+      this.#computeReclaimMs(
+        candidate,
+        request,
+        firstTokenMs + outputTokens * betweenMs,
+      );
   }
 
   /** Expected time lost by a reclaim during the request. */
--- a/packages/routing/src/replica_choice_test.ts
+++ b/packages/routing/src/replica_choice_test.ts
@@ -45,6 +45,7 @@
     chain,
     inputTokens: chain.length * 16 + 8,
     outputTokens: 64,
+    betweenTokensMs: 32,
     ...(excluded === undefined ? {} : { excluded }),
   };
 }
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -217,6 +217,7 @@
       chain: input.chain,
       inputTokens: input.promptTokens.length,
       outputTokens: Math.min(request.maxTokens, loads.meanOutputTokens),
+      betweenTokensMs: request.service.target.betweenTokensMs,
     });
     metrics.recordDuration("choice_seconds", clock.now() - startedAt);
     if (choice === undefined) {
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -343,6 +343,7 @@
       chain: this.#computeChain(),
       inputTokens: this.stream.inputTokens,
       outputTokens: request.maxTokens - log.tokens.length,
+      betweenTokensMs: request.service.target.betweenTokensMs,
     };
     const choice = chooser.choose({ ...asked, excluded });
     if (choice !== undefined || this.#failed.size === 0) return choice;
