Tell the router where a conversation's opening ends

The front knows it, so all nodes agree on a conversation's home without having learned which prefixes are shared.

--- a/packages/bench/src/policy_bench.ts
+++ b/packages/bench/src/policy_bench.ts
@@ -55,6 +55,8 @@
   readonly warmUpMs: number;
   /** Priorities of the teams, one drawn for each conversation. */
   readonly priorities: readonly number[];
+  /** Whether requests tell where their conversation's opening ends. */
+  readonly tellsOpening: boolean;
 }
 
 /** Outcome of one turn. */
@@ -76,6 +78,7 @@
 const reportAgeMs = 300;
 const systemPrompts = 6;
 const systemTokens = [400, 800] as const;
+const lateCost = 1e9;
 const droppedNumbers = 64;
 const questionTokens = [30, 150] as const;
 const maxOutputTokens = 256;
@@ -183,7 +186,10 @@
     }));
   }
 
-  /** The cost of the product's policy, with all caches and loads known. */
+  /**
+   * Most cached tokens among the replicas that would send the first token in
+   * half of the target, with all caches and loads known.
+   */
   #chooseByOracle(
     request: ChoiceRequest,
     endpoints: readonly Endpoint[],
@@ -202,8 +208,11 @@
       const slotMs = Math.max(0, ahead) * 128 * betweenMs / load.slots;
       const waitMs = Math.max(load.queuedTokens * perToken, slotMs);
       const firstTokenMs = waitMs + prefillMs;
-      const slowMs = Math.max(0, betweenMs - 0.6 * request.betweenTokensMs);
-      const cost = firstTokenMs + prefillMs + slowMs * request.outputTokens;
+      const late = firstTokenMs > benchService.target.firstTokenMs / 2;
+      // Load decides only between replicas that hold equally much.
+      const cost = late
+        ? lateCost + firstTokenMs
+        : -cachedTokens + load.running / load.slots;
       if (cost >= least) continue;
       least = cost;
       const totalMs = firstTokenMs + request.outputTokens * betweenMs;
@@ -242,10 +251,12 @@
     const team = random.choose(this.#teams);
     let prompt = formatSystemPrompt(random.nextInt(systemPrompts));
     const turns = 1 + Math.floor(random.nextExponential(meanTurns - 1));
+    let opening = 0;
     for (let turn = 0; turn < turns && !this.#ended; turn++) {
       const question = drawBetween(random, questionTokens);
       prompt += formatWords(question, `c${number}t${turn}`);
-      const answer = await this.#ask(prompt, team, random);
+      if (turn === 0) opening = prompt.length;
+      const answer = await this.#ask(prompt, { team, random, opening });
       if (answer === undefined) return;
       prompt += ` ${answer}`;
       await this.#clock.sleep(random.nextExponential(thinkMs));
@@ -255,8 +266,11 @@
   /** Sends one turn; undefined unless the whole answer came. */
   async #ask(
     prompt: string,
-    team: Team,
-    random: Random,
+    { team, random, opening }: {
+      readonly team: Team;
+      readonly random: Random;
+      readonly opening: number;
+    },
   ): Promise<string | undefined> {
     const at = this.#clock.now();
     const chain = computeBlockHashes(this.#options.hasher, splitTokens(prompt));
@@ -265,6 +279,7 @@
       team,
       service: benchService,
       prompt,
+      conversationStart: this.#options.tellsOpening ? opening : 0,
       maxTokens: maxOutputTokens,
       deadline: at + benchService.timeoutMs,
     });
--- a/packages/bench/src/recompute.ts
+++ b/packages/bench/src/recompute.ts
@@ -1,9 +1,10 @@
 /**
  * Measures recomputed tokens and on-time share by policy over one mix.
  *
- * Usage: node --import tsx packages/bench/src/recompute.ts [SEEDS] [RATE]
+ * Usage: node --import tsx packages/bench/src/recompute.ts [SEEDS] [RATE] [untold]
  *
- * SEEDS is a comma-separated list, RATE new conversations a second. Runs in
+ * SEEDS is a comma-separated list, RATE new conversations a second; with
+ * "untold" requests do not tell where their conversation's opening ends. Runs in
  * virtual time: 9 nodes, 8 stand-in engines, loads that reach the nodes late.
  */
 
@@ -78,6 +79,7 @@
       durationMs: 90_000,
       warmUpMs: 30_000,
       priorities: [0],
+      tellsOpening: process.argv[4] !== "untold",
     });
     const accepted = turns.filter((turn) => turn.accepted);
     recomputed.set(
--- a/packages/node/src/chat_front.ts
+++ b/packages/node/src/chat_front.ts
@@ -138,6 +138,7 @@
       service,
       ...(adapter === undefined ? {} : { adapter }),
       prompt: chat.prompt,
+      conversationStart: chat.conversationStart,
       maxTokens: Math.min(
         chat.maxTokens ?? service.maxOutputTokens,
         service.maxOutputTokens,
--- a/packages/node/src/chat_protocol.ts
+++ b/packages/node/src/chat_protocol.ts
@@ -32,6 +32,8 @@
   /** Name of a service, or `SERVICE:ADAPTER`. */
   readonly model: string;
   readonly prompt: string;
+  /** Length of the prompt up to the end of the first user message. */
+  readonly conversationStart: number;
   readonly maxTokens: number | undefined;
   readonly stream: boolean;
   readonly includeUsage: boolean;
@@ -44,7 +46,7 @@
   const { data } = parsed;
   return Right({
     model: data.model,
-    prompt: formatPrompt(data.messages),
+    ...formatPrompt(data.messages),
     maxTokens: data.max_completion_tokens ?? data.max_tokens ?? undefined,
     stream: data.stream ?? false,
     includeUsage: data.stream_options?.include_usage ?? false,
@@ -60,14 +62,19 @@
 
 function formatPrompt(
   messages: z.output<typeof requestSchema>["messages"],
-): string {
+): Pick<ChatRequest, "prompt" | "conversationStart"> {
   const lines = messages.map(({ role, content }) => {
     const text = typeof content === "string"
       ? content
       : content.map((part) => part.text).join("");
     return `<${role}> ${text}`;
   });
-  return `${lines.join("\n")}\n<assistant>`;
+  const first = messages.findIndex(({ role }) => role === "user");
+  const start = lines.slice(0, first + 1).join("\n");
+  return {
+    prompt: `${lines.join("\n")}\n<assistant>`,
+    conversationStart: start.length,
+  };
 }
 
 /** What all parts of one answer have in common. */
--- a/packages/routing/src/model_router.ts
+++ b/packages/routing/src/model_router.ts
@@ -12,6 +12,11 @@
   readonly service: ModelService;
   readonly adapter?: string;
   readonly prompt: string;
+  /**
+   * Length in characters of the part of the prompt with which every later turn
+   * of the conversation begins; left out when it is not known.
+   */
+  readonly conversationStart?: number;
   readonly maxTokens: number;
   /** Monotonic time by which the whole answer is due, in milliseconds. */
   readonly deadline: number;
--- a/packages/routing/src/replica_choice.ts
+++ b/packages/routing/src/replica_choice.ts
@@ -26,11 +26,20 @@
   | { readonly kind: "least_load" }
   | { readonly kind: "predicted" };
 
+/** The beginning that all turns of a conversation share. */
+export interface ConversationOpening {
+  /** Hash of its text. */
+  readonly key: number;
+  /** Full blocks it covers. */
+  readonly blocks: number;
+}
+
 /** What a choice is made for. */
 export interface ChoiceRequest {
   readonly service: string;
   /** Chain of block hashes of the input. */
   readonly chain: readonly number[];
+  readonly opening?: ConversationOpening | undefined;
   readonly inputTokens: number;
   /** Output tokens still to come. */
   readonly outputTokens: number;
@@ -224,7 +233,9 @@
 
   /**
    * Adds the replicas to which other nodes would send this conversation, unless
-   * this node knows where it is cached.
+   * this node knows where it is cached. All turns have the same home: it follows
+   * from their common opening, or where that is not told, from the first block
+   * that is not shared with other conversations.
    */
   #addHomes(
     candidates: Candidate[],
@@ -232,11 +243,13 @@
     replicas: ServiceReplicas,
     match: PrefixMatch,
   ): void {
-    const { chain } = request;
+    const { chain, opening } = request;
     const { sharedBlocks } = match;
-    const key = chain[Math.min(sharedBlocks, chain.length - 1)];
+    const key = opening?.key ??
+      chain[Math.min(sharedBlocks, chain.length - 1)];
     if (key === undefined) return;
-    if ((match.holders[0]?.blocks ?? 0) > sharedBlocks) return;
+    const knownBlocks = match.holders[0]?.blocks ?? 0;
+    if (knownBlocks > (opening?.blocks ?? sharedBlocks)) return;
     const own = chain.length - sharedBlocks;
     const blocks = sharedBlocks + Math.floor(own * homeCachedShare);
     const homes = replicas.findHomes(key, homeCandidates);
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -205,7 +205,7 @@
   }
 
   #admit(request: ModelRequest): Either<Refusal, ModelStream> {
-    const input = computeInput(this.#options.hasher, request.prompt);
+    const input = computeInput(this.#options.hasher, request);
     const cost = input.promptTokens.length + request.maxTokens;
     return this.#options.limiter.admit(request.team, cost).chain((lease) => {
       const choice = this.#choose(request, input);
@@ -232,6 +232,7 @@
     const choice = this.#services.chooser.choose({
       service: request.service.name,
       chain: input.chain,
+      opening: input.opening,
       inputTokens: input.promptTokens.length,
       outputTokens: Math.min(request.maxTokens, loads.meanOutputTokens),
       betweenTokensMs: request.service.target.betweenTokensMs,
@@ -275,7 +276,7 @@
     if (this.#draining) {
       return refuse("draining", drainingRetryMs, "the node is leaving");
     }
-    const input = computeInput(this.#options.hasher, opening.request.prompt);
+    const input = computeInput(this.#options.hasher, opening.request);
     const lease: LimitLease = { release: () => {} };
     return Right(this.#start({ ...opening, input, lease, choice: undefined }));
   }
--- a/packages/routing/src/routed_stream.ts
+++ b/packages/routing/src/routed_stream.ts
@@ -5,10 +5,12 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Hasher } from "@almondcrank/common/hashing.ts";
 import {
+  blockTokens,
   computeBlockHashes,
   splitTokens,
 } from "@almondcrank/endpoint/tokens.ts";
 import type { ModelRequest, ModelStream, StreamEvent } from "./model_router.ts";
+import type { ConversationOpening } from "./replica_choice.ts";
 import { StreamLog } from "./stream_log.ts";
 import type { StreamLimits } from "./stream_limits.ts";
 import { UsageCounter } from "./stream_usage.ts";
@@ -31,6 +33,8 @@
 export interface StreamInput {
   readonly promptTokens: readonly string[];
   readonly chain: readonly number[];
+  /** Hash and full blocks of the beginning that all turns share, if known. */
+  readonly opening: ConversationOpening | undefined;
 }
 
 /** Options of a stream. */
@@ -63,9 +67,34 @@
 }
 
 /** Cuts a prompt into tokens and hashes its blocks. */
-export function computeInput(hasher: Hasher, prompt: string): StreamInput {
-  const promptTokens = splitTokens(prompt);
-  return { promptTokens, chain: computeBlockHashes(hasher, promptTokens) };
+export function computeInput(
+  hasher: Hasher,
+  request: Pick<ModelRequest, "prompt" | "conversationStart">,
+): StreamInput {
+  const promptTokens = splitTokens(request.prompt);
+  const chain = computeBlockHashes(hasher, promptTokens);
+  const opening = computeOpening(hasher, request, promptTokens);
+  return { promptTokens, chain, opening };
+}
+
+function computeOpening(
+  hasher: Hasher,
+  { prompt, conversationStart = 0 }: Pick<
+    ModelRequest,
+    "prompt" | "conversationStart"
+  >,
+  promptTokens: readonly string[],
+): ConversationOpening | undefined {
+  if (conversationStart === 0) return undefined;
+  const key = hasher.hash32(prompt.slice(0, conversationStart));
+  let length = 0;
+  let tokens = 0;
+  for (const token of promptTokens) {
+    length += token.length;
+    if (length > conversationStart) break;
+    tokens++;
+  }
+  return { key, blocks: Math.floor(tokens / blockTokens) };
 }
 
 /** Stream owned by this node. */
@@ -74,6 +103,7 @@
   readonly request: ModelRequest;
   readonly promptTokens: readonly string[];
   readonly chain: readonly number[];
+  readonly opening: ConversationOpening | undefined;
   readonly log: StreamLog;
   readonly usage: UsageCounter;
   readonly #options: RoutedStreamOptions;
@@ -87,6 +117,7 @@
     this.request = options.request;
     this.promptTokens = input.promptTokens;
     this.chain = input.chain;
+    this.opening = input.opening;
     this.log = StreamLog.create(past.tokens, options.limits.maxUnreadTokens);
     this.usage = UsageCounter.create(input.promptTokens.length, past);
   }
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -341,6 +341,7 @@
     const asked = {
       service: request.service.name,
       chain: this.#computeChain(),
+      opening: this.stream.opening,
       inputTokens: this.stream.inputTokens,
       outputTokens: request.maxTokens - log.tokens.length,
       betweenTokensMs: request.service.target.betweenTokensMs,
