--- a/packages/routing/src/replica_choice.ts
+++ b/packages/routing/src/replica_choice.ts
@@ -26,14 +26,25 @@
   | { readonly kind: "least_load" }
   | { readonly kind: "predicted" };
 
+/** The beginning that all turns of a conversation share. */
+export interface ConversationOpening {
+  /** Hash of its text. */
+  readonly key: number;
+  /** Full blocks it covers. */
+  readonly blocks: number;
+}
+
 /** What a choice is made for. */
 export interface ChoiceRequest {
   readonly service: string;
   /** Chain of block hashes of the input. */
   readonly chain: readonly number[];
+  readonly opening?: ConversationOpening | undefined;
   readonly inputTokens: number;
   /** Output tokens still to come. */
   readonly outputTokens: number;
+  /** Target between output tokens, in milliseconds. */
+  readonly betweenTokensMs: number;
   /** Endpoints not to be chosen. */
   readonly excluded?: ReadonlySet<string>;
 }
@@ -51,6 +62,12 @@
   readonly seenTokens: number;
 }
 
+/** Chooses replicas. */
+export interface Chooser {
+  /** Chooses a replica; undefined when none can take work. */
+  choose(request: ChoiceRequest): Choice | undefined;
+}
+
 /** Options of a chooser. */
 export interface ReplicaChooserOptions {
   readonly policy: ChoicePolicy;
@@ -69,7 +86,11 @@
 /** Fleets up to this size are looked at whole. */
 const smallFleet = 16;
 /** Share of a conversation's blocks expected at its home without knowing. */
-const homeCachedShare = 0.5;
+const homeCachedShare = 0.8;
+/** Share of the target between tokens up to which decoding costs nothing. */
+const easyPaceShare = 0.6;
+/** Weight of prefill beside the request's own wait: it delays other requests. */
+const recomputeWeight = 1;
 /** Mean time between reclaims of a reclaimable host, in milliseconds. */
 const reclaimIntervalMs = 6 * 3_600_000;
 /** The same in a zone where hosts are being reclaimed. */
@@ -84,7 +105,7 @@
 }
 
 /** Chooses replicas by one policy. */
-export class ReplicaChooser {
+export class ReplicaChooser implements Chooser {
   readonly #options: ReplicaChooserOptions;
   #turn = 0;
 
@@ -96,7 +117,6 @@
     return new ReplicaChooser(options);
   }
 
-  /** Chooses a replica; undefined when none can take work. */
   choose(request: ChoiceRequest): Choice | undefined {
     const replicas = this.#options.directory.find(request.service);
     const match = request.chain.length === 0
@@ -213,7 +233,9 @@
 
   /**
    * Adds the replicas to which other nodes would send this conversation, unless
-   * this node knows where it is cached.
+   * this node knows where it is cached. All turns have the same home: it follows
+   * from their common opening, or where that is not told, from the first block
+   * that is not shared with other conversations.
    */
   #addHomes(
     candidates: Candidate[],
@@ -221,11 +243,13 @@
     replicas: ServiceReplicas,
     match: PrefixMatch,
   ): void {
-    const { chain } = request;
+    const { chain, opening } = request;
     const { sharedBlocks } = match;
-    const key = chain[Math.min(sharedBlocks, chain.length - 1)];
+    const key = opening?.key ??
+      chain[Math.min(sharedBlocks, chain.length - 1)];
     if (key === undefined) return;
-    if ((match.holders[0]?.blocks ?? 0) > sharedBlocks) return;
+    const knownBlocks = match.holders[0]?.blocks ?? 0;
+    if (knownBlocks > (opening?.blocks ?? sharedBlocks)) return;
     const own = chain.length - sharedBlocks;
     const blocks = sharedBlocks + Math.floor(own * homeCachedShare);
     const homes = replicas.findHomes(key, homeCandidates);
@@ -266,16 +290,26 @@
       load.computePrefillMs(uncached);
   }
 
+  /**
+   * Time the choice costs. Decoding counts only as far as its pace comes near
+   * the target: below, a replica that holds the prefix is worth more than one
+   * that decodes a little faster.
+   */
   #computeCost(candidate: Candidate, request: ChoiceRequest): number {
-    const { load } = candidate;
+    const { load, cachedTokens } = candidate;
+    const { inputTokens, outputTokens } = request;
     const now = this.#options.clock.now();
-    const firstTokenMs = this.#computeFirstTokenMs(
-      candidate,
-      request.inputTokens,
-    );
-    const decodeMs = request.outputTokens * load.computeBetweenTokensMs(now);
-    const totalMs = firstTokenMs + decodeMs;
-    return totalMs + this.#computeReclaimMs(candidate, request, totalMs);
+    const firstTokenMs = this.#computeFirstTokenMs(candidate, inputTokens);
+    const betweenMs = load.computeBetweenTokensMs(now);
+    const slowMs = betweenMs - easyPaceShare * request.betweenTokensMs;
+    const uncached = Math.max(0, inputTokens - cachedTokens);
+    return firstTokenMs + recomputeWeight * load.computePrefillMs(uncached) +
+      outputTokens * Math.max(0, slowMs) +
+      this.#computeReclaimMs(
+        candidate,
+        request,
+        firstTokenMs + outputTokens * betweenMs,
+      );
   }
 
   /** Expected time lost by a reclaim during the request. */
