--- a/packages/routing/src/key_format.ts
+++ b/packages/routing/src/key_format.ts
@@ -14,7 +14,7 @@
 const issuedPrefix = "ack1";
 const randomLength = 12;
 const macLength = 16;
-const maxCallerKeyLength = 255;
+const maxCallerKeyLength = 512;
 const printablePattern = /^[\x21-\x7e]+$/;
 
 /** A caller's key, told apart by its form. */
--- a/packages/routing/src/key_peers.ts
+++ b/packages/routing/src/key_peers.ts
@@ -71,13 +71,31 @@
     retryAfterMs: z.number().optional(),
     message: z.string(),
   }).readonly(),
-  /** The process asked is not the owner: it was restarted. */
+  /** The process asked is not the owner and was handed no outcome of the key. */
   z.object({ kind: z.literal("not_owner") }).readonly(),
 ]);
 
 /** The owner's answer to a forwarded call. */
 export type ForwardedOutcome = z.infer<typeof forwardedOutcomeSchema>;
 
+/** Outcomes that a leaving owner hands to an heir, newest first. */
+export const keyBatchSchema = z.object({
+  owner: z.object({ node: z.string(), incarnation: z.string() }).readonly(),
+  outcomes: z.array(
+    z.object({
+      id: z.string(),
+      fingerprint: z.string(),
+      outcome: forwardedOutcomeSchema,
+    }).readonly(),
+  ).readonly(),
+}).readonly();
+
+/** Outcomes that a leaving owner hands to an heir, newest first. */
+export type KeyBatch = z.infer<typeof keyBatchSchema>;
+
+/** The outcome of one key in a batch. */
+export type HandedOutcome = KeyBatch["outcomes"][number];
+
 export type KeyPeerErrorDetail =
   /** No such process is known any more. */
   | { readonly kind: "unknown_peer"; readonly node: string }
@@ -114,4 +132,9 @@
     call: ForwardedCall,
     signal: AbortSignal,
   ): Promise<Either<KeyPeerError, ForwardedOutcome>>;
+  /** Hands outcomes to an heir, within a second or so. */
+  handOver(
+    heir: KeyOwner,
+    batch: KeyBatch,
+  ): Promise<Either<KeyPeerError, void>>;
 }
--- a/packages/routing/src/key_refusals.ts
+++ b/packages/routing/src/key_refusals.ts
@@ -32,6 +32,17 @@
   });
 }
 
+/** The owner of the key is leaving and will not begin the call any more. */
+export function createLeavingOwnerRefusal(): Refusal {
+  return Refusal.create({
+    kind: "draining",
+    run: "not_run",
+    retryAfterMs: undefined,
+    message:
+      "the node that owns the key is leaving and nothing will run under the key; take a new one",
+  });
+}
+
 /** The table of keys is full. */
 export function createFullRefusal(): Refusal {
   return Refusal.create({
--- a/packages/routing/src/key_wire.ts
+++ b/packages/routing/src/key_wire.ts
@@ -2,6 +2,7 @@
  * Conversions between calls, outcomes and their form between nodes.
  */
 
+import { createHash } from "node:crypto";
 import { Buffer } from "node:buffer";
 import { type Either, Left, Right } from "purify-ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
@@ -10,10 +11,16 @@
   ForwardedOutcome,
   KeyBinding,
 } from "./key_peers.ts";
-import { createLostOwnerRefusal } from "./key_refusals.ts";
+import type { KeyOutcome } from "./key_records.ts";
+import {
+  createDroppedRefusal,
+  createLostOwnerRefusal,
+} from "./key_refusals.ts";
 import type { PlainRequest } from "./plain_router.ts";
 import { Refusal } from "./refusal.ts";
 
+const fingerprintLength = 32;
+
 /** A call that carries a key. */
 export interface KeyedRequest extends PlainRequest {
   readonly key: string;
@@ -58,6 +65,28 @@
   });
 }
 
+/** Encodes the outcome of a key. */
+export function encodeKeyOutcome(outcome: KeyOutcome): ForwardedOutcome {
+  switch (outcome.kind) {
+    case "answered":
+      return encodeOutcome(Right(outcome.answer));
+    case "dropped":
+      return encodeOutcome(Left(createDroppedRefusal()));
+    case "refused":
+      return encodeOutcome(Left(outcome.refusal));
+  }
+}
+
+/** Computes a hash over all of a request that a repeat must have in common. */
+export function computeFingerprint(request: KeyedRequest): string {
+  const { service, method, path, contentType, team } = request;
+  const hash = createHash("sha256");
+  const head = [team.name, service.name, method, path, contentType ?? null];
+  hash.update(JSON.stringify(head));
+  hash.update(request.body);
+  return hash.digest("base64url").slice(0, fingerprintLength);
+}
+
 /** Decodes the owner's answer. */
 export function decodeOutcome(
   outcome: ForwardedOutcome,
--- a/packages/routing/src/keyed_calls.ts
+++ b/packages/routing/src/keyed_calls.ts
@@ -15,7 +15,8 @@
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
 import type { KeyClaims } from "./key_claims.ts";
 import type { KeyFormat } from "./key_format.ts";
-import type { KeyBinding, KeyOwner, KeyPeers } from "./key_peers.ts";
+import type { KeyForwarding } from "./key_forwarding.ts";
+import type { KeyBinding, KeyOwner } from "./key_peers.ts";
 import type { KeyOutcome, KeyRecord, KeyRecords } from "./key_records.ts";
 import {
   createBadKeyRefusal,
@@ -24,19 +25,19 @@
   createExpiredRefusal,
   createFinalRefusal,
   createFullRefusal,
+  createLeavingOwnerRefusal,
   createLostOwnerRefusal,
   createWithRun,
 } from "./key_refusals.ts";
-import { decodeOutcome, encodeCall, type KeyedRequest } from "./key_wire.ts";
+import { computeFingerprint, type KeyedRequest } from "./key_wire.ts";
 import type { Admission, Limiter } from "./limiter.ts";
 import {
   createDeadlineRefusal,
   createDrainingRefusal,
 } from "./plain_refusals.ts";
 import type { Refusal } from "./refusal.ts";
+import { waitUntilDue } from "./wait_until_due.ts";
 
-const maxForwards = 3;
-const forwardPauseMs = 50;
 const idLength = 32;
 
 type CallResult = Either<Refusal, PlainAnswer>;
@@ -49,7 +50,7 @@
   readonly format: KeyFormat;
   readonly claims: KeyClaims;
   readonly records: KeyRecords;
-  readonly peers: KeyPeers;
+  readonly forwarding: KeyForwarding;
   readonly limiter: Limiter;
   /** Time for which a key may be used after it was bound. */
   readonly lifetimeMs: number;
@@ -134,10 +135,9 @@
     if (obstacle !== undefined) {
       return this.#callRead(id, { request, obstacle, signal });
     }
-    const claimed = await this.#waitUntilDue(
+    const claimed = await waitUntilDue(
       this.#options.claims.claim(id, request.deadline),
-      request,
-      signal,
+      { clock: this.#options.clock, deadline: request.deadline, signal },
     );
     if (claimed === undefined) {
       return Left(createLostOwnerRefusal("the claim of the key took too long"));
@@ -157,10 +157,9 @@
       readonly signal: AbortSignal;
     },
   ): Promise<CallResult> {
-    const found = await this.#waitUntilDue(
+    const found = await waitUntilDue(
       this.#options.claims.find(id),
-      request,
-      signal,
+      { clock: this.#options.clock, deadline: request.deadline, signal },
     );
     if (found === undefined || found.isLeft()) {
       return Left(createWithRun(obstacle, "unknown"));
@@ -176,48 +175,11 @@
     signal: AbortSignal,
   ): Promise<CallResult> {
     const { identity } = this.#options;
-    if (binding.node !== identity.node) {
-      return this.#forward(binding, request, signal);
-    }
-    if (binding.incarnation !== identity.incarnation) {
-      const reason = "the node that owns the key was restarted";
-      return Promise.resolve(Left(createLostOwnerRefusal(reason)));
-    }
-    return this.callOwned(binding, request, signal);
-  }
-
-  async #forward(
-    binding: KeyBinding,
-    request: KeyedRequest,
-    signal: AbortSignal,
-  ): Promise<CallResult> {
-    const { clock, metrics, peers } = this.#options;
-    let reason = "its time was over before its owner was asked";
-    for (let tries = 0; tries < maxForwards; tries++) {
-      if (tries > 0) await clock.sleep(forwardPauseMs, signal);
-      const remainingMs = request.deadline - clock.now();
-      if (remainingMs <= 0 || signal.aborted) break;
-      metrics.count("key_forwards_total");
-      const call = encodeCall(request, binding, remainingMs);
-      const stop = new AbortController();
-      const answer = await this.#waitUntilDue(
-        peers.forward(binding, call, stop.signal),
-        request,
-        signal,
-      );
-      stop.abort();
-      if (answer === undefined) {
-        reason =
-          `node ${binding.node} that owns the key did not answer in time`;
-        break;
-      }
-      if (answer.isRight()) return decodeOutcome(answer.unsafeCoerce());
-      const error = answer.swap().unsafeCoerce();
-      metrics.count("key_forwards_failed_total", { reason: error.kind });
-      reason = error.message;
-      if (error.kind === "unknown_peer") break;
-    }
-    return Left(createLostOwnerRefusal(reason));
+    const isOwner = binding.node === identity.node &&
+      binding.incarnation === identity.incarnation;
+    return isOwner
+      ? this.callOwned(binding, request, signal)
+      : this.#options.forwarding.call(binding, request, signal);
   }
 
   /** Runs a key's call to its end, also when its callers have gone. */
@@ -256,7 +218,11 @@
       return Left(createBadKeyRefusal("it was used with another request"));
     }
     const outcome = record.outcome ??
-      await this.#waitUntilDue(record.wait(), request, signal);
+      await waitUntilDue(record.wait(), {
+        clock: this.#options.clock,
+        deadline: request.deadline,
+        signal,
+      });
     if (outcome === undefined) {
       const reason = "it has not ended; send it again with the same key";
       return Left(createLostOwnerRefusal(reason));
@@ -280,7 +246,7 @@
     if (now - binding.boundAtMs > this.#options.lifetimeMs) {
       return createExpiredRefusal();
     }
-    if (this.#state === "closed") return createDrainingRefusal();
+    if (this.#state === "closed") return createLeavingOwnerRefusal();
     return now >= request.deadline
       ? createDeadlineRefusal("not_run")
       : undefined;
@@ -292,27 +258,6 @@
     const admitted = this.#options.limiter.check(request.team, 1);
     return admitted.isLeft() ? admitted.extract() as Refusal : undefined;
   }
-
-  /** Waits for `pending`; undefined when the call's time is over first. */
-  async #waitUntilDue<T>(
-    pending: Promise<T>,
-    request: KeyedRequest,
-    signal: AbortSignal,
-  ): Promise<T | undefined> {
-    const ended = new AbortController();
-    const stop = (): void => ended.abort();
-    signal.addEventListener("abort", stop, { once: true });
-    if (signal.aborted) stop();
-    const remainingMs = request.deadline - this.#options.clock.now();
-    const due = this.#options.clock.sleep(remainingMs, ended.signal)
-      .then(() => undefined);
-    try {
-      return await Promise.race([pending, due]);
-    } finally {
-      signal.removeEventListener("abort", stop);
-      stop();
-    }
-  }
 }
 
 /** Computes the id of a key made by a caller, apart for each team. */
@@ -321,12 +266,3 @@
   hash.update(JSON.stringify([request.team.name, request.key]));
   return hash.digest("hex").slice(0, idLength);
 }
-
-function computeFingerprint(request: KeyedRequest): string {
-  const { service, method, path, contentType, team } = request;
-  const hash = createHash("sha256");
-  const head = [team.name, service.name, method, path, contentType ?? null];
-  hash.update(JSON.stringify(head));
-  hash.update(request.body);
-  return hash.digest("base64url").slice(0, idLength);
-}
--- a/packages/routing/src/keyed_calls_property_test.ts
+++ b/packages/routing/src/keyed_calls_property_test.ts
@@ -4,10 +4,11 @@
 import fc from "fast-check";
 import {
   bookingService,
+  counterTeam,
   type EndpointFault,
   FakeWorld,
   type StoreFault,
-} from "./fake_calls_world.ts";
+} from "./testing/fake_calls_world.ts";
 
 const nodes = 3;
 const histories = 300;
@@ -18,7 +19,10 @@
   | { readonly kind: "wait"; readonly ms: number }
   | { readonly kind: "endpoint"; readonly fault: EndpointFault }
   | { readonly kind: "store"; readonly fault: StoreFault }
-  | { readonly kind: "freeze" | "thaw" | "restart"; readonly node: number }
+  | {
+    readonly kind: "freeze" | "thaw" | "leave" | "restart";
+    readonly node: number;
+  }
   | {
     readonly kind: "cut_requests" | "cut_answers";
     readonly from: number;
@@ -76,6 +80,7 @@
       kind: fc.constantFrom(
         "freeze" as const,
         "thaw" as const,
+        "leave" as const,
         "restart" as const,
       ),
       node: nodeNumber,
@@ -151,6 +156,9 @@
         return world.node(step.node).gate.set("frozen");
       case "thaw":
         return this.#thaw(step.node);
+      case "leave":
+        void world.node(step.node).calls.close();
+        return;
       case "restart":
         return world.restart(step.node);
       case "cut_requests":
@@ -173,7 +181,10 @@
     const { world } = this;
     let key = this.#keys.get(number);
     if (key === undefined) {
-      key = number % 2 === 0 ? world.issueKey(at) : `order-${number}`;
+      const issued = world.node(at).calls.issueKey(counterTeam);
+      const made = `order-${number}`;
+      // A leaving node issues no key.
+      key = number % 2 === 0 ? issued.orDefault(made) : made;
       this.#keys.set(number, key);
     }
     const sent = key;
--- a/packages/routing/src/keyed_calls_test.ts
+++ b/packages/routing/src/keyed_calls_test.ts
@@ -3,7 +3,7 @@
 import { Buffer } from "node:buffer";
 import type { Either } from "purify-ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
-import { FakeWorld, garageTeam } from "./fake_calls_world.ts";
+import { FakeWorld, garageTeam } from "./testing/fake_calls_world.ts";
 import type { Refusal } from "./refusal.ts";
 
 type Result = Either<Refusal, PlainAnswer>;
@@ -340,6 +340,25 @@
   assert.is(world.readRuns("walk-in"), 1);
 });
 
+for (const kind of ["issued", "caller-made"] as const) {
+  test(`${kind}: outcomes of a node that left are known to its peers`, async () => {
+    const world = await FakeWorld.open({ nodes: 4 });
+    const key = kind === "issued" ? world.issueKey(0) : "order-8";
+    await settle(world, world.book(0, key));
+    await world.node(0).calls.close();
+    world.kill(0);
+    for (const node of [1, 2, 3]) {
+      const repeat = await settle(world, world.book(node, key));
+      assert.is(repeat, `201 booked ${key}`);
+      const other = world.book(node, key, { body: "another bay" });
+      assert.is(await settle(world, other), "bad_key/not_run");
+    }
+    world.restart(0);
+    assert.is(await settle(world, world.book(0, key)), `201 booked ${key}`);
+    assert.is(world.readRuns(key), 1);
+  });
+}
+
 test("a leaving node ends what runs and runs no new key", async () => {
   const world = await FakeWorld.open({ nodes: 2 });
   const late = world.issueKey(0);
--- a/packages/routing/src/routed_calls.ts
+++ b/packages/routing/src/routed_calls.ts
@@ -27,9 +27,12 @@
 import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
 import { KeyFormat } from "./key_format.ts";
 import { KeyClaims } from "./key_claims.ts";
+import { KeyForwarding } from "./key_forwarding.ts";
+import { chooseHeirs, createBatch, KeyInheritance } from "./key_inheritance.ts";
 import type {
   ForwardedCall,
   ForwardedOutcome,
+  KeyBatch,
   KeyOwner,
   KeyPeers,
 } from "./key_peers.ts";
@@ -77,6 +80,8 @@
   readonly #attempts: PlainAttempts;
   readonly #format: KeyFormat;
   readonly #records: KeyRecords;
+  readonly #inheritance: KeyInheritance;
+  readonly #forwarding: KeyForwarding;
   readonly #keyed: KeyedCalls;
   readonly #choices = new Map<string, PlainChoice>();
   #draining = false;
@@ -87,6 +92,12 @@
     this.#options = options;
     this.#format = KeyFormat.create(options.sharedKey);
     this.#records = KeyRecords.create({ clock, metrics, limits });
+    const { lifetimeMs } = limits;
+    this.#inheritance = KeyInheritance.create({ clock, lifetimeMs });
+    this.#forwarding = KeyForwarding.create({
+      ...options,
+      inheritance: this.#inheritance,
+    });
     this.#attempts = PlainAttempts.create({
       clock,
       metrics,
@@ -98,7 +109,8 @@
       format: this.#format,
       records: this.#records,
       claims: this.#createClaims(),
-      lifetimeMs: limits.lifetimeMs,
+      forwarding: this.#forwarding,
+      lifetimeMs,
       send: (request) => this.#send(request, new AbortController().signal),
     });
   }
@@ -130,32 +142,52 @@
     return Right(this.#format.issue(content));
   }
 
-  /** Answers a call that a peer forwarded to this process as its key's owner. */
+  /** Answers a call that a peer forwarded to this process as owner or heir. */
   async handleForwarded(call: ForwardedCall): Promise<ForwardedOutcome> {
     const { node, incarnation } = this.#options.identity;
     const { binding } = call;
+    const request = this.#decodeCall(call);
     if (binding.node !== node || binding.incarnation !== incarnation) {
-      return { kind: "not_owner" };
+      return this.#forwarding.findInherited(binding, request) ??
+        { kind: "not_owner" };
     }
-    const result = await this.#keyed.callOwned(
-      binding,
-      this.#decodeCall(call),
-      new AbortController().signal,
-    );
+    const { signal } = new AbortController();
+    const result = await this.#keyed.callOwned(binding, request, signal);
     return encodeOutcome(result);
   }
 
+  /** Takes the outcomes of a peer that leaves. */
+  handleHandOver(batch: KeyBatch): void {
+    this.#inheritance.add(batch);
+  }
+
   /** Binds no further keys to this process: the node is about to leave. */
   drain(): void {
     this.#draining = true;
     this.#keyed.drain();
   }
 
-  /** Begins no further calls with keys; resolves when those that run have ended. */
+  /**
+   * Begins no further calls with keys, waits for those that run, and hands the
+   * outcomes to peers.
+   */
   async close(): Promise<void> {
     this.drain();
     this.#keyed.close();
     await this.#records.waitIdle();
+    const { hasher, identity, log, peers } = this.#options;
+    const batch = createBatch(identity, this.#records);
+    if (batch.outcomes.length === 0) return;
+    const heirs = chooseHeirs(hasher, identity, peers.list());
+    await Promise.all(heirs.map(async (heir) => {
+      const handed = await peers.handOver(heir, batch);
+      handed.ifLeft((error) =>
+        log.warn("outcomes of keys were not handed over", {
+          heir: heir.node,
+          reason: error.message,
+        })
+      );
+    }));
   }
 
   #createClaims(): KeyClaims {
--- a/packages/routing/src/fake_calls_world.ts
+++ b/packages/routing/src/testing/fake_calls_world.ts
@@ -38,13 +38,13 @@
   type KeyOwner,
   KeyPeerError,
   type KeyPeers,
-} from "./key_peers.ts";
-import type { KeyLimits } from "./key_records.ts";
-import type { Limiter } from "./limiter.ts";
-import { noLoadReports } from "./plain_choice.ts";
-import { Refusal } from "./refusal.ts";
-import { RetryBudget } from "./retry_budget.ts";
-import { RoutedCalls } from "./routed_calls.ts";
+} from "../key_peers.ts";
+import type { KeyLimits } from "../key_records.ts";
+import type { Limiter } from "../limiter.ts";
+import { noLoadReports } from "../plain_choice.ts";
+import { Refusal } from "../refusal.ts";
+import { RetryBudget } from "../retry_budget.ts";
+import { RoutedCalls } from "../routed_calls.ts";
 
 export const bookingService: PlainService = {
   kind: "plain",
@@ -345,6 +345,21 @@
         await gate.pass();
         return this.#forward(from, owner, { call, signal });
       },
+      handOver: async (heir, batch) => {
+        await gate.pass();
+        const node = this.#findNode(heir);
+        if (
+          node === undefined || this.cutRequests.has(`${from}>${heir.node}`)
+        ) {
+          return Left(
+            KeyPeerError.create({ kind: "unknown_peer", node: heir.node }),
+          );
+        }
+        await node.gate.pass();
+        // Over the wire a batch is plain JSON.
+        node.calls.handleHandOver(JSON.parse(JSON.stringify(batch)));
+        return Right(undefined);
+      },
     };
   }
 
@@ -356,7 +371,7 @@
       readonly signal: AbortSignal;
     },
   ): Promise<Either<KeyPeerError, ForwardedOutcome>> {
-    const node = this.nodes.find((node) => node.identity.node === owner.node);
+    const node = this.#findNode(owner);
     if (node === undefined) {
       return Left(
         KeyPeerError.create({ kind: "unknown_peer", node: owner.node }),
@@ -367,7 +382,9 @@
     const link = `${from}>${owner.node}`;
     if (node.gate.state === "dead") return Left(failed("connection refused"));
     if (this.cutRequests.has(link)) return Left(failed("request lost"));
-    const answer = node.gate.pass().then(() => node.calls.handleForwarded(call))
+    const answer = node.gate.pass().then(() =>
+      node.calls.handleForwarded(structuredClone(call))
+    )
       .then(async (outcome) => {
         await node.gate.pass();
         return outcome;
@@ -381,6 +398,10 @@
     return Right(outcome);
   }
 
+  #findNode(owner: KeyOwner): FakeNode | undefined {
+    return this.nodes.find((node) => node.identity.node === owner.node);
+  }
+
   #createEndpoint(name: string, gate: Gate): PlainEndpoint {
     return {
       name,
