--- /dev/null
+++ b/packages/routing/src/brown_out_test.ts
@@ -0,0 +1,114 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { type Either, Left, Right } from "purify-ts";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
+import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
+import { HedgeDelay } from "./hedge_delay.ts";
+import { PlainAttempts } from "./plain_attempts.ts";
+import { noLoadReports, PlainChoice } from "./plain_choice.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+const names = ["a", "b", "c", "d"];
+const usualMs = 20;
+const maxOutstanding = 8;
+const perSecond = 200;
+const timeoutMs = 1_000;
+const requestCount = 3_000;
+
+const service = {
+  kind: "plain",
+  name: "status",
+  idempotentMethods: ["GET"],
+  timeoutMs,
+} as const;
+
+/** Sends requests while all endpoints turn 10 times slower after a third. */
+async function runBrownOut(fraction: number) {
+  const clock = ManualClock.create();
+  const metrics = Metrics.create();
+  const random = Random.create(3);
+  const outstanding = new Map<string, number>();
+  let sends = 0;
+  let slow = 1;
+  const call = async (
+    endpoint: string,
+    signal: AbortSignal,
+  ): Promise<Either<EndpointError, PlainAnswer>> => {
+    sends++;
+    const ahead = outstanding.get(endpoint) ?? 0;
+    if (ahead >= maxOutstanding) {
+      const reason = "full";
+      return Left(EndpointError.create({ kind: "declined", endpoint, reason }));
+    }
+    outstanding.set(endpoint, ahead + 1);
+    await clock.sleep(random.nextExponential(usualMs * slow), signal);
+    outstanding.set(endpoint, (outstanding.get(endpoint) ?? 1) - 1);
+    return Right({
+      status: 200,
+      contentType: undefined,
+      body: new Uint8Array(),
+    });
+  };
+  const attempts = PlainAttempts.create({
+    clock,
+    metrics,
+    budget: RetryBudget.create({ metrics, fraction }),
+    endpoints: ({ name }) => ({
+      name,
+      call: (_call, signal) => call(name, signal),
+      readLoad: () =>
+        Promise.resolve(Right({ ageMs: 0, running: 0, queued: 0 })),
+    }),
+  });
+  const choice = PlainChoice.create({ clock, random, loads: noLoadReports });
+  const hedge = HedgeDelay.create(clock);
+  const endpoints = names.map((name) => ({
+    name,
+    service: "status",
+    address: "127.0.0.1:1",
+    host: name,
+    zone: "z",
+    machineClass: "m",
+    market: "on_demand" as const,
+    checksFencing: false,
+  }));
+  const pending: Promise<unknown>[] = [];
+  for (let sent = 0; sent < requestCount; sent++) {
+    if (sent === requestCount / 3) slow = 10;
+    await clock.advance(random.nextExponential(1_000 / perSecond));
+    const request = {
+      team: { name: "t", keyHash: "", priority: 1, share: 1 },
+      service,
+      method: "GET",
+      path: "/",
+      contentType: undefined,
+      body: new Uint8Array(),
+      key: undefined,
+      deadline: clock.now() + timeoutMs,
+    };
+    const { signal } = new AbortController();
+    pending.push(attempts.run({ request, endpoints, choice, hedge, signal }));
+  }
+  await clock.advance(10 * timeoutMs);
+  await Promise.all(pending);
+  return { sendsPerRequest: sends / requestCount, metrics };
+}
+
+test("in a brown-out at most 1.1 sends a request", async () => {
+  const { sendsPerRequest, metrics } = await runBrownOut(0.1);
+  console.log(`    ${sendsPerRequest.toFixed(3)} sends a request`);
+  assert.ok(sendsPerRequest <= 1.1, `${sendsPerRequest}`);
+  assert.ok(metrics.readCounter("retries_total", { reason: "declined" }) > 0);
+  assert.ok(metrics.readCounter("retries_total", { reason: "hedge" }) > 0);
+  assert.ok(metrics.readCounterTotal("retries_denied_total") > 0);
+});
+
+test("without a budget the same brown-out is sent far more", async () => {
+  const { sendsPerRequest } = await runBrownOut(10);
+  assert.ok(sendsPerRequest > 1.3, `${sendsPerRequest}`);
+});
+
+test.run();
--- a/packages/routing/src/plain_attempts.ts
+++ b/packages/routing/src/plain_attempts.ts
@@ -4,7 +4,9 @@
  * An attempt that is known not to have run, or any attempt of an idempotent
  * call, may be followed by another on a different endpoint, within the call's
  * deadline and the retry budget. A call that is not idempotent and may have run
- * is never sent again.
+ * is never sent again. An idempotent call that takes longer than most is sent
+ * to a second endpoint as well, within the same budget; the first answer counts
+ * and the other call is cancelled.
  */
 
 import { type Either, Left, Right } from "purify-ts";
@@ -19,6 +21,7 @@
   PlainAnswer,
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
+import type { HedgeDelay } from "./hedge_delay.ts";
 import type { PlainChoice } from "./plain_choice.ts";
 import {
   createDeadlineRefusal,
@@ -46,9 +49,13 @@
   readonly request: PlainRequest;
   readonly endpoints: readonly Endpoint[];
   readonly choice: PlainChoice;
+  /** When to send an idempotent call twice; undefined for never. */
+  readonly hedge: HedgeDelay | undefined;
   readonly signal: AbortSignal;
 }
 
+type EndpointResult = Either<EndpointError, PlainAnswer>;
+
 /** Sends calls. */
 export class PlainAttempts {
   readonly #options: PlainAttemptsOptions;
@@ -75,7 +82,7 @@
       if (endpoint === undefined) break;
       if (!this.#takeBudget(endpoint, last)) break;
       tried.add(endpoint.name);
-      const result = await this.#send(job, endpoint);
+      const result = await this.#sendHedged(job, endpoint, tried);
       if (result.isRight()) return Right(result.extract());
       last = result.extract() as EndpointError;
       if (last.run !== "not_run") run = "unknown";
@@ -103,11 +110,41 @@
       budget.takeRetry(endpoint.name, last.kind);
   }
 
-  async #send(
+  /** Sends to `endpoint`, and to one more when it takes long. */
+  async #sendHedged(
     job: PlainJob,
     endpoint: Endpoint,
-  ): Promise<Either<EndpointError, PlainAnswer>> {
+    tried: Set<string>,
+  ): Promise<EndpointResult> {
+    const { clock, budget } = this.#options;
+    const delayMs = isIdempotent(job.request) ? job.hedge?.read() : undefined;
+    const stop = new AbortController();
+    const signal = AbortSignal.any([job.signal, stop.signal]);
+    const first = this.#send({ ...job, signal }, endpoint);
+    if (delayMs === undefined || delayMs >= this.#readRemaining(job.request)) {
+      return await first;
+    }
+    const timer = new AbortController();
+    const early = await Promise.race([
+      first,
+      clock.sleep(delayMs, timer.signal),
+    ]);
+    timer.abort();
+    if (early !== undefined) return early;
+    const other = job.choice.choose(job.endpoints, tried);
+    if (other === undefined || !budget.takeRetry(other.name, "hedge")) {
+      return await first;
+    }
+    tried.add(other.name);
+    const second = this.#send({ ...job, signal }, other);
+    const result = await waitFirstAnswer(first, second);
+    stop.abort();
+    return result;
+  }
+
+  async #send(job: PlainJob, endpoint: Endpoint): Promise<EndpointResult> {
     const { request, signal } = job;
+    const started = this.#options.clock.now();
     const sent = job.choice.start(endpoint.name);
     const result = await this.#options.endpoints(endpoint).call({
       method: request.method,
@@ -118,18 +155,22 @@
       priority: request.team.priority,
       remainingMs: this.#readRemaining(request),
     }, signal);
+    if (result.isRight()) {
+      job.hedge?.record(this.#options.clock.now() - started);
+    }
     sent.end(
       result.isRight() ? "answered" : signal.aborted ? "cancelled" : "failed",
     );
-    result.ifLeft((error) =>
-      this.#options.metrics.count("plain_attempts_failed_total", {
-        reason: error.kind,
-        run: error.run,
-      })
-    );
+    result.ifLeft((error) => this.#countFailure(error, signal));
     return result;
   }
 
+  #countFailure(error: EndpointError, signal: AbortSignal): void {
+    const reason = signal.aborted ? "cancelled" : error.kind;
+    const { run } = error;
+    this.#options.metrics.count("plain_attempts_failed_total", { reason, run });
+  }
+
   #readRemaining(request: PlainRequest): number {
     return request.deadline - this.#options.clock.now();
   }
@@ -139,3 +180,14 @@
 export function isIdempotent(request: PlainRequest): boolean {
   return request.service.idempotentMethods.includes(request.method);
 }
+
+/** Waits for the first of two calls that is answered, or for both to fail. */
+async function waitFirstAnswer(
+  first: Promise<EndpointResult>,
+  second: Promise<EndpointResult>,
+): Promise<EndpointResult> {
+  const earlier = await Promise.race([first, second]);
+  if (earlier.isRight()) return earlier;
+  const results = await Promise.all([first, second]);
+  return results.find((result) => result.isRight()) ?? earlier;
+}
--- a/packages/routing/src/plain_attempts_test.ts
+++ b/packages/routing/src/plain_attempts_test.ts
@@ -88,6 +88,7 @@
       request: createRequest(method),
       endpoints: ["a", "b", "c"].map(createEndpoint),
       choice,
+      hedge: undefined,
       signal: new AbortController().signal,
     });
   return { clock, metrics, sent, run };
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -21,7 +21,9 @@
   | "connection_lost"
   | "timeout"
   | "bad_answer"
-  | "hedge";
+  | "hedge"
+  /** A stream goes on at another endpoint. */
+  | "resume";
 
 /** Options of a budget. */
 export interface RetryBudgetOptions {
@@ -53,7 +55,7 @@
   }
 
   /** Takes budget for a further send to `endpoint`; false when there is none. */
-  takeRetry(endpoint: string, reason: RetryReason): boolean {
+  takeRetry(endpoint: string, reason: RetryReason = "resume"): boolean {
     const tokens = this.#read(endpoint);
     if (tokens < 1) {
       this.#metrics.count("retries_denied_total", { reason });
--- a/packages/routing/src/routed_calls.ts
+++ b/packages/routing/src/routed_calls.ts
@@ -25,6 +25,7 @@
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
 import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import { HedgeDelay } from "./hedge_delay.ts";
 import { KeyFormat } from "./key_format.ts";
 import { KeyClaims } from "./key_claims.ts";
 import { KeyForwarding } from "./key_forwarding.ts";
@@ -72,6 +73,14 @@
   readonly keyLimits?: Partial<KeyLimits>;
   /** Calls a second to the object API that all nodes together spend on claims. */
   readonly claimCallsPerSecond?: number;
+  /** Whether idempotent calls that take long are sent twice; true by default. */
+  readonly hedging?: boolean;
+}
+
+/** What is known of one service's endpoints. */
+interface ServiceState {
+  readonly choice: PlainChoice;
+  readonly hedge: HedgeDelay | undefined;
 }
 
 /** Router of plain calls of one process. */
@@ -83,7 +92,7 @@
   readonly #inheritance: KeyInheritance;
   readonly #forwarding: KeyForwarding;
   readonly #keyed: KeyedCalls;
-  readonly #choices = new Map<string, PlainChoice>();
+  readonly #services = new Map<string, ServiceState>();
   #draining = false;
 
   private constructor(options: RoutedCallsOptions) {
@@ -244,18 +253,21 @@
     const service = request.service.name;
     const endpoints = this.#options.configuration.current().endpoints
       .filter((endpoint) => endpoint.service === service);
-    const choice = this.#findChoice(service);
-    return this.#attempts.run({ request, endpoints, choice, signal });
+    const { choice, hedge } = this.#findState(service);
+    return this.#attempts.run({ request, endpoints, choice, hedge, signal });
   }
 
-  #findChoice(service: string): PlainChoice {
-    let choice = this.#choices.get(service);
-    if (choice === undefined) {
-      const { clock, random, loads } = this.#options;
-      choice = PlainChoice.create({ clock, random, loads });
-      this.#choices.set(service, choice);
+  #findState(service: string): ServiceState {
+    let state = this.#services.get(service);
+    if (state === undefined) {
+      const { clock, random, loads, hedging } = this.#options;
+      state = {
+        choice: PlainChoice.create({ clock, random, loads }),
+        hedge: hedging === false ? undefined : HedgeDelay.create(clock),
+      };
+      this.#services.set(service, state);
     }
-    return choice;
+    return state;
   }
 
   #countRefusal(refusal: Refusal): void {
