Measure teams' limits and the cost of keys; count silent peers' demand

Cause: with silent peers the demand of the whole was underestimated, so a pool that was full did not count as contended.

--- /dev/null
+++ b/packages/bench/src/key_path.ts
@@ -0,0 +1,187 @@
+/**
+ * Measures what keys cost: time and platform calls per call, memory per key.
+ *
+ * Routers run in one process with endpoints and an object API in memory, so the
+ * times are the processor's and contain no network. A forwarded call passes
+ * through JSON as it would between nodes.
+ *
+ * Usage: node --expose-gc --import tsx packages/bench/src/key_path.ts
+ */
+
+import process from "node:process";
+import { Right } from "purify-ts";
+import { SystemClock } from "@almondcrank/common/clock.ts";
+import { emptyConfiguration } from "@almondcrank/common/configuration.ts";
+import { openHasher } from "@almondcrank/common/hashing.ts";
+import { createSilentLog } from "@almondcrank/common/logs.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import { MemoryObjectStore } from "@almondcrank/platform/memory_object_store.ts";
+import type { KeyPeers } from "@almondcrank/routing/key_peers.ts";
+import {
+  defaultKeyLimits,
+  KeyRecords,
+} from "@almondcrank/routing/key_records.ts";
+import { noLoadReports } from "@almondcrank/routing/plain_choice.ts";
+import { RetryBudget } from "@almondcrank/routing/retry_budget.ts";
+import { RoutedCalls } from "@almondcrank/routing/routed_calls.ts";
+import { createEndpoint } from "./simulated_endpoint.ts";
+
+const calls = 5_000;
+const warmUpCalls = 1_000;
+const answerBytes = 200;
+const recordCount = 50_000;
+const claimCallsPerSecond = 1e9;
+
+const team = { name: "counter", keyHash: "", priority: 1, share: 1 };
+const service = {
+  kind: "plain",
+  name: "booking",
+  idempotentMethods: ["GET"],
+  timeoutMs: 5_000,
+} as const;
+const body = new TextEncoder().encode('{"bay":3,"plate":"M-AB 123"}');
+const answer = {
+  status: 201,
+  contentType: "application/json",
+  body: new Uint8Array(answerBytes),
+};
+
+const clock = SystemClock.create();
+const hasher = await openHasher();
+const store = MemoryObjectStore.create(clock);
+const routers = new Map<string, RoutedCalls>();
+const metrics = Metrics.create();
+
+function createPeers(): KeyPeers {
+  return {
+    list: () => [],
+    forward: async (owner, call) => {
+      const sent = JSON.parse(JSON.stringify(call));
+      const outcome = await routers.get(owner.node)!.handleForwarded(sent);
+      return Right(JSON.parse(JSON.stringify(outcome)));
+    },
+    handOver: () => Promise.resolve(Right(undefined)),
+  };
+}
+
+function createRouter(node: string): RoutedCalls {
+  const configuration = {
+    ...emptyConfiguration,
+    teams: [team],
+    services: [service],
+    endpoints: ["a", "b", "c", "d"].map((name) =>
+      createEndpoint(name, service.name)
+    ),
+  };
+  return RoutedCalls.create({
+    configuration: { current: () => configuration },
+    endpoints: ({ name }) => ({
+      name,
+      call: () => Promise.resolve(Right(answer)),
+      readLoad: () =>
+        Promise.resolve(Right({ ageMs: 0, running: 0, queued: 0 })),
+    }),
+    loads: noLoadReports,
+    clock,
+    random: Random.create(1),
+    hasher,
+    metrics,
+    log: createSilentLog(),
+    identity: { node, incarnation: "i1" },
+    sharedKey: "shared",
+    peers: createPeers(),
+    claims: store,
+    limiter: {
+      admit: () => Right({ release: () => {} }),
+      check: () => Right(undefined),
+    },
+    retryBudget: RetryBudget.create({ metrics }),
+    keyLimits: { maxKeys: 1e6, maxTeamFraction: 1 },
+    claimCallsPerSecond,
+  });
+}
+
+/** Runs calls one after the other; prints time and platform calls of each. */
+async function measure(
+  name: string,
+  nextKey: () => string | undefined,
+  at: string,
+): Promise<void> {
+  const router = routers.get(at)!;
+  const { signal } = new AbortController();
+  let started = 0;
+  let platformCalls = 0;
+  for (let done = -warmUpCalls; done < calls; done++) {
+    if (done === 0) {
+      started = clock.now();
+      platformCalls = metrics.readCounterTotal("claim_calls_total");
+    }
+    const result = await router.call({
+      team,
+      service,
+      method: "POST",
+      path: "/slots",
+      contentType: "application/json",
+      body,
+      key: nextKey(),
+      deadline: clock.now() + service.timeoutMs,
+    }, signal);
+    if (result.isLeft()) throw result.extract();
+  }
+  const micros = (clock.now() - started) * 1_000 / calls;
+  const writes =
+    (metrics.readCounterTotal("claim_calls_total") - platformCalls) / calls;
+  console.log(
+    `${name}: ${micros.toFixed(0)} us a call, ${writes} platform calls a call`,
+  );
+}
+
+/** Prints the heap that a key takes with and without its answer. */
+function measureMemory(name: string, bytes: number): void {
+  const limits = {
+    ...defaultKeyLimits,
+    maxTeamFraction: 1,
+    maxAnswerBytes: Infinity,
+  };
+  const records = KeyRecords.create({ clock, metrics, limits });
+  globalThis.gc?.();
+  const before = process.memoryUsage();
+  for (let at = 0; at < recordCount; at++) {
+    const id = `key-number-${at.toString().padStart(5, "0")}`;
+    const fingerprint = `${id}-${id}`.slice(0, 32);
+    records.begin({ id, team: team.name, fingerprint });
+    const kept = { ...answer, body: new Uint8Array(bytes) };
+    records.finish(
+      id,
+      bytes === 0 ? { kind: "dropped" } : { kind: "answered", answer: kept },
+    );
+  }
+  globalThis.gc?.();
+  const after = process.memoryUsage();
+  const used = after.heapUsed + after.external - before.heapUsed -
+    before.external;
+  console.log(
+    `${name}: ${
+      (used / recordCount).toFixed(0)
+    } bytes a key over ${records.size} keys`,
+  );
+}
+
+for (const node of ["n1", "n2"]) routers.set(node, createRouter(node));
+const issue = (): string => routers.get("n1")!.issueKey(team).unsafeCoerce();
+let made = 0;
+await measure("no key", () => undefined, "n1");
+await measure("issued key at its owner", issue, "n1");
+await measure("issued key forwarded", issue, "n2");
+await measure("caller's key, first call", () => `order-${made++}`, "n1");
+made = 0;
+await measure(
+  "caller's key, repeat at the owner",
+  () => `order-${made++}`,
+  "n1",
+);
+made = 0;
+await measure("caller's key, repeat elsewhere", () => `order-${made++}`, "n2");
+measureMemory("key without answer", 0);
+measureMemory(`key with an answer of ${answerBytes} bytes`, answerBytes);
--- /dev/null
+++ b/packages/bench/src/team_limits.ts
@@ -0,0 +1,139 @@
+/**
+ * Measures teams' limits over nine nodes with real code on a manual clock.
+ *
+ * Usage: node --import tsx packages/bench/src/team_limits.ts [SEED...]
+ */
+
+import process from "node:process";
+import type { Team } from "@almondcrank/common/configuration.ts";
+import {
+  computeOnTime,
+  LimitsWorld,
+} from "@almondcrank/routing/testing/limits_world.ts";
+
+const nodes = 9;
+const slots = 64;
+const meanServiceMs = 50;
+const dueMs = 400;
+const capacityPerSecond = slots * 1_000 / meanServiceMs;
+const warmUpMs = 5_000;
+const endMs = 20_000;
+const defaultSeeds = [1, 2, 3];
+
+/** A team with what it offers as a part of the capacity. */
+interface Offer {
+  readonly team: Team;
+  readonly part: number;
+}
+
+function createTeam(name: string, priority: number, share: number): Team {
+  return { name, keyHash: "", priority, share };
+}
+
+const chain = createTeam("chain", 1, 8);
+const south = createTeam("south", 1, 4);
+const drivers = createTeam("drivers", 2, 2);
+const inbox = createTeam("inbox", 3, 1);
+const garage = createTeam("garage", 1, 1);
+const teams = [chain, south, drivers, inbox, garage];
+
+const usual: readonly Offer[] = [
+  { team: south, part: 0.2 },
+  { team: drivers, part: 0.05 },
+  { team: inbox, part: 0.02 },
+  { team: garage, part: 0.03 },
+];
+
+interface Case {
+  readonly name: string;
+  readonly chainPart: number;
+  /** Changes the nodes at the start. */
+  readonly change?: (world: LimitsWorld) => void;
+  /** Changes the nodes when the warm-up ends. */
+  readonly fail?: (world: LimitsWorld) => void;
+}
+
+const cases: readonly Case[] = [
+  { name: "no flood", chainPart: 0.3 },
+  { name: "chain floods 5 times", chainPart: 5 },
+  {
+    name: "flood, all peers silent",
+    chainPart: 5,
+    change: (world) => world.nodes.forEach((node) => node.silent = true),
+  },
+  {
+    name: "flood, views split 4 and 5",
+    chainPart: 5,
+    fail: (world) => world.nodes.slice(4).forEach((node) => node.group = 1),
+  },
+  {
+    name: "flood, one node left of nine",
+    chainPart: 5,
+    fail: (world) => world.nodes.slice(1).forEach((node) => node.alive = false),
+  },
+];
+
+async function runCase(measured: Case, seed: number): Promise<string> {
+  const world = LimitsWorld.create({
+    nodes,
+    slots,
+    meanServiceMs,
+    dueMs,
+    teams,
+    seed,
+  });
+  measured.change?.(world);
+  const offers = [{ team: chain, part: measured.chainPart }, ...usual];
+  for (const { team, part } of offers) {
+    void world.offer(team, part * capacityPerSecond, endMs);
+  }
+  await world.clock.advance(warmUpMs);
+  measured.fail?.(world);
+  await world.clock.advance(2_000);
+  for (const { team } of offers) world.readTotals(team);
+  await world.clock.advance(endMs - world.clock.now());
+  const seconds = (endMs - warmUpMs - 2_000) / 1_000;
+  let onTime = 0;
+  const shares = offers.map(({ team }) => {
+    const totals = world.readTotals(team);
+    onTime += totals.onTime;
+    return `${team.name} ${computeOnTime(totals).toFixed(3)}`;
+  });
+  world.dispose();
+  const used = onTime / seconds / capacityPerSecond;
+  return `on time ${shares.join(", ")}; ${
+    (100 * used).toFixed(0)
+  } % of the pool answered on time`;
+}
+
+/** Refusals of a team that comes back while another uses its share. */
+async function runReturn(seed: number): Promise<string> {
+  const options = { nodes, slots, meanServiceMs, dueMs, teams, seed };
+  const world = LimitsWorld.create(options);
+  void world.offer(chain, 3 * capacityPerSecond, endMs);
+  await world.clock.advance(8_000);
+  const lent = world.readTotals(chain).onTime / 8 / capacityPerSecond;
+  void world.offer(south, 0.2 * capacityPerSecond, endMs);
+  const shares: string[] = [];
+  for (let second = 0; second < 5; second++) {
+    await world.clock.advance(1_000);
+    const { offered, refused } = world.readTotals(south);
+    shares.push((refused / offered).toFixed(3));
+  }
+  world.dispose();
+  return `chain alone used ${
+    (100 * lent).toFixed(0)
+  } % of the pool; south back, refused part by second: ${shares.join(" ")}`;
+}
+
+const given = process.argv.slice(2).map(Number);
+const seeds = given.length > 0 ? given : defaultSeeds;
+for (const measured of cases) {
+  for (const seed of seeds) {
+    const figures = await runCase(measured, seed);
+    console.log(`${measured.name}, seed ${seed}: ${figures}`);
+  }
+}
+for (const seed of seeds) {
+  console.log(`lent share, seed ${seed}: ${await runReturn(seed)}`);
+}
--- a/packages/routing/src/key_claims.ts
+++ b/packages/routing/src/key_claims.ts
@@ -92,7 +92,7 @@
     const { node, incarnation } = identity;
     const binding: KeyBinding = { node, incarnation, boundAtMs, id };
     const key = formatClaimKey(id);
-    let error = createRateError();
+    let error: ClaimError | undefined;
     for (let tries = 0; tries < maxTries; tries++) {
       if (tries > 0) await clock.sleep(retryPauseMs);
       if (clock.now() >= deadline || !this.#takeCall()) break;
@@ -109,7 +109,7 @@
       if (outcome.kind === "written") return Right(binding);
       if (outcome.current !== undefined) return parseClaim(outcome.current);
     }
-    return Left(error);
+    return Left(error ?? createRateError());
   }
 
   /** Reads the binding of a key; undefined when it has none. */
--- a/packages/routing/src/key_forwarding.ts
+++ b/packages/routing/src/key_forwarding.ts
@@ -30,6 +30,7 @@
 
 const maxForwards = 3;
 const forwardPauseMs = 50;
+const forwardEnded = "the wait for the owner has ended";
 
 /** Options of the forwarding. */
 export interface KeyForwardingOptions {
@@ -153,7 +154,7 @@
       peers.forward(peer, call, stop.signal),
       { clock, deadline, signal },
     );
-    stop.abort();
+    stop.abort(forwardEnded);
     if (answer === undefined) {
       metrics.count("key_forwards_failed_total", { reason: "no_answer" });
       const reason =
--- a/packages/routing/src/plain_attempts.ts
+++ b/packages/routing/src/plain_attempts.ts
@@ -34,6 +34,7 @@
 import type { RetryBudget } from "./retry_budget.ts";
 
 const maxAttempts = 4;
+const hedgeEnded = "another attempt was answered";
 
 /** Options of the attempts. */
 export interface PlainAttemptsOptions {
@@ -118,18 +119,18 @@
   ): Promise<EndpointResult> {
     const { clock, budget } = this.#options;
     const delayMs = isIdempotent(job.request) ? job.hedge?.read() : undefined;
+    if (delayMs === undefined || delayMs >= this.#readRemaining(job.request)) {
+      return await this.#send(job, endpoint);
+    }
     const stop = new AbortController();
     const signal = AbortSignal.any([job.signal, stop.signal]);
     const first = this.#send({ ...job, signal }, endpoint);
-    if (delayMs === undefined || delayMs >= this.#readRemaining(job.request)) {
-      return await first;
-    }
     const timer = new AbortController();
     const early = await Promise.race([
       first,
       clock.sleep(delayMs, timer.signal),
     ]);
-    timer.abort();
+    timer.abort(hedgeEnded);
     if (early !== undefined) return early;
     const other = job.choice.choose(job.endpoints, tried);
     if (other === undefined || !budget.takeRetry(other.name, "hedge")) {
@@ -138,7 +139,7 @@
     tried.add(other.name);
     const second = this.#send({ ...job, signal }, other);
     const result = await waitFirstAnswer(first, second);
-    stop.abort();
+    stop.abort(hedgeEnded);
     return result;
   }
 
--- a/packages/routing/src/team_limits.ts
+++ b/packages/routing/src/team_limits.ts
@@ -152,7 +152,8 @@
     this.#updatePressure(capacity);
     const total = capacity.slots * queueFactor * this.#pressureFactor *
       (this.#meanCost ?? 1);
-    const needs = this.#computeNeeds(peers);
+    const heardPart = computeHeardPart(peers, liveNodes);
+    const needs = this.#computeNeeds(peers, heardPart);
     const demand = needs.reduce((sum, need) => sum + need.demand, 0);
     this.#contended = demand > contendedFraction * total ||
       capacity.queued > overloadedQueueFraction * capacity.slots;
@@ -160,7 +161,7 @@
     const limits = new Map<string, TeamLimit>();
     for (const share of computeShares(total, needs)) {
       const need = needs.find(({ team }) => team === share.team);
-      const portion = this.#computePortion(share, { peers, liveNodes });
+      const portion = this.#computePortion(share, { peers, heardPart });
       limits.set(
         share.team,
         this.#createLimit(share, need?.demand ?? 0, portion),
@@ -215,11 +216,15 @@
       : Math.min(1, this.#pressureFactor + pressureIncrease);
   }
 
-  #computeNeeds(peers: readonly PeerDemand[]): readonly TeamNeed[] {
+  /** Needs of all nodes; silent ones are taken to be like those heard. */
+  #computeNeeds(
+    peers: readonly PeerDemand[],
+    heardPart: number,
+  ): readonly TeamNeed[] {
     const { teams } = this.#options.configuration.current();
     return teams.map(({ name, priority, share }) => {
       const rate = this.#readRate(name) + this.#readPeerRate(name, peers);
-      const demand = rate * this.#readHold(name) / 1_000;
+      const demand = rate * this.#readHold(name) / 1_000 / heardPart;
       return { team: name, priority, weight: share, demand };
     });
   }
@@ -227,15 +232,16 @@
   /** Part of a team's share that is this node's. */
   #computePortion(
     { team, satisfied }: TeamShare,
-    { peers, liveNodes }: Pick<LimitsUpdate, "peers" | "liveNodes">,
+    { peers, heardPart }: {
+      readonly peers: readonly PeerDemand[];
+      readonly heardPart: number;
+    },
   ): number {
-    const live = Math.max(1, liveNodes);
-    const heard = peers.reduce((sum, { nodes }) => sum + nodes, 1);
-    const silentPart = Math.max(0, live - heard) / live;
+    const equalPart = heardPart / countHeard(peers);
     const own = this.#readRate(team);
     const all = own + this.#readPeerRate(team, peers);
-    const portion = all > 0 ? (1 - silentPart) * own / all : 1 / live;
-    return satisfied ? Math.max(portion, 1 / live) : portion;
+    const portion = all > 0 ? heardPart * own / all : equalPart;
+    return satisfied ? Math.max(portion, equalPart) : portion;
   }
 
   #createLimit(share: TeamShare, demand: number, portion: number): TeamLimit {
@@ -310,3 +316,17 @@
 function computeBurst(mean: number): number {
   return Math.ceil(mean + burstDeviations * Math.sqrt(mean)) + minBurstRequests;
 }
+
+/** Number of processes whose demand is known, this one included. */
+function countHeard(peers: readonly PeerDemand[]): number {
+  return peers.reduce((sum, { nodes }) => sum + nodes, 1);
+}
+
+/** Part of the live processes whose demand is known, this one included. */
+function computeHeardPart(
+  peers: readonly PeerDemand[],
+  liveNodes: number,
+): number {
+  const heard = countHeard(peers);
+  return heard / Math.max(heard, liveNodes);
+}
--- a/packages/routing/src/wait_until_due.ts
+++ b/packages/routing/src/wait_until_due.ts
@@ -4,6 +4,8 @@
 
 import type { Clock } from "@almondcrank/common/clock.ts";
 
+const waitEnded = "the wait has ended";
+
 /** When to stop waiting. */
 export interface WaitLimit {
   readonly clock: Clock;
@@ -18,7 +20,8 @@
   { clock, deadline, signal }: WaitLimit,
 ): Promise<T | undefined> {
   const ended = new AbortController();
-  const stop = (): void => ended.abort();
+  // A reason of its own spares the DOMException with its stack trace.
+  const stop = (): void => ended.abort(waitEnded);
   signal.addEventListener("abort", stop, { once: true });
   if (signal.aborted) stop();
   const due = clock.sleep(deadline - clock.now(), ended.signal)
