--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,36 @@
+/**
+ * The program `almondcrank`.
+ */
+
+import process from "node:process";
+import { Builtins, Cli } from "clipanion";
+import { CheckCommand } from "./check_command.ts";
+import { DemoCommand } from "./demo_command.ts";
+import { LoadCommand } from "./load_command.ts";
+import { ApplyCommand, DiffCommand } from "./release_commands.ts";
+import { ServeCommand } from "./serve_command.ts";
+import { DrainCommand, StatusCommand, TopCommand } from "./status_commands.ts";
+
+const cli = new Cli({
+  binaryLabel: "almondcrank",
+  binaryName: "almondcrank",
+  binaryVersion: "0.1.0",
+});
+for (
+  const command of [
+    ServeCommand,
+    CheckCommand,
+    DiffCommand,
+    ApplyCommand,
+    StatusCommand,
+    TopCommand,
+    DrainCommand,
+    LoadCommand,
+    DemoCommand,
+    Builtins.HelpCommand,
+    Builtins.VersionCommand,
+  ]
+) {
+  cli.register(command);
+}
+void cli.runExit(process.argv.slice(2), Cli.defaultContext);
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -84,6 +84,14 @@
 const drainingRetryMs = 100;
 const noEndpointRetryMs = 1_000;
 
+/** A stream that has not ended. */
+export interface RunningStream {
+  readonly id: string;
+  readonly service: string;
+  /** Endpoint that generates it at this moment. */
+  readonly endpoint: string | undefined;
+}
+
 /** Model router of one node. */
 export class RoutedModels implements ModelRouter, Disposable {
   readonly #options: RoutedModelsOptions;
@@ -127,6 +135,15 @@
     return this.#streams.running;
   }
 
+  /** Streams that have not ended, with the endpoints that serve them. */
+  listRunning(): readonly RunningStream[] {
+    return this.#streams.list().map(({ stream, endpoint }) => ({
+      id: stream.id,
+      service: stream.request.service.name,
+      endpoint,
+    }));
+  }
+
   /** Knowledge of prefix caches, to be corrected by cache events. */
   get prefixes(): PrefixIndex {
     return this.#services.prefixes;
@@ -141,7 +158,7 @@
     const opened = this.#checkOpen(request).chain(() => this.#admit(request));
     opened.ifLeft((refusal) => {
       const { kind } = refusal;
-      this.#options.metrics.count("model_refusals", { reason: kind });
+      this.#options.metrics.count("model_refusals_total", { reason: kind });
     });
     return Promise.resolve(opened);
   }
@@ -234,12 +251,12 @@
       limits: this.#services.limits,
       signal: this.#lifetime.signal,
       onCancel: (reason) => {
-        metrics.count("streams_cancelled", { reason });
+        metrics.count("streams_cancelled_total", { reason });
         run.cancel();
       },
     });
     const run = StreamRun.create(stream, this.#services);
-    metrics.count("streams_opened");
+    metrics.count("streams_opened_total");
     const ended = run.run(opening.choice).finally(() =>
       opening.lease.release()
     );
