--- a/packages/node/src/peer_router.ts
+++ b/packages/node/src/peer_router.ts
@@ -9,6 +9,8 @@
   type ForwardedCall,
   forwardedCallSchema,
   type ForwardedOutcome,
+  type KeyBatch,
+  keyBatchSchema,
 } from "@almondcrank/routing/key_peers.ts";
 import type { StreamExchange } from "@almondcrank/routing/stream_exchange.ts";
 import {
@@ -24,6 +26,7 @@
   readonly exchange: () => StreamExchange;
   readonly calls: () => {
     handleForwarded(call: ForwardedCall): Promise<ForwardedOutcome>;
+    handleHandOver(batch: KeyBatch): void;
   };
   /** Tells who this node is. */
   readonly identify: () => Member;
@@ -67,6 +70,10 @@
     forwardCall: peer.procedure.input(forwardedCallSchema).mutation(
       ({ input }) => options.calls().handleForwarded(input as ForwardedCall),
     ),
+    handOverKeys: peer.procedure.input(keyBatchSchema).mutation(({ input }) => {
+      options.calls().handleHandOver(input);
+      return {};
+    }),
     drain: peer.procedure.input(z.object({ node: z.string() })).mutation(() => {
       options.onDrain();
       return {};
--- a/packages/node/src/request_peers.ts
+++ b/packages/node/src/request_peers.ts
@@ -10,6 +10,7 @@
   type ForwardedCall,
   type ForwardedOutcome,
   forwardedOutcomeSchema,
+  type KeyBatch,
   type KeyOwner,
   KeyPeerError,
   type KeyPeers,
@@ -164,6 +165,24 @@
           : Left(createForwardError(node, "answer outside the protocol"));
       });
   }
+
+  async handOver(
+    heir: KeyOwner,
+    batch: KeyBatch,
+  ): Promise<Either<KeyPeerError, void>> {
+    const { node } = heir;
+    const address = findAddress(this.#options.membership, node);
+    if (address === undefined) {
+      return Left(KeyPeerError.create({ kind: "unknown_peer", node }));
+    }
+    const answer = await this.#options.clients.call(address, {
+      timeoutMs: callTimeoutMs,
+      send: ({ client, signal }) =>
+        client.handOverKeys.mutate(batch, { signal }),
+    });
+    return answer.mapLeft((error) => createForwardError(node, error.message))
+      .map(() => undefined);
+  }
 }
 
 function createForwardError(node: string, reason: string): KeyPeerError {
