--- a/packages/membership/src/peer_clients.ts
+++ b/packages/membership/src/peer_clients.ts
@@ -20,6 +20,7 @@
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import { ByteMeter } from "./byte_meter.ts";
+import { decodeBody, encodeBody } from "./peer_encoding.ts";
 import { PeerError } from "./peer_error.ts";
 import { computePeerProof } from "./peer_key.ts";
 
@@ -131,10 +132,14 @@
 
   /** Does what `fetch` does, without the headers that `fetch` adds. */
   async #send(url: string, init: RequestInit): Promise<Response> {
+    const { bytes, encoding } = encodeBody((init.body ?? "") as string);
+    const headers = { ...init.headers as Record<string, string> };
+    delete headers["content-type"];
+    if (encoding !== undefined) headers["content-encoding"] = encoding;
     const response = await request(url, {
       method: "POST",
-      headers: init.headers as Record<string, string>,
-      body: (init.body as string | undefined) ?? null,
+      headers,
+      body: bytes,
       signal: init.signal ?? null,
       dispatcher: this.#agent,
     });
@@ -142,12 +147,16 @@
       await response.body.dump();
       throw new UnauthorizedError("the peer refused the shared key");
     }
+    const packed = {
+      bytes: await response.body.bytes(),
+      encoding: response.headers["content-encoding"] as string | undefined,
+    };
     const answer = {
       ok: response.statusCode < 400,
       status: response.statusCode,
-      json: () => response.body.json(),
+      json: () => Promise.resolve(JSON.parse(decodeBody(packed))),
     };
-    return answer as Response;
+    return answer as unknown as Response;
   }
 }
 
--- /dev/null
+++ b/packages/membership/src/peer_encoding.ts
@@ -0,0 +1,58 @@
+/**
+ * Compression of bodies between peers.
+ *
+ * Raw deflate with a preset dictionary of the messages' field names, so that
+ * small messages shrink too. Bodies below the threshold go as they are.
+ */
+
+import { constants, deflateRawSync, inflateRawSync } from "node:zlib";
+
+/** Value of the content-encoding header of compressed bodies. */
+export const peerEncoding = "x-peer-deflate";
+
+const thresholdBytes = 160;
+const maxInflatedBytes = 67_108_864;
+
+const dictionary = Buffer.from(
+  '{"error":{"message":"code":"data":{"result":{"data":{"identity":{"node":"' +
+    '"incarnation":"zone":"region":"peerAddress":"10.0.0.1:7000"},"leaving":' +
+    'false},"remainingMs":"endpoint":"changes":[{"kind":"member","kind":' +
+    '"leaving","whole":false,"checksum":"cursor":"demand":{"teams":[' +
+    '"requestsPerSecond":["tokensPerSecond":["zone":{"suspected":[],' +
+    '"aggregates":{"services":["reachable":["freeSlots":["queuedTokens":[' +
+    '"origins":[{"node":"incarnation":"version":"ageMs":"revision":0,' +
+    '"loads":{"endpoints":["versions":["agesMs":[0,0,0,0,"queued":[0,0,0,0,' +
+    '"running":[0,0,0,0,"slots":[8,8,8,8,"queuedTokens":[0,0,0,0,' +
+    '"prefillTokensPerSecond":["betweenTokensMs":["reachable":[1,1,1,1]},' +
+    '"from":{"node":"scope":"zone","seen":{"',
+);
+
+/** A body as it goes over the wire. */
+export interface EncodedBody {
+  readonly bytes: Uint8Array;
+  readonly encoding: string | undefined;
+}
+
+/** Compresses a body when that pays. */
+export function encodeBody(text: string): EncodedBody {
+  const bytes = Buffer.from(text);
+  if (bytes.length < thresholdBytes) return { bytes, encoding: undefined };
+  const packed = deflateRawSync(bytes, {
+    dictionary,
+    level: constants.Z_DEFAULT_COMPRESSION,
+  });
+  return packed.length < bytes.length
+    ? { bytes: packed, encoding: peerEncoding }
+    : { bytes, encoding: undefined };
+}
+
+/** Restores a body; throws when it is not what `encodeBody` gives. */
+export function decodeBody(body: EncodedBody): string {
+  if (body.encoding !== peerEncoding) {
+    return Buffer.from(body.bytes).toString("utf8");
+  }
+  return inflateRawSync(body.bytes, {
+    dictionary,
+    maxOutputLength: maxInflatedBytes,
+  }).toString("utf8");
+}
--- a/packages/membership/src/peer_server.ts
+++ b/packages/membership/src/peer_server.ts
@@ -12,16 +12,19 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { nodeHTTPRequestHandler } from "@trpc/server/adapters/node-http";
-import type { AnyRouter } from "@trpc/server";
+import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
+import type { AnyRouter, TRPCError } from "@trpc/server";
 import {
   type Address,
   formatAddress,
   parseAddress,
 } from "@almondcrank/common/address.ts";
+import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
+import { readBody } from "@almondcrank/common/http_server.ts";
 import { ByteMeter } from "./byte_meter.ts";
+import { decodeBody, encodeBody, peerEncoding } from "./peer_encoding.ts";
 import { isPeerProof } from "./peer_key.ts";
 import type { PeerContext } from "./peer_procedures.ts";
 
@@ -119,7 +122,7 @@
 function createListener<R extends AnyRouter>(
   options: PeerServerOptions<R>,
 ): (request: IncomingMessage, response: ServerResponse) => void {
-  const { key, router, log, metrics } = options;
+  const { key, log, metrics } = options;
   return (request, response) => {
     response.sendDate = false;
     if (!isPeerProof(key, request.headers.authorization)) {
@@ -130,23 +133,65 @@
       refuseCall(request, response);
       return;
     }
-    const remoteAddress = request.socket.remoteAddress ?? "";
-    const url = new URL(request.url ?? "/", "http://peer");
-    nodeHTTPRequestHandler({
-      router,
-      req: request,
-      res: response,
-      path: url.pathname.slice(1),
-      maxBodySize: maxBodyBytes,
-      allowMethodOverride: true,
-      createContext: (): PeerContext => ({ remoteAddress }),
-      onError: ({ error, path }) => {
-        if (error.code !== "INTERNAL_SERVER_ERROR") return;
-        metrics.count("peer_call_failures_total", { path: path ?? "" });
-        log.error("a peer's call failed.", { path, error: error.message });
-      },
-    }).catch(() => response.destroy());
+    answerCall(options, request, response).catch((error) => {
+      metrics.count("peer_refusals_total", { reason: "malformed" });
+      log.warn("a peer's call was malformed.", { error: formatThrown(error) });
+      response.destroy();
+    });
+  };
+}
+
+async function answerCall<R extends AnyRouter>(
+  options: PeerServerOptions<R>,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const call = await readCall(request);
+  if (call === undefined) return void response.destroy();
+  const remoteAddress = request.socket.remoteAddress ?? "";
+  const answer = await fetchRequestHandler({
+    endpoint: "",
+    router: options.router,
+    req: call,
+    allowMethodOverride: true,
+    createContext: (): PeerContext => ({ remoteAddress }),
+    onError: ({ error, path }) => recordFailure(options, error, path),
+  });
+  const body = encodeBody(await answer.text());
+  const headers: Record<string, string | number> = {
+    "content-length": body.bytes.length,
   };
+  if (body.encoding !== undefined) headers["content-encoding"] = body.encoding;
+  response.writeHead(answer.status, headers);
+  response.end(body.bytes);
+}
+
+/** Builds the request that tRPC reads; undefined when the body is cut off. */
+async function readCall(
+  request: IncomingMessage,
+): Promise<Request | undefined> {
+  const bytes = (await readBody(request, maxBodyBytes)).toMaybe().extract();
+  if (bytes === undefined) return undefined;
+  const encoding = request.headers["content-encoding"] === peerEncoding
+    ? peerEncoding
+    : undefined;
+  const text = decodeBody({ bytes, encoding });
+  return new Request(new URL(request.url ?? "/", "http://peer"), {
+    method: "POST",
+    headers: { "content-type": "application/json" },
+    body: text === "" ? null : text,
+  });
+}
+
+function recordFailure<R extends AnyRouter>(
+  options: PeerServerOptions<R>,
+  error: TRPCError,
+  path: string | undefined,
+): void {
+  if (error.code !== "INTERNAL_SERVER_ERROR") return;
+  const labels = { path: path ?? "" };
+  options.metrics.count("peer_call_failures_total", labels);
+  options.log.error("a peer's call failed.", { path, error: error.message });
 }
 
 function refuseCall(request: IncomingMessage, response: ServerResponse): void {
