--- /dev/null
+++ b/packages/membership/src/configuration_messages.ts
@@ -0,0 +1,47 @@
+/**
+ * Messages that carry the configuration between nodes.
+ */
+
+import { z } from "zod";
+import type { Configuration } from "@almondcrank/common/configuration.ts";
+import type { ConfigurationDelta } from "./configuration_delta.ts";
+
+/** Answer to a node that is at an older revision. */
+export type ConfigurationAnswer =
+  | { readonly kind: "current"; readonly revision: number }
+  | { readonly kind: "delta"; readonly deltas: readonly ConfigurationDelta[] }
+  | { readonly kind: "whole"; readonly configuration: Configuration };
+
+const named = z.looseObject({ name: z.string() });
+const changes = z.object({
+  set: z.array(named),
+  removed: z.array(z.string()),
+});
+
+/** Checks the frame; the content was checked when it was accepted. */
+export const configurationAnswer = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("current"), revision: z.number().int() }),
+  z.object({
+    kind: z.literal("delta"),
+    deltas: z.array(z.object({
+      base: z.number().int(),
+      revision: z.number().int(),
+      teams: changes,
+      models: changes,
+      adapters: changes,
+      services: changes,
+      endpoints: changes,
+    })),
+  }),
+  z.object({
+    kind: z.literal("whole"),
+    configuration: z.object({
+      revision: z.number().int(),
+      teams: z.array(named),
+      models: z.array(named),
+      adapters: z.array(named),
+      services: z.array(named),
+      endpoints: z.array(named),
+    }),
+  }),
+]);
--- /dev/null
+++ b/packages/membership/src/peer_transport.ts
@@ -0,0 +1,128 @@
+/**
+ * Calls of membership and configuration between nodes, and their tRPC form.
+ */
+
+import type { TRPCClient } from "@trpc/client";
+import type { Either } from "purify-ts";
+import type { Address } from "@almondcrank/common/address.ts";
+import {
+  type ConfigurationAnswer,
+  configurationAnswer,
+} from "./configuration_messages.ts";
+import {
+  type Announcement,
+  announcement,
+  type ConfigurationRequest,
+  configurationRequest,
+  type ExchangeRequest,
+  exchangeRequest,
+  type ExchangeResponse,
+  exchangeResponse,
+} from "./messages.ts";
+import type { PeerClients } from "./peer_clients.ts";
+import type { PeerError } from "./peer_error.ts";
+import { createPeerProcedures } from "./peer_procedures.ts";
+
+/** Calls to other nodes. */
+export interface PeerTransport {
+  exchange(
+    peer: Address,
+    request: ExchangeRequest,
+  ): Promise<Either<PeerError, ExchangeResponse>>;
+  announce(
+    peer: Address,
+    news: Announcement,
+  ): Promise<Either<PeerError, void>>;
+  readConfiguration(
+    peer: Address,
+    request: ConfigurationRequest,
+  ): Promise<Either<PeerError, ConfigurationAnswer>>;
+}
+
+/** Answers to calls of other nodes. */
+export interface PeerHandlers {
+  handleExchange(request: ExchangeRequest): ExchangeResponse;
+  handleAnnouncement(news: Announcement): void;
+  handleConfigurationRequest(
+    request: ConfigurationRequest,
+  ): ConfigurationAnswer;
+}
+
+const peer = createPeerProcedures();
+
+/** Creates the procedures, to be merged with those of other packages. */
+// deno-lint-ignore explicit-module-boundary-types
+export function createMembershipRouter(handlers: PeerHandlers) {
+  return peer.router({
+    exchange: peer.procedure.input(exchangeRequest)
+      .mutation(({ input }) => handlers.handleExchange(input)),
+    announce: peer.procedure.input(announcement)
+      .mutation(({ input }) => handlers.handleAnnouncement(input)),
+    configuration: peer.procedure.input(configurationRequest)
+      .query(({ input }) => handlers.handleConfigurationRequest(input)),
+  });
+}
+
+/** Router of this package; part of the node's merged router. */
+export type MembershipRouter = ReturnType<typeof createMembershipRouter>;
+
+const exchangeTimeoutMs = 1_000;
+const announceTimeoutMs = 700;
+const configurationTimeoutMs = 1_500;
+
+/** Transport over tRPC. */
+export class TrpcPeerTransport implements PeerTransport {
+  readonly #clients: PeerClients<MembershipRouter>;
+
+  private constructor(clients: PeerClients<MembershipRouter>) {
+    this.#clients = clients;
+  }
+
+  /** @param clients Clients of a router that holds this package's procedures. */
+  static create(clients: PeerClients<MembershipRouter>): TrpcPeerTransport {
+    return new TrpcPeerTransport(clients);
+  }
+
+  exchange(
+    peer: Address,
+    request: ExchangeRequest,
+  ): Promise<Either<PeerError, ExchangeResponse>> {
+    return this.#call(peer, exchangeTimeoutMs, async (client, signal) => {
+      const answer = await client.exchange.mutate(request, { signal });
+      return exchangeResponse.parse(answer);
+    });
+  }
+
+  announce(
+    peer: Address,
+    news: Announcement,
+  ): Promise<Either<PeerError, void>> {
+    return this.#call(peer, announceTimeoutMs, async (client, signal) => {
+      await client.announce.mutate(news, { signal });
+    });
+  }
+
+  readConfiguration(
+    peer: Address,
+    request: ConfigurationRequest,
+  ): Promise<Either<PeerError, ConfigurationAnswer>> {
+    return this.#call(peer, configurationTimeoutMs, async (client, signal) => {
+      const answer = await client.configuration.query(request, { signal });
+      return configurationAnswer.parse(answer) as ConfigurationAnswer;
+    });
+  }
+
+  #call<T>(
+    peer: Address,
+    timeoutMs: number,
+    run: (
+      client: TRPCClient<MembershipRouter>,
+      signal: AbortSignal,
+    ) => Promise<T>,
+  ): Promise<Either<PeerError, T>> {
+    return this.#clients.call(peer, {
+      send: ({ client, signal }) => run(client, signal),
+      timeoutMs,
+    });
+  }
+}
