Add membership by pull exchanges and the spread of the configuration

Each node pulls what it lacks from one member of its data centre twice a second; delegates also from other data centres; urgent news is announced at once.

--- a/packages/common/src/manual_clock.ts
+++ b/packages/common/src/manual_clock.ts
@@ -37,12 +37,17 @@
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       if (signal?.aborted) return resolve();
-      const sleeper: Sleeper = { due: this.#now + ms, wake: resolve };
-      this.#sleepers.push(sleeper);
-      signal?.addEventListener("abort", () => {
+      const cancel = (): void => {
         this.#sleepers = this.#sleepers.filter((other) => other !== sleeper);
         resolve();
-      }, { once: true });
+      };
+      const wake = (): void => {
+        signal?.removeEventListener("abort", cancel);
+        resolve();
+      };
+      const sleeper: Sleeper = { due: this.#now + ms, wake };
+      this.#sleepers.push(sleeper);
+      signal?.addEventListener("abort", cancel, { once: true });
     });
   }
 
--- /dev/null
+++ b/packages/membership/src/cluster_membership.ts
@@ -0,0 +1,616 @@
+/**
+ * Membership of one node: heartbeats, exchanges, urgent news.
+ *
+ * Each node pulls from one member of its data centre a few times a second what
+ * it lacks: heartbeats with loads and demand of the data centre, and slow facts
+ * (members, leaving endpoints) of the whole system. Delegates also pull
+ * summaries from other data centres. Small systems are one group throughout.
+ */
+
+import type { Address } from "@almondcrank/common/address.ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "@almondcrank/common/disposables.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import type { Hasher } from "@almondcrank/common/hashing.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { Random } from "@almondcrank/common/random.ts";
+import { Announcer, type News } from "./announcer.ts";
+import { ChangeLog } from "./change_log.ts";
+import { computeDelegates, delegatesPerZone } from "./delegates.ts";
+import { LeavingEndpoints } from "./leaving_endpoints.ts";
+import {
+  defaultMemberLimits,
+  type MemberLimits,
+  MemberTable,
+} from "./member_table.ts";
+import type {
+  Digest,
+  EndpointLoad,
+  LeavingEndpoint,
+  Member,
+  Membership,
+  NodeIdentity,
+  TeamDemand,
+} from "./membership.ts";
+import type {
+  Announcement,
+  Change,
+  ExchangeRequest,
+  ExchangeResponse,
+  MemberRecord,
+  OriginRecord,
+} from "./messages.ts";
+import { OriginTable } from "./origin_table.ts";
+import { type ExchangeTarget, PeerChoice } from "./peer_choice.ts";
+import type { PeerTransport } from "./peer_transport.ts";
+import {
+  computeSummary,
+  createAggregate,
+  type ZoneAggregate,
+} from "./zone_summary.ts";
+
+/** Periods of the loops, in milliseconds. */
+export interface MembershipPeriods {
+  readonly heartbeatMs: number;
+  readonly exchangeMs: number;
+  /** Of a delegate's exchanges with other data centres. */
+  readonly remoteExchangeMs: number;
+}
+
+export const defaultMembershipPeriods: MembershipPeriods = {
+  heartbeatMs: 1_000,
+  exchangeMs: 500,
+  remoteExchangeMs: 500,
+};
+
+/** Up to so many nodes, all of them share loads as if in one data centre. */
+const smallSystemNodes = 32;
+const summaryHeartbeats = 4;
+/** Heartbeats that must be overdue for this process to count as paused. */
+const pauseHeartbeats = 2;
+
+/** Options of a node's membership. */
+export interface ClusterMembershipOptions {
+  readonly self: NodeIdentity;
+  /** Peer addresses of some other nodes, from the settings. */
+  readonly seeds: readonly Address[];
+  readonly transport: PeerTransport;
+  readonly hasher: Hasher;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly periods?: Partial<MembershipPeriods>;
+  readonly limits?: Partial<MemberLimits>;
+  /** Service of an endpoint, for aggregates told to other data centres. */
+  readonly findService?: (endpoint: string) => string | undefined;
+}
+
+/** A peer that has a newer configuration in force. */
+export interface RevisionHint {
+  readonly revision: number;
+  readonly node: string;
+  readonly address: Address;
+  readonly zone: string;
+  /** Whether the sender asks for it to be passed on. */
+  readonly relay: boolean;
+}
+
+interface PeerCursor {
+  readonly incarnation: string;
+  readonly cursor: number;
+  readonly knowsSelf: boolean;
+}
+
+/** The system's processes as one node sees them. */
+export class ClusterMembership implements Membership, Disposable {
+  readonly self: NodeIdentity;
+  readonly #options: ClusterMembershipOptions;
+  readonly #periods: MembershipPeriods;
+  readonly #disposables = DisposableStore.create();
+  readonly #stopped = new AbortController();
+  readonly #table: MemberTable;
+  readonly #origins: OriginTable;
+  readonly #leaving: LeavingEndpoints;
+  readonly #changes: ChangeLog<() => Change>;
+  readonly #announcer: Announcer;
+  readonly #choice: PeerChoice;
+  readonly #cursors = new Map<string, PeerCursor>();
+  readonly #digests = Emitter.create<Digest>();
+  readonly #aggregates = Emitter.create<ZoneAggregate>();
+  readonly #hints = Emitter.create<RevisionHint>();
+  #revision = 0;
+  #isLeaving = false;
+
+  private constructor(options: ClusterMembershipOptions) {
+    const { self, clock, hasher, random, transport, metrics } = options;
+    this.self = self;
+    this.#options = options;
+    this.#periods = { ...defaultMembershipPeriods, ...options.periods };
+    const limits = { ...defaultMemberLimits, ...options.limits };
+    this.#table = MemberTable.create({ self, clock, limits });
+    this.#origins = OriginTable.create(self, clock);
+    this.#leaving = LeavingEndpoints.create(clock);
+    this.#changes = ChangeLog.create(hasher);
+    this.#choice = PeerChoice.create(random);
+    this.#announcer = Announcer.create({
+      self,
+      hasher,
+      transport,
+      metrics,
+      listReachable: () => this.#listReachable(),
+      isSmall: () => this.#isSmall(),
+    });
+    this.#disposables.register(this.#table);
+    this.#disposables.register(this.#leaving);
+    this.#setMemberChange({ identity: self, leaving: false });
+    this.onChange(({ identity, state }) => {
+      metrics.count("membership_changes_total", { state });
+      options.log.info("a member changed its state.", {
+        node: identity.node,
+        state,
+      });
+    });
+  }
+
+  static create(options: ClusterMembershipOptions): ClusterMembership {
+    return new ClusterMembership(options);
+  }
+
+  get onChange(): Event<Member> {
+    return this.#table.onChange;
+  }
+
+  get onDigest(): Event<Digest> {
+    return this.#digests.event;
+  }
+
+  /** Fires with load and demand of another data centre. */
+  get onAggregate(): Event<ZoneAggregate> {
+    return this.#aggregates.event;
+  }
+
+  /** Fires once for each endpoint that becomes known to be leaving. */
+  get onLeaving(): Event<LeavingEndpoint> {
+    return this.#leaving.onAdd;
+  }
+
+  /** Fires when a peer has a newer configuration than this node. */
+  get onNewerRevision(): Event<RevisionHint> {
+    return this.#hints.event;
+  }
+
+  /** Starts heartbeats and exchanges. */
+  start(): void {
+    void this.#runHeartbeats();
+    void this.#runExchanges();
+    void this.#runRemoteExchanges();
+  }
+
+  list(): readonly Member[] {
+    return this.#table.list();
+  }
+
+  find(node: string): Member | undefined {
+    return this.#table.find(node);
+  }
+
+  /** Names of nodes that take work, this one included unless it is leaving. */
+  listAlive(zone?: string): readonly string[] {
+    const nodes = this.#table.list()
+      .filter(({ state }) => state === "alive")
+      .filter(({ identity }) => zone === undefined || identity.zone === zone)
+      .map(({ identity }) => identity.node);
+    const isOwn = zone === undefined || zone === this.self.zone;
+    return isOwn && !this.#isLeaving ? [...nodes, this.self.node] : nodes;
+  }
+
+  /** Whether this node speaks for its data centre. */
+  isDelegate(): boolean {
+    return this.#findDelegateRank() < delegatesPerZone;
+  }
+
+  /** Endpoints known to be leaving. */
+  listLeaving(): readonly LeavingEndpoint[] {
+    return this.#leaving.list();
+  }
+
+  isLeaving(endpoint: string): boolean {
+    return this.#leaving.has(endpoint);
+  }
+
+  /** Marks endpoints as leaving, and tells every node at once. */
+  markLeaving(leaving: readonly LeavingEndpoint[]): void {
+    const added = leaving.filter((endpoint) => this.#addLeaving(endpoint));
+    if (added.length === 0) return;
+    void this.#announcer.send(this.#createNews({ leaving: added }));
+  }
+
+  /** Sets the loads that this node publishes. */
+  setLoads(loads: readonly EndpointLoad[]): void {
+    this.#origins.setOwnLoads(loads);
+  }
+
+  /** Sets the demand that this node publishes. */
+  setDemand(demand: readonly TeamDemand[]): void {
+    this.#origins.setOwnDemand(demand);
+  }
+
+  /** Sets the revision in force here. It only grows. */
+  setRevision(revision: number): void {
+    this.#revision = Math.max(this.#revision, revision);
+  }
+
+  /** Tells all nodes, or those of the own data centre, the revision in force. */
+  async announceRevision(reach: "all" | "zone"): Promise<void> {
+    const news = this.#createNews({});
+    await (reach === "all"
+      ? this.#announcer.send(news)
+      : this.#announcer.relay(news));
+  }
+
+  /** Records how a call of another part of the node to a member ended. */
+  recordCall(node: string, succeeded: boolean): void {
+    if (succeeded) this.#table.recordSuccess(node);
+    else this.#table.recordFailure(node);
+  }
+
+  /** Announces that this node leaves; it goes on answering until disposed. */
+  async leave(): Promise<void> {
+    this.#isLeaving = true;
+    const member = { identity: this.self, leaving: true };
+    this.#setMemberChange(member);
+    this.#cursors.clear();
+    await this.#announcer.send(this.#createNews({ members: [member] }));
+  }
+
+  /** Answers a peer's exchange. */
+  handleExchange(request: ExchangeRequest): ExchangeResponse {
+    const { node, incarnation, revision } = request;
+    if (request.self !== undefined) this.#applyMember(request.self);
+    this.#checkIdentity(node, incarnation);
+    this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
+    this.#checkRevision(node, { revision, relay: false });
+    const same = request.checksum === this.#changes.checksum;
+    const changes = same ? [] : this.#changes.list(request.cursor);
+    const isWanted = (origin: string): boolean =>
+      request.scope === "all" || this.#findZone(origin) === request.zone;
+    return {
+      node: this.self.node,
+      incarnation: this.self.incarnation,
+      version: this.#origins.version,
+      revision: this.#revision,
+      cursor: this.#changes.position,
+      known: this.#table.find(node)?.identity.incarnation === incarnation,
+      changes: changes.map((create) => create()),
+      origins: this.#origins.listRecords({
+        seen: request.seen,
+        isWanted,
+        asker: node,
+      }),
+    };
+  }
+
+  /** Takes in a peer's urgent news. */
+  handleAnnouncement(news: Announcement): void {
+    const { node, incarnation, revision } = news;
+    this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
+    const members = news.members.filter((member) => this.#applyMember(member));
+    const leaving = news.leaving
+      .filter((endpoint) => this.#addLeaving(endpoint));
+    this.#checkRevision(node, { revision, relay: news.relay });
+    if (!news.relay || members.length + leaving.length === 0) return;
+    void this.#announcer.relay(this.#createNews({ members, leaving }));
+  }
+
+  dispose(): void {
+    this.#stopped.abort();
+    this.#digests.dispose();
+    this.#aggregates.dispose();
+    this.#hints.dispose();
+    this.#disposables.dispose();
+  }
+
+  async #runHeartbeats(): Promise<void> {
+    const { clock } = this.#options;
+    const { heartbeatMs } = this.#periods;
+    const { signal } = this.#stopped;
+    let last = clock.now();
+    for (let beat = 0; !signal.aborted; beat++) {
+      const lateMs = clock.now() - last - heartbeatMs;
+      last = clock.now();
+      if (lateMs > heartbeatMs * pauseHeartbeats) this.#handlePause(lateMs);
+      if (beat % summaryHeartbeats === 0) this.#setSummary();
+      this.#origins.recordOwnHeartbeat(this.#revision);
+      this.#refresh();
+      await clock.sleep(heartbeatMs, signal);
+    }
+  }
+
+  async #runExchanges(): Promise<void> {
+    const { clock, random } = this.#options;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      const target = this.#choosePeer();
+      if (target !== undefined) void this.#exchange(target);
+      const jitter = 0.75 + random.next() / 2;
+      await clock.sleep(this.#periods.exchangeMs * jitter, signal);
+    }
+  }
+
+  async #runRemoteExchanges(): Promise<void> {
+    const { clock, random } = this.#options;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      const target = this.#chooseRemote();
+      if (target !== undefined) void this.#exchange(target);
+      const jitter = 0.75 + random.next() / 2;
+      await clock.sleep(this.#periods.remoteExchangeMs * jitter, signal);
+    }
+  }
+
+  async #exchange(target: ExchangeTarget): Promise<void> {
+    const { transport, metrics } = this.#options;
+    const request = this.#createRequest(target);
+    const result = await transport.exchange(target.address, request);
+    if (this.#stopped.signal.aborted) return;
+    result.caseOf({
+      Left: ({ kind }) => {
+        metrics.count("membership_exchange_failures_total", { reason: kind });
+        if (target.node !== undefined) this.#table.recordFailure(target.node);
+      },
+      Right: (response) => this.#handleResponse(response),
+    });
+  }
+
+  #createRequest({ node }: ExchangeTarget): ExchangeRequest {
+    const { self } = this;
+    const cursor = this.#cursors.get(node ?? "");
+    const knowsSelf = cursor?.knowsSelf === true;
+    const member = { identity: self, leaving: this.#isLeaving };
+    return {
+      node: self.node,
+      incarnation: self.incarnation,
+      zone: self.zone,
+      version: this.#origins.version,
+      revision: this.#revision,
+      scope: this.#isSmall() ? "all" : "zone",
+      ...(knowsSelf ? {} : { self: member }),
+      cursor: cursor?.cursor ?? 0,
+      checksum: this.#changes.checksum,
+      seen: this.#origins.listSeen(),
+    };
+  }
+
+  #handleResponse(response: ExchangeResponse): void {
+    const { node, incarnation, revision, cursor, known } = response;
+    if (node === this.self.node) return;
+    for (const change of response.changes) this.#applyChange(change);
+    const last = this.#cursors.get(node);
+    const restarted = last !== undefined && last.incarnation !== incarnation;
+    this.#cursors.set(node, {
+      incarnation,
+      cursor: restarted ? 0 : cursor,
+      knowsSelf: known,
+    });
+    this.#table.recordSuccess(node);
+    for (const origin of response.origins) this.#applyOrigin(origin);
+    this.#checkRevision(node, { revision, relay: false });
+  }
+
+  #applyChange(change: Change): void {
+    switch (change.kind) {
+      case "member":
+        this.#applyMember(change.member);
+        break;
+      case "leaving":
+        if (this.#addLeaving(change.leaving) && this.isDelegate()) {
+          const news = this.#createNews({ leaving: [change.leaving] });
+          void this.#announcer.relay(news);
+        }
+        break;
+    }
+  }
+
+  #applyMember(member: MemberRecord): boolean {
+    const added = this.#table.apply(member);
+    if (added) this.#setMemberChange(member);
+    return added;
+  }
+
+  #applyOrigin(record: OriginRecord): void {
+    const { node, incarnation, revision, ageMs } = record;
+    const applied = this.#origins.apply(record);
+    if (applied === undefined) return;
+    this.#table.recordHeartbeat({ node, incarnation, revision, ageMs });
+    const zone = this.#findZone(node);
+    if (zone !== undefined && this.#isRemote(zone)) {
+      this.#applySummary(zone, record);
+      return;
+    }
+    const { loads, demand } = applied;
+    const leaving = this.#leaving.list();
+    this.#digests.fire({ node, incarnation, demand, loads, leaving });
+  }
+
+  #applySummary(zone: string, record: OriginRecord): void {
+    const summary = this.#origins.findSummary(record.node);
+    if (summary === undefined) return;
+    this.#table.recordSummary(zone, {
+      alive: new Set(summary.alive),
+      revision: summary.revision,
+      ageMs: record.ageMs,
+    });
+    if (record.summary === undefined) return;
+    this.#aggregates.fire(createAggregate(zone, record.summary));
+  }
+
+  #addLeaving(leaving: LeavingEndpoint): boolean {
+    const { endpoint } = leaving;
+    if (!this.#leaving.add(leaving)) return false;
+    this.#changes.set(`leaving ${endpoint}`, "", () => ({
+      kind: "leaving",
+      leaving: {
+        endpoint,
+        remainingMs: Math.round(this.#leaving.findRemaining(endpoint) ?? 0),
+      },
+    }));
+    return true;
+  }
+
+  #setMemberChange(member: MemberRecord): void {
+    const { node, incarnation } = member.identity;
+    const content = `${incarnation} ${member.leaving}`;
+    this.#changes.set(`member ${node}`, content, () => ({
+      kind: "member",
+      member,
+    }));
+  }
+
+  #checkRevision(
+    node: string,
+    seen: { readonly revision: number; readonly relay: boolean },
+  ): void {
+    if (seen.revision <= this.#revision) return;
+    const identity = this.#table.find(node)?.identity;
+    if (identity === undefined) return;
+    const { peerAddress: address, zone } = identity;
+    this.#hints.fire({ ...seen, node, address, zone });
+  }
+
+  #checkIdentity(node: string, incarnation: string): void {
+    if (node !== this.self.node || incarnation === this.self.incarnation) {
+      return;
+    }
+    this.#options.metrics.count("membership_identity_conflicts_total");
+    this.#options.log.error(
+      "another process uses this node's name; give each node its own name.",
+      { node, incarnation },
+    );
+  }
+
+  #refresh(): void {
+    const forgotten = this.#table.refresh((zone) => this.#isRemote(zone));
+    for (const node of forgotten) {
+      this.#origins.remove(node);
+      this.#cursors.delete(node);
+      this.#changes.remove(`member ${node}`);
+      this.#options.log.info("forgot a silent member.", { node });
+    }
+    for (const endpoint of this.#leaving.removeEnded()) {
+      this.#changes.remove(`leaving ${endpoint}`);
+    }
+    for (const state of ["alive", "leaving", "suspected"] as const) {
+      const members = this.#table.list().filter((m) => m.state === state);
+      this.#options.metrics
+        .setGauge("membership_members", members.length, { state });
+    }
+  }
+
+  #handlePause(lateMs: number): void {
+    this.#options.metrics.count("membership_pauses_total");
+    this.#options.log.warn("this process was paused.", {
+      ms: Math.round(lateMs),
+    });
+    this.#table.recordPause(lateMs);
+  }
+
+  #setSummary(): void {
+    const isTask = !this.#isSmall() && this.#findDelegateRank() === 0;
+    if (!isTask) return this.#origins.setOwnSummary(undefined);
+    const alive = this.listAlive(this.self.zone);
+    const revisions = this.#table.list()
+      .filter(({ identity }) => alive.includes(identity.node))
+      .map(({ revision }) => revision);
+    const findService = (endpoint: string): string | undefined =>
+      this.#leaving.has(endpoint)
+        ? undefined
+        : this.#options.findService?.(endpoint);
+    this.#origins.setOwnSummary(computeSummary({
+      alive,
+      revision: Math.min(this.#revision, ...revisions),
+      loads: this.#origins.listLoads(),
+      demand: this.#origins.listDemand(alive),
+      findService,
+    }));
+  }
+
+  #choosePeer(): ExchangeTarget | undefined {
+    const isGroup = ({ identity }: Member): boolean =>
+      !this.#isRemote(identity.zone);
+    const members = this.#table.list();
+    const known = new Set(members.map(({ identity }) => identity.peerAddress));
+    const suspected = members.filter(({ state }) => state === "suspected");
+    return this.#choice.choose({
+      reachable: members.filter(({ state }) => state !== "suspected")
+        .filter(isGroup),
+      doubtful: [...suspected.filter(isGroup), ...this.#table.listDoubtful()],
+      unknownSeeds: this.#options.seeds.filter((seed) =>
+        seed !== this.self.peerAddress && !known.has(seed)
+      ),
+    });
+  }
+
+  /** A member of another data centre, preferably one of its delegates. */
+  #chooseRemote(): ExchangeTarget | undefined {
+    if (this.#isSmall() || !this.isDelegate()) return undefined;
+    const { hasher, random } = this.#options;
+    const members = this.#table.list()
+      .filter(({ identity }) => this.#isRemote(identity.zone));
+    if (members.length === 0) return undefined;
+    const zones = [...new Set(members.map(({ identity }) => identity.zone))];
+    const zone = random.choose(zones);
+    const inZone = members.filter(({ identity }) => identity.zone === zone);
+    const usable = inZone.filter(({ state }) => state === "alive");
+    const names = usable.map(({ identity }) => identity.node);
+    const delegates = computeDelegates(hasher, zone, names)
+      .slice(0, delegatesPerZone);
+    const node = delegates.length > 0
+      ? random.choose(delegates)
+      : random.choose(inZone).identity.node;
+    const address = this.#table.find(node)?.identity.peerAddress;
+    return address === undefined ? undefined : { node, address };
+  }
+
+  #findDelegateRank(): number {
+    const { zone, node } = this.self;
+    const alive = this.listAlive(zone);
+    const rank = computeDelegates(this.#options.hasher, zone, alive)
+      .indexOf(node);
+    return rank < 0 ? Infinity : rank;
+  }
+
+  #findZone(node: string): string | undefined {
+    if (node === this.self.node) return this.self.zone;
+    return this.#table.find(node)?.identity.zone;
+  }
+
+  #isSmall(): boolean {
+    return this.#table.list().length < smallSystemNodes;
+  }
+
+  #isRemote(zone: string): boolean {
+    return !this.#isSmall() && zone !== this.self.zone;
+  }
+
+  #listReachable(): readonly Member[] {
+    return this.#table.list().filter(({ state }) => state !== "suspected");
+  }
+
+  #createNews(
+    news: Partial<Pick<News, "leaving" | "members">>,
+  ): News {
+    const { node, incarnation } = this.self;
+    return {
+      node,
+      incarnation,
+      revision: this.#revision,
+      leaving: news.leaving ?? [],
+      members: news.members ?? [],
+    };
+  }
+}
--- /dev/null
+++ b/packages/membership/src/cluster_membership_test.ts
@@ -0,0 +1,184 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { openHasher } from "@almondcrank/common/hashing.ts";
+import { TestNetwork } from "./testing/test_network.ts";
+
+const hasher = await openHasher();
+const zones = ["muc-1", "muc-2", "nue-1"];
+
+/** Starts `count` nodes that know the first one only. */
+async function openNetwork(count: number): Promise<TestNetwork> {
+  const network = new TestNetwork({ hasher, seed: 7 });
+  for (let i = 0; i < count; i++) {
+    network.start(`n${i}`, { zone: zones[i % zones.length]! }, ["n0"]);
+  }
+  await network.clock.advance(5_000);
+  return network;
+}
+
+test("nodes learn of each other from one seed", async () => {
+  const network = await openNetwork(9);
+  for (const { membership } of network.list()) {
+    const states = membership.list().map(({ state }) => state);
+    assert.equal(states, Array(8).fill("alive"));
+  }
+  network.dispose();
+});
+
+test("a killed member is suspected by all and forgotten later", async () => {
+  const network = await openNetwork(9);
+  network.kill("n3");
+  await network.clock.advance(8_000);
+  for (const { identity } of network.list()) {
+    assert.is(network.readState(identity.node, "n3"), "suspected");
+  }
+  await network.clock.advance(610_000);
+  for (const { identity } of network.list()) {
+    assert.is(network.readState(identity.node, "n3"), undefined);
+  }
+  network.dispose();
+});
+
+test("a frozen member is suspected and trusted again once it runs", async () => {
+  const network = await openNetwork(9);
+  network.freeze("n3");
+  await network.clock.advance(8_000);
+  assert.is(network.readState("n0", "n3"), "suspected");
+  assert.not.ok(network.find("n0").membership.listAlive().includes("n3"));
+  network.thaw("n3");
+  await network.clock.advance(6_000);
+  for (const { identity } of network.list()) {
+    if (identity.node === "n3") continue;
+    assert.is(network.readState(identity.node, "n3"), "alive");
+  }
+  assert.is(network.find("n3").membership.listAlive().length, 9);
+  network.dispose();
+});
+
+test("who cannot reach a member suspects it, others do not", async () => {
+  const network = await openNetwork(6);
+  network.cut("n1", "n2");
+  await network.clock.advance(10_000);
+  assert.is(network.readState("n1", "n2"), "suspected");
+  assert.is(network.readState("n0", "n2"), "alive");
+  network.heal();
+  await network.clock.advance(10_000);
+  assert.is(network.readState("n1", "n2"), "alive");
+  network.dispose();
+});
+
+test("a member whose answers are lost is suspected by the caller", async () => {
+  const network = await openNetwork(6);
+  network.cut("n2", "n1");
+  await network.clock.advance(10_000);
+  assert.is(network.readState("n1", "n2"), "suspected");
+  assert.is(network.readState("n2", "n1"), "suspected");
+  assert.is(network.readState("n0", "n2"), "alive");
+  network.dispose();
+});
+
+test("both sides of a split suspect the other and converge when healed", async () => {
+  const network = await openNetwork(6);
+  const left = ["n0", "n1", "n2"];
+  const right = ["n3", "n4", "n5"];
+  for (const a of left) {
+    for (const b of right) {
+      network.cut(a, b);
+      network.cut(b, a);
+    }
+  }
+  await network.clock.advance(60_000);
+  assert.equal(network.find("n0").membership.listAlive().length, 3);
+  assert.equal(network.find("n3").membership.listAlive().length, 3);
+  network.heal();
+  await network.clock.advance(20_000);
+  for (const { membership } of network.list()) {
+    assert.is(membership.listAlive().length, 6);
+  }
+  network.dispose();
+});
+
+test("a restarted node replaces its older incarnation everywhere", async () => {
+  const network = await openNetwork(6);
+  const old = network.find("n4").identity.incarnation;
+  const fresh = network.start("n4", { zone: zones[1]! }, ["n0"]).identity;
+  assert.is.not(fresh.incarnation, old);
+  await network.clock.advance(5_000);
+  for (const { identity, membership } of network.list()) {
+    if (identity.node === "n4") continue;
+    const member = membership.find("n4");
+    assert.is(member?.identity.incarnation, fresh.incarnation);
+    assert.is(member?.state, "alive");
+  }
+  network.dispose();
+});
+
+test("a member that leaves says so at once", async () => {
+  const network = await openNetwork(6);
+  void network.find("n5").membership.leave();
+  await network.clock.advance(100);
+  for (const { identity } of network.list()) {
+    if (identity.node === "n5") continue;
+    assert.is(network.readState(identity.node, "n5"), "leaving");
+  }
+  network.dispose();
+});
+
+test("leaving endpoints are known to all within 200 ms", async () => {
+  const network = await openNetwork(9);
+  network.find("n1").membership
+    .markLeaving([{ endpoint: "e1", remainingMs: 5_000 }]);
+  await network.clock.advance(200);
+  for (const { membership } of network.list()) {
+    assert.ok(membership.isLeaving("e1"));
+  }
+  network.dispose();
+});
+
+test("leaving endpoints reach a node that missed the announcement", async () => {
+  const network = await openNetwork(9);
+  network.cut("n1", "n8");
+  network.find("n1").membership
+    .markLeaving([{ endpoint: "e1", remainingMs: 5_000 }]);
+  await network.clock.advance(2_000);
+  assert.ok(network.find("n8").membership.isLeaving("e1"));
+  const [left] = network.find("n8").membership.listLeaving();
+  assert.ok(left !== undefined && left.remainingMs <= 3_100);
+  network.dispose();
+});
+
+test("loads and demand reach the peers, and only material changes", async () => {
+  const network = await openNetwork(3);
+  const load = {
+    endpoint: "e1",
+    ageMs: 100,
+    queued: 3,
+    running: 4,
+    slots: 8,
+    queuedTokens: 1_000,
+    prefillTokensPerSecond: 9_000,
+    betweenTokensMs: 20,
+    reachable: true,
+  };
+  const seen: number[] = [];
+  const demand: unknown[] = [];
+  network.find("n2").membership.onDigest((digest) => {
+    if (digest.node !== "n0") return;
+    for (const { queuedTokens } of digest.loads) seen.push(queuedTokens);
+    demand.splice(0, 1, digest.demand);
+  });
+  const { membership } = network.find("n0");
+  const team = { team: "a", requestsPerSecond: 2, tokensPerSecond: 300 };
+  membership.setDemand([team]);
+  membership.setLoads([load]);
+  await network.clock.advance(3_000);
+  membership.setLoads([{ ...load, queuedTokens: 1_010 }]);
+  await network.clock.advance(1_000);
+  membership.setLoads([{ ...load, queuedTokens: 2_000 }]);
+  await network.clock.advance(3_000);
+  assert.equal(seen, [1_000, 2_000]);
+  assert.equal(demand, [[team]]);
+  network.dispose();
+});
+
+test.run();
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -62,8 +62,8 @@
 /** State of a data centre as one of its delegates sees it. */
 const zoneSummary = z.object({
   version: count,
-  /** Names of members that are suspected. */
-  suspected: z.array(name).readonly(),
+  /** Names of members that are alive. */
+  alive: z.array(name).readonly(),
   /** Lowest revision in force at a member that is alive. */
   revision: count,
   services: z.array(name).readonly(),
--- /dev/null
+++ b/packages/membership/src/origin_table.ts
@@ -0,0 +1,300 @@
+/**
+ * Heartbeats of processes with the loads and demand that each one publishes.
+ *
+ * Every process is the only writer of its own record and numbers its changes.
+ * Records are passed on as they are, so a node needs to hear each of them from
+ * one peer only.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import { isNewerIncarnation } from "./incarnation.ts";
+import {
+  decodeLoads,
+  encodeLoads,
+  isMaterialChange,
+  type VersionedLoad,
+} from "./load_columns.ts";
+import type { EndpointLoad, NodeIdentity, TeamDemand } from "./membership.ts";
+import type { DemandColumns, OriginRecord, ZoneSummary } from "./messages.ts";
+
+const loadRefreshMs = 5_000;
+const loadExpiryMs = 20_000;
+const demandRefreshHeartbeats = 5;
+const staleAfterMs = 60_000;
+const incarnationTagLength = 4;
+
+interface Origin {
+  readonly incarnation: string;
+  version: number;
+  heardAt: number;
+  revision: number;
+  readonly loads: Map<string, VersionedLoad>;
+  demand: DemandColumns | undefined;
+  summary: ZoneSummary | undefined;
+}
+
+/** Which parts of which records a peer wants. */
+export interface OriginQuery {
+  readonly seen: Readonly<Record<string, string>>;
+  /** Whether loads and demand of a node are wanted. */
+  readonly isWanted: (node: string) => boolean;
+  /** The peer itself, whose record it does not need. */
+  readonly asker: string;
+}
+
+/** Records by node, this node's own included. */
+export class OriginTable {
+  readonly #self: NodeIdentity;
+  readonly #clock: Clock;
+  readonly #own: Origin;
+  readonly #origins = new Map<string, Origin>();
+
+  private constructor(self: NodeIdentity, clock: Clock) {
+    this.#self = self;
+    this.#clock = clock;
+    this.#own = createOrigin(self.incarnation, clock.now());
+    this.#origins.set(self.node, this.#own);
+  }
+
+  static create(self: NodeIdentity, clock: Clock): OriginTable {
+    return new OriginTable(self, clock);
+  }
+
+  /** This node's own heartbeat. */
+  get version(): number {
+    return this.#own.version;
+  }
+
+  /** Makes what was set since the last heartbeat visible to others. */
+  recordOwnHeartbeat(revision: number): void {
+    this.#own.version++;
+    this.#own.heardAt = this.#clock.now();
+    this.#own.revision = revision;
+  }
+
+  /** Sets the loads this node publishes from its next heartbeat on. */
+  setOwnLoads(loads: readonly EndpointLoad[]): void {
+    const now = this.#clock.now();
+    const version = this.#own.version + 1;
+    const names = new Set<string>();
+    for (const load of loads) {
+      names.add(load.endpoint);
+      const last = this.#own.loads.get(load.endpoint);
+      const fresh = last !== undefined &&
+        now - last.receivedAt < loadRefreshMs &&
+        !isMaterialChange(last.load, load);
+      if (fresh) continue;
+      this.#own.loads.set(load.endpoint, { load, version, receivedAt: now });
+    }
+    for (const endpoint of this.#own.loads.keys()) {
+      if (!names.has(endpoint)) this.#own.loads.delete(endpoint);
+    }
+  }
+
+  /** Sets the demand this node publishes from its next heartbeat on. */
+  setOwnDemand(demand: readonly TeamDemand[]): void {
+    const version = this.#own.version + 1;
+    const next = encodeDemand(demand, version);
+    const last = this.#own.demand;
+    const same = last !== undefined &&
+      JSON.stringify({ ...last, version }) === JSON.stringify(next) &&
+      version - last.version < demandRefreshHeartbeats;
+    if (!same) this.#own.demand = next;
+  }
+
+  /** Sets the summary of this node's data centre; undefined when not its task. */
+  setOwnSummary(summary: Omit<ZoneSummary, "version"> | undefined): void {
+    const version = this.#own.version + 1;
+    this.#own.summary = summary && { ...summary, version };
+  }
+
+  /** Version of each record, for a query. */
+  listSeen(): Record<string, string> {
+    const seen: Record<string, string> = {};
+    for (const [node, origin] of this.#origins) {
+      if (node === this.#self.node) continue;
+      seen[node] = formatSeen(origin.incarnation, origin.version);
+    }
+    return seen;
+  }
+
+  /** Lists what a peer lacks. */
+  listRecords(query: OriginQuery): readonly OriginRecord[] {
+    const now = this.#clock.now();
+    const records: OriginRecord[] = [];
+    for (const [node, origin] of this.#origins) {
+      const ageMs = now - origin.heardAt;
+      const wanted = query.isWanted(node);
+      const skipped = node === query.asker || ageMs > staleAfterMs ||
+        (!wanted && origin.summary === undefined);
+      if (skipped) continue;
+      const base = parseSeen(query.seen[node], origin.incarnation);
+      if (base >= origin.version) continue;
+      records.push(createRecord({ node, origin, base, wanted, now }));
+    }
+    return records;
+  }
+
+  /**
+   * Takes in a record; undefined when this node had it already.
+   *
+   * @returns The loads and demand that changed.
+   */
+  apply(record: OriginRecord): AppliedRecord | undefined {
+    if (record.node === this.#self.node) return undefined;
+    const now = this.#clock.now();
+    let origin = this.#origins.get(record.node);
+    if (origin !== undefined && origin.incarnation !== record.incarnation) {
+      if (!isNewerIncarnation(record.incarnation, origin.incarnation)) {
+        return undefined;
+      }
+      origin = undefined;
+    }
+    if (origin === undefined) {
+      origin = createOrigin(record.incarnation, now - record.ageMs);
+      this.#origins.set(record.node, origin);
+    }
+    if (record.version <= origin.version) return undefined;
+    origin.version = record.version;
+    origin.heardAt = now - record.ageMs;
+    origin.revision = record.revision;
+    return applyParts(origin, record, now);
+  }
+
+  /** The last summary a node published, if that is its task. */
+  findSummary(node: string): ZoneSummary | undefined {
+    return this.#origins.get(node)?.summary;
+  }
+
+  /** Loads of all origins by endpoint, the freshest of each. */
+  listLoads(): readonly EndpointLoad[] {
+    const now = this.#clock.now();
+    const freshest = new Map<string, EndpointLoad>();
+    for (const origin of this.#origins.values()) {
+      for (const { load, receivedAt } of origin.loads.values()) {
+        const ageMs = load.ageMs + now - receivedAt;
+        const other = freshest.get(load.endpoint);
+        if (ageMs > loadExpiryMs || (other && other.ageMs <= ageMs)) continue;
+        freshest.set(load.endpoint, { ...load, ageMs });
+      }
+    }
+    return [...freshest.values()];
+  }
+
+  /** Demand as each of the given nodes last published it. */
+  listDemand(nodes: readonly string[]): readonly TeamDemand[] {
+    return nodes.flatMap((node) =>
+      decodeDemand(this.#origins.get(node)?.demand)
+    );
+  }
+
+  remove(node: string): void {
+    this.#origins.delete(node);
+  }
+}
+
+/** What a record changed. */
+export interface AppliedRecord {
+  readonly loads: readonly EndpointLoad[];
+  readonly demand: readonly TeamDemand[];
+}
+
+function applyParts(
+  origin: Origin,
+  record: OriginRecord,
+  now: number,
+): AppliedRecord {
+  const loads = record.loads === undefined
+    ? []
+    : decodeLoads(record.loads, now);
+  for (const load of loads) origin.loads.set(load.load.endpoint, load);
+  for (const [endpoint, { load, receivedAt }] of origin.loads) {
+    const expired = load.ageMs + now - receivedAt > loadExpiryMs;
+    if (expired) origin.loads.delete(endpoint);
+  }
+  origin.demand = record.demand ?? origin.demand;
+  origin.summary = record.summary ?? origin.summary;
+  return {
+    loads: loads.map(({ load }) => load),
+    demand: decodeDemand(origin.demand),
+  };
+}
+
+function createOrigin(incarnation: string, heardAt: number): Origin {
+  return {
+    incarnation,
+    version: 0,
+    heardAt,
+    revision: 0,
+    loads: new Map(),
+    demand: undefined,
+    summary: undefined,
+  };
+}
+
+interface RecordParts {
+  readonly node: string;
+  readonly origin: Origin;
+  readonly base: number;
+  readonly wanted: boolean;
+  readonly now: number;
+}
+
+function createRecord(parts: RecordParts): OriginRecord {
+  const { node, origin, base, wanted, now } = parts;
+  const { incarnation, version, revision, demand, summary } = origin;
+  // Parts of the node's own next heartbeat wait for that heartbeat.
+  const isNew = (part: { readonly version: number }): boolean =>
+    part.version > base && part.version <= version;
+  const loads = wanted
+    ? [...origin.loads.values()].filter((load) => isNew(load))
+    : [];
+  return {
+    node,
+    incarnation,
+    version,
+    ageMs: Math.round(now - origin.heardAt),
+    revision,
+    ...(loads.length > 0 ? { loads: encodeLoads(loads, now) } : {}),
+    ...(wanted && demand !== undefined && isNew(demand) ? { demand } : {}),
+    ...(summary !== undefined && isNew(summary) ? { summary } : {}),
+  };
+}
+
+function formatSeen(incarnation: string, version: number): string {
+  return `${incarnation.slice(-incarnationTagLength)}${version}`;
+}
+
+/** Version a peer has of this incarnation, -1 when of none or another one. */
+function parseSeen(seen: string | undefined, incarnation: string): number {
+  const tag = incarnation.slice(-incarnationTagLength);
+  if (seen?.startsWith(tag) !== true) return -1;
+  return Number(seen.slice(tag.length));
+}
+
+function encodeDemand(
+  demand: readonly TeamDemand[],
+  version: number,
+): DemandColumns {
+  return {
+    version,
+    teams: demand.map(({ team }) => team),
+    requestsPerSecond: demand.map(({ requestsPerSecond }) =>
+      Math.round(requestsPerSecond * 10) / 10
+    ),
+    tokensPerSecond: demand.map(({ tokensPerSecond }) =>
+      Math.round(tokensPerSecond)
+    ),
+  };
+}
+
+/** Reads demand from its columns. */
+export function decodeDemand(
+  columns: Omit<DemandColumns, "version"> | undefined,
+): readonly TeamDemand[] {
+  return (columns?.teams ?? []).map((team, i) => ({
+    team,
+    requestsPerSecond: columns?.requestsPerSecond[i] ?? 0,
+    tokensPerSecond: columns?.tokensPerSecond[i] ?? 0,
+  }));
+}
--- a/packages/membership/src/peer_encoding.ts
+++ b/packages/membership/src/peer_encoding.ts
@@ -18,7 +18,7 @@
     '"incarnation":"zone":"region":"peerAddress":"10.0.0.1:7000"},"leaving":' +
     'false},"remainingMs":"endpoint":"changes":[{"kind":"member","kind":' +
     '"leaving","whole":false,"checksum":"cursor":"demand":{"teams":[' +
-    '"requestsPerSecond":["tokensPerSecond":["zone":{"suspected":[],' +
+    '"requestsPerSecond":["tokensPerSecond":["zone":{"alive":["' +
     '"aggregates":{"services":["reachable":["freeSlots":["queuedTokens":[' +
     '"origins":[{"node":"incarnation":"version":"ageMs":"revision":0,' +
     '"loads":{"endpoints":["versions":["agesMs":[0,0,0,0,"queued":[0,0,0,0,' +
--- a/packages/membership/src/peer_transport.ts
+++ b/packages/membership/src/peer_transport.ts
@@ -3,6 +3,7 @@
  */
 
 import type { TRPCClient } from "@trpc/client";
+import type { AnyRouter } from "@trpc/server";
 import type { Either } from "purify-ts";
 import type { Address } from "@almondcrank/common/address.ts";
 import {
@@ -70,17 +71,31 @@
 const announceTimeoutMs = 700;
 const configurationTimeoutMs = 1_500;
 
-/** Transport over tRPC. */
-export class TrpcPeerTransport implements PeerTransport {
-  readonly #clients: PeerClients<MembershipRouter>;
+/** Client of this package's procedures. */
+export type MembershipClient = Pick<
+  TRPCClient<MembershipRouter>,
+  "exchange" | "announce" | "configuration"
+>;
 
-  private constructor(clients: PeerClients<MembershipRouter>) {
+/** Transport over tRPC. `R` is the node's merged router. */
+export class TrpcPeerTransport<R extends AnyRouter> implements PeerTransport {
+  readonly #clients: PeerClients<R>;
+  readonly #find: (client: TRPCClient<R>) => MembershipClient;
+
+  private constructor(
+    clients: PeerClients<R>,
+    find: (client: TRPCClient<R>) => MembershipClient,
+  ) {
     this.#clients = clients;
+    this.#find = find;
   }
 
-  /** @param clients Clients of a router that holds this package's procedures. */
-  static create(clients: PeerClients<MembershipRouter>): TrpcPeerTransport {
-    return new TrpcPeerTransport(clients);
+  /** @param find Finds this package's procedures in a client of the whole. */
+  static create<R extends AnyRouter>(
+    clients: PeerClients<R>,
+    find: (client: TRPCClient<R>) => MembershipClient,
+  ): TrpcPeerTransport<R> {
+    return new TrpcPeerTransport<R>(clients, find);
   }
 
   exchange(
@@ -115,13 +130,10 @@
   #call<T>(
     peer: Address,
     timeoutMs: number,
-    run: (
-      client: TRPCClient<MembershipRouter>,
-      signal: AbortSignal,
-    ) => Promise<T>,
+    run: (client: MembershipClient, signal: AbortSignal) => Promise<T>,
   ): Promise<Either<PeerError, T>> {
     return this.#clients.call(peer, {
-      send: ({ client, signal }) => run(client, signal),
+      send: ({ client, signal }) => run(this.#find(client), signal),
       timeoutMs,
     });
   }
