--- a/packages/membership/src/testing/test_network.ts
+++ b/packages/membership/src/testing/test_network.ts
@@ -80,8 +80,14 @@
     this.#wake();
   }
 
-  /** @param isCut Whether the asking node cannot reach the store. */
-  createSource(isCut: () => boolean): HeadSource {
+  /**
+   * @param isCut Whether the asking node cannot reach the store.
+   * @param waitThaw Holds answers while the asking node is frozen.
+   */
+  createSource(
+    isCut: () => boolean,
+    waitThaw: () => Promise<void>,
+  ): HeadSource {
     const read = (): Either<PlatformError, Configuration> =>
       this.#isOut || isCut()
         ? Left(PlatformError.create({
@@ -91,10 +97,16 @@
         }))
         : Right(this.#configuration);
     return {
-      read: () => Promise.resolve(read()),
+      read: async () => {
+        const answer = read();
+        await waitThaw();
+        return answer;
+      },
       wait: async (since, waitMs) => {
         if (this.#configuration.revision <= since) await this.#wait(waitMs);
-        return read().map((next) => next.revision > since ? next : undefined);
+        const answer = read();
+        await waitThaw();
+        return answer.map((next) => next.revision > since ? next : undefined);
       },
     };
   }
@@ -190,7 +202,10 @@
       log,
       metrics,
     });
-    const head = this.store.createSource(() => this.#isCut(node, "store"));
+    const head = this.store.createSource(
+      () => this.#isCut(node, "store"),
+      () => this.#waitThaw(node, incarnation),
+    );
     const spread = ConfigurationSpread.create({
       membership,
       transport,
