--- a/packages/membership/src/cluster_membership.ts
+++ b/packages/membership/src/cluster_membership.ts
@@ -20,6 +20,7 @@
 import type { Random } from "@almondcrank/common/random.ts";
 import { Announcer, type News } from "./announcer.ts";
 import { ChangeLog } from "./change_log.ts";
+import type { ConfigurationDelta } from "./configuration_delta.ts";
 import { computeDelegates, delegatesPerZone } from "./delegates.ts";
 import { LeavingEndpoints } from "./leaving_endpoints.ts";
 import {
@@ -98,6 +99,8 @@
   readonly zone: string;
   /** Whether the sender asks for it to be passed on. */
   readonly relay: boolean;
+  /** Changes that lead to it, if they came along. */
+  readonly deltas: readonly ConfigurationDelta[];
 }
 
 interface PeerCursor {
@@ -245,9 +248,16 @@
     this.#revision = Math.max(this.#revision, revision);
   }
 
-  /** Tells all nodes, or those of the own data centre, the revision in force. */
-  async announceRevision(reach: "all" | "zone"): Promise<void> {
-    const news = this.#createNews({});
+  /**
+   * Tells all nodes, or those of the own data centre, the revision in force.
+   *
+   * @param deltas Changes that lead to it, sent along when they are few.
+   */
+  async announceRevision(
+    reach: "all" | "zone",
+    deltas?: readonly ConfigurationDelta[],
+  ): Promise<void> {
+    const news = this.#createNews(deltas === undefined ? {} : { deltas });
     await (reach === "all"
       ? this.#announcer.send(news)
       : this.#announcer.relay(news));
@@ -274,7 +284,7 @@
     if (request.self !== undefined) this.#applyMember(request.self);
     this.#checkIdentity(node, incarnation);
     this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
-    this.#checkRevision(node, { revision, relay: false });
+    this.#checkRevision(node, { revision, relay: false, deltas: [] });
     const same = request.checksum === this.#changes.checksum;
     const changes = same ? [] : this.#changes.list(request.cursor);
     const isWanted = (origin: string): boolean =>
@@ -302,7 +312,8 @@
     const members = news.members.filter((member) => this.#applyMember(member));
     const leaving = news.leaving
       .filter((endpoint) => this.#addLeaving(endpoint));
-    this.#checkRevision(node, { revision, relay: news.relay });
+    const { relay, deltas = [] } = news;
+    this.#checkRevision(node, { revision, relay, deltas });
     if (!news.relay || members.length + leaving.length === 0) return;
     void this.#announcer.relay(this.#createNews({ members, leaving }));
   }
@@ -337,6 +348,8 @@
     while (!signal.aborted) {
       const target = this.#choosePeer();
       if (target !== undefined) void this.#exchange(target);
+      const repair = this.#chooseRepair();
+      if (repair !== undefined) void this.#exchange(repair);
       const jitter = 0.75 + random.next() / 2;
       await clock.sleep(this.#periods.exchangeMs * jitter, signal);
     }
@@ -399,7 +412,7 @@
     });
     this.#table.recordSuccess(node);
     for (const origin of response.origins) this.#applyOrigin(origin);
-    this.#checkRevision(node, { revision, relay: false });
+    this.#checkRevision(node, { revision, relay: false, deltas: [] });
   }
 
   #applyChange(change: Change): void {
@@ -473,7 +486,7 @@
 
   #checkRevision(
     node: string,
-    seen: { readonly revision: number; readonly relay: boolean },
+    seen: Pick<RevisionHint, "revision" | "relay" | "deltas">,
   ): void {
     if (seen.revision <= this.#revision) return;
     const identity = this.#table.find(node)?.identity;
@@ -540,15 +553,20 @@
   }
 
   #choosePeer(): ExchangeTarget | undefined {
-    const isGroup = ({ identity }: Member): boolean =>
-      !this.#isRemote(identity.zone);
+    return this.#choice.choose(
+      this.#listReachable()
+        .filter(({ identity }) => !this.#isRemote(identity.zone)),
+    );
+  }
+
+  #chooseRepair(): ExchangeTarget | undefined {
     const members = this.#table.list();
     const known = new Set(members.map(({ identity }) => identity.peerAddress));
-    const suspected = members.filter(({ state }) => state === "suspected");
-    return this.#choice.choose({
-      reachable: members.filter(({ state }) => state !== "suspected")
-        .filter(isGroup),
-      doubtful: [...suspected.filter(isGroup), ...this.#table.listDoubtful()],
+    const suspected = members.filter(({ identity, state }) =>
+      state === "suspected" && !this.#isRemote(identity.zone)
+    );
+    return this.#choice.chooseRepair({
+      doubtful: [...suspected, ...this.#table.listDoubtful()],
       unknownSeeds: this.#options.seeds.filter((seed) =>
         seed !== this.self.peerAddress && !known.has(seed)
       ),
@@ -602,7 +620,7 @@
   }
 
   #createNews(
-    news: Partial<Pick<News, "leaving" | "members">>,
+    news: Partial<Pick<News, "leaving" | "members" | "deltas">>,
   ): News {
     const { node, incarnation } = this.self;
     return {
@@ -611,6 +629,7 @@
       revision: this.#revision,
       leaving: news.leaving ?? [],
       members: news.members ?? [],
+      ...(news.deltas === undefined ? {} : { deltas: news.deltas }),
     };
   }
 }
--- a/packages/membership/src/configuration_messages.ts
+++ b/packages/membership/src/configuration_messages.ts
@@ -19,19 +19,27 @@
 });
 
 /** Checks the frame; the content was checked when it was accepted. */
+const deltaFrame = z.object({
+  base: z.number().int(),
+  revision: z.number().int(),
+  teams: changes,
+  models: changes,
+  adapters: changes,
+  services: changes,
+  endpoints: changes,
+});
+
+/** A delta whose frame was checked. */
+export const configurationDelta = z.custom<ConfigurationDelta>((value) =>
+  deltaFrame.safeParse(value).success
+);
+
+/** Checks the frame of an answer. */
 export const configurationAnswer = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("current"), revision: z.number().int() }),
   z.object({
     kind: z.literal("delta"),
-    deltas: z.array(z.object({
-      base: z.number().int(),
-      revision: z.number().int(),
-      teams: changes,
-      models: changes,
-      adapters: changes,
-      services: changes,
-      endpoints: changes,
-    })),
+    deltas: z.array(configurationDelta),
   }),
   z.object({
     kind: z.literal("whole"),
--- a/packages/membership/src/configuration_spread.ts
+++ b/packages/membership/src/configuration_spread.ts
@@ -25,7 +25,11 @@
 import type { Random } from "@almondcrank/common/random.ts";
 import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
 import type { ClusterMembership, RevisionHint } from "./cluster_membership.ts";
-import { computeDelta } from "./configuration_delta.ts";
+import {
+  computeDelta,
+  type ConfigurationDelta,
+  countDeltaItems,
+} from "./configuration_delta.ts";
 import { applyAnswer, ConfigurationHistory } from "./configuration_history.ts";
 import type { ConfigurationAnswer } from "./configuration_messages.ts";
 import type { ConfigurationRequest } from "./messages.ts";
@@ -39,6 +43,8 @@
 const readyZones = 3;
 const minReadyZones = 2;
 const membersAskedPerZone = 3;
+/** Beyond so many changed items, peers pull what they lack. */
+const maxPushedItems = 32;
 
 /** The platform's store as this package needs it. */
 export interface HeadSource {
@@ -108,8 +114,9 @@
    * @param configuration As read back from the store at its revision.
    */
   async accept(configuration: Configuration): Promise<void> {
+    const since = this.#configuration.revision;
     if (!this.#apply(configuration, "apply")) return;
-    await this.#options.membership.announceRevision("all");
+    await this.#announce("all", since);
   }
 
   /**
@@ -175,8 +182,9 @@
         continue;
       }
       const next = result.toMaybe().extract();
+      const last = this.#configuration.revision;
       if (next === undefined || !this.#apply(next, "store")) continue;
-      void membership.announceRevision("zone");
+      void this.#announce("zone", last);
     }
   }
 
@@ -204,10 +212,11 @@
 
   async #pullHint(hint: RevisionHint): Promise<void> {
     const { membership } = this.#options;
-    if (await this.#pull(hint.address)) {
-      const isNews = hint.relay || hint.zone !== membership.self.zone;
-      if (isNews && (hint.relay || membership.isDelegate())) {
-        void membership.announceRevision("zone");
+    const since = this.#configuration.revision;
+    if (this.#applyPushed(hint.deltas) || await this.#pull(hint.address)) {
+      const isRemote = hint.zone !== membership.self.zone;
+      if (hint.relay || (isRemote && membership.isDelegate())) {
+        void this.#announce("zone", since);
       }
       return;
     }
@@ -218,6 +227,21 @@
     if (other !== undefined) await this.#pull(other.identity.peerAddress);
   }
 
+  /** Sends the changes along where they are few. */
+  async #announce(reach: "all" | "zone", since: number): Promise<void> {
+    const answer = this.#history.createAnswer(since, this.#configuration);
+    const deltas = answer.kind === "delta" ? answer.deltas : [];
+    let items = 0;
+    for (const delta of deltas) items += countDeltaItems(delta);
+    const isFew = items > 0 && items <= maxPushedItems;
+    await this.#options.membership
+      .announceRevision(reach, isFew ? deltas : undefined);
+  }
+
+  #applyPushed(deltas: readonly ConfigurationDelta[]): boolean {
+    return deltas.length > 0 && this.#applyAnswer({ kind: "delta", deltas });
+  }
+
   /** Pulls what a peer has beyond this node; whether that changed anything. */
   async #pull(address: Address): Promise<boolean> {
     const answer = await this.#ask(address);
--- a/packages/membership/src/configuration_spread_test.ts
+++ b/packages/membership/src/configuration_spread_test.ts
@@ -69,12 +69,15 @@
   await network.clock.advance(2_000);
   const next = network.store.write();
   void delegate.spread.accept(next);
-  // Some announcements have arrived by now and some are on their way.
-  await network.clock.advance(10);
-  const reached = readRevisions(network).filter((revision) => revision === 1);
+  const countReached = (): number =>
+    readRevisions(network).filter((revision) => revision === 1).length;
+  while (countReached() < 3) await network.clock.advance(1);
+  assert.ok(countReached() < 16);
   network.kill(delegate.identity.node);
+  network.loss = 1;
+  await network.clock.advance(50);
+  network.loss = 0;
   await network.clock.advance(3_000);
-  assert.ok(reached.length < 16);
   assert.equal(readRevisions(network), Array(15).fill(1));
   network.dispose();
 });
--- a/packages/membership/src/endpoint_poller.ts
+++ b/packages/membership/src/endpoint_poller.ts
@@ -64,6 +64,12 @@
   readonly periods?: Partial<PollPeriods>;
 }
 
+interface Reading {
+  readonly load: EndpointLoad;
+  /** Monotonic time to which the load's age refers. */
+  readonly readAt: number;
+}
+
 interface Task {
   readonly endpoint: Endpoint;
   readonly periodMs: number;
@@ -77,7 +83,7 @@
   readonly #disposables = DisposableStore.create();
   readonly #stopped = new AbortController();
   readonly #tasks = new Map<string, Task>();
-  readonly #loads = new Map<string, EndpointLoad>();
+  readonly #readings = new Map<string, Reading>();
   readonly #read = Emitter.create<EndpointLoad>();
   /** What the present tasks were computed from. */
   #assignedFor: Configuration | undefined;
@@ -193,7 +199,7 @@
   #stopTask(name: string): void {
     this.#tasks.get(name)?.stopped.abort();
     this.#tasks.delete(name);
-    if (this.#loads.delete(name)) this.#publish();
+    if (this.#readings.delete(name)) this.#publish();
   }
 
   async #runPolls({ endpoint, periodMs, stopped }: Task): Promise<void> {
@@ -222,7 +228,7 @@
   #recordFailure(name: string, reason: string): void {
     const { metrics, log } = this.#options;
     metrics.count("endpoint_poll_failures_total", { reason });
-    const last = this.#loads.get(name) ?? createUnknownLoad(name);
+    const last = this.#readings.get(name)?.load ?? createUnknownLoad(name);
     if (last.reachable) {
       log.warn("cannot read an endpoint's load.", { endpoint: name, reason });
     }
@@ -230,13 +236,19 @@
   }
 
   #record(load: EndpointLoad): void {
-    this.#loads.set(load.endpoint, load);
+    const readAt = this.#options.clock.now();
+    this.#readings.set(load.endpoint, { load, readAt });
     this.#read.fire(load);
     this.#publish();
   }
 
   #publish(): void {
-    this.#options.membership.setLoads([...this.#loads.values()]);
+    const now = this.#options.clock.now();
+    const loads = [...this.#readings.values()].map(({ load, readAt }) => ({
+      ...load,
+      ageMs: load.ageMs + now - readAt,
+    }));
+    this.#options.membership.setLoads(loads);
   }
 }
 
--- a/packages/membership/src/endpoint_poller_test.ts
+++ b/packages/membership/src/endpoint_poller_test.ts
@@ -167,7 +167,12 @@
   heard.length = 0;
   world.endpoints.unreachable.add("e1");
   await world.network.clock.advance(4_000);
-  assert.is(heard.at(-1)?.reachable, false);
+  const freshest = heard.reduce((a, b) => (b.ageMs <= a.ageMs ? b : a));
+  assert.is(freshest.reachable, false);
+  await world.network.clock.advance(6_000);
+  heard.length = 0;
+  await world.network.clock.advance(8_000);
+  assert.ok(heard.length > 0 && heard.every(({ reachable }) => !reachable));
   disposeWorld(world);
 });
 
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -7,6 +7,7 @@
  */
 
 import { z } from "zod";
+import { configurationDelta } from "./configuration_messages.ts";
 
 const name = z.string().max(256);
 const count = z.number().int();
@@ -132,6 +133,8 @@
   revision: count,
   leaving: z.array(leavingEndpoint).readonly(),
   members: z.array(memberRecord).readonly(),
+  /** Changes that lead to the revision, when they are few. */
+  deltas: z.array(configurationDelta).readonly().optional(),
   /** Whether the receiver passes it on to its own data centre. */
   relay: z.boolean(),
 }).readonly();
--- a/packages/membership/src/peer_choice.ts
+++ b/packages/membership/src/peer_choice.ts
@@ -1,28 +1,23 @@
 /**
  * Chooses whom to exchange with next.
  *
- * Most turns go round the reachable members in a random order that is drawn
- * anew for each round, so each is met within one round. Some turns try members
- * that are suspected or seeds that are unknown, so that a split heals.
+ * Exchanges go round the reachable members in a random order that is drawn anew
+ * for each round, so each is met within one round. Beside them, members that are
+ * suspected and seeds that are unknown are tried in turn, so that a split heals.
  */
 
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type { Member } from "./membership.ts";
 
-/** One turn in so many goes to a repair, while there is something to repair. */
-const repairEvery = 4;
-
 /** A node to call; the name is unknown for a seed. */
 export interface ExchangeTarget {
   readonly node: string | undefined;
   readonly address: Address;
 }
 
-/** Members to choose from. */
-export interface ChoiceInput {
-  /** Members of the group that are alive or leaving. */
-  readonly reachable: readonly Member[];
+/** What needs repair. */
+export interface RepairInput {
   /** Members that are suspected or whose last call failed. */
   readonly doubtful: readonly Member[];
   /** Seeds at addresses of no known member. */
@@ -33,6 +28,8 @@
 export class PeerChoice {
   readonly #random: Random;
   #round: string[] = [];
+  /** Turn of the last repair by address. */
+  #repairs = new Map<Address, number>();
   #turn = 0;
 
   private constructor(random: Random) {
@@ -43,17 +40,8 @@
     return new PeerChoice(random);
   }
 
-  /** Chooses the next node; undefined when none is known. */
-  choose(input: ChoiceInput): ExchangeTarget | undefined {
-    this.#turn++;
-    const repair = this.#turn % repairEvery === 0;
-    if (repair || input.reachable.length === 0) {
-      return this.#chooseRepair(input) ?? this.#chooseNext(input.reachable);
-    }
-    return this.#chooseNext(input.reachable);
-  }
-
-  #chooseNext(reachable: readonly Member[]): ExchangeTarget | undefined {
+  /** Chooses the next of the members that are alive or leaving. */
+  choose(reachable: readonly Member[]): ExchangeTarget | undefined {
     const byName = new Map(
       reachable.map((member) => [member.identity.node, member] as const),
     );
@@ -68,12 +56,25 @@
     return member && createTarget(member);
   }
 
-  #chooseRepair(input: ChoiceInput): ExchangeTarget | undefined {
+  /** Chooses what was tried longest ago; undefined when all is well. */
+  chooseRepair(input: RepairInput): ExchangeTarget | undefined {
     const targets = [
       ...input.doubtful.map(createTarget),
       ...input.unknownSeeds.map((address) => ({ node: undefined, address })),
     ];
-    return targets.length === 0 ? undefined : this.#random.choose(targets);
+    const last = this.#repairs;
+    this.#repairs = new Map();
+    let oldest: ExchangeTarget | undefined;
+    let oldestTurn = Infinity;
+    for (const target of targets) {
+      const turn = last.get(target.address) ?? -1;
+      this.#repairs.set(target.address, turn);
+      if (turn >= oldestTurn) continue;
+      oldest = target;
+      oldestTurn = turn;
+    }
+    if (oldest !== undefined) this.#repairs.set(oldest.address, this.#turn++);
+    return oldest;
   }
 
   #shuffle(names: string[]): string[] {
