Publish loads set between heartbeats

Loads that changed before each heartbeat stayed hidden, since each change was numbered for a heartbeat still to come. The test of loads that change all the time failed first.

--- a/packages/membership/src/cluster_membership.ts
+++ b/packages/membership/src/cluster_membership.ts
@@ -534,7 +534,7 @@
 
   #setSummary(): void {
     const isTask = !this.#isSmall() && this.#findDelegateRank() === 0;
-    if (!isTask) return this.#origins.setOwnSummary(undefined);
+    if (!isTask) return this.#origins.removeOwnSummary();
     const alive = this.listAlive(this.self.zone);
     const revisions = this.#table.list()
       .filter(({ identity }) => alive.includes(identity.node))
--- a/packages/membership/src/cluster_membership_test.ts
+++ b/packages/membership/src/cluster_membership_test.ts
@@ -1,11 +1,24 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import { openHasher } from "@almondcrank/common/hashing.ts";
+import type { EndpointLoad } from "./membership.ts";
 import { TestNetwork } from "./testing/test_network.ts";
 
 const hasher = await openHasher();
 const zones = ["muc-1", "muc-2", "nue-1"];
 
+const idleLoad: EndpointLoad = {
+  endpoint: "e1",
+  ageMs: 100,
+  queued: 3,
+  running: 4,
+  slots: 8,
+  queuedTokens: 0,
+  prefillTokensPerSecond: 9_000,
+  betweenTokensMs: 20,
+  reachable: true,
+};
+
 /** Starts `count` nodes that know the first one only. */
 async function openNetwork(count: number): Promise<TestNetwork> {
   const network = new TestNetwork({ hasher, seed: 7 });
@@ -147,19 +160,26 @@
   network.dispose();
 });
 
+test("loads that change all the time reach the peers", async () => {
+  const network = await openNetwork(3);
+  const seen: number[] = [];
+  network.find("n2").membership.onDigest(({ node, loads }) => {
+    if (node !== "n0") return;
+    for (const { queuedTokens } of loads) seen.push(queuedTokens);
+  });
+  for (let i = 1; i <= 100; i++) {
+    const load = { ...idleLoad, queuedTokens: i * 1_000 };
+    network.find("n0").membership.setLoads([load]);
+    await network.clock.advance(100);
+  }
+  assert.ok(seen.length >= 5);
+  assert.ok(seen.at(-1)! >= 80_000);
+  network.dispose();
+});
+
 test("loads and demand reach the peers, and only material changes", async () => {
   const network = await openNetwork(3);
-  const load = {
-    endpoint: "e1",
-    ageMs: 100,
-    queued: 3,
-    running: 4,
-    slots: 8,
-    queuedTokens: 1_000,
-    prefillTokensPerSecond: 9_000,
-    betweenTokensMs: 20,
-    reachable: true,
-  };
+  const load = { ...idleLoad, queuedTokens: 1_000 };
   const seen: number[] = [];
   const demand: unknown[] = [];
   network.find("n2").membership.onDigest((digest) => {
--- a/packages/membership/src/origin_table.ts
+++ b/packages/membership/src/origin_table.ts
@@ -48,6 +48,11 @@
   readonly #clock: Clock;
   readonly #own: Origin;
   readonly #origins = new Map<string, Origin>();
+  /** What the next heartbeat publishes. */
+  #loads: readonly EndpointLoad[] = [];
+  #loadsSetAt = 0;
+  #demand: readonly TeamDemand[] = [];
+  #summary: Omit<ZoneSummary, "version"> | undefined;
 
   private constructor(self: NodeIdentity, clock: Clock) {
     this.#self = self;
@@ -65,47 +70,38 @@
     return this.#own.version;
   }
 
-  /** Makes what was set since the last heartbeat visible to others. */
+  /** Publishes what was set since the last heartbeat. */
   recordOwnHeartbeat(revision: number): void {
     this.#own.version++;
     this.#own.heardAt = this.#clock.now();
     this.#own.revision = revision;
+    this.#publishLoads(this.#own.version);
+    this.#publishDemand(this.#own.version);
+    if (this.#summary === undefined) return;
+    this.#own.summary = { ...this.#summary, version: this.#own.version };
+    this.#summary = undefined;
   }
 
   /** Sets the loads this node publishes from its next heartbeat on. */
   setOwnLoads(loads: readonly EndpointLoad[]): void {
-    const now = this.#clock.now();
-    const version = this.#own.version + 1;
-    const names = new Set<string>();
-    for (const load of loads) {
-      names.add(load.endpoint);
-      const last = this.#own.loads.get(load.endpoint);
-      const fresh = last !== undefined &&
-        now - last.receivedAt < loadRefreshMs &&
-        !isMaterialChange(last.load, load);
-      if (fresh) continue;
-      this.#own.loads.set(load.endpoint, { load, version, receivedAt: now });
-    }
-    for (const endpoint of this.#own.loads.keys()) {
-      if (!names.has(endpoint)) this.#own.loads.delete(endpoint);
-    }
+    this.#loads = loads;
+    this.#loadsSetAt = this.#clock.now();
   }
 
   /** Sets the demand this node publishes from its next heartbeat on. */
   setOwnDemand(demand: readonly TeamDemand[]): void {
-    const version = this.#own.version + 1;
-    const next = encodeDemand(demand, version);
-    const last = this.#own.demand;
-    const same = last !== undefined &&
-      JSON.stringify({ ...last, version }) === JSON.stringify(next) &&
-      version - last.version < demandRefreshHeartbeats;
-    if (!same) this.#own.demand = next;
+    this.#demand = demand;
+  }
+
+  /** Sets the summary of this node's data centre, for the next heartbeat. */
+  setOwnSummary(summary: Omit<ZoneSummary, "version">): void {
+    this.#summary = summary;
   }
 
-  /** Sets the summary of this node's data centre; undefined when not its task. */
-  setOwnSummary(summary: Omit<ZoneSummary, "version"> | undefined): void {
-    const version = this.#own.version + 1;
-    this.#own.summary = summary && { ...summary, version };
+  /** Removes the summary when it is another node's task. */
+  removeOwnSummary(): void {
+    this.#summary = undefined;
+    this.#own.summary = undefined;
   }
 
   /** Version of each record, for a query. */
@@ -191,6 +187,34 @@
   remove(node: string): void {
     this.#origins.delete(node);
   }
+
+  /** Gives the loads that changed materially or grew old a new version. */
+  #publishLoads(version: number): void {
+    const now = this.#clock.now();
+    const receivedAt = this.#loadsSetAt;
+    const names = new Set<string>();
+    for (const load of this.#loads) {
+      names.add(load.endpoint);
+      const last = this.#own.loads.get(load.endpoint);
+      const isFresh = last !== undefined &&
+        now - last.receivedAt < loadRefreshMs &&
+        !isMaterialChange(last.load, load);
+      if (isFresh) continue;
+      this.#own.loads.set(load.endpoint, { load, version, receivedAt });
+    }
+    for (const endpoint of this.#own.loads.keys()) {
+      if (!names.has(endpoint)) this.#own.loads.delete(endpoint);
+    }
+  }
+
+  #publishDemand(version: number): void {
+    const next = encodeDemand(this.#demand, version);
+    const last = this.#own.demand;
+    const isSame = last !== undefined &&
+      JSON.stringify({ ...last, version }) === JSON.stringify(next) &&
+      version - last.version < demandRefreshHeartbeats;
+    if (!isSame) this.#own.demand = next;
+  }
 }
 
 /** What a record changed. */
@@ -243,9 +267,8 @@
 function createRecord(parts: RecordParts): OriginRecord {
   const { node, origin, base, wanted, now } = parts;
   const { incarnation, version, revision, demand, summary } = origin;
-  // Parts of the node's own next heartbeat wait for that heartbeat.
   const isNew = (part: { readonly version: number }): boolean =>
-    part.version > base && part.version <= version;
+    part.version > base;
   const loads = wanted
     ? [...origin.loads.values()].filter((load) => isNew(load))
     : [];
