--- a/packages/common/src/manual_clock.ts
+++ b/packages/common/src/manual_clock.ts
@@ -37,12 +37,14 @@
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       if (signal?.aborted) return resolve();
-      const sleeper: Sleeper = { due: this.#now + ms, wake: resolve };
-      this.#sleepers.push(sleeper);
-      signal?.addEventListener("abort", () => {
+      const finish = (): void => {
         this.#sleepers = this.#sleepers.filter((other) => other !== sleeper);
+        signal?.removeEventListener("abort", finish);
         resolve();
-      }, { once: true });
+      };
+      const sleeper: Sleeper = { due: this.#now + ms, wake: finish };
+      this.#sleepers.push(sleeper);
+      signal?.addEventListener("abort", finish, { once: true });
     });
   }
 
