--- /dev/null
+++ b/packages/fleet/src/capacity_plan_test.ts
@@ -0,0 +1,236 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import fc from "fast-check";
+import type { Market } from "@almondcrank/common/configuration.ts";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import type { Price } from "@almondcrank/platform/cloud_api.ts";
+import {
+  type CapacityInput,
+  computeCapacityPlan,
+  type PlannedHost,
+} from "./capacity_plan.ts";
+import { formatOffer, OfferBlocks } from "./offers.ts";
+
+const zones = ["muc-1", "muc-2", "nue-1", "nue-2"];
+
+function createPrices(reclaimable = 300, onDemand = 1_000): Price[] {
+  return zones.flatMap((zone) =>
+    (["reclaimable", "on_demand"] as const).map((market) => ({
+      zone,
+      machineClass: "gpu-a",
+      market,
+      milliPerHour: market === "reclaimable" ? reclaimable : onDemand,
+    }))
+  );
+}
+
+function createHosts(
+  zone: string,
+  count: number,
+  fields: Partial<PlannedHost> = {},
+): PlannedHost[] {
+  return Array.from({ length: count }, (_, i) => ({
+    host: `${zone}-${fields.market ?? "reclaimable"}-${i}`,
+    zone,
+    machineClass: "gpu-a",
+    market: "reclaimable",
+    state: "running",
+    isRented: true,
+    ...fields,
+  }));
+}
+
+function createInput(fields: Partial<CapacityInput> = {}): CapacityInput {
+  return {
+    demand: 6,
+    peakDemand: 6,
+    targetUtilization: 0.75,
+    protectedShare: 1,
+    classCapacity: new Map([["gpu-a", 1]]),
+    hosts: [],
+    offers: createPrices(),
+    blocked: new Set(),
+    maxRents: 100,
+    ...fields,
+  };
+}
+
+function blockMarket(market: Market): Set<string> {
+  return new Set(
+    createPrices().filter((offer) => offer.market === market).map(formatOffer),
+  );
+}
+
+/** Capacity left when every reclaimable host of a zone is gone. */
+function countWithout(
+  hosts: readonly { readonly zone: string; readonly market: Market }[],
+  zone: string,
+): number {
+  return hosts.filter((host) =>
+    host.zone !== zone || host.market === "on_demand"
+  ).length;
+}
+
+test("an empty fleet is spread so that any data centre may vanish", () => {
+  const { rent, uncovered } = computeCapacityPlan(createInput());
+  assert.ok(rent.every(({ market }) => market === "reclaimable"));
+  for (const zone of zones) assert.ok(countWithout(rent, zone) >= 8);
+  assert.ok(rent.length <= 12, `${rent.length} hosts`);
+  assert.is(uncovered, 0);
+});
+
+test("without protection only the present demand is covered", () => {
+  const { rent } = computeCapacityPlan(createInput({ protectedShare: 0 }));
+  assert.is(rent.length, 8);
+});
+
+test("refused reclaimable offers leave on-demand hosts for the demand only", () => {
+  const { rent } = computeCapacityPlan(createInput({
+    hosts: createHosts("muc-1", 5),
+    blocked: blockMarket("reclaimable"),
+  }));
+  assert.equal(rent.map(({ market }) => market), Array(3).fill("on_demand"));
+});
+
+test("nothing on offer is reported as uncovered", () => {
+  const { rent, uncovered } = computeCapacityPlan(createInput({ offers: [] }));
+  assert.equal(rent, []);
+  assert.is(uncovered, 8);
+});
+
+test("on-demand hosts go back once reclaimable hosts run", () => {
+  const reclaimable = zones.flatMap((zone) => createHosts(zone, 3));
+  const stopgap = createHosts("muc-1", 3, { market: "on_demand" });
+  const running = computeCapacityPlan(createInput({
+    hosts: [...reclaimable, ...stopgap],
+  }));
+  assert.equal(running.giveBack.length, 3);
+  const starting = computeCapacityPlan(createInput({
+    hosts: [
+      ...reclaimable.map((host, i) =>
+        i < 6 ? host : { ...host, state: "starting" as const }
+      ),
+      ...stopgap,
+    ],
+  }));
+  assert.equal(starting.giveBack, [], "hosts that start do not count yet");
+});
+
+test("hosts of the release note are never given back", () => {
+  const { giveBack } = computeCapacityPlan(createInput({
+    demand: 1,
+    peakDemand: 1,
+    hosts: zones.flatMap((zone) => createHosts(zone, 3, { isRented: false })),
+  }));
+  assert.equal(giveBack, []);
+});
+
+test("nothing goes back below the recent peak", () => {
+  const hosts = zones.flatMap((zone) => createHosts(zone, 3));
+  const after = createInput({ demand: 1, peakDemand: 6, hosts });
+  assert.equal(computeCapacityPlan(after).giveBack, []);
+  const later = { ...after, peakDemand: 1 };
+  assert.ok(computeCapacityPlan(later).giveBack.length >= 8);
+});
+
+test("a leaving data centre is replaced elsewhere at once", () => {
+  const hosts = [
+    ...createHosts("muc-1", 3, { state: "leaving" }),
+    ...zones.slice(1).flatMap((zone) => createHosts(zone, 3)),
+  ];
+  const blocked = new Set(["muc-1/gpu-a/reclaimable"]);
+  const { rent } = computeCapacityPlan(createInput({ hosts, blocked }));
+  assert.ok(rent.length >= 2);
+  assert.ok(rent.every(({ zone }) => zone !== "muc-1"));
+});
+
+test("a price spike above on-demand moves the demand to on-demand", () => {
+  const { rent } = computeCapacityPlan(createInput({
+    offers: createPrices(1_500, 1_000),
+  }));
+  assert.equal(rent.length, 8);
+  assert.ok(rent.every(({ market }) => market === "on_demand"));
+});
+
+test("one dear host at a time is replaced by a much cheaper offer", () => {
+  const hosts = zones.flatMap((zone) => createHosts(zone, 3));
+  const offers = createPrices().map((offer) =>
+    offer.zone === "muc-1" && offer.market === "reclaimable"
+      ? { ...offer, milliPerHour: 700 }
+      : offer
+  );
+  const { rent, giveBack } = computeCapacityPlan(
+    createInput({ hosts, offers }),
+  );
+  assert.is(rent.length, 1);
+  assert.is.not(rent[0]?.zone, "muc-1");
+  assert.equal(giveBack, []);
+});
+
+test("plans over random fleets keep what must hold", () => {
+  const zoneCounts = fc.array(fc.nat(6), { minLength: 4, maxLength: 4 });
+  let returned = 0;
+  fc.assert(
+    fc.property(
+      zoneCounts,
+      zoneCounts,
+      fc.integer({ min: 1, max: 12 }),
+      fc.subarray(createPrices().map(formatOffer)),
+      (reclaimable, onDemand, demand, blocked) => {
+        const hosts = zones.flatMap((zone, i) => [
+          ...createHosts(zone, reclaimable[i] ?? 0),
+          ...createHosts(zone, onDemand[i] ?? 0, { market: "on_demand" }),
+        ]);
+        const plan = computeCapacityPlan(createInput({
+          demand,
+          peakDemand: demand,
+          hosts,
+          blocked: new Set(blocked),
+        }));
+        assert.ok(
+          plan.rent.every((offer) => !blocked.includes(formatOffer(offer))),
+        );
+        const kept = hosts.filter(({ host }) => !plan.giveBack.includes(host));
+        returned += plan.giveBack.length;
+        const needed = demand / 0.75;
+        if (plan.giveBack.length > 0) {
+          assert.ok(kept.length >= needed);
+          for (const zone of zones) {
+            assert.ok(countWithout(kept, zone) >= needed);
+          }
+        }
+        const total = hosts.length + plan.rent.length + plan.uncovered;
+        assert.ok(total >= needed - 1e-6);
+      },
+    ),
+    { numRuns: 500, seed: 20_261_203 },
+  );
+  assert.ok(returned > 100, `${returned} hosts went back`);
+});
+
+test("a refused offer is left alone for longer each time", async () => {
+  const clock = ManualClock.create();
+  const blocks = OfferBlocks.create(clock, Random.create(1));
+  const offer = {
+    zone: "a",
+    machineClass: "b",
+    market: "reclaimable",
+  } as const;
+  const blockedMs: number[] = [];
+  for (let i = 0; i < 8; i++) {
+    blocks.recordRefusal(offer);
+    const start = clock.now();
+    while (blocks.isBlocked(offer)) await clock.advance(1_000);
+    blockedMs.push(clock.now() - start);
+  }
+  assert.ok((blockedMs[0] ?? 0) <= 38_000);
+  assert.ok((blockedMs[4] ?? 0) > 4 * (blockedMs[0] ?? 0));
+  assert.ok(Math.max(...blockedMs) <= 751_000);
+  blocks.recordGrant(offer);
+  blocks.recordRefusal(offer);
+  await clock.advance(38_000);
+  assert.is(blocks.isBlocked(offer), false, "a grant starts over");
+});
+
+test.run();
--- a/packages/fleet/src/reconciler.ts
+++ b/packages/fleet/src/reconciler.ts
@@ -54,7 +54,7 @@
   readonly sender: OrderSender;
   readonly weightStore: WeightStore;
   /** Whether an endpoint's host is about to be reclaimed. */
-  readonly isLeaving: (endpoint: string) => boolean;
+  readonly isLeaving: (endpoint: Endpoint) => boolean;
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
@@ -141,12 +141,12 @@
     const present = new Set<string>();
     for (const endpoint of configuration.endpoints) {
       if (endpoint.zone !== this.#options.zone) continue;
-      const isLeaving = this.#options.isLeaving(endpoint.name);
+      const isLeaving = this.#options.isLeaving(endpoint);
       const role = isLeaving ? "drain" : "serve";
       const desired = computeDesiredState(configuration, endpoint, role);
       if (desired === undefined) continue;
       present.add(endpoint.name);
-      this.#setDesired(endpoint, desired);
+      this.#setDesired(endpoint, desired).withdrawnAt = undefined;
     }
     for (const [name, { endpoint, desired }] of [...this.#tracked]) {
       if (present.has(name)) continue;
--- a/packages/fleet/src/reconciler_test.ts
+++ b/packages/fleet/src/reconciler_test.ts
@@ -65,7 +65,7 @@
         holder,
       }),
       weightStore,
-      isLeaving: (name) => this.leaving.has(name),
+      isLeaving: ({ name }) => this.leaving.has(name),
       clock,
       random: Random.create(1),
       metrics,
@@ -156,6 +156,11 @@
   await shard.clock.advance(2_000);
   const roles = [0, 1, 2].map((i) => shard.find(`engine-${i}`).state.role);
   assert.equal(roles, ["drain", "drain", "serve"]);
+  const endpoints = createEndpoints(3);
+  shard.configuration = { ...shard.configuration, endpoints };
+  await shard.clock.advance(10_000);
+  assert.is(shard.find("engine-0").state.role, "serve");
+  assert.is(shard.reconciler.readiness.all, 3);
   shard.reconciler.dispose();
 });
 
