--- /dev/null
+++ b/packages/bench/src/cost_day.ts
@@ -0,0 +1,266 @@
+/**
+ * Measures what a day costs under the capacity plan, beside two baselines.
+ *
+ * The plan, the memory of refusals and the choice of returns are the product's
+ * code; the day is a trace drawn from a seed. Baselines: all on-demand, following
+ * the demand by the same plan, and static head-room, a fixed number of
+ * reclaimable hosts sized for the peak and the loss of a data centre.
+ *
+ * Usage: npx tsx packages/bench/src/cost_day.ts [SEED...]
+ */
+
+import process from "node:process";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import {
+  computeCapacityPlan,
+  type PlannedHost,
+} from "@almondcrank/fleet/capacity_plan.ts";
+import {
+  formatOffer,
+  type Offer,
+  OfferBlocks,
+} from "@almondcrank/fleet/offers.ts";
+import {
+  type CostTrace,
+  createCostTrace,
+  daySteps,
+  listTracePrices,
+  stepMs,
+} from "./cost_trace.ts";
+
+const machineClass = "gpu-a";
+/** Utilisation up to which requests are on time. */
+const onTimeUtilization = 0.9;
+/** Utilisation that the plan aims at. */
+const targetUtilization = 0.75;
+const startSteps = 6;
+const drainSteps = 2;
+const peakSteps = 30;
+const maxRents = 1_000;
+
+/** How hosts are chosen. */
+type Policy =
+  | { readonly kind: "plan"; readonly protectedShare: number }
+  | { readonly kind: "on_demand" }
+  | { readonly kind: "static" };
+
+interface DayHost extends PlannedHost {
+  readonly startedAt: number;
+  /** Step at which it goes back. */
+  readonly returnAt: number | undefined;
+}
+
+/** Outcome of one day. */
+interface DayResult {
+  readonly cost: number;
+  readonly onTime: number;
+  readonly demand: number;
+  readonly onDemandShare: number;
+}
+
+/** One day under one policy. */
+class CostDay {
+  readonly #trace: CostTrace;
+  readonly #policy: Policy;
+  readonly #clock = ManualClock.create();
+  readonly #random: Random;
+  readonly #blocks: OfferBlocks;
+  #hosts: readonly DayHost[] = [];
+  #count = 0;
+  #cost = 0;
+  #onTime = 0;
+  #hostSteps = 0;
+  #onDemandSteps = 0;
+
+  private constructor(trace: CostTrace, policy: Policy) {
+    this.#trace = trace;
+    this.#policy = policy;
+    this.#random = Random.create(trace.options.seed + 1);
+    this.#blocks = OfferBlocks.create(
+      this.#clock,
+      Random.create(trace.options.seed + 2),
+    );
+  }
+
+  static create(trace: CostTrace, policy: Policy): CostDay {
+    return new CostDay(trace, policy);
+  }
+
+  async run(): Promise<DayResult> {
+    for (let step = 0; step < daySteps; step++) {
+      this.#loseHosts(step);
+      this.#advanceHosts(step);
+      this.#choose(step);
+      this.#recordStep(step);
+      await this.#clock.advance(stepMs);
+    }
+    const demand = this.#trace.demand.reduce((sum, one) => sum + one, 0);
+    return {
+      cost: this.#cost,
+      onTime: this.#onTime,
+      demand,
+      onDemandShare: this.#onDemandSteps / this.#hostSteps,
+    };
+  }
+
+  #loseHosts(step: number): void {
+    const zones = new Set(
+      this.#trace.waves.filter((wave) => wave.step === step)
+        .map(({ zone }) => zone),
+    );
+    this.#hosts = this.#hosts.filter(({ zone, market }) => {
+      const isReclaimed = this.#random.next() < this.#trace.reclaimChance ||
+        zones.has(zone);
+      return market === "on_demand" || !isReclaimed;
+    });
+  }
+
+  #advanceHosts(step: number): void {
+    this.#hosts = this.#hosts
+      .filter(({ returnAt }) => returnAt === undefined || returnAt > step)
+      .map((host) =>
+        host.state === "starting" && step >= host.startedAt + startSteps
+          ? { ...host, state: "running" }
+          : host
+      );
+  }
+
+  #choose(step: number): void {
+    switch (this.#policy.kind) {
+      case "plan":
+        return this.#follow(step, this.#policy.protectedShare);
+      case "on_demand":
+        return this.#follow(step, 0);
+      case "static":
+        return this.#refill(step);
+    }
+  }
+
+  #follow(step: number, protectedShare: number): void {
+    const demand = this.#trace.demand[step] ?? 0;
+    const recent = this.#trace.demand
+      .slice(Math.max(0, step - peakSteps), step + 1);
+    const offers = listTracePrices(this.#trace, step)
+      .filter(({ market }) =>
+        this.#policy.kind === "plan" || market === "on_demand"
+      );
+    const plan = computeCapacityPlan({
+      demand,
+      peakDemand: Math.max(...recent),
+      targetUtilization,
+      protectedShare,
+      classCapacity: new Map([[machineClass, 1]]),
+      hosts: this.#hosts,
+      offers,
+      blocked: new Set(
+        offers.filter((offer) => this.#blocks.isBlocked(offer))
+          .map(formatOffer),
+      ),
+      maxRents,
+    });
+    for (const offer of plan.rent) this.#request(offer, step);
+    const returned = new Set(plan.giveBack);
+    this.#hosts = this.#hosts.map((host) =>
+      returned.has(host.host)
+        ? { ...host, state: "leaving", returnAt: step + drainSteps }
+        : host
+    );
+  }
+
+  /** Keeps a fixed number of reclaimable hosts in each data centre. */
+  #refill(step: number): void {
+    const { zones, peak } = this.#trace.options;
+    const perZone = Math.ceil(peak / targetUtilization / (zones.length - 1));
+    for (const zone of zones) {
+      const present = this.#hosts.filter((host) => host.zone === zone).length;
+      for (let i = present; i < perZone; i++) {
+        this.#request({ zone, machineClass, market: "reclaimable" }, step);
+      }
+    }
+  }
+
+  #request(offer: Offer, step: number): void {
+    const { zone, market } = offer;
+    const isRefused = market === "reclaimable" &&
+      this.#trace.refusals.get(zone)?.has(step) === true;
+    if (isRefused) return this.#blocks.recordRefusal(offer);
+    this.#blocks.recordGrant(offer);
+    this.#count += 1;
+    // The day begins with a fleet that runs.
+    const state = step === 0 ? "running" : "starting";
+    this.#hosts = [...this.#hosts, {
+      zone,
+      market,
+      machineClass,
+      host: `host-${this.#count}`,
+      state,
+      isRented: true,
+      startedAt: step,
+      returnAt: undefined,
+    }];
+  }
+
+  #recordStep(step: number): void {
+    const prices = new Map(
+      listTracePrices(this.#trace, step)
+        .map((price) => [formatOffer(price), price.milliPerHour]),
+    );
+    for (const host of this.#hosts) {
+      const price = prices.get(formatOffer(host)) ?? 0;
+      this.#cost += price * stepMs / 3_600_000;
+      this.#hostSteps += 1;
+      if (host.market === "on_demand") this.#onDemandSteps += 1;
+    }
+    const running = this.#hosts
+      .filter(({ state }) => state === "running").length;
+    const demand = this.#trace.demand[step] ?? 0;
+    this.#onTime += Math.min(demand, running * onTimeUtilization);
+  }
+}
+
+const policies: readonly (readonly [string, Policy])[] = [
+  ["all on-demand", { kind: "on_demand" }],
+  ["static head-room", { kind: "static" }],
+  ["plan, protected 1", { kind: "plan", protectedShare: 1 }],
+  ["plan, protected 0.8", { kind: "plan", protectedShare: 0.8 }],
+  ["plan, protected 0", { kind: "plan", protectedShare: 0 }],
+];
+
+const fleets: readonly (readonly [string, number, number])[] = [
+  ["8 engines, 4 zones", 8, 4],
+  ["13 engines, 4 zones", 13, 4],
+  ["340 engines, 16 zones", 340, 16],
+];
+
+/** Formats one day's outcome beside the cost of all on-demand. */
+function formatDay(name: string, day: DayResult, baseline: number): string {
+  const perOnTime = day.cost / day.onTime;
+  return [
+    name.padEnd(22),
+    `on time ${(100 * day.onTime / day.demand).toFixed(3)} %`,
+    `cost ${(day.cost / 1_000).toFixed(0).padStart(6)}`,
+    `per on-time ${(perOnTime / baseline).toFixed(3)} of on-demand`,
+    `on-demand host time ${(100 * day.onDemandShare).toFixed(1)} %`,
+  ].join("  ");
+}
+
+async function runFleet(
+  seed: number,
+  [name, peak, zoneCount]: readonly [string, number, number],
+): Promise<void> {
+  const zones = Array.from({ length: zoneCount }, (_, i) => `zone-${i}`);
+  const trace = createCostTrace({ seed, zones, machineClass, peak });
+  process.stdout.write(`${name}, seed ${seed}\n`);
+  let baseline = 0;
+  for (const [policyName, policy] of policies) {
+    const day = await CostDay.create(trace, policy).run();
+    if (baseline === 0) baseline = day.cost / day.onTime;
+    process.stdout.write(`  ${formatDay(policyName, day, baseline)}\n`);
+  }
+}
+
+const seeds = process.argv.slice(2).map(Number);
+for (const seed of seeds.length === 0 ? [1, 2, 3] : seeds) {
+  for (const fleet of fleets) await runFleet(seed, fleet);
+}
