Compose the node of cluster, request paths, control work and fronts

Cause: membership, spread, limits, notices and leases stood beside the node. Change: one owned lifetime per part; loads and demand over digests into the load table and the teams' limits; notices into membership and back; an apply spreads from the node that made it, also when the platform is out by then.

--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -184,7 +184,7 @@
       this.#broken++;
       return;
     }
-    fleet.standins.cloudApi?.reclaim({
+    fleet.standins.cloudApi?.startReclaim({
       host: endpoint,
       noticeMs: reclaimNoticeMs,
     });
--- a/packages/common/src/configuration.ts
+++ b/packages/common/src/configuration.ts
@@ -76,6 +76,8 @@
   readonly market: Market;
   /** Whether the endpoint refuses orders with an old fencing number. */
   readonly checksFencing: boolean;
+  /** Set for hosts that the system rented itself; release notes do not list them. */
+  readonly isRented?: true;
 }
 
 /** Everything in force at one revision. */
--- a/packages/fleet/src/release_writer.ts
+++ b/packages/fleet/src/release_writer.ts
@@ -74,6 +74,8 @@
   /** Version of the head that the note made. */
   readonly revision: number;
   readonly changes: readonly ConfigurationChange[];
+  /** Content of the head at that revision; undefined if others wrote since. */
+  readonly configuration: ReleasedConfiguration | undefined;
 }
 
 /** The head object as read. */
@@ -177,7 +179,13 @@
       Left: (error) => createEnd(Left(error)),
       Right: (plan) =>
         plan.changes.length === 0
-          ? createEnd(Right({ revision: current.version, changes: [] }))
+          ? createEnd(
+            Right({
+              revision: current.version,
+              changes: [],
+              configuration: current.head.configuration,
+            }),
+          )
           : this.#send(attempt, { current, plan }),
     });
   }
@@ -254,8 +262,9 @@
 function handleOutcome(outcome: WriteOutcome, plan: ReleasePlan): Step {
   switch (outcome.kind) {
     case "written": {
-      const { changes } = plan;
-      return createEnd(Right({ revision: outcome.version, changes }));
+      const { changes, configuration } = plan;
+      const revision = outcome.version;
+      return createEnd(Right({ revision, changes, configuration }));
     }
     case "conflict":
       return { kind: "read" };
@@ -272,7 +281,8 @@
   const found = writes.findIndex((write) => write.writeId === writeId);
   if (found >= 0) {
     const revision = computeRevision(writes, found, version);
-    return Right({ revision, changes: attempt.changes });
+    const configuration = revision === version ? head.configuration : undefined;
+    return Right({ revision, changes: attempt.changes, configuration });
   }
   if (version <= base) return undefined;
   const oldest = writes[0]?.base ?? 0;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,54 +1,38 @@
 /**
- * One node: the callers', peers' and operators' listeners, the request paths
- * between them, and the order in which they start and end.
+ * One node: its parts, and the order in which they start and end.
+ *
+ * Peers first, since a node that starts during an outage takes its configuration
+ * from them; then the request paths and control work; the callers' listener is
+ * open from the start and refuses until a configuration is in force.
  */
 
-import { randomBytes } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import type { Address } from "@almondcrank/common/address.ts";
-import { type Clock, SystemClock } from "@almondcrank/common/clock.ts";
-import {
-  type Configuration,
-  emptyConfiguration,
-} from "@almondcrank/common/configuration.ts";
+import type { Configuration } from "@almondcrank/common/configuration.ts";
 import { DisposableStore } from "@almondcrank/common/disposables.ts";
-import { type Hasher, openHasher } from "@almondcrank/common/hashing.ts";
-import { HttpServer } from "@almondcrank/common/http_server.ts";
+import { LateValue } from "@almondcrank/common/late_value.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
-import { Metrics } from "@almondcrank/common/metrics.ts";
-import { Random } from "@almondcrank/common/random.ts";
-import { EnginePool } from "@almondcrank/endpoint/engine_pool.ts";
-import { HttpPlainEndpoint } from "@almondcrank/endpoint/http_plain_endpoint.ts";
-import { ReleaseWriter } from "@almondcrank/fleet/release_writer.ts";
-import type {
-  Member,
-  NodeIdentity,
-} from "@almondcrank/membership/membership.ts";
-import { PeerClients } from "@almondcrank/membership/peer_clients.ts";
-import { PeerServer } from "@almondcrank/membership/peer_server.ts";
+import { FleetControl } from "@almondcrank/fleet/fleet_control.ts";
+import type { ReleaseError } from "@almondcrank/fleet/release_error.ts";
+import {
+  type AppliedRelease,
+  type ReleaseOrder,
+  ReleaseWriter,
+} from "@almondcrank/fleet/release_writer.ts";
 import { HeadReader } from "@almondcrank/platform/head_reader.ts";
-import { HttpObjectStore } from "@almondcrank/platform/http_object_store.ts";
-import { LoadTable } from "@almondcrank/routing/load_table.ts";
-import { noLoadReports } from "@almondcrank/routing/plain_choice.ts";
-import { RetryBudget } from "@almondcrank/routing/retry_budget.ts";
-import { RoutedCalls } from "@almondcrank/routing/routed_calls.ts";
-import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
-import { TeamDirectory } from "./authentication.ts";
-import { createCallersRoutes, type Readiness } from "./callers_front.ts";
-import { ChatFront } from "./chat_front.ts";
-import type { NodeStatus, StreamList } from "./operator_messages.ts";
-import { createOperatorsRoutes } from "./operators_front.ts";
-import { createRequestRouter, type RequestRouter } from "./peer_router.ts";
-import { PlainFront } from "./plain_front.ts";
+import type { Readiness } from "./callers_front.ts";
+import { Cluster } from "./cluster.ts";
+import { NodeFronts } from "./node_fronts.ts";
+import { type NodeServices, openNodeServices } from "./node_services.ts";
+import { readNodeStatus } from "./node_status.ts";
+import {
+  createPlatformClients,
+  type PlatformClients,
+} from "./platform_clients.ts";
 import { RequestCounter } from "./request_counter.ts";
-import { NodeKeyPeers, NodeStreamPeers } from "./request_peers.ts";
-import { SeedMembership } from "./seed_membership.ts";
+import { RequestPaths } from "./request_paths.ts";
 import type { NodeSettings } from "./settings.ts";
 
-const incarnationBytes = 8;
-const watchMs = 10_000;
-const watchPauseMs = 250;
-
 /** What a node is made from. */
 export interface NodeOptions {
   readonly settings: NodeSettings;
@@ -64,41 +48,57 @@
 
 /** A running node. */
 export class Node {
-  readonly #settings: NodeSettings;
-  readonly #log: Log;
-  readonly #clock: Clock = SystemClock.create();
-  readonly #metrics = Metrics.create();
-  readonly #random = Random.create();
-  readonly #store = DisposableStore.create();
-  readonly #lifetime = new AbortController();
+  readonly #services: NodeServices;
+  readonly #disposables: DisposableStore;
+  readonly #platform: PlatformClients;
+  readonly #cluster: Cluster;
+  readonly #paths: RequestPaths;
   readonly #requests: RequestCounter;
-  readonly #loads: LoadTable;
-  readonly #engines: EnginePool;
-  readonly #hasher: Hasher;
-  #configuration: Configuration = emptyConfiguration;
+  readonly #writer: ReleaseWriter;
+  #control: FleetControl | undefined;
+  #fronts: NodeFronts | undefined;
   #isReady = false;
   #draining: Promise<void> | undefined;
-  #identity!: NodeIdentity;
-  #membership!: SeedMembership;
-  #models!: RoutedModels;
-  #calls!: RoutedCalls;
-  #callers!: HttpServer;
-  #operators!: HttpServer;
-  #peers!: PeerServer;
 
-  private constructor(options: NodeOptions, hasher: Hasher) {
-    this.#settings = options.settings;
-    this.#log = options.log;
-    this.#hasher = hasher;
-    this.#requests = RequestCounter.create(this.#clock);
-    this.#loads = LoadTable.create({ clock: this.#clock });
-    this.#engines = EnginePool.create(this.#clock);
-    this.#store.register(this.#engines);
+  private constructor(
+    services: NodeServices,
+    parts: {
+      readonly disposables: DisposableStore;
+      readonly platform: PlatformClients;
+      readonly cluster: Cluster;
+    },
+  ) {
+    const { platform, cluster } = parts;
+    this.#services = services;
+    this.#disposables = parts.disposables;
+    this.#platform = platform;
+    this.#cluster = cluster;
+    this.#requests = RequestCounter.create(services.clock);
+    this.#writer = ReleaseWriter.create({ ...services, store: platform.store });
+    this.#paths = this.#disposables.register(
+      RequestPaths.create({ ...services, cluster, store: platform.store }),
+    );
   }
 
-  /** Starts a node; resolves once it listens. */
+  /** Starts a node; resolves once it listens, before it is ready. */
   static async open(options: NodeOptions): Promise<Node> {
-    const node = new Node(options, await openHasher());
+    const services = await openNodeServices(options.settings, options.log);
+    const disposables = DisposableStore.create();
+    const platform = createPlatformClients(services, disposables);
+    const late = LateValue.create<Node>("the node");
+    const cluster = disposables.register(
+      await Cluster.open({
+        ...services,
+        store: platform.store,
+        handlers: {
+          exchange: () => late.read().#paths.models.exchange,
+          calls: () => late.read().#paths.calls,
+          onDrain: () => void late.read().drain(),
+        },
+      }),
+    );
+    const node = new Node(services, { disposables, platform, cluster });
+    late.set(node);
     try {
       await node.#start();
     } catch (thrown) {
@@ -110,16 +110,17 @@
 
   /** Bound addresses. */
   get addresses(): NodeListeners {
+    if (this.#fronts === undefined) throw new Error("the node is starting");
     return {
-      callers: this.#callers.address,
-      peers: this.#peers.address,
-      operators: this.#operators.address,
+      callers: this.#fronts.callers.address,
+      peers: this.#cluster.server.address,
+      operators: this.#fronts.operators.address,
     };
   }
 
   /** Revision of the configuration in force. */
   get revision(): number {
-    return this.#configuration.revision;
+    return this.#cluster.current().revision;
   }
 
   /** Stops taking requests, finishes or hands over the rest, and ends. */
@@ -130,273 +131,144 @@
 
   /** Ends at once, cutting what is in progress. */
   dispose(): void {
-    this.#lifetime.abort();
-    this.#store.dispose();
+    this.#disposables.dispose();
   }
 
   async #start(): Promise<void> {
-    const { settings } = this;
-    const store = this.#openObjectStore();
-    this.#peers = await this.#openPeers();
-    this.#identity = {
-      node: settings.node,
-      incarnation: randomBytes(incarnationBytes).toString("hex"),
-      zone: settings.zone,
-      region: settings.region,
-      peerAddress: settings.listen.advertisedPeers ?? this.#peers.address,
-    };
-    const clients = this.#store.register(
-      PeerClients.create<RequestRouter>({
-        key: settings.peerKey,
-        metrics: this.#metrics,
+    this.#cluster.start();
+    this.#paths.start();
+    this.#startControl();
+    this.#fronts = this.#disposables.register(
+      await NodeFronts.open({
+        ...this.#services,
+        cluster: this.#cluster,
+        paths: this.#paths,
+        requests: this.#requests,
+        readiness: () => this.#readReadiness(),
+        readStatus: () =>
+          readNodeStatus({
+            cluster: this.#cluster,
+            paths: this.#paths,
+            readiness: this.#readReadiness().kind,
+            requests: this.#requests.active,
+            shards: this.#control?.listHeld() ?? [],
+          }),
+        apply: (order) => this.#apply(order),
+        drain: (name) => this.#drainByName(name),
       }),
     );
-    this.#membership = this.#store.register(SeedMembership.create({
-      self: this.#identity,
-      seeds: settings.peers,
-      clock: this.#clock,
-      identify: async (address) => {
-        const answer = await clients.call(address, {
-          send: ({ client, signal }) =>
-            client.identify.mutate(undefined, { signal }),
-        });
-        return answer.toMaybe().extract() as Member | undefined;
-      },
-    }));
-    this.#createRouters(store, clients);
-    await this.#openFronts(store);
-    void this.#followConfiguration(HeadReader.create(store));
-  }
-
-  private get settings(): NodeSettings {
-    return this.#settings;
-  }
-
-  #openObjectStore(): HttpObjectStore {
-    return this.#store.register(HttpObjectStore.create({
-      address: this.#settings.platform.objectApi,
-      clock: this.#clock,
-      random: this.#random,
-      metrics: this.#metrics,
-      log: this.#log,
-    }));
-  }
-
-  async #openPeers(): Promise<PeerServer> {
-    const server = await PeerServer.open({
-      address: this.#settings.listen.peers,
-      key: this.#settings.peerKey,
-      log: this.#log.part("peers"),
-      metrics: this.#metrics,
-      router: createRequestRouter({
-        exchange: () => this.#models.exchange,
-        calls: () => this.#calls,
-        onDrain: () => void this.drain(),
-        identify: () => ({
-          identity: this.#identity,
-          state: this.#draining === undefined ? "alive" : "leaving",
-          revision: this.#configuration.revision,
-        }),
-      }),
-    });
-    return this.#store.register(server);
-  }
-
-  #createRouters(
-    store: HttpObjectStore,
-    clients: PeerClients<RequestRouter>,
-  ): void {
-    const common = {
-      configuration: { current: () => this.#configuration },
-      clock: this.#clock,
-      random: this.#random,
-      hasher: this.#hasher,
-      metrics: this.#metrics,
-    };
-    const retries = RetryBudget.create({ metrics: this.#metrics });
-    const limiter = {
-      admit: () => Right({ release: () => {} }),
-      check: () => Right(undefined),
-    };
-    const peers = { membership: this.#membership, clients };
-    this.#models = this.#store.register(RoutedModels.create({
-      ...common,
-      nodeName: this.#identity.node,
-      incarnation: this.#identity.incarnation,
-      engines: (endpoint) => this.#engines.find(endpoint),
-      loads: this.#loads,
-      limiter,
-      retries,
-      peers: NodeStreamPeers.create(peers),
-      log: this.#log.part("models"),
-      policy: { kind: this.#settings.policy },
-    }));
-    const plain = new Map<string, HttpPlainEndpoint>();
-    this.#calls = RoutedCalls.create({
-      ...common,
-      endpoints: (endpoint) => {
-        const known = plain.get(endpoint.address) ??
-          HttpPlainEndpoint.create({ ...endpoint, clock: this.#clock });
-        plain.set(endpoint.address, known);
-        return known;
-      },
-      loads: noLoadReports,
-      log: this.#log.part("calls"),
-      identity: this.#identity,
-      sharedKey: this.#settings.peerKey,
-      peers: NodeKeyPeers.create(peers),
-      claims: store,
-      limiter,
-      retryBudget: retries,
+    void this.#cluster.spread.waitReady().then(() => {
+      this.#isReady = true;
     });
   }
 
-  async #openFronts(store: HttpObjectStore): Promise<void> {
-    const configuration = { current: (): Configuration => this.#configuration };
-    const { limits, listen } = this.#settings;
-    const { maxBodyBytes } = limits;
-    const readiness = (): Readiness => this.#readReadiness();
-    const chat = ChatFront.create({
-      configuration,
-      router: this.#models,
-      clock: this.#clock,
-      metrics: this.#metrics,
-      maxBodyBytes,
-    });
-    const plain = PlainFront.create({
-      configuration,
-      router: this.#calls,
-      clock: this.#clock,
-      maxBodyBytes,
-    });
-    const writer = ReleaseWriter.create({
+  #startControl(): void {
+    const { cloud, store, weightStore } = this.#platform;
+    if (cloud === undefined) return;
+    const { membership, spread } = this.#cluster;
+    const control = this.#disposables.register(FleetControl.create({
+      ...this.#services,
       store,
-      clock: this.#clock,
-      random: this.#random,
-      metrics: this.#metrics,
-      log: this.#log,
-    });
-    this.#operators = this.#store.register(
-      await HttpServer.open({
-        address: listen.operators,
-        limits,
-        routes: createOperatorsRoutes({
-          operatorKey: this.#settings.operatorKey,
-          configuration,
-          metrics: this.#metrics,
-          readiness,
-          readStatus: () => this.#readStatus(),
-          listStreams: () => this.#listStreams(),
-          apply: (order) => writer.apply(order),
-          drain: (node) => this.#drainByName(node),
-        }),
-      }),
+      cloud,
+      weightStore,
+      membership,
+      configuration: spread,
+      engines: (endpoint) => this.#paths.endpoints.findEngine(endpoint),
+      loads: () => this.#paths.exchange.latest,
+      capacity: this.#readCapacityPolicy(),
+    }));
+    this.#control = control;
+    this.#disposables.register(
+      control.notices.onLeaving((leaving) => membership.markLeaving([leaving])),
     );
-    this.#callers = this.#store.register(
-      await HttpServer.open({
-        address: listen.callers,
-        limits,
-        routes: createCallersRoutes({
-          teams: TeamDirectory.create(configuration),
-          chat,
-          plain,
-          requests: this.#requests,
-          metrics: this.#metrics,
-          readiness,
-        }),
-        onHandlerError: (error) =>
-          this.#log.error("a request failed inside the node.", {
-            error: String(error),
-          }),
-      }),
+    this.#disposables.register(
+      membership.onLeaving((leaving) => control.notices.recordPeer(leaving)),
     );
   }
 
-  async #followConfiguration(reader: HeadReader): Promise<void> {
-    const { signal } = this.#lifetime;
-    while (!signal.aborted) {
-      const next = await reader.wait(this.#configuration.revision, watchMs);
-      next.ifRight((configuration) => {
-        if (configuration !== undefined) {
-          this.#applyConfiguration(configuration);
-        }
-        this.#isReady = true;
-      });
-      if (next.isLeft()) await this.#clock.sleep(watchPauseMs, signal);
-    }
+  #readCapacityPolicy(): Parameters<
+    typeof FleetControl.create
+  >[0]["capacity"] {
+    const { capacity } = this.#services.settings;
+    return capacity === undefined ? undefined : {
+      targetUtilization: capacity.targetUtilization,
+      protectedShare: capacity.protectedShare,
+      classCapacity: new Map(Object.entries(capacity.classCapacity)),
+    };
   }
 
-  #applyConfiguration(configuration: Configuration): void {
-    if (configuration.revision <= this.#configuration.revision) return;
-    this.#configuration = configuration;
-    this.#loads.apply(configuration.endpoints);
-    this.#engines.apply(configuration.endpoints);
-    this.#metrics.setGauge("almondcrank_revision", configuration.revision);
-    this.#log.info("configuration in force.", {
-      revision: configuration.revision,
+  /** Applies a note and spreads it, so that it survives the platform's end. */
+  async #apply(
+    order: ReleaseOrder,
+  ): Promise<Either<ReleaseError, AppliedRelease>> {
+    const applied = await this.#writer.apply(order);
+    await applied.caseOf({
+      Left: () => Promise.resolve(),
+      Right: (release) => this.#spreadRelease(release),
     });
+    return applied;
   }
 
-  #readReadiness(): Readiness {
-    if (this.#draining !== undefined) return { kind: "draining" };
-    if (!this.#isReady) {
-      return { kind: "starting", reason: "no configuration yet" };
-    }
-    return { kind: "ready" };
+  /**
+   * Puts a release in force here and tells the peers.
+   *
+   * The store is read once more for endpoints rented meanwhile; when it is out
+   * by now, the written note and the rented endpoints known here have to do.
+   */
+  async #spreadRelease(release: AppliedRelease): Promise<void> {
+    const { spread } = this.#cluster;
+    const read = await HeadReader.create(this.#platform.store).read();
+    const next = read.toMaybe().extract() ??
+      composeConfiguration(release, spread.current());
+    if (next !== undefined) await spread.accept(next);
   }
 
-  #readStatus(): NodeStatus {
-    const { revision, endpoints } = this.#configuration;
-    const { node, zone, incarnation } = this.#identity;
-    return {
-      node,
-      incarnation,
-      readiness: this.#readReadiness().kind,
-      revision,
-      requests: this.#requests.active,
-      nodes: [
-        { node, zone, state: "self", revision },
-        ...this.#membership.list().map(({ identity, state, revision }) => ({
-          node: identity.node,
-          zone: identity.zone,
-          state,
-          revision,
-        })),
-      ],
-      endpoints: endpoints.map(({ name, service, zone }) => ({
-        endpoint: name,
-        service,
-        zone,
-        state: this.#loads.find(name)?.state.kind ?? "unknown",
-        running: undefined,
-        queued: undefined,
-      })),
-    };
-  }
-
-  #listStreams(): StreamList {
-    return { streams: this.#models.listRunning() };
+  #readReadiness(): Readiness {
+    if (this.#draining !== undefined) return { kind: "draining" };
+    if (this.#isReady) return { kind: "ready" };
+    return { kind: "starting", reason: "no configuration yet" };
   }
 
-  async #drainByName(node: string): Promise<Either<string, void>> {
-    if (node === this.#identity.node) {
+  async #drainByName(name: string): Promise<Either<string, void>> {
+    const { membership, clients } = this.#cluster;
+    if (name === membership.self.node) {
       void this.drain();
       return Right(undefined);
     }
-    return await Promise.resolve(
-      Left(`no node "${node}" is known; list them with status`),
-    );
+    const member = membership.find(name);
+    if (member === undefined) {
+      return Left(`no node "${name}" is known; list them with status`);
+    }
+    const answer = await clients.call(member.identity.peerAddress, {
+      send: ({ client, signal }) => client.drain.mutate(undefined, { signal }),
+    });
+    return answer.mapLeft((error) => error.message).map(() => undefined);
   }
 
   async #runDrain(): Promise<void> {
-    const { drainMs } = this.#settings;
-    this.#log.info("node is draining.");
-    this.#calls.drain();
-    await this.#models.drain(drainMs);
-    await this.#requests.waitIdle(drainMs);
-    await this.#calls.close();
-    await this.#callers.close();
-    this.#log.info("node has drained.");
+    const { settings, log } = this.#services;
+    const { drainMs } = settings;
+    log.info("node is draining.", { drainMs });
+    await this.#cluster.membership.leave();
+    this.#paths.calls.drain();
+    await this.#control?.stop();
+    await this.#paths.models.drain(drainMs);
+    await this.#paths.calls.close();
+    const idle = await this.#requests.waitIdle(drainMs);
+    if (!idle) log.warn("requests were cut at the end of the drain.");
+    await this.#fronts?.callers.close();
+    log.info("node has drained.");
     this.dispose();
   }
 }
+
+/** The configuration that a release made, with the endpoints rented so far. */
+function composeConfiguration(
+  { configuration, revision }: AppliedRelease,
+  last: Configuration,
+): Configuration | undefined {
+  if (configuration === undefined) return undefined;
+  const rented = last.endpoints.filter(({ isRented }) => isRented === true);
+  const endpoints = [...configuration.endpoints, ...rented];
+  return { ...configuration, endpoints, revision };
+}
--- /dev/null
+++ b/packages/node/src/node_services.ts
@@ -0,0 +1,35 @@
+/**
+ * What every part of a node is made with.
+ */
+
+import { type Clock, SystemClock } from "@almondcrank/common/clock.ts";
+import { type Hasher, openHasher } from "@almondcrank/common/hashing.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import type { NodeSettings } from "./settings.ts";
+
+/** Services of the process, handed to every part. */
+export interface NodeServices {
+  readonly settings: NodeSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly hasher: Hasher;
+  readonly metrics: Metrics;
+  readonly log: Log;
+}
+
+/** Opens the services of a process. */
+export async function openNodeServices(
+  settings: NodeSettings,
+  log: Log,
+): Promise<NodeServices> {
+  return {
+    settings,
+    clock: SystemClock.create(),
+    random: Random.create(),
+    hasher: await openHasher(),
+    metrics: Metrics.create(),
+    log,
+  };
+}
--- a/packages/node/src/operator_messages.ts
+++ b/packages/node/src/operator_messages.ts
@@ -75,6 +75,8 @@
   readonly readiness: "ready" | "starting" | "draining";
   readonly revision: number;
   readonly requests: number;
+  /** Shards of control work whose lease the node holds. */
+  readonly shards: readonly string[];
   readonly nodes: readonly NodeRow[];
   readonly endpoints: readonly EndpointRow[];
 }
--- a/packages/node/src/peer_router.ts
+++ b/packages/node/src/peer_router.ts
@@ -1,10 +1,12 @@
 /**
- * What a node answers its peers: streams, keyed calls, drains.
+ * What a node answers its peers: membership, streams, keyed calls, drains.
  */
 
-import { z } from "zod";
+import {
+  createMembershipRouter,
+  type PeerHandlers,
+} from "@almondcrank/membership/peer_transport.ts";
 import { createPeerProcedures } from "@almondcrank/membership/peer_procedures.ts";
-import type { Member } from "@almondcrank/membership/membership.ts";
 import {
   type ForwardedCall,
   forwardedCallSchema,
@@ -21,15 +23,13 @@
   readEventsSchema,
 } from "./stream_wire.ts";
 
-/** Parts of a node that answer peers. */
-export interface PeerRouterOptions {
+/** Parts of a node that answer peers about requests. */
+export interface RequestHandlers {
   readonly exchange: () => StreamExchange;
   readonly calls: () => {
     handleForwarded(call: ForwardedCall): Promise<ForwardedOutcome>;
     handleHandOver(batch: KeyBatch): void;
   };
-  /** Tells who this node is. */
-  readonly identify: () => Member;
   /** Begins to drain this node. */
   readonly onDrain: () => void;
 }
@@ -39,28 +39,26 @@
   | { readonly kind: "taken" }
   | { readonly kind: "refused"; readonly reason: string };
 
-/** Creates the procedures that do not belong to membership. */
-// deno-lint-ignore explicit-module-boundary-types -- tRPC infers the router.
-export function createRequestRouter(options: PeerRouterOptions) {
-  const peer = createPeerProcedures();
+const peer = createPeerProcedures();
+
+function createRequestRouter(handlers: RequestHandlers) {
   return peer.router({
-    identify: peer.procedure.mutation(() => options.identify()),
     readEvents: peer.procedure.input(readEventsSchema).mutation(
       async ({ input }) =>
         encodeEventBatch(
           input.from,
-          await options.exchange().readEvents(input),
+          await handlers.exchange().readEvents(input),
         ),
     ),
     cancelStream: peer.procedure.input(cancelStreamSchema).mutation(
       ({ input }) => {
-        options.exchange().cancel(input.id, input.team);
+        handlers.exchange().cancel(input.id, input.team);
         return {};
       },
     ),
     handOver: peer.procedure.input(handOverSchema).mutation(
       ({ input }): HandOverResult =>
-        options.exchange().receive(decodeHandOver(input)).caseOf<
+        handlers.exchange().receive(decodeHandOver(input)).caseOf<
           HandOverResult
         >({
           Left: (refusal) => ({ kind: "refused", reason: refusal.kind }),
@@ -68,18 +66,30 @@
         }),
     ),
     forwardCall: peer.procedure.input(forwardedCallSchema).mutation(
-      ({ input }) => options.calls().handleForwarded(input as ForwardedCall),
+      ({ input }) => handlers.calls().handleForwarded(input as ForwardedCall),
     ),
     handOverKeys: peer.procedure.input(keyBatchSchema).mutation(({ input }) => {
-      options.calls().handleHandOver(input);
+      handlers.calls().handleHandOver(input);
       return {};
     }),
-    drain: peer.procedure.input(z.object({ node: z.string() })).mutation(() => {
-      options.onDrain();
+    drain: peer.procedure.mutation(() => {
+      handlers.onDrain();
       return {};
     }),
   });
 }
 
-/** Type of the procedures, for clients. */
-export type RequestRouter = ReturnType<typeof createRequestRouter>;
+/** Creates all procedures of a node. */
+// deno-lint-ignore explicit-module-boundary-types -- tRPC infers the router.
+export function createNodeRouter(
+  members: PeerHandlers,
+  requests: RequestHandlers,
+) {
+  return peer.mergeRouters(
+    createMembershipRouter(members),
+    createRequestRouter(requests),
+  );
+}
+
+/** Type of all procedures, for clients. */
+export type NodeRouter = ReturnType<typeof createNodeRouter>;
--- /dev/null
+++ b/packages/node/src/platform_clients.ts
@@ -0,0 +1,48 @@
+/**
+ * Clients of the platform's services, as the settings name them.
+ */
+
+import { Right } from "purify-ts";
+import type { DisposableStore } from "@almondcrank/common/disposables.ts";
+import type { CloudApi } from "@almondcrank/platform/cloud_api.ts";
+import { HttpCloudApi } from "@almondcrank/platform/http_cloud_api.ts";
+import { HttpObjectStore } from "@almondcrank/platform/http_object_store.ts";
+import { HttpWeightStore } from "@almondcrank/platform/http_weight_store.ts";
+import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import type { WeightStore } from "@almondcrank/platform/weight_store.ts";
+import type { NodeServices } from "./node_services.ts";
+
+/** Clients; a cloud that is not configured rents nothing and gives no notice. */
+export interface PlatformClients {
+  readonly store: ObjectStore;
+  readonly cloud: CloudApi | undefined;
+  readonly weightStore: WeightStore;
+}
+
+/** Creates the clients under one owner. */
+export function createPlatformClients(
+  services: NodeServices,
+  disposables: DisposableStore,
+): PlatformClients {
+  const { objectApi, cloudApi, weightStore } = services.settings.platform;
+  const { clock, random, metrics, log } = services;
+  const common = { clock, random, metrics, log };
+  return {
+    store: disposables.register(
+      HttpObjectStore.create({ ...common, address: objectApi }),
+    ),
+    cloud: cloudApi === undefined ? undefined : disposables.register(
+      HttpCloudApi.create({ ...common, address: cloudApi }),
+    ),
+    weightStore: weightStore === undefined
+      ? unlimitedWeightStore
+      : disposables.register(
+        HttpWeightStore.create({ ...common, address: weightStore }),
+      ),
+  };
+}
+
+const unlimitedWeightStore: WeightStore = {
+  readRate: () =>
+    Promise.resolve(Right({ bytesPerSecond: Infinity, activeLoads: 0 })),
+};
--- /dev/null
+++ b/packages/node/src/request_paths.ts
@@ -0,0 +1,108 @@
+/**
+ * The request paths of a node: model requests and plain calls with what they
+ * share, the limits of teams and the budget of retries.
+ */
+
+import {
+  type Disposable,
+  DisposableStore,
+} from "@almondcrank/common/disposables.ts";
+import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import { LoadTable } from "@almondcrank/routing/load_table.ts";
+import type { PlainLoadSource } from "@almondcrank/routing/plain_choice.ts";
+import { RetryBudget } from "@almondcrank/routing/retry_budget.ts";
+import { RoutedCalls } from "@almondcrank/routing/routed_calls.ts";
+import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
+import { TeamLimits } from "@almondcrank/routing/team_limits.ts";
+import type { Cluster } from "./cluster.ts";
+import { EndpointClients } from "./endpoint_clients.ts";
+import { LoadExchange } from "./load_exchange.ts";
+import type { NodeServices } from "./node_services.ts";
+import { NodeKeyPeers, NodeStreamPeers } from "./request_peers.ts";
+
+/** What the paths are made with. */
+export interface RequestPathsOptions extends NodeServices {
+  readonly cluster: Cluster;
+  readonly store: ObjectStore;
+}
+
+/** Request paths of one node. */
+export class RequestPaths implements Disposable {
+  readonly endpoints: EndpointClients;
+  readonly loads: LoadTable;
+  readonly exchange: LoadExchange;
+  readonly models: RoutedModels;
+  readonly calls: RoutedCalls;
+  readonly #disposables = DisposableStore.create();
+
+  private constructor(options: RequestPathsOptions) {
+    const { clock, cluster, settings, store } = options;
+    const { membership, clients } = cluster;
+    const { self } = membership;
+    const configuration = cluster.spread;
+    const peers = { membership, clients };
+    const common = { ...options, configuration };
+    const retryBudget = RetryBudget.create(options);
+    const limits = {
+      models: TeamLimits.create({ ...common, pool: "models", unit: "tokens" }),
+      calls: TeamLimits.create({ ...common, pool: "calls", unit: "requests" }),
+    };
+    this.endpoints = this.#disposables.register(EndpointClients.create(clock));
+    this.loads = LoadTable.create({ clock });
+    this.exchange = this.#disposables.register(LoadExchange.create({
+      ...common,
+      membership,
+      endpoints: this.endpoints,
+      loads: this.loads,
+      modelLimits: limits.models,
+      callLimits: limits.calls,
+    }));
+    this.models = this.#disposables.register(RoutedModels.create({
+      ...common,
+      log: options.log.part("models"),
+      nodeName: self.node,
+      incarnation: self.incarnation,
+      engines: (endpoint) => this.endpoints.findEngine(endpoint),
+      loads: this.loads,
+      limiter: limits.models,
+      retries: retryBudget,
+      peers: NodeStreamPeers.create(peers),
+      policy: { kind: settings.policy },
+    }));
+    this.calls = RoutedCalls.create({
+      ...common,
+      log: options.log.part("calls"),
+      endpoints: (endpoint) => this.endpoints.findPlain(endpoint),
+      loads: this.#createPlainLoads(cluster),
+      identity: { node: self.node, incarnation: self.incarnation },
+      sharedKey: settings.peerKey,
+      peers: NodeKeyPeers.create(peers),
+      claims: store,
+      limiter: limits.calls,
+      retryBudget,
+    });
+    this.#disposables.register(configuration.onChange((next) => {
+      this.loads.apply(next.endpoints);
+      this.endpoints.apply(next);
+    }));
+  }
+
+  static create(options: RequestPathsOptions): RequestPaths {
+    return new RequestPaths(options);
+  }
+
+  start(): void {
+    this.exchange.start();
+  }
+
+  dispose(): void {
+    this.#disposables.dispose();
+  }
+
+  #createPlainLoads({ membership }: Cluster): PlainLoadSource {
+    return {
+      find: (endpoint) => this.exchange.latest.get(endpoint),
+      isLeaving: (endpoint) => membership.isLeaving(endpoint),
+    };
+  }
+}
--- a/packages/node/src/request_peers.ts
+++ b/packages/node/src/request_peers.ts
@@ -22,7 +22,7 @@
   StreamHandOver,
   StreamPeers,
 } from "@almondcrank/routing/stream_peers.ts";
-import type { RequestRouter } from "./peer_router.ts";
+import type { NodeRouter } from "./peer_router.ts";
 import {
   decodeEventBatch,
   encodeHandOver,
@@ -50,7 +50,7 @@
 /** What calls to peers need. */
 export interface RequestPeersOptions {
   readonly membership: Membership;
-  readonly clients: PeerClients<RequestRouter>;
+  readonly clients: PeerClients<NodeRouter>;
 }
 
 /** Streams on other nodes. */
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -58,6 +58,15 @@
   /** Choice of replica; the others are baselines for comparison. */
   policy: z.enum(["predicted", "least_load", "round_robin", "random"])
     .default("predicted"),
+  /** How hosts are rented; without it the system rents none. */
+  capacity: z.strictObject({
+    /** Share of capacity that demand may take. */
+    targetUtilization: z.number().min(0.1).max(1).default(0.7),
+    /** Share of demand that survives the loss of any one data centre. */
+    protectedShare: z.number().min(0).max(1).default(1),
+    /** Capacity of machine classes, relative to one engine. */
+    classCapacity: z.record(z.string(), z.number().positive()),
+  }).optional(),
   /** Time a leaving node lets its requests run before it hands them over. */
   drainMs: z.int().min(0).max(600_000).default(10_000),
   limits: z.strictObject({
--- a/packages/platform/src/head_codec.ts
+++ b/packages/platform/src/head_codec.ts
@@ -139,7 +139,9 @@
 export function decodeRented(
   object: StoredObject,
 ): Either<PlatformError, RentedEndpoints> {
-  return decodeValue(object, rentedSchema);
+  return decodeValue(object, rentedSchema).map(({ endpoints }) => ({
+    endpoints: endpoints.map((endpoint) => ({ ...endpoint, isRented: true })),
+  }));
 }
 
 /** Computes the size of a stored value as the object API counts it. */
