Drive the stand-ins' time by hand in the wire tests

The engine test exported the cache of a stream while time ran on, so a busy machine could end the stream first. Change: the stand-ins of these tests have a clock driven by hand, and the cancelled stream can end by nothing else.

--- a/packages/standin/src/wire_test.ts
+++ b/packages/standin/src/wire_test.ts
@@ -1,10 +1,14 @@
 import { SystemClock } from "@almondcrank/common/clock.ts";
 import { DisposableStore } from "@almondcrank/common/disposables.ts";
 import { openHasher } from "@almondcrank/common/hashing.ts";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import type { GenerateRequest } from "@almondcrank/endpoint/engine.ts";
+import type {
+  GenerateEvent,
+  GenerateRequest,
+} from "@almondcrank/endpoint/engine.ts";
 import { HttpEngine } from "@almondcrank/endpoint/http_engine.ts";
 import { HttpPlainEndpoint } from "@almondcrank/endpoint/http_plain_endpoint.ts";
 import { HttpCloudApi } from "@almondcrank/platform/http_cloud_api.ts";
@@ -14,11 +18,15 @@
 import type { Either } from "purify-ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { EngineStandin } from "./engine_standin.ts";
 import { computeExpectedTokens } from "./expected_tokens.ts";
+import { waitUntil } from "./standin_fixture.ts";
 import { StandinSet } from "./standin_set.ts";
 
 const address = "127.0.0.1:0";
 const clock = SystemClock.create();
+/** Time of the stand-ins, driven by hand. */
+const time = ManualClock.create();
 const random = Random.create(1);
 const metrics = Metrics.create();
 const log = createSilentLog();
@@ -47,8 +55,8 @@
         services: { assistant: { kind: "engine" } },
       },
       engines: [{ ...engine, ...place, name: "e1" }, { ...engine, name: "e2" }],
-      plainServices: [{ name: "b1", address, serviceMs: 1 }],
-    }, { clock }),
+      plainServices: [{ name: "b1", address, serviceMs: 0 }],
+    }, { clock: time }),
   );
 });
 
@@ -135,46 +143,68 @@
   assert.is(right(await client.readRate()).activeLoads, 0);
 });
 
-test("the engine's client streams, resumes from an imported cache and cancels", async () => {
-  const [from, to] = [engineClient("e1"), engineClient("e2")];
-  const { tokens } = computeExpectedTokens(await openHasher(), request);
-  const seen: string[] = [];
-  let handle = "";
-  for await (
-    const event of from.generate(request, new AbortController().signal)
-  ) {
-    const value = right(event);
-    if (value.kind === "token") seen.push(value.text);
-    if (seen.length !== 3 || handle !== "") continue;
-    handle = right(await from.exportCache("g1")).handle;
-  }
-  assert.equal(seen, tokens);
-  const { address } = set.findPart("e1")!;
-  const order = { importId: "i1", from: address, handle };
-  assert.ok(right(await to.importCache(order)) >= 9);
-  const resumed = {
-    ...request,
-    id: "g2",
-    tokensSoFar: tokens.slice(0, 2),
-    importId: "i1",
-  };
-  const rest: string[] = [];
-  for await (
-    const event of to.generate(resumed, new AbortController().signal)
-  ) {
-    const value = right(event);
-    if (value.kind === "token") rest.push(value.text);
-    else assert.is(value.usage.computedTokens, 1);
-  }
-  assert.equal(rest, tokens.slice(2));
+/** Lets the stand-ins' time pass until a call is answered. */
+async function finish<T>(call: Promise<T>): Promise<T> {
+  let isDone = false;
+  void call.finally(() => isDone = true).catch(() => {});
+  while (!isDone) await time.advance(10);
+  return await call;
+}
+
+/** Collects a whole stream; stops it after the first event if told to. */
+async function collect(
+  client: HttpEngine,
+  request: GenerateRequest,
+  stopsEarly = false,
+): Promise<readonly GenerateEvent[]> {
   const caller = new AbortController();
-  for await (
-    const _event of to.generate({ ...request, id: "g3" }, caller.signal)
-  ) {
+  const events: GenerateEvent[] = [];
+  for await (const event of client.generate(request, caller.signal)) {
+    events.push(right(event));
+    if (!stopsEarly) continue;
     caller.abort();
+    break;
   }
-  assert.is(right(await to.readLoad()).slots, 8);
-  assert.ok(right(await to.readCacheEvents(0)).sequence >= 0);
+  return events;
+}
+
+function readTexts(events: readonly GenerateEvent[]): readonly string[] {
+  return events.flatMap((event) => event.kind === "token" ? [event.text] : []);
+}
+
+test("the engine's client streams, and resumes from an imported cache", async () => {
+  const [from, to] = [engineClient("e1"), engineClient("e2")];
+  const engine = set.findPart("e1") as EngineStandin;
+  const { tokens } = computeExpectedTokens(await openHasher(), request);
+  const stream = collect(from, request);
+  await waitUntil(() => engine.load.running === 1);
+  // Under 1 ms for the input, then 2.5 ms a token.
+  await time.advance(6);
+  const exported = right(await from.exportCache("g1"));
+  assert.is(exported.tokens, 7 + 3);
+  assert.equal(readTexts(await finish(stream)), tokens);
+  const { handle } = exported;
+  const order = { importId: "i1", from: engine.address, handle };
+  assert.is(right(await finish(to.importCache(order))), 10);
+  const resume = { id: "g2", tokensSoFar: tokens.slice(0, 3), importId: "i1" };
+  const rest = await finish(collect(to, { ...request, ...resume }));
+  assert.equal(readTexts(rest), tokens.slice(3));
+  const end = rest.at(-1);
+  assert.is(end?.kind === "end" && end.usage.computedTokens, 1);
+});
+
+test("the engine's client cancels, and reads load and cache events", async () => {
+  const client = engineClient("e2");
+  const engine = set.findPart("e2") as EngineStandin;
+  const stopped = collect(client, { ...request, id: "g3" }, true);
+  await waitUntil(() => engine.load.running === 1);
+  // Enough for the first token; only a cancellation can end the request.
+  await time.advance(2);
+  assert.is((await stopped).length, 1);
+  await waitUntil(() => engine.load.running === 0);
+  assert.is(engine.records.at(-1)?.outcome, "cancelled");
+  assert.is(right(await client.readLoad()).slots, 8);
+  assert.equal(right(await client.readCacheEvents(0)).events, []);
 });
 
 test("the engine's client learns of a refused order and of declined work", async () => {
