--- a/packages/standin/src/cloud_api_standin.ts
+++ b/packages/standin/src/cloud_api_standin.ts
@@ -170,7 +170,7 @@
   }
 
   /** Reclaims hosts; returns the names of those concerned. */
-  startReclaim(input: ReclaimOrder): readonly string[] {
+  reclaim(input: ReclaimOrder): readonly string[] {
     const order = reclaimOrder.parse(input);
     if (order.refuseReplacements) {
       const { zone } = order;
@@ -297,7 +297,7 @@
 
   #handleReclaim(call: ControlCall): PartAnswer {
     return handleOrder(reclaimOrder, call, (order) => {
-      const hosts = this.startReclaim(order);
+      const hosts = this.reclaim(order);
       return order.host !== undefined && hosts.length === 0
         ? createControlError(`no host "${order.host}"`, 404)
         : createAnswer(200, { hosts });
--- a/packages/standin/src/standin_set_test.ts
+++ b/packages/standin/src/standin_set_test.ts
@@ -113,7 +113,7 @@
 
 test("an unannounced reclaim gives no notice", () =>
   runWith(async (set, clock) => {
-    set.cloudApi!.startReclaim({ host: "e1", noticeMs: 0, announced: false });
+    set.cloudApi!.reclaim({ host: "e1", noticeMs: 0, announced: false });
     await clock.advance(0);
     assert.is(set.inventory.find("e1"), undefined);
     const url = `${set.cloudApi!.address}/notices?since=0&waitMs=0`;
@@ -125,7 +125,7 @@
     assert.equal(await listHosts(set), []);
     await clock.advance(1_000);
     assert.equal(await listHosts(set), ["b1 live", "e1 live"]);
-    set.cloudApi!.startReclaim({ host: "e1", noticeMs: 500 });
+    set.cloudApi!.reclaim({ host: "e1", noticeMs: 500 });
     await clock.advance(999);
     assert.equal(await listHosts(set), ["b1 live", "e1 live"]);
     await clock.advance(1);
--- a/packages/standin/src/wire_test.ts
+++ b/packages/standin/src/wire_test.ts
@@ -129,7 +129,7 @@
   assert.is(right(await cloud.requestInstance(elsewhere)).kind, "refused");
   assert.is(right(await cloud.listPrices())[0]?.milliPerHour, 4);
   const waiting = cloud.waitNotices(0, 5_000);
-  set.cloudApi!.startReclaim({ host: "muc-1-h1", noticeMs: 60_000 });
+  set.cloudApi!.reclaim({ host: "muc-1-h1", noticeMs: 60_000 });
   assert.is(right(await waiting).notices[0]?.host, "muc-1-h1");
   const listed = right(await hosts.list()).hosts.map((host) => host.state);
   assert.equal(listed, ["live", "leaving"]);
