Compare the whole spread when hosts are replaced for their price

Change: rent what the best spread has more than the present one if it costs under 0.85 of it, and allow a higher utilisation while a lost data centre is replaced.

--- a/packages/bench/src/cost_day.ts
+++ b/packages/bench/src/cost_day.ts
@@ -57,6 +57,7 @@
   readonly onTime: number;
   readonly demand: number;
   readonly onDemandShare: number;
+  readonly hostHours: number;
 }
 
 /** One day under one policy. */
@@ -101,6 +102,7 @@
       onTime: this.#onTime,
       demand,
       onDemandShare: this.#onDemandSteps / this.#hostSteps,
+      hostHours: this.#hostSteps * stepMs / 3_600_000,
     };
   }
 
@@ -150,6 +152,7 @@
       peakDemand: Math.max(...recent),
       targetUtilization,
       protectedShare,
+      survivalUtilization: onTimeUtilization,
       classCapacity: new Map([[machineClass, 1]]),
       hosts: this.#hosts,
       offers,
@@ -241,6 +244,7 @@
     `on time ${(100 * day.onTime / day.demand).toFixed(3)} %`,
     `cost ${(day.cost / 1_000).toFixed(0).padStart(6)}`,
     `per on-time ${(perOnTime / baseline).toFixed(3)} of on-demand`,
+    `host-hours ${day.hostHours.toFixed(0).padStart(5)}`,
     `on-demand host time ${(100 * day.onDemandShare).toFixed(1)} %`,
   ].join("  ");
 }
--- a/packages/fleet/src/capacity_plan.ts
+++ b/packages/fleet/src/capacity_plan.ts
@@ -43,6 +43,8 @@
   readonly targetUtilization: number;
   /** Part of the demand that must survive the loss of a data centre, in [0, 1]. */
   readonly protectedShare: number;
+  /** Utilisation allowed while a lost data centre is replaced, in (0, 1]. */
+  readonly survivalUtilization: number;
   /** Capacity of one host by machine class; classes left out are not rented. */
   readonly classCapacity: ReadonlyMap<string, number>;
   readonly hosts: readonly PlannedHost[];
@@ -64,8 +66,8 @@
 
 /** Spare part of the capacity kept when hosts are given back. */
 const giveBackMargin = 0.05;
-/** A host is replaced by an offer that costs less than this part of its price. */
-const replaceBelow = 0.67;
+/** Hosts are replaced when others cost less than this part of their price. */
+const replaceBelow = 0.85;
 /** Computes the next step for one service. */
 export function computeCapacityPlan(input: CapacityInput): CapacityPlan {
   const requirement = computeRequirement(input, input.demand);
@@ -74,7 +76,7 @@
   const rent = chooseRents(input, { present, requirement });
   const isSettled = rent.length === 0 &&
     present.every(({ state }) => state === "running");
-  const swap = isSettled ? chooseSwap(input, { present, requirement }) : [];
+  const swap = isSettled ? chooseSwap(input, present) : [];
   const running = present.filter(({ state }) => state === "running");
   const giveBack = chooseReturns(input, running);
   const after = computeCapacity(input.classCapacity, [
@@ -86,11 +88,13 @@
 }
 
 function computeRequirement(
-  { targetUtilization, protectedShare }: CapacityInput,
+  { targetUtilization, protectedShare, survivalUtilization }: CapacityInput,
   demand: number,
 ): Requirement {
-  const needed = demand / targetUtilization;
-  return { needed, protected: needed * protectedShare };
+  return {
+    needed: demand / targetUtilization,
+    protected: demand * protectedShare / survivalUtilization,
+  };
 }
 
 /** Rents reclaimable hosts first, and on-demand ones for what they leave open. */
@@ -125,24 +129,45 @@
   return rent;
 }
 
-/** Rents a cheaper host in place of a dear one, which goes back later. */
+/**
+ * Rents hosts in place of dearer ones, which go back once the new ones run.
+ *
+ * The spread that would be chosen anew is compared with the present one, so a
+ * price spike in one data centre is left within a start-up time.
+ */
 function chooseSwap(
   input: CapacityInput,
-  { present, requirement }: {
-    readonly present: readonly PlannedHost[];
-    readonly requirement: Requirement;
-  },
-): Offer[] {
-  const dearest = sortDearestFirst(input, present)[0];
-  const offer = findCheapest(input, "reclaimable");
-  if (dearest === undefined || offer === undefined) return [];
-  const price = findPrice(input, dearest);
-  const isWorth = computeUnitPrice(input.classCapacity, offer) <
-    replaceBelow * price / getCapacity(input, dearest);
-  const without = present.filter((host) => host !== dearest);
-  return isWorth && isEnough(input, [...without, offer], requirement)
-    ? [offer]
-    : [];
+  present: readonly PlannedHost[],
+): readonly Offer[] {
+  const rented = present.filter((host) => host.isRented && !isStopgap(host));
+  const demand = Math.max(input.demand, input.peakDemand);
+  const ideal = chooseSpread({
+    base: computeCapacity(
+      input.classCapacity,
+      present.filter(({ isRented }) => !isRented),
+    ),
+    requirement: computeRequirement(input, demand),
+    classes: input.classCapacity,
+    offers: listAvailable(input, "reclaimable"),
+  });
+  const cost = computeTotal(rented.map((host) => findPrice(input, host)));
+  const idealCost = computeTotal(ideal.map((offer) => offer.milliPerHour));
+  if (idealCost > replaceBelow * cost) return [];
+  const counts = new Map<string, number>();
+  for (const host of rented) {
+    const key = formatOffer(host);
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return ideal.filter((offer) => {
+    const key = formatOffer(offer);
+    const left = counts.get(key) ?? 0;
+    counts.set(key, left - 1);
+    return left <= 0;
+  }).slice(0, input.maxRents);
+}
+
+function computeTotal(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
 }
 
 /** Gives back the dearest hosts that are not needed, running ones counted only. */
@@ -186,10 +211,16 @@
   input: CapacityInput,
   hosts: readonly PlannedHost[],
 ): PlannedHost[] {
-  const unitPrice = (host: PlannedHost): number =>
-    findPrice(input, host) / getCapacity(input, host);
   return hosts.filter(({ isRented }) => isRented)
-    .sort((a, b) => unitPrice(b) - unitPrice(a) || (a.host < b.host ? -1 : 1));
+    .sort((a, b) =>
+      computeHostPrice(input, b) - computeHostPrice(input, a) ||
+      (a.host < b.host ? -1 : 1)
+    );
+}
+
+/** Price of one unit of a host's capacity. */
+function computeHostPrice(input: CapacityInput, host: Offer): number {
+  return findPrice(input, host) / getCapacity(input, host);
 }
 
 /** Price of a host's offer; a host without one is taken for the dearest. */
--- a/packages/fleet/src/replacer.ts
+++ b/packages/fleet/src/replacer.ts
@@ -51,6 +51,8 @@
 export interface CapacityPolicy {
   readonly targetUtilization: number;
   readonly protectedShare: number;
+  /** Utilisation allowed while a lost data centre is replaced. */
+  readonly survivalUtilization: number;
   /** Capacity of machine classes relative to one engine; others are not rented. */
   readonly classCapacity: ReadonlyMap<string, number>;
 }
--- a/packages/fleet/src/replacer_test.ts
+++ b/packages/fleet/src/replacer_test.ts
@@ -97,6 +97,7 @@
       policy: {
         targetUtilization: 0.75,
         protectedShare: 1,
+        survivalUtilization: 0.75,
         classCapacity: new Map([["gpu-a", 1]]),
       },
       listDemand: () =>
