--- a/packages/common/src/manual_clock.ts
+++ b/packages/common/src/manual_clock.ts
@@ -44,7 +44,7 @@
       };
       const sleeper: Sleeper = { due: this.#now + ms, wake: finish };
       this.#sleepers.push(sleeper);
-      signal?.addEventListener("abort", finish, { once: true });
+      signal?.addEventListener("abort", finish);
     });
   }
 
--- a/packages/routing/src/routed_calls.ts
+++ b/packages/routing/src/routed_calls.ts
@@ -25,11 +25,15 @@
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
 import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import { HedgeDelay } from "./hedge_delay.ts";
 import { KeyFormat } from "./key_format.ts";
 import { KeyClaims } from "./key_claims.ts";
+import { KeyForwarding } from "./key_forwarding.ts";
+import { chooseHeirs, createBatch, KeyInheritance } from "./key_inheritance.ts";
 import type {
   ForwardedCall,
   ForwardedOutcome,
+  KeyBatch,
   KeyOwner,
   KeyPeers,
 } from "./key_peers.ts";
@@ -43,6 +47,7 @@
 import type { PlainRequest, PlainRouter } from "./plain_router.ts";
 import type { Refusal } from "./refusal.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import { ServiceEndpoints } from "./service_endpoints.ts";
 
 const defaultClaimCallsPerSecond = 150;
 const unknownTeamPriority = 9;
@@ -69,6 +74,14 @@
   readonly keyLimits?: Partial<KeyLimits>;
   /** Calls a second to the object API that all nodes together spend on claims. */
   readonly claimCallsPerSecond?: number;
+  /** Whether idempotent calls that take long are sent twice; true by default. */
+  readonly hedging?: boolean;
+}
+
+/** What is known of one service's endpoints. */
+interface ServiceState {
+  readonly choice: PlainChoice;
+  readonly hedge: HedgeDelay | undefined;
 }
 
 /** Router of plain calls of one process. */
@@ -77,16 +90,26 @@
   readonly #attempts: PlainAttempts;
   readonly #format: KeyFormat;
   readonly #records: KeyRecords;
+  readonly #inheritance: KeyInheritance;
+  readonly #forwarding: KeyForwarding;
   readonly #keyed: KeyedCalls;
-  readonly #choices = new Map<string, PlainChoice>();
+  readonly #endpoints: ServiceEndpoints;
+  readonly #services = new Map<string, ServiceState>();
   #draining = false;
 
   private constructor(options: RoutedCallsOptions) {
     const { clock, metrics, retryBudget, endpoints } = options;
     const limits = { ...defaultKeyLimits, ...options.keyLimits };
     this.#options = options;
+    this.#endpoints = ServiceEndpoints.create(options.configuration);
     this.#format = KeyFormat.create(options.sharedKey);
     this.#records = KeyRecords.create({ clock, metrics, limits });
+    const { lifetimeMs } = limits;
+    this.#inheritance = KeyInheritance.create({ clock, lifetimeMs });
+    this.#forwarding = KeyForwarding.create({
+      ...options,
+      inheritance: this.#inheritance,
+    });
     this.#attempts = PlainAttempts.create({
       clock,
       metrics,
@@ -98,7 +121,8 @@
       format: this.#format,
       records: this.#records,
       claims: this.#createClaims(),
-      lifetimeMs: limits.lifetimeMs,
+      forwarding: this.#forwarding,
+      lifetimeMs,
       send: (request) => this.#send(request, new AbortController().signal),
     });
   }
@@ -130,32 +154,52 @@
     return Right(this.#format.issue(content));
   }
 
-  /** Answers a call that a peer forwarded to this process as its key's owner. */
+  /** Answers a call that a peer forwarded to this process as owner or heir. */
   async handleForwarded(call: ForwardedCall): Promise<ForwardedOutcome> {
     const { node, incarnation } = this.#options.identity;
     const { binding } = call;
+    const request = this.#decodeCall(call);
     if (binding.node !== node || binding.incarnation !== incarnation) {
-      return { kind: "not_owner" };
+      return this.#forwarding.findInherited(binding, request) ??
+        { kind: "not_owner" };
     }
-    const result = await this.#keyed.callOwned(
-      binding,
-      this.#decodeCall(call),
-      new AbortController().signal,
-    );
+    const { signal } = new AbortController();
+    const result = await this.#keyed.callOwned(binding, request, signal);
     return encodeOutcome(result);
   }
 
+  /** Takes the outcomes of a peer that leaves. */
+  handleHandOver(batch: KeyBatch): void {
+    this.#inheritance.add(batch);
+  }
+
   /** Binds no further keys to this process: the node is about to leave. */
   drain(): void {
     this.#draining = true;
     this.#keyed.drain();
   }
 
-  /** Begins no further calls with keys; resolves when those that run have ended. */
+  /**
+   * Begins no further calls with keys, waits for those that run, and hands the
+   * outcomes to peers.
+   */
   async close(): Promise<void> {
     this.drain();
     this.#keyed.close();
     await this.#records.waitIdle();
+    const { hasher, identity, log, peers } = this.#options;
+    const batch = createBatch(identity, this.#records);
+    if (batch.outcomes.length === 0) return;
+    const heirs = chooseHeirs(hasher, identity, peers.list());
+    await Promise.all(heirs.map(async (heir) => {
+      const handed = await peers.handOver(heir, batch);
+      handed.ifLeft((error) =>
+        log.warn("outcomes of keys were not handed over", {
+          heir: heir.node,
+          reason: error.message,
+        })
+      );
+    }));
   }
 
   #createClaims(): KeyClaims {
@@ -210,20 +254,22 @@
     signal: AbortSignal,
   ): Promise<Either<Refusal, PlainAnswer>> {
     const service = request.service.name;
-    const endpoints = this.#options.configuration.current().endpoints
-      .filter((endpoint) => endpoint.service === service);
-    const choice = this.#findChoice(service);
-    return this.#attempts.run({ request, endpoints, choice, signal });
+    const endpoints = this.#endpoints.list(service);
+    const { choice, hedge } = this.#findState(service);
+    return this.#attempts.run({ request, endpoints, choice, hedge, signal });
   }
 
-  #findChoice(service: string): PlainChoice {
-    let choice = this.#choices.get(service);
-    if (choice === undefined) {
-      const { clock, random, loads } = this.#options;
-      choice = PlainChoice.create({ clock, random, loads });
-      this.#choices.set(service, choice);
+  #findState(service: string): ServiceState {
+    let state = this.#services.get(service);
+    if (state === undefined) {
+      const { clock, random, loads, hedging } = this.#options;
+      state = {
+        choice: PlainChoice.create({ clock, random, loads }),
+        hedge: hedging === false ? undefined : HedgeDelay.create(clock),
+      };
+      this.#services.set(service, state);
     }
-    return choice;
+    return state;
   }
 
   #countRefusal(refusal: Refusal): void {
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -31,6 +31,7 @@
 import {
   type Choice,
   type ChoicePolicy,
+  type Chooser,
   ReplicaChooser,
 } from "./replica_choice.ts";
 import type {
@@ -70,6 +71,8 @@
   readonly metrics: Metrics;
   readonly log: Log;
   readonly policy?: ChoicePolicy;
+  /** Replaces the choice by `policy`. */
+  readonly chooser?: Chooser;
   readonly limits?: Partial<StreamLimits>;
   readonly prefixes?: PrefixIndex;
   readonly zoneDistanceMs?: (zone: string) => number;
@@ -202,7 +205,7 @@
   }
 
   #admit(request: ModelRequest): Either<Refusal, ModelStream> {
-    const input = computeInput(this.#options.hasher, request.prompt);
+    const input = computeInput(this.#options.hasher, request);
     const cost = input.promptTokens.length + request.maxTokens;
     return this.#options.limiter.admit(request.team, cost).chain((lease) => {
       const choice = this.#choose(request, input);
@@ -229,8 +232,10 @@
     const choice = this.#services.chooser.choose({
       service: request.service.name,
       chain: input.chain,
+      opening: input.opening,
       inputTokens: input.promptTokens.length,
       outputTokens: Math.min(request.maxTokens, loads.meanOutputTokens),
+      betweenTokensMs: request.service.target.betweenTokensMs,
     });
     metrics.recordDuration("choice_seconds", clock.now() - startedAt);
     if (choice === undefined) {
@@ -271,7 +276,7 @@
     if (this.#draining) {
       return refuse("draining", drainingRetryMs, "the node is leaving");
     }
-    const input = computeInput(this.#options.hasher, opening.request.prompt);
+    const input = computeInput(this.#options.hasher, opening.request);
     const lease: LimitLease = { release: () => {} };
     return Right(this.#start({ ...opening, input, lease, choice: undefined }));
   }
@@ -282,7 +287,7 @@
   const directory = ReplicaDirectory.create(configuration, hasher);
   const prefixes = options.prefixes ?? PrefixIndex.create();
   const policy = options.policy ?? { kind: "predicted" };
-  const chooser = ReplicaChooser.create({
+  const chooser = options.chooser ?? ReplicaChooser.create({
     ...options,
     directory,
     prefixes,
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -21,7 +21,7 @@
 import type { PrefixIndex } from "./prefix_index.ts";
 import type { RefusalKind } from "./refusal.ts";
 import { Refusal } from "./refusal.ts";
-import type { Choice, ReplicaChooser } from "./replica_choice.ts";
+import type { Choice, Chooser } from "./replica_choice.ts";
 import type { RetryPermits } from "./request_limits.ts";
 import { type AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
 import { StreamMigration } from "./stream_migration.ts";
@@ -33,7 +33,7 @@
   readonly engines: (endpoint: Endpoint) => Engine;
   readonly loads: LoadTable;
   readonly prefixes: PrefixIndex;
-  readonly chooser: ReplicaChooser;
+  readonly chooser: Chooser;
   readonly retries: RetryPermits;
   readonly clock: Clock;
   readonly hasher: Hasher;
@@ -341,8 +341,10 @@
     const asked = {
       service: request.service.name,
       chain: this.#computeChain(),
+      opening: this.stream.opening,
       inputTokens: this.stream.inputTokens,
       outputTokens: request.maxTokens - log.tokens.length,
+      betweenTokensMs: request.service.target.betweenTokensMs,
     };
     const choice = chooser.choose({ ...asked, excluded });
     if (choice !== undefined || this.#failed.size === 0) return choice;
