Let the pace of decoding count only near its target

Cause: the observed token gap carries the prefill of other requests, so above 0.6 of the target it was noise that drove conversations from their homes.

--- a/packages/routing/src/replica_choice.ts
+++ b/packages/routing/src/replica_choice.ts
@@ -86,9 +86,9 @@
 /** Fleets up to this size are looked at whole. */
 const smallFleet = 16;
 /** Share of a conversation's blocks expected at its home without knowing. */
-const homeCachedShare = 0.8;
+const homeCachedShare = 1;
 /** Share of the target between tokens up to which decoding costs nothing. */
-const easyPaceShare = 0.6;
+const easyPaceShare = 0.9;
 /** Weight of prefill beside the request's own wait: it delays other requests. */
 const recomputeWeight = 1;
 /** Mean time between reclaims of a reclaimable host, in milliseconds. */
