--- a/packages/endpoint/src/engine_pool.ts
+++ b/packages/endpoint/src/engine_pool.ts
@@ -7,24 +7,29 @@
 
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Endpoint } from "@almondcrank/common/configuration.ts";
-import { HttpEngine } from "./http_engine.ts";
+import { HttpEngine, type HttpEngineOptions } from "./http_engine.ts";
 
 interface PooledEngine {
   readonly address: string;
   readonly engine: HttpEngine;
 }
 
+/** Options that all clients of a pool share. */
+export type EnginePoolOptions = Omit<HttpEngineOptions, "endpoint" | "clock">;
+
 /** Owner of the HTTP clients of all engines. */
 export class EnginePool {
   readonly #clock: Clock;
+  readonly #options: EnginePoolOptions;
   readonly #engines = new Map<string, PooledEngine>();
 
-  private constructor(clock: Clock) {
+  private constructor(clock: Clock, options: EnginePoolOptions) {
     this.#clock = clock;
+    this.#options = options;
   }
 
-  static create(clock: Clock): EnginePool {
-    return new EnginePool(clock);
+  static create(clock: Clock, options: EnginePoolOptions = {}): EnginePool {
+    return new EnginePool(clock, options);
   }
 
   /** Client of `endpoint`. */
@@ -32,7 +37,11 @@
     const pooled = this.#engines.get(endpoint.name);
     if (pooled?.address === endpoint.address) return pooled.engine;
     pooled?.engine.dispose();
-    const engine = HttpEngine.create({ endpoint, clock: this.#clock });
+    const engine = HttpEngine.create({
+      ...this.#options,
+      endpoint,
+      clock: this.#clock,
+    });
     this.#engines.set(endpoint.name, { address: endpoint.address, engine });
     return engine;
   }
