--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -184,7 +184,7 @@
       this.#broken++;
       return;
     }
-    fleet.standins.cloudApi?.startReclaim({
+    fleet.standins.cloudApi?.reclaim({
       host: endpoint,
       noticeMs: reclaimNoticeMs,
     });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -190,11 +190,9 @@
     typeof FleetControl.create
   >[0]["capacity"] {
     const { capacity } = this.#services.settings;
-    return capacity === undefined ? undefined : {
-      targetUtilization: capacity.targetUtilization,
-      protectedShare: capacity.protectedShare,
-      classCapacity: new Map(Object.entries(capacity.classCapacity)),
-    };
+    if (capacity === undefined) return undefined;
+    const classCapacity = new Map(Object.entries(capacity.classCapacity));
+    return { ...capacity, classCapacity };
   }
 
   /** Applies a note and spreads it, so that it survives the platform's end. */
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -64,6 +64,8 @@
     targetUtilization: z.number().min(0.1).max(1).default(0.7),
     /** Share of demand that survives the loss of any one data centre. */
     protectedShare: z.number().min(0).max(1).default(1),
+    /** Utilisation allowed while a lost data centre is replaced. */
+    survivalUtilization: z.number().min(0.1).max(1).default(0.9),
     /** Capacity of machine classes, relative to one engine. */
     classCapacity: z.record(z.string(), z.number().positive()),
   }).optional(),
--- a/packages/scenario/src/main.ts
+++ b/packages/scenario/src/main.ts
@@ -2,8 +2,8 @@
  * Runs scenarios: `main.ts [--seed N] [--all | FILE...]`.
  */
 
-import { readdirSync, readFileSync } from "node:fs";
-import { join } from "node:path";
+import { readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { basename, join } from "node:path";
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { openHasher } from "@almondcrank/common/hashing.ts";
@@ -16,6 +16,8 @@
   options: {
     seed: { type: "string", default: "1" },
     all: { type: "boolean", default: false },
+    /** Writes the transcripts as golden files. */
+    golden: { type: "boolean", default: false },
   },
   allowPositionals: true,
 });
@@ -34,6 +36,10 @@
   }
   const seed = Number(values.seed);
   const result = await runScenario(scenario.unsafeCoerce(), { seed, hasher });
+  if (values.golden && result.findings.length === 0) {
+    const path = join(folder, "golden", `${basename(file)}.txt`);
+    writeFileSync(path, `${result.transcript.join("\n")}\n`);
+  }
   const verdict = result.findings.length === 0 ? "ok" : "FAILED";
   process.stdout.write(
     `${verdict} ${file} seed ${seed}: ${result.scenario.title}\n`,
--- a/packages/scenario/src/parse_scenario.ts
+++ b/packages/scenario/src/parse_scenario.ts
@@ -180,6 +180,14 @@
       withinMs: Number(ms),
     }),
   ),
+  createForm(
+    "expect node <n> ready within <n> ms",
+    ([node, ms]) => ({
+      kind: "expect_ready",
+      node: Number(node),
+      withinMs: Number(ms),
+    }),
+  ),
   createForm(
     'expect slot "<text>" booked (once|at most once|never)',
     ([slot = "", often]) => ({
--- a/packages/scenario/src/session.ts
+++ b/packages/scenario/src/session.ts
@@ -75,6 +75,8 @@
   readonly #chats = new Map<string, ChatCall>();
   readonly #bookings = new Map<string, Booking>();
   readonly #applies = new Map<string, Apply>();
+  /** Stable fact of the present step, for the transcript. */
+  #fact = "";
   #fleet: RunningFleet | undefined;
   #watch: InvariantWatch | undefined;
 
@@ -116,10 +118,10 @@
   }
 
   async #runPlaced({ line, text, step }: PlacedStep): Promise<void> {
+    this.#fact = "";
     const finding = await this.#runStep(step) ?? undefined;
-    this.#transcript.push(
-      finding === undefined ? text : `${text} -- ${finding}`,
-    );
+    const note = finding === undefined ? this.#fact : ` -- ${finding}`;
+    this.#transcript.push(`${text}${note}`);
     if (finding !== undefined) {
       this.#findings.push(`line ${line}: ${text}: ${finding}`);
     }
@@ -186,6 +188,8 @@
         return await this.#checkSlot(step);
       case "expect_in_force":
         return await this.#checkInForce(step);
+      case "expect_ready":
+        return await this.#checkReady(step);
       case "expect_no_work":
         return await this.#checkNoWork(step);
     }
@@ -297,7 +301,9 @@
   #checkWhole(name: string, outcome: Outcome): string | undefined {
     const wrong = this.#checkTokens(name, this.#findChat(name));
     if (wrong !== undefined) return wrong;
-    return outcome.kind === "answered" ? undefined : format(outcome);
+    if (outcome.kind !== "answered") return format(outcome);
+    this.#fact = ` => ${this.#findChat(name).tokens.length} tokens`;
+    return undefined;
   }
 
   #checkTokens(name: string, chat: ChatCall): string | undefined {
@@ -319,6 +325,7 @@
     step: Extract<Step, { readonly kind: "expect_slot" }>,
   ): Promise<string | undefined> {
     const count = await this.#countBookings(step.slot);
+    if (step.atLeast === step.atMost) this.#fact = ` => ${count} runs`;
     return count >= step.atLeast && count <= step.atMost
       ? undefined
       : `booked ${count} times`;
@@ -357,6 +364,21 @@
     return `not in force at nodes ${behind.join(", ")}`;
   }
 
+  async #checkReady(
+    step: Extract<Step, { readonly kind: "expect_ready" }>,
+  ): Promise<string | undefined> {
+    const fleet = this.#readFleet();
+    const end = Date.now() + step.withinMs;
+    while (Date.now() < end) {
+      const answer = await fleet.callOperator(step.node, "/status")
+        .catch(() => undefined);
+      const body = answer?.body as { readiness?: string } | undefined;
+      if (body?.readiness === "ready") return undefined;
+      await sleep(pollMs);
+    }
+    return "not ready";
+  }
+
   async #readRevisions(
     nodes: readonly number[],
   ): Promise<ReadonlyMap<number, number>> {
--- a/packages/scenario/src/step.ts
+++ b/packages/scenario/src/step.ts
@@ -134,6 +134,11 @@
     readonly name: string;
     readonly withinMs: number;
   }
+  | {
+    readonly kind: "expect_ready";
+    readonly node: number;
+    readonly withinMs: number;
+  }
   | {
     readonly kind: "expect_no_work";
     readonly engine: number;
