Wait to hear of a key's owner on a node that has just started

It now asks the heirs and then looks for the owner for up to a second. Test failed first: 'a node that has just started waits to hear of the owner'.

--- a/packages/routing/src/key_forwarding.ts
+++ b/packages/routing/src/key_forwarding.ts
@@ -31,6 +31,7 @@
 const maxForwards = 3;
 const forwardPauseMs = 50;
 const suspectedWaitMs = 500;
+const unknownPeerWaitMs = 1_000;
 const forwardEnded = "the wait for the owner has ended";
 
 /** Options of the forwarding. */
@@ -49,9 +50,18 @@
   | {
     readonly kind: "failed";
     readonly reason: string;
+    /** Whether asking again at once is of no use. */
     readonly final: boolean;
+    readonly isUnknownPeer: boolean;
   };
 
+/** A call to ask a peer about. */
+interface Question {
+  readonly binding: KeyBinding;
+  readonly request: KeyedRequest;
+  readonly signal: AbortSignal;
+}
+
 /** Forwarding of one process. */
 export class KeyForwarding {
   readonly #options: KeyForwardingOptions;
@@ -71,14 +81,14 @@
     signal: AbortSignal,
   ): Promise<Either<Refusal, PlainAnswer>> {
     const told = await this.#askOwner(binding, request, signal);
-    if (told.kind === "outcome" && told.outcome.kind !== "not_owner") {
-      return decodeOutcome(told.outcome);
-    }
-    const inherited = this.findInherited(binding, request) ??
+    const known = findOutcome(told) ?? this.findInherited(binding, request) ??
       await this.#askHeirs(binding, request, signal);
-    if (inherited !== undefined) return decodeOutcome(inherited);
-    const reason = told.kind === "failed"
-      ? told.reason
+    if (known !== undefined) return decodeOutcome(known);
+    const later = await this.#waitForOwner(told, { binding, request, signal });
+    const outcome = findOutcome(later);
+    if (outcome !== undefined) return decodeOutcome(outcome);
+    const reason = later.kind === "failed"
+      ? later.reason
       : `node ${binding.node} that owned the key was restarted`;
     return Left(createLostOwnerRefusal(reason));
   }
@@ -110,6 +120,7 @@
       kind: "failed",
       reason: "its time was over before its owner was asked",
       final: true,
+      isUnknownPeer: false,
     };
     for (let tries = 0; tries < maxForwards; tries++) {
       if (tries > 0) await clock.sleep(forwardPauseMs, signal);
@@ -120,6 +131,20 @@
     return told;
   }
 
+  /** Asks again while the owner is not known: this node may have just started. */
+  async #waitForOwner(told: Told, question: Question): Promise<Told> {
+    const { clock } = this.#options;
+    const { binding, request, signal } = question;
+    const until = Math.min(request.deadline, clock.now() + unknownPeerWaitMs);
+    let last = told;
+    while (last.kind === "failed" && last.isUnknownPeer) {
+      await clock.sleep(forwardPauseMs, signal);
+      if (clock.now() >= until || signal.aborted) break;
+      last = await this.#askOwner(binding, request, signal);
+    }
+    return last;
+  }
+
   async #askHeirs(
     binding: KeyBinding,
     request: KeyedRequest,
@@ -131,20 +156,15 @@
       if (heir.node === identity.node) continue;
       if (clock.now() >= request.deadline || signal.aborted) return undefined;
       const told = await this.#ask(heir, { binding, request, signal });
-      if (told.kind === "outcome" && told.outcome.kind !== "not_owner") {
-        return told.outcome;
-      }
+      const outcome = findOutcome(told);
+      if (outcome !== undefined) return outcome;
     }
     return undefined;
   }
 
   async #ask(
     peer: KeyOwner,
-    { binding, request, signal }: {
-      readonly binding: KeyBinding;
-      readonly request: KeyedRequest;
-      readonly signal: AbortSignal;
-    },
+    { binding, request, signal }: Question,
   ): Promise<Told> {
     const { clock, metrics, peers } = this.#options;
     const deadline = this.#computeDeadline(peer, request);
@@ -164,14 +184,15 @@
       metrics.count("key_forwards_failed_total", { reason: "no_answer" });
       const reason =
         `node ${peer.node} that owns the key did not answer in time`;
-      return { kind: "failed", reason, final: true };
+      return { kind: "failed", reason, final: true, isUnknownPeer: false };
     }
     return answer.caseOf<Told>({
       Right: (outcome) => ({ kind: "outcome", outcome }),
       Left: (error) => {
         metrics.count("key_forwards_failed_total", { reason: error.kind });
-        const final = error.kind === "unknown_peer";
-        return { kind: "failed", reason: error.message, final };
+        const isUnknownPeer = error.kind === "unknown_peer";
+        const reason = error.message;
+        return { kind: "failed", reason, final: isUnknownPeer, isUnknownPeer };
       },
     });
   }
@@ -185,3 +206,9 @@
       : Math.min(request.deadline, clock.now() + suspectedWaitMs);
   }
 }
+
+function findOutcome(told: Told): ForwardedOutcome | undefined {
+  return told.kind === "outcome" && told.outcome.kind !== "not_owner"
+    ? told.outcome
+    : undefined;
+}
--- a/packages/routing/src/keyed_calls_test.ts
+++ b/packages/routing/src/keyed_calls_test.ts
@@ -360,6 +360,19 @@
   });
 }
 
+test("a node that has just started waits to hear of the owner", async () => {
+  const world = await FakeWorld.open({ nodes: 2 });
+  world.unknownPeers.add("node-1>node-0");
+  const key = world.issueKey(0);
+  const early = world.book(1, key);
+  await world.clock.advance(400);
+  world.unknownPeers.clear();
+  assert.is(await settle(world, early, 600), `201 booked ${key}`);
+  world.unknownPeers.add("node-1>node-0");
+  const gone = await settle(world, world.book(1, key), 1_200);
+  assert.is(gone, "outcome_unknown/unknown");
+});
+
 test("a leaving node ends what runs and runs no new key", async () => {
   const world = await FakeWorld.open({ nodes: 2 });
   const late = world.issueKey(0);
--- a/packages/routing/src/testing/fake_calls_world.ts
+++ b/packages/routing/src/testing/fake_calls_world.ts
@@ -227,6 +227,8 @@
   /** Links that lose requests or answers, as `from>to` by node name. */
   readonly cutRequests = new Set<string>();
   readonly cutAnswers = new Set<string>();
+  /** Links whose target the source has not heard of, as `from>to`. */
+  readonly unknownPeers = new Set<string>();
   readonly nextEndpointFaults: EndpointFault[] = [];
   endpointFault: EndpointFault = "none";
   /** Teams that are over their limit. */
@@ -372,7 +374,9 @@
     },
   ): Promise<Either<KeyPeerError, ForwardedOutcome>> {
     const node = this.#findNode(owner);
-    if (node === undefined) {
+    if (
+      node === undefined || this.unknownPeers.has(`${from}>${owner.node}`)
+    ) {
       return Left(
         KeyPeerError.create({ kind: "unknown_peer", node: owner.node }),
       );
