--- a/packages/bench/src/key_path.ts
+++ b/packages/bench/src/key_path.ts
@@ -103,7 +103,7 @@
 }
 
 /** Runs calls one after the other; prints time and platform calls of each. */
-async function measure(
+async function runCalls(
   name: string,
   nextKey: () => string | undefined,
   at: string,
@@ -138,7 +138,7 @@
 }
 
 /** Prints the heap that a key takes with and without its answer. */
-function measureMemory(name: string, bytes: number): void {
+function runRecords(name: string, bytes: number): void {
   const limits = {
     ...defaultKeyLimits,
     maxTeamFraction: 1,
@@ -150,9 +150,9 @@
   for (let at = 0; at < recordCount; at++) {
     const id = `key-number-${at.toString().padStart(5, "0")}`;
     const fingerprint = `${id}-${id}`.slice(0, 32);
-    records.begin({ id, team: team.name, fingerprint });
+    records.add({ id, team: team.name, fingerprint });
     const kept = { ...answer, body: new Uint8Array(bytes) };
-    records.finish(
+    records.setOutcome(
       id,
       bytes === 0 ? { kind: "dropped" } : { kind: "answered", answer: kept },
     );
@@ -171,17 +171,17 @@
 for (const node of ["n1", "n2"]) routers.set(node, createRouter(node));
 const issue = (): string => routers.get("n1")!.issueKey(team).unsafeCoerce();
 let made = 0;
-await measure("no key", () => undefined, "n1");
-await measure("issued key at its owner", issue, "n1");
-await measure("issued key forwarded", issue, "n2");
-await measure("caller's key, first call", () => `order-${made++}`, "n1");
+await runCalls("no key", () => undefined, "n1");
+await runCalls("issued key at its owner", issue, "n1");
+await runCalls("issued key forwarded", issue, "n2");
+await runCalls("caller's key, first call", () => `order-${made++}`, "n1");
 made = 0;
-await measure(
+await runCalls(
   "caller's key, repeat at the owner",
   () => `order-${made++}`,
   "n1",
 );
 made = 0;
-await measure("caller's key, repeat elsewhere", () => `order-${made++}`, "n2");
-measureMemory("key without answer", 0);
-measureMemory(`key with an answer of ${answerBytes} bytes`, answerBytes);
+await runCalls("caller's key, repeat elsewhere", () => `order-${made++}`, "n2");
+runRecords("key without answer", 0);
+runRecords(`key with an answer of ${answerBytes} bytes`, answerBytes);
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -88,7 +88,7 @@
     call: PlainCall,
     signal: AbortSignal,
   ): Promise<Either<EndpointError, PlainAnswer>> {
-    const answer = await this.#exchange({
+    const answer = await this.#send({
       options: {
         method: call.method as Dispatcher.HttpMethod,
         path: call.path,
@@ -111,7 +111,7 @@
   }
 
   async readLoad(): Promise<Either<EndpointError, PlainLoad>> {
-    const answer = await this.#exchange({
+    const answer = await this.#send({
       options: { method: "GET", path: "/load" },
       timeoutMs: loadTimeoutMs,
       signal: new AbortController().signal,
@@ -133,7 +133,7 @@
     }
   }
 
-  #exchange(exchange: Exchange): Promise<Either<EndpointError, RawAnswer>> {
+  #send(exchange: Exchange): Promise<Either<EndpointError, RawAnswer>> {
     return new Promise((resolve) => {
       const handler = AnswerHandler.create({
         clock: this.#clock,
@@ -240,12 +240,12 @@
     this.#chunks.push(chunk);
     if (this.#size > this.#options.maxAnswerBytes) {
       const reason = `answer exceeds ${this.#options.maxAnswerBytes} bytes`;
-      this.#fail({ kind: "bad_answer", reason });
+      this.#setFailure({ kind: "bad_answer", reason });
     }
   }
 
   onResponseEnd(): void {
-    this.#finish(Right({
+    this.#setResult(Right({
       status: this.#status,
       contentType: this.#contentType,
       body: Buffer.concat(this.#chunks),
@@ -258,7 +258,7 @@
     error: Error,
   ): void {
     const reason = formatThrown(error);
-    this.#fail(
+    this.#setFailure(
       this.#controller === undefined
         ? { kind: "unreachable", reason }
         : { kind: "connection_lost", reason },
@@ -276,7 +276,7 @@
 
   readonly #handleAbort = (): void => {
     const reason = "the caller gave up";
-    this.#fail(
+    this.#setFailure(
       this.#controller === undefined
         ? { kind: "unreachable", reason }
         : { kind: "connection_lost", reason },
@@ -285,7 +285,7 @@
 
   #handleTimeout(): void {
     const { timeoutMs } = this.#options.exchange;
-    this.#fail(
+    this.#setFailure(
       this.#controller === undefined
         ? {
           kind: "unreachable",
@@ -295,13 +295,13 @@
     );
   }
 
-  #fail(failure: Failure): void {
+  #setFailure(failure: Failure): void {
     if (this.#finished) return;
-    this.#finish(Left(failure));
+    this.#setResult(Left(failure));
     this.#controller?.abort(new Error(failure.kind));
   }
 
-  #finish(result: Either<Failure, RawAnswer>): void {
+  #setResult(result: Either<Failure, RawAnswer>): void {
     if (this.#finished) return;
     this.#finished = true;
     this.#timer.abort();
--- a/packages/routing/src/claim_cleaner.ts
+++ b/packages/routing/src/claim_cleaner.ts
@@ -80,20 +80,20 @@
       for (let at = 0; at < claimBuckets && !signal.aborted; at++) {
         await clock.sleep(this.#roundMs / claimBuckets, signal);
         const bucket = at.toString(16).padStart(2, "0");
-        if (!signal.aborted && this.#owns(bucket)) {
-          await this.#clean(bucket, signal);
+        if (!signal.aborted && this.#isOwn(bucket)) {
+          await this.#runBucket(bucket, signal);
         }
       }
     }
   }
 
-  #owns(bucket: string): boolean {
+  #isOwn(bucket: string): boolean {
     const { hasher, identity, peers } = this.#options;
     const names = [identity, ...peers.list()].map(({ node }) => node);
     return computeRendezvous(hasher, bucket, names)[0] === identity.node;
   }
 
-  async #clean(bucket: string, signal: AbortSignal): Promise<void> {
+  async #runBucket(bucket: string, signal: AbortSignal): Promise<void> {
     const { clock, log, metrics, store } = this.#options;
     const at = clock.now();
     const listed = await store.list(`${claimPrefix}${bucket}/`);
--- a/packages/routing/src/hedge_delay.ts
+++ b/packages/routing/src/hedge_delay.ts
@@ -47,12 +47,12 @@
     const now = this.#clock.now();
     if (now >= this.#refreshAt) {
       this.#refreshAt = now + refreshMs;
-      this.#refresh(now);
+      this.#setDelay(now);
     }
     return this.#delayMs;
   }
 
-  #refresh(now: number): void {
+  #setDelay(now: number): void {
     if (now >= this.#turnAt) {
       [this.#previous, this.#current] = [this.#current, this.#previous];
       this.#current.reset();
--- a/packages/routing/src/key_forwarding.ts
+++ b/packages/routing/src/key_forwarding.ts
@@ -80,9 +80,9 @@
     request: KeyedRequest,
     signal: AbortSignal,
   ): Promise<Either<Refusal, PlainAnswer>> {
-    const told = await this.#askOwner(binding, request, signal);
+    const told = await this.#callOwner(binding, request, signal);
     const known = findOutcome(told) ?? this.findInherited(binding, request) ??
-      await this.#askHeirs(binding, request, signal);
+      await this.#callHeirs(binding, request, signal);
     if (known !== undefined) return decodeOutcome(known);
     const later = await this.#waitForOwner(told, { binding, request, signal });
     const outcome = findOutcome(later);
@@ -107,7 +107,7 @@
     return encodeOutcome(Left(refusal));
   }
 
-  async #askOwner(
+  async #callOwner(
     binding: KeyBinding,
     request: KeyedRequest,
     signal: AbortSignal,
@@ -125,7 +125,7 @@
     for (let tries = 0; tries < maxForwards; tries++) {
       if (tries > 0) await clock.sleep(forwardPauseMs, signal);
       if (clock.now() >= request.deadline || signal.aborted) break;
-      told = await this.#ask(binding, { binding, request, signal });
+      told = await this.#callPeer(binding, { binding, request, signal });
       if (told.kind === "outcome" || told.final) break;
     }
     return told;
@@ -140,12 +140,12 @@
     while (last.kind === "failed" && last.isUnknownPeer) {
       await clock.sleep(forwardPauseMs, signal);
       if (clock.now() >= until || signal.aborted) break;
-      last = await this.#askOwner(binding, request, signal);
+      last = await this.#callOwner(binding, request, signal);
     }
     return last;
   }
 
-  async #askHeirs(
+  async #callHeirs(
     binding: KeyBinding,
     request: KeyedRequest,
     signal: AbortSignal,
@@ -155,14 +155,14 @@
     for (const heir of chooseHeirs(hasher, binding, alive)) {
       if (heir.node === identity.node) continue;
       if (clock.now() >= request.deadline || signal.aborted) return undefined;
-      const told = await this.#ask(heir, { binding, request, signal });
+      const told = await this.#callPeer(heir, { binding, request, signal });
       const outcome = findOutcome(told);
       if (outcome !== undefined) return outcome;
     }
     return undefined;
   }
 
-  async #ask(
+  async #callPeer(
     peer: KeyOwner,
     { binding, request, signal }: Question,
   ): Promise<Told> {
--- a/packages/routing/src/key_records.ts
+++ b/packages/routing/src/key_records.ts
@@ -124,7 +124,7 @@
   }
 
   /** Begins a key that has no record; false when there is no space for it. */
-  begin(start: KeyStart): boolean {
+  add(start: KeyStart): boolean {
     if (this.#entries.has(start.id)) throw new Error("the key has a record");
     this.#removeExpired();
     const { maxKeys, maxTeamFraction } = this.#options.limits;
@@ -139,13 +139,13 @@
   }
 
   /** Records the outcome of a key that has begun and wakes its waiters. */
-  finish(id: string, outcome: KeyOutcome): void {
+  setOutcome(id: string, outcome: KeyOutcome): void {
     const entry = this.#entries.get(id);
     if (entry === undefined || entry.outcome !== undefined) {
       throw new Error("the key has no running call");
     }
     const { clock, limits } = this.#options;
-    entry.outcome = this.#keep(id, entry, outcome);
+    entry.outcome = this.#addAnswer(id, entry, outcome);
     entry.expiresAt = clock.now() + limits.lifetimeMs;
     this.#finished.set(id, entry);
     // Those that wait get the answer itself, also when it is not kept.
@@ -167,7 +167,7 @@
     yield* [...this.#finished].reverse();
   }
 
-  #keep(id: string, entry: Entry, outcome: KeyOutcome): KeyOutcome {
+  #addAnswer(id: string, entry: Entry, outcome: KeyOutcome): KeyOutcome {
     if (outcome.kind !== "answered") return outcome;
     const { maxAnswerBytes, maxBodyBytes } = this.#options.limits;
     const bytes = outcome.answer.body.length;
@@ -181,20 +181,20 @@
     this.#kept.set(id, entry);
     for (const [oldest, other] of this.#kept) {
       if (this.#keptBytes <= maxAnswerBytes) break;
-      this.#drop(oldest, other);
+      this.#removeAnswer(oldest, other);
     }
     return outcome;
   }
 
-  #drop(id: string, entry: Entry): void {
-    this.#releaseBytes(id, entry);
+  #removeAnswer(id: string, entry: Entry): void {
+    this.#removeBytes(id, entry);
     entry.outcome = { kind: "dropped" };
     this.#options.metrics.count("key_answers_dropped_total", {
       reason: "space",
     });
   }
 
-  #releaseBytes(id: string, entry: Entry): void {
+  #removeBytes(id: string, entry: Entry): void {
     if (!this.#kept.delete(id) || entry.outcome?.kind !== "answered") return;
     this.#keptBytes -= entry.outcome.answer.body.length;
   }
@@ -203,7 +203,7 @@
     const now = this.#options.clock.now();
     for (const [id, entry] of this.#finished) {
       if (entry.expiresAt > now) return;
-      this.#releaseBytes(id, entry);
+      this.#removeBytes(id, entry);
       this.#finished.delete(id);
       this.#entries.delete(id);
       const held = (this.#teams.get(entry.team) ?? 1) - 1;
--- a/packages/routing/src/keyed_calls.ts
+++ b/packages/routing/src/keyed_calls.ts
@@ -103,7 +103,7 @@
     const fingerprint = computeFingerprint(request);
     const known = this.#options.records.find(binding.id);
     if (known !== undefined) {
-      return this.#join(known, { request, fingerprint, signal });
+      return this.#waitOutcome(known, { request, fingerprint, signal });
     }
     const refusal = this.#findObstacle(binding, request);
     if (refusal !== undefined) return Left(refusal);
@@ -112,13 +112,13 @@
     const admission = admitted.unsafeCoerce();
     const { id } = binding;
     const team = request.team.name;
-    if (!this.#options.records.begin({ id, team, fingerprint })) {
+    if (!this.#options.records.add({ id, team, fingerprint })) {
       admission.release();
       return Left(createFullRefusal());
     }
     void this.#run(id, request, admission);
     const record = this.#options.records.find(id) as KeyRecord;
-    return await this.#join(record, { request, fingerprint, signal });
+    return await this.#waitOutcome(record, { request, fingerprint, signal });
   }
 
   async #callClaimed(
@@ -129,7 +129,7 @@
     const known = this.#options.records.find(id);
     if (known !== undefined) {
       const fingerprint = computeFingerprint(request);
-      return this.#join(known, { request, fingerprint, signal });
+      return this.#waitOutcome(known, { request, fingerprint, signal });
     }
     const obstacle = this.#findClaimObstacle(request);
     if (obstacle !== undefined) {
@@ -203,10 +203,10 @@
       outcome = { kind: "refused", refusal };
     }
     admission.release();
-    this.#options.records.finish(id, outcome);
+    this.#options.records.setOutcome(id, outcome);
   }
 
-  async #join(
+  async #waitOutcome(
     record: KeyRecord,
     { request, fingerprint, signal }: {
       readonly request: KeyedRequest;
--- a/packages/routing/src/limits_feed.ts
+++ b/packages/routing/src/limits_feed.ts
@@ -106,7 +106,7 @@
     models.update({ peers, liveNodes, capacity: this.#compute("model") });
     calls.update({ peers, liveNodes, capacity: this.#compute("plain") });
     membership.setDemand(
-      mergeDemand(models.readDemand(), calls.readDemand()),
+      addDemand(models.readDemand(), calls.readDemand()),
     );
   }
 
@@ -185,7 +185,7 @@
 }
 
 /** Adds up demand by team. */
-export function mergeDemand(
+export function addDemand(
   ...lists: readonly (readonly TeamDemand[])[]
 ): readonly TeamDemand[] {
   const totals = new Map<string, TeamDemand>();
--- a/packages/routing/src/plain_attempts.ts
+++ b/packages/routing/src/plain_attempts.ts
@@ -159,7 +159,7 @@
     if (result.isRight()) {
       job.hedge?.record(this.#options.clock.now() - started);
     }
-    sent.end(
+    sent.close(
       result.isRight() ? "answered" : signal.aborted ? "cancelled" : "failed",
     );
     result.ifLeft((error) => this.#countFailure(error, signal));
--- a/packages/routing/src/plain_choice.ts
+++ b/packages/routing/src/plain_choice.ts
@@ -46,7 +46,7 @@
 
 /** One call in flight. */
 export interface SentCall {
-  end(result: SendResult): void;
+  close(result: SendResult): void;
 }
 
 interface EndpointState {
@@ -104,7 +104,7 @@
     const started = this.#options.clock.now();
     state.starts.set(id, started);
     return {
-      end: (result) => {
+      close: (result) => {
         if (!state.starts.delete(id)) return;
         this.#recordEnd(state, result, started);
       },
--- a/packages/routing/src/plain_choice_test.ts
+++ b/packages/routing/src/plain_choice_test.ts
@@ -59,7 +59,7 @@
 
 test("an endpoint that failed is avoided for a while", async () => {
   const { clock, choice, choose } = createSetup(["a", "b"]);
-  choice.start("a").end("failed");
+  choice.start("a").close("failed");
   for (let i = 0; i < 20; i++) assert.is(choose(), "b");
   await clock.advance(1_001);
   const chosen = new Set(Array.from({ length: 20 }, choose));
@@ -71,14 +71,14 @@
   const slow = choice.start("a");
   const fast = choice.start("b");
   await clock.advance(10);
-  fast.end("answered");
+  fast.close("answered");
   await clock.advance(190);
-  slow.end("answered");
+  slow.close("answered");
   const first = choice.start("b");
   for (let i = 0; i < 20; i++) assert.is(choose(), "b");
   await clock.advance(60_000);
   assert.is(choose(), "a");
-  first.end("answered");
+  first.close("answered");
 });
 
 test.run();
--- a/packages/routing/src/pool_capacity.ts
+++ b/packages/routing/src/pool_capacity.ts
@@ -33,7 +33,7 @@
     let queued = 0;
     let known = reachable.length > 0;
     for (const load of reachable) {
-      const own = load.slots > 0 ? load.slots : this.#observe(load);
+      const own = load.slots > 0 ? load.slots : this.#recordFull(load);
       if (own === undefined) known = false;
       slots += own ?? 0;
       queued += load.queued;
@@ -42,7 +42,7 @@
     return known ? { slots, queued } : undefined;
   }
 
-  #observe({ endpoint, running, queued }: EndpointLoad): number | undefined {
+  #recordFull({ endpoint, running, queued }: EndpointLoad): number | undefined {
     if (queued > 0 && running > 0) this.#observed.set(endpoint, running);
     return this.#observed.get(endpoint);
   }
--- a/packages/routing/src/routed_calls.ts
+++ b/packages/routing/src/routed_calls.ts
@@ -137,7 +137,7 @@
   ): Promise<Either<Refusal, PlainAnswer>> {
     const result = hasBoundKey(request)
       ? await this.#keyed.call(request, signal)
-      : await this.#admitAndSend(request, signal);
+      : await this.#sendAdmitted(request, signal);
     return result.ifLeft((refusal) => this.#countRefusal(refusal));
   }
 
@@ -236,7 +236,7 @@
     };
   }
 
-  async #admitAndSend(
+  async #sendAdmitted(
     request: PlainRequest,
     signal: AbortSignal,
   ): Promise<Either<Refusal, PlainAnswer>> {
--- a/packages/routing/src/service_endpoints.ts
+++ b/packages/routing/src/service_endpoints.ts
@@ -27,11 +27,11 @@
   /** Lists the endpoints of a service; the same list until the next revision. */
   list(service: string): readonly Endpoint[] {
     const configuration = this.#source.current();
-    if (configuration !== this.#indexed) this.#index(configuration);
+    if (configuration !== this.#indexed) this.#setIndex(configuration);
     return this.#byService.get(service) ?? noEndpoints;
   }
 
-  #index(configuration: Configuration): void {
+  #setIndex(configuration: Configuration): void {
     this.#indexed = configuration;
     this.#byService = new Map();
     for (const endpoint of configuration.endpoints) {
--- a/packages/routing/src/share_allocation.ts
+++ b/packages/routing/src/share_allocation.ts
@@ -52,7 +52,7 @@
     .sort((a, b) => a - b);
   for (const priority of priorities) {
     const group = claims.filter(({ need }) => need.priority === priority);
-    left = fillGroup(group, left);
+    left = addToGroup(group, left);
   }
   return claims.map(({ need, fairAmount, amount }) => ({
     team: need.team,
@@ -63,7 +63,7 @@
 }
 
 /** Raises the lowest amounts per weight first; gives what is left over. */
-function fillGroup(group: readonly Claim[], available: number): number {
+function addToGroup(group: readonly Claim[], available: number): number {
   let left = available;
   for (;;) {
     const open = group.filter(({ need, amount }) =>
--- a/packages/routing/src/team_limits.ts
+++ b/packages/routing/src/team_limits.ts
@@ -106,10 +106,10 @@
   admit(team: Team, cost: number): Either<Refusal, Admission> {
     const meter = this.#readMeter(team.name);
     meter.recordOffer(cost);
-    if (!this.#hasSpace(team, cost)) return Left(this.#refuse(team));
+    if (!this.#hasSpace(team, cost)) return Left(this.#createRefusal(team));
     meter.inFlight += cost;
     this.#inFlight += cost;
-    this.#meanCost = average(this.#meanCost, cost, costWeight);
+    this.#meanCost = computeAverage(this.#meanCost, cost, costWeight);
     const started = this.#options.clock.now();
     let released = false;
     return Right({
@@ -128,7 +128,7 @@
   check(team: Team, cost: number): Either<Refusal, void> {
     if (this.#hasSpace(team, cost)) return Right(undefined);
     this.#readMeter(team.name).recordOffer(cost);
-    return Left(this.#refuse(team));
+    return Left(this.#createRefusal(team));
   }
 
   /** Demand at this node for the digest, as of the last update. */
@@ -181,7 +181,7 @@
     return inFlight === 0 || inFlight + cost <= limit.amount;
   }
 
-  #refuse(team: Team): Refusal {
+  #createRefusal(team: Team): Refusal {
     const { metrics, pool } = this.#options;
     metrics.count("team_refusals_total", { pool, team: team.name });
     const retryAfterMs = this.#limits.get(team.name)?.retryAfterMs ??
@@ -304,7 +304,7 @@
   }
 }
 
-function average(
+function computeAverage(
   mean: number | undefined,
   sample: number,
   weight: number,
