Take the limits' feed and the wait for a key's owner from routing

Change: the node's copies removed; loads of withdrawn endpoints are forgotten when a configuration comes into force.

--- a/packages/node/src/load_exchange.ts
+++ b/packages/node/src/load_exchange.ts
@@ -17,30 +17,21 @@
   EndpointPoller,
   type LoadReader,
 } from "@almondcrank/membership/endpoint_poller.ts";
+import type { ConfigurationSpread } from "@almondcrank/membership/configuration_spread.ts";
 import type {
   Digest,
   EndpointLoad,
-  TeamDemand,
 } from "@almondcrank/membership/membership.ts";
-import type { ZoneAggregate } from "@almondcrank/membership/zone_summary.ts";
+import { LimitsFeed } from "@almondcrank/routing/limits_feed.ts";
 import type { LoadTable } from "@almondcrank/routing/load_table.ts";
-import { PoolCapacityMeter } from "@almondcrank/routing/pool_capacity.ts";
-import type {
-  LimitsUpdate,
-  PeerDemand,
-  TeamLimits,
-} from "@almondcrank/routing/team_limits.ts";
+import type { TeamLimits } from "@almondcrank/routing/team_limits.ts";
 import type { EndpointClients } from "./endpoint_clients.ts";
 import type { NodeServices } from "./node_services.ts";
 
-const limitsPeriodMs = 1_000;
-/** Age at which what a peer said of its demand no longer counts. */
-const demandMaxAgeMs = 5_000;
-
 /** What the exchange works with. */
 export interface LoadExchangeOptions extends NodeServices {
   readonly membership: ClusterMembership;
-  readonly configuration: { current(): Configuration };
+  readonly configuration: ConfigurationSpread;
   readonly endpoints: EndpointClients;
   readonly loads: LoadTable;
   /** Limits of model services, counted in tokens. */
@@ -49,34 +40,33 @@
   readonly callLimits: TeamLimits;
 }
 
-interface HeardDemand extends PeerDemand {
-  readonly at: number;
-}
-
 /** Loads and demand of one node's view. */
 export class LoadExchange implements Disposable {
   readonly #options: LoadExchangeOptions;
   readonly #disposables = DisposableStore.create();
-  readonly #stopped = new AbortController();
   readonly #latest = new Map<string, EndpointLoad>();
-  readonly #demand = new Map<string, HeardDemand>();
-  readonly #modelCapacity = PoolCapacityMeter.create();
-  readonly #callCapacity = PoolCapacityMeter.create();
   readonly #poller: EndpointPoller;
+  readonly #limits: LimitsFeed;
 
   private constructor(options: LoadExchangeOptions) {
     this.#options = options;
-    const { membership, loads } = options;
+    const { membership, loads, configuration } = options;
     this.#poller = this.#disposables.register(EndpointPoller.create({
       ...options,
       log: options.log.part("poller"),
       reader: createLoadReader(options.endpoints),
     }));
+    this.#limits = this.#disposables.register(LimitsFeed.create({
+      ...options,
+      onLoad: this.#poller.onLoad,
+      models: options.modelLimits,
+      calls: options.callLimits,
+    }));
     for (
       const subscription of [
         this.#poller.onLoad((load) => this.#record(load)),
         membership.onDigest((digest) => this.#recordDigest(digest)),
-        membership.onAggregate((aggregate) => this.#recordZone(aggregate)),
+        configuration.onChange((next) => this.#applyConfiguration(next)),
         membership.onLeaving(({ endpoint, remainingMs }) =>
           loads.markLeaving(endpoint, remainingMs)
         ),
@@ -96,11 +86,10 @@
   /** Starts to poll and to recompute limits. */
   start(): void {
     this.#poller.start();
-    void this.#runLimits();
+    this.#limits.start();
   }
 
   dispose(): void {
-    this.#stopped.abort();
     this.#disposables.dispose();
   }
 
@@ -114,61 +103,10 @@
     for (const { endpoint, remainingMs } of digest.leaving) {
       this.#options.loads.markLeaving(endpoint, remainingMs);
     }
-    const at = this.#options.clock.now();
-    const { demand } = digest;
-    this.#demand.set(`node/${digest.node}`, { nodes: 1, demand, at });
-  }
-
-  #recordZone({ zone, demand }: ZoneAggregate): void {
-    const at = this.#options.clock.now();
-    const nodes = this.#options.membership.listAlive(zone).length;
-    this.#demand.set(`zone/${zone}`, { nodes, demand, at });
-  }
-
-  async #runLimits(): Promise<void> {
-    const { clock, modelLimits, callLimits, membership } = this.#options;
-    const { signal } = this.#stopped;
-    while (!signal.aborted) {
-      const peers = this.#listDemand();
-      const liveNodes = Math.max(1, membership.listAlive().length);
-      this.#removeWithdrawn();
-      const update = (
-        kind: "model" | "plain",
-        meter: PoolCapacityMeter,
-      ): LimitsUpdate => ({
-        peers,
-        liveNodes,
-        capacity: meter.compute(this.#listLoads(kind)),
-      });
-      modelLimits.update(update("model", this.#modelCapacity));
-      callLimits.update(update("plain", this.#callCapacity));
-      membership.setDemand(
-        mergeDemand(modelLimits.readDemand(), callLimits.readDemand()),
-      );
-      await clock.sleep(limitsPeriodMs, signal);
-    }
-  }
-
-  #listDemand(): readonly PeerDemand[] {
-    const oldest = this.#options.clock.now() - demandMaxAgeMs;
-    for (const [name, { at }] of this.#demand) {
-      if (at < oldest) this.#demand.delete(name);
-    }
-    return [...this.#demand.values()];
   }
 
-  #listLoads(kind: "model" | "plain"): readonly EndpointLoad[] {
-    const { services, endpoints } = this.#options.configuration.current();
-    const names = new Set(
-      services.filter((service) => service.kind === kind)
-        .map((service) => service.name),
-    );
-    return endpoints.filter(({ service }) => names.has(service))
-      .flatMap(({ name }) => this.#latest.get(name) ?? []);
-  }
-
-  #removeWithdrawn(): void {
-    const { endpoints } = this.#options.configuration.current();
+  /** Forgets endpoints that are no longer in force. */
+  #applyConfiguration({ endpoints }: Configuration): void {
     const names = new Set(endpoints.map(({ name }) => name));
     for (const name of this.#latest.keys()) {
       if (!names.has(name)) this.#latest.delete(name);
@@ -176,24 +114,6 @@
   }
 }
 
-/** Adds up the demand of both kinds of services by team. */
-function mergeDemand(
-  models: readonly TeamDemand[],
-  calls: readonly TeamDemand[],
-): readonly TeamDemand[] {
-  const teams = new Map<string, TeamDemand>();
-  for (const demand of [...models, ...calls]) {
-    const known = teams.get(demand.team);
-    teams.set(demand.team, {
-      team: demand.team,
-      requestsPerSecond: demand.requestsPerSecond +
-        (known?.requestsPerSecond ?? 0),
-      tokensPerSecond: demand.tokensPerSecond + (known?.tokensPerSecond ?? 0),
-    });
-  }
-  return [...teams.values()];
-}
-
 /** Reads loads of engines and of plain services alike. */
 function createLoadReader(clients: EndpointClients): LoadReader {
   return {
--- a/packages/node/src/request_paths.ts
+++ b/packages/node/src/request_paths.ts
@@ -40,7 +40,7 @@
     const { membership, clients } = cluster;
     const { self } = membership;
     const configuration = cluster.spread;
-    const peers = { membership, clients, clock };
+    const peers = { membership, clients };
     const common = { ...options, configuration };
     const retryBudget = RetryBudget.create(options);
     const limits = {
--- a/packages/node/src/request_peers.ts
+++ b/packages/node/src/request_peers.ts
@@ -3,7 +3,6 @@
  */
 
 import { type Either, Left, Right } from "purify-ts";
-import type { Clock } from "@almondcrank/common/clock.ts";
 import { KindError } from "@almondcrank/common/kind_error.ts";
 import type { Membership } from "@almondcrank/membership/membership.ts";
 import type { PeerClients } from "@almondcrank/membership/peer_clients.ts";
@@ -32,9 +31,6 @@
 
 const callTimeoutMs = 2_000;
 const forwardTimeoutMs = 60_000;
-/** Time in which a node that just started learns of its peers. */
-const learnMs = 1_500;
-const learnPollMs = 50;
 
 type StreamPeerErrorDetail =
   | { readonly kind: "peer_unreachable" }
@@ -53,7 +49,6 @@
 
 /** What calls to peers need. */
 export interface RequestPeersOptions {
-  readonly clock: Clock;
   readonly membership: Membership;
   readonly clients: PeerClients<NodeRouter>;
 }
@@ -153,7 +148,7 @@
     signal: AbortSignal,
   ): Promise<Either<KeyPeerError, ForwardedOutcome>> {
     const { node } = owner;
-    const address = await this.#waitAddress(node, signal);
+    const address = findAddress(this.#options.membership, node);
     if (address === undefined) {
       return Left(KeyPeerError.create({ kind: "unknown_peer", node }));
     }
@@ -171,21 +166,6 @@
       });
   }
 
-  /** A node that has just started may not have learnt of its peers yet. */
-  async #waitAddress(
-    node: string,
-    signal: AbortSignal,
-  ): Promise<string | undefined> {
-    const { membership, clock } = this.#options;
-    const end = clock.now() + learnMs;
-    for (;;) {
-      const address = findAddress(membership, node);
-      if (address !== undefined || signal.aborted) return address;
-      if (clock.now() >= end) return undefined;
-      await clock.sleep(learnPollMs, signal);
-    }
-  }
-
   async handOver(
     heir: KeyOwner,
     batch: KeyBatch,
