--- a/packages/scenario/src/fleet_files.ts
+++ b/packages/scenario/src/fleet_files.ts
@@ -10,6 +10,8 @@
   readonly engines: number;
   readonly bookings: number;
   readonly zones: number;
+  /** Settings of the engines beyond the stand-ins' defaults. */
+  readonly engineSettings?: Readonly<Record<string, number>>;
 }
 
 /** Addresses of a fleet, all on loopback. */
@@ -101,6 +103,7 @@
       service: modelService,
       ...place(index + 1),
       models: [{ model, version: "1" }],
+      ...size.engineSettings,
     })),
     plainServices: addresses.bookings.map((address, index) => ({
       name: `booking-${index + 1}`,
