Parse release notes with the shared parser of commented JSON

Cause: the logic stood twice, in fleet/note_source.ts and common/jsonc_file.ts. Change: notes use the shared parser; expected places in the note tests now point at the value instead of its key, as in settings, still compared exactly. A repeated key was reported at its first place; it is now reported where it is repeated, as notes had it, and the shared test asks for the place.

--- a/packages/bench/src/platform_calls.ts
+++ b/packages/bench/src/platform_calls.ts
@@ -48,6 +48,7 @@
   { nodes: 9, zones: 4 },
   { nodes: 27, zones: 4 },
   { nodes: 81, zones: 8 },
+  { nodes: 64, zones: 16 },
   { nodes: 390, zones: 16 },
 ];
 
--- a/packages/common/src/jsonc_file.ts
+++ b/packages/common/src/jsonc_file.ts
@@ -78,7 +78,7 @@
   if (errors.length > 0 || root === undefined) {
     return Left(FileError.create(file, listSyntaxFaults(text, errors)));
   }
-  const repeated = listRepeatedKeys(root, [], locate);
+  const repeated = listRepeatedKeys(root, [], text);
   if (repeated.length > 0) return Left(FileError.create(file, repeated));
   const result = schema.safeParse(getNodeValue(root));
   if (result.success) return Right({ value: result.data, locate });
@@ -110,24 +110,28 @@
 function listRepeatedKeys(
   node: Node,
   path: JsonPath,
-  locate: CheckedFile<unknown>["locate"],
+  text: string,
 ): FileFault[] {
   const faults: FileFault[] = [];
   const seen = new Set<string>();
   for (const [index, child] of (node.children ?? []).entries()) {
     if (node.type === "array") {
-      faults.push(...listRepeatedKeys(child, [...path, index], locate));
+      faults.push(...listRepeatedKeys(child, [...path, index], text));
       continue;
     }
     const [name, value] = child.children ?? [];
     const key = String(name?.value);
     const place = [...path, key];
     if (seen.has(key)) {
-      faults.push(locate(place, "stands twice; remove one of them"));
+      faults.push({
+        ...computePosition(text, child.offset),
+        key: formatPath(place),
+        message: "stands twice; remove one of them",
+      });
     }
     seen.add(key);
     if (value !== undefined) {
-      faults.push(...listRepeatedKeys(value, place, locate));
+      faults.push(...listRepeatedKeys(value, place, text));
     }
   }
   return faults;
--- a/packages/common/src/jsonc_file_test.ts
+++ b/packages/common/src/jsonc_file_test.ts
@@ -38,7 +38,7 @@
 test("a key that stands twice is refused", () => {
   assert.match(
     listMessages('{"name": "x", "name": "y"}')[0] ?? "",
-    /stands twice/,
+    /^a\.jsonc:1:15: name: stands twice/,
   );
 });
 
--- a/packages/fleet/src/release_error.ts
+++ b/packages/fleet/src/release_error.ts
@@ -2,13 +2,13 @@
  * Failures of checking and applying release notes.
  */
 
+import type { FileError } from "@almondcrank/common/jsonc_file.ts";
 import { KindError } from "@almondcrank/common/kind_error.ts";
 import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
-import { formatFault, type NoteFault } from "./note_source.ts";
 
 export type ReleaseErrorDetail =
   /** The note is refused whole. */
-  | { readonly kind: "invalid_note"; readonly faults: readonly NoteFault[] }
+  | { readonly kind: "invalid_note"; readonly cause: FileError }
   /** Others changed the configuration since the base revision. */
   | {
     readonly kind: "conflict";
@@ -40,7 +40,7 @@
 function formatReleaseError(detail: ReleaseErrorDetail): string {
   switch (detail.kind) {
     case "invalid_note":
-      return detail.faults.map(formatFault).join("\n");
+      return detail.cause.message;
     case "conflict": {
       const changes = detail.changes.length === 0
         ? "they are too old to be listed"
--- a/packages/fleet/src/release_note_schema.ts
+++ b/packages/fleet/src/release_note_schema.ts
@@ -41,6 +41,8 @@
 const timeoutMs = z.number().int().min(1).max(3_600_000);
 const methods = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"];
 
+const kindError = { error: 'kind must be "model" or "plain"' };
+
 const teamFields = {
   keyHash: z.string().regex(
     /^[0-9a-f]{64}$/,
@@ -116,7 +118,7 @@
         .default([...plainService.idempotentMethods]),
       timeoutMs: timeoutMs.default(plainService.timeoutMs),
     }),
-  ])).default([]),
+  ], kindError)).default([]),
   endpoints: z.array(z.strictObject({
     name: endpointName,
     ...endpointFields,
@@ -138,12 +140,12 @@
     z.strictObject({ name: modelName, ...adapterFields }).partial()
       .required({ name: true }),
   ).default([]),
-  services: z.array(z.union([
+  services: z.array(z.discriminatedUnion("kind", [
     z.strictObject({ name, ...modelServiceFields }).partial()
       .required({ name: true, kind: true }),
     z.strictObject({ name, ...plainServiceFields }).partial()
       .required({ name: true, kind: true }),
-  ])).default([]),
+  ], kindError)).default([]),
   endpoints: z.array(
     z.strictObject({ name, ...endpointFields }).partial()
       .required({ name: true }),
--- a/packages/fleet/src/release_note_test.ts
+++ b/packages/fleet/src/release_note_test.ts
@@ -67,34 +67,34 @@
     name: "broken syntax",
     text: '{\n  "add": {,}\n}',
     faults: [
-      "note.jsonc:2:11: the note is not JSON with comments (ValueExpected); correct the syntax here",
+      "note.jsonc:2:11: ValueExpected; correct the JSON here",
     ],
   },
   {
     name: "unknown keys",
     text: '{\n  "add": {\n    "teamz": []\n  }, "extra": 1\n}',
     faults: [
-      "note.jsonc:3:5: add.teamz is not a known key; remove it or correct its spelling",
-      "note.jsonc:4:6: extra is not a known key; remove it or correct its spelling",
+      "note.jsonc:3:14: add.teamz: is not a known key; remove it or correct its name",
+      "note.jsonc:4:15: extra: is not a known key; remove it or correct its name",
     ],
   },
   {
     name: "a key that stands twice",
     text: '{ "add": {},\n "add": {} }',
-    faults: ["note.jsonc:2:2: add stands twice in one object; keep one"],
+    faults: ["note.jsonc:2:2: add: stands twice; remove one of them"],
   },
   {
     name: "a missing field",
     text: '{ "add": { "models": [{ "name": "m", "version": "1" }] } }',
     faults: [
-      "note.jsonc:1:23: add.models[0].weightBytes must be a number; set it",
+      "note.jsonc:1:23: add.models[0].weightBytes: Invalid input: expected number, received undefined; correct the value",
     ],
   },
   {
     name: "an unknown kind of service",
     text: '{ "add": { "services": [{ "kind": "grpc", "name": "x" }] } }',
     faults: [
-      'note.jsonc:1:27: add.services[0].kind must be "model" or "plain"; correct the kind',
+      'note.jsonc:1:35: add.services[0].kind: kind must be "model" or "plain"; correct the value',
     ],
   },
   {
@@ -102,7 +102,7 @@
     text:
       '{ "change": { "endpoints": [{ "name": "engine-1", "address": "localhost:80" }] } }',
     faults: [
-      "note.jsonc:1:51: change.endpoints[0].address must be an IP number and a port, such as 127.0.0.1:8080; correct the value",
+      "note.jsonc:1:62: change.endpoints[0].address: must be an IP number and a port, such as 127.0.0.1:8080; correct the value",
     ],
   },
   {
@@ -121,7 +121,7 @@
       },
     }),
     faults: [
-      "note.jsonc:1:23: add.endpoints[0].name must not begin with rented-, which marks rented hosts; correct the value",
+      "note.jsonc:1:30: add.endpoints[0].name: must not begin with rented-, which marks rented hosts; correct the value",
     ],
   },
   {
@@ -129,7 +129,7 @@
     text:
       '{ "add": { "models": [{ "name": "almond-8b", "version": "2", "weightBytes": 1 }] } }',
     faults: [
-      'note.jsonc:1:25: add.models[0].name adds model "almond-8b", which exists; move it to change',
+      'note.jsonc:1:33: add.models[0].name: adds model "almond-8b", which exists; move it to change',
     ],
   },
   {
@@ -137,8 +137,8 @@
     text:
       '{ "change": { "teams": [{ "name": "x", "share": 2 }] }, "withdraw": { "teams": ["y"] } }',
     faults: [
-      'note.jsonc:1:27: change.teams[0].name names team "x", which does not exist; add it or correct the name',
-      'note.jsonc:1:81: withdraw.teams[0] names team "y", which does not exist; add it or correct the name',
+      'note.jsonc:1:35: change.teams[0].name: names team "x", which does not exist; add it or correct the name',
+      'note.jsonc:1:81: withdraw.teams[0]: names team "y", which does not exist; add it or correct the name',
     ],
   },
   {
@@ -146,14 +146,14 @@
     text:
       '{ "change": { "teams": [{ "name": "counter" }] }, "withdraw": { "teams": ["counter"] } }',
     faults: [
-      'note.jsonc:1:75: withdraw.teams[0] names team "counter" a second time; keep one entry',
+      'note.jsonc:1:75: withdraw.teams[0]: names team "counter" a second time; keep one entry',
     ],
   },
   {
     name: "withdrawing what is used",
     text: '{ "withdraw": { "services": ["assistant"] } }',
     faults: [
-      'note.jsonc:1:30: withdraw.services[0] withdraws service "assistant", which endpoint "engine-1" uses; withdraw or change endpoint "engine-1" too',
+      'note.jsonc:1:30: withdraw.services[0]: withdraws service "assistant", which endpoint "engine-1" uses; withdraw or change endpoint "engine-1" too',
     ],
   },
   {
@@ -161,7 +161,7 @@
     text:
       '{ "change": { "endpoints": [{ "name": "engine-1", "service": "nope" }] } }',
     faults: [
-      'note.jsonc:1:51: change.endpoints[0].service refers to service "nope", which does not exist; add it or correct the name',
+      'note.jsonc:1:62: change.endpoints[0].service: refers to service "nope", which does not exist; add it or correct the name',
     ],
   },
   {
@@ -169,7 +169,7 @@
     text:
       '{ "change": { "services": [{ "name": "booking", "kind": "model" }] } }',
     faults: [
-      'note.jsonc:1:49: change.services[0].kind is "plain" and cannot change; withdraw the service and add it anew',
+      'note.jsonc:1:57: change.services[0].kind: is "plain" and cannot change; withdraw the service and add it anew',
     ],
   },
   {
@@ -188,7 +188,7 @@
       },
     }),
     faults: [
-      'note.jsonc:1:63: add.endpoints[0].address of endpoint "engine-2" is that of endpoint "engine-1"; give each its own',
+      'note.jsonc:1:73: add.endpoints[0].address: of endpoint "engine-2" is that of endpoint "engine-1"; give each its own',
     ],
   },
 ];
--- a/packages/fleet/src/release_plan.ts
+++ b/packages/fleet/src/release_plan.ts
@@ -8,12 +8,12 @@
 
 import { type Either, Left, Right } from "purify-ts";
 import type { Service } from "@almondcrank/common/configuration.ts";
+import type { FileFault, JsonPath } from "@almondcrank/common/jsonc_file.ts";
 import type { ReleasedConfiguration } from "@almondcrank/platform/head_codec.ts";
 import {
   computeChanges,
   type ConfigurationChange,
 } from "./configuration_diff.ts";
-import type { NoteFault, NotePath } from "./note_source.ts";
 import { createInvalid, type ParsedNote } from "./release_note.ts";
 import {
   type ReleaseNote,
@@ -53,7 +53,7 @@
     ),
     ...checkKinds(parsed, base),
   ];
-  if (faults.length > 0) return Left(createInvalid(faults));
+  if (faults.length > 0) return Left(createInvalid(parsed, faults));
   const configuration: ReleasedConfiguration = {
     teams: applySection(note, "teams", base.teams),
     models: applySection(note, "models", base.models),
@@ -66,7 +66,9 @@
     ...checkAdapters(parsed, configuration),
     ...checkAddresses(parsed, configuration),
   ];
-  if (referenceFaults.length > 0) return Left(createInvalid(referenceFaults));
+  if (referenceFaults.length > 0) {
+    return Left(createInvalid(parsed, referenceFaults));
+  }
   return Right({ configuration, changes: computeChanges(base, configuration) });
 }
 
@@ -86,27 +88,27 @@
 }
 
 function checkSection(
-  { note, source }: ParsedNote,
+  { note, locate }: ParsedNote,
   section: SectionName,
   base: readonly Named[],
-): NoteFault[] {
-  const faults: NoteFault[] = [];
+): FileFault[] {
+  const faults: FileFault[] = [];
   const existing = new Set(base.map(({ name }) => name));
   const seen = new Set<string>();
-  const check = (path: NotePath, name: string, isAdd: boolean): void => {
+  const check = (path: JsonPath, name: string, isAdd: boolean): void => {
     const subject = `${section.slice(0, -1)} "${name}"`;
     if (seen.has(name)) {
-      faults.push(source.createFault(
+      faults.push(locate(
         path,
         `names ${subject} a second time; keep one entry`,
       ));
     } else if (isAdd && existing.has(name)) {
-      faults.push(source.createFault(
+      faults.push(locate(
         path,
         `adds ${subject}, which exists; move it to change`,
       ));
     } else if (!isAdd && !existing.has(name)) {
-      faults.push(source.createFault(
+      faults.push(locate(
         path,
         `names ${subject}, which does not exist; add it or correct the name`,
       ));
@@ -126,13 +128,13 @@
 }
 
 function checkKinds(
-  { note, source }: ParsedNote,
+  { note, locate }: ParsedNote,
   base: ReleasedConfiguration,
-): NoteFault[] {
+): FileFault[] {
   return note.change.services.flatMap((change, i) => {
     const service = base.services.find(({ name }) => name === change.name);
     if (service === undefined || service.kind === change.kind) return [];
-    return [source.createFault(
+    return [locate(
       ["change", "services", i, "kind"],
       `is "${service.kind}" and cannot change; withdraw the service and add it anew`,
     )];
@@ -184,7 +186,7 @@
 function checkReferences(
   parsed: ParsedNote,
   configuration: ReleasedConfiguration,
-): NoteFault[] {
+): FileFault[] {
   const names = new Map(sectionNames.map((section) => [
     section,
     new Set(configuration[section].map(({ name }) => name)),
@@ -195,19 +197,19 @@
 }
 
 function createReferenceFault(
-  { note, source }: ParsedNote,
+  { note, locate }: ParsedNote,
   { section, name, field, target, targetName }: Reference,
-): NoteFault {
+): FileFault {
   const missing = `${target.slice(0, -1)} "${targetName}"`;
   const user = `${section.slice(0, -1)} "${name}"`;
   const withdrawn = note.withdraw[target].indexOf(targetName);
   if (withdrawn >= 0) {
-    return source.createFault(
+    return locate(
       ["withdraw", target, withdrawn],
       `withdraws ${missing}, which ${user} uses; withdraw or change ${user} too`,
     );
   }
-  return source.createFault(
+  return locate(
     [...findItemPath(note, section, name), field],
     `refers to ${missing}, which does not exist; add it or correct the name`,
   );
@@ -227,9 +229,9 @@
 }
 
 function checkAdapters(
-  { note, source }: ParsedNote,
+  { note, locate }: ParsedNote,
   configuration: ReleasedConfiguration,
-): NoteFault[] {
+): FileFault[] {
   const models = new Map(
     configuration.adapters.map(({ name, model }) => [name, model]),
   );
@@ -240,7 +242,7 @@
         (models.get(adapter) ?? service.model) !== service.model
       )
       .map((adapter) =>
-        source.createFault(
+        locate(
           [...findItemPath(note, "services", service.name), "adapters"],
           `of service "${service.name}" name adapter "${adapter}" of another model; remove it or change its model`,
         )
@@ -249,18 +251,18 @@
 }
 
 function checkAddresses(
-  { note, source }: ParsedNote,
+  { note, locate }: ParsedNote,
   configuration: ReleasedConfiguration,
-): NoteFault[] {
+): FileFault[] {
   const owners = new Map<string, string>();
-  const faults: NoteFault[] = [];
+  const faults: FileFault[] = [];
   for (const { name, address } of configuration.endpoints) {
     const owner = owners.get(address);
     if (owner === undefined) {
       owners.set(address, name);
       continue;
     }
-    faults.push(source.createFault(
+    faults.push(locate(
       [...findItemPath(note, "endpoints", name), "address"],
       `of endpoint "${name}" is that of endpoint "${owner}"; give each its own`,
     ));
--- a/packages/node/src/operators_front.ts
+++ b/packages/node/src/operators_front.ts
@@ -216,7 +216,9 @@
     error: {
       ...formatError({ kind: detail.kind, message: error.message, run }),
       ...(detail.kind === "conflict" ? { changes: detail.changes } : {}),
-      ...(detail.kind === "invalid_note" ? { faults: detail.faults } : {}),
+      ...(detail.kind === "invalid_note"
+        ? { faults: detail.cause.detail.faults }
+        : {}),
     },
   });
 }
