--- a/packages/bench/src/platform_calls.ts
+++ b/packages/bench/src/platform_calls.ts
@@ -18,14 +18,14 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import { FleetControl } from "@almondcrank/fleet/fleet_control.ts";
-import { MemoryCloud } from "@almondcrank/fleet/memory_cloud.ts";
-import { MemoryEngine } from "@almondcrank/fleet/memory_engine.ts";
+import { MemoryCloud } from "@almondcrank/fleet/testing/memory_cloud.ts";
+import { MemoryEngine } from "@almondcrank/fleet/testing/memory_engine.ts";
 import {
   createEndpoint,
   createFirstConfiguration,
   firstNoteText,
   parseNote,
-} from "@almondcrank/fleet/release_fixtures.ts";
+} from "@almondcrank/fleet/testing/release_fixtures.ts";
 import { ReleaseWriter } from "@almondcrank/fleet/release_writer.ts";
 import type { NodeIdentity } from "@almondcrank/membership/membership.ts";
 import { HeadReader } from "@almondcrank/platform/head_reader.ts";
--- a/packages/fleet/src/fleet_control_test.ts
+++ b/packages/fleet/src/fleet_control_test.ts
@@ -14,12 +14,12 @@
 } from "@almondcrank/membership/membership.ts";
 import { MemoryObjectStore } from "@almondcrank/platform/memory_object_store.ts";
 import { FleetControl } from "./fleet_control.ts";
-import { MemoryCloud } from "./memory_cloud.ts";
-import { MemoryEngine } from "./memory_engine.ts";
+import { MemoryCloud } from "./testing/memory_cloud.ts";
+import { MemoryEngine } from "./testing/memory_engine.ts";
 import {
   createEndpoint,
   createFirstConfiguration,
-} from "./release_fixtures.ts";
+} from "./testing/release_fixtures.ts";
 
 /** Nodes with their control work over one store. */
 class Nodes {
--- a/packages/fleet/src/orders_test.ts
+++ b/packages/fleet/src/orders_test.ts
@@ -20,7 +20,7 @@
 import { Lease } from "./lease.ts";
 import { LeaseHolder } from "./lease_holder.ts";
 import { OrderSender } from "./orders.ts";
-import { createEndpoint } from "./release_fixtures.ts";
+import { createEndpoint } from "./testing/release_fixtures.ts";
 
 const orderTimeoutMs = 5_000;
 
--- a/packages/fleet/src/reconciler_test.ts
+++ b/packages/fleet/src/reconciler_test.ts
@@ -13,13 +13,13 @@
 import { PlatformError } from "@almondcrank/platform/platform_error.ts";
 import type { WeightStore } from "@almondcrank/platform/weight_store.ts";
 import { Lease } from "./lease.ts";
-import { MemoryEngine } from "./memory_engine.ts";
+import { MemoryEngine } from "./testing/memory_engine.ts";
 import { OrderSender } from "./orders.ts";
 import { Reconciler } from "./reconciler.ts";
 import {
   createEndpoint,
   createFirstConfiguration,
-} from "./release_fixtures.ts";
+} from "./testing/release_fixtures.ts";
 import { chooseLoads } from "./weight_loads.ts";
 
 /** A shard with engines in memory. */
--- a/packages/fleet/src/release_note_test.ts
+++ b/packages/fleet/src/release_note_test.ts
@@ -7,7 +7,7 @@
   createFirstConfiguration,
   firstNoteText,
   parseNote,
-} from "./release_fixtures.ts";
+} from "./testing/release_fixtures.ts";
 import { parseReleaseNote } from "./release_note.ts";
 import { applyNote } from "./release_plan.ts";
 
--- a/packages/fleet/src/release_writer_test.ts
+++ b/packages/fleet/src/release_writer_test.ts
@@ -17,7 +17,7 @@
   createEndpoint,
   firstNoteText,
   parseNote,
-} from "./release_fixtures.ts";
+} from "./testing/release_fixtures.ts";
 import type { ParsedNote } from "./release_note.ts";
 import { ReleaseWriter } from "./release_writer.ts";
 
--- a/packages/fleet/src/memory_cloud.ts
+++ b/packages/fleet/src/testing/memory_cloud.ts
@@ -18,7 +18,7 @@
   PlatformError,
   type PlatformErrorDetail,
 } from "@almondcrank/platform/platform_error.ts";
-import { formatOffer, type Offer } from "./offers.ts";
+import { formatOffer, type Offer } from "../offers.ts";
 
 /** Cloud that grants hosts unless told otherwise. */
 export class MemoryCloud implements CloudApi {
--- a/packages/fleet/src/release_fixtures.ts
+++ b/packages/fleet/src/testing/release_fixtures.ts
@@ -7,8 +7,8 @@
   type Endpoint,
 } from "@almondcrank/common/configuration.ts";
 import type { ReleasedConfiguration } from "@almondcrank/platform/head_codec.ts";
-import { type ParsedNote, parseReleaseNote } from "./release_note.ts";
-import { applyNote } from "./release_plan.ts";
+import { type ParsedNote, parseReleaseNote } from "../release_note.ts";
+import { applyNote } from "../release_plan.ts";
 
 /** Note that sets up one model service and one plain service. */
 export const firstNoteText = `{
