Spread the age of heartbeats in both directions of an exchange

Cause: a heartbeat travelled with pulls only, and its last receivers heard it after more than the 5 s limit. Without any fault and with a clock driven by hand, 32 nodes of one data centre had 32 suspicions in 100 s, 80 nodes in four had 23. Change: a request tells how long ago its sender heard each node, and the limit is 6 s. The test of 32 nodes over 60 s failed first.

--- a/packages/membership/src/cluster_membership.ts
+++ b/packages/membership/src/cluster_membership.ts
@@ -48,6 +48,7 @@
 import { OriginTable } from "./origin_table.ts";
 import { type ExchangeTarget, PeerChoice } from "./peer_choice.ts";
 import type { PeerTransport } from "./peer_transport.ts";
+import { parseSeen } from "./seen_versions.ts";
 import {
   computeSummary,
   createAggregate,
@@ -285,6 +286,7 @@
     this.#checkIdentity(node, incarnation);
     this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
     this.#checkRevision(node, { revision, relay: false, deltas: [] });
+    this.#recordSeen(request);
     const same = request.checksum === this.#changes.checksum;
     const changes = same ? [] : this.#changes.list(request.cursor);
     const isWanted = (origin: string): boolean =>
@@ -395,7 +397,7 @@
       ...(knowsSelf ? {} : { self: member }),
       cursor: cursor?.cursor ?? 0,
       checksum: this.#changes.checksum,
-      seen: this.#origins.listSeen(),
+      seen: this.#origins.listSeen((node) => this.#table.findAge(node)),
     };
   }
 
@@ -450,6 +452,17 @@
     this.#digests.fire({ node, incarnation, demand, loads, leaving });
   }
 
+  /** Takes in the heartbeats that a peer has heard. */
+  #recordSeen({ seen }: ExchangeRequest): void {
+    for (const { identity, revision } of this.#table.list()) {
+      const { node, incarnation } = identity;
+      const heard = parseSeen(seen[node], incarnation);
+      if (heard === undefined) continue;
+      const { ageMs } = heard;
+      this.#table.recordHeartbeat({ node, incarnation, revision, ageMs });
+    }
+  }
+
   #applySummary(zone: string, record: OriginRecord): void {
     const summary = this.#origins.findSummary(record.node);
     if (summary === undefined) return;
--- a/packages/membership/src/cluster_membership_test.ts
+++ b/packages/membership/src/cluster_membership_test.ts
@@ -38,6 +38,20 @@
   network.dispose();
 });
 
+test("nobody is suspected while all run", async () => {
+  const network = await openNetwork(32);
+  await network.clock.advance(10_000);
+  const suspected: string[] = [];
+  for (const { membership } of network.list()) {
+    membership.onChange(({ identity, state }) => {
+      suspected.push(`${identity.node} ${state}`);
+    });
+  }
+  await network.clock.advance(60_000);
+  assert.equal(suspected, []);
+  network.dispose();
+});
+
 test("a killed member is suspected by all and forgotten later", async () => {
   const network = await openNetwork(9);
   network.kill("n3");
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -24,7 +24,7 @@
 }
 
 export const defaultMemberLimits: MemberLimits = {
-  suspectAfterMs: 5_000,
+  suspectAfterMs: 6_000,
   suspectRemoteAfterMs: 12_000,
   forgetAfterMs: 600_000,
   forgetLeavingAfterMs: 30_000,
@@ -123,6 +123,12 @@
     this.#refresh(entry);
   }
 
+  /** Time since the member was last heard; undefined when unknown. */
+  findAge(node: string): number | undefined {
+    const entry = this.#entries.get(node);
+    return entry && this.#clock.now() - entry.heardAt;
+  }
+
   /** Records that a call of this node to the member succeeded. */
   recordSuccess(node: string): void {
     const entry = this.#entries.get(node);
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -107,7 +107,7 @@
   cursor: count,
   /** Checksum over the caller's slowly changing facts. */
   checksum: count,
-  /** Versions the caller has, by node, with the end of the incarnation. */
+  /** What the caller has of each node, as `encodeSeen` writes it. */
   seen: z.record(name, z.string().max(64)).readonly(),
 }).readonly();
 export type ExchangeRequest = z.infer<typeof exchangeRequest>;
--- a/packages/membership/src/origin_table.ts
+++ b/packages/membership/src/origin_table.ts
@@ -14,6 +14,7 @@
   isMaterialChange,
   type VersionedLoad,
 } from "./load_columns.ts";
+import { encodeSeen, findSeenVersion } from "./seen_versions.ts";
 import type { EndpointLoad, NodeIdentity, TeamDemand } from "./membership.ts";
 import type { DemandColumns, OriginRecord, ZoneSummary } from "./messages.ts";
 
@@ -21,7 +22,6 @@
 const loadExpiryMs = 20_000;
 const demandRefreshHeartbeats = 5;
 const staleAfterMs = 60_000;
-const incarnationTagLength = 4;
 
 interface Origin {
   readonly incarnation: string;
@@ -104,12 +104,19 @@
     this.#own.summary = undefined;
   }
 
-  /** Version of each record, for a query. */
-  listSeen(): Record<string, string> {
+  /**
+   * Lists the version and age of each record, for a query.
+   *
+   * @param findAge Time since a node was last heard, in milliseconds.
+   */
+  listSeen(
+    findAge: (node: string) => number | undefined,
+  ): Record<string, string> {
     const seen: Record<string, string> = {};
-    for (const [node, origin] of this.#origins) {
-      if (node === this.#self.node) continue;
-      seen[node] = formatSeen(origin.incarnation, origin.version);
+    for (const [node, { incarnation, version }] of this.#origins) {
+      const ageMs = findAge(node);
+      if (ageMs === undefined) continue;
+      seen[node] = encodeSeen({ incarnation, version, ageMs });
     }
     return seen;
   }
@@ -124,7 +131,7 @@
       const skipped = node === query.asker || ageMs > staleAfterMs ||
         (!wanted && origin.summary === undefined);
       if (skipped) continue;
-      const base = parseSeen(query.seen[node], origin.incarnation);
+      const base = findSeenVersion(query.seen[node], origin.incarnation);
       if (base >= origin.version) continue;
       records.push(createRecord({ node, origin, base, wanted, now }));
     }
@@ -284,17 +291,6 @@
   };
 }
 
-function formatSeen(incarnation: string, version: number): string {
-  return `${incarnation.slice(-incarnationTagLength)}${version}`;
-}
-
-/** Version a peer has of this incarnation, -1 when of none or another one. */
-function parseSeen(seen: string | undefined, incarnation: string): number {
-  const tag = incarnation.slice(-incarnationTagLength);
-  if (seen?.startsWith(tag) !== true) return -1;
-  return Number(seen.slice(tag.length));
-}
-
 function encodeDemand(
   demand: readonly TeamDemand[],
   version: number,
