--- a/packages/common/src/manual_clock.ts
+++ b/packages/common/src/manual_clock.ts
@@ -37,17 +37,14 @@
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       if (signal?.aborted) return resolve();
-      const cancel = (): void => {
+      const finish = (): void => {
         this.#sleepers = this.#sleepers.filter((other) => other !== sleeper);
+        signal?.removeEventListener("abort", finish);
         resolve();
       };
-      const wake = (): void => {
-        signal?.removeEventListener("abort", cancel);
-        resolve();
-      };
-      const sleeper: Sleeper = { due: this.#now + ms, wake };
+      const sleeper: Sleeper = { due: this.#now + ms, wake: finish };
       this.#sleepers.push(sleeper);
-      signal?.addEventListener("abort", cancel, { once: true });
+      signal?.addEventListener("abort", finish);
     });
   }
 
