--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -228,7 +228,8 @@
         (attempt.tokens === 0 ? firstTokenMs : gapMs);
       const idleMs = attempt.computeIdleMs();
       if (idleMs < allowedMs) {
-        const waitMs = Math.min(leftMs, allowedMs - idleMs);
+        // At least a millisecond, since less may not move a floating clock.
+        const waitMs = Math.max(1, Math.min(leftMs, allowedMs - idleMs));
         await clock.sleep(waitMs, attempt.ended);
         continue;
       }
