--- a/packages/node/src/request_peers.ts
+++ b/packages/node/src/request_peers.ts
@@ -3,6 +3,7 @@
  */
 
 import { type Either, Left, Right } from "purify-ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
 import { KindError } from "@almondcrank/common/kind_error.ts";
 import type { Membership } from "@almondcrank/membership/membership.ts";
 import type { PeerClients } from "@almondcrank/membership/peer_clients.ts";
@@ -10,6 +11,7 @@
   type ForwardedCall,
   type ForwardedOutcome,
   forwardedOutcomeSchema,
+  type KeyBatch,
   type KeyOwner,
   KeyPeerError,
   type KeyPeers,
@@ -21,7 +23,7 @@
   StreamHandOver,
   StreamPeers,
 } from "@almondcrank/routing/stream_peers.ts";
-import type { RequestRouter } from "./peer_router.ts";
+import type { NodeRouter } from "./peer_router.ts";
 import {
   decodeEventBatch,
   encodeHandOver,
@@ -30,6 +32,9 @@
 
 const callTimeoutMs = 2_000;
 const forwardTimeoutMs = 60_000;
+/** Time in which a node that just started learns of its peers. */
+const learnMs = 1_500;
+const learnPollMs = 50;
 
 type StreamPeerErrorDetail =
   | { readonly kind: "peer_unreachable" }
@@ -48,8 +53,9 @@
 
 /** What calls to peers need. */
 export interface RequestPeersOptions {
+  readonly clock: Clock;
   readonly membership: Membership;
-  readonly clients: PeerClients<RequestRouter>;
+  readonly clients: PeerClients<NodeRouter>;
 }
 
 /** Streams on other nodes. */
@@ -147,7 +153,7 @@
     signal: AbortSignal,
   ): Promise<Either<KeyPeerError, ForwardedOutcome>> {
     const { node } = owner;
-    const address = findAddress(this.#options.membership, node);
+    const address = await this.#waitAddress(node, signal);
     if (address === undefined) {
       return Left(KeyPeerError.create({ kind: "unknown_peer", node }));
     }
@@ -164,6 +170,39 @@
           : Left(createForwardError(node, "answer outside the protocol"));
       });
   }
+
+  /** A node that has just started may not have learnt of its peers yet. */
+  async #waitAddress(
+    node: string,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
+    const { membership, clock } = this.#options;
+    const end = clock.now() + learnMs;
+    for (;;) {
+      const address = findAddress(membership, node);
+      if (address !== undefined || signal.aborted) return address;
+      if (clock.now() >= end) return undefined;
+      await clock.sleep(learnPollMs, signal);
+    }
+  }
+
+  async handOver(
+    heir: KeyOwner,
+    batch: KeyBatch,
+  ): Promise<Either<KeyPeerError, void>> {
+    const { node } = heir;
+    const address = findAddress(this.#options.membership, node);
+    if (address === undefined) {
+      return Left(KeyPeerError.create({ kind: "unknown_peer", node }));
+    }
+    const answer = await this.#options.clients.call(address, {
+      timeoutMs: callTimeoutMs,
+      send: ({ client, signal }) =>
+        client.handOverKeys.mutate(batch, { signal }),
+    });
+    return answer.mapLeft((error) => createForwardError(node, error.message))
+      .map(() => undefined);
+  }
 }
 
 function createForwardError(node: string, reason: string): KeyPeerError {
