--- a/packages/bench/src/key_latency.ts
+++ b/packages/bench/src/key_latency.ts
@@ -60,6 +60,7 @@
 
 async function runRound(round: number, warm: boolean): Promise<void> {
   await runBooking("no key", { at: 0, warm });
+  await runBooking("no key, other node", { at: 1, warm });
   const own = await client.issueKey(fleet.findCallers(0), teamKey);
   await runBooking("issued key at its owner", { at: 0, key: own, warm });
   const issuing = clock.now();
@@ -76,6 +77,7 @@
 }
 const kinds = [
   "no key",
+  "no key, other node",
   "issue of a key",
   "issued key at its owner",
   "issued key forwarded",
