Do not limit teams before the cost of a request is known

Cause: before its first request a node took a request of a model service to cost one token, so the whole pool's capacity looked smaller than one request, and the second request in flight was refused over_limit in an idle system. Found by the examples under load: 1 to 5 of 300 to 600 requests refused at 20 to 40/s. Ruled out: contention (no engine had a queue) and the endpoints' reports. Change: without a mean cost in tokens nothing is limited until the next update; gauges of a pool's demand, capacity, queue and contention.

--- a/packages/routing/src/team_limits.ts
+++ b/packages/routing/src/team_limits.ts
@@ -144,20 +144,28 @@
   /** Recomputes all limits; called about once a second. */
   update({ peers, liveNodes, capacity }: LimitsUpdate): void {
     this.#advanceMeters();
-    if (capacity === undefined) {
+    // Slots take requests; before the first one its cost in tokens is unknown.
+    const meanCost = this.#meanCost ??
+      (this.#options.unit === "requests" ? 1 : undefined);
+    if (capacity === undefined || meanCost === undefined) {
       this.#contended = false;
       this.#localCeiling = Infinity;
       return;
     }
     this.#updatePressure(capacity);
     const total = capacity.slots * queueFactor * this.#pressureFactor *
-      (this.#meanCost ?? 1);
+      meanCost;
     const heardPart = computeHeardPart(peers, liveNodes);
     const needs = this.#computeNeeds(peers, heardPart);
     const demand = needs.reduce((sum, need) => sum + need.demand, 0);
     this.#contended = demand > contendedFraction * total ||
       capacity.queued > overloadedQueueFraction * capacity.slots;
     this.#localCeiling = localBurstFactor * total / Math.max(1, liveNodes);
+    const { metrics, pool } = this.#options;
+    metrics.setGauge("team_pool_demand", demand, { pool });
+    metrics.setGauge("team_pool_capacity", total, { pool });
+    metrics.setGauge("team_pool_queued", capacity.queued, { pool });
+    metrics.setGauge("team_pool_contended", this.#contended ? 1 : 0, { pool });
     const limits = new Map<string, TeamLimit>();
     for (const share of computeShares(total, needs)) {
       const need = needs.find(({ team }) => team === share.team);
--- a/packages/routing/src/team_limits_test.ts
+++ b/packages/routing/src/team_limits_test.ts
@@ -217,4 +217,24 @@
   assert.is(meter.compute([{ ...load(1, 0), reachable: false }]), undefined);
 });
 
+test("a node that has seen no request yet does not limit large ones", () => {
+  const limits = TeamLimits.create({
+    clock: ManualClock.create(),
+    random: Random.create(1),
+    metrics: Metrics.create(),
+    configuration: { current: () => ({ ...emptyConfiguration, teams }) },
+    pool: "models",
+    unit: "tokens",
+  });
+  // Costs are tokens here, hundreds for each request.
+  limits.update({
+    peers: [],
+    liveNodes: 9,
+    capacity: { slots: 208, queued: 0 },
+  });
+  for (let request = 0; request < 4; request++) {
+    assert.ok(limits.admit(garage, 320).isRight(), `request ${request}`);
+  }
+});
+
 test.run();
