--- a/packages/membership/src/announcer.ts
+++ b/packages/membership/src/announcer.ts
@@ -8,6 +8,7 @@
 
 import type { Hasher } from "@almondcrank/common/hashing.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { ClusterView } from "./cluster_view.ts";
 import { computeDelegates, delegatesPerZone } from "./delegates.ts";
 import type { Member, NodeIdentity } from "./membership.ts";
 import type { Announcement } from "./messages.ts";
@@ -22,10 +23,7 @@
   readonly hasher: Hasher;
   readonly transport: PeerTransport;
   readonly metrics: Metrics;
-  /** Members that can be called: alive or leaving. */
-  readonly listReachable: () => readonly Member[];
-  /** Whether news goes to every member directly. */
-  readonly isSmall: () => boolean;
+  readonly view: ClusterView;
 }
 
 /** News without the fields that depend on the receiver. */
@@ -45,9 +43,9 @@
 
   /** Sends news to every data centre; resolves when all calls have ended. */
   async send(news: News): Promise<void> {
-    const { self, isSmall, listReachable } = this.#options;
-    const members = listReachable();
-    if (isSmall()) return await this.#sendAll(members, news);
+    const { self, view } = this.#options;
+    const members = view.listReachable();
+    if (view.isSmall()) return await this.#sendAll(members, news);
     const zones = new Map<string, Member[]>();
     for (const member of members) {
       const { zone } = member.identity;
@@ -64,8 +62,8 @@
 
   /** Sends news to the own data centre. */
   async relay(news: News): Promise<void> {
-    const { self, listReachable } = this.#options;
-    const members = listReachable()
+    const { self, view } = this.#options;
+    const members = view.listReachable()
       .filter(({ identity }) => identity.zone === self.zone);
     await this.#sendAll(members, news);
   }
--- a/packages/membership/src/cluster_membership.ts
+++ b/packages/membership/src/cluster_membership.ts
@@ -19,10 +19,9 @@
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import { Announcer, type News } from "./announcer.ts";
-import { ChangeLog } from "./change_log.ts";
+import { ClusterView } from "./cluster_view.ts";
 import type { ConfigurationDelta } from "./configuration_delta.ts";
-import { computeDelegates, delegatesPerZone } from "./delegates.ts";
-import { LeavingEndpoints } from "./leaving_endpoints.ts";
+import { ExchangeLoops } from "./exchange_loops.ts";
 import {
   defaultMemberLimits,
   type MemberLimits,
@@ -46,9 +45,10 @@
   OriginRecord,
 } from "./messages.ts";
 import { OriginTable } from "./origin_table.ts";
-import { type ExchangeTarget, PeerChoice } from "./peer_choice.ts";
+import type { ExchangeTarget } from "./peer_choice.ts";
 import type { PeerTransport } from "./peer_transport.ts";
 import { parseSeen } from "./seen_versions.ts";
+import { SlowFacts } from "./slow_facts.ts";
 import {
   computeSummary,
   createAggregate,
@@ -69,8 +69,6 @@
   remoteExchangeMs: 500,
 };
 
-/** Up to so many nodes, all of them share loads as if in one data centre. */
-const smallSystemNodes = 32;
 const summaryHeartbeats = 4;
 /** Heartbeats that must be overdue for this process to count as paused. */
 const pauseHeartbeats = 2;
@@ -119,39 +117,43 @@
   readonly #stopped = new AbortController();
   readonly #table: MemberTable;
   readonly #origins: OriginTable;
-  readonly #leaving: LeavingEndpoints;
-  readonly #changes: ChangeLog<() => Change>;
+  readonly #facts: SlowFacts;
+  readonly #view: ClusterView;
   readonly #announcer: Announcer;
-  readonly #choice: PeerChoice;
+  readonly #loops: ExchangeLoops;
   readonly #cursors = new Map<string, PeerCursor>();
   readonly #digests = Emitter.create<Digest>();
   readonly #aggregates = Emitter.create<ZoneAggregate>();
   readonly #hints = Emitter.create<RevisionHint>();
   #revision = 0;
-  #isLeaving = false;
 
   private constructor(options: ClusterMembershipOptions) {
-    const { self, clock, hasher, random, transport, metrics } = options;
+    const { self, clock, hasher, transport, metrics } = options;
     this.self = self;
     this.#options = options;
     this.#periods = { ...defaultMembershipPeriods, ...options.periods };
     const limits = { ...defaultMemberLimits, ...options.limits };
     this.#table = MemberTable.create({ self, clock, limits });
     this.#origins = OriginTable.create(self, clock);
-    this.#leaving = LeavingEndpoints.create(clock);
-    this.#changes = ChangeLog.create(hasher);
-    this.#choice = PeerChoice.create(random);
+    this.#facts = SlowFacts.create(hasher, clock);
+    this.#view = ClusterView.create({ self, table: this.#table, hasher });
+    this.#loops = ExchangeLoops.create({
+      ...options,
+      ...this.#periods,
+      view: this.#view,
+      table: this.#table,
+      exchange: (target) => this.#exchange(target),
+    });
     this.#announcer = Announcer.create({
       self,
       hasher,
       transport,
       metrics,
-      listReachable: () => this.#listReachable(),
-      isSmall: () => this.#isSmall(),
+      view: this.#view,
     });
     this.#disposables.register(this.#table);
-    this.#disposables.register(this.#leaving);
-    this.#setMemberChange({ identity: self, leaving: false });
+    this.#disposables.register(this.#facts);
+    this.#facts.setMember({ identity: self, leaving: false });
     this.onChange(({ identity, state }) => {
       metrics.count("membership_changes_total", { state });
       options.log.info("a member changed its state.", {
@@ -180,7 +182,7 @@
 
   /** Fires once for each endpoint that becomes known to be leaving. */
   get onLeaving(): Event<LeavingEndpoint> {
-    return this.#leaving.onAdd;
+    return this.#facts.leaving.onAdd;
   }
 
   /** Fires when a peer has a newer configuration than this node. */
@@ -191,8 +193,7 @@
   /** Starts heartbeats and exchanges. */
   start(): void {
     void this.#runHeartbeats();
-    void this.#runExchanges();
-    void this.#runRemoteExchanges();
+    this.#loops.start(this.#stopped.signal);
   }
 
   list(): readonly Member[] {
@@ -205,31 +206,28 @@
 
   /** Names of nodes that take work, this one included unless it is leaving. */
   listAlive(zone?: string): readonly string[] {
-    const nodes = this.#table.list()
-      .filter(({ state }) => state === "alive")
-      .filter(({ identity }) => zone === undefined || identity.zone === zone)
-      .map(({ identity }) => identity.node);
-    const isOwn = zone === undefined || zone === this.self.zone;
-    return isOwn && !this.#isLeaving ? [...nodes, this.self.node] : nodes;
+    return this.#view.listAlive(zone);
   }
 
   /** Whether this node speaks for its data centre. */
   isDelegate(): boolean {
-    return this.#findDelegateRank() < delegatesPerZone;
+    return this.#view.isDelegate();
   }
 
   /** Endpoints known to be leaving. */
   listLeaving(): readonly LeavingEndpoint[] {
-    return this.#leaving.list();
+    return this.#facts.leaving.list();
   }
 
   isLeaving(endpoint: string): boolean {
-    return this.#leaving.has(endpoint);
+    return this.#facts.leaving.has(endpoint);
   }
 
   /** Marks endpoints as leaving, and tells every node at once. */
   markLeaving(leaving: readonly LeavingEndpoint[]): void {
-    const added = leaving.filter((endpoint) => this.#addLeaving(endpoint));
+    const added = leaving.filter((endpoint) =>
+      this.#facts.addLeaving(endpoint)
+    );
     if (added.length === 0) return;
     void this.#announcer.send(this.#createNews({ leaving: added }));
   }
@@ -272,9 +270,9 @@
 
   /** Announces that this node leaves; it goes on answering until disposed. */
   async leave(): Promise<void> {
-    this.#isLeaving = true;
+    this.#view.setLeaving();
     const member = { identity: this.self, leaving: true };
-    this.#setMemberChange(member);
+    this.#facts.setMember(member);
     this.#cursors.clear();
     await this.#announcer.send(this.#createNews({ members: [member] }));
   }
@@ -287,18 +285,17 @@
     this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
     this.#checkRevision(node, { revision, relay: false, deltas: [] });
     this.#recordSeen(request);
-    const same = request.checksum === this.#changes.checksum;
-    const changes = same ? [] : this.#changes.list(request.cursor);
+    const same = request.checksum === this.#facts.checksum;
     const isWanted = (origin: string): boolean =>
-      request.scope === "all" || this.#findZone(origin) === request.zone;
+      request.scope === "all" || this.#view.findZone(origin) === request.zone;
     return {
       node: this.self.node,
       incarnation: this.self.incarnation,
       version: this.#origins.version,
       revision: this.#revision,
-      cursor: this.#changes.position,
+      cursor: this.#facts.position,
       known: this.#table.find(node)?.identity.incarnation === incarnation,
-      changes: changes.map((create) => create()),
+      changes: same ? [] : this.#facts.list(request.cursor),
       origins: this.#origins.listRecords({
         seen: request.seen,
         isWanted,
@@ -313,7 +310,7 @@
     this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
     const members = news.members.filter((member) => this.#applyMember(member));
     const leaving = news.leaving
-      .filter((endpoint) => this.#addLeaving(endpoint));
+      .filter((endpoint) => this.#facts.addLeaving(endpoint));
     const { relay, deltas = [] } = news;
     this.#checkRevision(node, { revision, relay, deltas });
     if (!news.relay || members.length + leaving.length === 0) return;
@@ -344,30 +341,6 @@
     }
   }
 
-  async #runExchanges(): Promise<void> {
-    const { clock, random } = this.#options;
-    const { signal } = this.#stopped;
-    while (!signal.aborted) {
-      const target = this.#choosePeer();
-      if (target !== undefined) void this.#exchange(target);
-      const repair = this.#chooseRepair();
-      if (repair !== undefined) void this.#exchange(repair);
-      const jitter = 0.75 + random.next() / 2;
-      await clock.sleep(this.#periods.exchangeMs * jitter, signal);
-    }
-  }
-
-  async #runRemoteExchanges(): Promise<void> {
-    const { clock, random } = this.#options;
-    const { signal } = this.#stopped;
-    while (!signal.aborted) {
-      const target = this.#chooseRemote();
-      if (target !== undefined) void this.#exchange(target);
-      const jitter = 0.75 + random.next() / 2;
-      await clock.sleep(this.#periods.remoteExchangeMs * jitter, signal);
-    }
-  }
-
   async #exchange(target: ExchangeTarget): Promise<void> {
     const { transport, metrics } = this.#options;
     const request = this.#createRequest(target);
@@ -386,17 +359,17 @@
     const { self } = this;
     const cursor = this.#cursors.get(node ?? "");
     const knowsSelf = cursor?.knowsSelf === true;
-    const member = { identity: self, leaving: this.#isLeaving };
+    const member = { identity: self, leaving: this.#view.isLeaving };
     return {
       node: self.node,
       incarnation: self.incarnation,
       zone: self.zone,
       version: this.#origins.version,
       revision: this.#revision,
-      scope: this.#isSmall() ? "all" : "zone",
+      scope: this.#view.isSmall() ? "all" : "zone",
       ...(knowsSelf ? {} : { self: member }),
       cursor: cursor?.cursor ?? 0,
-      checksum: this.#changes.checksum,
+      checksum: this.#facts.checksum,
       seen: this.#origins.listSeen((node) => this.#table.findAge(node)),
     };
   }
@@ -423,7 +396,7 @@
         this.#applyMember(change.member);
         break;
       case "leaving":
-        if (this.#addLeaving(change.leaving) && this.isDelegate()) {
+        if (this.#facts.addLeaving(change.leaving) && this.isDelegate()) {
           const news = this.#createNews({ leaving: [change.leaving] });
           void this.#announcer.relay(news);
         }
@@ -433,7 +406,7 @@
 
   #applyMember(member: MemberRecord): boolean {
     const added = this.#table.apply(member);
-    if (added) this.#setMemberChange(member);
+    if (added) this.#facts.setMember(member);
     return added;
   }
 
@@ -442,13 +415,13 @@
     const applied = this.#origins.apply(record);
     if (applied === undefined) return;
     this.#table.recordHeartbeat({ node, incarnation, revision, ageMs });
-    const zone = this.#findZone(node);
-    if (zone !== undefined && this.#isRemote(zone)) {
+    const zone = this.#view.findZone(node);
+    if (zone !== undefined && this.#view.isRemote(zone)) {
       this.#applySummary(zone, record);
       return;
     }
     const { loads, demand } = applied;
-    const leaving = this.#leaving.list();
+    const leaving = this.#facts.leaving.list();
     this.#digests.fire({ node, incarnation, demand, loads, leaving });
   }
 
@@ -475,28 +448,6 @@
     this.#aggregates.fire(createAggregate(zone, record.summary));
   }
 
-  #addLeaving(leaving: LeavingEndpoint): boolean {
-    const { endpoint } = leaving;
-    if (!this.#leaving.add(leaving)) return false;
-    this.#changes.set(`leaving ${endpoint}`, "", () => ({
-      kind: "leaving",
-      leaving: {
-        endpoint,
-        remainingMs: Math.round(this.#leaving.findRemaining(endpoint) ?? 0),
-      },
-    }));
-    return true;
-  }
-
-  #setMemberChange(member: MemberRecord): void {
-    const { node, incarnation } = member.identity;
-    const content = `${incarnation} ${member.leaving}`;
-    this.#changes.set(`member ${node}`, content, () => ({
-      kind: "member",
-      member,
-    }));
-  }
-
   #checkRevision(
     node: string,
     seen: Pick<RevisionHint, "revision" | "relay" | "deltas">,
@@ -520,16 +471,14 @@
   }
 
   #refresh(): void {
-    const forgotten = this.#table.refresh((zone) => this.#isRemote(zone));
+    const forgotten = this.#table.refresh((zone) => this.#view.isRemote(zone));
     for (const node of forgotten) {
       this.#origins.remove(node);
       this.#cursors.delete(node);
-      this.#changes.remove(`member ${node}`);
+      this.#facts.removeMember(node);
       this.#options.log.info("forgot a silent member.", { node });
     }
-    for (const endpoint of this.#leaving.removeEnded()) {
-      this.#changes.remove(`leaving ${endpoint}`);
-    }
+    this.#facts.removeEnded();
     for (const state of ["alive", "leaving", "suspected"] as const) {
       const members = this.#table.list().filter((m) => m.state === state);
       this.#options.metrics
@@ -546,14 +495,14 @@
   }
 
   #setSummary(): void {
-    const isTask = !this.#isSmall() && this.#findDelegateRank() === 0;
+    const isTask = !this.#view.isSmall() && this.#view.isFirstDelegate();
     if (!isTask) return this.#origins.removeOwnSummary();
     const alive = this.listAlive(this.self.zone);
     const revisions = this.#table.list()
       .filter(({ identity }) => alive.includes(identity.node))
       .map(({ revision }) => revision);
     const findService = (endpoint: string): string | undefined =>
-      this.#leaving.has(endpoint)
+      this.#facts.leaving.has(endpoint)
         ? undefined
         : this.#options.findService?.(endpoint);
     this.#origins.setOwnSummary(computeSummary({
@@ -565,73 +514,6 @@
     }));
   }
 
-  #choosePeer(): ExchangeTarget | undefined {
-    return this.#choice.choose(
-      this.#listReachable()
-        .filter(({ identity }) => !this.#isRemote(identity.zone)),
-    );
-  }
-
-  #chooseRepair(): ExchangeTarget | undefined {
-    const members = this.#table.list();
-    const known = new Set(members.map(({ identity }) => identity.peerAddress));
-    const suspected = members.filter(({ identity, state }) =>
-      state === "suspected" && !this.#isRemote(identity.zone)
-    );
-    return this.#choice.chooseRepair({
-      doubtful: [...suspected, ...this.#table.listDoubtful()],
-      unknownSeeds: this.#options.seeds.filter((seed) =>
-        seed !== this.self.peerAddress && !known.has(seed)
-      ),
-    });
-  }
-
-  /** A member of another data centre, preferably one of its delegates. */
-  #chooseRemote(): ExchangeTarget | undefined {
-    if (this.#isSmall() || !this.isDelegate()) return undefined;
-    const { hasher, random } = this.#options;
-    const members = this.#table.list()
-      .filter(({ identity }) => this.#isRemote(identity.zone));
-    if (members.length === 0) return undefined;
-    const zones = [...new Set(members.map(({ identity }) => identity.zone))];
-    const zone = random.choose(zones);
-    const inZone = members.filter(({ identity }) => identity.zone === zone);
-    const usable = inZone.filter(({ state }) => state === "alive");
-    const names = usable.map(({ identity }) => identity.node);
-    const delegates = computeDelegates(hasher, zone, names)
-      .slice(0, delegatesPerZone);
-    const node = delegates.length > 0
-      ? random.choose(delegates)
-      : random.choose(inZone).identity.node;
-    const address = this.#table.find(node)?.identity.peerAddress;
-    return address === undefined ? undefined : { node, address };
-  }
-
-  #findDelegateRank(): number {
-    const { zone, node } = this.self;
-    const alive = this.listAlive(zone);
-    const rank = computeDelegates(this.#options.hasher, zone, alive)
-      .indexOf(node);
-    return rank < 0 ? Infinity : rank;
-  }
-
-  #findZone(node: string): string | undefined {
-    if (node === this.self.node) return this.self.zone;
-    return this.#table.find(node)?.identity.zone;
-  }
-
-  #isSmall(): boolean {
-    return this.#table.list().length < smallSystemNodes;
-  }
-
-  #isRemote(zone: string): boolean {
-    return !this.#isSmall() && zone !== this.self.zone;
-  }
-
-  #listReachable(): readonly Member[] {
-    return this.#table.list().filter(({ state }) => state !== "suspected");
-  }
-
   #createNews(
     news: Partial<Pick<News, "leaving" | "members" | "deltas">>,
   ): News {
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -80,6 +80,11 @@
     return this.#changed.event;
   }
 
+  /** Number of members. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
   list(): readonly Member[] {
     return [...this.#entries.values()].map(createMember);
   }
