Try a doubtful member every third second at most

Cause, as far as seen: in one run of 3x27 nodes on a busy machine one node carried 123.8 kB/s and the mean was 17.11, with members suspected; a second run with all members alive had 15.4 and 10.90. Each node tried each suspected member twice a second, so 26 nodes pressed on a slow one, which is then suspected for longer. Not reproduced at will. Change: six turns between two tries of one member.

--- a/packages/membership/src/peer_choice.ts
+++ b/packages/membership/src/peer_choice.ts
@@ -10,6 +10,9 @@
 import type { Random } from "@almondcrank/common/random.ts";
 import type { Member } from "./membership.ts";
 
+/** Turns between two repairs of one node, so that many do not press on it. */
+const repairTurns = 6;
+
 /** A node to call; the name is unknown for a seed. */
 export interface ExchangeTarget {
   readonly node: string | undefined;
@@ -56,8 +59,12 @@
     return member && createTarget(member);
   }
 
-  /** Chooses what was tried longest ago; undefined when all is well. */
+  /**
+   * Chooses what was tried longest ago; undefined when all is well or all were
+   * tried a few turns ago.
+   */
   chooseRepair(input: RepairInput): ExchangeTarget | undefined {
+    this.#turn++;
     const targets = [
       ...input.doubtful.map(createTarget),
       ...input.unknownSeeds.map((address) => ({ node: undefined, address })),
@@ -65,15 +72,15 @@
     const last = this.#repairs;
     this.#repairs = new Map();
     let oldest: ExchangeTarget | undefined;
-    let oldestTurn = Infinity;
+    let oldestTurn = this.#turn - repairTurns + 1;
     for (const target of targets) {
-      const turn = last.get(target.address) ?? -1;
+      const turn = last.get(target.address) ?? -Infinity;
       this.#repairs.set(target.address, turn);
       if (turn >= oldestTurn) continue;
       oldest = target;
       oldestTurn = turn;
     }
-    if (oldest !== undefined) this.#repairs.set(oldest.address, this.#turn++);
+    if (oldest !== undefined) this.#repairs.set(oldest.address, this.#turn);
     return oldest;
   }
 
