Admit by the predicted wait, far below the target

Change: the limit is 0.35 of the target for the first priority, 0.035 less for each step, and counts the wait only, so a long prompt on an idle replica is accepted.

--- a/packages/bench/src/policy_bench.ts
+++ b/packages/bench/src/policy_bench.ts
@@ -216,7 +216,14 @@
       if (cost >= least) continue;
       least = cost;
       const totalMs = firstTokenMs + request.outputTokens * betweenMs;
-      best = { endpoint, firstTokenMs, totalMs, cachedTokens, seenTokens: 0 };
+      best = {
+        endpoint,
+        waitMs,
+        firstTokenMs,
+        totalMs,
+        cachedTokens,
+        seenTokens: 0,
+      };
     }
     return best;
   }
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,11 +1,15 @@
 /**
  * Admission of requests to model services.
  *
- * A request that is predicted to miss its deadline or the service's target for
- * the first token is refused at once, so that the queues of engines stay short
- * enough for those that are accepted. The higher a team's priority, the more of
- * the target it may use up by waiting: under overload the lowest priority meets
- * its limit first and is shed first.
+ * A request that is predicted to miss its deadline, or to wait for too large a
+ * part of the target for the first token, is refused at once, so that the queues
+ * of engines stay short enough for those that are accepted. The limit lies well
+ * below the target, since other nodes admit at the same time from the same late
+ * reports. The higher a team's priority, the longer it may wait: under overload
+ * the lowest priority meets its limit first and is shed first.
+ *
+ * Computing the request's own input does not count towards the limit: a long
+ * prompt on an idle replica is not a sign of overload.
  */
 
 import { type Either, Left, Right } from "purify-ts";
@@ -15,9 +19,9 @@
 import type { Choice } from "./replica_choice.ts";
 
 /** Share of the first-token target that the first priority may wait. */
-const highestShare = 0.85;
+const highestShare = 0.35;
 /** Share taken off for each step of priority. */
-const shareStep = 0.06;
+const shareStep = 0.035;
 /** Time constant of the counts behind `Retry-After`, in milliseconds. */
 const demandDecayMs = 2_000;
 const minRetryAfterMs = 50;
@@ -44,9 +48,9 @@
   check(request: ModelRequest, choice: Choice): Either<Refusal, void> {
     const now = this.#clock.now();
     this.#decayCounts(now);
-    const limitMs = computeFirstTokenLimit(request);
+    const limitMs = computeWaitLimit(request);
     const lateMs = Math.max(
-      choice.firstTokenMs - limitMs,
+      choice.waitMs - limitMs,
       now + choice.totalMs - request.deadline,
     );
     if (lateMs <= 0) {
@@ -86,8 +90,8 @@
   }
 }
 
-/** Longest predicted wait for the first token at which a request is accepted. */
-function computeFirstTokenLimit({ service, team }: ModelRequest): number {
+/** Longest predicted wait before its input is computed that a request may have. */
+function computeWaitLimit({ service, team }: ModelRequest): number {
   const share = highestShare - shareStep * team.priority;
   return service.target.firstTokenMs * share;
 }
--- a/packages/routing/src/replica_choice.ts
+++ b/packages/routing/src/replica_choice.ts
@@ -52,6 +52,8 @@
 /** A chosen replica with what is predicted of it. */
 export interface Choice {
   readonly endpoint: Endpoint;
+  /** Predicted wait before the input is computed, in milliseconds. */
+  readonly waitMs: number;
   /** Predicted time to the first token, in milliseconds. */
   readonly firstTokenMs: number;
   /** Predicted time to the last token, in milliseconds. */
@@ -277,17 +279,21 @@
     return { endpoint, load, cachedTokens };
   }
 
-  #computeFirstTokenMs(candidate: Candidate, inputTokens: number): number {
+  /** Wait for the backlog of input or for a slot, whichever is longer. */
+  #computeWaitMs({ load, endpoint }: Candidate): number {
     const { clock, loads, zoneDistanceMs } = this.#options;
-    const { load, cachedTokens, endpoint } = candidate;
     const now = clock.now();
     const ahead = load.computeRequests() - load.slots + 1;
     const serviceMs = loads.meanOutputTokens * load.computeBetweenTokensMs(now);
     const slotMs = ahead > 0 ? ahead * serviceMs / load.slots : 0;
-    const uncached = Math.max(0, inputTokens - cachedTokens);
     const distanceMs = zoneDistanceMs?.(endpoint.zone) ?? 0;
-    return distanceMs + Math.max(load.computeBacklogMs(now), slotMs) +
-      load.computePrefillMs(uncached);
+    return distanceMs + Math.max(load.computeBacklogMs(now), slotMs);
+  }
+
+  #computeFirstTokenMs(candidate: Candidate, inputTokens: number): number {
+    const uncached = Math.max(0, inputTokens - candidate.cachedTokens);
+    return this.#computeWaitMs(candidate) +
+      candidate.load.computePrefillMs(uncached);
   }
 
   /**
@@ -346,7 +352,15 @@
     const decodeMs = request.outputTokens * load.computeBetweenTokensMs(now);
     const totalMs = firstTokenMs + decodeMs;
     const seenTokens = match.seenBlocks * blockTokens;
-    return { endpoint, firstTokenMs, totalMs, cachedTokens, seenTokens };
+    const waitMs = this.#computeWaitMs(candidate);
+    return {
+      endpoint,
+      waitMs,
+      firstTokenMs,
+      totalMs,
+      cachedTokens,
+      seenTokens,
+    };
   }
 }
 
