--- a/packages/bench/src/policy_bench.ts
+++ b/packages/bench/src/policy_bench.ts
@@ -17,7 +17,7 @@
 import type { Hasher } from "@almondcrank/common/hashing.ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
-import { Random } from "@almondcrank/common/random.ts";
+import type { Random } from "@almondcrank/common/random.ts";
 import {
   blockTokens,
   computeBlockHashes,
@@ -32,6 +32,12 @@
 } from "@almondcrank/routing/replica_choice.ts";
 import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
 import type { EngineSettingsInput } from "@almondcrank/standin/engine_settings.ts";
+import {
+  createRandom,
+  drawBetween,
+  formatSystemPrompt,
+  formatWords,
+} from "./mix_texts.ts";
 import { ScheduledEngine } from "./scheduled_engine.ts";
 import { VirtualClock } from "./virtual_clock.ts";
 
@@ -77,9 +83,7 @@
 const reportIntervalMs = 250;
 const reportAgeMs = 300;
 const systemPrompts = 6;
-const systemTokens = [400, 800] as const;
 const lateCost = 1e9;
-const droppedNumbers = 64;
 const questionTokens = [30, 150] as const;
 const maxOutputTokens = 256;
 
@@ -381,31 +385,6 @@
   };
 }
 
-/** The first numbers of neighbouring seeds are alike, so they are dropped. */
-function createRandom(seed: number): Random {
-  const random = Random.create(seed);
-  for (let i = 0; i < droppedNumbers; i++) random.next();
-  return random;
-}
-
-function drawBetween(
-  random: Random,
-  [low, high]: readonly [number, number],
-): number {
-  return low + random.nextInt(high - low);
-}
-
-function formatWords(count: number, name: string): string {
-  let words = "";
-  for (let i = 0; i < count; i++) words += ` ${name}w${i}`;
-  return words;
-}
-
-function formatSystemPrompt(number: number): string {
-  const length = drawBetween(createRandom(number + 1), systemTokens);
-  return formatWords(length, `s${number}`);
-}
-
 /** Whether a turn met the service's target. */
 export function isOnTime(turn: TurnRecord): boolean {
   const { target } = benchService;
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -47,7 +47,7 @@
   /** Accepts or refuses a request by what is predicted of its best replica. */
   check(request: ModelRequest, choice: Choice): Either<Refusal, void> {
     const now = this.#clock.now();
-    this.#decayCounts(now);
+    this.#recordElapsed(now);
     const limitMs = computeWaitLimit(request);
     const lateMs = Math.max(
       choice.waitMs - limitMs,
@@ -82,7 +82,7 @@
     });
   }
 
-  #decayCounts(now: number): void {
+  #recordElapsed(now: number): void {
     const keep = Math.exp((this.#countedAt - now) / demandDecayMs);
     this.#accepted *= keep;
     this.#refused *= keep;
--- a/packages/routing/src/prefix_index.ts
+++ b/packages/routing/src/prefix_index.ts
@@ -134,7 +134,7 @@
       const slot = this.#claimSlot(block);
       this.#addHolder(slot, holder);
       if (depth < last) {
-        this.#compareSpan(slot, chain, depth, next);
+        this.#recordSpan(slot, chain, depth, next);
         this.#addFollower(slot, follower);
       }
       follower = block;
@@ -153,15 +153,15 @@
     let expected = known;
     const first = batch.events[0]?.sequence ?? batch.sequence + 1;
     if (known !== undefined && first > known + 1) {
-      return this.#forgetAfterGap(endpoint, batch.sequence);
+      return this.#removeAfterGap(endpoint, batch.sequence);
     }
     for (const event of batch.events) {
       if (expected !== undefined && event.sequence !== expected + 1) {
-        return this.#forgetAfterGap(endpoint, batch.sequence);
+        return this.#removeAfterGap(endpoint, batch.sequence);
       }
       expected = event.sequence;
       for (const block of event.blocks) {
-        this.#correctHolder(block, endpoint, event.kind);
+        this.#recordCorrection(block, endpoint, event.kind);
       }
     }
     return true;
@@ -176,13 +176,13 @@
     this.#names[id] = undefined;
   }
 
-  #forgetAfterGap(endpoint: string, sequence: number): boolean {
+  #removeAfterGap(endpoint: string, sequence: number): boolean {
     this.removeEndpoint(endpoint);
     this.#sequences.set(endpoint, sequence);
     return false;
   }
 
-  #correctHolder(
+  #recordCorrection(
     block: number,
     endpoint: string,
     kind: "stored" | "evicted",
@@ -219,13 +219,13 @@
     for (let slot = start + 1; slot < start + ways; slot++) {
       if ((used[slot] ?? 0) < (used[oldest] ?? 0)) oldest = slot;
     }
-    this.#clearSlot(oldest);
+    this.#removeSlot(oldest);
     this.#keys[oldest] = key;
     used[oldest] = this.#tick;
     return oldest;
   }
 
-  #clearSlot(slot: number): void {
+  #removeSlot(slot: number): void {
     const holders = slot * holdersPerBlock;
     this.#holders.fill(0, holders, holders + holdersPerBlock);
     const followers = slot * followersPerBlock;
@@ -250,7 +250,7 @@
    * Narrows the span that followers of a block share, or notes the first
    * follower's blocks up to the next kept one.
    */
-  #compareSpan(
+  #recordSpan(
     slot: number,
     chain: readonly number[],
     depth: number,
--- a/packages/routing/src/replica_load.ts
+++ b/packages/routing/src/replica_load.ts
@@ -167,7 +167,7 @@
       this.#reportedRequests++;
     }
     this.#sends.push({ at: now, tokens });
-    if (this.#failures > 0) this.#delayNextTry(now);
+    if (this.#failures > 0) this.#recordTry(now);
   }
 
   /** Records that a request of this node ended. */
@@ -222,7 +222,7 @@
   }
 
   /** Lets one request at a time try a replica that failed before. */
-  #delayNextTry(now: number): void {
+  #recordTry(now: number): void {
     if (this.#state.kind !== "suspect" && this.#state.kind !== "unreachable") {
       return;
     }
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routed_models.ts
@@ -189,13 +189,17 @@
 
   #checkOpen(request: ModelRequest): Either<Refusal, void> {
     if (this.#draining) {
-      return refuse("draining", drainingRetryMs, "the node is leaving");
+      return createRefusal("draining", drainingRetryMs, "the node is leaving");
     }
     if (request.deadline <= this.#options.clock.now()) {
-      return refuse("deadline", undefined, "the deadline has passed already");
+      return createRefusal(
+        "deadline",
+        undefined,
+        "the deadline has passed already",
+      );
     }
     if (this.#streams.isFull) {
-      return refuse(
+      return createRefusal(
         "overload",
         noEndpointRetryMs,
         "the node holds as many streams as it may",
@@ -239,7 +243,7 @@
     });
     metrics.recordDuration("choice_seconds", clock.now() - startedAt);
     if (choice === undefined) {
-      return refuse(
+      return createRefusal(
         "no_endpoint",
         noEndpointRetryMs,
         `no endpoint of service ${request.service.name} can take work`,
@@ -274,7 +278,7 @@
     opening: Pick<OpenOptions, "id" | "request" | "past">,
   ): Either<Refusal, ModelStream> {
     if (this.#draining) {
-      return refuse("draining", drainingRetryMs, "the node is leaving");
+      return createRefusal("draining", drainingRetryMs, "the node is leaving");
     }
     const input = computeInput(this.#options.hasher, opening.request);
     const lease: LimitLease = { release: () => {} };
@@ -297,7 +301,7 @@
   return { ...options, prefixes, chooser, limits };
 }
 
-function refuse(
+function createRefusal(
   kind: RefusalKind,
   retryAfterMs: number | undefined,
   reason: string,
--- a/packages/routing/src/routed_stream.ts
+++ b/packages/routing/src/routed_stream.ts
@@ -139,7 +139,7 @@
   }
 
   /** Lets readers go on with the stream at its new node. */
-  markHandedOver(successor: ModelStream): void {
+  setSuccessor(successor: ModelStream): void {
     this.#successor = successor;
     this.log.stop();
   }
--- a/packages/routing/src/service_replicas.ts
+++ b/packages/routing/src/service_replicas.ts
@@ -46,7 +46,7 @@
   findHomes(key: number, count: number): Endpoint[] {
     const homes: Endpoint[] = [];
     const points = this.#points;
-    let at = this.#findPoint(mixBits(key) * indexRange);
+    let at = this.#findPoint(computeBits(key) * indexRange);
     for (let step = 0; step < points.length; step++, at++) {
       if (homes.length >= count) break;
       const point = points[at % points.length] ?? 0;
@@ -82,7 +82,7 @@
 }
 
 /** Spreads a block hash over the ring (a 32-bit finalizer). */
-function mixBits(key: number): number {
+function computeBits(key: number): number {
   let bits = Math.imul(key ^ (key >>> 16), 0x85eb_ca6b);
   bits = Math.imul(bits ^ (bits >>> 13), 0xc2b2_ae35);
   return (bits ^ (bits >>> 16)) >>> 0;
--- a/packages/routing/src/stream_attempt.ts
+++ b/packages/routing/src/stream_attempt.ts
@@ -110,7 +110,7 @@
   /** Settles the attempt and cancels it on its engine; the first call counts. */
   stop(outcome: AttemptOutcome): void {
     if (this.#settled) return;
-    this.#settle(outcome);
+    this.#close(outcome);
     this.#abort.abort();
   }
 
@@ -121,15 +121,15 @@
         if (this.#settled) return;
         const event = item.extract();
         if (event instanceof Error) {
-          return this.#settle({ kind: "failed", error: event });
+          return this.#close({ kind: "failed", error: event });
         }
         if (event.kind === "end") return this.#handleEnd(event);
         if (!this.#handleToken(event.index, event.text)) return;
         if (!this.#options.log.hasRoom) await this.#waitRoom();
       }
-      this.#fail("answer ended without its end mark");
+      this.#closeFailed("answer ended without its end mark");
     } catch (error) {
-      this.#fail(formatThrown(error));
+      this.#closeFailed(formatThrown(error));
     }
   }
 
@@ -138,15 +138,17 @@
     readonly usage: EngineUsage;
   }): void {
     const { reason, usage } = event;
-    if (reason === "cancelled") return this.#fail("generation was cancelled");
-    this.#settle({ kind: "ended", reason, usage });
+    if (reason === "cancelled") {
+      return this.#closeFailed("generation was cancelled");
+    }
+    this.#close({ kind: "ended", reason, usage });
   }
 
   #handleToken(index: number, text: string): boolean {
     const { log, clock, observer, request } = this.#options;
     const expected = log.tokens.length;
     if (index !== expected || expected >= request.maxTokens) {
-      this.#fail(`token ${index} came where ${expected} was due`);
+      this.#closeFailed(`token ${index} came where ${expected} was due`);
       return false;
     }
     const now = clock.now();
@@ -155,7 +157,7 @@
     this.#tokens++;
     if (this.#tokens === 1) observer.recordFirstToken(gapMs);
     else this.#recordGap(gapMs);
-    log.append(text);
+    log.add(text);
     return true;
   }
 
@@ -174,7 +176,7 @@
     this.#progressAt = this.#options.clock.now();
   }
 
-  #fail(reason: string): void {
+  #closeFailed(reason: string): void {
     const endpoint = this.#options.engine.name;
     this.stop({
       kind: "failed",
@@ -182,7 +184,7 @@
     });
   }
 
-  #settle(outcome: AttemptOutcome): void {
+  #close(outcome: AttemptOutcome): void {
     if (this.#settled) return;
     this.#settled = true;
     this.#resolve(outcome);
--- a/packages/routing/src/stream_exchange.ts
+++ b/packages/routing/src/stream_exchange.ts
@@ -183,7 +183,7 @@
     const heirs = computeRendezvous(hasher, stream.id, others);
     run.pause();
     for (const node of heirs.slice(0, peersAsked)) {
-      if (!await this.#offer(node, run)) continue;
+      if (!await this.#sendOffer(node, run)) continue;
       run.release(this.#createPeerStream(node, stream));
       metrics.count("stream_hand_overs_total", { result: "taken" });
       return true;
@@ -198,7 +198,7 @@
    * A peer whose answer was lost may run the stream; it is told to cancel, so
    * that two nodes do not go on with different texts.
    */
-  async #offer(node: string, run: StreamRun): Promise<boolean> {
+  async #sendOffer(node: string, run: StreamRun): Promise<boolean> {
     const { peers, metrics } = this.#options;
     const { id, request } = run.stream;
     for (let tries = 0; tries < handOverTries; tries++) {
--- a/packages/routing/src/stream_log.ts
+++ b/packages/routing/src/stream_log.ts
@@ -58,13 +58,13 @@
   }
 
   /** Adds the next token. */
-  append(text: string): void {
+  add(text: string): void {
     this.#tokens.push(text);
     this.wake();
   }
 
   /** Ends the stream; the first final event stands. */
-  finish(event: FinalEvent): void {
+  close(event: FinalEvent): void {
     this.#final ??= event;
     this.wake();
     this.#releaseWriters();
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -97,7 +97,10 @@
       next = await this.#handleOutcome(next, outcome);
     }
     if (this.stream.log.final === undefined && !this.stream.isHandedOver) {
-      this.#giveUp("endpoint_failed", "no endpoint could finish the request");
+      this.#closeFailed(
+        "endpoint_failed",
+        "no endpoint could finish the request",
+      );
     }
     this.#ended.abort();
   }
@@ -105,7 +108,7 @@
   /** Cancels the request. */
   cancel(): void {
     this.#attempt?.stop({ kind: "cancelled" });
-    this.#giveUp("stream_lost", "the request was cancelled");
+    this.#closeFailed("stream_lost", "the request was cancelled");
   }
 
   /** Stops generating until `resume` or `release`. */
@@ -122,7 +125,7 @@
 
   /** Ends the task without an end of the stream: `successor` goes on with it. */
   release(successor: ModelStream): void {
-    this.stream.markHandedOver(successor);
+    this.stream.setSuccessor(successor);
     this.resume();
     this.#ended.abort();
   }
@@ -254,14 +257,17 @@
   ): Promise<Choice | undefined> {
     switch (outcome.kind) {
       case "ended":
-        this.#finish(outcome.reason, choice);
+        this.#closeWhole(outcome.reason, choice);
         return undefined;
       case "failed":
         return await this.#handleFailure(choice, outcome.error);
       case "moved":
         return this.#handleMove(outcome.to, outcome.importId);
       case "deadline":
-        this.#giveUp("deadline", "the deadline passed before the answer ended");
+        this.#closeFailed(
+          "deadline",
+          "the deadline passed before the answer ended",
+        );
         return undefined;
       case "cancelled":
         return this.#pause === undefined ? undefined : choice;
@@ -285,12 +291,12 @@
     if (error.run !== "not_run") this.#mayHaveRun = true;
     // Killed between its last token and the end mark.
     if (log.tokens.length >= request.maxTokens) {
-      this.#finish("length", choice);
+      this.#closeWhole("length", choice);
       return undefined;
     }
     if (usage.attempts >= limits.maxAttempts || !this.#takeRetry(error)) {
       metrics.count("retries_refused_total", { reason: error.kind });
-      this.#giveUp("endpoint_failed", error.message);
+      this.#closeFailed("endpoint_failed", error.message);
       return undefined;
     }
     const kind = log.tokens.length > 0
@@ -361,7 +367,7 @@
     return computeBlockHashes(this.#services.hasher, context);
   }
 
-  #finish(reason: "stop" | "length", choice: Choice): void {
+  #closeWhole(reason: "stop" | "length", choice: Choice): void {
     const { loads, prefixes, metrics } = this.#services;
     const { log, usage } = this.stream;
     prefixes.recordSend(this.#computeChain(), choice.endpoint.name);
@@ -371,10 +377,10 @@
     metrics.count("tokens_computed_total", {}, total.computedTokens);
     metrics.count("tokens_recomputed_total", {}, total.recomputedTokens);
     metrics.count("tokens_cached_total", {}, total.cachedTokens);
-    log.finish({ kind: "end", reason, usage: total });
+    log.close({ kind: "end", reason, usage: total });
   }
 
-  #giveUp(kind: RefusalKind, message: string): void {
+  #closeFailed(kind: RefusalKind, message: string): void {
     const { log } = this.stream;
     if (log.final !== undefined) return;
     this.#services.metrics.count("streams_failed_total", { reason: kind });
@@ -387,6 +393,6 @@
       retryAfterMs: kind === "endpoint_failed" ? 1_000 : undefined,
       message: `${message}; send the request again if the answer is needed`,
     });
-    log.finish({ kind: "failed", refusal });
+    log.close({ kind: "failed", refusal });
   }
 }
