--- a/packages/bench/src/overload.ts
+++ b/packages/bench/src/overload.ts
@@ -10,12 +10,8 @@
 
 import process from "node:process";
 import { openHasher } from "@almondcrank/common/hashing.ts";
-import {
-  computePercentile,
-  isOnTime,
-  type MeasuredPolicy,
-  PolicyBench,
-} from "./policy_bench.ts";
+import { computePercentile } from "./percentiles.ts";
+import { isOnTime, type MeasuredPolicy, PolicyBench } from "./policy_bench.ts";
 
 const durationMs = 30_000;
 const warmUpMs = 10_000;
--- a/packages/bench/src/policy_bench.ts
+++ b/packages/bench/src/policy_bench.ts
@@ -391,13 +391,3 @@
   return turn.whole && turn.firstTokenMs <= target.firstTokenMs &&
     turn.betweenTokensMs <= target.betweenTokensMs;
 }
-
-/** Value below which the given share of `values` lies. */
-export function computePercentile(
-  values: readonly number[],
-  percentile: number,
-): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  const at = Math.ceil(sorted.length * percentile / 100) - 1;
-  return sorted[Math.max(0, at)] ?? 0;
-}
--- a/packages/bench/src/recompute.ts
+++ b/packages/bench/src/recompute.ts
@@ -10,8 +10,8 @@
 
 import process from "node:process";
 import { openHasher } from "@almondcrank/common/hashing.ts";
+import { computePercentile } from "./percentiles.ts";
 import {
-  computePercentile,
   isOnTime,
   type MeasuredPolicy,
   PolicyBench,
