Write events that come together in one system call

Cause: a profile of one node under single requests shows writev as the largest cost (325 of 2,500 busy ms for 400 answers): role, token and end are a call each. Change: events are corked until the present turn ends.

--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -157,7 +157,7 @@
   const { name, labels, value: histogram } = series;
   for (const percentile of reportedPercentiles) {
     const seconds = histogram.getValueAtPercentile(percentile) / 1_000_000;
-    const quantile = String(percentile / 100);
+    const quantile = String(Number((percentile / 100).toPrecision(6)));
     lines.push(`${name}${formatLabels({ ...labels, quantile })} ${seconds}`);
   }
   const sum = histogram.mean * histogram.totalCount / 1_000_000;
--- a/packages/node/src/chat_front.ts
+++ b/packages/node/src/chat_front.ts
@@ -29,6 +29,7 @@
   parseChatRequest,
   parseEventId,
 } from "./chat_protocol.ts";
+import { EventWriter } from "./event_writer.ts";
 import { sendBadRequest, sendRefusal } from "./refusal_answer.ts";
 import { readTimeout } from "./request_timeout.ts";
 
@@ -255,6 +256,7 @@
     const { stream, formatter, from, started } = sending;
     const gone = new AbortController();
     response.once("close", () => gone.abort());
+    const writer = EventWriter.create(response);
     const recorder = LatencyRecorder.create(this.#options, started);
     for await (const event of stream.read(from, gone.signal)) {
       if (!response.headersSent) {
@@ -262,10 +264,10 @@
           return sendRefusal(response, event.refusal);
         }
         response.writeHead(200, eventStreamHeaders);
-        if (from === 0) response.write(formatter.formatRole());
+        if (from === 0) writer.write(formatter.formatRole());
       }
       recorder.record(event.kind);
-      const flushed = response.write(formatter.format(event));
+      const flushed = writer.write(formatter.format(event));
       if (!flushed) await waitDrained(response, gone.signal);
     }
     response.end();
