--- a/packages/fleet/src/capacity_plan.ts
+++ b/packages/fleet/src/capacity_plan.ts
@@ -212,10 +212,9 @@
   hosts: readonly PlannedHost[],
 ): PlannedHost[] {
   return hosts.filter(({ isRented }) => isRented)
-    .sort((a, b) =>
-      computeHostPrice(input, b) - computeHostPrice(input, a) ||
-      (a.host < b.host ? -1 : 1)
-    );
+    .map((host) => ({ host, price: computeHostPrice(input, host) }))
+    .sort((a, b) => b.price - a.price || (a.host.host < b.host.host ? -1 : 1))
+    .map(({ host }) => host);
 }
 
 /** Price of one unit of a host's capacity. */
--- a/packages/fleet/src/spread_purchase.ts
+++ b/packages/fleet/src/spread_purchase.ts
@@ -28,8 +28,14 @@
   readonly offers: readonly Price[];
 }
 
+/** A number of hosts of one offer. */
+interface Lot {
+  readonly offer: Price;
+  readonly count: number;
+}
+
 interface Purchase {
-  readonly offers: readonly Price[];
+  readonly lots: readonly Lot[];
   readonly cost: number;
   readonly deficit: number;
 }
@@ -46,7 +52,9 @@
     const purchase = fill({ ...input, offers }, bound);
     if (best === undefined || isBetter(purchase, best)) best = purchase;
   }
-  return best?.offers ?? [];
+  return (best?.lots ?? []).flatMap(({ offer, count }) =>
+    Array<Price>(count).fill(offer)
+  );
 }
 
 /** Price of one unit of capacity. */
@@ -78,47 +86,86 @@
 function fill(input: SpreadInput, bound: number): Purchase {
   const { requirement, classes } = input;
   let capacity = input.base;
-  const offers: Price[] = [];
-  let cost = 0;
+  const lots: Lot[] = [];
   for (const offer of input.offers) {
     const unit = classes.get(offer.machineClass) ?? 0;
-    for (;;) {
-      const inZone = capacity.reclaimable.get(offer.zone) ?? 0;
-      if (inZone + unit > bound + capacityEpsilon) break;
-      if (computeDeficit(capacity, requirement) <= capacityEpsilon) break;
-      // A host that mends nothing alone may do so with one elsewhere.
-      capacity = computeSum(capacity, offer, unit);
-      offers.push(offer);
-      cost += offer.milliPerHour;
-    }
+    const inZone = capacity.reclaimable.get(offer.zone) ?? 0;
+    const fitting = Math.floor((bound - inZone) / unit + capacityEpsilon);
+    if (fitting <= 0) continue;
+    const before = capacity;
+    // Hosts that mend nothing alone may do so with some elsewhere.
+    const count = findLeast(
+      fitting,
+      (count) =>
+        computeDeficit(computeSum(before, offer, count * unit), requirement) <=
+          capacityEpsilon,
+    );
+    capacity = computeSum(before, offer, count * unit);
+    lots.push({ offer, count });
   }
-  return trim(input, { offers, cost, capacity });
+  return trim(input, { lots, capacity });
 }
 
 /** Drops hosts that turn out not to be needed, the dearest first. */
 function trim(
   { requirement, classes }: SpreadInput,
-  { offers, cost, capacity }: {
-    readonly offers: readonly Price[];
-    readonly cost: number;
+  { lots, capacity }: {
+    readonly lots: readonly Lot[];
     readonly capacity: Capacity;
   },
 ): Purchase {
   const deficit = computeDeficit(capacity, requirement);
-  const kept: Price[] = [];
+  const kept: Lot[] = [];
   let rest = capacity;
-  let keptCost = cost;
-  for (const offer of [...offers].reverse()) {
+  let cost = 0;
+  for (const { offer, count } of [...lots].reverse()) {
     const unit = classes.get(offer.machineClass) ?? 0;
-    const without = computeSum(rest, offer, -unit);
-    if (computeDeficit(without, requirement) > deficit + capacityEpsilon) {
-      kept.push(offer);
-      continue;
-    }
-    rest = without;
-    keptCost -= offer.milliPerHour;
+    const before = rest;
+    const deficitWith = createDeficit(before, offer.zone, requirement);
+    const needed = findLeast(
+      count,
+      (needed) =>
+        deficitWith((needed - count) * unit) <= deficit + capacityEpsilon,
+    );
+    rest = computeSum(before, offer, (needed - count) * unit);
+    kept.push({ offer, count: needed });
+    cost += needed * offer.milliPerHour;
+  }
+  return { lots: kept.reverse(), cost, deficit };
+}
+
+/** Computes deficits with more or less in one data centre, without allocating. */
+function createDeficit(
+  { total, reclaimable }: Capacity,
+  zone: string,
+  requirement: Requirement,
+): (added: number) => number {
+  let elsewhere = 0;
+  for (const [other, capacity] of reclaimable) {
+    if (other !== zone) elsewhere = Math.max(elsewhere, capacity);
+  }
+  const here = reclaimable.get(zone) ?? 0;
+  return (added) => {
+    const largest = Math.max(elsewhere, here + added);
+    const left = total + added - largest;
+    return Math.max(0, requirement.needed - total - added) +
+      Math.max(0, requirement.protected - left);
+  };
+}
+
+/** Finds the least count up to `most` that is enough, `most` if none is. */
+function findLeast(
+  most: number,
+  isEnough: (count: number) => boolean,
+): number {
+  let low = 0;
+  let high = most;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (isEnough(middle)) high = middle;
+    else low = middle + 1;
   }
-  return { offers: kept.reverse(), cost: keptCost, deficit };
+  return low;
 }
 
 function isBetter(a: Purchase, b: Purchase): boolean {
