--- a/packages/fleet/src/capacity_plan.ts
+++ b/packages/fleet/src/capacity_plan.ts
@@ -185,7 +185,7 @@
   let capacity = computeCapacity(input.classCapacity, running);
   const returned: string[] = [];
   for (const host of sortDearestFirst(input, running)) {
-    const rest = computeSum(capacity, host, -getCapacity(input, host));
+    const rest = computeSum(capacity, host, -findCapacity(input, host));
     if (computeDeficit(rest, requirement) > capacityEpsilon) continue;
     capacity = rest;
     returned.push(host.host);
@@ -219,7 +219,7 @@
 
 /** Price of one unit of a host's capacity. */
 function computeHostPrice(input: CapacityInput, host: Offer): number {
-  return findPrice(input, host) / getCapacity(input, host);
+  return findPrice(input, host) / findCapacity(input, host);
 }
 
 /** Price of a host's offer; a host without one is taken for the dearest. */
@@ -250,6 +250,6 @@
     )[0];
 }
 
-function getCapacity(input: CapacityInput, { machineClass }: Offer): number {
+function findCapacity(input: CapacityInput, { machineClass }: Offer): number {
   return input.classCapacity.get(machineClass) ?? 0;
 }
--- a/packages/fleet/src/spread_purchase.ts
+++ b/packages/fleet/src/spread_purchase.ts
@@ -49,7 +49,7 @@
   );
   let best: Purchase | undefined;
   for (const bound of listBounds(input)) {
-    const purchase = fill({ ...input, offers }, bound);
+    const purchase = choosePurchase({ ...input, offers }, bound);
     if (best === undefined || isBetter(purchase, best)) best = purchase;
   }
   return (best?.lots ?? []).flatMap(({ offer, count }) =>
@@ -83,7 +83,7 @@
 }
 
 /** Fills the cheapest data centres up to the bound. */
-function fill(input: SpreadInput, bound: number): Purchase {
+function choosePurchase(input: SpreadInput, bound: number): Purchase {
   const { requirement, classes } = input;
   let capacity = input.base;
   const lots: Lot[] = [];
@@ -103,11 +103,11 @@
     capacity = computeSum(before, offer, count * unit);
     lots.push({ offer, count });
   }
-  return trim(input, { lots, capacity });
+  return removeSurplus(input, { lots, capacity });
 }
 
 /** Drops hosts that turn out not to be needed, the dearest first. */
-function trim(
+function removeSurplus(
   { requirement, classes }: SpreadInput,
   { lots, capacity }: {
     readonly lots: readonly Lot[];
