--- a/packages/routing/src/team_limits.ts
+++ b/packages/routing/src/team_limits.ts
@@ -161,11 +161,7 @@
     this.#contended = demand > contendedFraction * total ||
       capacity.queued > overloadedQueueFraction * capacity.slots;
     this.#localCeiling = localBurstFactor * total / Math.max(1, liveNodes);
-    const { metrics, pool } = this.#options;
-    metrics.setGauge("team_pool_demand", demand, { pool });
-    metrics.setGauge("team_pool_capacity", total, { pool });
-    metrics.setGauge("team_pool_queued", capacity.queued, { pool });
-    metrics.setGauge("team_pool_contended", this.#contended ? 1 : 0, { pool });
+    this.#setPoolGauges({ demand, total, queued: capacity.queued });
     const spare = Math.max(0, total - demand);
     const limits = new Map<string, TeamLimit>();
     for (const share of computeShares(total, needs)) {
@@ -319,6 +315,19 @@
     return meter;
   }
 
+  #setPoolGauges(figures: {
+    readonly demand: number;
+    readonly total: number;
+    readonly queued: number;
+  }): void {
+    const { metrics, pool } = this.#options;
+    const contended = this.#contended ? 1 : 0;
+    metrics.setGauge("team_pool_demand", figures.demand, { pool });
+    metrics.setGauge("team_pool_capacity", figures.total, { pool });
+    metrics.setGauge("team_pool_queued", figures.queued, { pool });
+    metrics.setGauge("team_pool_contended", contended, { pool });
+  }
+
   #setGauges(): void {
     const { metrics, pool } = this.#options;
     for (const [team, { amount }] of this.#limits) {
--- a/packages/scenario/src/fleet_files.ts
+++ b/packages/scenario/src/fleet_files.ts
@@ -177,6 +177,12 @@
   };
 }
 
+/** A note that adds a team and nothing else. */
+export function createTeamNote(name: string): object {
+  const keyHash = computeKeyHash(formatTeamKey(name));
+  return { add: { teams: [{ name, keyHash, priority: 5, share: 1 }] } };
+}
+
 /** How a node reaches what may be cut off from it. */
 export interface NodeLinks {
   /** Address under which peers reach the node. */
--- a/packages/scenario/src/session.ts
+++ b/packages/scenario/src/session.ts
@@ -12,13 +12,19 @@
   type CallerTarget,
   ChatCall,
   issueKey,
-  type Outcome,
   sendBooking,
-  type ToldRun,
 } from "./caller.ts";
-import { formatTeamKey, model } from "./fleet_files.ts";
+import { FleetChecks } from "./fleet_checks.ts";
+import { createTeamNote, formatTeamKey, model } from "./fleet_files.ts";
 import type { StreamRow } from "@almondcrank/node/operator_messages.ts";
 import { InvariantWatch } from "./invariant_watch.ts";
+import {
+  createOutcome,
+  findToldRun,
+  formatOutcome,
+  type Outcome,
+} from "./outcome.ts";
+import { applyProcessFault } from "./process_fault.ts";
 import { RunningFleet } from "./running_fleet.ts";
 import { createEngineFault, createStoreFault } from "./stand_in_faults.ts";
 import type {
@@ -30,8 +36,6 @@
   Step,
 } from "./step.ts";
 
-const pollMs = 25;
-
 /** Result of one scenario. */
 export interface SessionResult {
   readonly scenario: Scenario;
@@ -157,7 +161,7 @@
       case "finish":
         return await this.#finish(step.name);
       case "process":
-        return await this.#applyProcessFault(step);
+        return await applyProcessFault(this.#readFleet(), step);
       case "engine":
         return await this.#control(
           await this.#findEngine(step.engine),
@@ -189,9 +193,9 @@
       case "expect_in_force":
         return await this.#checkInForce(step);
       case "expect_ready":
-        return await this.#checkReady(step);
+        return await this.#readChecks().checkReady(step.node, step.withinMs);
       case "expect_no_work":
-        return await this.#checkNoWork(step);
+        return await this.#readChecks().checkNoWork(step.engine, step.forMs);
     }
   }
 
@@ -214,19 +218,9 @@
   }
 
   #startApply(step: Extract<Step, { readonly kind: "apply" }>): undefined {
-    const note = {
-      add: {
-        teams: [{
-          name: step.team,
-          keyHash: "0".repeat(64),
-          priority: 5,
-          share: 1,
-        }],
-      },
-    };
     const ended = this.#readFleet().callOperator(step.node, "/apply", {
       file: `${step.name}.jsonc`,
-      text: JSON.stringify(note),
+      text: JSON.stringify(createTeamNote(step.team)),
       writeId: `scenario-${step.name}`,
     });
     this.#applies.set(step.name, { team: step.team, ended });
@@ -239,26 +233,6 @@
     return undefined;
   }
 
-  async #applyProcessFault(
-    step: Extract<Step, { readonly kind: "process" }>,
-  ): Promise<string | void> {
-    const fleet = this.#readFleet();
-    switch (step.fault) {
-      case "kill":
-        return await fleet.killNode(step.node);
-      case "freeze":
-        return fleet.findProgram(step.node).signal("SIGSTOP");
-      case "thaw":
-        return fleet.findProgram(step.node).signal("SIGCONT");
-      case "start":
-        return await fleet.startNode(step.node);
-      case "stop": {
-        const code = await fleet.stopNode(step.node);
-        return code === 0 ? undefined : `the process ended with ${code}`;
-      }
-    }
-  }
-
   async #control(part: string, order: object): Promise<undefined> {
     await this.#readFleet().control(part, "", order);
   }
@@ -274,24 +248,26 @@
     const outcome = await this.#waitOutcome(name);
     switch (expectation.kind) {
       case "answered":
-        return outcome.kind === "answered" ? undefined : format(outcome);
+        return outcome.kind === "answered" ? undefined : formatOutcome(outcome);
       case "whole":
         return this.#checkWhole(name, outcome);
       case "refused":
         return outcome.kind === "refused" &&
             outcome.reason === expectation.reason
           ? undefined
-          : format(outcome);
+          : formatOutcome(outcome);
       case "run": {
         const told = findToldRun(outcome);
-        return expectation.states.includes(told) ? undefined : format(outcome);
+        return expectation.states.includes(told)
+          ? undefined
+          : formatOutcome(outcome);
       }
     }
   }
 
   async #waitOutcome(name: string): Promise<Outcome> {
     const apply = this.#applies.get(name);
-    if (apply !== undefined) return toOutcome(await apply.ended);
+    if (apply !== undefined) return createOutcome(await apply.ended);
     const booking = this.#bookings.get(name);
     if (booking !== undefined) return await booking.ended;
     return await this.#findChat(name).waitEnd();
@@ -301,7 +277,7 @@
   #checkWhole(name: string, outcome: Outcome): string | undefined {
     const wrong = this.#checkTokens(name, this.#findChat(name));
     if (wrong !== undefined) return wrong;
-    if (outcome.kind !== "answered") return format(outcome);
+    if (outcome.kind !== "answered") return formatOutcome(outcome);
     this.#fact = ` => ${this.#findChat(name).tokens.length} tokens`;
     return undefined;
   }
@@ -324,90 +300,22 @@
   async #checkSlot(
     step: Extract<Step, { readonly kind: "expect_slot" }>,
   ): Promise<string | undefined> {
-    const count = await this.#countBookings(step.slot);
+    const count = await this.#readChecks().countBookings(step.slot);
     if (step.atLeast === step.atMost) this.#fact = ` => ${count} runs`;
     return count >= step.atLeast && count <= step.atMost
       ? undefined
       : `booked ${count} times`;
   }
 
-  async #countBookings(slot: string): Promise<number> {
-    const fleet = this.#readFleet();
-    let count = 0;
-    for (let service = 1; service <= fleet.size.bookings; service++) {
-      const answer = await fleet.control(`booking-${service}`, "/records");
-      const { records } = answer.body as {
-        records: readonly { slot?: string }[];
-      };
-      count += records.filter((record) => record.slot === slot).length;
-    }
-    return count;
-  }
-
   async #checkInForce(
     step: Extract<Step, { readonly kind: "expect_in_force" }>,
   ): Promise<string | undefined> {
     const apply = this.#applies.get(step.name);
     if (apply === undefined) throw new Error(`no apply ${step.name}`);
     const answer = await apply.ended;
-    if (answer.status !== 200) return format(toOutcome(answer));
+    if (answer.status !== 200) return formatOutcome(createOutcome(answer));
     const { revision } = answer.body as { revision: number };
-    const fleet = this.#readFleet();
-    const end = Date.now() + step.withinMs;
-    let behind = fleet.running;
-    while (Date.now() < end) {
-      const revisions = await this.#readRevisions(behind);
-      behind = behind.filter((node) => (revisions.get(node) ?? 0) < revision);
-      if (behind.length === 0) return undefined;
-      await sleep(pollMs);
-    }
-    return `not in force at nodes ${behind.join(", ")}`;
-  }
-
-  async #checkReady(
-    step: Extract<Step, { readonly kind: "expect_ready" }>,
-  ): Promise<string | undefined> {
-    const fleet = this.#readFleet();
-    const end = Date.now() + step.withinMs;
-    while (Date.now() < end) {
-      const answer = await fleet.callOperator(step.node, "/status")
-        .catch(() => undefined);
-      const body = answer?.body as { readiness?: string } | undefined;
-      if (body?.readiness === "ready") return undefined;
-      await sleep(pollMs);
-    }
-    return "not ready";
-  }
-
-  async #readRevisions(
-    nodes: readonly number[],
-  ): Promise<ReadonlyMap<number, number>> {
-    const fleet = this.#readFleet();
-    const revisions = new Map<number, number>();
-    await Promise.all(nodes.map(async (node) => {
-      const answer = await fleet.callOperator(node, "/status")
-        .catch(() => undefined);
-      const body = answer?.body as { revision?: number } | undefined;
-      revisions.set(node, body?.revision ?? 0);
-    }));
-    return revisions;
-  }
-
-  async #checkNoWork(
-    step: Extract<Step, { readonly kind: "expect_no_work" }>,
-  ): Promise<string | undefined> {
-    const from = await this.#readArrivals(step.engine);
-    await sleep(step.forMs);
-    const to = await this.#readArrivals(step.engine);
-    return to > from ? `${to - from} new requests arrived` : undefined;
-  }
-
-  async #readArrivals(engine: number): Promise<number> {
-    const answer = await this.#readFleet().control(
-      `engine-${engine}`,
-      "/records",
-    );
-    return (answer.body as { totals: { calls: number } }).totals.calls;
+    return await this.#readChecks().checkInForce(revision, step.withinMs);
   }
 
   /** What must hold at the end of every scenario. */
@@ -425,7 +333,7 @@
     for (const { slot } of this.#bookings.values()) slots.add(slot);
     for (const slot of slots) {
       const sent = [...this.#bookings.values()].filter((b) => b.slot === slot);
-      const runs = await this.#countBookings(slot);
+      const runs = await this.#readChecks().countBookings(slot);
       const keys = new Set(sent.map((booking) => booking.key ?? booking)).size;
       if (runs > keys) {
         this.#findings.push(`at the end: slot ${slot} ran ${runs} times`);
@@ -474,6 +382,10 @@
     return { address: callers, key: formatTeamKey(team) };
   }
 
+  #readChecks(): FleetChecks {
+    return FleetChecks.create(this.#readFleet());
+  }
+
   #readFleet(): RunningFleet {
     if (this.#fleet === undefined) {
       throw new Error("no fleet yet; write a fleet step first");
@@ -485,40 +397,3 @@
 function sleep(ms: number): Promise<undefined> {
   return new Promise((resolve) => setTimeout(() => resolve(undefined), ms));
 }
-
-function findToldRun(outcome: Outcome): ToldRun {
-  switch (outcome.kind) {
-    case "answered":
-      return "ran";
-    case "refused":
-      return outcome.run;
-    case "cut":
-      return "unknown";
-  }
-}
-
-function format(outcome: Outcome): string {
-  switch (outcome.kind) {
-    case "answered":
-      return "answered";
-    case "refused":
-      return `refused ${outcome.reason}, run ${outcome.run}`;
-    case "cut":
-      return "cut without an answer";
-  }
-}
-
-/** Outcome of an operators' call. */
-function toOutcome(
-  answer: { readonly status: number; readonly body: unknown },
-): Outcome {
-  if (answer.status === 200) return { kind: "answered", body: "" };
-  const error = (answer.body as {
-    error?: { kind?: string; run?: ToldRun };
-  }).error;
-  return {
-    kind: "refused",
-    reason: error?.kind ?? "unnamed",
-    run: error?.run ?? "unknown",
-  };
-}
