--- /dev/null
+++ b/packages/scenario/src/testing/test_fleet.ts
@@ -0,0 +1,236 @@
+/**
+ * A small fleet in the test's own process: stand-ins and nodes on loopback.
+ */
+
+import { SystemClock } from "@almondcrank/common/clock.ts";
+import { type Disposable } from "@almondcrank/common/disposables.ts";
+import { computeKeyHash } from "@almondcrank/common/hashing.ts";
+import { createSilentLog, type Log } from "@almondcrank/common/logs.ts";
+import { Node } from "@almondcrank/node/node.ts";
+import { parseNodeSettings } from "@almondcrank/node/settings.ts";
+import { EngineStandin } from "@almondcrank/standin/engine_standin.ts";
+import { PlainServiceStandin } from "@almondcrank/standin/plain_standin.ts";
+import { StandinSet } from "@almondcrank/standin/standin_set.ts";
+import { request } from "undici";
+
+const freePort = "127.0.0.1:0";
+const zone = "muc-1";
+const readyTimeoutMs = 10_000;
+const pollMs = 10;
+
+/** Key of the fleet's operators. */
+export const operatorKey = "operator-key-0123456789";
+/** Key of the fleet's only team. */
+export const teamKey = "team-key-0123456789";
+/** Model of the service `assistant`. */
+export const testModel = "pruef-14b";
+
+/** What differs between the fleets of tests. */
+export interface TestFleetOptions {
+  readonly nodes?: number;
+  readonly limits?: Readonly<Record<string, number>>;
+  readonly log?: Log;
+  /** Settings of the engine `engine-1`. */
+  readonly engine?: Readonly<Record<string, number>>;
+}
+
+/** Running fleet of a test. */
+export class TestFleet implements Disposable {
+  readonly standins: StandinSet;
+  readonly nodes: readonly Node[];
+
+  private constructor(standins: StandinSet, nodes: readonly Node[]) {
+    this.standins = standins;
+    this.nodes = nodes;
+  }
+
+  /** Starts everything; resolves once the first note is in force everywhere. */
+  static async open(options: TestFleetOptions = {}): Promise<TestFleet> {
+    const standins = await StandinSet.open(
+      createStandinSettings(options),
+      { clock: SystemClock.create() },
+    );
+    const nodes: Node[] = [];
+    const fleet = new TestFleet(standins, nodes);
+    try {
+      for (let number = 1; number <= (options.nodes ?? 1); number++) {
+        const text = createSettingsText(number, fleet, options);
+        const settings = parseNodeSettings("test", text).unsafeCoerce();
+        const log = options.log ?? createSilentLog();
+        nodes.push(await Node.open({ settings, log }));
+      }
+      await fleet.#applyFirstNote();
+      return fleet;
+    } catch (thrown) {
+      fleet.dispose();
+      throw thrown;
+    }
+  }
+
+  /** Callers' address of the first node. */
+  get callers(): string {
+    return this.#findFirst().addresses.callers;
+  }
+
+  /** Operators' address of the first node. */
+  get operators(): string {
+    return this.#findFirst().addresses.operators;
+  }
+
+  get engine(): EngineStandin {
+    const part = this.standins.findPart("engine-1");
+    if (!(part instanceof EngineStandin)) throw new Error("no engine");
+    return part;
+  }
+
+  get booking(): PlainServiceStandin {
+    const part = this.standins.findPart("booking-1");
+    if (!(part instanceof PlainServiceStandin)) throw new Error("no booking");
+    return part;
+  }
+
+  dispose(): void {
+    for (const node of this.nodes) node.dispose();
+    this.standins.dispose();
+  }
+
+  #findFirst(): Node {
+    const node = this.nodes[0];
+    if (node === undefined) throw new Error("the fleet has no nodes");
+    return node;
+  }
+
+  async #applyFirstNote(): Promise<void> {
+    const answer = await request(`http://${this.operators}/apply`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${operatorKey}` },
+      body: JSON.stringify({
+        file: "first.jsonc",
+        text: JSON.stringify(createFirstNote(this.standins)),
+        writeId: "first-note",
+      }),
+    });
+    const text = await answer.body.text();
+    if (answer.statusCode !== 200) throw new Error(`first note: ${text}`);
+    const { revision } = JSON.parse(text) as { revision: number };
+    await waitUntil(() =>
+      this.nodes.every((node) => node.revision >= revision)
+    );
+    await waitUntil(async () => await this.#isServing());
+  }
+
+  async #isServing(): Promise<boolean> {
+    const answer = await request(`http://${this.operators}/status`, {
+      headers: { authorization: `Bearer ${operatorKey}` },
+    });
+    const status = await answer.body.json() as {
+      readiness: string;
+      endpoints: readonly { running?: number }[];
+    };
+    return status.readiness === "ready" && status.endpoints.length === 2 &&
+      status.endpoints.every(({ running }) => running !== undefined);
+  }
+}
+
+/** Waits until a check holds; rejects when it does not in time. */
+export async function waitUntil(
+  check: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const end = performance.now() + readyTimeoutMs;
+  while (!(await check())) {
+    if (performance.now() > end) throw new Error("waited too long");
+    await new Promise((resolve) => setTimeout(resolve, pollMs));
+  }
+}
+
+function createStandinSettings(
+  options: TestFleetOptions,
+): Parameters<typeof StandinSet.open>[0] {
+  return {
+    seed: 1,
+    objectApi: { address: freePort },
+    hostList: { address: freePort },
+    cloudApi: { address: freePort },
+    weightStore: { address: freePort },
+    engines: [{
+      name: "engine-1",
+      address: freePort,
+      service: "assistant",
+      zone,
+      machineClass: "gpu-l",
+      models: [{ model: testModel, version: "1", adapters: ["formal"] }],
+      ...options.engine,
+    }],
+    plainServices: [{
+      name: "booking-1",
+      address: freePort,
+      service: "booking",
+      zone,
+      market: "on_demand",
+    }],
+  };
+}
+
+function createSettingsText(
+  number: number,
+  { standins, nodes }: TestFleet,
+  options: TestFleetOptions,
+): string {
+  return JSON.stringify({
+    node: `node-${number}`,
+    zone,
+    listen: { callers: freePort, peers: freePort, operators: freePort },
+    peers: nodes.map((node) => node.addresses.peers),
+    peerKey: "peer-key-0123456789",
+    operatorKey,
+    platform: {
+      objectApi: standins.objectApi?.address,
+      hostList: standins.hostList?.address,
+      cloudApi: standins.cloudApi?.address,
+      weightStore: standins.weightStore?.address,
+    },
+    limits: options.limits ?? {},
+  });
+}
+
+function createFirstNote(standins: StandinSet): object {
+  const endpoint = (name: string, service: string): object => ({
+    name,
+    service,
+    address: standins.findPart(name)?.address,
+    host: name,
+    zone,
+    machineClass: "gpu-l",
+    market: "on_demand",
+    checksFencing: true,
+  });
+  const keyHash = computeKeyHash(teamKey);
+  return {
+    add: {
+      teams: [{ name: "desk", keyHash, priority: 0, share: 1 }],
+      models: [{ name: testModel, version: "1", weightBytes: 16_000_000_000 }],
+      adapters: [{ name: "formal", version: "1", model: testModel }],
+      services: [
+        {
+          kind: "model",
+          name: "assistant",
+          model: testModel,
+          adapters: ["formal"],
+          target: { firstTokenMs: 1_600, betweenTokensMs: 100 },
+          timeoutMs: 30_000,
+          maxOutputTokens: 512,
+        },
+        {
+          kind: "plain",
+          name: "booking",
+          idempotentMethods: ["GET", "HEAD"],
+          timeoutMs: 5_000,
+        },
+      ],
+      endpoints: [
+        endpoint("engine-1", "assistant"),
+        endpoint("booking-1", "booking"),
+      ],
+    },
+  };
+}
