Report a test file whose hooks throw as failed

uvu ends with code 0 and 'Passed: 0' of 'Total: 23' when a before hook throws (seen with a before hook that could not open its fleet: run_tests printed 'ok', 0 passed). Fewer results than tests is now a failure of the file.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -62,11 +62,15 @@
 function parseResult({ path, output, code, timedOut }) {
   const total = Number(/^\s*Total:\s+(\d+)/m.exec(output)?.[1] ?? 0);
   const passed = Number(/^\s*Passed:\s+(\d+)/m.exec(output)?.[1] ?? 0);
+  const skipped = Number(/^\s*Skipped:\s+(\d+)/m.exec(output)?.[1] ?? 0);
   const failed = [...output.matchAll(/^\s*FAIL\s+(?:\S+\s+)?"(.*)"\s*$/gm)]
     .map((match) => `${path} > ${match[1]}`);
   if (timedOut) failed.push(`${path} > (timed out)`);
   else if (total === 0 || (code !== 0 && failed.length === 0)) {
     failed.push(`${path} > (did not finish)`);
+  } else if (passed + skipped + failed.length < total) {
+    // uvu ends with code 0 when a hook throws before the first test.
+    failed.push(`${path} > (did not finish)`);
   }
   return { passed, failed };
 }
