Answer every bad input with a clear error, and keep the answer

Cause: requestTimeoutMs under 5 s kept a node from starting, since Node.js wants the headers' time-out below it. A body given up midway destroyed the request, and with it the connection. Errors of the server itself had no run field and no remedy. Connections over the limit were dropped without a word. Change: the headers' time-out is at most the request's; the rest of a refused body passes, bounded in bytes and silence, after the answer; kinds and messages of the server's own errors are in server_error.ts; up to 64 connections over the limit get 503 too_many_connections and Retry-After; operators' bodies that are too large get 413, an incomplete body of a plain call 400 instead of 413.

--- a/packages/common/src/http_server.ts
+++ b/packages/common/src/http_server.ts
@@ -8,12 +8,20 @@
   type IncomingMessage,
   type Server,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import createRouter, { type HTTPVersion, type Instance } from "find-my-way";
 import { type Either, Left, Right } from "purify-ts";
 import { type Address, formatAddress, parseAddress } from "./address.ts";
 import { formatThrown, KindError } from "./kind_error.ts";
+import {
+  createClientError,
+  createNoSuchPath,
+  formatServerError,
+  type ServerError,
+} from "./server_error.ts";
 
 /** Limits of one listener. */
 export interface HttpLimits {
@@ -34,6 +42,16 @@
   requestTimeoutMs: 15_000,
 };
 
+/** Connections over the limit that are still answered; the rest is dropped. */
+const refusedConnections = 64;
+/** Bytes of a refused body that may still arrive. */
+const maxDiscardBytes = 16_777_216;
+/** Silence after which a connection with a refused body is closed. */
+const lingerMs = 1_000;
+
+/** Connections on which the rest of a refused body passes. */
+const discarding = new WeakSet<Socket>();
+
 /** One request with the parameters of its route. */
 export interface HttpExchange {
   readonly request: IncomingMessage;
@@ -94,12 +112,19 @@
 export class HttpServer {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** Connections over the limit, which are told so and closed. */
+  readonly #refused = new Set<Socket>();
 
-  private constructor(server: Server) {
+  private constructor(server: Server, maxConnections: number) {
     this.#server = server;
     server.on("connection", (socket) => {
+      const served = this.#sockets.size - this.#refused.size;
+      if (served >= maxConnections) this.#refused.add(socket);
       this.#sockets.add(socket);
-      socket.once("close", () => this.#sockets.delete(socket));
+      socket.once("close", () => {
+        this.#sockets.delete(socket);
+        this.#refused.delete(socket);
+      });
     });
   }
 
@@ -114,14 +139,25 @@
     }
     const server = createServer({
       maxHeaderSize: limits.maxHeaderBytes,
-      headersTimeout: limits.headersTimeoutMs,
+      headersTimeout: Math.min(
+        limits.headersTimeoutMs,
+        limits.requestTimeoutMs,
+      ),
       requestTimeout: limits.requestTimeoutMs,
       connectionsCheckingInterval: 1_000,
       noDelay: true,
-    }, createListener(options));
-    server.maxConnections = limits.maxConnections;
-    server.on("clientError", handleClientError);
-    const opened = new HttpServer(server);
+    });
+    server.maxConnections = limits.maxConnections + refusedConnections;
+    server.on(
+      "clientError",
+      (error, socket) => handleClientError(error, { socket, limits }),
+    );
+    const opened = new HttpServer(server, limits.maxConnections);
+    const listener = createListener(options);
+    server.on("request", (request, response) => {
+      if (!opened.#refused.has(request.socket)) listener(request, response);
+      else refuseConnection(response, limits.maxConnections);
+    });
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(parts.port, parts.host, () => {
@@ -164,12 +200,7 @@
   const router = createRouter<HTTPVersion.V1>({
     ignoreTrailingSlash: true,
     defaultRoute: (_request, response) => {
-      sendJson(response, 404, {
-        error: {
-          kind: "no_such_path",
-          message: "no such path; see the documentation for the paths",
-        },
-      });
+      sendServerError(response, createNoSuchPath());
     },
   });
   for (const route of options.routes) addRoute(router, route, options);
@@ -208,40 +239,58 @@
   else router.on(route.method, route.path, handle);
 }
 
+function sendServerError(response: ServerResponse, error: ServerError): void {
+  sendJson(response, error.status, formatServerError(error));
+}
+
 function sendInternalError(response: ServerResponse, thrown: unknown): void {
-  sendJson(response, 500, {
-    error: { kind: "internal", message: formatThrown(thrown) },
+  sendServerError(response, {
+    status: 500,
+    kind: "internal",
+    message: `${formatThrown(thrown)}; report it to the operators`,
+    run: "unknown",
+  });
+}
+
+function refuseConnection(response: ServerResponse, limit: number): void {
+  response.setHeader("connection", "close");
+  response.setHeader("retry-after", "1");
+  sendServerError(response, {
+    status: 503,
+    kind: "too_many_connections",
+    message:
+      `more than ${limit} connections are open; use open ones again or ask another node`,
+    run: "not_run",
   });
 }
 
 function handleClientError(
   error: NodeJS.ErrnoException,
-  socket: import("node:stream").Duplex,
+  client: { readonly socket: Duplex; readonly limits: HttpLimits },
 ): void {
-  if (error.code === "ECONNRESET" || !socket.writable) {
+  const { socket, limits } = client;
+  if (
+    error.code === "ECONNRESET" || !socket.writable || isAnswered(socket)
+  ) {
     socket.destroy();
     return;
   }
-  const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
-  const timedOut = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
-  const status = tooLarge
-    ? "431 Request Header Fields Too Large"
-    : timedOut
-    ? "408 Request Timeout"
-    : "400 Bad Request";
-  const kind = tooLarge
-    ? "headers_too_large"
-    : timedOut
-    ? "request_too_slow"
-    : "malformed_http";
-  const body = JSON.stringify({
-    error: { kind, message: `${kind}; send a well-formed request` },
-  });
+  const answer = createClientError(error.code, limits);
+  const body = JSON.stringify(formatServerError(answer));
+  const reason = STATUS_CODES[answer.status];
   socket.end(
-    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nconnection: close\r\ncontent-length: ${
+    `HTTP/1.1 ${answer.status} ${reason}\r\ncontent-type: application/json; charset=utf-8\r\nconnection: close\r\ncontent-length: ${
       Buffer.byteLength(body)
     }\r\n\r\n${body}`,
   );
+  if (socket instanceof Socket) {
+    socket.setTimeout(lingerMs, () => socket.destroy());
+  }
+}
+
+/** Whether the request in progress has its answer, so that none may follow. */
+function isAnswered(socket: Duplex): boolean {
+  return socket instanceof Socket && discarding.has(socket);
 }
 
 /** Answers with JSON. */
@@ -268,7 +317,11 @@
   const chunks: Buffer[] = [];
   let size = 0;
   try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
+    // A body that is given up must not take the connection and answer with it.
+    const reading: AsyncIterable<Buffer> = request.iterator({
+      destroyOnReturn: false,
+    });
+    for await (const chunk of reading) {
       size += chunk.length;
       if (size > limitBytes) {
         return Left(BodyError.create({ kind: "body_too_large", limitBytes }));
@@ -281,6 +334,26 @@
   return Right(Buffer.concat(chunks));
 }
 
+/**
+ * Lets the rest of a refused body pass after the answer was sent.
+ *
+ * Closing a connection with unread bytes resets it, and the caller may lose the
+ * answer; what may still arrive is bounded in bytes and silence.
+ */
+export function discardBody({ request }: HttpExchange): void {
+  if (request.complete) return;
+  const { socket } = request;
+  let left = maxDiscardBytes;
+  discarding.add(socket);
+  request.on("data", (chunk: Buffer) => {
+    left -= chunk.length;
+    if (left < 0) socket.destroySoon();
+  });
+  request.once("end", () => socket.destroySoon());
+  socket.setTimeout(lingerMs, () => socket.destroySoon());
+  request.resume();
+}
+
 /** Reads a whole body as JSON. */
 export async function readJsonBody(
   request: IncomingMessage,
--- a/packages/node/src/chat_front.ts
+++ b/packages/node/src/chat_front.ts
@@ -11,6 +11,7 @@
   Team,
 } from "@almondcrank/common/configuration.ts";
 import {
+  type BodyError,
   type HttpExchange,
   readJsonBody,
   sendJson,
@@ -29,7 +30,11 @@
   parseChatRequest,
   parseEventId,
 } from "./chat_protocol.ts";
-import { sendBadRequest, sendRefusal } from "./refusal_answer.ts";
+import {
+  sendBadRequest,
+  sendBodyError,
+  sendRefusal,
+} from "./refusal_answer.ts";
 import { readTimeout } from "./request_timeout.ts";
 
 const millisecondsPerSecond = 1_000;
@@ -97,14 +102,7 @@
       this.#options.maxBodyBytes,
     );
     if (body.isLeft()) {
-      const error = body.extract();
-      const status = error.kind === "body_too_large" ? 413 : 400;
-      exchange.response.setHeader("connection", "close");
-      return sendBadRequest(exchange.response, {
-        status,
-        kind: error.kind,
-        message: error.message,
-      });
+      return sendBodyError(exchange, body.extract() as BodyError);
     }
     const chat = parseChatRequest(body.extract());
     if (chat.isLeft()) {
--- a/packages/node/src/chat_protocol.ts
+++ b/packages/node/src/chat_protocol.ts
@@ -42,7 +42,9 @@
 /** Parses the body of a chat request; `Left` is a message for the caller. */
 export function parseChatRequest(body: unknown): Either<string, ChatRequest> {
   const parsed = requestSchema.safeParse(body);
-  if (!parsed.success) return Left(formatIssues(parsed.error));
+  if (!parsed.success) {
+    return Left(`${formatIssues(parsed.error)}; correct the request`);
+  }
   const { data } = parsed;
   return Right({
     model: data.model,
@@ -53,11 +55,12 @@
   });
 }
 
-function formatIssues(error: z.ZodError): string {
+/** Names each fault of a body with its place. */
+export function formatIssues(error: z.ZodError): string {
   const faults = error.issues.map((issue) =>
     `${issue.path.join(".") || "body"}: ${issue.message}`
   );
-  return `${faults.join("; ")}; correct the request`;
+  return faults.join("; ");
 }
 
 function formatPrompt(
--- a/packages/node/src/operators_front.ts
+++ b/packages/node/src/operators_front.ts
@@ -9,6 +9,7 @@
 import type { z } from "zod";
 import type { ConfigurationSource } from "@almondcrank/common/configuration.ts";
 import {
+  type BodyError,
   type HttpExchange,
   type HttpRoute,
   readJsonBody,
@@ -25,7 +26,7 @@
 } from "@almondcrank/fleet/release_writer.ts";
 import { hasBearerKey } from "./authentication.ts";
 import { createHealthRoutes, type Readiness } from "./callers_front.ts";
-import { formatError } from "./chat_protocol.ts";
+import { formatError, formatIssues } from "./chat_protocol.ts";
 import {
   applyRequestSchema,
   diffRequestSchema,
@@ -33,7 +34,7 @@
   type NodeStatus,
   type StreamList,
 } from "./operator_messages.ts";
-import { sendBadRequest } from "./refusal_answer.ts";
+import { sendBadRequest, sendBodyError } from "./refusal_answer.ts";
 
 /** Services that the operators' routes work with. */
 export interface OperatorsFrontOptions {
@@ -134,18 +135,16 @@
   schema: z.ZodType<T>,
 ): Promise<T | undefined> {
   const body = await readJsonBody(exchange.request);
-  const message = body.caseOf<string | undefined>({
-    Left: (error) => error.message,
-    Right: (value) => {
-      const parsed = schema.safeParse(value);
-      return parsed.success ? undefined : `${parsed.error.message}; correct it`;
-    },
-  });
-  if (message === undefined) return schema.parse(body.extract());
+  if (body.isLeft()) {
+    sendBodyError(exchange, body.extract() as BodyError);
+    return undefined;
+  }
+  const parsed = schema.safeParse(body.extract());
+  if (parsed.success) return parsed.data;
   sendBadRequest(exchange.response, {
     status: 400,
     kind: "bad_request",
-    message,
+    message: `${formatIssues(parsed.error)}; correct the request`,
   });
   return undefined;
 }
--- a/packages/node/src/plain_front.ts
+++ b/packages/node/src/plain_front.ts
@@ -9,13 +9,18 @@
   Team,
 } from "@almondcrank/common/configuration.ts";
 import {
+  type BodyError,
   type HttpExchange,
   readBody,
   sendJson,
 } from "@almondcrank/common/http_server.ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
 import type { PlainRouter } from "@almondcrank/routing/plain_router.ts";
-import { sendBadRequest, sendRefusal } from "./refusal_answer.ts";
+import {
+  sendBadRequest,
+  sendBodyError,
+  sendRefusal,
+} from "./refusal_answer.ts";
 import { readTimeout } from "./request_timeout.ts";
 
 const maxKeyLength = 512;
@@ -77,13 +82,7 @@
       readTimeout(request, service.timeoutMs);
     const body = await readBody(request, this.#options.maxBodyBytes);
     if (body.isLeft()) {
-      const error = body.extract();
-      response.setHeader("connection", "close");
-      return sendBadRequest(response, {
-        status: 413,
-        kind: "body_unreadable",
-        message: error instanceof Error ? error.message : "",
-      });
+      return sendBodyError(exchange, body.extract() as BodyError);
     }
     const gone = new AbortController();
     response.once("close", () => gone.abort());
--- a/packages/node/src/refusal_answer.ts
+++ b/packages/node/src/refusal_answer.ts
@@ -3,7 +3,12 @@
  */
 
 import type { ServerResponse } from "node:http";
-import { sendJson } from "@almondcrank/common/http_server.ts";
+import {
+  type BodyError,
+  discardBody,
+  type HttpExchange,
+  sendJson,
+} from "@almondcrank/common/http_server.ts";
 import type {
   Refusal,
   RefusalDetail,
@@ -69,3 +74,16 @@
 ): void {
   sendJson(response, error.status, { error: formatError(error) });
 }
+
+/** Answers a request whose body cannot be used. */
+export function sendBodyError(exchange: HttpExchange, error: BodyError): void {
+  const { response } = exchange;
+  // Without this, a connection would be closed before the rest was read.
+  if (!exchange.request.complete) response.shouldKeepAlive = true;
+  sendBadRequest(response, {
+    status: error.kind === "body_too_large" ? 413 : 400,
+    kind: error.kind,
+    message: error.message,
+  });
+  discardBody(exchange);
+}
