Compare whole sessions of operators and callers with golden transcripts

One session each against an in-process fleet; ids, keys, ports and times are replaced by names, all else is compared byte by byte.

--- /dev/null
+++ b/packages/scenario/src/golden_session_test.ts
@@ -0,0 +1,17 @@
+import { readFileSync } from "node:fs";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import {
+  formatGoldenPath,
+  goldenSessions,
+  runGoldenSession,
+} from "./golden_session.ts";
+
+for (const session of goldenSessions) {
+  test(`the ${session.name}'s session is the golden one`, async () => {
+    const golden = readFileSync(formatGoldenPath(session), "utf8");
+    assert.fixture(`${await runGoldenSession(session)}\n`, golden);
+  });
+}
+
+test.run();
