--- a/packages/common/src/random.ts
+++ b/packages/common/src/random.ts
@@ -9,6 +9,8 @@
 import { type RandomGenerator, xoroshiro128plus } from "pure-rand";
 
 const range = 0x1_0000_0000;
+/** Numbers after which the state no longer shows that a seed was small. */
+const discardedNumbers = 64;
 
 /** Uniform random numbers from one seed. */
 export class Random {
@@ -16,6 +18,7 @@
 
   private constructor(seed: number) {
     this.#generator = xoroshiro128plus(seed);
+    for (let count = 0; count < discardedNumbers; count++) this.next();
   }
 
   /** @param seed Whole number; drawn from the system when left out. */
--- a/packages/common/src/random_test.ts
+++ b/packages/common/src/random_test.ts
@@ -15,4 +15,19 @@
   assert.ok(Math.abs(sum / 10_000 - 0.5) < 0.02);
 });
 
+test("the first numbers after small seeds are spread like any others", () => {
+  const seeds = 200;
+  for (let position = 0; position < 4; position++) {
+    let sum = 0;
+    for (let seed = 1; seed <= seeds; seed++) {
+      const random = Random.create(seed);
+      for (let skipped = 0; skipped < position; skipped++) random.next();
+      sum += random.next();
+    }
+    // Five standard deviations of the mean of 200 uniform numbers.
+    const spread = 5 * Math.sqrt(1 / 12 / seeds);
+    assert.ok(Math.abs(sum / seeds - 0.5) < spread, `position ${position}`);
+  }
+});
+
 test.run();
--- a/packages/membership/src/peer_clients.ts
+++ b/packages/membership/src/peer_clients.ts
@@ -27,7 +27,7 @@
 const defaultTimeoutMs = 2_000;
 const connectTimeoutMs = 1_000;
 const keepAliveTimeoutMs = 60_000;
-const connectionsPerPeer = 4;
+const defaultConnectionsPerPeer = 4;
 
 /** Options of the clients. */
 export interface PeerClientsOptions {
@@ -36,6 +36,8 @@
   readonly metrics: Metrics;
   /** Deadline of calls that state none, in milliseconds. */
   readonly timeoutMs?: number;
+  /** Connections to one peer at once; further calls wait for one. */
+  readonly connectionsPerPeer?: number;
 }
 
 /** One call. */
@@ -66,7 +68,10 @@
 
   private constructor(options: PeerClientsOptions) {
     this.bytes = ByteMeter.create();
-    this.#agent = createAgent(this.bytes);
+    this.#agent = createAgent(
+      this.bytes,
+      options.connectionsPerPeer ?? defaultConnectionsPerPeer,
+    );
     this.#proof = computePeerProof(options.key);
     this.#metrics = options.metrics;
     this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
@@ -162,10 +167,10 @@
 
 class UnauthorizedError extends Error {}
 
-function createAgent(bytes: ByteMeter): Agent {
+function createAgent(bytes: ByteMeter, connections: number): Agent {
   const connect = buildConnector({ timeout: connectTimeoutMs });
   return new Agent({
-    connections: connectionsPerPeer,
+    connections,
     pipelining: 1,
     keepAliveTimeout: keepAliveTimeoutMs,
     connect: (options, callback) =>
--- a/packages/node/src/chat_front.ts
+++ b/packages/node/src/chat_front.ts
@@ -11,6 +11,7 @@
   Team,
 } from "@almondcrank/common/configuration.ts";
 import {
+  type BodyError,
   type HttpExchange,
   readJsonBody,
   sendJson,
@@ -30,7 +31,11 @@
   parseEventId,
 } from "./chat_protocol.ts";
 import { EventWriter } from "./event_writer.ts";
-import { sendBadRequest, sendRefusal } from "./refusal_answer.ts";
+import {
+  sendBadRequest,
+  sendBodyError,
+  sendRefusal,
+} from "./refusal_answer.ts";
 import { readTimeout } from "./request_timeout.ts";
 
 const millisecondsPerSecond = 1_000;
@@ -98,14 +103,7 @@
       this.#options.maxBodyBytes,
     );
     if (body.isLeft()) {
-      const error = body.extract();
-      const status = error.kind === "body_too_large" ? 413 : 400;
-      exchange.response.setHeader("connection", "close");
-      return sendBadRequest(exchange.response, {
-        status,
-        kind: error.kind,
-        message: error.message,
-      });
+      return sendBodyError(exchange, body.extract() as BodyError);
     }
     const chat = parseChatRequest(body.extract());
     if (chat.isLeft()) {
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -23,6 +23,8 @@
   type RequestHandlers,
 } from "./peer_router.ts";
 
+const requestConnectionsPerPeer = 64;
+
 /** What a cluster is made with. */
 export interface ClusterOptions extends NodeServices {
   readonly store: ObjectStore;
@@ -32,7 +34,8 @@
 /** The node's links to its peers. */
 export class Cluster implements Disposable {
   readonly server: PeerServer;
-  readonly clients: PeerClients<NodeRouter>;
+  /** Calls of the request paths, which may take long. */
+  readonly requests: PeerClients<NodeRouter>;
   readonly membership: ClusterMembership;
   readonly spread: ConfigurationSpread;
   readonly #disposables: DisposableStore;
@@ -43,7 +46,7 @@
     disposables: DisposableStore,
   ) {
     this.server = server;
-    this.clients = links.clients;
+    this.requests = links.requests;
     this.membership = links.membership;
     this.spread = links.spread;
     this.#disposables = disposables;
@@ -93,7 +96,7 @@
 }
 
 interface Links {
-  readonly clients: PeerClients<NodeRouter>;
+  readonly requests: PeerClients<NodeRouter>;
   readonly membership: ClusterMembership;
   readonly spread: ConfigurationSpread;
 }
@@ -108,6 +111,14 @@
   const clients = disposables.register(
     PeerClients.create<NodeRouter>({ key: settings.peerKey, metrics }),
   );
+  // Long calls have connections of their own, so that heartbeats never wait.
+  const requests = disposables.register(
+    PeerClients.create<NodeRouter>({
+      key: settings.peerKey,
+      metrics,
+      connectionsPerPeer: requestConnectionsPerPeer,
+    }),
+  );
   const transport = TrpcPeerTransport.create(clients, (client) => client);
   const membership = disposables.register(ClusterMembership.create({
     ...options,
@@ -137,5 +148,5 @@
       log,
     }),
   );
-  return { clients, membership, spread };
+  return { requests, membership, spread };
 }
--- a/packages/node/src/load_exchange.ts
+++ b/packages/node/src/load_exchange.ts
@@ -24,6 +24,7 @@
 } from "@almondcrank/membership/membership.ts";
 import { LimitsFeed } from "@almondcrank/routing/limits_feed.ts";
 import type { LoadTable } from "@almondcrank/routing/load_table.ts";
+import type { PlainLoads } from "@almondcrank/routing/plain_loads.ts";
 import type { TeamLimits } from "@almondcrank/routing/team_limits.ts";
 import type { EndpointClients } from "./endpoint_clients.ts";
 import type { NodeServices } from "./node_services.ts";
@@ -34,6 +35,7 @@
   readonly configuration: ConfigurationSpread;
   readonly endpoints: EndpointClients;
   readonly loads: LoadTable;
+  readonly plainLoads: PlainLoads;
   /** Limits of model services, counted in tokens. */
   readonly modelLimits: TeamLimits;
   /** Limits of plain services, counted in calls. */
@@ -96,6 +98,7 @@
   #record(load: EndpointLoad): void {
     this.#latest.set(load.endpoint, load);
     this.#options.loads.record(load);
+    this.#options.plainLoads.record(load);
   }
 
   #recordDigest(digest: Digest): void {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -228,7 +228,7 @@
   }
 
   async #drainByName(name: string): Promise<Either<string, void>> {
-    const { membership, clients } = this.#cluster;
+    const { membership, requests } = this.#cluster;
     if (name === membership.self.node) {
       void this.drain();
       return Right(undefined);
@@ -237,7 +237,7 @@
     if (member === undefined) {
       return Left(`no node "${name}" is known; list them with status`);
     }
-    const answer = await clients.call(member.identity.peerAddress, {
+    const answer = await requests.call(member.identity.peerAddress, {
       send: ({ client, signal }) => client.drain.mutate(undefined, { signal }),
     });
     return answer.mapLeft((error) => error.message).map(() => undefined);
--- a/packages/node/src/request_paths.ts
+++ b/packages/node/src/request_paths.ts
@@ -8,8 +8,9 @@
   DisposableStore,
 } from "@almondcrank/common/disposables.ts";
 import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import { ClaimCleaner } from "@almondcrank/routing/claim_cleaner.ts";
 import { LoadTable } from "@almondcrank/routing/load_table.ts";
-import type { PlainLoadSource } from "@almondcrank/routing/plain_choice.ts";
+import { PlainLoads } from "@almondcrank/routing/plain_loads.ts";
 import { RetryBudget } from "@almondcrank/routing/retry_budget.ts";
 import { RoutedCalls } from "@almondcrank/routing/routed_calls.ts";
 import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
@@ -20,6 +21,9 @@
 import type { NodeServices } from "./node_services.ts";
 import { NodeKeyPeers, NodeStreamPeers } from "./request_peers.ts";
 
+/** Twice the lifetime of keys, in which a claim may still be asked for. */
+const claimKeepMs = 1_800_000;
+
 /** What the paths are made with. */
 export interface RequestPathsOptions extends NodeServices {
   readonly cluster: Cluster;
@@ -33,11 +37,12 @@
   readonly exchange: LoadExchange;
   readonly models: RoutedModels;
   readonly calls: RoutedCalls;
+  readonly #cleaner: ClaimCleaner;
   readonly #disposables = DisposableStore.create();
 
   private constructor(options: RequestPathsOptions) {
     const { clock, cluster, settings, store } = options;
-    const { membership, clients } = cluster;
+    const { membership, requests: clients } = cluster;
     const { self } = membership;
     const configuration = cluster.spread;
     const peers = { membership, clients };
@@ -49,11 +54,16 @@
     };
     this.endpoints = this.#disposables.register(EndpointClients.create(clock));
     this.loads = LoadTable.create({ clock });
+    const plainLoads = PlainLoads.create({
+      clock,
+      isLeaving: (endpoint) => membership.isLeaving(endpoint),
+    });
     this.exchange = this.#disposables.register(LoadExchange.create({
       ...common,
       membership,
       endpoints: this.endpoints,
       loads: this.loads,
+      plainLoads,
       modelLimits: limits.models,
       callLimits: limits.calls,
     }));
@@ -69,14 +79,22 @@
       peers: NodeStreamPeers.create(peers),
       policy: { kind: settings.policy },
     }));
+    const keyPeers = NodeKeyPeers.create(peers);
+    const identity = { node: self.node, incarnation: self.incarnation };
+    this.#cleaner = ClaimCleaner.create({
+      ...common,
+      identity,
+      peers: keyPeers,
+      keepMs: claimKeepMs,
+    });
     this.calls = RoutedCalls.create({
       ...common,
       log: options.log.part("calls"),
       endpoints: (endpoint) => this.endpoints.findPlain(endpoint),
-      loads: this.#createPlainLoads(cluster),
-      identity: { node: self.node, incarnation: self.incarnation },
+      loads: plainLoads,
+      identity,
       sharedKey: settings.peerKey,
-      peers: NodeKeyPeers.create(peers),
+      peers: keyPeers,
       claims: store,
       limiter: limits.calls,
       retryBudget,
@@ -93,16 +111,10 @@
 
   start(): void {
     this.exchange.start();
+    this.#disposables.register(this.#cleaner.start());
   }
 
   dispose(): void {
     this.#disposables.dispose();
   }
-
-  #createPlainLoads({ membership }: Cluster): PlainLoadSource {
-    return {
-      find: (endpoint) => this.exchange.latest.get(endpoint),
-      isLeaving: (endpoint) => membership.isLeaving(endpoint),
-    };
-  }
 }
