--- a/packages/bench/src/control_traffic_worker.ts
+++ b/packages/bench/src/control_traffic_worker.ts
@@ -61,7 +61,7 @@
 let endpointCount = 0;
 
 function send(report: WorkerReport): void {
-  process.send?.(report);
+  if (process.connected) process.send?.(report);
 }
 
 async function startNode(
--- a/packages/membership/src/cluster_membership.ts
+++ b/packages/membership/src/cluster_membership.ts
@@ -13,12 +13,12 @@
   type Disposable,
   DisposableStore,
 } from "@almondcrank/common/disposables.ts";
-import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import type { Event } from "@almondcrank/common/emitter.ts";
 import type { Hasher } from "@almondcrank/common/hashing.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
-import { Announcer, type News } from "./announcer.ts";
+import { Announcer } from "./announcer.ts";
 import { ClusterView } from "./cluster_view.ts";
 import type { ConfigurationDelta } from "./configuration_delta.ts";
 import { ExchangeLoops } from "./exchange_loops.ts";
@@ -38,22 +38,15 @@
 } from "./membership.ts";
 import type {
   Announcement,
-  Change,
   ExchangeRequest,
   ExchangeResponse,
-  MemberRecord,
-  OriginRecord,
 } from "./messages.ts";
+import { MessageHandler, type RevisionHint } from "./message_handler.ts";
 import { OriginTable } from "./origin_table.ts";
 import type { ExchangeTarget } from "./peer_choice.ts";
 import type { PeerTransport } from "./peer_transport.ts";
-import { parseSeen } from "./seen_versions.ts";
 import { SlowFacts } from "./slow_facts.ts";
-import {
-  computeSummary,
-  createAggregate,
-  type ZoneAggregate,
-} from "./zone_summary.ts";
+import { computeSummary, type ZoneAggregate } from "./zone_summary.ts";
 
 /** Periods of the loops, in milliseconds. */
 export interface MembershipPeriods {
@@ -90,24 +83,6 @@
   readonly findService?: (endpoint: string) => string | undefined;
 }
 
-/** A peer that has a newer configuration in force. */
-export interface RevisionHint {
-  readonly revision: number;
-  readonly node: string;
-  readonly address: Address;
-  readonly zone: string;
-  /** Whether the sender asks for it to be passed on. */
-  readonly relay: boolean;
-  /** Changes that lead to it, if they came along. */
-  readonly deltas: readonly ConfigurationDelta[];
-}
-
-interface PeerCursor {
-  readonly incarnation: string;
-  readonly cursor: number;
-  readonly knowsSelf: boolean;
-}
-
 /** The system's processes as one node sees them. */
 export class ClusterMembership implements Membership, Disposable {
   readonly self: NodeIdentity;
@@ -120,11 +95,8 @@
   readonly #facts: SlowFacts;
   readonly #view: ClusterView;
   readonly #announcer: Announcer;
+  readonly #messages: MessageHandler;
   readonly #loops: ExchangeLoops;
-  readonly #cursors = new Map<string, PeerCursor>();
-  readonly #digests = Emitter.create<Digest>();
-  readonly #aggregates = Emitter.create<ZoneAggregate>();
-  readonly #hints = Emitter.create<RevisionHint>();
   #revision = 0;
 
   private constructor(options: ClusterMembershipOptions) {
@@ -151,6 +123,16 @@
       metrics,
       view: this.#view,
     });
+    this.#messages = MessageHandler.create({
+      ...options,
+      view: this.#view,
+      table: this.#table,
+      origins: this.#origins,
+      facts: this.#facts,
+      announcer: this.#announcer,
+      readRevision: () => this.#revision,
+    });
+    this.#disposables.register(this.#messages);
     this.#disposables.register(this.#table);
     this.#disposables.register(this.#facts);
     this.#facts.setMember({ identity: self, leaving: false });
@@ -172,12 +154,12 @@
   }
 
   get onDigest(): Event<Digest> {
-    return this.#digests.event;
+    return this.#messages.onDigest;
   }
 
   /** Fires with load and demand of another data centre. */
   get onAggregate(): Event<ZoneAggregate> {
-    return this.#aggregates.event;
+    return this.#messages.onAggregate;
   }
 
   /** Fires once for each endpoint that becomes known to be leaving. */
@@ -187,7 +169,7 @@
 
   /** Fires when a peer has a newer configuration than this node. */
   get onNewerRevision(): Event<RevisionHint> {
-    return this.#hints.event;
+    return this.#messages.onNewerRevision;
   }
 
   /** Starts heartbeats and exchanges. */
@@ -229,7 +211,7 @@
       this.#facts.addLeaving(endpoint)
     );
     if (added.length === 0) return;
-    void this.#announcer.send(this.#createNews({ leaving: added }));
+    void this.#announcer.send(this.#messages.createNews({ leaving: added }));
   }
 
   /** Sets the loads that this node publishes. */
@@ -256,7 +238,9 @@
     reach: "all" | "zone",
     deltas?: readonly ConfigurationDelta[],
   ): Promise<void> {
-    const news = this.#createNews(deltas === undefined ? {} : { deltas });
+    const news = this.#messages.createNews(
+      deltas === undefined ? {} : { deltas },
+    );
     await (reach === "all"
       ? this.#announcer.send(news)
       : this.#announcer.relay(news));
@@ -273,55 +257,24 @@
     this.#view.setLeaving();
     const member = { identity: this.self, leaving: true };
     this.#facts.setMember(member);
-    this.#cursors.clear();
-    await this.#announcer.send(this.#createNews({ members: [member] }));
+    this.#messages.removeCursor();
+    await this.#announcer.send(
+      this.#messages.createNews({ members: [member] }),
+    );
   }
 
   /** Answers a peer's exchange. */
   handleExchange(request: ExchangeRequest): ExchangeResponse {
-    const { node, incarnation, revision } = request;
-    if (request.self !== undefined) this.#applyMember(request.self);
-    this.#checkIdentity(node, incarnation);
-    this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
-    this.#checkRevision(node, { revision, relay: false, deltas: [] });
-    this.#recordSeen(request);
-    const same = request.checksum === this.#facts.checksum;
-    const isWanted = (origin: string): boolean =>
-      request.scope === "all" || this.#view.findZone(origin) === request.zone;
-    return {
-      node: this.self.node,
-      incarnation: this.self.incarnation,
-      version: this.#origins.version,
-      revision: this.#revision,
-      cursor: this.#facts.position,
-      known: this.#table.find(node)?.identity.incarnation === incarnation,
-      changes: same ? [] : this.#facts.list(request.cursor),
-      origins: this.#origins.listRecords({
-        seen: request.seen,
-        isWanted,
-        asker: node,
-      }),
-    };
+    return this.#messages.handleExchange(request);
   }
 
   /** Takes in a peer's urgent news. */
   handleAnnouncement(news: Announcement): void {
-    const { node, incarnation, revision } = news;
-    this.#table.recordHeartbeat({ node, incarnation, revision, ageMs: 0 });
-    const members = news.members.filter((member) => this.#applyMember(member));
-    const leaving = news.leaving
-      .filter((endpoint) => this.#facts.addLeaving(endpoint));
-    const { relay, deltas = [] } = news;
-    this.#checkRevision(node, { revision, relay, deltas });
-    if (!news.relay || members.length + leaving.length === 0) return;
-    void this.#announcer.relay(this.#createNews({ members, leaving }));
+    this.#messages.handleAnnouncement(news);
   }
 
   dispose(): void {
     this.#stopped.abort();
-    this.#digests.dispose();
-    this.#aggregates.dispose();
-    this.#hints.dispose();
     this.#disposables.dispose();
   }
 
@@ -343,7 +296,7 @@
 
   async #exchange(target: ExchangeTarget): Promise<void> {
     const { transport, metrics } = this.#options;
-    const request = this.#createRequest(target);
+    const request = this.#messages.createRequest(target);
     const result = await transport.exchange(target.address, request);
     if (this.#stopped.signal.aborted) return;
     result.caseOf({
@@ -351,130 +304,15 @@
         metrics.count("membership_exchange_failures_total", { reason: kind });
         if (target.node !== undefined) this.#table.recordFailure(target.node);
       },
-      Right: (response) => this.#handleResponse(response),
-    });
-  }
-
-  #createRequest({ node }: ExchangeTarget): ExchangeRequest {
-    const { self } = this;
-    const cursor = this.#cursors.get(node ?? "");
-    const knowsSelf = cursor?.knowsSelf === true;
-    const member = { identity: self, leaving: this.#view.isLeaving };
-    return {
-      node: self.node,
-      incarnation: self.incarnation,
-      zone: self.zone,
-      version: this.#origins.version,
-      revision: this.#revision,
-      scope: this.#view.isSmall() ? "all" : "zone",
-      ...(knowsSelf ? {} : { self: member }),
-      cursor: cursor?.cursor ?? 0,
-      checksum: this.#facts.checksum,
-      seen: this.#origins.listSeen((node) => this.#table.findAge(node)),
-    };
-  }
-
-  #handleResponse(response: ExchangeResponse): void {
-    const { node, incarnation, revision, cursor, known } = response;
-    if (node === this.self.node) return;
-    for (const change of response.changes) this.#applyChange(change);
-    const last = this.#cursors.get(node);
-    const restarted = last !== undefined && last.incarnation !== incarnation;
-    this.#cursors.set(node, {
-      incarnation,
-      cursor: restarted ? 0 : cursor,
-      knowsSelf: known,
-    });
-    this.#table.recordSuccess(node);
-    for (const origin of response.origins) this.#applyOrigin(origin);
-    this.#checkRevision(node, { revision, relay: false, deltas: [] });
-  }
-
-  #applyChange(change: Change): void {
-    switch (change.kind) {
-      case "member":
-        this.#applyMember(change.member);
-        break;
-      case "leaving":
-        if (this.#facts.addLeaving(change.leaving) && this.isDelegate()) {
-          const news = this.#createNews({ leaving: [change.leaving] });
-          void this.#announcer.relay(news);
-        }
-        break;
-    }
-  }
-
-  #applyMember(member: MemberRecord): boolean {
-    const added = this.#table.apply(member);
-    if (added) this.#facts.setMember(member);
-    return added;
-  }
-
-  #applyOrigin(record: OriginRecord): void {
-    const { node, incarnation, revision, ageMs } = record;
-    const applied = this.#origins.apply(record);
-    if (applied === undefined) return;
-    this.#table.recordHeartbeat({ node, incarnation, revision, ageMs });
-    const zone = this.#view.findZone(node);
-    if (zone !== undefined && this.#view.isRemote(zone)) {
-      this.#applySummary(zone, record);
-      return;
-    }
-    const { loads, demand } = applied;
-    const leaving = this.#facts.leaving.list();
-    this.#digests.fire({ node, incarnation, demand, loads, leaving });
-  }
-
-  /** Takes in the heartbeats that a peer has heard. */
-  #recordSeen({ seen }: ExchangeRequest): void {
-    for (const { identity, revision } of this.#table.list()) {
-      const { node, incarnation } = identity;
-      const heard = parseSeen(seen[node], incarnation);
-      if (heard === undefined) continue;
-      const { ageMs } = heard;
-      this.#table.recordHeartbeat({ node, incarnation, revision, ageMs });
-    }
-  }
-
-  #applySummary(zone: string, record: OriginRecord): void {
-    const summary = this.#origins.findSummary(record.node);
-    if (summary === undefined) return;
-    this.#table.recordSummary(zone, {
-      alive: new Set(summary.alive),
-      revision: summary.revision,
-      ageMs: record.ageMs,
+      Right: (response) => this.#messages.handleResponse(response),
     });
-    if (record.summary === undefined) return;
-    this.#aggregates.fire(createAggregate(zone, record.summary));
-  }
-
-  #checkRevision(
-    node: string,
-    seen: Pick<RevisionHint, "revision" | "relay" | "deltas">,
-  ): void {
-    if (seen.revision <= this.#revision) return;
-    const identity = this.#table.find(node)?.identity;
-    if (identity === undefined) return;
-    const { peerAddress: address, zone } = identity;
-    this.#hints.fire({ ...seen, node, address, zone });
-  }
-
-  #checkIdentity(node: string, incarnation: string): void {
-    if (node !== this.self.node || incarnation === this.self.incarnation) {
-      return;
-    }
-    this.#options.metrics.count("membership_identity_conflicts_total");
-    this.#options.log.error(
-      "another process uses this node's name; give each node its own name.",
-      { node, incarnation },
-    );
   }
 
   #refresh(): void {
     const forgotten = this.#table.refresh((zone) => this.#view.isRemote(zone));
     for (const node of forgotten) {
       this.#origins.remove(node);
-      this.#cursors.delete(node);
+      this.#messages.removeCursor(node);
       this.#facts.removeMember(node);
       this.#options.log.info("forgot a silent member.", { node });
     }
@@ -513,18 +351,4 @@
       findService,
     }));
   }
-
-  #createNews(
-    news: Partial<Pick<News, "leaving" | "members" | "deltas">>,
-  ): News {
-    const { node, incarnation } = this.self;
-    return {
-      node,
-      incarnation,
-      revision: this.#revision,
-      leaving: news.leaving ?? [],
-      members: news.members ?? [],
-      ...(news.deltas === undefined ? {} : { deltas: news.deltas }),
-    };
-  }
 }
--- /dev/null
+++ b/packages/membership/src/message_handler.ts
@@ -0,0 +1,297 @@
+/**
+ * Writes and reads the messages between nodes: requests and answers of
+ * exchanges, and urgent news.
+ */
+
+import type { Address } from "@almondcrank/common/address.ts";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { Announcer, News } from "./announcer.ts";
+import type { ClusterView } from "./cluster_view.ts";
+import type { ConfigurationDelta } from "./configuration_delta.ts";
+import type { MemberTable } from "./member_table.ts";
+import type { Digest } from "./membership.ts";
+import type {
+  Announcement,
+  Change,
+  ExchangeRequest,
+  ExchangeResponse,
+  MemberRecord,
+  OriginRecord,
+} from "./messages.ts";
+import type { OriginTable } from "./origin_table.ts";
+import type { ExchangeTarget } from "./peer_choice.ts";
+import { parseSeen } from "./seen_versions.ts";
+import type { SlowFacts } from "./slow_facts.ts";
+import { createAggregate, type ZoneAggregate } from "./zone_summary.ts";
+
+/** A peer that has a newer configuration in force. */
+export interface RevisionHint {
+  readonly revision: number;
+  readonly node: string;
+  readonly address: Address;
+  readonly zone: string;
+  /** Whether the sender asks for it to be passed on. */
+  readonly relay: boolean;
+  /** Changes that lead to it, if they came along. */
+  readonly deltas: readonly ConfigurationDelta[];
+}
+
+/** What messages are written from and read into. */
+export interface MessageHandlerOptions {
+  readonly view: ClusterView;
+  readonly table: MemberTable;
+  readonly origins: OriginTable;
+  readonly facts: SlowFacts;
+  readonly announcer: Announcer;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Revision in force here. */
+  readonly readRevision: () => number;
+}
+
+interface PeerCursor {
+  readonly incarnation: string;
+  readonly cursor: number;
+  readonly knowsSelf: boolean;
+}
+
+/** Handler of all messages of membership. */
+export class MessageHandler implements Disposable {
+  readonly #options: MessageHandlerOptions;
+  readonly #cursors = new Map<string, PeerCursor>();
+  readonly #digests = Emitter.create<Digest>();
+  readonly #aggregates = Emitter.create<ZoneAggregate>();
+  readonly #hints = Emitter.create<RevisionHint>();
+
+  private constructor(options: MessageHandlerOptions) {
+    this.#options = options;
+  }
+
+  static create(options: MessageHandlerOptions): MessageHandler {
+    return new MessageHandler(options);
+  }
+
+  get onDigest(): Event<Digest> {
+    return this.#digests.event;
+  }
+
+  get onAggregate(): Event<ZoneAggregate> {
+    return this.#aggregates.event;
+  }
+
+  get onNewerRevision(): Event<RevisionHint> {
+    return this.#hints.event;
+  }
+
+  /** Forgets what a peer has read, or what all have. */
+  removeCursor(node?: string): void {
+    if (node === undefined) this.#cursors.clear();
+    else this.#cursors.delete(node);
+  }
+
+  dispose(): void {
+    this.#digests.dispose();
+    this.#aggregates.dispose();
+    this.#hints.dispose();
+  }
+
+  /** Answers a peer's exchange. */
+  handleExchange(request: ExchangeRequest): ExchangeResponse {
+    const { node, incarnation, revision } = request;
+    if (request.self !== undefined) this.#applyMember(request.self);
+    this.#checkIdentity(node, incarnation);
+    this.#options.table.recordHeartbeat({
+      node,
+      incarnation,
+      revision,
+      ageMs: 0,
+    });
+    this.#checkRevision(node, { revision, relay: false, deltas: [] });
+    this.#recordSeen(request);
+    const same = request.checksum === this.#options.facts.checksum;
+    const isWanted = (origin: string): boolean =>
+      request.scope === "all" ||
+      this.#options.view.findZone(origin) === request.zone;
+    return {
+      node: this.#options.view.self.node,
+      incarnation: this.#options.view.self.incarnation,
+      version: this.#options.origins.version,
+      revision: this.#options.readRevision(),
+      cursor: this.#options.facts.position,
+      known:
+        this.#options.table.find(node)?.identity.incarnation === incarnation,
+      changes: same ? [] : this.#options.facts.list(request.cursor),
+      origins: this.#options.origins.listRecords({
+        seen: request.seen,
+        isWanted,
+        asker: node,
+      }),
+    };
+  }
+
+  /** Takes in a peer's urgent news. */
+  handleAnnouncement(news: Announcement): void {
+    const { node, incarnation, revision } = news;
+    this.#options.table.recordHeartbeat({
+      node,
+      incarnation,
+      revision,
+      ageMs: 0,
+    });
+    const members = news.members.filter((member) => this.#applyMember(member));
+    const leaving = news.leaving
+      .filter((endpoint) => this.#options.facts.addLeaving(endpoint));
+    const { relay, deltas = [] } = news;
+    this.#checkRevision(node, { revision, relay, deltas });
+    if (!news.relay || members.length + leaving.length === 0) return;
+    void this.#options.announcer.relay(this.createNews({ members, leaving }));
+  }
+
+  /** Asks a node for what this one lacks. */
+  createRequest({ node }: ExchangeTarget): ExchangeRequest {
+    const { self } = this.#options.view;
+    const cursor = this.#cursors.get(node ?? "");
+    const knowsSelf = cursor?.knowsSelf === true;
+    const member = { identity: self, leaving: this.#options.view.isLeaving };
+    return {
+      node: self.node,
+      incarnation: self.incarnation,
+      zone: self.zone,
+      version: this.#options.origins.version,
+      revision: this.#options.readRevision(),
+      scope: this.#options.view.isSmall() ? "all" : "zone",
+      ...(knowsSelf ? {} : { self: member }),
+      cursor: cursor?.cursor ?? 0,
+      checksum: this.#options.facts.checksum,
+      seen: this.#options.origins.listSeen((node) =>
+        this.#options.table.findAge(node)
+      ),
+    };
+  }
+
+  /** Takes in the answer to a request. */
+  handleResponse(response: ExchangeResponse): void {
+    const { node, incarnation, revision, cursor, known } = response;
+    if (node === this.#options.view.self.node) return;
+    for (const change of response.changes) this.#applyChange(change);
+    const last = this.#cursors.get(node);
+    const restarted = last !== undefined && last.incarnation !== incarnation;
+    this.#cursors.set(node, {
+      incarnation,
+      cursor: restarted ? 0 : cursor,
+      knowsSelf: known,
+    });
+    this.#options.table.recordSuccess(node);
+    for (const origin of response.origins) this.#applyOrigin(origin);
+    this.#checkRevision(node, { revision, relay: false, deltas: [] });
+  }
+
+  #applyChange(change: Change): void {
+    switch (change.kind) {
+      case "member":
+        this.#applyMember(change.member);
+        break;
+      case "leaving":
+        if (
+          this.#options.facts.addLeaving(change.leaving) &&
+          this.#options.view.isDelegate()
+        ) {
+          const news = this.createNews({ leaving: [change.leaving] });
+          void this.#options.announcer.relay(news);
+        }
+        break;
+    }
+  }
+
+  #applyMember(member: MemberRecord): boolean {
+    const added = this.#options.table.apply(member);
+    if (added) this.#options.facts.setMember(member);
+    return added;
+  }
+
+  #applyOrigin(record: OriginRecord): void {
+    const { node, incarnation, revision, ageMs } = record;
+    const applied = this.#options.origins.apply(record);
+    if (applied === undefined) return;
+    this.#options.table.recordHeartbeat({ node, incarnation, revision, ageMs });
+    const zone = this.#options.view.findZone(node);
+    if (zone !== undefined && this.#options.view.isRemote(zone)) {
+      this.#applySummary(zone, record);
+      return;
+    }
+    const { loads, demand } = applied;
+    const leaving = this.#options.facts.leaving.list();
+    this.#digests.fire({ node, incarnation, demand, loads, leaving });
+  }
+
+  /** Takes in the heartbeats that a peer has heard. */
+  #recordSeen({ seen }: ExchangeRequest): void {
+    for (const { identity, revision } of this.#options.table.list()) {
+      const { node, incarnation } = identity;
+      const heard = parseSeen(seen[node], incarnation);
+      if (heard === undefined) continue;
+      const { ageMs } = heard;
+      this.#options.table.recordHeartbeat({
+        node,
+        incarnation,
+        revision,
+        ageMs,
+      });
+    }
+  }
+
+  #applySummary(zone: string, record: OriginRecord): void {
+    const summary = this.#options.origins.findSummary(record.node);
+    if (summary === undefined) return;
+    this.#options.table.recordSummary(zone, {
+      alive: new Set(summary.alive),
+      revision: summary.revision,
+      ageMs: record.ageMs,
+    });
+    if (record.summary === undefined) return;
+    this.#aggregates.fire(createAggregate(zone, record.summary));
+  }
+
+  #checkRevision(
+    node: string,
+    seen: Pick<RevisionHint, "revision" | "relay" | "deltas">,
+  ): void {
+    if (seen.revision <= this.#options.readRevision()) return;
+    const identity = this.#options.table.find(node)?.identity;
+    if (identity === undefined) return;
+    const { peerAddress: address, zone } = identity;
+    this.#hints.fire({ ...seen, node, address, zone });
+  }
+
+  #checkIdentity(node: string, incarnation: string): void {
+    if (
+      node !== this.#options.view.self.node ||
+      incarnation === this.#options.view.self.incarnation
+    ) {
+      return;
+    }
+    this.#options.metrics.count("membership_identity_conflicts_total");
+    this.#options.log.error(
+      "another process uses this node's name; give each node its own name.",
+      { node, incarnation },
+    );
+  }
+
+  /** Builds an announcement of this node. */
+  createNews(
+    news: Partial<Pick<News, "leaving" | "members" | "deltas">>,
+  ): News {
+    const { node, incarnation } = this.#options.view.self;
+    return {
+      node,
+      incarnation,
+      revision: this.#options.readRevision(),
+      leaving: news.leaving ?? [],
+      members: news.members ?? [],
+      ...(news.deltas === undefined ? {} : { deltas: news.deltas }),
+    };
+  }
+}
