--- a/packages/bench/src/platform_calls.ts
+++ b/packages/bench/src/platform_calls.ts
@@ -18,14 +18,14 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import { FleetControl } from "@almondcrank/fleet/fleet_control.ts";
-import { MemoryCloud } from "@almondcrank/fleet/memory_cloud.ts";
-import { MemoryEngine } from "@almondcrank/fleet/memory_engine.ts";
+import { MemoryCloud } from "@almondcrank/fleet/testing/memory_cloud.ts";
+import { MemoryEngine } from "@almondcrank/fleet/testing/memory_engine.ts";
 import {
   createEndpoint,
   createFirstConfiguration,
   firstNoteText,
   parseNote,
-} from "@almondcrank/fleet/release_fixtures.ts";
+} from "@almondcrank/fleet/testing/release_fixtures.ts";
 import { ReleaseWriter } from "@almondcrank/fleet/release_writer.ts";
 import type { NodeIdentity } from "@almondcrank/membership/membership.ts";
 import { HeadReader } from "@almondcrank/platform/head_reader.ts";
@@ -48,6 +48,7 @@
   { nodes: 9, zones: 4 },
   { nodes: 27, zones: 4 },
   { nodes: 81, zones: 8 },
+  { nodes: 64, zones: 16 },
   { nodes: 390, zones: 16 },
 ];
 
--- a/packages/routing/src/team_limits.ts
+++ b/packages/routing/src/team_limits.ts
@@ -144,27 +144,36 @@
   /** Recomputes all limits; called about once a second. */
   update({ peers, liveNodes, capacity }: LimitsUpdate): void {
     this.#advanceMeters();
-    if (capacity === undefined) {
+    // Slots take requests; before the first one its cost in tokens is unknown.
+    const meanCost = this.#meanCost ??
+      (this.#options.unit === "requests" ? 1 : undefined);
+    if (capacity === undefined || meanCost === undefined) {
       this.#contended = false;
       this.#localCeiling = Infinity;
       return;
     }
     this.#updatePressure(capacity);
     const total = capacity.slots * queueFactor * this.#pressureFactor *
-      (this.#meanCost ?? 1);
+      meanCost;
     const heardPart = computeHeardPart(peers, liveNodes);
     const needs = this.#computeNeeds(peers, heardPart);
     const demand = needs.reduce((sum, need) => sum + need.demand, 0);
     this.#contended = demand > contendedFraction * total ||
       capacity.queued > overloadedQueueFraction * capacity.slots;
     this.#localCeiling = localBurstFactor * total / Math.max(1, liveNodes);
+    this.#setPoolGauges({ demand, total, queued: capacity.queued });
+    const spare = Math.max(0, total - demand);
     const limits = new Map<string, TeamLimit>();
     for (const share of computeShares(total, needs)) {
       const need = needs.find(({ team }) => team === share.team);
       const portion = this.#computePortion(share, { peers, heardPart });
       limits.set(
         share.team,
-        this.#createLimit(share, need?.demand ?? 0, portion),
+        this.#createLimit(share, {
+          demand: need?.demand ?? 0,
+          spare,
+          portion,
+        }),
       );
     }
     this.#limits = limits;
@@ -244,9 +253,19 @@
     return satisfied ? Math.max(portion, equalPart) : portion;
   }
 
-  #createLimit(share: TeamShare, demand: number, portion: number): TeamLimit {
+  #createLimit(
+    share: TeamShare,
+    { demand, spare, portion }: {
+      readonly demand: number;
+      readonly spare: number;
+      readonly portion: number;
+    },
+  ): TeamLimit {
     const meanCost = this.#meanCost ?? 1;
-    const granted = share.satisfied ? share.fairAmount : share.amount;
+    // What nobody asked for lately is free to each team that needs more now.
+    const granted = share.satisfied
+      ? Math.max(share.fairAmount, demand + spare)
+      : share.amount;
     // Rounding at random keeps the sum over the nodes at the share.
     const requests = Math.floor(
       granted * portion / meanCost + this.#options.random.next(),
@@ -296,6 +315,19 @@
     return meter;
   }
 
+  #setPoolGauges(figures: {
+    readonly demand: number;
+    readonly total: number;
+    readonly queued: number;
+  }): void {
+    const { metrics, pool } = this.#options;
+    const contended = this.#contended ? 1 : 0;
+    metrics.setGauge("team_pool_demand", figures.demand, { pool });
+    metrics.setGauge("team_pool_capacity", figures.total, { pool });
+    metrics.setGauge("team_pool_queued", figures.queued, { pool });
+    metrics.setGauge("team_pool_contended", contended, { pool });
+  }
+
   #setGauges(): void {
     const { metrics, pool } = this.#options;
     for (const [team, { amount }] of this.#limits) {
--- a/packages/scenario/src/caller.ts
+++ b/packages/scenario/src/caller.ts
@@ -4,18 +4,9 @@
 
 import { once } from "node:events";
 import { Agent, request } from "undici";
+import type { Outcome } from "./outcome.ts";
 import { readServerEvents } from "@almondcrank/load/sse_reader.ts";
 
-/** Whether a request may have run, as the caller was told. */
-export type ToldRun = "ran" | "unknown" | "not_run";
-
-/** What a request came to. */
-export type Outcome =
-  | { readonly kind: "answered"; readonly body: string }
-  | { readonly kind: "refused"; readonly reason: string; readonly run: ToldRun }
-  /** The connection ended without an answer. */
-  | { readonly kind: "cut" };
-
 /** Where to send. */
 export interface CallerTarget {
   /** Callers' address of a node. */
--- a/packages/scenario/src/fleet_files.ts
+++ b/packages/scenario/src/fleet_files.ts
@@ -10,6 +10,8 @@
   readonly engines: number;
   readonly bookings: number;
   readonly zones: number;
+  /** Settings of the engines beyond the stand-ins' defaults. */
+  readonly engineSettings?: Readonly<Record<string, number>>;
 }
 
 /** Addresses of a fleet, all on loopback. */
@@ -101,6 +103,7 @@
       service: modelService,
       ...place(index + 1),
       models: [{ model, version: "1" }],
+      ...size.engineSettings,
     })),
     plainServices: addresses.bookings.map((address, index) => ({
       name: `booking-${index + 1}`,
@@ -174,6 +177,12 @@
   };
 }
 
+/** A note that adds a team and nothing else. */
+export function createTeamNote(name: string): object {
+  const keyHash = computeKeyHash(formatTeamKey(name));
+  return { add: { teams: [{ name, keyHash, priority: 5, share: 1 }] } };
+}
+
 /** How a node reaches what may be cut off from it. */
 export interface NodeLinks {
   /** Address under which peers reach the node. */
