--- a/packages/cli/src/operator_client.ts
+++ b/packages/cli/src/operator_client.ts
@@ -14,6 +14,7 @@
 export type OperatorErrorDetail =
   | { readonly kind: "bad_address"; readonly node: string }
   | { readonly kind: "no_key" }
+  | { readonly kind: "bad_key_file"; readonly reason: string }
   | {
     readonly kind: "unreachable";
     readonly node: string;
@@ -38,6 +39,8 @@
       return `"${detail.node}" is not an IP number with a port; pass --node like 127.0.0.1:9000`;
     case "no_key":
       return "no operators' key; set ALMONDCRANK_OPERATOR_KEY or pass --key-file";
+    case "bad_key_file":
+      return `operators' key cannot be read (${detail.reason}); pass --key-file with a file that can`;
     case "unreachable":
       return `node ${detail.node} does not answer (${detail.reason}); try another node`;
     case "refused":
@@ -76,9 +79,9 @@
     if (parseAddress(node) === undefined) {
       return Left(OperatorError.create({ kind: "bad_address", node }));
     }
-    const key = keyFile === undefined
-      ? process.env["ALMONDCRANK_OPERATOR_KEY"]
-      : (await readFile(keyFile, "utf8")).trim();
+    const read = await readKey(keyFile);
+    if (read.isLeft()) return Left(read.extract() as OperatorError);
+    const key = read.extract() as string | undefined;
     if (key === undefined || key === "") {
       return Left(OperatorError.create({ kind: "no_key" }));
     }
@@ -127,3 +130,18 @@
     }
   }
 }
+
+/** The operators' key from its file, else from the environment. */
+async function readKey(
+  keyFile: string | undefined,
+): Promise<Either<OperatorError, string | undefined>> {
+  if (keyFile === undefined) {
+    return Right(process.env["ALMONDCRANK_OPERATOR_KEY"]);
+  }
+  try {
+    return Right((await readFile(keyFile, "utf8")).trim());
+  } catch (thrown) {
+    const reason = formatThrown(thrown);
+    return Left(OperatorError.create({ kind: "bad_key_file", reason }));
+  }
+}
--- a/packages/cli/src/operator_command.ts
+++ b/packages/cli/src/operator_command.ts
@@ -58,6 +58,7 @@
   switch (detail.kind) {
     case "bad_address":
     case "no_key":
+    case "bad_key_file":
       return exitCodes.invalid;
     case "unreachable":
       return exitCodes.unreachable;
--- a/packages/cli/src/release_commands.ts
+++ b/packages/cli/src/release_commands.ts
@@ -14,6 +14,8 @@
 import type { OperatorClient } from "./operator_client.ts";
 import { OperatorCommand } from "./operator_command.ts";
 
+const revisionPattern = /^\d{1,15}$/;
+
 /** Base of the commands that send a note. */
 abstract class NoteCommand extends OperatorCommand {
   note = Option.String({ name: "note", required: true });
@@ -96,13 +98,13 @@
     client: OperatorClient,
     text: string,
   ): Promise<ExitCode> {
-    const base = this.base === undefined ? undefined : Number(this.base);
-    if (base !== undefined && !Number.isSafeInteger(base)) {
+    if (this.base !== undefined && !revisionPattern.test(this.base)) {
       this.context.stderr.write(
         "--base is not a whole number; pass the revision that diff printed\n",
       );
       return exitCodes.invalid;
     }
+    const base = this.base === undefined ? undefined : Number(this.base);
     const writeId = this.writeId ?? randomUUID();
     const answer = await client.send("/apply", {
       file: this.note,
--- a/packages/cli/src/status_commands.ts
+++ b/packages/cli/src/status_commands.ts
@@ -48,19 +48,29 @@
   times = Option.String("--times", "1000000", { description: "how often" });
 
   protected override async run(client: OperatorClient): Promise<ExitCode> {
+    const [every, times] = [Number(this.every), Number(this.times)];
+    if (!(every > 0 && every < Infinity)) return this.#refuse("--every");
+    if (!(times > 0 && times < Infinity)) return this.#refuse("--times");
     const clear = this.context.stdout === process.stdout &&
         process.stdout.isTTY
       ? "\x1b[2J\x1b[H"
       : "";
-    for (let left = Number(this.times); left > 0; left--) {
+    for (let left = times; left > 0; left--) {
       const answer = await client.read("/status");
       if (answer.isLeft()) return this.writeError(answer.extract() as never);
       this.context.stdout.write(clear);
       this.write(answer.extract() as NodeStatus, formatStatus);
-      if (left > 1) await sleep(Number(this.every) * millisecondsPerSecond);
+      if (left > 1) await sleep(every * millisecondsPerSecond);
     }
     return exitCodes.done;
   }
+
+  #refuse(option: string): ExitCode {
+    this.context.stderr.write(
+      `${option} is not usable; pass a number greater than 0\n`,
+    );
+    return exitCodes.invalid;
+  }
 }
 
 /** Takes a node out without cutting a request. */
