--- a/packages/membership/src/endpoint_poller_test.ts
+++ b/packages/membership/src/endpoint_poller_test.ts
@@ -11,7 +11,6 @@
 import { Random } from "@almondcrank/common/random.ts";
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 import { EndpointPoller, type ReadLoad } from "./endpoint_poller.ts";
-import type { EndpointLoad } from "./membership.ts";
 import { TestNetwork, type TestNode } from "./testing/test_network.ts";
 
 const hasher = await openHasher();
@@ -158,16 +157,20 @@
 
 test("an unreachable endpoint is said so to the peers", async () => {
   const world = await openWorld();
-  const heard: EndpointLoad[] = [];
+  const heard: { readonly readAt: number; readonly reachable: boolean }[] = [];
+  const { clock } = world.network;
   world.network.find("n5").membership.onDigest(({ loads }) => {
-    heard.push(...loads.filter(({ endpoint }) => endpoint === "e1"));
+    for (const { endpoint, ageMs, reachable } of loads) {
+      if (endpoint !== "e1") continue;
+      heard.push({ readAt: clock.now() - ageMs, reachable });
+    }
   });
   await world.network.clock.advance(6_000);
   assert.ok(heard.length > 0 && heard.every(({ reachable }) => reachable));
   heard.length = 0;
   world.endpoints.unreachable.add("e1");
   await world.network.clock.advance(4_000);
-  const freshest = heard.reduce((a, b) => (b.ageMs <= a.ageMs ? b : a));
+  const freshest = heard.reduce((a, b) => (b.readAt >= a.readAt ? b : a));
   assert.is(freshest.reachable, false);
   await world.network.clock.advance(6_000);
   heard.length = 0;
