--- a/packages/cli/src/serve_command.ts
+++ b/packages/cli/src/serve_command.ts
@@ -42,8 +42,10 @@
       Right: async (checked) => {
         const log = TslogLog.create("node", checked.log);
         const node = await Node.open({ settings: checked, log });
+        // Whoever reads the line may send the signal at once.
+        const signal = waitForSignal();
         process.stdout.write(`listening ${JSON.stringify(node.addresses)}\n`);
-        await waitForSignal();
+        await signal;
         await node.drain();
         return exitCodes.done;
       },
--- a/packages/node/src/chat_front.ts
+++ b/packages/node/src/chat_front.ts
@@ -38,6 +38,9 @@
 } from "./refusal_answer.ts";
 import { readTimeout } from "./request_timeout.ts";
 
+/** A reason given saves the stack trace that a default one would record. */
+const connectionClosed = "connection closed";
+
 const millisecondsPerSecond = 1_000;
 
 const eventStreamHeaders = {
@@ -217,7 +220,7 @@
   ): Promise<void> {
     const { response } = exchange;
     const gone = new AbortController();
-    response.once("close", () => gone.abort());
+    response.once("close", () => gone.abort(connectionClosed));
     let text = "";
     for await (const event of stream.read(0, gone.signal)) {
       switch (event.kind) {
@@ -253,7 +256,7 @@
   ): Promise<void> {
     const { stream, formatter, from, started } = sending;
     const gone = new AbortController();
-    response.once("close", () => gone.abort());
+    response.once("close", () => gone.abort(connectionClosed));
     const writer = EventWriter.create(response);
     const recorder = LatencyRecorder.create(this.#options, started);
     for await (const event of stream.read(from, gone.signal)) {
--- a/packages/node/src/plain_front.ts
+++ b/packages/node/src/plain_front.ts
@@ -90,7 +90,7 @@
       team,
       service,
       method: request.method ?? "GET",
-      path: computePath(request.url ?? "/", service.name),
+      path: computePath(request.url ?? "/"),
       contentType: request.headers["content-type"],
       body: body.extract() as Buffer,
       key: typeof key === "string" ? key : undefined,
@@ -110,10 +110,9 @@
   }
 }
 
-/** Path and query below the service. */
-function computePath(url: string, service: string): string {
-  const rest = url.slice(`/services/${service}`.length);
-  return rest.startsWith("/") ? rest : `/${rest}`;
+/** Path and query below the service, whose name may be percent-encoded. */
+export function computePath(url: string): string {
+  return url.replace(/^\/services\/[^/?]*/, "").replace(/^(?!\/)/, "/");
 }
 
 function sendAnswer(exchange: HttpExchange, answer: PlainAnswer): void {
--- /dev/null
+++ b/packages/node/src/plain_front_test.ts
@@ -0,0 +1,15 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { computePath } from "./plain_front.ts";
+
+test("the path below a service keeps its query and its encoding", () => {
+  assert.is(computePath("/services/booking/slots?a=%2F"), "/slots?a=%2F");
+  assert.is(computePath("/services/booking"), "/");
+  assert.is(computePath("/services/booking?a=1"), "/?a=1");
+});
+
+test("a percent-encoded name does not shift the path", () => {
+  assert.is(computePath("/services/b%6Foking/slots/3"), "/slots/3");
+});
+
+test.run();
--- a/packages/routing/src/stream_attempt.ts
+++ b/packages/routing/src/stream_attempt.ts
@@ -188,6 +188,6 @@
     if (this.#settled) return;
     this.#settled = true;
     this.#resolve(outcome);
-    this.#ended.abort();
+    this.#ended.abort("ended");
   }
 }
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/stream_run.ts
@@ -102,7 +102,7 @@
         "no endpoint could finish the request",
       );
     }
-    this.#ended.abort();
+    this.#ended.abort("ended");
   }
 
   /** Cancels the request. */
@@ -127,7 +127,7 @@
   release(successor: ModelStream): void {
     this.stream.setSuccessor(successor);
     this.resume();
-    this.#ended.abort();
+    this.#ended.abort("ended");
   }
 
   /** Moves the stream off an endpoint that is gone in `remainingMs`. */
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -47,8 +47,10 @@
     const set = await StandinSet.open(settings, {
       clock: SystemClock.create(),
     });
+    // Whoever reads the line may send the signal at once.
+    const signal = waitSignal();
     this.context.stdout.write("ready\n");
-    await waitSignal();
+    await signal;
     set.dispose();
     return 0;
   }
