--- a/packages/scenario/src/fleet_checks.ts
+++ b/packages/scenario/src/fleet_checks.ts
@@ -68,15 +68,14 @@
     return "not ready";
   }
 
-  /** Checks that no request arrives at an engine for a while. */
+  /** Checks, after a while, that no request arrived beyond `since`. */
   async checkNoWork(
     engine: number,
-    forMs: number,
+    { since, forMs }: { readonly since: number; readonly forMs: number },
   ): Promise<string | undefined> {
-    const from = await this.#readArrivals(engine);
     await sleep(forMs);
-    const to = await this.#readArrivals(engine);
-    return to > from ? `${to - from} new requests arrived` : undefined;
+    const to = await this.readArrivals(engine);
+    return to > since ? `${to - since} new requests arrived` : undefined;
   }
 
   async #readRevisions(
@@ -92,7 +91,8 @@
     return revisions;
   }
 
-  async #readArrivals(engine: number): Promise<number> {
+  /** Requests that have arrived at an engine, declined ones included. */
+  async readArrivals(engine: number): Promise<number> {
     const answer = await this.#fleet.control(
       `engine-${engine}`,
       "/records",
--- a/packages/scenario/src/parse_scenario.ts
+++ b/packages/scenario/src/parse_scenario.ts
@@ -180,6 +180,10 @@
       withinMs: Number(ms),
     }),
   ),
+  createForm(
+    "mark engine <n>",
+    ([engine]) => ({ kind: "mark_engine", engine: Number(engine) }),
+  ),
   createForm(
     "expect node <n> ready within <n> ms",
     ([node, ms]) => ({
@@ -198,7 +202,7 @@
     }),
   ),
   createForm(
-    "expect no new work at engine <n> for <n> ms",
+    "expect no new work at engine <n> within <n> ms",
     ([engine, ms]) => ({
       kind: "expect_no_work",
       engine: Number(engine),
--- a/packages/scenario/src/session.ts
+++ b/packages/scenario/src/session.ts
@@ -7,15 +7,15 @@
  */
 
 import type { Hasher } from "@almondcrank/common/hashing.ts";
-import { computeExpectedTokens } from "@almondcrank/standin/expected_tokens.ts";
 import {
   type CallerTarget,
   ChatCall,
   issueKey,
   sendBooking,
 } from "./caller.ts";
+import { checkChatTokens } from "./chat_check.ts";
 import { FleetChecks } from "./fleet_checks.ts";
-import { createTeamNote, formatTeamKey, model } from "./fleet_files.ts";
+import { createTeamNote, formatTeamKey } from "./fleet_files.ts";
 import type { StreamRow } from "@almondcrank/node/operator_messages.ts";
 import { InvariantWatch } from "./invariant_watch.ts";
 import {
@@ -79,6 +79,8 @@
   readonly #chats = new Map<string, ChatCall>();
   readonly #bookings = new Map<string, Booking>();
   readonly #applies = new Map<string, Apply>();
+  /** Arrivals at engines when they were marked. */
+  readonly #marks = new Map<number, number>();
   /** Stable fact of the present step, for the transcript. */
   #fact = "";
   #fleet: RunningFleet | undefined;
@@ -194,8 +196,10 @@
         return await this.#checkInForce(step);
       case "expect_ready":
         return await this.#readChecks().checkReady(step.node, step.withinMs);
+      case "mark_engine":
+        return await this.#markEngine(step.engine);
       case "expect_no_work":
-        return await this.#readChecks().checkNoWork(step.engine, step.forMs);
+        return await this.#checkNoWork(step);
     }
   }
 
@@ -275,28 +279,13 @@
 
   /** Every token received must be the right one, and none may be missing. */
   #checkWhole(name: string, outcome: Outcome): string | undefined {
-    const wrong = this.#checkTokens(name, this.#findChat(name));
+    const wrong = checkChatTokens(this.#hasher, name, this.#findChat(name));
     if (wrong !== undefined) return wrong;
     if (outcome.kind !== "answered") return formatOutcome(outcome);
     this.#fact = ` => ${this.#findChat(name).tokens.length} tokens`;
     return undefined;
   }
 
-  #checkTokens(name: string, chat: ChatCall): string | undefined {
-    const expected = computeExpectedTokens(this.#hasher, {
-      model,
-      prompt: `<user> ${chat.prompt}\n<assistant>`,
-      maxTokens: chat.maxTokens,
-    }).tokens;
-    for (const [index, token] of chat.tokens.entries()) {
-      if (token === expected[index]) continue;
-      return `token ${index} of ${name} is "${token}", not "${
-        expected[index]
-      }"`;
-    }
-    return undefined;
-  }
-
   async #checkSlot(
     step: Extract<Step, { readonly kind: "expect_slot" }>,
   ): Promise<string | undefined> {
@@ -318,10 +307,23 @@
     return await this.#readChecks().checkInForce(revision, step.withinMs);
   }
 
+  async #markEngine(engine: number): Promise<undefined> {
+    const arrivals = await this.#readChecks().readArrivals(engine);
+    this.#marks.set(engine, arrivals);
+  }
+
+  async #checkNoWork(
+    { engine, forMs }: Extract<Step, { readonly kind: "expect_no_work" }>,
+  ): Promise<string | undefined> {
+    const since = this.#marks.get(engine);
+    if (since === undefined) return "not marked; write a mark step first";
+    return await this.#readChecks().checkNoWork(engine, { since, forMs });
+  }
+
   /** What must hold at the end of every scenario. */
   async #checkEnd(): Promise<void> {
     for (const [name, chat] of this.#chats) {
-      const wrong = this.#checkTokens(name, chat);
+      const wrong = checkChatTokens(this.#hasher, name, chat);
       if (wrong !== undefined) this.#findings.push(`at the end: ${wrong}`);
     }
     await this.#checkBookings();
--- a/packages/scenario/src/step.ts
+++ b/packages/scenario/src/step.ts
@@ -134,6 +134,8 @@
     readonly name: string;
     readonly withinMs: number;
   }
+  /** Remembers how many requests have arrived at an engine. */
+  | { readonly kind: "mark_engine"; readonly engine: number }
   | {
     readonly kind: "expect_ready";
     readonly node: number;
