Keep summaries of data centres long enough to count; index services by endpoint

Cause: a data centre's demand was forgotten after 5 s although summaries come every 4 s and then spread, so its share came and went; and each summary scanned the whole configuration for every endpoint, the square of their number. Change: summaries count for 12 s, single digests for 5 s as before; an index made anew when the configuration changes.

--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -16,6 +16,7 @@
 import { TrpcPeerTransport } from "@almondcrank/membership/peer_transport.ts";
 import { HeadReader } from "@almondcrank/platform/head_reader.ts";
 import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import { ServiceIndex } from "./service_index.ts";
 import type { NodeServices } from "./node_services.ts";
 import {
   createNodeRouter,
@@ -132,9 +133,7 @@
       region: settings.region,
       peerAddress: settings.listen.advertisedPeers ?? boundAddress,
     },
-    findService: (name) =>
-      spread.current().endpoints.find((endpoint) => endpoint.name === name)
-        ?.service,
+    findService: (name) => index.find(name),
   }));
   const head = HeadReader.create(store);
   const spread: ConfigurationSpread = disposables.register(
@@ -148,5 +147,6 @@
       log,
     }),
   );
+  const index = ServiceIndex.create(spread);
   return { requests, membership, spread };
 }
--- a/packages/routing/src/limits_feed.ts
+++ b/packages/routing/src/limits_feed.ts
@@ -25,7 +25,9 @@
 import type { PeerDemand, TeamLimits } from "./team_limits.ts";
 
 const updateMs = 1_000;
-const freshMs = 5_000;
+const digestFreshMs = 5_000;
+/** Summaries of data centres come every 4 s and take time to spread. */
+const zoneFreshMs = 12_000;
 const loadFreshMs = 10_000;
 
 /** What the feed needs of the membership. */
@@ -172,8 +174,8 @@
 
   #removeOld(): void {
     const now = this.#options.clock.now();
-    removeBefore(this.#digests, now - freshMs);
-    removeBefore(this.#zones, now - freshMs);
+    removeBefore(this.#digests, now - digestFreshMs);
+    removeBefore(this.#zones, now - zoneFreshMs);
     removeBefore(this.#loads, now - loadFreshMs);
   }
 }
--- a/packages/routing/src/limits_feed_test.ts
+++ b/packages/routing/src/limits_feed_test.ts
@@ -143,6 +143,9 @@
   assert.is(liveNodes, 5);
   assert.equal(peers.map(({ nodes }) => nodes), [1, 2]);
   await setup.clock.advance(6_000);
+  // Summaries come every 4 s and take time to spread, so one may be this old.
+  assert.equal((await setup.readUpdate()).peers.map(({ nodes }) => nodes), [2]);
+  await setup.clock.advance(6_000);
   assert.is((await setup.readUpdate()).peers.length, 0);
   setup.feed.dispose();
 });
--- a/packages/scenario/src/session.ts
+++ b/packages/scenario/src/session.ts
@@ -6,6 +6,7 @@
  * golden file. A step that does not hold is a finding; the run goes on.
  */
 
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Hasher } from "@almondcrank/common/hashing.ts";
 import {
   type CallerTarget,
@@ -395,7 +396,3 @@
     return this.#fleet;
   }
 }
-
-function sleep(ms: number): Promise<undefined> {
-  return new Promise((resolve) => setTimeout(() => resolve(undefined), ms));
-}
