Take leaving hosts from the lagging host list, and nothing else

Cause: the node had a client of the host list and did not use it, so a host whose notice was missed got work until its endpoint failed. Ways weighed: dropping endpoints the list does not name (it lags and would drop live ones), believing "live" (it would take back what a notice said), or only ever adding leaving hosts; the last one cannot do harm.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -13,6 +13,7 @@
 import { LateValue } from "@almondcrank/common/late_value.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import { FleetControl } from "@almondcrank/fleet/fleet_control.ts";
+import { HostListWatch } from "@almondcrank/fleet/host_list_watch.ts";
 import type { ReleaseError } from "@almondcrank/fleet/release_error.ts";
 import {
   type AppliedRelease,
@@ -138,6 +139,7 @@
     this.#cluster.start();
     this.#paths.start();
     this.#startControl();
+    this.#startHostList();
     this.#fronts = this.#disposables.register(
       await NodeFronts.open({
         ...this.#services,
@@ -186,6 +188,20 @@
     );
   }
 
+  #startHostList(): void {
+    const { hosts } = this.#platform;
+    if (hosts === undefined) return;
+    const { membership, spread } = this.#cluster;
+    this.#disposables.register(HostListWatch.create({
+      ...this.#services,
+      hosts,
+      configuration: spread,
+      isReader: () => membership.isDelegate(),
+      isLeaving: (endpoint) => membership.isLeaving(endpoint),
+      markLeaving: (leaving) => membership.markLeaving(leaving),
+    }));
+  }
+
   #readCapacityPolicy(): Parameters<
     typeof FleetControl.create
   >[0]["capacity"] {
--- a/packages/node/src/platform_clients.ts
+++ b/packages/node/src/platform_clients.ts
@@ -6,6 +6,8 @@
 import type { DisposableStore } from "@almondcrank/common/disposables.ts";
 import type { CloudApi } from "@almondcrank/platform/cloud_api.ts";
 import { HttpCloudApi } from "@almondcrank/platform/http_cloud_api.ts";
+import type { HostList } from "@almondcrank/platform/host_list.ts";
+import { HttpHostList } from "@almondcrank/platform/http_host_list.ts";
 import { HttpObjectStore } from "@almondcrank/platform/http_object_store.ts";
 import { HttpWeightStore } from "@almondcrank/platform/http_weight_store.ts";
 import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
@@ -17,6 +19,7 @@
   readonly store: ObjectStore;
   readonly cloud: CloudApi | undefined;
   readonly weightStore: WeightStore;
+  readonly hosts: HostList | undefined;
 }
 
 /** Creates the clients under one owner. */
@@ -24,7 +27,8 @@
   services: NodeServices,
   disposables: DisposableStore,
 ): PlatformClients {
-  const { objectApi, cloudApi, weightStore } = services.settings.platform;
+  const { objectApi, cloudApi, weightStore, hostList } =
+    services.settings.platform;
   const { clock, random, metrics, log } = services;
   const common = { clock, random, metrics, log };
   return {
@@ -34,6 +38,9 @@
     cloud: cloudApi === undefined ? undefined : disposables.register(
       HttpCloudApi.create({ ...common, address: cloudApi }),
     ),
+    hosts: hostList === undefined ? undefined : disposables.register(
+      HttpHostList.create({ ...common, address: hostList }),
+    ),
     weightStore: weightStore === undefined
       ? unlimitedWeightStore
       : disposables.register(
