Take the in-memory object API out of the world of plain calls

Change: FakeClaims and its faults in a module of their own; two tests import it from there, their bodies are unchanged.

--- a/packages/routing/src/testing/fake_calls_world.ts
+++ b/packages/routing/src/testing/fake_calls_world.ts
@@ -26,12 +26,7 @@
   PlainCall,
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
-import type {
-  ObjectStore,
-  StoredObject,
-  WriteOutcome,
-} from "@almondcrank/platform/object_store.ts";
-import { PlatformError } from "@almondcrank/platform/platform_error.ts";
+import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
 import {
   type ForwardedCall,
   type ForwardedOutcome,
@@ -39,6 +34,7 @@
   KeyPeerError,
   type KeyPeers,
 } from "../key_peers.ts";
+import { FakeClaims } from "./fake_claims.ts";
 import type { KeyLimits } from "../key_records.ts";
 import type { Limiter } from "../limiter.ts";
 import { noLoadReports } from "../plain_choice.ts";
@@ -64,9 +60,6 @@
 
 const endpointNames = ["booking-1", "booking-2", "booking-3"];
 
-/** What happens to a write of the object API. */
-export type StoreFault = "none" | "out" | "lost_before" | "lost_after" | "slow";
-
 /** What happens to a call at an endpoint. */
 export type EndpointFault =
   | "none"
@@ -78,7 +71,6 @@
   | "silent";
 
 const slowMs = 400;
-const storeSlowMs = 300;
 
 /** Passes while a process runs, holds while it is frozen or after it died. */
 class Gate {
@@ -98,110 +90,6 @@
   }
 }
 
-/** Object API in memory. */
-export class FakeClaims implements ObjectStore {
-  readonly objects = new Map<string, StoredObject>();
-  /** Faults of the next calls; `fault` applies when it is empty. */
-  readonly nextFaults: StoreFault[] = [];
-  fault: StoreFault = "none";
-  writes = 0;
-  calls = 0;
-  #version = 0;
-  readonly #clock: ManualClock;
-
-  constructor(clock: ManualClock) {
-    this.#clock = clock;
-  }
-
-  async read(
-    key: string,
-  ): Promise<Either<PlatformError, StoredObject | undefined>> {
-    const lost = await this.#meetFault();
-    return lost === undefined ? Right(this.objects.get(key)) : Left(lost);
-  }
-
-  async list(
-    prefix: string,
-  ): Promise<
-    Either<PlatformError, { version: number; objects: StoredObject[] }>
-  > {
-    const lost = await this.#meetFault();
-    if (lost !== undefined) return Left(lost);
-    const objects = [...this.objects.values()]
-      .filter(({ key }) => key.startsWith(prefix));
-    return Right({ version: this.#version, objects });
-  }
-
-  async write(
-    key: string,
-    value: unknown,
-    condition: Parameters<ObjectStore["write"]>[2],
-  ): Promise<Either<PlatformError, WriteOutcome>> {
-    this.writes++;
-    const fault = this.nextFaults[0] ?? this.fault;
-    const lost = await this.#meetFault();
-    if (fault === "out" || fault === "lost_before") return Left(lost!);
-    const current = this.objects.get(key);
-    const matches = condition.kind === "absent"
-      ? current === undefined
-      : current?.version === condition.version;
-    if (matches) {
-      this.objects.set(key, { key, version: ++this.#version, value });
-    }
-    if (lost !== undefined) return Left(lost);
-    return Right(
-      matches
-        ? { kind: "written", version: this.#version }
-        : { kind: "conflict", current },
-    );
-  }
-
-  async remove(
-    key: string,
-    version: number,
-  ): Promise<Either<PlatformError, WriteOutcome>> {
-    this.writes++;
-    const lost = await this.#meetFault();
-    if (lost !== undefined) return Left(lost);
-    const current = this.objects.get(key);
-    if (current?.version !== version) {
-      return Right({ kind: "conflict", current });
-    }
-    this.objects.delete(key);
-    return Right({ kind: "written", version: ++this.#version });
-  }
-
-  watch(): never {
-    throw new Error("claims are not watched");
-  }
-
-  async #meetFault(): Promise<PlatformError | undefined> {
-    this.calls++;
-    const fault = this.nextFaults.shift() ?? this.fault;
-    const service = "object_api";
-    switch (fault) {
-      case "none":
-        return undefined;
-      case "slow":
-        await this.#clock.sleep(storeSlowMs);
-        return undefined;
-      case "out":
-        return PlatformError.create({
-          kind: "unavailable",
-          service,
-          reason: "outage",
-        });
-      case "lost_before":
-      case "lost_after":
-        return PlatformError.create({
-          kind: "outcome_unknown",
-          service,
-          reason: "answer lost",
-        });
-    }
-  }
-}
-
 /** One process incarnation. */
 export interface FakeNode {
   readonly identity: KeyOwner;
