--- a/packages/bench/src/control_traffic_worker.ts
+++ b/packages/bench/src/control_traffic_worker.ts
@@ -31,7 +31,7 @@
   type MembershipRouter,
   TrpcPeerTransport,
 } from "@almondcrank/membership/peer_transport.ts";
-import { PlatformError } from "@almondcrank/platform/platform_error.ts";
+import { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import type {
   WorkerLoad,
   WorkerNode,
--- a/packages/bench/src/cost_trace.ts
+++ b/packages/bench/src/cost_trace.ts
@@ -4,7 +4,7 @@
 
 import type { Market } from "@almondcrank/common/configuration.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import type { Price } from "@almondcrank/platform/cloud_api.ts";
+import type { Price } from "@almondcrank/infrastructure/cloud_api.ts";
 
 /** Length of a step of the trace, in milliseconds. */
 export const stepMs = 30_000;
--- a/packages/bench/src/head_size.ts
+++ b/packages/bench/src/head_size.ts
@@ -15,7 +15,7 @@
   decodeHead,
   encodeValue,
   headKey,
-} from "@almondcrank/platform/head_codec.ts";
+} from "@almondcrank/infrastructure/head_codec.ts";
 
 const rounds = 20;
 
--- a/packages/bench/src/key_path.ts
+++ b/packages/bench/src/key_path.ts
@@ -16,7 +16,7 @@
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import { MemoryObjectStore } from "@almondcrank/platform/memory_object_store.ts";
+import { MemoryObjectStore } from "@almondcrank/infrastructure/memory_object_store.ts";
 import type { KeyPeers } from "@almondcrank/routing/key_peers.ts";
 import {
   defaultKeyLimits,
--- a/packages/bench/src/platform_calls.ts
+++ b/packages/bench/src/platform_calls.ts
@@ -28,8 +28,8 @@
 } from "@almondcrank/fleet/testing/release_fixtures.ts";
 import { ReleaseWriter } from "@almondcrank/fleet/release_writer.ts";
 import type { NodeIdentity } from "@almondcrank/membership/membership.ts";
-import { HeadReader } from "@almondcrank/platform/head_reader.ts";
-import { MemoryObjectStore } from "@almondcrank/platform/memory_object_store.ts";
+import { HeadReader } from "@almondcrank/infrastructure/head_reader.ts";
+import { MemoryObjectStore } from "@almondcrank/infrastructure/memory_object_store.ts";
 
 const warmUpMs = 20_000;
 const measuredMs = 60_000;
--- a/packages/fleet/src/capacity_plan.ts
+++ b/packages/fleet/src/capacity_plan.ts
@@ -11,7 +11,7 @@
  */
 
 import type { Market } from "@almondcrank/common/configuration.ts";
-import type { Price } from "@almondcrank/platform/cloud_api.ts";
+import type { Price } from "@almondcrank/infrastructure/cloud_api.ts";
 import {
   capacityEpsilon,
   computeCapacity,
--- a/packages/fleet/src/capacity_plan_test.ts
+++ b/packages/fleet/src/capacity_plan_test.ts
@@ -4,7 +4,7 @@
 import type { Market } from "@almondcrank/common/configuration.ts";
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import type { Price } from "@almondcrank/platform/cloud_api.ts";
+import type { Price } from "@almondcrank/infrastructure/cloud_api.ts";
 import {
   type CapacityInput,
   computeCapacityPlan,
--- a/packages/fleet/src/fleet_control.ts
+++ b/packages/fleet/src/fleet_control.ts
@@ -25,9 +25,9 @@
   EndpointLoad,
   Membership,
 } from "@almondcrank/membership/membership.ts";
-import type { CloudApi } from "@almondcrank/platform/cloud_api.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
-import type { WeightStore } from "@almondcrank/platform/weight_store.ts";
+import type { CloudApi } from "@almondcrank/infrastructure/cloud_api.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
+import type { WeightStore } from "@almondcrank/infrastructure/weight_store.ts";
 import { Lease } from "./lease.ts";
 import { defaultLeaseMs, LeaseHolder } from "./lease_holder.ts";
 import { NoticeWatch } from "./notices.ts";
--- a/packages/fleet/src/fleet_control_test.ts
+++ b/packages/fleet/src/fleet_control_test.ts
@@ -12,7 +12,7 @@
   Membership,
   NodeIdentity,
 } from "@almondcrank/membership/membership.ts";
-import { MemoryObjectStore } from "@almondcrank/platform/memory_object_store.ts";
+import { MemoryObjectStore } from "@almondcrank/infrastructure/memory_object_store.ts";
 import { FleetControl } from "./fleet_control.ts";
 import { MemoryCloud } from "./testing/memory_cloud.ts";
 import { MemoryEngine } from "./testing/memory_engine.ts";
--- a/packages/fleet/src/host_list_watch.ts
+++ b/packages/fleet/src/host_list_watch.ts
@@ -12,7 +12,10 @@
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type { LeavingEndpoint } from "@almondcrank/membership/membership.ts";
-import type { HostList, HostListing } from "@almondcrank/platform/host_list.ts";
+import type {
+  HostList,
+  HostListing,
+} from "@almondcrank/infrastructure/host_list.ts";
 
 const defaultPeriodMs = 5_000;
 /** Time a host is taken to have when nothing but the list says it leaves. */
--- a/packages/fleet/src/host_list_watch_test.ts
+++ b/packages/fleet/src/host_list_watch_test.ts
@@ -11,8 +11,8 @@
 import type {
   HostListing,
   HostState,
-} from "@almondcrank/platform/host_list.ts";
-import { PlatformError } from "@almondcrank/platform/platform_error.ts";
+} from "@almondcrank/infrastructure/host_list.ts";
+import { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import { HostListWatch } from "./host_list_watch.ts";
 
 const endpoints: readonly Endpoint[] = ["a", "b", "c"].map((name) => ({
--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -16,8 +16,8 @@
   ObjectStore,
   StoredObject,
   WriteOutcome,
-} from "@almondcrank/platform/object_store.ts";
-import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
+} from "@almondcrank/infrastructure/object_store.ts";
+import type { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import { LeaseError } from "./lease_error.ts";
 
 /** Prefix of lease objects. */
--- a/packages/fleet/src/lease_error.ts
+++ b/packages/fleet/src/lease_error.ts
@@ -3,7 +3,7 @@
  */
 
 import { KindError } from "@almondcrank/common/kind_error.ts";
-import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
+import type { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 
 export type LeaseErrorDetail =
   /** This process does not hold the lease; `holder` does, as far as known. */
--- a/packages/fleet/src/lease_test.ts
+++ b/packages/fleet/src/lease_test.ts
@@ -9,7 +9,7 @@
   type ChooseFate,
   MemoryObjectStore,
   type StoreFate,
-} from "@almondcrank/platform/memory_object_store.ts";
+} from "@almondcrank/infrastructure/memory_object_store.ts";
 import { Lease, leasePrefix } from "./lease.ts";
 import { LeaseHolder } from "./lease_holder.ts";
 
--- a/packages/fleet/src/notices.ts
+++ b/packages/fleet/src/notices.ts
@@ -22,8 +22,11 @@
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type { LeavingEndpoint } from "@almondcrank/membership/membership.ts";
-import { Backoff } from "@almondcrank/platform/backoff.ts";
-import type { CloudApi, NoticeBatch } from "@almondcrank/platform/cloud_api.ts";
+import { Backoff } from "@almondcrank/infrastructure/backoff.ts";
+import type {
+  CloudApi,
+  NoticeBatch,
+} from "@almondcrank/infrastructure/cloud_api.ts";
 
 /** Counter of leaving endpoints, labelled `source`. */
 export const leavingCounter = "almondcrank_leaving_endpoints_total";
--- a/packages/fleet/src/orders_test.ts
+++ b/packages/fleet/src/orders_test.ts
@@ -15,8 +15,8 @@
   EngineState,
   Order,
 } from "@almondcrank/endpoint/engine.ts";
-import { MemoryObjectStore } from "@almondcrank/platform/memory_object_store.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import { MemoryObjectStore } from "@almondcrank/infrastructure/memory_object_store.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { Lease } from "./lease.ts";
 import { LeaseHolder } from "./lease_holder.ts";
 import { OrderSender } from "./orders.ts";
--- a/packages/fleet/src/reconciler.ts
+++ b/packages/fleet/src/reconciler.ts
@@ -21,7 +21,7 @@
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type { Engine, EngineState } from "@almondcrank/endpoint/engine.ts";
-import type { WeightStore } from "@almondcrank/platform/weight_store.ts";
+import type { WeightStore } from "@almondcrank/infrastructure/weight_store.ts";
 import { computeDesiredState, computePendingWork } from "./desired_state.ts";
 import type { Lease } from "./lease.ts";
 import type { OrderError } from "./order_error.ts";
--- a/packages/fleet/src/release_error.ts
+++ b/packages/fleet/src/release_error.ts
@@ -4,7 +4,7 @@
 
 import type { FileError } from "@almondcrank/common/jsonc_file.ts";
 import { KindError } from "@almondcrank/common/kind_error.ts";
-import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
+import type { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 
 export type ReleaseErrorDetail =
   /** The note is refused whole. */
--- a/packages/fleet/src/release_writer.ts
+++ b/packages/fleet/src/release_writer.ts
@@ -14,7 +14,7 @@
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
-import { Backoff } from "@almondcrank/platform/backoff.ts";
+import { Backoff } from "@almondcrank/infrastructure/backoff.ts";
 import {
   computeValueBytes,
   decodeHead,
@@ -23,14 +23,14 @@
   headKey,
   type HeadWrite,
   type ReleasedConfiguration,
-} from "@almondcrank/platform/head_codec.ts";
+} from "@almondcrank/infrastructure/head_codec.ts";
 import {
   maxObjectBytes,
   type ObjectStore,
   type StoredObject,
   type WriteOutcome,
-} from "@almondcrank/platform/object_store.ts";
-import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
+} from "@almondcrank/infrastructure/object_store.ts";
+import type { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import {
   type ConfigurationChange,
   formatChange,
--- a/packages/fleet/src/release_writer_test.ts
+++ b/packages/fleet/src/release_writer_test.ts
@@ -5,14 +5,14 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import { decodeHead, headKey } from "@almondcrank/platform/head_codec.ts";
-import { HeadReader } from "@almondcrank/platform/head_reader.ts";
+import { decodeHead, headKey } from "@almondcrank/infrastructure/head_codec.ts";
+import { HeadReader } from "@almondcrank/infrastructure/head_reader.ts";
 import {
   type ChooseFate,
   MemoryObjectStore,
   type StoreCall,
   type StoreFate,
-} from "@almondcrank/platform/memory_object_store.ts";
+} from "@almondcrank/infrastructure/memory_object_store.ts";
 import {
   createEndpoint,
   firstNoteText,
--- a/packages/fleet/src/rented_writer.ts
+++ b/packages/fleet/src/rented_writer.ts
@@ -9,17 +9,17 @@
 
 import { type Either, Left, Right } from "purify-ts";
 import type { Endpoint } from "@almondcrank/common/configuration.ts";
-import type { Instance } from "@almondcrank/platform/cloud_api.ts";
+import type { Instance } from "@almondcrank/infrastructure/cloud_api.ts";
 import {
   decodeRented,
   encodeValue,
   rentedPrefix,
-} from "@almondcrank/platform/head_codec.ts";
+} from "@almondcrank/infrastructure/head_codec.ts";
 import type {
   ObjectStore,
   StoredObject,
-} from "@almondcrank/platform/object_store.ts";
-import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
+} from "@almondcrank/infrastructure/object_store.ts";
+import type { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import type { Lease } from "./lease.ts";
 import { rentedNamePrefix } from "./release_note_schema.ts";
 
--- a/packages/fleet/src/replacer.ts
+++ b/packages/fleet/src/replacer.ts
@@ -26,8 +26,8 @@
   InstanceOutcome,
   InstanceRequest,
   Price,
-} from "@almondcrank/platform/cloud_api.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+} from "@almondcrank/infrastructure/cloud_api.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { computeCapacityPlan, type PlannedHost } from "./capacity_plan.ts";
 import type { Lease } from "./lease.ts";
 import { formatOffer, type Offer, OfferBlocks } from "./offers.ts";
--- a/packages/fleet/src/spread_purchase.ts
+++ b/packages/fleet/src/spread_purchase.ts
@@ -6,7 +6,7 @@
  * data centres up to it is optimal; the bounds are tried in steps.
  */
 
-import type { Price } from "@almondcrank/platform/cloud_api.ts";
+import type { Price } from "@almondcrank/infrastructure/cloud_api.ts";
 import {
   type Capacity,
   capacityEpsilon,
--- a/packages/fleet/src/testing/memory_cloud.ts
+++ b/packages/fleet/src/testing/memory_cloud.ts
@@ -13,11 +13,11 @@
   NoticeBatch,
   Price,
   ReclaimNotice,
-} from "@almondcrank/platform/cloud_api.ts";
+} from "@almondcrank/infrastructure/cloud_api.ts";
 import {
   PlatformError,
   type PlatformErrorDetail,
-} from "@almondcrank/platform/platform_error.ts";
+} from "@almondcrank/infrastructure/platform_error.ts";
 import { formatOffer, type Offer } from "../offers.ts";
 
 /** Cloud that grants hosts unless told otherwise. */
--- /dev/null
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -0,0 +1,196 @@
+/**
+ * Keeps a node in touch with its peers: sends datagrams, takes theirs in, and
+ * exchanges copies of the store's objects over HTTP.
+ */
+
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { z } from "zod";
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import {
+  type FeedKind,
+  feedKinds,
+  type FeedSnapshot,
+  type FeedState,
+} from "../feed/feed_state.ts";
+import { callReplica } from "../relay/control_call.ts";
+import type { Members } from "./members.ts";
+import type { PeerLink } from "./peer_link.ts";
+import type { SharedWork } from "./shared_work.ts";
+
+const sendIntervalMs = 200;
+/** Nodes beyond which datagrams become rarer, to bound their cost. */
+const fullRateNodes = 12;
+const minChangePauseMs = 30;
+const pullTimeoutMs = 1_000;
+const snapshotPath = "/peer/feed/";
+
+const snapshotSchema = z.object({
+  asOf: z.number(),
+  digest: z.number(),
+  objects: z.array(z.object({
+    key: z.string(),
+    version: z.number(),
+    value: z.unknown(),
+  })),
+});
+
+/** What a cluster needs. */
+export interface ClusterOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly link: PeerLink;
+  readonly members: Members;
+  readonly work: SharedWork;
+  readonly feeds: Readonly<Record<FeedKind, FeedState>>;
+  /** Port of the control listener, the same on all nodes. */
+  readonly controlPort: number;
+  /** Further pages of the control listener, by path. */
+  readonly pages: Readonly<Record<string, () => string>>;
+}
+
+/** Peers of one node. */
+export class Cluster implements Disposable {
+  readonly #options: ClusterOptions;
+  readonly #server: Server;
+  readonly #stopped = new AbortController();
+  readonly #pulling = new Set<FeedKind>();
+  readonly #subscriptions: Disposable[] = [];
+  #sentAt = -Infinity;
+  #isSendDue = false;
+
+  private constructor(options: ClusterOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) =>
+      this.#answer(request.url ?? "/", response)
+    );
+  }
+
+  /** Starts sending; listens where an address is given. */
+  static async open(
+    options: ClusterOptions,
+    address: string | undefined,
+  ): Promise<Cluster> {
+    const cluster = new Cluster(options);
+    if (address !== undefined) await cluster.#listen(address);
+    cluster.#start();
+    return cluster;
+  }
+
+  /** Sends soon instead of at the next interval. */
+  sendSoon(): void {
+    if (this.#isSendDue) return;
+    this.#isSendDue = true;
+    const waitMs = this.#sentAt + minChangePauseMs - this.#options.clock.now();
+    setTimeout(() => this.#sendAll(), Math.max(0, waitMs)).unref();
+  }
+
+  /** Asks a peer for its copy, one call a feed at a time. */
+  async pullFeed(kind: FeedKind, ip: string): Promise<void> {
+    if (this.#pulling.has(kind)) return;
+    this.#pulling.add(kind);
+    try {
+      const { controlPort, feeds } = this.#options;
+      const answer = await callReplica(
+        { method: "GET", path: snapshotPath + kind, body: "" },
+        { address: `${ip}:${controlPort}`, timeoutMs: pullTimeoutMs },
+      );
+      if (answer?.status !== 200) return;
+      const snapshot = parseSnapshot(answer.text);
+      if (snapshot !== undefined) feeds[kind].applySnapshot(snapshot);
+    } finally {
+      this.#pulling.delete(kind);
+    }
+  }
+
+  dispose(): void {
+    this.#stopped.abort();
+    for (const subscription of this.#subscriptions) subscription.dispose();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #start(): void {
+    const { link, feeds } = this.#options;
+    this.#subscriptions.push(
+      link.onReceived((message) => {
+        if (this.#options.work.apply(message)) this.sendSoon();
+      }),
+    );
+    for (const kind of feedKinds) {
+      this.#subscriptions.push(feeds[kind].onChanged(() => this.sendSoon()));
+    }
+    void this.#run();
+  }
+
+  async #run(): Promise<void> {
+    const { clock, members, work } = this.#options;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      work.refresh();
+      this.#sendAll();
+      const nodes = members.listKnown(clock.now()).length + 1;
+      const factor = Math.max(1, nodes / fullRateNodes);
+      await clock.sleep(sendIntervalMs * factor, signal);
+    }
+  }
+
+  #sendAll(): void {
+    if (this.#stopped.signal.aborted) return;
+    const { clock, members, link, work } = this.#options;
+    const now = clock.now();
+    this.#sentAt = now;
+    this.#isSendDue = false;
+    const byIp = new Map(
+      members.listKnown(now).map((member) => [member.ip, member]),
+    );
+    for (const ip of members.listAddresses(now)) {
+      link.send(work.compose(byIp.get(ip)), ip);
+    }
+  }
+
+  #listen(address: string): Promise<void> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(Number(port), host, () => {
+        this.#server.off("error", reject);
+        this.#server.on("error", (error) => {
+          this.#options.log.warn("the control listener failed.", {
+            reason: error.message,
+          });
+        });
+        resolve();
+      });
+    });
+  }
+
+  #answer(url: string, response: ServerResponse): void {
+    const kind = feedKinds.find((kind) => url === snapshotPath + kind);
+    if (kind !== undefined) {
+      const state = this.#options.feeds[kind];
+      const objects = state.listObjects();
+      const snapshot: FeedSnapshot = { ...state.mark, objects };
+      response.setHeader("Content-Type", "application/json");
+      response.end(JSON.stringify(snapshot));
+      return;
+    }
+    const page = this.#options.pages[url];
+    if (page === undefined) {
+      response.writeHead(404);
+      response.end();
+      return;
+    }
+    response.setHeader("Content-Type", "text/plain; charset=utf-8");
+    response.end(page());
+  }
+}
+
+function parseSnapshot(text: string): FeedSnapshot | undefined {
+  try {
+    return snapshotSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/peer_link.ts
@@ -0,0 +1,78 @@
+/**
+ * UDP socket between nodes.
+ */
+
+import { createSocket, type Socket } from "node:dgram";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import {
+  decodePeerMessage,
+  encodePeerMessage,
+  type PeerMessage,
+} from "./peer_messages.ts";
+
+/** Where a link listens. */
+export interface PeerLinkOptions {
+  readonly ip: string;
+  /** Port of all nodes. */
+  readonly port: number;
+  readonly log: Log;
+}
+
+/** Socket of one node. */
+export class PeerLink implements Disposable {
+  readonly #options: PeerLinkOptions;
+  readonly #socket: Socket;
+  readonly #received = Emitter.create<PeerMessage>();
+  #sendFailures = 0;
+
+  private constructor(options: PeerLinkOptions) {
+    this.#options = options;
+    this.#socket = createSocket({ type: "udp4", reuseAddr: false });
+  }
+
+  /** Binds the socket; rejects when the port is taken. */
+  static open(options: PeerLinkOptions): Promise<PeerLink> {
+    const link = new PeerLink(options);
+    return new Promise((resolve, reject) => {
+      link.#socket.once("error", reject);
+      link.#socket.bind(options.port, options.ip, () => {
+        link.#socket.off("error", reject);
+        link.#start();
+        resolve(link);
+      });
+    });
+  }
+
+  /** Fired for each datagram that can be read. */
+  readonly onReceived: Event<PeerMessage> = this.#received.event;
+
+  /** Sends a datagram; losses are not reported. */
+  send(message: PeerMessage, ip: string): void {
+    const bytes = encodePeerMessage(message);
+    this.#socket.send(bytes, this.#options.port, ip, (error) => {
+      if (error === null) return;
+      this.#sendFailures += 1;
+      if (this.#sendFailures > 1) return;
+      const { log } = this.#options;
+      log.warn("a datagram could not be sent.", { ip, reason: error.message });
+    });
+  }
+
+  dispose(): void {
+    this.#received.dispose();
+    this.#socket.close();
+  }
+
+  #start(): void {
+    const { log } = this.#options;
+    this.#socket.on("error", (error) => {
+      log.warn("the peers' socket failed.", { reason: error.message });
+    });
+    this.#socket.on("message", (bytes) => {
+      const message = decodePeerMessage(bytes);
+      if (message !== undefined) this.#received.fire(message);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -0,0 +1,68 @@
+/**
+ * Datagrams that nodes send each other a few times a second.
+ *
+ * Sums are counted from the sender's start, so a lost datagram loses nothing:
+ * the next one includes it. The encoding is JSON; a datagram that cannot be read
+ * is dropped.
+ */
+
+import { z } from "zod";
+
+const sums = z.array(z.tuple([z.string(), z.number(), z.number()]));
+
+const feedNews = z.object({
+  asOf: z.number(),
+  digest: z.number(),
+  /** Age of the proof when the datagram was sent; null when there is none. */
+  ageMs: z.number().nullable(),
+  /** Time since the store did not answer; null when it never failed. */
+  outageMs: z.number().nullable(),
+});
+
+const message = z.object({
+  /** Sender and its start, which tells incarnations apart. */
+  node: z.string(),
+  incarnation: z.string(),
+  ip: z.string(),
+  upMs: z.number(),
+  isDraining: z.boolean(),
+  /** Sender's monotonic time. */
+  sentAt: z.number(),
+  /** Sender's time of day. */
+  wallTime: z.number(),
+  /** Stamp of the receiver's last datagram and how long ago it came. */
+  echo: z.object({ sentAt: z.number(), heldMs: z.number() }).nullable(),
+  configuration: feedNews,
+  replicas: feedNews,
+  /** Fencing number while the sender holds the duties' lease. */
+  duty: z.number().nullable(),
+  /** Tenant, bucket level, tokens admitted. */
+  allowances: sums,
+  /** Service, requests, repeats. */
+  budgets: sums,
+  /** Replica, active requests, pending tokens, held tokens. */
+  loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+  /** Usage window, then requests by tenant. */
+  usage: z.array(z.tuple([z.number(), z.record(z.string(), z.number())])),
+  /** Other nodes the sender knows: name, IP address. */
+  members: z.array(z.tuple([z.string(), z.string()])),
+});
+
+/** News of one feed. */
+export type FeedNews = z.infer<typeof feedNews>;
+/** One datagram. */
+export type PeerMessage = z.infer<typeof message>;
+
+/** Encodes a datagram. */
+export function encodePeerMessage(value: PeerMessage): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+/** Decodes a datagram; `undefined` when it is not one. */
+export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
+  try {
+    return message.safeParse(JSON.parse(bytes.toString("utf8"))).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -0,0 +1,227 @@
+/**
+ * What nodes tell each other and what each makes of it.
+ *
+ * Holds no sockets: `compose` gives the next datagram and `apply` takes one in.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { NodeLoad } from "../choice/replica_state.ts";
+import type { ReplicaTable } from "../choice/replica_table.ts";
+import type { UsageCounts } from "../duties/usage_counts.ts";
+import type { FeedKind, FeedState } from "../feed/feed_state.ts";
+import type { Allowances } from "../limits/allowance.ts";
+import type { RepeatBudget } from "../limits/repeat_budget.ts";
+import type { Member, Members } from "./members.ts";
+import type { FeedNews, PeerMessage } from "./peer_messages.ts";
+
+/** What shared work needs. */
+export interface SharedWorkOptions {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly ip: string;
+  /** Clock of members and proofs, which counts suspensions. */
+  readonly clock: Clock;
+  /** Clock of limits. */
+  readonly limitsClock: Clock;
+  readonly members: Members;
+  readonly feeds: Readonly<Record<FeedKind, FeedState>>;
+  readonly allowances: Allowances;
+  readonly budget: RepeatBudget;
+  readonly table: ReplicaTable;
+  readonly usage: UsageCounts;
+  readonly isDraining: () => boolean;
+  /** Fencing number while this node holds the duties' lease. */
+  readonly readDuty: () => number | undefined;
+  /** Asks a peer for its newer copy. */
+  readonly pullFeed: (kind: FeedKind, ip: string) => void;
+}
+
+type Sums = ReadonlyMap<string, readonly [number, number]>;
+
+/** Last sums of one peer. */
+interface PeerSums {
+  readonly incarnation: string;
+  readonly allowances: Sums;
+  readonly budgets: Sums;
+  readonly loads: PeerMessage["loads"];
+}
+
+/** Shared work of one node. */
+export class SharedWork {
+  readonly #options: SharedWorkOptions;
+  readonly #startedAt: number;
+  readonly #peers = new Map<string, PeerSums>();
+
+  private constructor(options: SharedWorkOptions) {
+    this.#options = options;
+    this.#startedAt = options.clock.now();
+  }
+
+  static create(options: SharedWorkOptions): SharedWork {
+    return new SharedWork(options);
+  }
+
+  /** Composes the datagram for one receiver. */
+  compose(receiver: Member | undefined): PeerMessage {
+    const { clock, members, allowances, budget, usage } = this.#options;
+    const now = clock.now();
+    return {
+      node: this.#options.node,
+      incarnation: this.#options.incarnation,
+      ip: this.#options.ip,
+      upMs: now - this.#startedAt,
+      isDraining: this.#options.isDraining(),
+      sentAt: now,
+      wallTime: clock.wallTime(),
+      echo: receiver === undefined
+        ? null
+        : { sentAt: receiver.sentAt, heldMs: now - receiver.heardAt },
+      configuration: this.#composeNews("configuration", now),
+      replicas: this.#composeNews("replicas", now),
+      duty: this.#options.readDuty() ?? null,
+      allowances: allowances.list().map((entry) => [...entry]),
+      budgets: budget.list().map((entry) => [...entry]),
+      loads: this.#listLoads(),
+      usage: usage.listRecent(),
+      members: members.listKnown(now).map(({ node, ip }) => [node, ip]),
+    };
+  }
+
+  /** Takes a datagram in; returns whether its sender is new. */
+  apply(message: PeerMessage): boolean {
+    const { node, members, clock, usage } = this.#options;
+    if (message.node === node) return false;
+    const now = clock.now();
+    const isNew = members.record({
+      node: message.node,
+      incarnation: message.incarnation,
+      ip: message.ip,
+      isDraining: message.isDraining,
+      heardAt: now,
+      wallOffset: message.wallTime - now,
+      duty: message.duty ?? undefined,
+      sentAt: message.sentAt,
+    });
+    for (const [name, ip] of message.members) {
+      if (name !== node) members.addAddress(ip, now);
+    }
+    this.#applyNews("configuration", message);
+    this.#applyNews("replicas", message);
+    this.#applySums(message, now);
+    for (const [window, counts] of message.usage) {
+      usage.applyPeer(message.node, message.incarnation, { window, counts });
+    }
+    return isNew;
+  }
+
+  /** Adds up the peers' loads and the shares that this node may use. */
+  refresh(): void {
+    const { members, clock, table, allowances, budget } = this.#options;
+    const now = clock.now();
+    const limitsNow = this.#options.limitsClock.now();
+    const heard = members.listHeard(now);
+    const known = members.listKnown(now);
+    const visible = { known: known.length + 1, heard: heard.length + 1 };
+    allowances.setVisible(visible, limitsNow);
+    budget.setShare(visible.heard / visible.known);
+    const totals = new Map<string, NodeLoad>();
+    for (const member of heard) this.#addLoads(totals, member);
+    for (const state of table.listAll()) {
+      state.setPeerLoad(
+        totals.get(state.key) ??
+          { active: 0, pendingTokens: 0, heldTokens: 0 },
+      );
+    }
+  }
+
+  #addLoads(totals: Map<string, NodeLoad>, member: Member): void {
+    for (const entry of this.#peers.get(member.node)?.loads ?? []) {
+      const [key, active, pendingTokens, heldTokens] = entry;
+      const total = totals.get(key);
+      totals.set(key, {
+        active: active + (total?.active ?? 0),
+        pendingTokens: pendingTokens + (total?.pendingTokens ?? 0),
+        heldTokens: heldTokens + (total?.heldTokens ?? 0),
+      });
+    }
+  }
+
+  #listLoads(): PeerMessage["loads"] {
+    const loads: PeerMessage["loads"] = [];
+    for (const { key, own } of this.#options.table.listAll()) {
+      if (own.active === 0) continue;
+      loads.push([key, own.active, own.pendingTokens, own.heldTokens]);
+    }
+    return loads;
+  }
+
+  #composeNews(kind: FeedKind, now: number): FeedNews {
+    const state = this.#options.feeds[kind];
+    const formatAge = (time: number): number | null =>
+      Number.isFinite(time) ? now - time : null;
+    return {
+      ...state.mark,
+      ageMs: formatAge(state.provenAt),
+      outageMs: formatAge(state.outageAt),
+    };
+  }
+
+  /** An equal copy proves ours; a newer one is asked for. */
+  #applyNews(kind: FeedKind, message: PeerMessage): void {
+    const { feeds, clock } = this.#options;
+    const state = feeds[kind];
+    const news = message[kind];
+    const { asOf, digest } = state.mark;
+    const isSame = news.digest === digest && state.isKnown;
+    if (!isSame) {
+      if (news.asOf > asOf) this.#options.pullFeed(kind, message.ip);
+      return;
+    }
+    const { echo } = message;
+    if (echo === null || news.ageMs === null) return;
+    // The peer got our datagram after we sent it, so counting from our own
+    // stamp never makes the proof look younger than it is.
+    if (echo.sentAt > clock.now()) return;
+    state.confirm(echo.sentAt + echo.heldMs - news.ageMs);
+    if (news.outageMs !== null) {
+      state.recordOutage(clock.now() - news.outageMs);
+    }
+  }
+
+  #applySums(message: PeerMessage, now: number): void {
+    const { allowances, budget, limitsClock } = this.#options;
+    const limitsNow = limitsClock.now();
+    const previous = this.#peers.get(message.node);
+    const isSame = previous?.incarnation === message.incarnation;
+    // What a peer did before this node started is in the adopted levels.
+    const isOlder = message.upMs > now - this.#startedAt;
+    const isBaseline = !isSame && isOlder;
+    for (const [tenant, level, admitted] of message.allowances) {
+      if (isBaseline) allowances.adoptLevel(tenant, level);
+      const before = isSame ? previous?.allowances.get(tenant)?.[1] ?? 0 : 0;
+      if (!isBaseline) allowances.applyPeer(tenant, admitted - before);
+    }
+    for (const [service, requests, repeats] of message.budgets) {
+      const before = isSame ? previous?.budgets.get(service) ?? [0, 0] : [0, 0];
+      const delta = {
+        requests: requests - (before[0] ?? 0),
+        repeats: repeats - (before[1] ?? 0),
+      };
+      if (!isBaseline) budget.applyPeer(service, delta, limitsNow);
+    }
+    this.#peers.set(message.node, {
+      incarnation: message.incarnation,
+      allowances: indexSums(message.allowances),
+      budgets: indexSums(message.budgets),
+      loads: message.loads,
+    });
+  }
+}
+
+function indexSums(
+  entries: readonly (readonly [string, number, number])[],
+): Sums {
+  return new Map(
+    entries.map(([name, first, second]) => [name, [first, second]]),
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/feed/store_view.ts
@@ -0,0 +1,100 @@
+/**
+ * What a node believes of the configuration and the replicas.
+ *
+ * Decodes the copies of the store's objects whenever they change. A
+ * configuration with a lower version than the present one is never taken up.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import type { Bounds } from "@almondcrank/model/gateway_settings.ts";
+import { decodeConfiguration } from "@almondcrank/platform/decode_configuration.ts";
+import { decodeReplica } from "@almondcrank/platform/decode_replica.ts";
+import { configurationKey } from "@almondcrank/platform/platform_store.ts";
+import type { ReplicaTable } from "../choice/replica_table.ts";
+import { RouteTable } from "../routes/route_table.ts";
+import type { FeedKind, FeedState } from "./feed_state.ts";
+
+/** Time after an outage in which missing entries may have lapsed. */
+const lapseWatchMs = 6_000;
+/** Margin for a watch that stayed silent just before it was cut. */
+const revocationMarginMs = 1_000;
+
+/** What a view needs. */
+export interface StoreViewOptions {
+  readonly clock: Clock;
+  /** Clock that also counts time in which the host stood still. */
+  readonly proofClock: Clock;
+  readonly log: Log;
+  readonly bounds: Bounds;
+  readonly feeds: Readonly<Record<FeedKind, FeedState>>;
+  readonly table: ReplicaTable;
+}
+
+/** View of one node. */
+export class StoreView {
+  readonly #options: StoreViewOptions;
+  readonly #configured = Emitter.create<RouteTable>();
+  #routes: RouteTable | undefined;
+
+  private constructor(options: StoreViewOptions) {
+    this.#options = options;
+    options.feeds.configuration.onChanged(() => this.#applyConfiguration());
+    options.feeds.replicas.onChanged(() => this.#applyReplicas());
+  }
+
+  static create(options: StoreViewOptions): StoreView {
+    return new StoreView(options);
+  }
+
+  /** Fired when a newer configuration is in force. */
+  readonly onConfigured: Event<RouteTable> = this.#configured.event;
+
+  get routes(): RouteTable | undefined {
+    return this.#routes;
+  }
+
+  /** Whether the replicas have been read once. */
+  get hasReplicas(): boolean {
+    return this.#options.feeds.replicas.isKnown;
+  }
+
+  /** Whether a key's withdrawal would be known by now. */
+  get hasFreshNews(): boolean {
+    const { bounds, proofClock, feeds } = this.#options;
+    if (!bounds.failsClosed) return true;
+    const ageMs = proofClock.now() - feeds.configuration.provenAt;
+    return ageMs < bounds.revocationMs - revocationMarginMs;
+  }
+
+  #applyConfiguration(): void {
+    const { feeds, log } = this.#options;
+    const object = feeds.configuration.listObjects()
+      .find(({ key }) => key === configurationKey);
+    const configuration = decodeConfiguration(object?.value);
+    if (configuration === undefined) {
+      if (object !== undefined) log.warn("the configuration cannot be read.");
+      return;
+    }
+    const present = this.#routes?.configuration.version ?? -1;
+    if (configuration.version <= present) return;
+    this.#routes = RouteTable.create(configuration);
+    log.info("configuration in force.", {
+      version: configuration.version,
+      routes: configuration.routes.length,
+    });
+    this.#configured.fire(this.#routes);
+  }
+
+  #applyReplicas(): void {
+    const { feeds, table, clock } = this.#options;
+    const now = clock.now();
+    const replicas = feeds.replicas.listObjects().flatMap(({ key, value }) => {
+      const id = key.slice(key.indexOf("/") + 1);
+      return decodeReplica(id, value) ?? [];
+    });
+    const outageAgeMs = now - feeds.replicas.outageAt;
+    table.apply(replicas, { now, mayHaveLapsed: outageAgeMs < lapseWatchMs });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,321 @@
+/**
+ * One gateway process: wires its parts, starts them and drains them.
+ */
+
+import { type Clock, SystemClock } from "@almondcrank/common/clock.ts";
+import {
+  createDisposable,
+  DisposableStore,
+} from "@almondcrank/common/disposables.ts";
+import { openHasher } from "@almondcrank/common/hashing.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import type { PlatformClientOptions } from "@almondcrank/infrastructure/platform_caller.ts";
+import type { GatewaySettings } from "@almondcrank/model/gateway_settings.ts";
+import { PlatformStore } from "@almondcrank/platform/platform_store.ts";
+import {
+  configurationKind,
+  replicasKind,
+} from "@almondcrank/platform/platform_store.ts";
+import { PrefixMemory } from "./choice/prefix_memory.ts";
+import { ReplicaTable } from "./choice/replica_table.ts";
+import { Cluster } from "./cluster/cluster.ts";
+import { Members } from "./cluster/members.ts";
+import { NodeDirectory } from "./cluster/node_directory.ts";
+import { PeerLink } from "./cluster/peer_link.ts";
+import { SharedWork } from "./cluster/shared_work.ts";
+import { UsageCounts } from "./duties/usage_counts.ts";
+import { FeedReader } from "./feed/feed_reader.ts";
+import { type FeedKind, FeedState } from "./feed/feed_state.ts";
+import { StoreView } from "./feed/store_view.ts";
+import { Allowances } from "./limits/allowance.ts";
+import { RepeatBudget } from "./limits/repeat_budget.ts";
+import { ReadinessFront } from "./readiness_front.ts";
+import { CallersFront } from "./relay/callers_front.ts";
+import type { RelayServices } from "./relay/relay_services.ts";
+import { ReplicaSender } from "./relay/replica_sender.ts";
+import { StreamMover } from "./relay/stream_mover.ts";
+import { StreamRegistry } from "./relay/stream_registry.ts";
+import { SuspensionClock } from "./suspension_clock.ts";
+
+const storeDeadlineMs = 900;
+const storeLongestPauseMs = 500;
+const housekeepingMs = 250;
+/** Time from SIGTERM until no new connections are accepted. */
+const acceptAfterSignalMs = 2_600;
+/** Time before the end of the grace period at which the process ends. */
+const graceMarginMs = 350;
+const drainPollMs = 25;
+
+/** What a gateway needs. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly log: Log;
+}
+
+/** One running process. */
+export class Gateway {
+  readonly #settings: GatewaySettings;
+  readonly #log: Log;
+  readonly #clock: Clock;
+  readonly #lifetime = DisposableStore.create();
+  readonly #front: CallersFront;
+  readonly #sender: ReplicaSender;
+  readonly #table: ReplicaTable;
+  readonly #view: StoreView;
+  readonly #metrics = Metrics.create();
+  #isDraining = false;
+
+  private constructor(options: GatewayOptions, parts: GatewayParts) {
+    this.#settings = options.settings;
+    this.#log = options.log;
+    this.#clock = parts.clock;
+    this.#front = parts.front;
+    this.#sender = parts.services.sender;
+    this.#table = parts.services.table;
+    this.#view = parts.view;
+    this.#metrics = parts.services.metrics;
+  }
+
+  /** Starts all parts; rejects when an address cannot be bound. */
+  static async open(options: GatewayOptions): Promise<Gateway> {
+    const parts = await createParts(options);
+    const gateway = new Gateway(options, parts);
+    await gateway.#start(parts);
+    return gateway;
+  }
+
+  /**
+   * Ends the process's work: turns not ready, goes on accepting until the load
+   * balancer has noticed, and waits for running requests within the grace period.
+   */
+  async drain(): Promise<void> {
+    const endsAt = this.#clock.now() + this.#settings.bounds.graceMs -
+      graceMarginMs;
+    this.#isDraining = true;
+    this.#log.info("draining.", { running: this.#front.running });
+    this.#front.drain();
+    await this.#clock.sleep(acceptAfterSignalMs);
+    this.#front.close();
+    while (this.#front.running > 0 && this.#clock.now() < endsAt) {
+      await this.#clock.sleep(drainPollMs);
+    }
+    this.#log.info("drained.", { cut: this.#front.running });
+    this.#lifetime.dispose();
+  }
+
+  async #start(parts: GatewayParts): Promise<void> {
+    const { settings, view, front, services } = parts;
+    const { clock, table } = services;
+    this.#lifetime.register(front);
+    this.#lifetime.register(services.sender);
+    this.#lifetime.register(StreamMover.create(services, parts.registry));
+    view.onConfigured(({ configuration }) => {
+      front.applyLimits(configuration);
+      parts.allowances.prepare(configuration.tenants ?? [], clock.now());
+    });
+    const { members, usage, store, feeds, proofClock } = parts;
+    const link = await PeerLink.open({
+      ip: settings.ip,
+      port: settings.peerPort,
+      log: services.log.part("cluster"),
+    });
+    this.#lifetime.register(link);
+    const clusterBox: { cluster?: Cluster } = {};
+    const work = SharedWork.create({
+      node: settings.nodeName,
+      incarnation: parts.incarnation,
+      ip: settings.ip,
+      clock: proofClock,
+      limitsClock: clock,
+      members,
+      feeds,
+      allowances: parts.allowances,
+      budget: services.budget,
+      table,
+      usage,
+      isDraining: () => this.#isDraining,
+      readDuty: () => undefined,
+      pullFeed: (kind, ip) => void clusterBox.cluster?.pullFeed(kind, ip),
+    });
+    const cluster = await Cluster.open({
+      clock: proofClock,
+      log: services.log.part("cluster"),
+      link,
+      members,
+      work,
+      feeds,
+      controlPort: Number(settings.control?.split(":")[1] ?? 0),
+      pages: { "/metrics": () => services.metrics.format() },
+    }, settings.control);
+    clusterBox.cluster = cluster;
+    this.#lifetime.register(cluster);
+    this.#startReaders(parts);
+    this.#lifetime.register(
+      NodeDirectory.create({
+        settings,
+        store,
+        clock,
+        members,
+        log: services.log.part("cluster"),
+      }),
+    );
+    const housekeeping = setInterval(() => this.#keepHouse(), housekeepingMs);
+    this.#lifetime.register(
+      createDisposable(() => clearInterval(housekeeping)),
+    );
+    await this.#openFronts(parts);
+  }
+
+  #startReaders({ feeds, store, proofClock, services, members }: GatewayParts) {
+    const prefixes = {
+      configuration: configurationKind,
+      replicas: replicasKind,
+    } as const;
+    for (const kind of ["configuration", "replicas"] as const) {
+      this.#lifetime.register(FeedReader.create({
+        kind,
+        prefix: prefixes[kind],
+        state: feeds[kind],
+        store,
+        clock: proofClock,
+        random: services.random,
+        log: services.log.part("feed"),
+        readRank: () => members.readRank(proofClock.now()),
+      }));
+    }
+  }
+
+  async #openFronts({ settings, front }: GatewayParts): Promise<void> {
+    if (settings.readiness !== undefined) {
+      const readiness = ReadinessFront.create(() => this.#isReady());
+      this.#lifetime.register(readiness);
+      await readiness.open(settings.readiness);
+    }
+    if (settings.callers !== undefined) await front.open(settings.callers);
+  }
+
+  #isReady(): boolean {
+    return !this.#isDraining && this.#view.routes !== undefined &&
+      this.#view.hasReplicas && this.#view.hasFreshNews;
+  }
+
+  #keepHouse(): void {
+    this.#table.expire(this.#clock.now());
+    this.#sender.retain((key) => this.#table.find(key) !== undefined);
+    this.#metrics.setGauge("requests_running", this.#front.running);
+  }
+}
+
+interface GatewayParts {
+  readonly settings: GatewaySettings;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly proofClock: Clock;
+  readonly services: RelayServices;
+  readonly registry: StreamRegistry;
+  readonly allowances: Allowances;
+  readonly members: Members;
+  readonly usage: UsageCounts;
+  readonly store: PlatformStore;
+  readonly feeds: Readonly<Record<FeedKind, FeedState>>;
+  readonly view: StoreView;
+  readonly front: CallersFront;
+}
+
+async function createParts(
+  { settings, log }: GatewayOptions,
+): Promise<GatewayParts> {
+  const clock = SystemClock.create();
+  const proofClock = SuspensionClock.create(clock);
+  const random = Random.create();
+  const metrics = Metrics.create();
+  const hasher = await openHasher();
+  const members = Members.create(settings.nodeName);
+  for (const ip of settings.seedIps) {
+    if (ip !== settings.ip) members.addAddress(ip, proofClock.now());
+  }
+  const usage = UsageCounts.create({
+    windowMs: settings.bounds.usageWindowMs,
+    readWallTime: () =>
+      members.computeWallTime(proofClock.now(), clock.wallTime()),
+  });
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  const feeds = {
+    configuration: FeedState.create(hasher),
+    replicas: FeedState.create(hasher),
+  };
+  const view = StoreView.create({
+    clock,
+    proofClock,
+    log: log.part("feed"),
+    bounds: settings.bounds,
+    feeds,
+    table,
+  });
+  const { bounds } = settings;
+  const services: RelayServices = {
+    clock,
+    log,
+    metrics,
+    random,
+    hasher,
+    zone: settings.zone,
+    table,
+    prefixes: PrefixMemory.create(),
+    sender: ReplicaSender.create({
+      clock,
+      metrics,
+      countNodes: () => members.listKnown(proofClock.now()).length + 1,
+    }),
+    budget: RepeatBudget.create({
+      ratio: bounds.retryRatio,
+      extra: bounds.retryExtra,
+      windowMs: bounds.retryWindowMs,
+    }),
+    runs: usage,
+  };
+  const registry = StreamRegistry.create();
+  const allowances = Allowances.create();
+  const front = CallersFront.create({
+    services,
+    registry,
+    allowances,
+    readView: () => ({
+      routes: view.routes,
+      hasFreshNews: view.hasFreshNews,
+      draw: random.next(),
+    }),
+  });
+  const store = PlatformStore.create(
+    createClientOptions(settings.storeAddress, { clock, random, metrics, log }),
+  );
+  return {
+    settings,
+    incarnation: `${Date.now()}-${random.nextInt(1_000_000)}`,
+    clock,
+    proofClock,
+    services,
+    registry,
+    allowances,
+    members,
+    usage,
+    store,
+    feeds,
+    view,
+    front,
+  };
+}
+
+function createClientOptions(
+  address: string,
+  shared: Pick<PlatformClientOptions, "clock" | "random" | "metrics" | "log">,
+): PlatformClientOptions {
+  return {
+    ...shared,
+    address,
+    deadlineMs: storeDeadlineMs,
+    longestPauseMs: storeLongestPauseMs,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/limits/repeat_budget.ts
@@ -0,0 +1,106 @@
+/**
+ * Bounds how often requests are sent once more, for each service.
+ *
+ * All nodes share one budget: a part of the live requests and a fixed extra, in
+ * a sliding window. Each node counts what it and its peers did; what peers have
+ * not reported yet is covered by using only part of the budget.
+ */
+
+import { SlidingCount } from "./sliding_count.ts";
+
+/** Why a request is sent once more. */
+export type RepeatReason =
+  | "not_sent"
+  | "declined"
+  | "lost"
+  | "failed"
+  | "silent"
+  | "moved";
+
+/** The contract's budget. */
+export interface RepeatBudgetOptions {
+  readonly ratio: number;
+  readonly extra: number;
+  readonly windowMs: number;
+}
+
+/** Share of the budget that is used, the rest is for reports that come late. */
+const usedShare = 0.7;
+
+interface ServiceCounts {
+  readonly requests: SlidingCount;
+  readonly repeats: SlidingCount;
+  ownRequests: number;
+  ownRepeats: number;
+}
+
+/** Budgets of all services. */
+export class RepeatBudget {
+  readonly #options: RepeatBudgetOptions;
+  readonly #services = new Map<string, ServiceCounts>();
+  #share = 1;
+
+  private constructor(options: RepeatBudgetOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RepeatBudgetOptions): RepeatBudget {
+    return new RepeatBudget(options);
+  }
+
+  /** Records a request of a caller for the service. */
+  recordRequest(service: string, now: number): void {
+    const counts = this.#find(service);
+    counts.requests.add(1, now);
+    counts.ownRequests += 1;
+  }
+
+  /** Takes one repeat; false when the budget is spent. */
+  take(service: string, now: number): boolean {
+    const counts = this.#find(service);
+    const { ratio, extra } = this.#options;
+    const budget = ratio * counts.requests.read(now) + extra * this.#share;
+    if (counts.repeats.read(now) + 1 > budget * usedShare) return false;
+    counts.repeats.add(1, now);
+    counts.ownRepeats += 1;
+    return true;
+  }
+
+  /** Counts what a peer reports since its last report. */
+  applyPeer(
+    service: string,
+    delta: { readonly requests: number; readonly repeats: number },
+    now: number,
+  ): void {
+    const counts = this.#find(service);
+    counts.requests.add(delta.requests, now);
+    counts.repeats.add(delta.repeats, now);
+  }
+
+  /** Sets the share of the extra that this node and those it hears may use. */
+  setShare(share: number): void {
+    this.#share = Math.min(1, share);
+  }
+
+  /** Own sums since the start, for the peers. */
+  list(): readonly (readonly [string, number, number])[] {
+    return [...this.#services].map((
+      [name, counts],
+    ) => [name, counts.ownRequests, counts.ownRepeats]);
+  }
+
+  #find(service: string): ServiceCounts {
+    let counts = this.#services.get(service);
+    if (counts === undefined) {
+      const { windowMs } = this.#options;
+      counts = {
+        requests: SlidingCount.create(windowMs),
+        repeats: SlidingCount.create(windowMs),
+        ownRequests: 0,
+        ownRepeats: 0,
+      };
+      this.#services.set(service, counts);
+    }
+    return counts;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relay/callers_front.ts
@@ -0,0 +1,329 @@
+/**
+ * Listener of the callers: one task for each request, from its head to its final
+ * answer.
+ *
+ * Request bodies are read whole before they are sent, so that a request can be
+ * sent once more and a replica never sees half of one.
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import type { Configuration } from "@almondcrank/model/configuration.ts";
+import {
+  lastEventIdHeader,
+  parsePromptParts,
+  parseTokenCount,
+  promptPartsHeader,
+  remainingTimeHeader,
+  requestIdHeader,
+  tokenCountHeader,
+} from "@almondcrank/platform/headers.ts";
+import type { Allowances } from "../limits/allowance.ts";
+import {
+  type AdmissionView,
+  chargeAllowance,
+  computeCost,
+  readHeader,
+  routeRequest,
+  type RoutingVerdict,
+} from "./admission_desk.ts";
+import { CallRelay } from "./call_relay.ts";
+import { listForwardedHeaders } from "./message_headers.ts";
+import {
+  composeOwnAnswer,
+  type OwnAnswer,
+  sendOwnAnswer,
+} from "./own_answer.ts";
+import type { RelayResult, RelayServices } from "./relay_services.ts";
+import { type BodyResult, readRequestBody } from "./request_body.ts";
+import { RequestLog } from "./request_log.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+import { StreamRelay } from "./stream_relay.ts";
+import type { StreamRegistry } from "./stream_registry.ts";
+
+const connectionsCheckMs = 1_000;
+const listenBacklog = 2_048;
+const lowestRank = 9;
+
+/** What the front needs. */
+export interface CallersFrontOptions {
+  readonly services: RelayServices;
+  readonly registry: StreamRegistry;
+  readonly allowances: Allowances;
+  /** What is believed now; read at each request. */
+  readonly readView: () => AdmissionView;
+}
+
+type Routed = Extract<RoutingVerdict, { readonly kind: "routed" }>;
+
+/** Front of one node. */
+export class CallersFront implements Disposable {
+  readonly #options: CallersFrontOptions;
+  readonly #log: RequestLog;
+  readonly #server: Server;
+  #isClosing = false;
+  #running = 0;
+
+  private constructor(options: CallersFrontOptions) {
+    this.#options = options;
+    const { clock, log } = options.services;
+    this.#log = RequestLog.create(clock, log);
+    this.#server = createServer(
+      { connectionsCheckingInterval: connectionsCheckMs, noDelay: true },
+      (request, response) => void this.#handle(request, response),
+    );
+    this.#server.requestTimeout = 0;
+    this.#server.on("clientError", closeBadConnection);
+  }
+
+  static create(options: CallersFrontOptions): CallersFront {
+    return new CallersFront(options);
+  }
+
+  /** Number of requests without a final answer. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Listens on an address; rejects when it cannot be bound. */
+  open(address: string): Promise<void> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(
+        { host: host ?? "0.0.0.0", port: Number(port), backlog: listenBacklog },
+        () => {
+          this.#server.off("error", reject);
+          this.#server.on("error", (error) => {
+            this.#options.services.log.error("the callers' listener failed.", {
+              reason: error.message,
+            });
+          });
+          resolve();
+        },
+      );
+    });
+  }
+
+  /** Takes over the limits of a configuration for new connections. */
+  applyLimits({ limits }: Configuration): void {
+    const server = this.#server as Server & { maxHeaderSize?: number };
+    server.maxHeaderSize = limits.maxHeaderBytes;
+    server.headersTimeout = limits.headerTimeoutMs;
+    server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  /** Answers go on, each as the last of its connection. */
+  drain(): void {
+    this.#isClosing = true;
+  }
+
+  /** Accepts no more connections and closes those that are idle. */
+  close(): void {
+    this.#isClosing = true;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  dispose(): void {
+    this.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#running += 1;
+    if (this.#isClosing) response.setHeader("Connection", "close");
+    try {
+      await this.#serve(request, response);
+    } catch (thrown) {
+      const reason = thrown instanceof Error ? thrown.stack : String(thrown);
+      const { log } = this.#options.services;
+      log.error("request failed for a fault of this program.", { reason });
+      if (response.headersSent) response.destroy();
+      else sendOwnAnswer(response, composeOwnAnswer(502, "answer_lost"));
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { services, readView } = this.#options;
+    const receivedAt = services.clock.now();
+    const callerGone = watchCaller(response);
+    const routed = routeRequest(request, readView());
+    if (routed.kind === "refused") {
+      return this.#refuse({ request, response }, routed.answer);
+    }
+    const endsAt = receivedAt + computeTimeMs(request, routed);
+    const body = await readRequestBody(request, {
+      maxBytes: routed.routes.configuration.limits.maxBodyBytes,
+      timeoutMs: Math.max(1, endsAt - receivedAt),
+    });
+    if (body.kind !== "read") return this.#endUnread(request, response, body);
+    const charge = this.#charge(request, routed);
+    if (charge.refusal !== undefined) {
+      return this.#refuse({ request, response }, charge.refusal);
+    }
+    const admitted = composeRequest(request, routed, {
+      body: body.body,
+      receivedAt,
+      endsAt,
+      callerGone,
+    });
+    services.budget.recordRequest(routed.service.name, receivedAt);
+    const result = await this.#relay(admitted, response);
+    if (!result.mayHaveRun && routed.tenant !== undefined) {
+      this.#options.allowances.refund(routed.tenant, charge.cost);
+    }
+    this.#recordEnd(admitted, result);
+  }
+
+  #relay(
+    request: RoutedRequest,
+    response: ServerResponse,
+  ): Promise<RelayResult> {
+    const { services, registry } = this.#options;
+    switch (request.route.kind) {
+      case "safe":
+      case "unsafe":
+        return CallRelay.create(services, request, response).run();
+      case "stream":
+        return StreamRelay.create(services, registry, { request, response })
+          .run();
+    }
+  }
+
+  #charge(
+    request: IncomingMessage,
+    { tenant }: Routed,
+  ): { readonly cost: number; readonly refusal: OwnAnswer | undefined } {
+    if (tenant === undefined) return { cost: 0, refusal: undefined };
+    const { services, allowances } = this.#options;
+    const cost = computeCost(request, tenant);
+    const now = services.clock.now();
+    const refusal = chargeAllowance(allowances, tenant, { cost, now });
+    return { cost, refusal };
+  }
+
+  #endUnread(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Exclude<BodyResult, { readonly kind: "read" }>,
+  ): void {
+    switch (body.kind) {
+      case "gone":
+        response.destroy();
+        return;
+      case "too_large":
+        response.setHeader("Connection", "close");
+        return this.#refuse(
+          { request, response },
+          composeOwnAnswer(413, "body_too_large"),
+        );
+      case "timeout":
+        response.setHeader("Connection", "close");
+        return this.#refuse(
+          { request, response },
+          composeOwnAnswer(408, "body_timeout"),
+        );
+    }
+  }
+
+  #refuse(
+    { request, response }: {
+      readonly request: IncomingMessage;
+      readonly response: ServerResponse;
+    },
+    answer: OwnAnswer,
+  ): void {
+    const { metrics } = this.#options.services;
+    metrics.count("refusals_total", { reason: answer.reason });
+    this.#log.recordRefusal(readHeader(request, requestIdHeader), answer);
+    request.resume();
+    sendOwnAnswer(response, answer);
+  }
+
+  #recordEnd(request: RoutedRequest, result: RelayResult): void {
+    const { metrics, clock } = this.#options.services;
+    const { route } = request;
+    const labels = { kind: route.kind, reason: result.reason };
+    metrics.count("requests_total", labels);
+    const ms = clock.now() - request.receivedAt;
+    metrics.recordDuration("request_seconds", ms, { kind: route.kind });
+    this.#log.recordEnd(request, result);
+  }
+}
+
+/** Time until the final answer: the caller's deadline or the route's timeout. */
+function computeTimeMs(request: IncomingMessage, { route }: Routed): number {
+  const stated = Number(readHeader(request, remainingTimeHeader));
+  const callerMs = Number.isFinite(stated) && stated > 0 ? stated : Infinity;
+  const maxTimerMs = 2_147_483_647;
+  return Math.min(callerMs, route.timeoutMs, maxTimerMs);
+}
+
+function composeRequest(
+  request: IncomingMessage,
+  { route, service, tenant }: Routed,
+  rest: Pick<RoutedRequest, "body" | "receivedAt" | "endsAt" | "callerGone">,
+): RoutedRequest {
+  const count = parseTokenCount(readHeader(request, tokenCountHeader));
+  const parts = parsePromptParts(readHeader(request, promptPartsHeader));
+  const resumeAfter = Number(readHeader(request, lastEventIdHeader));
+  const rank = tenant?.priority ?? route.priority;
+  return {
+    ...rest,
+    id: readHeader(request, requestIdHeader),
+    route,
+    service,
+    tenant,
+    priority: Math.max(0, Math.min(lowestRank, rank)),
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    headers: listForwardedHeaders(request, rest.body.length),
+    parts,
+    promptTokens: count?.prompt ??
+      parts.reduce((sum, part) => sum + part.tokens, 0),
+    resumeAfter: Number.isInteger(resumeAfter) ? resumeAfter : undefined,
+  };
+}
+
+/** Signal that aborts when the caller closes its connection too early. */
+function watchCaller(response: ServerResponse): AbortSignal {
+  const aborter = new AbortController();
+  response.on("close", () => {
+    if (!response.writableFinished) aborter.abort();
+  });
+  return aborter.signal;
+}
+
+function closeBadConnection(
+  error: NodeJS.ErrnoException,
+  socket: unknown,
+): void {
+  const connection = socket as Socket;
+  if (!connection.writable || error.code === "ECONNRESET") {
+    connection.destroy();
+    return;
+  }
+  const status = error.code === "HPE_HEADER_OVERFLOW"
+    ? "431 Request Header Fields Too Large"
+    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
+    ? "408 Request Timeout"
+    : "400 Bad Request";
+  connection.end(
+    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -0,0 +1,42 @@
+/**
+ * What relays need of the rest of the node.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Hasher } from "@almondcrank/common/hashing.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { Random } from "@almondcrank/common/random.ts";
+import type { PrefixMemory } from "../choice/prefix_memory.ts";
+import type { ReplicaTable } from "../choice/replica_table.ts";
+import type { RepeatBudget } from "../limits/repeat_budget.ts";
+import type { ReplicaSender } from "./replica_sender.ts";
+
+/** Counts requests that replicas began to run, by tenant. */
+export interface RunCounter {
+  recordRun(tenant: string | undefined): void;
+}
+
+/** Services that relays share. */
+export interface RelayServices {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly random: Random;
+  readonly hasher: Hasher;
+  readonly zone: string;
+  readonly table: ReplicaTable;
+  readonly prefixes: PrefixMemory;
+  readonly sender: ReplicaSender;
+  readonly budget: RepeatBudget;
+  readonly runs: RunCounter;
+}
+
+/** How a request ended, for its log line and its allowance. */
+export interface RelayResult {
+  readonly status: number;
+  /** Whether some replica may have run the request. */
+  readonly mayHaveRun: boolean;
+  readonly sends: number;
+  readonly reason: string;
+}
--- /dev/null
+++ b/packages/gateway/src/relay/replica_call.ts
@@ -0,0 +1,129 @@
+/**
+ * Sends one request to one replica.
+ *
+ * The outcome tells what is known about the run: a request that was not sent, or
+ * that the replica declined, has not run; after any other failure it may have.
+ */
+
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import {
+  notRunHeader,
+  requestIdHeader,
+} from "@almondcrank/platform/headers.ts";
+import type { ReplicaAgent } from "./replica_agent.ts";
+
+/** A request as it goes to a replica. */
+export interface ReplicaRequest {
+  readonly address: string;
+  readonly agent: ReplicaAgent;
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly path: string;
+  /** Names and values in turn, as they go on the wire. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly requestId: string | undefined;
+  /** Ends the call and its connection. */
+  readonly signal: AbortSignal;
+  readonly connectTimeoutMs: number;
+}
+
+/** Outcome up to the answer's headers. */
+export type ReplicaOutcome =
+  | { readonly kind: "answered"; readonly answer: IncomingMessage }
+  /** The replica said that it did not run the request and will not. */
+  | { readonly kind: "declined"; readonly status: number }
+  /** Nothing of the request reached the replica. */
+  | { readonly kind: "not_sent"; readonly reason: string }
+  /** The request may have run. */
+  | { readonly kind: "lost"; readonly reason: string };
+
+const misdirectedStatus = 421;
+
+/** Sends the request and waits for the answer's headers. */
+export function sendToReplica(call: ReplicaRequest): Promise<ReplicaOutcome> {
+  return new Promise((resolve) => {
+    let isConnected = false;
+    const [host, port] = call.address.split(":");
+    const outgoing = request({
+      host,
+      port,
+      agent: call.agent,
+      method: call.method,
+      path: call.path,
+      headers: call.headers as string[],
+      setHost: false,
+      signal: call.signal,
+    });
+    watchConnect(outgoing, call.connectTimeoutMs, () => isConnected = true);
+    outgoing.on("error", (error) => {
+      const reason = error.message;
+      resolve(
+        isConnected ? { kind: "lost", reason } : { kind: "not_sent", reason },
+      );
+    });
+    outgoing.on("response", (answer) => {
+      call.agent.recordKeepAlive(
+        answer.headers["keep-alive"] as string | undefined,
+      );
+      resolve(readOutcome(call, outgoing, answer));
+    });
+    outgoing.end(call.body);
+  });
+}
+
+/** Destroys a request whose new connection is not established in time. */
+function watchConnect(
+  outgoing: ClientRequest,
+  timeoutMs: number,
+  onConnect: () => void,
+): void {
+  outgoing.on("socket", (socket) => {
+    if (!socket.connecting) return onConnect();
+    const timer = setTimeout(
+      () => outgoing.destroy(new Error(`no connection in ${timeoutMs} ms`)),
+      timeoutMs,
+    );
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      onConnect();
+    });
+    socket.once("close", () => clearTimeout(timer));
+  });
+}
+
+function readOutcome(
+  call: ReplicaRequest,
+  outgoing: ClientRequest,
+  answer: IncomingMessage,
+): ReplicaOutcome {
+  const echoed = answer.headers[requestIdHeader];
+  const isForeign = echoed !== undefined && call.requestId !== undefined &&
+    echoed !== call.requestId;
+  if (isForeign) {
+    outgoing.destroy();
+    return { kind: "lost", reason: "the answer belongs to another request" };
+  }
+  const status = answer.statusCode ?? 0;
+  const isDeclined = status === misdirectedStatus ||
+    (status >= 400 && answer.headers[notRunHeader] !== undefined);
+  if (!isDeclined) return { kind: "answered", answer };
+  answer.on("error", () => outgoing.destroy());
+  answer.resume();
+  return { kind: "declined", status };
+}
+
+/** Reads a whole answer; `undefined` when it breaks off. */
+export function readWholeAnswer(
+  answer: IncomingMessage,
+): Promise<Buffer | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+    answer.on("end", () => {
+      resolve(answer.complete ? Buffer.concat(chunks) : undefined);
+    });
+    answer.on("error", () => resolve(undefined));
+    answer.on("close", () => resolve(undefined));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -0,0 +1,449 @@
+/**
+ * Relays one stream of events, over several replicas if need be.
+ *
+ * A stream goes on at another replica after its last whole event when its route
+ * allows it and its replica failed or fell silent. When its replica leaves, the
+ * run is moved with its memory, which counts as the same run on any route. The
+ * caller sees one answer with the head of the first replica.
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { signatureHeader } from "@almondcrank/platform/headers.ts";
+import {
+  chooseEngine,
+  type EngineChoice,
+  promptTokensPerMs,
+} from "../choice/engine_choice.ts";
+import type { RepeatReason } from "../limits/repeat_budget.ts";
+import { type PumpEnd, runEventPump } from "./event_pump.ts";
+import { listAnswerHeaders } from "./message_headers.ts";
+import { composeOwnAnswer, sendOwnAnswer } from "./own_answer.ts";
+import type { RelayResult, RelayServices } from "./relay_services.ts";
+import { readWholeAnswer } from "./replica_call.ts";
+import type { Sending } from "./replica_sender.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+import type {
+  MoveTarget,
+  RunningStream,
+  StreamRegistry,
+} from "./stream_registry.ts";
+
+const maxUnsent = 4;
+const defaultOutputTokens = 256;
+/** Silence before the first event, relative to what was predicted. */
+const firstEventSilenceFactor = 4;
+const minFirstEventSilenceMs = 700;
+/** Part of the allowed pause after which a silent replica is given up. */
+const gapSilenceShare = 0.75;
+/** Part of the time left within which a first event must be predicted. */
+const admissionShare = 0.9;
+const overloadedRetryMs = 400;
+
+/** How one leg ended. */
+type LegEnd =
+  | { readonly kind: "done"; readonly result: RelayResult }
+  | { readonly kind: "retry"; readonly reason: RepeatReason }
+  | { readonly kind: "moved"; readonly target: MoveTarget };
+
+/** Relays one stream. */
+export class StreamRelay implements RunningStream {
+  readonly #services: RelayServices;
+  readonly #registry: StreamRegistry;
+  readonly #request: RoutedRequest;
+  readonly #response: ServerResponse;
+  readonly #tried = new Set<string>();
+  #leg = new AbortController();
+  #move: Promise<MoveTarget | undefined> | undefined;
+  #lastId: number | undefined;
+  #events = 0;
+  #sends = 0;
+  #unsent = 0;
+  #mayHaveRun = false;
+  #isSilent = false;
+
+  private constructor(
+    services: RelayServices,
+    registry: StreamRegistry,
+    { request, response }: StreamExchange,
+  ) {
+    this.#services = services;
+    this.#registry = registry;
+    this.#request = request;
+    this.#response = response;
+    this.#lastId = request.resumeAfter;
+  }
+
+  static create(
+    services: RelayServices,
+    registry: StreamRegistry,
+    exchange: StreamExchange,
+  ): StreamRelay {
+    return new StreamRelay(services, registry, exchange);
+  }
+
+  get requestId(): string | undefined {
+    return this.#request.id;
+  }
+
+  get request(): RoutedRequest {
+    return this.#request;
+  }
+
+  get hasStarted(): boolean {
+    return this.#events > 0;
+  }
+
+  get isMoving(): boolean {
+    return this.#move !== undefined;
+  }
+
+  /** Tells where the run goes on; the relay follows when its leg ends. */
+  setMove(move: Promise<MoveTarget | undefined>): void {
+    this.#move = move;
+    void move.then((target) => {
+      // A failed move leaves the run where it is, and may be tried again.
+      if (target === undefined && this.#move === move) this.#move = undefined;
+    });
+  }
+
+  /** Relays the stream until its final answer. */
+  async run(): Promise<RelayResult> {
+    const { callerGone, endsAt } = this.#request;
+    const abortLeg = (): void => this.#leg.abort();
+    callerGone.addEventListener("abort", abortLeg);
+    const timer = setTimeout(
+      abortLeg,
+      Math.max(1, endsAt - this.#services.clock.now()),
+    );
+    try {
+      return await this.#runLegs();
+    } finally {
+      clearTimeout(timer);
+      callerGone.removeEventListener("abort", abortLeg);
+    }
+  }
+
+  async #runLegs(): Promise<RelayResult> {
+    let target: MoveTarget | undefined;
+    while (true) {
+      const choice = this.#choose(target);
+      if (choice === undefined) return this.#fail("no_replica");
+      if (this.#isHopeless(choice)) return this.#fail("overloaded");
+      const leg = await this.#runLeg(choice, target);
+      switch (leg.kind) {
+        case "done":
+          return leg.result;
+        case "moved":
+          target = leg.target;
+          break;
+        case "retry": {
+          target = undefined;
+          const failure = this.#checkRepeat(leg.reason);
+          if (failure !== undefined) return failure;
+          break;
+        }
+      }
+    }
+  }
+
+  #choose(target: MoveTarget | undefined): EngineChoice | undefined {
+    const { table, clock, zone } = this.#services;
+    const { service, parts, promptTokens } = this.#request;
+    const traits = service.engine ??
+      { slots: 1, cacheTokens: Infinity, tokensPerEvent: 1, canMove: false };
+    if (target !== undefined) {
+      const state = table.find(target.replicaKey);
+      if (state !== undefined) {
+        return { state, predictedMs: 30, uncachedTokens: 0 };
+      }
+    }
+    return chooseEngine(table.listUsable(service.name), {
+      parts,
+      promptTokens,
+      zone,
+      traits,
+      now: clock.now(),
+      excluded: this.#tried,
+    }, this.#services);
+  }
+
+  /** Whether a first event in time is out of reach. */
+  #isHopeless(choice: EngineChoice): boolean {
+    if (this.#events > 0 || this.#mayHaveRun) return false;
+    const leftMs = this.#request.endsAt - this.#services.clock.now();
+    return choice.predictedMs > leftMs * admissionShare;
+  }
+
+  async #runLeg(
+    choice: EngineChoice,
+    target: MoveTarget | undefined,
+  ): Promise<LegEnd> {
+    const { sender, clock, prefixes } = this.#services;
+    const { state } = choice;
+    if (this.#isOver()) return { kind: "done", result: this.#endEarly() };
+    this.#leg = new AbortController();
+    this.#move = undefined;
+    this.#isSilent = false;
+    this.#tried.add(state.key);
+    prefixes.record(this.#request.parts, state.key, clock.now());
+    const sentAt = clock.now();
+    const sending = sender.send(this.#request, state, {
+      signal: this.#leg.signal,
+      uncachedTokens: choice.uncachedTokens,
+      ...(this.#lastId === undefined ? {} : { resumeAfter: this.#lastId }),
+      ...(target === undefined ? {} : { movedRun: target.movedRun }),
+    });
+    const entry = this.#registry.add(state.key, this);
+    const silence = this.#watchSilence(choice);
+    try {
+      const outcome = await sending.outcome;
+      switch (outcome.kind) {
+        case "not_sent":
+          this.#unsent += 1;
+          return this.#endLeg("not_sent");
+        case "declined":
+          this.#sends += 1;
+          if (target !== undefined) this.#tried.delete(state.key);
+          return this.#endLeg("declined");
+        case "lost":
+          this.#sends += 1;
+          this.#mayHaveRun = true;
+          return await this.#followMove("lost");
+        case "answered":
+          if (target === undefined) this.#sends += 1;
+          this.#mayHaveRun = true;
+          return await this.#relayAnswer(choice, {
+            answer: outcome.answer,
+            sending,
+            sentAt,
+            silence,
+            isMoved: target !== undefined,
+          });
+      }
+    } finally {
+      silence.end();
+      entry.dispose();
+      sending.end();
+    }
+  }
+
+  async #relayAnswer(choice: EngineChoice, leg: Leg): Promise<LegEnd> {
+    const { answer, sending } = leg;
+    const { state } = choice;
+    const now = this.#services.clock.now();
+    const isSigned = answer.headers[signatureHeader] !== undefined;
+    if (answer.statusCode !== 200) return await this.#relayFailure(answer);
+    if (!isSigned) {
+      answer.destroy();
+      state.failures.record(true, now);
+      return this.#endLeg("lost");
+    }
+    let isFirst = true;
+    const end = await runEventPump({
+      answer,
+      response: this.#response,
+      lastId: this.#lastId,
+      writeHead: () => this.#writeHead(answer),
+      onEvents: (lastId) => {
+        this.#lastId = lastId;
+        this.#events += 1;
+        leg.silence.refresh();
+        if (!isFirst) return;
+        isFirst = false;
+        sending.markStarted();
+        this.#recordStart(choice, leg);
+      },
+    });
+    return await this.#endPump(end, choice);
+  }
+
+  async #endPump(end: PumpEnd, { state }: EngineChoice): Promise<LegEnd> {
+    const now = this.#services.clock.now();
+    switch (end) {
+      case "complete":
+        state.failures.record(false, now);
+        this.#response.end();
+        return { kind: "done", result: this.#end(200, "answered") };
+      case "caller_gone":
+        this.#leg.abort();
+        return { kind: "done", result: this.#end(0, "caller_gone") };
+      case "broken":
+        if (this.#move === undefined && !this.#isOver()) {
+          state.failures.record(true, now);
+        }
+        return await this.#followMove(this.#isSilent ? "silent" : "lost");
+      case "out_of_order":
+        state.failures.record(true, now);
+        this.#leg.abort();
+        return this.#endLeg("lost");
+    }
+  }
+
+  /** A failure that the replica itself answered. */
+  async #relayFailure(answer: IncomingMessage): Promise<LegEnd> {
+    const status = answer.statusCode ?? 502;
+    const body = await readWholeAnswer(answer);
+    const isSigned = answer.headers[signatureHeader] !== undefined;
+    if (body === undefined || !isSigned) return this.#endLeg("lost");
+    if (this.#canResume() || this.#response.headersSent) {
+      return this.#endLeg("failed");
+    }
+    const headers = listAnswerHeaders(answer);
+    if (answer.headers["content-length"] === undefined) {
+      headers.push("Content-Length", String(body.length));
+    }
+    if (!this.#response.destroyed) {
+      this.#response.writeHead(status, headers);
+      this.#response.end(body);
+    }
+    return { kind: "done", result: this.#end(status, "answered") };
+  }
+
+  /** Follows a move that ended the leg, else tries the stream elsewhere. */
+  async #followMove(reason: RepeatReason): Promise<LegEnd> {
+    const target = await this.#move;
+    this.#move = undefined;
+    if (target !== undefined && !this.#isOver()) {
+      return { kind: "moved", target };
+    }
+    return this.#endLeg(reason);
+  }
+
+  #endLeg(reason: RepeatReason): LegEnd {
+    if (this.#isOver()) return { kind: "done", result: this.#endEarly() };
+    return { kind: "retry", reason };
+  }
+
+  /** Whether the stream may go on at a replica that did not run it yet. */
+  #canResume(): boolean {
+    const { route } = this.#request;
+    return route.isResumable && this.#sends < route.maxAttempts;
+  }
+
+  /** Final result when the request may not be sent once more. */
+  #checkRepeat(reason: RepeatReason): RelayResult | undefined {
+    const { budget, clock, metrics } = this.#services;
+    const { route, service } = this.#request;
+    const mayRepeat = !this.#mayHaveRun ||
+      (route.isResumable && this.#sends < route.maxAttempts);
+    const hasSends = reason === "not_sent"
+      ? this.#unsent < maxUnsent
+      : this.#sends < route.maxAttempts;
+    const isAllowed = mayRepeat && hasSends &&
+      (reason === "not_sent" || budget.take(service.name, clock.now()));
+    if (!isAllowed) {
+      return this.#fail(this.#mayHaveRun ? "answer_lost" : "declined");
+    }
+    metrics.count("repeats_total", { reason });
+    return undefined;
+  }
+
+  /** Gives a replica up that sends nothing while another could go on. */
+  #watchSilence(choice: EngineChoice): Silence {
+    const { route } = this.#request;
+    const firstMs = Math.max(
+      minFirstEventSilenceMs,
+      choice.predictedMs * firstEventSilenceFactor,
+      this.#request.promptTokens / promptTokensPerMs * firstEventSilenceFactor,
+    );
+    const gapMs = route.gapMs * gapSilenceShare;
+    const giveUp = (): void => {
+      if (!this.#canResume() || this.#move !== undefined) return;
+      this.#isSilent = true;
+      choice.state.failures.record(true, this.#services.clock.now());
+      this.#leg.abort();
+    };
+    if (!route.isResumable) return { refresh: () => {}, end: () => {} };
+    let timer = setTimeout(giveUp, firstMs);
+    let isGap = false;
+    const refresh = (): void => {
+      if (isGap) return void timer.refresh();
+      isGap = true;
+      clearTimeout(timer);
+      if (gapMs < Infinity) timer = setTimeout(giveUp, gapMs);
+    };
+    return { refresh, end: () => clearTimeout(timer) };
+  }
+
+  #recordStart(choice: EngineChoice, leg: Leg): void {
+    const { clock, runs } = this.#services;
+    const observedMs = clock.now() - leg.sentAt;
+    choice.state.recordFirstEvent(observedMs, choice.predictedMs);
+    if (!leg.isMoved) runs.recordRun(this.#request.tenant?.name);
+  }
+
+  #writeHead(answer: IncomingMessage): void {
+    if (this.#response.headersSent) return;
+    this.#response.writeHead(200, listAnswerHeaders(answer));
+  }
+
+  #isOver(): boolean {
+    return this.#request.callerGone.aborted ||
+      this.#services.clock.now() >= this.#request.endsAt;
+  }
+
+  #endEarly(): RelayResult {
+    if (this.#request.callerGone.aborted) return this.#end(0, "caller_gone");
+    return this.#fail("out_of_time");
+  }
+
+  #fail(reason: StreamFailure): RelayResult {
+    if (this.#response.headersSent) {
+      // Cutting the connection is the only way to say that the rest is missing.
+      this.#response.destroy();
+      return this.#end(0, reason);
+    }
+    const answer = this.#mayHaveRun
+      ? composeOwnAnswer(
+        reason === "out_of_time" ? 504 : 502,
+        reason === "out_of_time" ? reason : "answer_lost",
+      )
+      : composeOwnAnswer(
+        503,
+        reason,
+        overloadedRetryMs * (0.5 + this.#services.random.next()),
+      );
+    sendOwnAnswer(this.#response, answer);
+    return this.#end(answer.status, reason);
+  }
+
+  #end(status: number, reason: string): RelayResult {
+    const { promptTokens } = this.#request;
+    const outputTokens = this.#events *
+      (this.#request.service.engine?.tokensPerEvent ?? defaultOutputTokens);
+    this.#services.metrics.count("stream_tokens_total", {}, outputTokens);
+    this.#services.metrics.count("prompt_tokens_total", {}, promptTokens);
+    return {
+      status,
+      reason,
+      sends: this.#sends,
+      mayHaveRun: this.#mayHaveRun,
+    };
+  }
+}
+
+/** A request and the response to write. */
+export interface StreamExchange {
+  readonly request: RoutedRequest;
+  readonly response: ServerResponse;
+}
+
+type StreamFailure =
+  | "no_replica"
+  | "overloaded"
+  | "declined"
+  | "answer_lost"
+  | "out_of_time";
+
+interface Silence {
+  refresh(): void;
+  end(): void;
+}
+
+interface Leg {
+  readonly answer: IncomingMessage;
+  readonly sending: Sending;
+  readonly sentAt: number;
+  readonly silence: Silence;
+  readonly isMoved: boolean;
+}
--- a/packages/platform/src/breaker.ts
+++ b/packages/infrastructure/src/breaker.ts
@@ -27,13 +27,21 @@
   #openMs = shortestOpenMs;
   #openUntil: number | undefined;
 
-  private constructor(clock: Clock, random: Random) {
+  readonly #longestOpenMs: number;
+
+  private constructor(clock: Clock, random: Random, longestMs: number) {
     this.#clock = clock;
     this.#random = random;
+    this.#longestOpenMs = longestMs;
   }
 
-  static create(clock: Clock, random: Random): Breaker {
-    return new Breaker(clock, random);
+  /** @param longestMs Longest pause between probes. */
+  static create(
+    clock: Clock,
+    random: Random,
+    longestMs: number = longestOpenMs,
+  ): Breaker {
+    return new Breaker(clock, random, longestMs);
   }
 
   /** Checks whether a call may be sent; a passed call must be recorded. */
@@ -60,8 +68,9 @@
   }
 
   #open(): void {
-    const pauseMs = this.#openMs * (0.5 + this.#random.next() / 2);
+    const openMs = Math.min(this.#longestOpenMs, this.#openMs);
+    const pauseMs = openMs * (0.5 + this.#random.next() / 2);
     this.#openUntil = this.#clock.now() + pauseMs;
-    this.#openMs = Math.min(longestOpenMs, this.#openMs * 2);
+    this.#openMs = Math.min(this.#longestOpenMs, this.#openMs * 2);
   }
 }
--- a/packages/platform/src/platform_caller.ts
+++ b/packages/infrastructure/src/platform_caller.ts
@@ -37,6 +37,8 @@
   readonly log: Log;
   /** Longest time a call may take, in milliseconds; a wait adds to it. */
   readonly deadlineMs?: number;
+  /** Longest pause between probes of a service that fails. */
+  readonly longestPauseMs?: number;
 }
 
 /** One call. */
@@ -73,7 +75,11 @@
     this.#service = service;
     this.#options = options;
     this.#log = options.log.part("platform");
-    this.#breaker = Breaker.create(options.clock, options.random);
+    this.#breaker = Breaker.create(
+      options.clock,
+      options.random,
+      options.longestPauseMs,
+    );
     this.#pool = new Pool(`http://${options.address}`, {
       connections,
       headersTimeout: 0,
@@ -210,7 +216,7 @@
     const stated = Number(header);
     const retryAfterMs = Number.isFinite(stated) && stated > 0
       ? stated
-      : defaultRateLimitPauseMs;
+      : (this.#options.longestPauseMs ?? defaultRateLimitPauseMs);
     this.#limitedUntil = this.#options.clock.now() + retryAfterMs;
     const service = this.#service;
     return PlatformError.create({
--- a/packages/membership/src/configuration_spread.ts
+++ b/packages/membership/src/configuration_spread.ts
@@ -23,7 +23,7 @@
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
-import type { PlatformError } from "@almondcrank/platform/platform_error.ts";
+import type { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import type { ClusterMembership } from "./cluster_membership.ts";
 import type { RevisionHint } from "./message_handler.ts";
 import {
--- a/packages/membership/src/testing/test_network.ts
+++ b/packages/membership/src/testing/test_network.ts
@@ -14,7 +14,7 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import { PlatformError } from "@almondcrank/platform/platform_error.ts";
+import { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import { ClusterMembership } from "../cluster_membership.ts";
 import {
   ConfigurationSpread,
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -14,8 +14,8 @@
 import { PeerClients } from "@almondcrank/membership/peer_clients.ts";
 import { PeerServer } from "@almondcrank/membership/peer_server.ts";
 import { TrpcPeerTransport } from "@almondcrank/membership/peer_transport.ts";
-import { HeadReader } from "@almondcrank/platform/head_reader.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import { HeadReader } from "@almondcrank/infrastructure/head_reader.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { ServiceIndex } from "./service_index.ts";
 import type { NodeServices } from "./node_services.ts";
 import {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -20,7 +20,7 @@
   type ReleaseOrder,
   ReleaseWriter,
 } from "@almondcrank/fleet/release_writer.ts";
-import { HeadReader } from "@almondcrank/platform/head_reader.ts";
+import { HeadReader } from "@almondcrank/infrastructure/head_reader.ts";
 import type { Readiness } from "./callers_front.ts";
 import { Cluster } from "./cluster.ts";
 import { NodeFronts } from "./node_fronts.ts";
--- a/packages/node/src/platform_clients.ts
+++ b/packages/node/src/platform_clients.ts
@@ -4,14 +4,14 @@
 
 import { Right } from "purify-ts";
 import type { DisposableStore } from "@almondcrank/common/disposables.ts";
-import type { CloudApi } from "@almondcrank/platform/cloud_api.ts";
-import { HttpCloudApi } from "@almondcrank/platform/http_cloud_api.ts";
-import type { HostList } from "@almondcrank/platform/host_list.ts";
-import { HttpHostList } from "@almondcrank/platform/http_host_list.ts";
-import { HttpObjectStore } from "@almondcrank/platform/http_object_store.ts";
-import { HttpWeightStore } from "@almondcrank/platform/http_weight_store.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
-import type { WeightStore } from "@almondcrank/platform/weight_store.ts";
+import type { CloudApi } from "@almondcrank/infrastructure/cloud_api.ts";
+import { HttpCloudApi } from "@almondcrank/infrastructure/http_cloud_api.ts";
+import type { HostList } from "@almondcrank/infrastructure/host_list.ts";
+import { HttpHostList } from "@almondcrank/infrastructure/http_host_list.ts";
+import { HttpObjectStore } from "@almondcrank/infrastructure/http_object_store.ts";
+import { HttpWeightStore } from "@almondcrank/infrastructure/http_weight_store.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
+import type { WeightStore } from "@almondcrank/infrastructure/weight_store.ts";
 import type { NodeServices } from "./node_services.ts";
 
 /** Clients; a cloud that is not configured rents nothing and gives no notice. */
--- a/packages/node/src/request_paths.ts
+++ b/packages/node/src/request_paths.ts
@@ -7,7 +7,7 @@
   type Disposable,
   DisposableStore,
 } from "@almondcrank/common/disposables.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { ClaimCleaner } from "@almondcrank/routing/claim_cleaner.ts";
 import { LoadTable } from "@almondcrank/routing/load_table.ts";
 import { PlainLoads } from "@almondcrank/routing/plain_loads.ts";
--- /dev/null
+++ b/packages/platform/src/decode_replica.ts
@@ -0,0 +1,33 @@
+/**
+ * Decodes the registration of a replica.
+ */
+
+import type { Replica } from "@almondcrank/model/replica.ts";
+import { readFields, readNumber, readString } from "./fields.ts";
+
+const addressPattern = /^\d+\.\d+\.\d+\.\d+:\d+$/;
+
+/** Decodes a registration; `undefined` when it names no replica to use. */
+export function decodeReplica(id: string, value: unknown): Replica | undefined {
+  const fields = readFields(value);
+  const service = readString(fields?.["service"]);
+  const address = readString(fields?.["address"]);
+  const state = readString(fields?.["state"]);
+  if (fields === undefined || service === undefined) return undefined;
+  if (address === undefined || !addressPattern.test(address)) return undefined;
+  if (state !== "ready" && state !== "draining") return undefined;
+  const zone = readString(fields["zone"]);
+  const slots = readNumber(fields["slots"]);
+  if (zone === undefined || slots === undefined || slots < 1) return undefined;
+  return {
+    id,
+    service,
+    address,
+    zone,
+    slots,
+    state,
+    startedAtMs: readNumber(fields["born"]),
+    isReclaimable: fields["spot"] === true,
+    leavesInMs: readNumber(fields["leaves_ms"]),
+  };
+}
--- /dev/null
+++ b/packages/platform/src/decode_settings.ts
@@ -0,0 +1,127 @@
+/**
+ * Decodes the settings file that the platform lays out for a process.
+ *
+ * Unknown fields are ignored, since new ones may come at any time.
+ */
+
+import { type Either, Left, Right } from "purify-ts";
+import type {
+  Bounds,
+  DutyName,
+  GatewaySettings,
+} from "@almondcrank/model/gateway_settings.ts";
+import { KindError } from "@almondcrank/common/kind_error.ts";
+import {
+  type Fields,
+  parseJson,
+  readFields,
+  readList,
+  readNumber,
+  readString,
+  readStrings,
+} from "./fields.ts";
+
+/** Environment variable with the path of the settings file. */
+export const settingsVariable = "ALMONDCRANK_SETTINGS";
+
+/** What is wrong with a settings file. */
+export interface SettingsErrorDetail {
+  readonly kind: "invalid_settings";
+  readonly faults: readonly string[];
+}
+
+/** Settings that cannot be used. The message has one line per fault. */
+export class SettingsError extends KindError<SettingsErrorDetail> {
+  static create(faults: readonly string[]): SettingsError {
+    return new SettingsError(
+      { kind: "invalid_settings", faults },
+      faults.map((fault) => `settings: ${fault}`).join("\n"),
+    );
+  }
+}
+
+const dutyNames: Readonly<Record<string, DutyName>> = {
+  metering: "usage",
+  autoscale: "scaling",
+};
+
+/** Decodes the text of a settings file. */
+export function decodeSettings(
+  text: string,
+): Either<SettingsError, GatewaySettings> {
+  const fields = readFields(parseJson(text));
+  if (fields === undefined) {
+    return Left(SettingsError.create([
+      "the file is not a JSON object; write it as the platform's pages show",
+    ]));
+  }
+  const faults = listFaults(fields);
+  if (faults.length > 0) return Left(SettingsError.create(faults));
+  return Right(decodeFields(fields));
+}
+
+function listFaults(fields: Fields): readonly string[] {
+  const faults: string[] = [];
+  for (const key of ["node-name", "ip", "zone"]) {
+    if (readString(fields[key]) !== undefined) continue;
+    faults.push(`"${key}" is missing; give it as text`);
+  }
+  if (readNumber(readList(fields["port-range"])[0]) === undefined) {
+    faults.push(`"port-range" is missing; give the first and last free port`);
+  }
+  const platform = readFields(fields["platform"]);
+  if (readString(platform?.["address"]) === undefined) {
+    faults.push(`"platform.address" is missing; give IP:PORT of the store`);
+  }
+  return faults;
+}
+
+function decodeFields(fields: Fields): GatewaySettings {
+  const listen = readFields(fields["listen"]) ?? {};
+  const limits = readFields(fields["limits"]) ?? {};
+  const cloud = readFields(fields["cloud"]) ?? {};
+  const platform = readFields(fields["platform"]) ?? {};
+  return {
+    nodeName: String(fields["node-name"]),
+    ip: String(fields["ip"]),
+    zone: String(fields["zone"]),
+    zones: Object.keys(readFields(fields["zones"]) ?? {}),
+    callers: readString(listen["frontend"]),
+    readiness: readString(listen["ready"]),
+    control: readString(listen["control-plane"]),
+    peerPort: Number(readList(fields["port-range"])[0]),
+    seedIps: readStrings(fields["seeds"]).map(readIp),
+    memoryMb: readNumber(limits["memory-mb"]) ?? 256,
+    maxDescriptors: readNumber(limits["fd-limit"]) ?? 1_024,
+    storeAddress: String(platform["address"]),
+    cloudAddress: readString(cloud["address"]),
+    duties: readStrings(cloud["duties"])
+      .flatMap((name) => dutyNames[name] ?? []),
+    bounds: decodeBounds(readFields(fields["bounds"]) ?? {}),
+  };
+}
+
+function readIp(address: string): string {
+  return address.slice(0, address.lastIndexOf(":"));
+}
+
+function decodeBounds(fields: Fields): Bounds {
+  const readMs = (key: string, fallback: number): number =>
+    readNumber(fields[key]) ?? fallback;
+  const readSeconds = (key: string, fallbackMs: number): number =>
+    (readNumber(fields[key]) ?? fallbackMs / 1_000) * 1_000;
+  return {
+    configurationMs: readMs("config-apply-ms", 2_000),
+    revocationMs: readMs("revoke-ms", 5_000),
+    failsClosed: fields["revoke-fail-closed"] === true,
+    graceMs: readSeconds("grace-s", 8_000),
+    retryRatio: readNumber(fields["retry-budget-ratio"]) ?? 0.2,
+    // "budget-extra" is a number of repeats, not a share.
+    retryExtra: readNumber(fields["budget-extra"]) ?? 10,
+    retryWindowMs: readSeconds("budget-window-s", 10_000),
+    quotaWindowMs: readSeconds("quota-window-s", 8_000),
+    leaseMs: readMs("lease-ms", 3_000),
+    usageWindowMs: readSeconds("window-s", 5_000),
+    usageDueMs: readSeconds("usage-late-s", 10_000),
+  };
+}
--- /dev/null
+++ b/packages/platform/src/platform_store.ts
@@ -0,0 +1,263 @@
+/**
+ * The platform's metadata store behind the product's `ObjectStore`.
+ *
+ * A key is `KIND/NAME`; the value is the object's `spec`. Kinds of the system's
+ * own may hold slashes in the product, which the wire does not allow.
+ */
+
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import type {
+  ObjectChange,
+  ObjectList,
+  ObjectStore,
+  StoredObject,
+  WatchOutcome,
+  WriteCondition,
+  WriteOutcome,
+} from "@almondcrank/infrastructure/object_store.ts";
+import {
+  type PlatformAnswer,
+  PlatformCaller,
+  type PlatformClientOptions,
+} from "@almondcrank/infrastructure/platform_caller.ts";
+import { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
+import { readFields, readNumber, readString } from "./fields.ts";
+
+/** Kind of the replicas' registrations. */
+export const replicasKind = "servers";
+/** Key of the operator's configuration. */
+export const configurationKey = "config/main";
+/** Kind that holds the operator's configuration. */
+export const configurationKind = "config";
+
+const listPage = z.object({
+  items: z.array(z.unknown()),
+  "more-pages": z.boolean().optional(),
+  "store-revision": z.number(),
+});
+const watchAnswer = z.object({
+  events: z.array(z.unknown()),
+  "store-revision": z.number(),
+});
+
+interface Place {
+  readonly kind: string;
+  readonly name: string;
+}
+
+/** Client of the platform's store. */
+export class PlatformStore implements ObjectStore, Disposable {
+  readonly #caller: PlatformCaller;
+
+  private constructor(caller: PlatformCaller) {
+    this.#caller = caller;
+  }
+
+  static create(options: PlatformClientOptions): PlatformStore {
+    return new PlatformStore(PlatformCaller.create("object_api", options));
+  }
+
+  async read(
+    key: string,
+  ): Promise<Either<PlatformError, StoredObject | undefined>> {
+    const place = parseKey(key);
+    const answer = await this.#caller.call({
+      method: "GET",
+      path: formatPath(place),
+    });
+    return answer.chain((answer) => {
+      if (answer.status === 404) return Right(undefined);
+      if (answer.status >= 400) {
+        return Left(this.#caller.createRejection(answer));
+      }
+      const object = decodeObject(place.kind, answer.body);
+      return object === undefined
+        ? Left(createBadAnswer("an object without name or revision"))
+        : Right(object);
+    });
+  }
+
+  async list(prefix: string): Promise<Either<PlatformError, ObjectList>> {
+    const kind = formatKind(prefix);
+    const objects: StoredObject[] = [];
+    let after = "";
+    while (true) {
+      const query = after === "" ? "" : `?after=${encodeURIComponent(after)}`;
+      const answer = await this.#caller.call({
+        method: "GET",
+        path: `/objects/${kind}${query}`,
+      });
+      const page = answer.chain((answer) =>
+        this.#caller.parse(listPage, answer)
+      );
+      if (page.isLeft()) return page as Either<PlatformError, never>;
+      const { items, ...rest } = page.extract() as z.infer<typeof listPage>;
+      objects.push(...items.flatMap((item) => decodeObject(kind, item) ?? []));
+      const last = readString(
+        readFields(readFields(items.at(-1))?.["metadata"])?.["name"],
+      );
+      if (rest["more-pages"] !== true || last === undefined) {
+        return Right({ version: rest["store-revision"], objects });
+      }
+      after = last;
+    }
+  }
+
+  async write(
+    key: string,
+    value: unknown,
+    condition: WriteCondition,
+  ): Promise<Either<PlatformError, WriteOutcome>> {
+    const place = parseKey(key);
+    const answer = await this.#caller.call(
+      formatWrite(place, value, condition),
+    );
+    return answer.chain((answer) => this.#parseWrite(place, answer));
+  }
+
+  async remove(
+    key: string,
+    version: number,
+  ): Promise<Either<PlatformError, WriteOutcome>> {
+    const place = parseKey(key);
+    const answer = await this.#caller.call({
+      method: "DELETE",
+      path: `${formatPath(place)}?revision=${version}`,
+    });
+    return answer.chain((answer): Either<PlatformError, WriteOutcome> =>
+      answer.status < 400
+        ? Right({ kind: "written", version })
+        : this.#parseWrite(place, answer)
+    );
+  }
+
+  async watch(
+    prefix: string,
+    since: number,
+    waitMs: number,
+  ): Promise<Either<PlatformError, WatchOutcome>> {
+    const kind = formatKind(prefix);
+    const wait = Math.round(waitMs);
+    const answer = await this.#caller.call({
+      method: "GET",
+      path: `/objects/${kind}?watch=${since}&wait-ms=${wait}`,
+      waitMs,
+    });
+    return answer.chain((answer): Either<PlatformError, WatchOutcome> =>
+      answer.status === 410
+        ? Right({ kind: "expired" })
+        : this.#caller.parse(watchAnswer, answer).map((body) => ({
+          kind: "changes",
+          batch: {
+            version: body["store-revision"],
+            changes: body.events.flatMap((event) => decodeEvent(kind, event)),
+          },
+        }))
+    );
+  }
+
+  dispose(): void {
+    this.#caller.dispose();
+  }
+
+  #parseWrite(
+    place: Place,
+    answer: PlatformAnswer,
+  ): Either<PlatformError, WriteOutcome> {
+    const object = decodeObject(place.kind, answer.body);
+    switch (answer.status) {
+      case 404:
+        return Right({ kind: "conflict", current: undefined });
+      case 409:
+        return Right({ kind: "conflict", current: object });
+    }
+    if (answer.status >= 400) {
+      return Left(this.#caller.createRejection(answer));
+    }
+    if (object !== undefined) {
+      return Right({ kind: "written", version: object.version });
+    }
+    const reason = "the written object has no revision";
+    return Left(
+      PlatformError.create({
+        kind: "outcome_unknown",
+        service: "object_api",
+        reason,
+      }),
+    );
+  }
+}
+
+function parseKey(key: string): Place {
+  const slash = key.lastIndexOf("/");
+  return {
+    kind: formatKind(key.slice(0, slash)),
+    name: key.slice(slash + 1),
+  };
+}
+
+function formatKind(prefix: string): string {
+  return prefix.replaceAll("/", "-");
+}
+
+function formatPath({ kind, name }: Place): string {
+  return `/objects/${kind}/${encodeURIComponent(name)}`;
+}
+
+function formatWrite(
+  place: Place,
+  value: unknown,
+  condition: WriteCondition,
+): {
+  readonly method: "PUT" | "POST";
+  readonly path: string;
+  readonly body: string;
+} {
+  const { name, kind } = place;
+  switch (condition.kind) {
+    case "absent":
+      return {
+        method: "POST",
+        path: `/objects/${kind}`,
+        body: JSON.stringify({ metadata: { name }, spec: value }),
+      };
+    case "version":
+      return {
+        method: "PUT",
+        path: formatPath(place),
+        body: JSON.stringify({
+          metadata: { name, revision: condition.version },
+          spec: value,
+        }),
+      };
+  }
+}
+
+function decodeObject(kind: string, value: unknown): StoredObject | undefined {
+  const fields = readFields(value);
+  const metadata = readFields(fields?.["metadata"]);
+  const name = readString(metadata?.["name"]);
+  const version = readNumber(metadata?.["revision"]);
+  if (name === undefined || version === undefined) return undefined;
+  return { key: `${kind}/${name}`, version, value: fields?.["spec"] };
+}
+
+function decodeEvent(kind: string, value: unknown): readonly ObjectChange[] {
+  const event = readFields(value);
+  const object = decodeObject(kind, event?.["object"]);
+  if (object === undefined) return [];
+  if (event?.["deleted"] === true) {
+    return [{ kind: "removed", key: object.key, version: object.version }];
+  }
+  return [{ kind: "written", object }];
+}
+
+function createBadAnswer(reason: string): PlatformError {
+  return PlatformError.create({
+    kind: "bad_answer",
+    service: "object_api",
+    reason,
+  });
+}
--- a/packages/routing/src/claim_cleaner.ts
+++ b/packages/routing/src/claim_cleaner.ts
@@ -17,7 +17,7 @@
 import { computeRendezvous, type Hasher } from "@almondcrank/common/hashing.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { claimPrefix } from "./key_claims.ts";
 import type { KeyOwner, KeyPeers } from "./key_peers.ts";
 
--- a/packages/routing/src/key_claims.ts
+++ b/packages/routing/src/key_claims.ts
@@ -15,8 +15,8 @@
 import type {
   ObjectStore,
   StoredObject,
-} from "@almondcrank/platform/object_store.ts";
-import { PlatformError } from "@almondcrank/platform/platform_error.ts";
+} from "@almondcrank/infrastructure/object_store.ts";
+import { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 import {
   type KeyBinding,
   keyBindingSchema,
--- a/packages/routing/src/routed_calls.ts
+++ b/packages/routing/src/routed_calls.ts
@@ -24,7 +24,7 @@
   PlainAnswer,
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { HedgeDelay } from "./hedge_delay.ts";
 import { KeyFormat } from "./key_format.ts";
 import { KeyClaims } from "./key_claims.ts";
--- a/packages/routing/src/testing/fake_calls_world.ts
+++ b/packages/routing/src/testing/fake_calls_world.ts
@@ -26,7 +26,7 @@
   PlainCall,
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
-import type { ObjectStore } from "@almondcrank/platform/object_store.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import {
   type ForwardedCall,
   type ForwardedOutcome,
--- a/packages/routing/src/testing/fake_claims.ts
+++ b/packages/routing/src/testing/fake_claims.ts
@@ -9,8 +9,8 @@
   ObjectStore,
   StoredObject,
   WriteOutcome,
-} from "@almondcrank/platform/object_store.ts";
-import { PlatformError } from "@almondcrank/platform/platform_error.ts";
+} from "@almondcrank/infrastructure/object_store.ts";
+import { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
 
 const storeSlowMs = 300;
 
--- a/packages/standin/src/cloud_api_standin.ts
+++ b/packages/standin/src/cloud_api_standin.ts
@@ -15,7 +15,7 @@
   NoticeBatch,
   Price,
   ReclaimNotice,
-} from "@almondcrank/platform/cloud_api.ts";
+} from "@almondcrank/infrastructure/cloud_api.ts";
 import type { PartFaults } from "./fault_settings.ts";
 import { FaultSwitch } from "./fault_switch.ts";
 import type { HostInventory } from "./host_inventory.ts";
--- a/packages/standin/src/host_inventory.ts
+++ b/packages/standin/src/host_inventory.ts
@@ -8,8 +8,8 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
-import type { Instance } from "@almondcrank/platform/cloud_api.ts";
-import type { ListedHost } from "@almondcrank/platform/host_list.ts";
+import type { Instance } from "@almondcrank/infrastructure/cloud_api.ts";
+import type { ListedHost } from "@almondcrank/infrastructure/host_list.ts";
 import type { Part } from "./part_server.ts";
 
 const keptHistoryMs = 600_000;
--- a/packages/standin/src/host_list_standin.ts
+++ b/packages/standin/src/host_list_standin.ts
@@ -11,7 +11,7 @@
 import type {
   HostListing,
   ListedHost,
-} from "@almondcrank/platform/host_list.ts";
+} from "@almondcrank/infrastructure/host_list.ts";
 import type { PartFaults } from "./fault_settings.ts";
 import { FaultSwitch } from "./fault_switch.ts";
 import type { HostInventory } from "./host_inventory.ts";
--- a/packages/standin/src/object_api_standin.ts
+++ b/packages/standin/src/object_api_standin.ts
@@ -10,7 +10,7 @@
   maxObjectBytes,
   type WriteCondition,
   type WriteOutcome,
-} from "@almondcrank/platform/object_store.ts";
+} from "@almondcrank/infrastructure/object_store.ts";
 import { CallRate } from "./call_rate.ts";
 import type { PartFaults } from "./fault_settings.ts";
 import { FaultSwitch } from "./fault_switch.ts";
--- a/packages/standin/src/object_api_standin_test.ts
+++ b/packages/standin/src/object_api_standin_test.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
-import { maxObjectBytes } from "@almondcrank/platform/object_store.ts";
+import { maxObjectBytes } from "@almondcrank/infrastructure/object_store.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
--- a/packages/standin/src/offers.ts
+++ b/packages/standin/src/offers.ts
@@ -4,7 +4,7 @@
 
 import { z } from "zod";
 import type { Market } from "@almondcrank/common/configuration.ts";
-import type { Price } from "@almondcrank/platform/cloud_api.ts";
+import type { Price } from "@almondcrank/infrastructure/cloud_api.ts";
 
 const millisecondsPerHour = 3_600_000;
 
--- a/packages/standin/src/standin_set_test.ts
+++ b/packages/standin/src/standin_set_test.ts
@@ -3,8 +3,8 @@
   Instance,
   NoticeBatch,
   Price,
-} from "@almondcrank/platform/cloud_api.ts";
-import type { HostListing } from "@almondcrank/platform/host_list.ts";
+} from "@almondcrank/infrastructure/cloud_api.ts";
+import type { HostListing } from "@almondcrank/infrastructure/host_list.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { CloudCost } from "./offers.ts";
--- a/packages/standin/src/versioned_objects.ts
+++ b/packages/standin/src/versioned_objects.ts
@@ -9,7 +9,7 @@
   WatchOutcome,
   WriteCondition,
   WriteOutcome,
-} from "@almondcrank/platform/object_store.ts";
+} from "@almondcrank/infrastructure/object_store.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 
 /** Objects of the object API, in memory. */
--- a/packages/standin/src/weight_store_standin.ts
+++ b/packages/standin/src/weight_store_standin.ts
@@ -8,7 +8,7 @@
 import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
-import type { WeightRate } from "@almondcrank/platform/weight_store.ts";
+import type { WeightRate } from "@almondcrank/infrastructure/weight_store.ts";
 import type { PartFaults } from "./fault_settings.ts";
 import { FaultSwitch } from "./fault_switch.ts";
 import {
--- a/packages/standin/src/wire_test.ts
+++ b/packages/standin/src/wire_test.ts
@@ -11,10 +11,10 @@
 } from "@almondcrank/endpoint/engine.ts";
 import { HttpEngine } from "@almondcrank/endpoint/http_engine.ts";
 import { HttpPlainEndpoint } from "@almondcrank/endpoint/http_plain_endpoint.ts";
-import { HttpCloudApi } from "@almondcrank/platform/http_cloud_api.ts";
-import { HttpHostList } from "@almondcrank/platform/http_host_list.ts";
-import { HttpObjectStore } from "@almondcrank/platform/http_object_store.ts";
-import { HttpWeightStore } from "@almondcrank/platform/http_weight_store.ts";
+import { HttpCloudApi } from "@almondcrank/infrastructure/http_cloud_api.ts";
+import { HttpHostList } from "@almondcrank/infrastructure/http_host_list.ts";
+import { HttpObjectStore } from "@almondcrank/infrastructure/http_object_store.ts";
+import { HttpWeightStore } from "@almondcrank/infrastructure/http_weight_store.ts";
 import type { Either } from "purify-ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
