Hold the duties: usage reports and replica orders

Change: one lease in the store (the product's own Lease), usage counts shared by datagram and written before they are sent, a plan of reclaimable replicas with replicas on demand for what is missing.

--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -40,6 +40,8 @@
   allowances: sums,
   /** Service, requests, repeats. */
   budgets: sums,
+  /** Service, engine time of its requests, 0. */
+  work: sums,
   /** Replica, active requests, pending tokens, held tokens. */
   loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
   /** Usage window, then requests by tenant. */
--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { NodeLoad } from "../choice/replica_state.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
+import type { WorkMeter } from "../duties/work_meter.ts";
 import type { UsageCounts } from "../duties/usage_counts.ts";
 import type { FeedKind, FeedState } from "../feed/feed_state.ts";
 import type { Allowances } from "../limits/allowance.ts";
@@ -29,6 +30,7 @@
   readonly budget: RepeatBudget;
   readonly table: ReplicaTable;
   readonly usage: UsageCounts;
+  readonly work: WorkMeter;
   readonly isDraining: () => boolean;
   /** Fencing number while this node holds the duties' lease. */
   readonly readDuty: () => number | undefined;
@@ -43,6 +45,7 @@
   readonly incarnation: string;
   readonly allowances: Sums;
   readonly budgets: Sums;
+  readonly work: Sums;
   readonly loads: PeerMessage["loads"];
 }
 
@@ -81,6 +84,7 @@
       duty: this.#options.readDuty() ?? null,
       allowances: allowances.list().map((entry) => [...entry]),
       budgets: budget.list().map((entry) => [...entry]),
+      work: this.#options.work.list().map((entry) => [...entry]),
       loads: this.#listLoads(),
       usage: usage.listRecent(),
       members: members.listKnown(now).map(({ node, ip }) => [node, ip]),
@@ -209,10 +213,17 @@
       };
       if (!isBaseline) budget.applyPeer(service, delta, limitsNow);
     }
+    for (const [service, ms] of message.work) {
+      const before = isSame ? previous?.work.get(service)?.[0] ?? 0 : 0;
+      if (!isBaseline) {
+        this.#options.work.applyPeer(service, ms - before, limitsNow);
+      }
+    }
     this.#peers.set(message.node, {
       incarnation: message.incarnation,
       allowances: indexSums(message.allowances),
       budgets: indexSums(message.budgets),
+      work: indexSums(message.work),
       loads: message.loads,
     });
   }
--- /dev/null
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -0,0 +1,237 @@
+/**
+ * Orders replicas so that the plan comes true.
+ *
+ * An order states the whole number of one kind in one zone, so repeating it is
+ * harmless. It is sent when the plan differs from what was ordered last, and
+ * again when fewer replicas serve than were ordered.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { Service } from "@almondcrank/model/configuration.ts";
+import type {
+  OrderOutcome,
+  PlatformCloud,
+  ReplicaOrder,
+} from "@almondcrank/platform/platform_cloud.ts";
+import type { ReplicaTable } from "../choice/replica_table.ts";
+import type { RouteTable } from "../routes/route_table.ts";
+import type { DutyLease } from "./duty_lease.ts";
+import { planReplicas, type ZoneReplicas } from "./replica_plan.ts";
+import type { WorkMeter } from "./work_meter.ts";
+
+const pollMs = 250;
+/** Pause before a refused or unanswered order is sent again. */
+const retryMs = 900;
+/** Time beyond the boot time until an order counts as lost. */
+const bootMarginMs = 2_500;
+/** Replicas needed for each one that would be busy all the time. */
+const headroom = 1.35;
+/** Share of the replicas at the start that is always kept. */
+const startShare = 0.45;
+/** Time for which a high need is remembered. */
+const needMemoryMs = 8_000;
+
+/** What orders need. */
+export interface ReplicaOrdersOptions {
+  readonly cloud: PlatformCloud;
+  readonly lease: DutyLease;
+  readonly table: ReplicaTable;
+  readonly work: WorkMeter;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly zones: readonly string[];
+  readonly readRoutes: () => RouteTable | undefined;
+}
+
+interface Ordered {
+  readonly count: number;
+  readonly at: number;
+  readonly outcome: OrderOutcome | "unknown";
+}
+
+interface Need {
+  readonly needed: number;
+  readonly at: number;
+}
+
+/** Orders of one node. */
+export class ReplicaOrders implements Disposable {
+  readonly #options: ReplicaOrdersOptions;
+  readonly #stopped = new AbortController();
+  readonly #ordered = new Map<string, Ordered>();
+  readonly #needs = new Map<string, Need>();
+  readonly #startCounts = new Map<string, number>();
+  #fencing: number | undefined;
+
+  private constructor(options: ReplicaOrdersOptions) {
+    this.#options = options;
+  }
+
+  /** Starts at once; orders only while the lease is held. */
+  static create(options: ReplicaOrdersOptions): ReplicaOrders {
+    const orders = new ReplicaOrders(options);
+    void orders.#run();
+    return orders;
+  }
+
+  dispose(): void {
+    this.#stopped.abort();
+  }
+
+  async #run(): Promise<void> {
+    const { clock, lease } = this.#options;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      await clock.sleep(pollMs, signal);
+      const fencing = lease.fencing;
+      if (fencing !== this.#fencing) this.#ordered.clear();
+      this.#fencing = fencing;
+      if (fencing !== undefined) await this.#orderAll();
+    }
+  }
+
+  async #orderAll(): Promise<void> {
+    const services = this.#options.readRoutes()?.configuration.services ?? [];
+    for (const service of services) {
+      if (service.scaling !== undefined) await this.#orderService(service);
+    }
+  }
+
+  async #orderService(service: Service): Promise<void> {
+    const { scaling } = service;
+    if (scaling === undefined) return;
+    const zones = this.#listZones(service);
+    const plan = planReplicas({
+      scaling,
+      zones,
+      replicas: this.#listReplicas(service, zones),
+      dryZones: new Set(),
+      needed: this.#computeNeeded(service),
+    });
+    for (const { zone, reclaimable, onDemand } of plan) {
+      const base = { service: service.name, zone };
+      await this.#order(service, {
+        ...base,
+        count: reclaimable,
+        isReclaimable: true,
+      });
+      await this.#order(service, {
+        ...base,
+        count: onDemand,
+        isReclaimable: false,
+      });
+    }
+  }
+
+  /** Zones in which the service has a price or a replica. */
+  #listZones({ scaling }: Service): readonly string[] {
+    const priced = [...scaling?.zonePrices.keys() ?? []];
+    return priced.length > 0 ? priced : this.#options.zones;
+  }
+
+  #listReplicas(
+    service: Service,
+    zones: readonly string[],
+  ): readonly ZoneReplicas[] {
+    return zones.flatMap((zone) =>
+      [true, false].map((isReclaimable) => {
+        const ready = this.#countReady(service.name, zone, isReclaimable);
+        const order = { service: service.name, zone, isReclaimable };
+        return {
+          zone,
+          isReclaimable,
+          ready,
+          booting: this.#countBooting(service, order, ready),
+        };
+      })
+    );
+  }
+
+  #countReady(service: string, zone: string, isReclaimable: boolean): number {
+    return this.#options.table.listUsable(service).filter(({ replica }) =>
+      replica.zone === zone && replica.isReclaimable === isReclaimable
+    ).length;
+  }
+
+  #countBooting(
+    { scaling }: Service,
+    order: Omit<ReplicaOrder, "count">,
+    ready: number,
+  ): number {
+    const ordered = this.#ordered.get(formatSubject(order));
+    if (ordered === undefined || ordered.outcome !== "accepted") return 0;
+    const bootMs = (scaling?.bootSeconds ?? 0) * 1_000 + bootMarginMs;
+    const isBooting = this.#options.clock.now() - ordered.at < bootMs;
+    return isBooting ? Math.max(0, ordered.count - ready) : 0;
+  }
+
+  /** Replicas that the load needs, remembering a high need for a while. */
+  #computeNeeded(service: Service): number {
+    const { work, clock, table } = this.#options;
+    const now = clock.now();
+    const usable = table.listUsable(service.name).length;
+    const { name } = service;
+    const startCount = this.#startCounts.get(name) ?? usable;
+    this.#startCounts.set(name, startCount);
+    const busy = work.computeBusyReplicas(name, now);
+    const needed = Math.max(
+      1,
+      Math.ceil(busy * headroom),
+      Math.ceil(startCount * startShare),
+    );
+    const previous = this.#needs.get(name);
+    const isRemembered = previous !== undefined &&
+      previous.needed > needed && now - previous.at < needMemoryMs;
+    if (isRemembered) return previous.needed;
+    this.#needs.set(name, { needed, at: now });
+    return needed;
+  }
+
+  async #order(service: Service, order: ReplicaOrder): Promise<void> {
+    const { clock } = this.#options;
+    const subject = formatSubject(order);
+    const ordered = this.#ordered.get(subject);
+    const now = clock.now();
+    if (!this.#isDue(service, order, ordered)) return;
+    const { lease, cloud, log, metrics } = this.#options;
+    const proof = lease.readProof();
+    if (proof === undefined) return;
+    const result = await cloud.sendOrder(order, proof);
+    const outcome = result.caseOf<Ordered["outcome"]>({
+      Left: () => "unknown",
+      Right: (outcome) => outcome,
+    });
+    this.#ordered.set(subject, { count: order.count, at: now, outcome });
+    metrics.count("orders_total", { outcome });
+    log.info("replicas ordered.", {
+      zone: order.zone,
+      count: order.count,
+      reclaimable: order.isReclaimable,
+      outcome,
+    });
+  }
+
+  #isDue(
+    service: Service,
+    order: ReplicaOrder,
+    ordered: Ordered | undefined,
+  ): boolean {
+    if (ordered === undefined) return true;
+    const ageMs = this.#options.clock.now() - ordered.at;
+    if (ordered.outcome !== "accepted") return ageMs >= retryMs;
+    if (ordered.count !== order.count) return true;
+    const { zone, isReclaimable } = order;
+    const ready = this.#countReady(order.service, zone, isReclaimable);
+    const bootMs = (service.scaling?.bootSeconds ?? 0) * 1_000 + bootMarginMs;
+    return ready < order.count && ageMs >= bootMs;
+  }
+}
+
+function formatSubject(order: Omit<ReplicaOrder, "count">): string {
+  const kind = order.isReclaimable ? "reclaimable" : "on_demand";
+  return `${order.service}/${order.zone}/${kind}`;
+}
--- /dev/null
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -0,0 +1,108 @@
+/**
+ * Decides how many replicas of each kind a service should have in each zone.
+ *
+ * Reclaimable replicas carry the load: they cost a fraction, and all zones get
+ * enough of them that the loss of the largest zone leaves what is needed. What is
+ * missing while none are to be had is bought on demand, in the cheapest zones,
+ * and given back once reclaimable replicas serve again.
+ */
+
+import type { ScalingLimits } from "@almondcrank/model/configuration.ts";
+
+/** Replicas of one kind in one zone. */
+export interface ZoneReplicas {
+  readonly zone: string;
+  readonly isReclaimable: boolean;
+  /** Serving and not leaving. */
+  readonly ready: number;
+  /** Ordered, accepted and not serving yet. */
+  readonly booting: number;
+}
+
+/** What the plan knows of one service. */
+export interface PlanInput {
+  readonly scaling: ScalingLimits;
+  readonly zones: readonly string[];
+  readonly replicas: readonly ZoneReplicas[];
+  /** Zones in which no reclaimable replicas were to be had lately. */
+  readonly dryZones: ReadonlySet<string>;
+  /** Replicas that the load needs to be answered in time. */
+  readonly needed: number;
+}
+
+/** Numbers wanted in one zone. */
+export interface ZonePlan {
+  readonly zone: string;
+  readonly reclaimable: number;
+  readonly onDemand: number;
+}
+
+/** Plans all zones of a service. */
+export function planReplicas(input: PlanInput): readonly ZonePlan[] {
+  const { zones, scaling, needed, replicas } = input;
+  const reclaimable = computeReclaimable(input);
+  const readyReclaimable = count(replicas, true, "ready");
+  const comingReclaimable = count(replicas, true, "booting");
+  const readyOnDemand = count(replicas, false, "ready");
+  // Replicas on demand are kept until reclaimable ones really serve.
+  const missing = Math.max(0, needed - readyReclaimable);
+  const missingLater = Math.max(0, missing - comingReclaimable);
+  const onDemandTotal = Math.max(
+    Math.min(missing, readyOnDemand),
+    missingLater,
+  );
+  const onDemand = spreadOnDemand(input, onDemandTotal);
+  return zones.map((zone) => {
+    const dedicated = onDemand.get(zone) ?? 0;
+    const room = Math.max(0, scaling.max - dedicated);
+    return { zone, reclaimable: Math.min(reclaimable, room), onDemand: dedicated };
+  });
+}
+
+/** Reclaimable replicas of each zone, enough to lose the largest zone. */
+function computeReclaimable({ zones, scaling, needed }: PlanInput): number {
+  const survivingZones = Math.max(1, zones.length - 1);
+  const each = Math.ceil(needed / survivingZones);
+  return Math.max(scaling.min, Math.min(scaling.max, each));
+}
+
+/** Spreads replicas on demand, keeping those that serve, then by price. */
+function spreadOnDemand(
+  { zones, scaling, replicas }: PlanInput,
+  total: number,
+): ReadonlyMap<string, number> {
+  const planned = new Map<string, number>();
+  let left = total;
+  const present = (zone: string): number =>
+    replicas
+      .filter((entry) => entry.zone === zone && !entry.isReclaimable)
+      .reduce((sum, entry) => sum + entry.ready + entry.booting, 0);
+  const byPrice = [...zones].sort((a, b) =>
+    (scaling.zonePrices.get(a) ?? 1) - (scaling.zonePrices.get(b) ?? 1)
+  );
+  for (const zone of byPrice) {
+    const kept = Math.min(left, present(zone), scaling.max);
+    planned.set(zone, kept);
+    left -= kept;
+  }
+  // New ones go round the zones, so that no zone holds them all.
+  while (left > 0) {
+    const zone = byPrice
+      .filter((zone) => (planned.get(zone) ?? 0) < scaling.max)
+      .sort((a, b) => (planned.get(a) ?? 0) - (planned.get(b) ?? 0))[0];
+    if (zone === undefined) break;
+    planned.set(zone, (planned.get(zone) ?? 0) + 1);
+    left -= 1;
+  }
+  return planned;
+}
+
+function count(
+  replicas: readonly ZoneReplicas[],
+  isReclaimable: boolean,
+  field: "ready" | "booting",
+): number {
+  return replicas
+    .filter((entry) => entry.isReclaimable === isReclaimable)
+    .reduce((sum, entry) => sum + entry[field], 0);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { Random } from "@almondcrank/common/random.ts";
 import type { PlatformClientOptions } from "@almondcrank/infrastructure/platform_caller.ts";
 import type { GatewaySettings } from "@almondcrank/model/gateway_settings.ts";
+import { PlatformCloud } from "@almondcrank/platform/platform_cloud.ts";
 import { PlatformStore } from "@almondcrank/platform/platform_store.ts";
 import {
   configurationKind,
@@ -25,6 +26,10 @@
 import { NodeDirectory } from "./cluster/node_directory.ts";
 import { PeerLink } from "./cluster/peer_link.ts";
 import { SharedWork } from "./cluster/shared_work.ts";
+import { DutyLease } from "./duties/duty_lease.ts";
+import { ReplicaOrders } from "./duties/replica_orders.ts";
+import { UsageReporter } from "./duties/usage_reporter.ts";
+import { WorkMeter } from "./duties/work_meter.ts";
 import { UsageCounts } from "./duties/usage_counts.ts";
 import { FeedReader } from "./feed/feed_reader.ts";
 import { type FeedKind, FeedState } from "./feed/feed_state.ts";
@@ -66,6 +71,7 @@
   readonly #view: StoreView;
   readonly #metrics = Metrics.create();
   #isDraining = false;
+  #lease: DutyLease | undefined;
 
   private constructor(options: GatewayOptions, parts: GatewayParts) {
     this.#settings = options.settings;
@@ -96,6 +102,7 @@
     this.#isDraining = true;
     this.#log.info("draining.", { running: this.#front.running });
     this.#front.drain();
+    void this.#lease?.release();
     await this.#clock.sleep(acceptAfterSignalMs);
     this.#front.close();
     while (this.#front.running > 0 && this.#clock.now() < endsAt) {
@@ -136,7 +143,8 @@
       table,
       usage,
       isDraining: () => this.#isDraining,
-      readDuty: () => undefined,
+      work: services.work,
+      readDuty: () => this.#lease?.fencing,
       pullFeed: (kind, ip) => void clusterBox.cluster?.pullFeed(kind, ip),
     });
     const cluster = await Cluster.open({
@@ -161,6 +169,7 @@
         log: services.log.part("cluster"),
       }),
     );
+    this.#startDuties(parts);
     const housekeeping = setInterval(() => this.#keepHouse(), housekeepingMs);
     this.#lifetime.register(
       createDisposable(() => clearInterval(housekeeping)),
@@ -187,6 +196,46 @@
     }
   }
 
+  #startDuties(parts: GatewayParts): void {
+    const { settings, services, members, store, proofClock: clock } = parts;
+    if (settings.cloudAddress === undefined) return;
+    const log = services.log.part("duties");
+    const lease = DutyLease.create({
+      store,
+      clock,
+      log,
+      members,
+      node: settings.nodeName,
+      incarnation: parts.incarnation,
+      leaseMs: settings.bounds.leaseMs,
+      isFirstStart: settings.isFirstStart,
+      mayHold: () => !this.#isDraining && this.#view.hasReplicas,
+    });
+    this.#lease = lease;
+    this.#lifetime.register(lease);
+    const cloud = PlatformCloud.create(
+      createClientOptions(settings.cloudAddress, services),
+    );
+    const shared = { cloud, lease, clock, log };
+    if (settings.duties.includes("usage")) {
+      const { bounds } = settings;
+      const counts = parts.usage;
+      this.#lifetime.register(
+        UsageReporter.create({ ...shared, store, counts, members, bounds }),
+      );
+    }
+    if (settings.duties.includes("scaling")) {
+      this.#lifetime.register(ReplicaOrders.create({
+        ...shared,
+        table: services.table,
+        work: services.work,
+        metrics: services.metrics,
+        zones: settings.zones,
+        readRoutes: () => this.#view.routes,
+      }));
+    }
+  }
+
   async #openFronts({ settings, front }: GatewayParts): Promise<void> {
     if (settings.readiness !== undefined) {
       const readiness = ReadinessFront.create(() => this.#isReady());
@@ -241,7 +290,7 @@
     readWallTime: () =>
       members.computeWallTime(proofClock.now(), clock.wallTime()),
   });
-  const table = ReplicaTable.create({ drainMs: 2_000 });
+  const table = ReplicaTable.create({ drainMs: settings.bounds.drainMs });
   const feeds = {
     configuration: FeedState.create(hasher),
     replicas: FeedState.create(hasher),
@@ -275,9 +324,10 @@
       windowMs: bounds.retryWindowMs,
     }),
     runs: usage,
+    work: WorkMeter.create(clock.now()),
   };
   const registry = StreamRegistry.create();
-  const allowances = Allowances.create();
+  const allowances = Allowances.create(settings.bounds.quotaTolerance);
   const front = CallersFront.create({
     services,
     registry,
--- a/packages/gateway/src/limits/allowance.ts
+++ b/packages/gateway/src/limits/allowance.ts
@@ -29,23 +29,29 @@
   admitted: number;
 }
 
-/** Share of the burst that a bucket may owe, for reports that come late. */
-const overdraftShare = 0.25;
+/** Part of the contract's tolerance that a bucket may owe. */
+const overdraftShare = 0.5;
 
 /** Buckets of all tenants. */
 export class Allowances {
   readonly #buckets = new Map<string, Bucket>();
+  readonly #overdraft: number;
   #share = 1;
 
-  static create(): Allowances {
-    return new Allowances();
+  private constructor(tolerance: number) {
+    this.#overdraft = tolerance * overdraftShare;
+  }
+
+  /** @param tolerance Cost by which a tenant may exceed its allowance. */
+  static create(tolerance: number): Allowances {
+    return new Allowances(tolerance);
   }
 
   /** Takes `cost` out of the tenant's bucket, if it holds enough. */
   take(tenant: Tenant, cost: number, now: number): AllowanceVerdict {
     if (tenant.ratePerSecond <= 0) return { kind: "admitted" };
     const bucket = this.#refill(tenant, now);
-    const floor = -overdraftShare * bucket.burst * this.#share;
+    const floor = -this.#overdraft * this.#share;
     if (bucket.level - Math.min(cost, bucket.burst) >= floor) {
       bucket.level -= cost;
       bucket.admitted += cost;
--- a/packages/gateway/src/relay/event_pump.ts
+++ b/packages/gateway/src/relay/event_pump.ts
@@ -28,7 +28,7 @@
   /** Writes the response's head before its first event. */
   readonly writeHead: () => void;
   /** Told of each group of events that passed. */
-  readonly onEvents: (lastId: number | undefined) => void;
+  readonly onEvents: (lastId: number | undefined, events: number) => void;
 }
 
 /** Pumps until the answer or the caller's connection ends. */
@@ -58,7 +58,7 @@
       lastId = events.lastId ?? lastId;
       writeHead();
       if (!response.write(events.bytes)) answer.pause();
-      onEvents(lastId);
+      onEvents(lastId, events.events);
     });
     answer.on("end", () => {
       if (!answer.complete) return finish("broken");
--- a/packages/gateway/src/relay/relay_services.ts
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -9,6 +9,7 @@
 import type { Random } from "@almondcrank/common/random.ts";
 import type { PrefixMemory } from "../choice/prefix_memory.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
+import type { WorkMeter } from "../duties/work_meter.ts";
 import type { RepeatBudget } from "../limits/repeat_budget.ts";
 import type { ReplicaSender } from "./replica_sender.ts";
 
@@ -30,6 +31,7 @@
   readonly sender: ReplicaSender;
   readonly budget: RepeatBudget;
   readonly runs: RunCounter;
+  readonly work: WorkMeter;
 }
 
 /** How a request ended, for its log line and its allowance. */
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -29,7 +29,6 @@
 } from "./stream_registry.ts";
 
 const maxUnsent = 4;
-const defaultOutputTokens = 256;
 /** Silence before the first event, relative to what was predicted. */
 const firstEventSilenceFactor = 4;
 const minFirstEventSilenceMs = 700;
@@ -193,6 +192,7 @@
       ...(this.#lastId === undefined ? {} : { resumeAfter: this.#lastId }),
       ...(target === undefined ? {} : { movedRun: target.movedRun }),
     });
+    this.#recordWork({ prompt: choice.uncachedTokens, output: 0 });
     const entry = this.#registry.add(state.key, this);
     const silence = this.#watchSilence(choice);
     try {
@@ -238,15 +238,17 @@
       state.failures.record(true, now);
       return this.#endLeg("lost");
     }
+    const { tokensPerEvent = 1 } = this.#request.service.engine ?? {};
     let isFirst = true;
     const end = await runEventPump({
       answer,
       response: this.#response,
       lastId: this.#lastId,
       writeHead: () => this.#writeHead(answer),
-      onEvents: (lastId) => {
+      onEvents: (lastId, events) => {
         this.#lastId = lastId;
         this.#events += 1;
+        this.#recordWork({ prompt: 0, output: events * tokensPerEvent });
         leg.silence.refresh();
         if (!isFirst) return;
         isFirst = false;
@@ -365,6 +367,11 @@
     return { refresh, end: () => clearTimeout(timer) };
   }
 
+  #recordWork(tokens: { readonly prompt: number; readonly output: number }) {
+    const { work, clock } = this.#services;
+    work.record(this.#request.service.name, tokens, clock.now());
+  }
+
   #recordStart(choice: EngineChoice, leg: Leg): void {
     const { clock, runs } = this.#services;
     const observedMs = clock.now() - leg.sentAt;
@@ -408,11 +415,6 @@
   }
 
   #end(status: number, reason: string): RelayResult {
-    const { promptTokens } = this.#request;
-    const outputTokens = this.#events *
-      (this.#request.service.engine?.tokensPerEvent ?? defaultOutputTokens);
-    this.#services.metrics.count("stream_tokens_total", {}, outputTokens);
-    this.#services.metrics.count("prompt_tokens_total", {}, promptTokens);
     return {
       status,
       reason,
--- a/packages/model/src/gateway_settings.ts
+++ b/packages/model/src/gateway_settings.ts
@@ -10,6 +10,8 @@
   readonly revocationMs: number;
   /** Whether a node without news must refuse keys after `revocationMs`. */
   readonly failsClosed: boolean;
+  /** Time that a leaving replica goes on serving. */
+  readonly drainMs: number;
   /** Time from SIGTERM to SIGKILL. */
   readonly graceMs: number;
   /** Repeats a service may get, as a share of its requests. */
@@ -18,6 +20,8 @@
   readonly retryExtra: number;
   readonly retryWindowMs: number;
   readonly quotaWindowMs: number;
+  /** Cost that a tenant may exceed its allowance by in one window. */
+  readonly quotaTolerance: number;
   readonly leaseMs: number;
   readonly usageWindowMs: number;
   /** Time after a usage window's end at which its report is due. */
@@ -41,6 +45,8 @@
   readonly peerPort: number;
   /** IP addresses of some nodes; may be out of date. */
   readonly seedIps: readonly string[];
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
   readonly memoryMb: number;
   readonly maxDescriptors: number;
   readonly storeAddress: string;
