Provide for the next wave; refill allowances before peers' costs

Cause: after two waves two replicas were left for four seconds, since a notice (2.5 s) is shorter than a boot (4 s); orders began before the first replicas had registered. Buckets took peers' costs without the refill between them.

--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -82,7 +82,8 @@
       configuration: this.#composeNews("configuration", now),
       replicas: this.#composeNews("replicas", now),
       duty: this.#options.readDuty() ?? null,
-      allowances: allowances.list().map((entry) => [...entry]),
+      allowances: allowances.list(this.#options.limitsClock.now())
+        .map((entry) => [...entry]),
       budgets: budget.list().map((entry) => [...entry]),
       work: this.#options.work.list().map((entry) => [...entry]),
       loads: this.#listLoads(),
@@ -203,7 +204,9 @@
     for (const [tenant, level, admitted] of message.allowances) {
       if (isBaseline) allowances.adoptLevel(tenant, level);
       const before = isSame ? previous?.allowances.get(tenant)?.[1] ?? 0 : 0;
-      if (!isBaseline) allowances.applyPeer(tenant, admitted - before);
+      if (!isBaseline) {
+        allowances.applyPeer(tenant, admitted - before, limitsNow);
+      }
     }
     for (const [service, requests, repeats] of message.budgets) {
       const before = isSame ? previous?.budgets.get(service) ?? [0, 0] : [0, 0];
--- a/packages/gateway/src/duties/replica_orders.ts
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -31,6 +31,8 @@
 const headroom = 1.35;
 /** Share of the replicas at the start that is always kept. */
 const startShare = 0.45;
+/** Time in which the first replicas register. */
+const registrationMs = 2_500;
 /** Time for which a high need is remembered. */
 const needMemoryMs = 8_000;
 
@@ -65,10 +67,12 @@
   readonly #ordered = new Map<string, Ordered>();
   readonly #needs = new Map<string, Need>();
   readonly #startCounts = new Map<string, number>();
+  readonly #startedAt: number;
   #fencing: number | undefined;
 
   private constructor(options: ReplicaOrdersOptions) {
     this.#options = options;
+    this.#startedAt = options.clock.now();
   }
 
   /** Starts at once; orders only while the lease is held. */
@@ -95,6 +99,8 @@
   }
 
   async #orderAll(): Promise<void> {
+    const { clock } = this.#options;
+    if (clock.now() - this.#startedAt < registrationMs) return;
     const services = this.#options.readRoutes()?.configuration.services ?? [];
     for (const service of services) {
       if (service.scaling !== undefined) await this.#orderService(service);
@@ -175,8 +181,7 @@
     const now = clock.now();
     const usable = table.listUsable(service.name).length;
     const { name } = service;
-    const startCount = this.#startCounts.get(name) ?? usable;
-    this.#startCounts.set(name, startCount);
+    const startCount = this.#findStartCount(name, usable, now);
     const busy = work.computeBusyReplicas(name, now);
     const needed = Math.max(
       1,
@@ -191,6 +196,15 @@
     return needed;
   }
 
+  /** Most replicas seen while the first ones register. */
+  #findStartCount(service: string, usable: number, now: number): number {
+    const count = this.#startCounts.get(service) ?? 0;
+    if (now - this.#startedAt > registrationMs && count > 0) return count;
+    const most = Math.max(count, usable);
+    this.#startCounts.set(service, most);
+    return most;
+  }
+
   async #order(service: Service, order: ReplicaOrder): Promise<void> {
     const { clock } = this.#options;
     const subject = formatSubject(order);
--- a/packages/gateway/src/duties/replica_plan.ts
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -46,7 +46,12 @@
   const readyOnDemand = count(replicas, false, "ready");
   // Replicas on demand are kept until reclaimable ones really serve.
   const missing = Math.max(0, needed - readyReclaimable);
-  const missingLater = Math.max(0, missing - comingReclaimable);
+  const missingLater = Math.max(
+    missing - comingReclaimable,
+    // A notice is shorter than a boot, so the next wave is provided for.
+    needed - countSurviving(replicas),
+    0,
+  );
   const onDemandTotal = Math.max(
     Math.min(missing, readyOnDemand),
     missingLater,
@@ -55,7 +60,11 @@
   return zones.map((zone) => {
     const dedicated = onDemand.get(zone) ?? 0;
     const room = Math.max(0, scaling.max - dedicated);
-    return { zone, reclaimable: Math.min(reclaimable, room), onDemand: dedicated };
+    return {
+      zone,
+      reclaimable: Math.min(reclaimable, room),
+      onDemand: dedicated,
+    };
   });
 }
 
@@ -97,6 +106,15 @@
   return planned;
 }
 
+/** Reclaimable replicas left after the zone with most of them is lost. */
+function countSurviving(replicas: readonly ZoneReplicas[]): number {
+  const counts = replicas
+    .filter((entry) => entry.isReclaimable)
+    .map((entry) => entry.ready + entry.booting);
+  const total = counts.reduce((sum, count) => sum + count, 0);
+  return total - Math.max(0, ...counts);
+}
+
 function count(
   replicas: readonly ZoneReplicas[],
   isReclaimable: boolean,
--- a/packages/gateway/src/limits/allowance.ts
+++ b/packages/gateway/src/limits/allowance.ts
@@ -20,6 +20,13 @@
   readonly heard: number;
 }
 
+/** What a request takes out. */
+export interface Charge {
+  readonly cost: number;
+  /** Rank of the request, 0 first. */
+  readonly rank: number;
+}
+
 interface Bucket {
   level: number;
   rate: number;
@@ -31,6 +38,10 @@
 
 /** Part of the contract's tolerance that a bucket may owe. */
 const overdraftShare = 0.5;
+/** Part of the overdraft that is open to less urgent requests. */
+const lessUrgentPart = 0.3;
+/** Share of the burst below which a request counts as small. */
+const smallShare = 0.005;
 
 /** Buckets of all tenants. */
 export class Allowances {
@@ -47,11 +58,18 @@
     return new Allowances(tolerance);
   }
 
-  /** Takes `cost` out of the tenant's bucket, if it holds enough. */
-  take(tenant: Tenant, cost: number, now: number): AllowanceVerdict {
+  /**
+   * Takes a request's cost out of the tenant's bucket, if it holds enough.
+   *
+   * Near its end the bucket is kept for the urgent and for the small.
+   */
+  take(tenant: Tenant, charge: Charge, now: number): AllowanceVerdict {
     if (tenant.ratePerSecond <= 0) return { kind: "admitted" };
+    const { cost } = charge;
     const bucket = this.#refill(tenant, now);
-    const floor = -this.#overdraft * this.#share;
+    const isFavoured = charge.rank === 0 || cost < bucket.burst * smallShare;
+    const part = isFavoured ? 1 : lessUrgentPart;
+    const floor = -this.#overdraft * this.#share * part;
     if (bucket.level - Math.min(cost, bucket.burst) >= floor) {
       bucket.level -= cost;
       bucket.admitted += cost;
@@ -71,9 +89,11 @@
   }
 
   /** Takes out what a peer admitted since its last report. */
-  applyPeer(tenant: string, cost: number): void {
+  applyPeer(tenant: string, cost: number, now: number): void {
     const bucket = this.#buckets.get(tenant);
-    if (bucket !== undefined) bucket.level -= cost;
+    if (bucket === undefined) return;
+    this.#refillBucket(bucket, now);
+    bucket.level -= cost;
   }
 
   /** Lowers a bucket to the level that a longer-lived peer knows. */
@@ -103,10 +123,11 @@
   }
 
   /** Level and own admissions of each tenant, for the peers. */
-  list(): readonly (readonly [string, number, number])[] {
-    return [...this.#buckets].map((
-      [name, bucket],
-    ) => [name, Math.round(bucket.level), bucket.admitted]);
+  list(now: number): readonly (readonly [string, number, number])[] {
+    return [...this.#buckets].map(([name, bucket]) => {
+      this.#refillBucket(bucket, now);
+      return [name, Math.round(bucket.level), bucket.admitted];
+    });
   }
 
   #refill(tenant: Tenant, now: number): Bucket {
--- a/packages/gateway/src/relay/admission_desk.ts
+++ b/packages/gateway/src/relay/admission_desk.ts
@@ -18,7 +18,7 @@
   parseTokenCount,
   tokenCountHeader,
 } from "@almondcrank/platform/headers.ts";
-import type { Allowances } from "../limits/allowance.ts";
+import type { Allowances, Charge } from "../limits/allowance.ts";
 import type { RouteTable } from "../routes/route_table.ts";
 import { composeOwnAnswer, type OwnAnswer } from "./own_answer.ts";
 
@@ -90,9 +90,9 @@
 export function chargeAllowance(
   allowances: Allowances,
   tenant: Tenant,
-  { cost, now }: { readonly cost: number; readonly now: number },
+  { now, ...charge }: Charge & { readonly now: number },
 ): OwnAnswer | undefined {
-  const verdict = allowances.take(tenant, cost, now);
+  const verdict = allowances.take(tenant, charge, now);
   switch (verdict.kind) {
     case "admitted":
       return undefined;
--- a/packages/gateway/src/relay/callers_front.ts
+++ b/packages/gateway/src/relay/callers_front.ts
@@ -207,13 +207,17 @@
 
   #charge(
     request: IncomingMessage,
-    { tenant }: Routed,
+    { tenant, route }: Routed,
   ): { readonly cost: number; readonly refusal: OwnAnswer | undefined } {
     if (tenant === undefined) return { cost: 0, refusal: undefined };
     const { services, allowances } = this.#options;
     const cost = computeCost(request, tenant);
     const now = services.clock.now();
-    const refusal = chargeAllowance(allowances, tenant, { cost, now });
+    const refusal = chargeAllowance(allowances, tenant, {
+      cost,
+      rank: route.priority,
+      now,
+    });
     return { cost, refusal };
   }
 
