--- a/packages/gateway/src/choice/stream_admission.ts
+++ b/packages/gateway/src/choice/stream_admission.ts
@@ -30,7 +30,7 @@
   | { readonly kind: "refused"; readonly retryAfterMs: number };
 
 /** Decides on one stream. */
-export function admitStream(demand: StreamDemand): StreamVerdict {
+export function checkAdmissible(demand: StreamDemand): StreamVerdict {
   const { predictedMs, timeLeftMs, objectiveMs } = demand;
   const last = objectiveShares.length - 1;
   const rank = Math.max(0, Math.min(last, Math.round(demand.rank)));
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -14,7 +14,7 @@
   type FeedSnapshot,
   type FeedState,
 } from "../feed/feed_state.ts";
-import { callReplica } from "../relay/control_call.ts";
+import { sendControlCall } from "../relay/control_call.ts";
 import type { Members } from "./members.ts";
 import type { PeerLink } from "./peer_link.ts";
 import type { SharedWork } from "./shared_work.ts";
@@ -92,7 +92,7 @@
     this.#pulling.add(kind);
     try {
       const { controlPort, feeds } = this.#options;
-      const answer = await callReplica(
+      const answer = await sendControlCall(
         { method: "GET", path: snapshotPath + kind, body: "" },
         { address: `${ip}:${controlPort}`, timeoutMs: pullTimeoutMs },
       );
--- a/packages/gateway/src/duties/replica_orders.ts
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -22,7 +22,7 @@
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { RouteTable } from "../routes/route_table.ts";
 import type { DutyLease } from "./duty_lease.ts";
-import { planReplicas, type ZoneReplicas } from "./replica_plan.ts";
+import { computeReplicaPlan, type ZoneReplicas } from "./replica_plan.ts";
 import type { WorkMeter } from "./work_meter.ts";
 
 const pollMs = 250;
@@ -119,7 +119,7 @@
     const { scaling } = service;
     if (scaling === undefined) return;
     const zones = this.#listZones(service);
-    const plan = planReplicas({
+    const plan = computeReplicaPlan({
       scaling,
       zones,
       replicas: this.#listReplicas(service, zones),
--- a/packages/gateway/src/duties/replica_plan.ts
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -37,10 +37,10 @@
 }
 
 /** Plans all zones of a service. */
-export function planReplicas(input: PlanInput): readonly ZonePlan[] {
+export function computeReplicaPlan(input: PlanInput): readonly ZonePlan[] {
   const { zones, scaling } = input;
   const reclaimable = computeReclaimable(input);
-  const onDemand = spreadOnDemand(input, computeOnDemand(input));
+  const onDemand = computeOnDemandByZone(input, computeOnDemand(input));
   return zones.map((zone) => {
     const dedicated = onDemand.get(zone) ?? 0;
     const room = Math.max(0, scaling.max - dedicated);
@@ -73,7 +73,7 @@
 }
 
 /** Spreads replicas on demand, keeping those that serve, then by price. */
-function spreadOnDemand(
+function computeOnDemandByZone(
   { zones, scaling, replicas }: PlanInput,
   total: number,
 ): ReadonlyMap<string, number> {
--- a/packages/gateway/src/duties/replica_plan_test.ts
+++ b/packages/gateway/src/duties/replica_plan_test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import fc from "fast-check";
-import { planReplicas, type ZoneReplicas } from "./replica_plan.ts";
+import { computeReplicaPlan, type ZoneReplicas } from "./replica_plan.ts";
 
 const zones = ["a", "b", "c", "d"];
 const scaling = {
@@ -27,7 +27,7 @@
 }
 
 test("on demand replicas stay until reclaimable ones serve", () => {
-  const plan = planReplicas({
+  const plan = computeReplicaPlan({
     scaling,
     zones,
     needed: 4,
@@ -38,7 +38,7 @@
 });
 
 test("nothing is bought on demand while a wave can be survived", () => {
-  const plan = planReplicas({
+  const plan = computeReplicaPlan({
     scaling,
     zones,
     needed: 4,
@@ -48,7 +48,7 @@
 });
 
 test("after a wave the next one is provided for, cheapest zones first", () => {
-  const plan = planReplicas({
+  const plan = computeReplicaPlan({
     scaling,
     zones,
     needed: 4,
@@ -61,7 +61,7 @@
 });
 
 test("reclaimable replicas that serve are not given up for others", () => {
-  const plan = planReplicas({
+  const plan = computeReplicaPlan({
     scaling,
     zones,
     needed: 16,
@@ -81,7 +81,12 @@
     fc.property(counts, counts, fc.integer({ min: 1, max: 40 }), (r, o, n) => {
       const replicas = createReplicas(r, o);
       for (
-        const zone of planReplicas({ scaling, zones, replicas, needed: n })
+        const zone of computeReplicaPlan({
+          scaling,
+          zones,
+          replicas,
+          needed: n,
+        })
       ) {
         assert.ok(zone.reclaimable >= 0 && zone.onDemand >= 0);
         assert.ok(zone.reclaimable + zone.onDemand <= scaling.max);
--- a/packages/gateway/src/feed/store_view.ts
+++ b/packages/gateway/src/feed/store_view.ts
@@ -27,7 +27,8 @@
   /** Clock that also counts time in which the host stood still. */
   readonly proofClock: Clock;
   readonly log: Log;
-  readonly bounds: Bounds;
+  /** Bounds in force at present. */
+  readonly readBounds: () => Bounds;
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
   readonly table: ReplicaTable;
 }
@@ -62,7 +63,8 @@
 
   /** Whether a key's withdrawal would be known by now. */
   get hasFreshNews(): boolean {
-    const { bounds, proofClock, feeds } = this.#options;
+    const { proofClock, feeds } = this.#options;
+    const bounds = this.#options.readBounds();
     if (!bounds.failsClosed) return true;
     const ageMs = proofClock.now() - feeds.configuration.provenAt;
     return ageMs < bounds.revocationMs - revocationMarginMs;
@@ -88,7 +90,7 @@
   }
 
   #applyReplicas(): void {
-    const { feeds, table, clock } = this.#options;
+    const { feeds, table, clock, proofClock, log } = this.#options;
     const now = clock.now();
     const replicas = feeds.replicas.listObjects().flatMap(({ key, value }) => {
       const id = key.slice(key.indexOf("/") + 1);
@@ -96,5 +98,11 @@
     });
     const outageAgeMs = now - feeds.replicas.outageAt;
     table.apply(replicas, { now, mayHaveLapsed: outageAgeMs < lapseWatchMs });
+    log.info("replicas changed.", {
+      asOf: feeds.replicas.mark.asOf,
+      provenMs: Math.round(proofClock.now() - feeds.replicas.provenAt),
+      ready: replicas.filter(({ state }) => state === "ready").length,
+      draining: replicas.filter(({ state }) => state === "draining").length,
+    });
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import { StoreView } from "./feed/store_view.ts";
 import { Allowances } from "./limits/allowance.ts";
 import { RepeatBudget } from "./limits/repeat_budget.ts";
+import type { LiveSettings } from "./live_settings.ts";
 import { ReadinessFront } from "./readiness_front.ts";
 import { CallersFront } from "./relay/callers_front.ts";
 import type { RelayServices } from "./relay/relay_services.ts";
@@ -55,13 +56,13 @@
 
 /** What a gateway needs. */
 export interface GatewayOptions {
-  readonly settings: GatewaySettings;
+  readonly settings: LiveSettings;
   readonly log: Log;
 }
 
 /** One running process. */
 export class Gateway {
-  readonly #settings: GatewaySettings;
+  readonly #settings: LiveSettings;
   readonly #log: Log;
   readonly #clock: Clock;
   readonly #lifetime = DisposableStore.create();
@@ -97,7 +98,7 @@
    * balancer has noticed, and waits for running requests within the grace period.
    */
   async drain(): Promise<void> {
-    const endsAt = this.#clock.now() + this.#settings.bounds.graceMs -
+    const endsAt = this.#clock.now() + this.#settings.current.bounds.graceMs -
       graceMarginMs;
     this.#isDraining = true;
     this.#log.info("draining.", { running: this.#front.running });
@@ -280,8 +281,9 @@
 }
 
 async function createParts(
-  { settings, log }: GatewayOptions,
+  { settings: live, log }: GatewayOptions,
 ): Promise<GatewayParts> {
+  const settings = live.current;
   const clock = SystemClock.create();
   const proofClock = SuspensionClock.create(clock);
   const random = Random.create();
@@ -305,7 +307,7 @@
     clock,
     proofClock,
     log: log.part("feed"),
-    bounds: settings.bounds,
+    readBounds: () => live.current.bounds,
     feeds,
     table,
   });
--- a/packages/gateway/src/relay/admission_desk.ts
+++ b/packages/gateway/src/relay/admission_desk.ts
@@ -48,7 +48,7 @@
   | { readonly kind: "refused"; readonly answer: OwnAnswer };
 
 /** Finds a request's route, tenant and service. */
-export function routeRequest(
+export function chooseRoute(
   request: IncomingMessage,
   view: AdmissionView,
 ): RoutingVerdict {
@@ -87,7 +87,7 @@
 }
 
 /** Charges the tenant's allowance; the answer when it is used up. */
-export function chargeAllowance(
+export function takeAllowance(
   allowances: Allowances,
   tenant: Tenant,
   { now, ...charge }: Charge & { readonly now: number },
--- a/packages/gateway/src/relay/callers_front.ts
+++ b/packages/gateway/src/relay/callers_front.ts
@@ -27,11 +27,11 @@
 import type { Allowances } from "../limits/allowance.ts";
 import {
   type AdmissionView,
-  chargeAllowance,
+  chooseRoute,
   computeCost,
   readHeader,
-  routeRequest,
   type RoutingVerdict,
+  takeAllowance,
 } from "./admission_desk.ts";
 import { CallRelay } from "./call_relay.ts";
 import { listForwardedHeaders } from "./message_headers.ts";
@@ -173,7 +173,7 @@
       return this.#refuse({ request, response }, answer);
     }
     const callerGone = watchCaller(response);
-    const routed = routeRequest(request, readView());
+    const routed = chooseRoute(request, readView());
     if (routed.kind === "refused") {
       return this.#refuse({ request, response }, routed.answer);
     }
@@ -224,7 +224,7 @@
     const { services, allowances } = this.#options;
     const cost = computeCost(request, tenant);
     const now = services.clock.now();
-    const refusal = chargeAllowance(allowances, tenant, {
+    const refusal = takeAllowance(allowances, tenant, {
       cost,
       rank: route.priority,
       now,
--- a/packages/gateway/src/relay/control_call.ts
+++ b/packages/gateway/src/relay/control_call.ts
@@ -22,7 +22,7 @@
 }
 
 /** Makes one call; `undefined` when no whole answer came in time. */
-export function callReplica(
+export function sendControlCall(
   call: ReplicaCall,
   { address, timeoutMs, headers }: ControlCallOptions,
 ): Promise<ControlAnswer | undefined> {
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -10,7 +10,7 @@
 import type { NodeLoad, ReplicaState } from "../choice/replica_state.ts";
 import { composeRequestHeaders } from "./message_headers.ts";
 import { ReplicaAgent } from "./replica_agent.ts";
-import { callReplica, type ControlAnswer } from "./control_call.ts";
+import { type ControlAnswer, sendControlCall } from "./control_call.ts";
 import { type ReplicaOutcome, sendToReplica } from "./replica_call.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
@@ -95,7 +95,7 @@
     timeoutMs: number,
   ): Promise<ControlAnswer | undefined> {
     const { address } = state.replica;
-    return callReplica(call, { address, timeoutMs });
+    return sendControlCall(call, { address, timeoutMs });
   }
 
   /** Closes kept connections of incarnations that are no longer known. */
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -14,7 +14,7 @@
   type EngineChoice,
   promptTokensPerMs,
 } from "../choice/engine_choice.ts";
-import { admitStream } from "../choice/stream_admission.ts";
+import { checkAdmissible } from "../choice/stream_admission.ts";
 import type { RepeatReason } from "../limits/repeat_budget.ts";
 import { type PumpEnd, runEventPump } from "./event_pump.ts";
 import { listAnswerHeaders } from "./message_headers.ts";
@@ -170,7 +170,7 @@
   #checkAdmission(choice: EngineChoice): RelayResult | undefined {
     if (this.#sends > 0 || this.#mayHaveRun) return undefined;
     const { route, endsAt } = this.#request;
-    const verdict = admitStream({
+    const verdict = checkAdmissible({
       rank: route.priority,
       objectiveMs: route.objectiveMs,
       timeLeftMs: endsAt - this.#services.clock.now(),
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -6,8 +6,10 @@
 import { type Agent, request } from "node:http";
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
+import { Right } from "purify-ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Gateway } from "@almondcrank/gateway/gateway.ts";
+import { LiveSettings } from "@almondcrank/gateway/live_settings.ts";
 import type {
   Bounds,
   GatewaySettings,
@@ -303,7 +305,12 @@
     };
     this.#settings.push(settings);
     const log = createSilentLog();
-    this.nodes.push(await Gateway.open({ settings, log }));
+    const live = LiveSettings.create({
+      log,
+      readText: () => "",
+      decode: () => Right(settings),
+    }).unsafeCoerce();
+    this.nodes.push(await Gateway.open({ settings: live, log }));
   }
 }
 
