Read the store without a pause while another reader is blind

Change: a node tells that it is blind and is passed over; who stepped in goes on until another one proves more; watches of 0.8 s. Test: feed_reader_test.

--- a/packages/gateway/src/cluster/members.ts
+++ b/packages/gateway/src/cluster/members.ts
@@ -8,6 +8,8 @@
   readonly incarnation: string;
   readonly ip: string;
   readonly isDraining: boolean;
+  /** Whether it said that it does not reach the store. */
+  readonly isBlind: boolean;
   /** Monotonic time of its last datagram. */
   readonly heardAt: number;
   /** Offset of its time of day from this node's monotonic time. */
@@ -79,10 +81,11 @@
     return [...new Set([...heard, ...this.#unheard.keys()])];
   }
 
-  /** Place of this node among those that are heard and stay, 0 first. */
+  /** Place of this node among those that stay and reach the store, 0 first. */
   readRank(now: number): number {
     return this.listHeard(now)
-      .filter((member) => !member.isDraining && member.node < this.#self)
+      .filter((member) => !member.isDraining && !member.isBlind)
+      .filter((member) => member.node < this.#self)
       .length;
   }
 
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -26,6 +26,8 @@
   ip: z.string(),
   upMs: z.number(),
   isDraining: z.boolean(),
+  /** Whether the sender does not reach the store at present. */
+  isBlind: z.boolean(),
   /** Sender's monotonic time. */
   sentAt: z.number(),
   /** Sender's time of day. */
--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -32,6 +32,8 @@
   readonly usage: UsageCounts;
   readonly work: WorkMeter;
   readonly isDraining: () => boolean;
+  /** Whether this node does not reach the store at present. */
+  readonly isBlind: () => boolean;
   /** Fencing number while this node holds the duties' lease. */
   readonly readDuty: () => number | undefined;
   /** Asks a peer for its newer copy. */
@@ -74,6 +76,7 @@
       ip: this.#options.ip,
       upMs: now - this.#startedAt,
       isDraining: this.#options.isDraining(),
+      isBlind: this.#options.isBlind(),
       sentAt: now,
       wallTime: clock.wallTime(),
       echo: receiver === undefined
@@ -102,6 +105,7 @@
       incarnation: message.incarnation,
       ip: message.ip,
       isDraining: message.isDraining,
+      isBlind: message.isBlind,
       heardAt: now,
       wallOffset: message.wallTime - now,
       duty: message.duty ?? undefined,
--- a/packages/gateway/src/feed/feed_reader.ts
+++ b/packages/gateway/src/feed/feed_reader.ts
@@ -5,6 +5,7 @@
  * proven its copy for a while, and that while is longer for each node further
  * back in their order. So one node usually reads for all, the next follows within
  * a fraction of a second when it fails, and a node that hears nobody reads alone.
+ * A node that stepped in goes on without a pause until another one proves more.
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
@@ -16,11 +17,11 @@
 import type { FeedKind, FeedState } from "./feed_state.ts";
 
 /** Longest wait of one watch; also the usual age of a proof. */
-const watchWaitMs = 1_000;
+const watchWaitMs = 800;
 /** Age of the proof at which the second node in order reads too. */
-const firstTakeoverMs = 1_350;
-const takeoverStepMs = 250;
-const pollMs = 50;
+const firstTakeoverMs = 1_050;
+const takeoverStepMs = 200;
+const pollMs = 25;
 const firstRetryMs = 30;
 const lastRetryMs = 400;
 /** Pause after an event, so that events that come together cost one call. */
@@ -45,6 +46,8 @@
   readonly #options: FeedReaderOptions;
   readonly #stopped = new AbortController();
   #failures = 0;
+  /** Time of the last proof that came from this node's own reading. */
+  #ownProvenAt = -Infinity;
 
   private constructor(options: FeedReaderOptions) {
     this.#options = options;
@@ -76,6 +79,7 @@
     const { state, clock, readRank } = this.#options;
     const rank = readRank();
     if (rank === 0 || !state.isKnown) return 0;
+    if (state.provenAt === this.#ownProvenAt) return 0;
     const takeoverMs = firstTakeoverMs + (rank - 1) * takeoverStepMs;
     return takeoverMs - (clock.now() - state.provenAt);
   }
@@ -89,7 +93,7 @@
       return await list.caseOf<Promise<void>>({
         Left: (error) => this.#recordFailure(error),
         Right: (list) => {
-          this.#recordSuccess();
+          this.#recordSuccess(sentAt);
           state.applyList(list, sentAt);
           return Promise.resolve();
         },
@@ -99,7 +103,7 @@
     await watch.caseOf<Promise<void>>({
       Left: (error) => this.#recordFailure(error),
       Right: async (outcome) => {
-        this.#recordSuccess();
+        this.#recordSuccess(sentAt);
         switch (outcome.kind) {
           case "expired":
             return state.requireList();
@@ -112,7 +116,13 @@
     });
   }
 
-  #recordSuccess(): void {
+  /** Whether this node's last call to the store failed. */
+  get isFailing(): boolean {
+    return this.#failures > 0;
+  }
+
+  #recordSuccess(sentAt: number): void {
+    this.#ownProvenAt = sentAt;
     if (this.#failures > 0) {
       const { log, kind } = this.#options;
       log.info(`the store answers again for ${kind}.`, {
--- /dev/null
+++ b/packages/gateway/src/feed/feed_reader_test.ts
@@ -0,0 +1,82 @@
+import { Right } from "purify-ts";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { openHasher } from "@almondcrank/common/hashing.ts";
+import { createSilentLog } from "@almondcrank/common/logs.ts";
+import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { Random } from "@almondcrank/common/random.ts";
+import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
+import { FeedReader } from "./feed_reader.ts";
+import { FeedState } from "./feed_state.ts";
+
+const hasher = await openHasher();
+
+/** Store whose reads are recorded with their time. */
+function createStore(clock: ManualClock, reads: number[]): ObjectStore {
+  const unused = (): never => {
+    throw new Error("not used");
+  };
+  return {
+    read: unused,
+    write: unused,
+    remove: unused,
+    list: () => {
+      reads.push(clock.now());
+      return Promise.resolve(Right({ version: 1, objects: [] }));
+    },
+    watch: async (_prefix, _since, waitMs) => {
+      reads.push(clock.now());
+      await clock.sleep(waitMs);
+      return Right({ kind: "changes", batch: { version: 1, changes: [] } });
+    },
+  };
+}
+
+async function runReader(
+  rank: number,
+  onTick: (state: FeedState, now: number) => void,
+): Promise<readonly number[]> {
+  const clock = ManualClock.create();
+  const reads: number[] = [];
+  const state = FeedState.create(hasher);
+  state.applyList({ version: 1, objects: [] }, 0);
+  const reader = FeedReader.create({
+    kind: "replicas",
+    prefix: "servers",
+    state,
+    store: createStore(clock, reads),
+    clock,
+    random: Random.create(1),
+    log: createSilentLog(),
+    readRank: () => rank,
+  });
+  for (let at = 0; at < 6_000; at += 25) {
+    onTick(state, clock.now());
+    await clock.advance(25);
+  }
+  reader.dispose();
+  return reads;
+}
+
+test("a node behind a reader that proves its copy does not read", async () => {
+  const reads = await runReader(1, (state, now) => state.confirm(now - 900));
+  assert.is(reads.length, 0);
+});
+
+test("the next node steps in within 1.1 s and goes on without a pause", async () => {
+  const reads = await runReader(1, () => {});
+  assert.ok((reads[0] ?? Infinity) <= 1_100, `${reads[0]}`);
+  for (let at = 1; at < reads.length; at += 1) {
+    const pauseMs = (reads[at] ?? 0) - (reads[at - 1] ?? 0);
+    assert.ok(pauseMs <= 850, `${pauseMs} ms between reads`);
+  }
+});
+
+test("it stops when the first one proves its copy again", async () => {
+  const reads = await runReader(1, (state, now) => {
+    if (now > 3_000) state.confirm(now - 100);
+  });
+  assert.ok(reads.every((at) => at <= 3_900), `${reads}`);
+});
+
+test.run();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,6 +72,7 @@
   readonly #view: StoreView;
   readonly #metrics = Metrics.create();
   #isDraining = false;
+  readonly #readers: FeedReader[] = [];
   #lease: DutyLease | undefined;
 
   private constructor(options: GatewayOptions, parts: GatewayParts) {
@@ -150,6 +151,7 @@
       table,
       usage,
       isDraining: () => this.#isDraining,
+      isBlind: () => this.#readers.some((reader) => reader.isFailing),
       work: services.work,
       readDuty: () => this.#lease?.fencing,
       pullFeed: (kind, ip) => void clusterBox.cluster?.pullFeed(kind, ip),
@@ -190,7 +192,7 @@
       replicas: replicasKind,
     } as const;
     for (const kind of ["configuration", "replicas"] as const) {
-      this.#lifetime.register(FeedReader.create({
+      const reader = FeedReader.create({
         kind,
         prefix: prefixes[kind],
         state: feeds[kind],
@@ -199,7 +201,8 @@
         random: services.random,
         log: services.log.part("feed"),
         readRank: () => members.readRank(proofClock.now()),
-      }));
+      });
+      this.#readers.push(this.#lifetime.register(reader));
     }
   }
 
