End no answer for a replica's silence when it cannot go on elsewhere

Change: sends count when they leave; silence is judged beside the replica's other streams. Test: a silent replica ends no answer (failed with 502 before, 504 at the time limit now).

--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -31,6 +31,7 @@
   #serviceMs: number | undefined;
   #leavesAt: number | undefined;
   #isDraining = false;
+  #progressAt = -Infinity;
 
   private constructor(key: string, replica: Replica) {
     this.key = key;
@@ -108,6 +109,15 @@
     };
   }
 
+  /** Monotonic time of the last event of any stream, as this node saw. */
+  get progressAt(): number {
+    return this.#progressAt;
+  }
+
+  recordProgress(now: number): void {
+    this.#progressAt = now;
+  }
+
   /** Records a time to the first event beside the one that was predicted. */
   recordFirstEvent(observedMs: number, predictedMs: number): void {
     const ratio = observedMs / Math.max(10, predictedMs);
--- /dev/null
+++ b/packages/gateway/src/relay/silence_watch.ts
@@ -0,0 +1,75 @@
+/**
+ * Notices that a replica has fallen silent in the middle of a stream.
+ *
+ * A replica that is busy reading prompts may pause a stream for long. So while
+ * it sends events of other streams, this stream gets three times as long before
+ * it is given up.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { Disposable } from "@almondcrank/common/disposables.ts";
+import type { ReplicaState } from "../choice/replica_state.ts";
+
+const busyFactor = 3;
+
+/** What a watch needs. */
+export interface SilenceWatchOptions {
+  readonly clock: Clock;
+  readonly state: ReplicaState;
+  /** Silence that is allowed before the first event and between events. */
+  readonly firstMs: number;
+  readonly gapMs: number;
+  /** Called once when the silence has lasted too long. */
+  readonly onSilent: () => void;
+}
+
+/** Watch over one leg of a stream. */
+export class SilenceWatch implements Disposable {
+  readonly #options: SilenceWatchOptions;
+  #allowedMs: number;
+  #heardAt: number;
+  #timer: NodeJS.Timeout | undefined;
+
+  private constructor(options: SilenceWatchOptions) {
+    this.#options = options;
+    this.#allowedMs = options.firstMs;
+    this.#heardAt = options.clock.now();
+    this.#arm(options.firstMs);
+  }
+
+  static create(options: SilenceWatchOptions): SilenceWatch {
+    return new SilenceWatch(options);
+  }
+
+  /** Records that events of this stream have come. */
+  recordEvents(): void {
+    const { clock, state, gapMs } = this.#options;
+    this.#heardAt = clock.now();
+    this.#allowedMs = gapMs;
+    state.recordProgress(this.#heardAt);
+    this.#arm(gapMs);
+  }
+
+  dispose(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+  }
+
+  #arm(ms: number): void {
+    clearTimeout(this.#timer);
+    if (!Number.isFinite(ms)) return;
+    this.#timer = setTimeout(() => this.#check(), ms);
+  }
+
+  #check(): void {
+    const { clock, state, onSilent } = this.#options;
+    const now = clock.now();
+    const silentMs = now - this.#heardAt;
+    const isBusyElsewhere = state.progressAt > now - this.#allowedMs;
+    const limitMs = isBusyElsewhere
+      ? this.#allowedMs * busyFactor
+      : this.#allowedMs;
+    if (silentMs < limitMs) this.#arm(limitMs - silentMs);
+    else onSilent();
+  }
+}
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -21,6 +21,7 @@
 import { composeOwnAnswer, sendOwnAnswer } from "./own_answer.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readWholeAnswer } from "./replica_call.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import type { Sending } from "./replica_sender.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type {
@@ -204,6 +205,7 @@
       ...(target === undefined ? {} : { movedRun: target.movedRun }),
     });
     this.#recordWork({ prompt: choice.uncachedTokens, output: 0 });
+    if (target === undefined) this.#sends += 1;
     const entry = this.#registry.add(state.key, this);
     const silence = this.#watchSilence(choice);
     try {
@@ -211,17 +213,15 @@
       switch (outcome.kind) {
         case "not_sent":
           this.#unsent += 1;
+          if (target === undefined) this.#sends -= 1;
           return this.#endLeg("not_sent");
         case "declined":
-          this.#sends += 1;
           if (target !== undefined) this.#tried.delete(state.key);
           return this.#endLeg("declined");
         case "lost":
-          this.#sends += 1;
           this.#mayHaveRun = true;
           return await this.#followMove("lost");
         case "answered":
-          if (target === undefined) this.#sends += 1;
           this.#mayHaveRun = true;
           return await this.#relayAnswer(choice, {
             answer: outcome.answer,
@@ -232,7 +232,7 @@
           });
       }
     } finally {
-      silence.end();
+      silence.dispose();
       entry.dispose();
       sending.end();
     }
@@ -260,7 +260,7 @@
         this.#lastId = lastId;
         this.#events += 1;
         this.#recordWork({ prompt: 0, output: events * tokensPerEvent });
-        leg.silence.refresh();
+        leg.silence.recordEvents();
         if (!isFirst) return;
         isFirst = false;
         sending.markStarted();
@@ -352,30 +352,29 @@
   }
 
   /** Gives a replica up that sends nothing while another could go on. */
-  #watchSilence(choice: EngineChoice): Silence {
-    const { route } = this.#request;
+  #watchSilence(choice: EngineChoice): SilenceWatch {
+    const { route, promptTokens } = this.#request;
+    const { clock } = this.#services;
+    const readMs = promptTokens / promptTokensPerMs;
     const firstMs = Math.max(
       minFirstEventSilenceMs,
       choice.predictedMs * firstEventSilenceFactor,
-      this.#request.promptTokens / promptTokensPerMs * firstEventSilenceFactor,
+      readMs * firstEventSilenceFactor,
     );
-    const gapMs = route.gapMs * gapSilenceShare;
-    const giveUp = (): void => {
-      if (!this.#canResume() || this.#move !== undefined) return;
-      this.#isSilent = true;
-      choice.state.failures.record(true, this.#services.clock.now());
-      this.#leg.abort();
-    };
-    if (!route.isResumable) return { refresh: () => {}, end: () => {} };
-    let timer = setTimeout(giveUp, firstMs);
-    let isGap = false;
-    const refresh = (): void => {
-      if (isGap) return void timer.refresh();
-      isGap = true;
-      clearTimeout(timer);
-      if (gapMs < Infinity) timer = setTimeout(giveUp, gapMs);
-    };
-    return { refresh, end: () => clearTimeout(timer) };
+    const { state } = choice;
+    return SilenceWatch.create({
+      clock,
+      state,
+      firstMs: route.isResumable ? firstMs : Infinity,
+      gapMs: route.isResumable ? route.gapMs * gapSilenceShare : Infinity,
+      onSilent: () => {
+        // A silent replica is no reason to end an answer that cannot go on.
+        if (!this.#canResume() || this.#move !== undefined) return;
+        this.#isSilent = true;
+        state.failures.record(true, clock.now());
+        this.#leg.abort();
+      },
+    });
   }
 
   #recordWork(tokens: { readonly prompt: number; readonly output: number }) {
@@ -448,15 +447,10 @@
   | "answer_lost"
   | "out_of_time";
 
-interface Silence {
-  refresh(): void;
-  end(): void;
-}
-
 interface Leg {
   readonly answer: IncomingMessage;
   readonly sending: Sending;
   readonly sentAt: number;
-  readonly silence: Silence;
+  readonly silence: SilenceWatch;
   readonly isMoved: boolean;
 }
--- a/packages/scenario/src/gateway_test.ts
+++ b/packages/scenario/src/gateway_test.ts
@@ -189,6 +189,20 @@
   });
 });
 
+test("a silent replica ends no answer that cannot go on elsewhere", async () => {
+  await withSetup(1, async (setup) => {
+    setup.configure({ timeoutMs: 2_500 });
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    for (const id of ["model-1", "model-2"]) {
+      setup.replica(id).fault = { kind: "hang" };
+    }
+    const answer = await setup.call({ path: "/answer/stream", id: "silent" });
+    assert.is(countRuns(setup, "silent"), 2);
+    assert.is(answer.status, 504);
+    assert.ok(answer.ms > 2_300, `ended after ${answer.ms} ms`);
+  });
+});
+
 test("a run moves with its memory off a replica that leaves", async () => {
   await withSetup(1, async (setup) => {
     await setup.addReplica("slow-1", "models", { events: 60, eventMs: 20 });
