Bound what nodes tell each other as their number grows

Cause: each node sent its whole report to all others every 0.2 s, 37,000 datagrams a second at 87 nodes, and slowed all of it down to bound that, so that nodes took each other for silent. Change: reports go to twelve peers a tick in turn; the node that proves the copies sends the small news to all; silence is counted in rounds; of a large pool only a few replicas in the subject's order are weighed.

--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -28,6 +28,11 @@
 /** Trust that the first replica in rendezvous order holds a shared part. */
 const rendezvousTrust = 0.7;
 
+/** Replicas up to which all are weighed. */
+const smallPool = 24;
+/** Replicas weighed of a larger pool. */
+const weighedReplicas = 6;
+
 /** What the choice knows of the request. */
 export interface EngineRequest {
   readonly parts: readonly PromptPart[];
@@ -60,8 +65,8 @@
   request: EngineRequest,
   services: EngineChoiceServices,
 ): EngineChoice | undefined {
-  const candidates = states.filter((state) => !request.excluded.has(state.key));
-  const preferred = findPreferred(candidates, request, services);
+  const usable = states.filter((state) => !request.excluded.has(state.key));
+  const { candidates, preferred } = listCandidates(usable, request, services);
   let best: EngineChoice | undefined;
   let bestCost = Infinity;
   for (const state of candidates) {
@@ -80,17 +85,34 @@
   return best;
 }
 
-/** Replica that other nodes would send the request's subject to. */
-function findPreferred(
-  candidates: readonly ReplicaState[],
+interface Candidates {
+  readonly candidates: readonly ReplicaState[];
+  /** Replica that other nodes would send the request's subject to. */
+  readonly preferred: string | undefined;
+}
+
+/**
+ * Replicas to weigh: all of a small pool, of a large one the first few in the
+ * subject's rendezvous order. Nodes then neither compute costs for hundreds of
+ * replicas nor all run to the one that was idle in the last reports.
+ */
+function listCandidates(
+  usable: readonly ReplicaState[],
   { parts }: EngineRequest,
   { hasher }: EngineChoiceServices,
-): string | undefined {
+): Candidates {
   // The last part belongs to the request alone; the one before is its subject.
   const subject = parts.at(-2) ?? parts.at(-1);
-  if (subject === undefined) return undefined;
-  const keys = candidates.map((state) => state.key);
-  return computeRendezvous(hasher, subject.id, keys)[0];
+  if (subject === undefined) {
+    return { candidates: usable, preferred: undefined };
+  }
+  const keys = usable.map((state) => state.key);
+  const order = computeRendezvous(hasher, subject.id, keys);
+  const [preferred] = order;
+  if (usable.length <= smallPool) return { candidates: usable, preferred };
+  const weighed = new Set(order.slice(0, weighedReplicas));
+  const candidates = usable.filter((state) => weighed.has(state.key));
+  return { candidates, preferred };
 }
 
 function computeUncachedTokens(
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -19,9 +19,13 @@
 import type { PeerLink } from "./peer_link.ts";
 import type { SharedWork } from "./shared_work.ts";
 
-const sendIntervalMs = 200;
-/** Nodes beyond which datagrams become rarer, to bound their cost. */
-const fullRateNodes = 12;
+const tickMs = 200;
+/** Peers that get this node's report in one tick; the others get turns. */
+const reportsPerTick = 12;
+/** Ticks after which a node that proves the copies tells all peers. */
+const newsEveryTicks = 2;
+/** Ticks after which reports name the other nodes again. */
+const membersEveryTicks = 25;
 const minChangePauseMs = 30;
 const pullTimeoutMs = 1_000;
 const snapshotPath = "/peer/feed/";
@@ -44,6 +48,8 @@
   readonly members: Members;
   readonly work: SharedWork;
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
+  /** Whether this node reads the store for the others at present. */
+  readonly isProver: () => boolean;
   /** Port of the control listener, the same on all nodes. */
   readonly controlPort: number;
   /** Further pages of the control listener, by path. */
@@ -57,6 +63,8 @@
   readonly #stopped = new AbortController();
   readonly #pulling = new Set<FeedKind>();
   readonly #subscriptions: Disposable[] = [];
+  #turn = 0;
+  #tick = 0;
   #sentAt = -Infinity;
   #isSendDue = false;
 
@@ -128,25 +136,62 @@
     const { clock, members, work } = this.#options;
     const { signal } = this.#stopped;
     while (!signal.aborted) {
+      const addresses = members.listAddresses(clock.now());
+      const rounds = Math.max(1, addresses.length / reportsPerTick);
+      members.setRound(rounds * tickMs);
       work.refresh();
-      this.#sendAll();
-      const nodes = members.listKnown(clock.now()).length + 1;
-      const factor = Math.max(1, nodes / fullRateNodes);
-      await clock.sleep(sendIntervalMs * factor, signal);
+      this.#sendTick(addresses);
+      await clock.sleep(tickMs, signal);
     }
   }
 
+  /**
+   * Sends the report to the next few peers in turn, and the news alone to all
+   * others while this node proves the copies for them.
+   */
+  #sendTick(addresses: readonly string[]): void {
+    const { isProver } = this.#options;
+    const count = Math.min(addresses.length, reportsPerTick);
+    const inTurn = new Set<string>();
+    for (let at = 0; at < count; at += 1) {
+      const ip = addresses[(this.#turn + at) % addresses.length];
+      if (ip !== undefined) inTurn.add(ip);
+    }
+    this.#turn = addresses.length === 0
+      ? 0
+      : (this.#turn + count) % addresses.length;
+    this.#tick += 1;
+    this.#send([...inTurn], { withReport: true });
+    const isNewsTick = this.#tick % newsEveryTicks === 0;
+    if (!isNewsTick || !isProver()) return;
+    const others = addresses.filter((ip) => !inTurn.has(ip));
+    this.#send(others, { withReport: false });
+  }
+
+  /** Tells all peers of a change. */
   #sendAll(): void {
     if (this.#stopped.signal.aborted) return;
-    const { clock, members, link, work } = this.#options;
-    const now = clock.now();
-    this.#sentAt = now;
+    const { clock, members } = this.#options;
+    this.#sentAt = clock.now();
     this.#isSendDue = false;
+    const addresses = members.listAddresses(this.#sentAt);
+    const withReport = addresses.length <= reportsPerTick;
+    this.#send(addresses, { withReport });
+  }
+
+  #send(
+    addresses: readonly string[],
+    { withReport }: { readonly withReport: boolean },
+  ): void {
+    if (addresses.length === 0) return;
+    const { clock, members, link, work } = this.#options;
+    const withMembers = this.#tick % membersEveryTicks < 2;
+    const report = withReport ? work.composeReport({ withMembers }) : undefined;
     const byIp = new Map(
-      members.listKnown(now).map((member) => [member.ip, member]),
+      members.listKnown(clock.now()).map((member) => [member.ip, member]),
     );
-    for (const ip of members.listAddresses(now)) {
-      link.send(work.compose(byIp.get(ip)), ip);
+    for (const ip of addresses) {
+      link.send(work.compose(byIp.get(ip), report), ip);
     }
   }
 
--- a/packages/gateway/src/cluster/members.ts
+++ b/packages/gateway/src/cluster/members.ts
@@ -20,8 +20,10 @@
   readonly sentAt: number;
 }
 
-/** Silence after which a node is left out of shared work. */
-const heardWithinMs = 1_200;
+/** Least silence after which a node is left out of shared work. */
+const minHeardMs = 1_200;
+/** Rounds of datagrams that may be lost before a node counts as silent. */
+const lostRounds = 3;
 /** Silence after which a node no longer counts for shares of limits. */
 const knownWithinMs = 12_000;
 
@@ -31,6 +33,7 @@
   readonly #members = new Map<string, Member>();
   /** Addresses that were named but not heard yet. */
   readonly #unheard = new Map<string, number>();
+  #heardWithinMs = minHeardMs;
 
   private constructor(self: string) {
     this.#self = self;
@@ -40,6 +43,11 @@
     return new Members(self);
   }
 
+  /** Sets the time in which each node sends to all others once. */
+  setRound(roundMs: number): void {
+    this.#heardWithinMs = Math.max(minHeardMs, roundMs * lostRounds);
+  }
+
   /** Records a datagram; returns whether the member is new to this node. */
   record(member: Member): boolean {
     const previous = this.#members.get(member.node);
@@ -63,7 +71,7 @@
   /** Members heard lately. */
   listHeard(now: number): readonly Member[] {
     return [...this.#members.values()]
-      .filter((member) => now - member.heardAt <= heardWithinMs);
+      .filter((member) => now - member.heardAt <= this.#heardWithinMs);
   }
 
   /** Members that may live, heard or not. */
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -19,6 +19,22 @@
   outageMs: z.number().nullable(),
 });
 
+/** What a node has done and holds; the larger part of a datagram. */
+const report = z.object({
+  /** Tenant, bucket level, tokens admitted. */
+  allowances: sums,
+  /** Service, requests, repeats. */
+  budgets: sums,
+  /** Service, engine time of its requests, 0. */
+  work: sums,
+  /** Replica, active requests, pending tokens, held tokens. */
+  loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+  /** Usage window, then requests by tenant. */
+  usage: z.array(z.tuple([z.number(), z.record(z.string(), z.number())])),
+  /** Other nodes the sender knows: name, IP address. Empty at most times. */
+  members: z.array(z.tuple([z.string(), z.string()])),
+});
+
 const message = z.object({
   /** Sender and its start, which tells incarnations apart. */
   node: z.string(),
@@ -38,22 +54,14 @@
   replicas: feedNews,
   /** Fencing number while the sender holds the duties' lease. */
   duty: z.number().nullable(),
-  /** Tenant, bucket level, tokens admitted. */
-  allowances: sums,
-  /** Service, requests, repeats. */
-  budgets: sums,
-  /** Service, engine time of its requests, 0. */
-  work: sums,
-  /** Replica, active requests, pending tokens, held tokens. */
-  loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
-  /** Usage window, then requests by tenant. */
-  usage: z.array(z.tuple([z.number(), z.record(z.string(), z.number())])),
-  /** Other nodes the sender knows: name, IP address. */
-  members: z.array(z.tuple([z.string(), z.string()])),
+  /** Left out of datagrams that only carry news. */
+  report: report.optional(),
 });
 
 /** News of one feed. */
 export type FeedNews = z.infer<typeof feedNews>;
+/** What a node has done and holds. */
+export type PeerReport = z.infer<typeof report>;
 /** One datagram. */
 export type PeerMessage = z.infer<typeof message>;
 
--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -13,7 +13,7 @@
 import type { Allowances } from "../limits/allowance.ts";
 import type { RepeatBudget } from "../limits/repeat_budget.ts";
 import type { Member, Members } from "./members.ts";
-import type { FeedNews, PeerMessage } from "./peer_messages.ts";
+import type { FeedNews, PeerMessage, PeerReport } from "./peer_messages.ts";
 
 /** What shared work needs. */
 export interface SharedWorkOptions {
@@ -40,6 +40,12 @@
   readonly pullFeed: (kind: FeedKind, ip: string) => void;
 }
 
+/** What a report includes. */
+export interface ReportOptions {
+  /** Whether to name the other nodes, for receivers that do not know them. */
+  readonly withMembers: boolean;
+}
+
 type Sums = ReadonlyMap<string, readonly [number, number]>;
 
 /** Last sums of one peer. */
@@ -48,7 +54,7 @@
   readonly allowances: Sums;
   readonly budgets: Sums;
   readonly work: Sums;
-  readonly loads: PeerMessage["loads"];
+  readonly loads: PeerReport["loads"];
 }
 
 /** Shared work of one node. */
@@ -66,9 +72,12 @@
     return new SharedWork(options);
   }
 
-  /** Composes the datagram for one receiver. */
-  compose(receiver: Member | undefined): PeerMessage {
-    const { clock, members, allowances, budget, usage } = this.#options;
+  /** Composes the datagram for one receiver, with or without the report. */
+  compose(
+    receiver: Member | undefined,
+    report: PeerReport | undefined,
+  ): PeerMessage {
+    const { clock } = this.#options;
     const now = clock.now();
     return {
       node: this.#options.node,
@@ -85,13 +94,23 @@
       configuration: this.#composeNews("configuration", now),
       replicas: this.#composeNews("replicas", now),
       duty: this.#options.readDuty() ?? null,
-      allowances: allowances.list(this.#options.limitsClock.now())
+      ...(report === undefined ? {} : { report }),
+    };
+  }
+
+  /** Composes the report of this node. */
+  composeReport({ withMembers }: ReportOptions): PeerReport {
+    const { clock, limitsClock, members, allowances, budget, usage, work } =
+      this.#options;
+    const known = withMembers ? members.listKnown(clock.now()) : [];
+    return {
+      allowances: allowances.list(limitsClock.now())
         .map((entry) => [...entry]),
       budgets: budget.list().map((entry) => [...entry]),
-      work: this.#options.work.list().map((entry) => [...entry]),
+      work: work.list().map((entry) => [...entry]),
       loads: this.#listLoads(),
       usage: usage.listRecent(),
-      members: members.listKnown(now).map(({ node, ip }) => [node, ip]),
+      members: known.map(({ node, ip }) => [node, ip]),
     };
   }
 
@@ -111,13 +130,15 @@
       duty: message.duty ?? undefined,
       sentAt: message.sentAt,
     });
-    for (const [name, ip] of message.members) {
-      if (name !== node) members.addAddress(ip, now);
-    }
     this.#applyNews("configuration", message);
     this.#applyNews("replicas", message);
-    this.#applySums(message, now);
-    for (const [window, counts] of message.usage) {
+    const { report } = message;
+    if (report === undefined) return isNew;
+    for (const [name, ip] of report.members) {
+      if (name !== node) members.addAddress(ip, now);
+    }
+    this.#applyReport(message, report, now);
+    for (const [window, counts] of report.usage) {
       usage.applyPeer(message.node, message.incarnation, { window, counts });
     }
     return isNew;
@@ -159,8 +180,8 @@
     }
   }
 
-  #listLoads(): PeerMessage["loads"] {
-    const loads: PeerMessage["loads"] = [];
+  #listLoads(): PeerReport["loads"] {
+    const loads: PeerReport["loads"] = [];
     for (const { key, own } of this.#options.table.listAll()) {
       if (own.active === 0) continue;
       loads.push([key, own.active, own.pendingTokens, own.heldTokens]);
@@ -201,7 +222,7 @@
     }
   }
 
-  #applySums(message: PeerMessage, now: number): void {
+  #applyReport(message: PeerMessage, report: PeerReport, now: number): void {
     const { allowances, budget, limitsClock } = this.#options;
     const limitsNow = limitsClock.now();
     const previous = this.#peers.get(message.node);
@@ -209,7 +230,7 @@
     // What a peer did before this node started is in the adopted levels.
     const isOlder = message.upMs > now - this.#startedAt;
     const isBaseline = !isSame && isOlder;
-    for (const [tenant, level, admitted] of message.allowances) {
+    for (const [tenant, level, admitted] of report.allowances) {
       if (isBaseline) allowances.adoptLevel(tenant, level);
       const before = isSame ? previous?.allowances.get(tenant)?.[1] ?? 0 : 0;
       if (!isBaseline) {
@@ -217,7 +238,7 @@
         allowances.applyPeer({ peer: message.node, tenant, cost }, limitsNow);
       }
     }
-    for (const [service, requests, repeats] of message.budgets) {
+    for (const [service, requests, repeats] of report.budgets) {
       const before = isSame ? previous?.budgets.get(service) ?? [0, 0] : [0, 0];
       const delta = {
         requests: requests - (before[0] ?? 0),
@@ -225,7 +246,7 @@
       };
       if (!isBaseline) budget.applyPeer(service, delta, limitsNow);
     }
-    for (const [service, ms] of message.work) {
+    for (const [service, ms] of report.work) {
       const before = isSame ? previous?.work.get(service)?.[0] ?? 0 : 0;
       if (!isBaseline) {
         this.#options.work.applyPeer(service, ms - before, limitsNow);
@@ -233,10 +254,10 @@
     }
     this.#peers.set(message.node, {
       incarnation: message.incarnation,
-      allowances: indexSums(message.allowances),
-      budgets: indexSums(message.budgets),
-      work: indexSums(message.work),
-      loads: message.loads,
+      allowances: indexSums(report.allowances),
+      budgets: indexSums(report.budgets),
+      work: indexSums(report.work),
+      loads: report.loads,
     });
   }
 }
--- a/packages/gateway/src/feed/feed_reader.ts
+++ b/packages/gateway/src/feed/feed_reader.ts
@@ -39,6 +39,8 @@
   readonly log: Log;
   /** This node's place in the order of readers, 0 first. */
   readonly readRank: () => number;
+  /** Time that a proof takes to reach all nodes. */
+  readonly readNewsDelayMs: () => number;
 }
 
 /** Reader of one kind. */
@@ -79,8 +81,9 @@
     const { state, clock, readRank } = this.#options;
     const rank = readRank();
     if (rank === 0 || !state.isKnown) return 0;
-    if (state.provenAt === this.#ownProvenAt) return 0;
-    const takeoverMs = firstTakeoverMs + (rank - 1) * takeoverStepMs;
+    if (this.isProver) return 0;
+    const takeoverMs = firstTakeoverMs + (rank - 1) * takeoverStepMs +
+      this.#options.readNewsDelayMs();
     return takeoverMs - (clock.now() - state.provenAt);
   }
 
@@ -121,6 +124,11 @@
     return this.#failures > 0;
   }
 
+  /** Whether the newest proof of the copy came from this node's reading. */
+  get isProver(): boolean {
+    return this.#options.state.provenAt === this.#ownProvenAt;
+  }
+
   #recordSuccess(sentAt: number): void {
     this.#ownProvenAt = sentAt;
     if (this.#failures > 0) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,10 @@
 } from "./gateway_parts.ts";
 
 const housekeepingMs = 250;
+/** Nodes up to which each one hears all others in every tick. */
+const smallSystemNodes = 13;
+/** Delay of news beyond that. */
+const largeNewsDelayMs = 400;
 /** Time from SIGTERM until no new connections are accepted. */
 const acceptAfterSignalMs = 2_600;
 /** Time before the end of the grace period at which the process ends. */
@@ -146,6 +150,7 @@
       members,
       work,
       feeds,
+      isProver: () => this.#readers.some((reader) => reader.isProver),
       controlPort: Number(settings.control?.split(":")[1] ?? 0),
       pages: { "/metrics": () => services.metrics.format() },
     }, settings.control);
@@ -184,6 +189,10 @@
         random: services.random,
         log: services.log.part("feed"),
         readRank: () => members.readRank(proofClock.now()),
+        readNewsDelayMs: () => {
+          const nodes = members.listKnown(proofClock.now()).length + 1;
+          return nodes > smallSystemNodes ? largeNewsDelayMs : 0;
+        },
       });
       this.#readers.push(this.#lifetime.register(reader));
     }
