--- a/packages/gateway/src/duties/replica_orders.ts
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -32,6 +32,8 @@
 const pollMs = 250;
 /** Pause before a refused or unanswered order is sent again. */
 const retryMs = 900;
+/** Pause between probes for reclaimable replicas in a dry spell. */
+const dryProbeMs = 600;
 /** Time beyond the boot time until an order counts as lost. */
 const bootMarginMs = 2_500;
 /** Replicas needed for each one that would be busy all the time. */
@@ -82,6 +84,8 @@
   /** Time at which a service's first requests came. */
   readonly #busySince = new Map<string, number>();
   readonly #startedAt: number;
+  /** Time of the next probe of services in a dry spell. */
+  readonly #nextProbeAt = new Map<string, number>();
   #fencing: number | undefined;
 
   private constructor(options: ReplicaOrdersOptions) {
@@ -234,6 +238,7 @@
       Right: (outcome) => outcome,
     });
     this.#ordered.set(subject, { count: order.count, at: now, outcome });
+    if (order.isReclaimable) this.#recordDryness(order, outcome, now);
     metrics.count("orders_total", { outcome });
     log.info("replicas ordered.", {
       zone: order.zone,
@@ -243,6 +248,39 @@
     });
   }
 
+  /** One accepted order ends a dry spell; all zones are asked again then. */
+  #recordDryness(
+    { service, count }: ReplicaOrder,
+    outcome: Ordered["outcome"],
+    now: number,
+  ): void {
+    if (outcome === "none_available") {
+      this.#nextProbeAt.set(service, now + dryProbeMs);
+    } else if (outcome === "accepted" && count > 0) {
+      this.#nextProbeAt.delete(service);
+    }
+  }
+
+  /** Whether no other zone of the service has waited longer since a refusal. */
+  #isOldestRefusal(service: string, { at }: Ordered): boolean {
+    for (const [subject, other] of this.#ordered) {
+      const isRefused = subject.startsWith(`${service}/`) &&
+        other.outcome === "none_available";
+      if (isRefused && other.at < at) return false;
+    }
+    return true;
+  }
+
+  /** In a dry spell one zone after the other is asked, not all at once. */
+  #takeDryProbe(service: string): boolean {
+    const now = this.#options.clock.now();
+    const nextProbeAt = this.#nextProbeAt.get(service);
+    if (nextProbeAt === undefined) return true;
+    if (now < nextProbeAt) return false;
+    this.#nextProbeAt.set(service, now + dryProbeMs);
+    return true;
+  }
+
   #isDue(
     service: Service,
     order: ReplicaOrder,
@@ -250,6 +288,10 @@
   ): boolean {
     if (ordered === undefined) return true;
     const ageMs = this.#options.clock.now() - ordered.at;
+    if (ordered.outcome === "none_available" && order.isReclaimable) {
+      return this.#isOldestRefusal(order.service, ordered) &&
+        this.#takeDryProbe(order.service);
+    }
     if (ordered.outcome !== "accepted") return ageMs >= retryMs;
     if (ordered.count !== order.count) return true;
     const { zone, isReclaimable } = order;
