Check the platform's settings and configurations from the command line

Cause: operators could check their own files only. Change: check recognizes the platform's settings and a configuration as the store holds it, and names each fault with its remedy. Test: check_configuration_test.

--- a/packages/cli/src/check_command.ts
+++ b/packages/cli/src/check_command.ts
@@ -1,11 +1,16 @@
 /**
- * `almondcrank check`: checks settings or a release note without a node.
+ * `almondcrank check`: checks settings, a release note or a configuration of the
+ * users' platform without a node.
  */
 
 import { readFile } from "node:fs/promises";
 import { Command, Option } from "clipanion";
 import { parse } from "jsonc-parser";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { checkConfiguration } from "@almondcrank/gateway/routes/check_configuration.ts";
+import { decodeSettings } from "@almondcrank/platform/decode_settings.ts";
+import { findPlatformFileKind } from "@almondcrank/platform/recognize_file.ts";
+import { type Either, Left, Right } from "purify-ts";
 import { parseReleaseNote } from "@almondcrank/fleet/release_note.ts";
 import { parseNodeSettings } from "@almondcrank/node/settings.ts";
 import { exitCodes } from "./exit_codes.ts";
@@ -14,7 +19,7 @@
 export class CheckCommand extends Command {
   static override paths = [["check"]];
   static override usage = Command.Usage({
-    description: "check settings or a release note",
+    description: "check settings, a release note or a configuration",
     details:
       "Names file, line, column, key and remedy of every fault. What a note needs of the configuration in force is checked by `diff`.",
     examples: [["Check a note", "almondcrank check note.jsonc"]],
@@ -32,10 +37,7 @@
       );
       return exitCodes.invalid;
     }
-    const checked = isReleaseNote(text)
-      ? parseReleaseNote(text, this.file).map(() => "release note")
-      : parseNodeSettings(this.file, text).map(() => "settings");
-    return checked.mapLeft((error) => error.message).caseOf<number>({
+    return checkText(this.file, text).caseOf<number>({
       Left: (message) => {
         this.context.stderr.write(`${message}\n`);
         return exitCodes.invalid;
@@ -48,6 +50,29 @@
   }
 }
 
+/** Checks a text as what it looks like; its kind, or a line for each fault. */
+function checkText(file: string, text: string): Either<string, string> {
+  switch (findPlatformFileKind(text)) {
+    case "settings":
+      return decodeSettings(text).bimap(
+        (error) => error.message,
+        () => "settings of the platform",
+      );
+    case "configuration": {
+      const faults = checkConfiguration(text);
+      return faults.length > 0
+        ? Left(faults.map((fault) => `${file}: ${fault}`).join("\n"))
+        : Right("configuration of the platform");
+    }
+    case undefined:
+      break;
+  }
+  const checked = isReleaseNote(text)
+    ? parseReleaseNote(text, file).map(() => "release note")
+    : parseNodeSettings(file, text).map(() => "settings");
+  return checked.mapLeft((error) => error.message);
+}
+
 /** Whether a file looks like a note rather than settings. */
 function isReleaseNote(text: string): boolean {
   const value: unknown = parse(text);
