Take the choice for a stream's leg out of its relay

Change: choice and admission of a leg in stream_choice.ts, no change of behaviour. Tests: gateway_test passes as before.

--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -83,7 +83,8 @@
   }
 
   #move(source: ReplicaState, stream: RunningStream): void {
-    const { requestId, request } = stream;
+    const { request } = stream;
+    const { id: requestId } = request;
     if (requestId === undefined || !request.service.engine?.canMove) return;
     const destination = this.#chooseDestination(source, stream);
     if (destination === undefined) return;
--- a/packages/gateway/src/relay/stream_registry.ts
+++ b/packages/gateway/src/relay/stream_registry.ts
@@ -17,7 +17,6 @@
 
 /** A stream that can follow a move. */
 export interface RunningStream {
-  readonly requestId: string | undefined;
   readonly request: RoutedRequest;
   /** Whether its first event has arrived. */
   readonly hasStarted: boolean;
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -8,14 +8,11 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { EngineTraits } from "@almondcrank/model/configuration.ts";
 import { signatureHeader } from "@almondcrank/platform/headers.ts";
 import {
-  chooseEngine,
   type EngineChoice,
   promptTokensPerMs,
 } from "../choice/engine_choice.ts";
-import { checkAdmissible } from "../choice/stream_admission.ts";
 import type { RepeatReason } from "../limits/repeat_budget.ts";
 import { type PumpEnd, runEventPump } from "./event_pump.ts";
 import { listAnswerHeaders } from "./message_headers.ts";
@@ -27,6 +24,7 @@
 import { sendReplicaAnswer } from "./replica_answer.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readWholeAnswer } from "./replica_call.ts";
+import { checkStreamAdmission, chooseStreamReplica } from "./stream_choice.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import type { Sending } from "./replica_sender.ts";
@@ -44,14 +42,6 @@
 const gapSilenceShare = 0.75;
 const defaultRetryMs = 300;
 
-/** Traits of a service that streams without being a model engine. */
-const plainTraits: EngineTraits = {
-  slots: 1,
-  cacheTokens: Infinity,
-  tokensPerEvent: 1,
-  canMove: false,
-};
-
 /** How one leg ended. */
 type LegEnd =
   | { readonly kind: "done"; readonly result: RelayResult }
@@ -93,10 +83,6 @@
     return new StreamRelay(services, registry, exchange);
   }
 
-  get requestId(): string | undefined {
-    return this.#request.id;
-  }
-
   get request(): RoutedRequest {
     return this.#request;
   }
@@ -138,7 +124,10 @@
   async #runLegs(): Promise<RelayResult> {
     let target: MoveTarget | undefined;
     while (true) {
-      const choice = this.#choose(target);
+      const choice = chooseStreamReplica(this.#services, this.#request, {
+        target,
+        tried: this.#tried,
+      });
       if (choice === undefined) return this.#fail("no_replica");
       const refusal = this.#checkAdmission(choice);
       if (refusal !== undefined) return refusal;
@@ -159,36 +148,10 @@
     }
   }
 
-  #choose(target: MoveTarget | undefined): EngineChoice | undefined {
-    const { table, clock, zone } = this.#services;
-    const { service, parts, promptTokens } = this.#request;
-    const traits = service.engine ?? plainTraits;
-    if (target !== undefined) {
-      const state = table.find(target.replicaKey);
-      if (state !== undefined) {
-        return { state, predictedMs: 30, uncachedTokens: 0 };
-      }
-    }
-    return chooseEngine(table.listUsable(service.name), {
-      parts,
-      promptTokens,
-      zone,
-      traits,
-      now: clock.now(),
-      excluded: this.#tried,
-    }, this.#services);
-  }
-
   /** Refuses a stream that has not run and would begin too late. */
   #checkAdmission(choice: EngineChoice): RelayResult | undefined {
     if (this.#attempts.sends > 0) return undefined;
-    const { route, endsAt } = this.#request;
-    const verdict = checkAdmissible({
-      rank: route.priority,
-      objectiveMs: route.objectiveMs,
-      timeLeftMs: endsAt - this.#services.clock.now(),
-      predictedMs: choice.predictedMs,
-    });
+    const verdict = checkStreamAdmission(this.#services, this.#request, choice);
     switch (verdict.kind) {
       case "admitted":
         return undefined;
