--- /dev/null
+++ b/packages/scenario/src/gateway_calls_test.ts
@@ -0,0 +1,137 @@
+/**
+ * Requests with a whole answer, over real sockets and against stand-ins of the users' platform.
+ */
+
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  countRuns,
+  formatEvents,
+  withSetup,
+} from "./testing/gateway_checks.ts";
+
+test("a request reaches a replica unchanged and its answer comes back", async () => {
+  await withSetup(1, async (setup) => {
+    const answer = await setup.call({
+      path: "/book/slot?day=2",
+      id: "b1",
+      body: "slot 7",
+      headers: { "X-Note": "kept", "X-Tenant": "forged", "X-Hold": "forged" },
+    });
+    assert.is(answer.status, 200);
+    assert.is(answer.body, "answer to b1");
+    assert.match(String(answer.headers["x-server-seal"]), /seal-of-booking/);
+    const run = [...setup.replicas.values()]
+      .flatMap((replica) => replica.runs).find(({ id }) => id === "b1");
+    assert.is(run?.path, "/book/slot?day=2");
+    assert.is(run?.body, "slot 7");
+    assert.is(run?.headers["x-note"], "kept");
+    assert.is(run?.headers["x-tenant"], "garages");
+    assert.is(run?.headers["x-hold"], undefined);
+    assert.is(run?.headers["authorization"], undefined);
+    assert.ok(Number(run?.headers["x-deadline-ms"]) <= 3_000);
+  });
+});
+
+test("unknown routes and keys are refused, and nothing runs", async () => {
+  await withSetup(1, async (setup) => {
+    const noRoute = await setup.call({ path: "/nowhere/", id: "n1" });
+    const noKey = await setup.call({ path: "/book/", id: "n2", key: "wrong" });
+    const none = await setup.call({ path: "/book/", id: "n3", key: undefined });
+    const large = await setup.call({
+      path: "/book/",
+      id: "n4",
+      body: "x".repeat(70_000),
+    });
+    assert.equal(
+      [noRoute.status, noKey.status, none.status, large.status],
+      [404, 401, 401, 413],
+    );
+    for (const id of ["n1", "n2", "n3", "n4"]) {
+      assert.is(countRuns(setup, id), 0);
+    }
+  });
+});
+
+test("a booking whose answer is lost is not run again and not called refused", async () => {
+  await withSetup(1, async (setup) => {
+    for (const id of ["booking-1", "booking-2"]) {
+      setup.replica(id).fault = { kind: "lose_answer" };
+    }
+    const answer = await setup.call({ path: "/book/", id: "lost" });
+    assert.is(answer.status, 502);
+    assert.is(countRuns(setup, "lost"), 1);
+  });
+});
+
+test("a booking that every replica declines is refused with a time", async () => {
+  await withSetup(1, async (setup) => {
+    for (const id of ["booking-1", "booking-2"]) {
+      setup.replica(id).fault = { kind: "decline" };
+    }
+    const answer = await setup.call({ path: "/book/", id: "full" });
+    assert.is(answer.status, 503);
+    assert.ok(Number(answer.headers["retry-after"]) > 0);
+    assert.is(countRuns(setup, "full"), 0);
+  });
+});
+
+test("a lookup goes to another replica after a lost, foreign or unsigned answer", async () => {
+  await withSetup(1, async (setup) => {
+    for (const kind of ["lose_answer", "foreign", "unsigned"] as const) {
+      const first = { kind };
+      setup.replica("booking-1").faults.push(first);
+      setup.replica("booking-2").faults.push(first);
+      const id = `lookup-${kind}`;
+      const answers = [
+        await setup.call({ path: "/lookup/", id }),
+        await setup.call({ path: "/lookup/", id: `${id}-again` }),
+      ];
+      // The two faults meet one request, or one request each.
+      const good = answers.filter(({ status }) => status === 200);
+      assert.ok(good.length >= 1, kind);
+      for (const answer of good) assert.match(answer.body, /answer to lookup/);
+      setup.replica("booking-1").faults.length = 0;
+      setup.replica("booking-2").faults.length = 0;
+    }
+  });
+});
+
+test("an answer without a length is whole only if its connection ended properly", async () => {
+  await withSetup(1, async (setup) => {
+    const replicas = [...setup.replicas.values()];
+    for (const path of ["/book/", "/once/stream"]) {
+      for (const replica of replicas) replica.fault = { kind: "unframed" };
+      const good = await setup.call({ path });
+      assert.is(good.status, 200);
+      assert.is(good.isWhole, true);
+      assert.is(good.body, formatEvents(1, 2));
+      for (const afterMs of [0, 0, 0, 5]) {
+        for (const replica of replicas) {
+          replica.fault = { kind: "reset_unframed", afterMs };
+        }
+        const broken = await setup.call({ path });
+        const isTakenForWhole = broken.isWhole && broken.status === 200;
+        assert.is(isTakenForWhole, false, `${path} reset after ${afterMs} ms`);
+      }
+    }
+  });
+});
+
+test("a stray answer on a kept connection reaches nobody", async () => {
+  await withSetup(1, async (setup) => {
+    for (const id of ["booking-1", "booking-2"]) {
+      setup.replica(id).fault = { kind: "extra" };
+    }
+    for (let at = 0; at < 6; at += 1) {
+      const answer = await setup.call({ path: "/book/", id: `extra-${at}` });
+      if (answer.status === 200) {
+        assert.is(answer.body, `answer to extra-${at}`);
+      }
+      assert.not.match(answer.body, /stray/);
+      assert.is(countRuns(setup, `extra-${at}`) <= 1, true);
+    }
+  });
+});
+
+test.run();
--- /dev/null
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -0,0 +1,144 @@
+/**
+ * Streams, over real sockets and against stand-ins of the users' platform.
+ */
+
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  countRuns,
+  formatEvents,
+  withSetup,
+} from "./testing/gateway_checks.ts";
+
+test("a stream that breaks in an event goes on whole at another replica", async () => {
+  await withSetup(1, async (setup) => {
+    for (const id of ["model-1", "model-2"]) {
+      setup.replica(id).faults.push({ kind: "break", events: 2 });
+    }
+    setup.replica("model-2").faults.length = 0;
+    setup.replica("model-1").faults.length = 0;
+    setup.replica("model-1").fault = { kind: "break", events: 2 };
+    let broken = 0;
+    for (let at = 0; at < 6; at += 1) {
+      const id = `stream-${at}`;
+      const answer = await setup.call({ path: "/answer/stream", id });
+      assert.is(answer.status, 200);
+      assert.is(answer.isWhole, true);
+      assert.is(answer.body, formatEvents(1, 5));
+      if (countRuns(setup, id) === 2) broken += 1;
+    }
+    assert.ok(broken >= 1);
+  });
+});
+
+test("a stream that must not be resumed breaks off and is not run again", async () => {
+  await withSetup(1, async (setup) => {
+    for (const id of ["model-1", "model-2"]) {
+      setup.replica(id).fault = { kind: "break", events: 2 };
+    }
+    const answer = await setup.call({ path: "/once/stream", id: "once" });
+    assert.is(answer.isWhole, false);
+    assert.is(answer.body, formatEvents(1, 2));
+    assert.is(countRuns(setup, "once"), 1);
+  });
+});
+
+test("a silent replica ends no answer that cannot go on elsewhere", async () => {
+  await withSetup(1, async (setup) => {
+    setup.configure({ timeoutMs: 2_500 });
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    for (const id of ["model-1", "model-2"]) {
+      setup.replica(id).fault = { kind: "hang" };
+    }
+    const answer = await setup.call({ path: "/answer/stream", id: "silent" });
+    assert.is(countRuns(setup, "silent"), 2);
+    assert.is(answer.status, 504);
+    assert.ok(answer.ms > 2_300, `ended after ${answer.ms} ms`);
+  });
+});
+
+test("a run moves with its memory off a replica that leaves", async () => {
+  await withSetup(1, async (setup) => {
+    await setup.addReplica("slow-1", "models", { events: 60, eventMs: 20 });
+    setup.register("model-1", "models", "draining");
+    setup.register("model-2", "models", "draining");
+    await setup.waitUntil(async () => {
+      const answer = await setup.call({
+        path: "/once/stream",
+        leaveAfterMs: 100,
+      });
+      void answer;
+      return setup.replica("slow-1").runs.length > 0;
+    });
+    const streaming = setup.call({ path: "/once/stream", id: "moved" });
+    await setup.waitUntil(() => countRuns(setup, "moved") === 1);
+    await setup.addReplica("slow-2", "models", { events: 60, eventMs: 20 });
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    setup.register("slow-1", "models", "draining", { leaves_ms: 900 });
+    const answer = await streaming;
+    assert.is(answer.isWhole, true);
+    assert.is(answer.body, formatEvents(1, 60));
+    assert.is(answer.headers["x-server-seal"], "seal-of-slow-1");
+    const second = setup.replica("slow-2").runs
+      .find(({ id }) => id === "moved");
+    assert.is(second?.isMoved, true);
+  });
+});
+
+test("a replica stops working soon after its caller has left", async () => {
+  await withSetup(1, async (setup) => {
+    await setup.addReplica("slow-1", "models", { events: 500, eventMs: 20 });
+    setup.store.remove("servers", "model-1");
+    setup.store.remove("servers", "model-2");
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    await setup.call({ path: "/answer/stream", id: "gone", leaveAfterMs: 200 });
+    const run = setup.replica("slow-1").runs.find(({ id }) => id === "gone");
+    assert.ok(run !== undefined);
+    await setup.waitUntil(() => run?.isOver === true);
+    assert.is(countRuns(setup, "gone"), 1);
+  });
+});
+
+test("a request gets its final answer at its route's timeout", async () => {
+  await withSetup(1, async (setup) => {
+    setup.configure({ timeoutMs: 400 });
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    for (const replica of setup.replicas.values()) {
+      replica.fault = { kind: "hang" };
+    }
+    const answers = await Promise.all([
+      setup.call({ path: "/book/" }),
+      setup.call({ path: "/answer/stream" }),
+    ]);
+    for (const answer of answers) {
+      assert.is(answer.status, 504);
+      assert.ok(answer.ms < 700, `took ${answer.ms} ms`);
+    }
+  });
+});
+
+test("a withdrawn key stops working, at the latest when news are too old", async () => {
+  await withSetup(1, async (setup) => {
+    setup.store.fault = "silent";
+    setup.configure({ keys: ["another-key"] });
+    const withdrawnAt = performance.now();
+    await setup.waitUntil(async () => {
+      const answer = await setup.call({ path: "/book/" });
+      return answer.status !== 200;
+    });
+    assert.ok(performance.now() - withdrawnAt < 3_000);
+    const refused = await setup.call({ path: "/book/", id: "late" });
+    assert.is(refused.status, 503);
+    assert.is(countRuns(setup, "late"), 0);
+    const open = await setup.call({ path: "/lookup/", key: undefined });
+    assert.is(open.status, 200);
+    setup.store.fault = "none";
+    await setup.waitUntil(async () => {
+      const answer = await setup.call({ path: "/book/", key: "another-key" });
+      return answer.status === 200;
+    });
+    assert.is((await setup.call({ path: "/book/" })).status, 401);
+  });
+});
+
+test.run();
