Plain names for the feeds' status; one loop for both duties

Cause: names spoke in pictures (news, blind, dry), and the duties' loop stood twice. Tests: those of the gateway pass.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -23,7 +23,7 @@
 /** Peers that get this node's report in one tick; the others get turns. */
 const reportsPerTick = 12;
 /** Ticks after which a node that proves the copies tells all peers. */
-const newsEveryTicks = 2;
+const statusEveryTicks = 2;
 /** Ticks after which reports name the other nodes again. */
 const membersEveryTicks = 25;
 const minChangePauseMs = 30;
@@ -49,7 +49,7 @@
   readonly work: SharedWork;
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
   /** Whether this node reads the store for the others at present. */
-  readonly isProver: () => boolean;
+  readonly isReader: () => boolean;
   /** Port of the control listener, the same on all nodes. */
   readonly controlPort: number;
   /** Further pages of the control listener, by path. */
@@ -146,11 +146,11 @@
   }
 
   /**
-   * Sends the report to the next few peers in turn, and the news alone to all
+   * Sends the report to the next few peers in turn, and the feeds' status to all
    * others while this node proves the copies for them.
    */
   #sendTick(addresses: readonly string[]): void {
-    const { isProver } = this.#options;
+    const { isReader } = this.#options;
     const count = Math.min(addresses.length, reportsPerTick);
     const inTurn = new Set<string>();
     for (let at = 0; at < count; at += 1) {
@@ -162,8 +162,8 @@
       : (this.#turn + count) % addresses.length;
     this.#tick += 1;
     this.#send([...inTurn], { withReport: true });
-    const isNewsTick = this.#tick % newsEveryTicks === 0;
-    if (!isNewsTick || !isProver()) return;
+    const isStatusTick = this.#tick % statusEveryTicks === 0;
+    if (!isStatusTick || !isReader()) return;
     const others = addresses.filter((ip) => !inTurn.has(ip));
     this.#send(others, { withReport: false });
   }
--- a/packages/gateway/src/cluster/members.ts
+++ b/packages/gateway/src/cluster/members.ts
@@ -9,7 +9,7 @@
   readonly ip: string;
   readonly isDraining: boolean;
   /** Whether it said that it does not reach the store. */
-  readonly isBlind: boolean;
+  readonly isStoreUnreachable: boolean;
   /** Monotonic time of its last datagram. */
   readonly heardAt: number;
   /** Offset of its time of day from this node's monotonic time. */
@@ -92,7 +92,7 @@
   /** Place of this node among those that stay and reach the store, 0 first. */
   readRank(now: number): number {
     return this.listHeard(now)
-      .filter((member) => !member.isDraining && !member.isBlind)
+      .filter((member) => !member.isDraining && !member.isStoreUnreachable)
       .filter((member) => member.node < this.#self)
       .length;
   }
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -10,7 +10,7 @@
 
 const sums = z.array(z.tuple([z.string(), z.number(), z.number()]));
 
-const feedNews = z.object({
+const feedStatus = z.object({
   asOf: z.number(),
   digest: z.number(),
   /** Age of the proof when the datagram was sent; null when there is none. */
@@ -43,23 +43,23 @@
   upMs: z.number(),
   isDraining: z.boolean(),
   /** Whether the sender does not reach the store at present. */
-  isBlind: z.boolean(),
+  isStoreUnreachable: z.boolean(),
   /** Sender's monotonic time. */
   sentAt: z.number(),
   /** Sender's time of day. */
   wallTime: z.number(),
   /** Stamp of the receiver's last datagram and how long ago it came. */
   echo: z.object({ sentAt: z.number(), heldMs: z.number() }).nullable(),
-  configuration: feedNews,
-  replicas: feedNews,
+  configuration: feedStatus,
+  replicas: feedStatus,
   /** Fencing number while the sender holds the duties' lease. */
   duty: z.number().nullable(),
-  /** Left out of datagrams that only carry news. */
+  /** Left out of datagrams that only carry the feeds' status. */
   report: report.optional(),
 });
 
-/** News of one feed. */
-export type FeedNews = z.infer<typeof feedNews>;
+/** Status of one feed. */
+export type FeedStatus = z.infer<typeof feedStatus>;
 /** What a node has done and holds. */
 export type PeerReport = z.infer<typeof report>;
 /** One datagram. */
--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -13,7 +13,7 @@
 import type { Allowances } from "../limits/allowance.ts";
 import type { RepeatBudget } from "../limits/repeat_budget.ts";
 import type { Member, Members } from "./members.ts";
-import type { FeedNews, PeerMessage, PeerReport } from "./peer_messages.ts";
+import type { FeedStatus, PeerMessage, PeerReport } from "./peer_messages.ts";
 
 /** What shared work needs. */
 export interface SharedWorkOptions {
@@ -33,7 +33,7 @@
   readonly work: WorkMeter;
   readonly isDraining: () => boolean;
   /** Whether this node does not reach the store at present. */
-  readonly isBlind: () => boolean;
+  readonly isStoreUnreachable: () => boolean;
   /** Fencing number while this node holds the duties' lease. */
   readonly readDuty: () => number | undefined;
   /** Asks a peer for its newer copy. */
@@ -85,14 +85,14 @@
       ip: this.#options.ip,
       upMs: now - this.#startedAt,
       isDraining: this.#options.isDraining(),
-      isBlind: this.#options.isBlind(),
+      isStoreUnreachable: this.#options.isStoreUnreachable(),
       sentAt: now,
       wallTime: clock.wallTime(),
       echo: receiver === undefined
         ? null
         : { sentAt: receiver.sentAt, heldMs: now - receiver.heardAt },
-      configuration: this.#composeNews("configuration", now),
-      replicas: this.#composeNews("replicas", now),
+      configuration: this.#composeStatus("configuration", now),
+      replicas: this.#composeStatus("replicas", now),
       duty: this.#options.readDuty() ?? null,
       ...(report === undefined ? {} : { report }),
     };
@@ -124,14 +124,14 @@
       incarnation: message.incarnation,
       ip: message.ip,
       isDraining: message.isDraining,
-      isBlind: message.isBlind,
+      isStoreUnreachable: message.isStoreUnreachable,
       heardAt: now,
       wallOffset: message.wallTime - now,
       duty: message.duty ?? undefined,
       sentAt: message.sentAt,
     });
-    this.#applyNews("configuration", message);
-    this.#applyNews("replicas", message);
+    this.#applyStatus("configuration", message);
+    this.#applyStatus("replicas", message);
     const { report } = message;
     if (report === undefined) return isNew;
     for (const [name, ip] of report.members) {
@@ -189,7 +189,7 @@
     return loads;
   }
 
-  #composeNews(kind: FeedKind, now: number): FeedNews {
+  #composeStatus(kind: FeedKind, now: number): FeedStatus {
     const state = this.#options.feeds[kind];
     const formatAge = (time: number): number | null =>
       Number.isFinite(time) ? now - time : null;
@@ -201,24 +201,24 @@
   }
 
   /** An equal copy proves ours; a newer one is asked for. */
-  #applyNews(kind: FeedKind, message: PeerMessage): void {
+  #applyStatus(kind: FeedKind, message: PeerMessage): void {
     const { feeds, clock } = this.#options;
     const state = feeds[kind];
-    const news = message[kind];
+    const status = message[kind];
     const { asOf, digest } = state.mark;
-    const isSame = news.digest === digest && state.isKnown;
+    const isSame = status.digest === digest && state.isKnown;
     if (!isSame) {
-      if (news.asOf > asOf) this.#options.pullFeed(kind, message.ip);
+      if (status.asOf > asOf) this.#options.pullFeed(kind, message.ip);
       return;
     }
     const { echo } = message;
-    if (echo === null || news.ageMs === null) return;
+    if (echo === null || status.ageMs === null) return;
     // The peer got our datagram after we sent it, so counting from our own
     // stamp never makes the proof look younger than it is.
     if (echo.sentAt > clock.now()) return;
-    state.confirm(echo.sentAt + echo.heldMs - news.ageMs);
-    if (news.outageMs !== null) {
-      state.recordOutage(clock.now() - news.outageMs);
+    state.confirm(echo.sentAt + echo.heldMs - status.ageMs);
+    if (status.outageMs !== null) {
+      state.recordOutage(clock.now() - status.outageMs);
     }
   }
 
--- a/packages/gateway/src/duties/duty_property_test.ts
+++ b/packages/gateway/src/duties/duty_property_test.ts
@@ -151,7 +151,7 @@
         incarnation: "",
         ip: sender.name,
         isDraining: false,
-        isBlind: sender.isCutFromStore,
+        isStoreUnreachable: sender.isCutFromStore,
         heardAt: now,
         wallOffset: 0,
         duty: sender.lease.fencing,
--- a/packages/gateway/src/duties/replica_orders.ts
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -22,6 +22,7 @@
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { RouteTable } from "../routes/route_table.ts";
 import type { DutyLease } from "./duty_lease.ts";
+import { runDutyLoop } from "./duty_loop.ts";
 import {
   computeReplicaPlan,
   type PlanInput,
@@ -32,8 +33,8 @@
 const pollMs = 250;
 /** Pause before a refused or unanswered order is sent again. */
 const retryMs = 900;
-/** Pause between probes for reclaimable replicas in a dry spell. */
-const dryProbeMs = 600;
+/** Pause between probes for reclaimable replicas in a shortage. */
+const shortageProbeMs = 600;
 /** Time beyond the boot time until an order counts as lost. */
 const bootMarginMs = 2_500;
 /** Replicas needed for each one that would be busy all the time. */
@@ -84,9 +85,8 @@
   /** Time at which a service's first requests came. */
   readonly #busySince = new Map<string, number>();
   readonly #startedAt: number;
-  /** Time of the next probe of services in a dry spell. */
+  /** Time of the next probe of services in a shortage. */
   readonly #nextProbeAt = new Map<string, number>();
-  #fencing: number | undefined;
 
   private constructor(options: ReplicaOrdersOptions) {
     this.#options = options;
@@ -96,7 +96,7 @@
   /** Starts at once; orders only while the lease is held. */
   static create(options: ReplicaOrdersOptions): ReplicaOrders {
     const orders = new ReplicaOrders(options);
-    void orders.#run();
+    void orders.#start();
     return orders;
   }
 
@@ -104,16 +104,16 @@
     this.#stopped.abort();
   }
 
-  async #run(): Promise<void> {
+  #start(): Promise<void> {
     const { clock, lease } = this.#options;
-    const { signal } = this.#stopped;
-    while (!signal.aborted) {
-      await clock.sleep(pollMs, signal);
-      const fencing = lease.fencing;
-      if (fencing !== this.#fencing) this.#ordered.clear();
-      this.#fencing = fencing;
-      if (fencing !== undefined) await this.#orderAll();
-    }
+    return runDutyLoop({
+      clock,
+      lease,
+      pollMs,
+      signal: this.#stopped.signal,
+      discardState: () => this.#ordered.clear(),
+      step: () => this.#orderAll(),
+    });
   }
 
   async #orderAll(): Promise<void> {
@@ -238,7 +238,7 @@
       Right: (outcome) => outcome,
     });
     this.#ordered.set(subject, { count: order.count, at: now, outcome });
-    if (order.isReclaimable) this.#recordDryness(order, outcome, now);
+    if (order.isReclaimable) this.#recordShortage(order, outcome, now);
     metrics.count("orders_total", { outcome });
     log.info("replicas ordered.", {
       zone: order.zone,
@@ -248,14 +248,14 @@
     });
   }
 
-  /** One accepted order ends a dry spell; all zones are asked again then. */
-  #recordDryness(
+  /** One accepted order ends a shortage; all zones are asked again then. */
+  #recordShortage(
     { service, count }: ReplicaOrder,
     outcome: Ordered["outcome"],
     now: number,
   ): void {
     if (outcome === "none_available") {
-      this.#nextProbeAt.set(service, now + dryProbeMs);
+      this.#nextProbeAt.set(service, now + shortageProbeMs);
     } else if (outcome === "accepted" && count > 0) {
       this.#nextProbeAt.delete(service);
     }
@@ -271,13 +271,13 @@
     return true;
   }
 
-  /** In a dry spell one zone after the other is asked, not all at once. */
-  #takeDryProbe(service: string): boolean {
+  /** In a shortage one zone after the other is asked, not all at once. */
+  #takeShortageProbe(service: string): boolean {
     const now = this.#options.clock.now();
     const nextProbeAt = this.#nextProbeAt.get(service);
     if (nextProbeAt === undefined) return true;
     if (now < nextProbeAt) return false;
-    this.#nextProbeAt.set(service, now + dryProbeMs);
+    this.#nextProbeAt.set(service, now + shortageProbeMs);
     return true;
   }
 
@@ -290,7 +290,7 @@
     const ageMs = this.#options.clock.now() - ordered.at;
     if (ordered.outcome === "none_available" && order.isReclaimable) {
       return this.#isOldestRefusal(order.service, ordered) &&
-        this.#takeDryProbe(order.service);
+        this.#takeShortageProbe(order.service);
     }
     if (ordered.outcome !== "accepted") return ageMs >= retryMs;
     if (ordered.count !== order.count) return true;
--- a/packages/gateway/src/duties/replica_plan.ts
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -66,9 +66,10 @@
   const ready = count(replicas, true, "ready");
   const booting = count(replicas, true, "booting");
   const missing = Math.max(0, essential - ready);
-  // A notice is shorter than a boot, so the next wave is provided for.
-  const missingAfterWave = essential - countSurviving(replicas);
-  const missingLater = Math.max(0, missing - booting, missingAfterWave);
+  // A notice is shorter than a boot, so the next reclaim is
+  // provided for.
+  const missingAfterReclaim = essential - countSurviving(replicas);
+  const missingLater = Math.max(0, missing - booting, missingAfterReclaim);
   // Replicas on demand are kept until reclaimable ones really serve.
   const kept = Math.min(missing, count(replicas, false, "ready"));
   return Math.max(kept, missingLater);
--- a/packages/gateway/src/duties/replica_plan_test.ts
+++ b/packages/gateway/src/duties/replica_plan_test.ts
@@ -38,7 +38,7 @@
   assert.ok(sum(plan.map((zone) => zone.reclaimable)) >= 5);
 });
 
-test("nothing is bought on demand while a wave can be survived", () => {
+test("nothing is bought on demand while the loss of a zone can be survived", () => {
   const plan = computeReplicaPlan({
     scaling,
     zones,
@@ -49,7 +49,7 @@
   assert.is(sum(plan.map((zone) => zone.onDemand)), 0);
 });
 
-test("after a wave the next one is provided for, cheapest zones first", () => {
+test("after the loss of a zone the next one is provided for, cheapest zones first", () => {
   const plan = computeReplicaPlan({
     scaling,
     zones,
--- a/packages/gateway/src/duties/usage_reporter.ts
+++ b/packages/gateway/src/duties/usage_reporter.ts
@@ -18,6 +18,7 @@
 } from "@almondcrank/platform/platform_cloud.ts";
 import type { Members } from "../cluster/members.ts";
 import type { DutyLease } from "./duty_lease.ts";
+import { runDutyLoop } from "./duty_loop.ts";
 import type { UsageCounts } from "./usage_counts.ts";
 
 const recordKey = "duties/usage";
@@ -59,7 +60,6 @@
   readonly #sent = new Set<number>();
   readonly #firstWindow: number;
   #stored: StoredReports | undefined;
-  #fencing: number | undefined;
 
   private constructor(options: UsageReporterOptions) {
     this.#options = options;
@@ -69,7 +69,7 @@
   /** Starts at once; reports only while the lease is held. */
   static create(options: UsageReporterOptions): UsageReporter {
     const reporter = new UsageReporter(options);
-    void reporter.#run();
+    void reporter.#start();
     return reporter;
   }
 
@@ -77,16 +77,18 @@
     this.#stopped.abort();
   }
 
-  async #run(): Promise<void> {
+  #start(): Promise<void> {
     const { clock, lease } = this.#options;
-    const { signal } = this.#stopped;
-    while (!signal.aborted) {
-      await clock.sleep(pollMs, signal);
-      const fencing = lease.fencing;
-      if (fencing !== this.#fencing) this.#stored = undefined;
-      this.#fencing = fencing;
-      if (fencing !== undefined) await this.#reportAll();
-    }
+    return runDutyLoop({
+      clock,
+      lease,
+      pollMs,
+      signal: this.#stopped.signal,
+      discardState: () => {
+        this.#stored = undefined;
+      },
+      step: () => this.#reportAll(),
+    });
   }
 
   async #reportAll(): Promise<void> {
--- a/packages/gateway/src/feed/feed_reader.ts
+++ b/packages/gateway/src/feed/feed_reader.ts
@@ -40,7 +40,7 @@
   /** This node's place in the order of readers, 0 first. */
   readonly readRank: () => number;
   /** Time that a proof takes to reach all nodes. */
-  readonly readNewsDelayMs: () => number;
+  readonly readStatusDelayMs: () => number;
 }
 
 /** Reader of one kind. */
@@ -81,9 +81,9 @@
     const { state, clock, readRank } = this.#options;
     const rank = readRank();
     if (rank === 0 || !state.isKnown) return 0;
-    if (this.isProver) return 0;
+    if (this.isReader) return 0;
     const takeoverMs = firstTakeoverMs + (rank - 1) * takeoverStepMs +
-      this.#options.readNewsDelayMs();
+      this.#options.readStatusDelayMs();
     return takeoverMs - (clock.now() - state.provenAt);
   }
 
@@ -125,7 +125,7 @@
   }
 
   /** Whether the newest proof of the copy came from this node's reading. */
-  get isProver(): boolean {
+  get isReader(): boolean {
     return this.#options.state.provenAt === this.#ownProvenAt;
   }
 
--- a/packages/gateway/src/feed/feed_reader_test.ts
+++ b/packages/gateway/src/feed/feed_reader_test.ts
@@ -49,7 +49,7 @@
     random: Random.create(1),
     log: createSilentLog(),
     readRank: () => rank,
-    readNewsDelayMs: () => 0,
+    readStatusDelayMs: () => 0,
   });
   for (let at = 0; at < 6_000; at += 25) {
     onTick(state, clock.now());
--- a/packages/gateway/src/feed/store_view.ts
+++ b/packages/gateway/src/feed/store_view.ts
@@ -62,7 +62,7 @@
   }
 
   /** Whether a key's withdrawal would be known by now. */
-  get hasFreshNews(): boolean {
+  get hasFreshConfiguration(): boolean {
     const { proofClock, feeds } = this.#options;
     const bounds = this.#options.readBounds();
     if (!bounds.failsClosed) return true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,8 +39,8 @@
 const housekeepingMs = 250;
 /** Nodes up to which each one hears all others in every tick. */
 const smallSystemNodes = 13;
-/** Delay of news beyond that. */
-const largeNewsDelayMs = 400;
+/** Delay of a proof in a larger system. */
+const largeStatusDelayMs = 400;
 /** Time from SIGTERM until no new connections are accepted. */
 const acceptAfterSignalMs = 2_600;
 /** Time before the end of the grace period at which the process ends. */
@@ -138,7 +138,8 @@
       table,
       usage,
       isDraining: () => this.#isDraining,
-      isBlind: () => this.#readers.some((reader) => reader.isFailing),
+      isStoreUnreachable: () =>
+        this.#readers.some((reader) => reader.isFailing),
       work: services.work,
       readDuty: () => this.#lease?.fencing,
       pullFeed: (kind, ip) => void clusterBox.cluster?.pullFeed(kind, ip),
@@ -150,7 +151,7 @@
       members,
       work,
       feeds,
-      isProver: () => this.#readers.some((reader) => reader.isProver),
+      isReader: () => this.#readers.some((reader) => reader.isReader),
       controlPort: Number(settings.control?.split(":")[1] ?? 0),
       pages: { "/metrics": () => services.metrics.format() },
     }, settings.control);
@@ -189,9 +190,9 @@
         random: services.random,
         log: services.log.part("feed"),
         readRank: () => members.readRank(proofClock.now()),
-        readNewsDelayMs: () => {
+        readStatusDelayMs: () => {
           const nodes = members.listKnown(proofClock.now()).length + 1;
-          return nodes > smallSystemNodes ? largeNewsDelayMs : 0;
+          return nodes > smallSystemNodes ? largeStatusDelayMs : 0;
         },
       });
       this.#readers.push(this.#lifetime.register(reader));
@@ -249,7 +250,7 @@
 
   #isReady(): boolean {
     return !this.#isDraining && this.#view.routes !== undefined &&
-      this.#view.hasReplicas && this.#view.hasFreshNews;
+      this.#view.hasReplicas && this.#view.hasFreshConfiguration;
   }
 
   #keepHouse(): void {
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -115,7 +115,7 @@
     allowances,
     readView: () => ({
       routes: view.routes,
-      hasFreshNews: view.hasFreshNews,
+      hasFreshConfiguration: view.hasFreshConfiguration,
       draw: random.next(),
     }),
   });
--- a/packages/gateway/src/relay/admission_desk.ts
+++ b/packages/gateway/src/relay/admission_desk.ts
@@ -2,7 +2,7 @@
  * Decides whether a request may go to a service, before it is sent anywhere.
  *
  * The order matters to callers: without a configuration nothing can be said of
- * a request; a key is judged only while the node's news are fresh enough for a
+ * a request; a key is judged only while the configuration is fresh enough for a
  * withdrawn key to be known; the allowance is charged last.
  */
 
@@ -22,7 +22,7 @@
 import type { RouteTable } from "../routes/route_table.ts";
 import { composeOwnAnswer, type OwnAnswer } from "./own_answer.ts";
 
-const retryWithoutNewsMs = 500;
+const retryWithoutConfigurationMs = 500;
 const retryWithoutServiceMs = 500;
 const minAllowanceRetryMs = 100;
 
@@ -31,7 +31,7 @@
   /** Undefined while no configuration is known. */
   readonly routes: RouteTable | undefined;
   /** Whether a key's withdrawal would be known by now. */
-  readonly hasFreshNews: boolean;
+  readonly hasFreshConfiguration: boolean;
   /** Uniform in [0, 1); draws the target of a split route. */
   readonly draw: number;
 }
@@ -54,7 +54,7 @@
 ): RoutingVerdict {
   const { routes } = view;
   if (routes === undefined) {
-    return createRefusal(503, "no_configuration", retryWithoutNewsMs);
+    return createRefusal(503, "no_configuration", retryWithoutConfigurationMs);
   }
   const route = routes.findRoute(
     request.headers.host ?? "",
@@ -62,8 +62,12 @@
   );
   if (route === undefined) return createRefusal(404, "no_route");
   const needsKey = routes.hasTenants && !route.isPublic;
-  if (needsKey && !view.hasFreshNews) {
-    return createRefusal(503, "news_too_old", retryWithoutNewsMs);
+  if (needsKey && !view.hasFreshConfiguration) {
+    return createRefusal(
+      503,
+      "stale_configuration",
+      retryWithoutConfigurationMs,
+    );
   }
   const key = readKey(request.headers[authorizationHeader]);
   const tenant = key === undefined ? undefined : routes.findTenant(key);
--- a/packages/gateway/src/relay/own_answer.ts
+++ b/packages/gateway/src/relay/own_answer.ts
@@ -10,7 +10,7 @@
 /** Why the node answers itself; labels the counter of refusals. */
 export type OwnAnswerReason =
   | "no_configuration"
-  | "news_too_old"
+  | "stale_configuration"
   | "draining"
   | "no_route"
   | "unknown_key"
@@ -36,7 +36,8 @@
 
 const messages: Readonly<Record<OwnAnswerReason, string>> = {
   no_configuration: "this node has no configuration yet; try again",
-  news_too_old: "this node cannot check keys at present; try another node",
+  stale_configuration:
+    "this node cannot check keys at present; try another node",
   draining: "this node is shutting down; try another one",
   no_route: "no route matches this host and path; correct the address",
   unknown_key: "the key is not known; use a key of a configured tenant",
--- a/packages/scenario/src/gateway_streams_test.ts
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -117,7 +117,7 @@
   });
 });
 
-test("a withdrawn key stops working, at the latest when news are too old", async () => {
+test("a withdrawn key stops working, at the latest when the configuration is stale", async () => {
   await withSetup(1, async (setup) => {
     setup.store.fault = "silent";
     setup.configure({ keys: ["another-key"] });
