--- a/packages/scenario/src/gateway_calls_test.ts
+++ b/packages/scenario/src/gateway_calls_test.ts
@@ -134,4 +134,29 @@
   });
 });
 
+test("malformed requests get a clear answer and disturb nobody", async () => {
+  await withSetup(1, async (setup) => {
+    const head = "POST /book/ HTTP/1.1\r\nHost: api.example\r\n";
+    const smuggled = `${head}Content-Length: 4\r\n` +
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /book/ HTTP/1.1\r\n\r\n";
+    const large = `${head}X-Large: ${"x".repeat(20_000)}\r\n\r\n`;
+    assert.match(await setup.sendRaw("no request\r\n\r\n"), /^HTTP\/1.1 400 /);
+    assert.match(await setup.sendRaw(smuggled), /^HTTP\/1.1 400 /);
+    assert.match(await setup.sendRaw(large), /^HTTP\/1.1 431 /);
+    const runs = [...setup.replicas.values()].flatMap(({ runs }) => runs);
+    assert.is(runs.filter(({ path }) => path.startsWith("/book/")).length, 0);
+    assert.is((await setup.call({ path: "/book/" })).status, 200);
+  });
+});
+
+test("a configuration that cannot be read changes nothing", async () => {
+  await withSetup(1, async (setup) => {
+    for (const spec of ["torn", { version: "7" }, { version: 90, routes: 3 }]) {
+      setup.store.put("config", "main", spec);
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      assert.is((await setup.call({ path: "/book/" })).status, 200);
+    }
+  });
+});
+
 test.run();
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -5,7 +5,7 @@
 
 import { type Agent, request } from "node:http";
 import { createSocket } from "node:dgram";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { Right } from "purify-ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Gateway } from "@almondcrank/gateway/gateway.ts";
@@ -261,6 +261,20 @@
     });
   }
 
+  /** Sends bytes to the first node and reads until it closes the connection. */
+  sendRaw(text: string): Promise<string> {
+    const [host, port] = (this.#settings[0]?.callers ?? "").split(":");
+    return new Promise((resolve) => {
+      const socket = connect(Number(port), host ?? "");
+      let answer = "";
+      socket.setEncoding("utf8");
+      socket.on("data", (chunk: string) => answer += chunk);
+      socket.on("error", () => resolve(answer));
+      socket.on("close", () => resolve(answer));
+      socket.write(text);
+    });
+  }
+
   /** Waits until a condition holds; throws after ten seconds. */
   async waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
     const endsAt = performance.now() + 10_000;
