End requests with timers that never fire before their deadline

Change: such timers are rounded up by one millisecond. Test: timer_ms_test fails without the rounding and passes with it.

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -19,6 +19,7 @@
 import { sendReplicaAnswer, type WholeAnswer } from "./replica_answer.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readWholeAnswer, type ReplicaOutcome } from "./replica_call.ts";
+import { computeTimerMs } from "./timer_ms.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
 /** Part of the objective after which a silent replica is given up. */
@@ -139,7 +140,7 @@
   /** Time after which this send is given up. */
   #computeSilenceMs(now: number): number {
     const { route, endsAt } = this.#request;
-    const remainingMs = Math.max(1, endsAt - now);
+    const remainingMs = computeTimerMs(endsAt - now);
     const mayRepeat = route.kind === "safe" &&
       this.#sends + 1 < route.maxAttempts;
     if (!mayRepeat) return remainingMs;
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -26,6 +26,7 @@
 import { readWholeAnswer } from "./replica_call.ts";
 import { checkStreamAdmission, chooseStreamReplica } from "./stream_choice.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
+import { computeTimerMs } from "./timer_ms.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import type { Sending } from "./replica_sender.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -111,7 +112,7 @@
     callerGone.addEventListener("abort", abortLeg);
     const timer = setTimeout(
       abortLeg,
-      Math.max(1, endsAt - this.#services.clock.now()),
+      computeTimerMs(endsAt - this.#services.clock.now()),
     );
     try {
       return await this.#runLegs();
