--- /dev/null
+++ b/scripts/gateway_launcher.cjs
@@ -0,0 +1,31 @@
+/**
+ * Loads the gateway program from its bundle and its compiled form.
+ *
+ * Compiling the bundle takes longer than everything else at a start. When the
+ * compiled form is missing or made by another runtime, the bundle is compiled.
+ * With `--write-code-cache` the compiled form is written when the program ends.
+ */
+
+"use strict";
+
+const { existsSync, readFileSync, writeFileSync } = require("node:fs");
+const { join } = require("node:path");
+const { Script } = require("node:vm");
+const process = require("node:process");
+
+const program = join(__dirname, "gateway_program.cjs");
+const codeCache = join(__dirname, "gateway_program.cache");
+
+const cachedData = existsSync(codeCache) ? readFileSync(codeCache) : undefined;
+const source = readFileSync(program, "utf8");
+const script = new Script(
+  `(function (exports, require, module, __filename, __dirname) {${source}\n})`,
+  { filename: program, ...(cachedData === undefined ? {} : { cachedData }) },
+);
+if (process.argv.includes("--write-code-cache")) {
+  process.once("exit", () => {
+    writeFileSync(codeCache, script.createCachedData());
+  });
+}
+const load = script.runInThisContext();
+load(exports, require, module, program, __dirname);
