Admit all sizes of request alike near the end of an allowance

The log of each decision showed that after the first second none of 166 driver answers in 2 s was admitted for 8 s, while urgent and small requests got all: a request needed the bucket to hold its cost above a floor of its rank, and the level never rose that far because the others took each token as it came.

Change: a request is admitted while the bucket is above its floor, whatever it costs, so the chance does not depend on size or rank; small ones keep a lower floor. Nodes that all see the same few tokens overdrew together, so between two reports each spends only its part of what is left, by recent use and evenly.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -139,7 +139,7 @@
       const addresses = members.listAddresses(clock.now());
       const rounds = Math.max(1, addresses.length / reportsPerTick);
       members.setRound(rounds * tickMs);
-      work.refresh();
+      work.refresh(Math.ceil(rounds));
       this.#sendTick(addresses);
       await clock.sleep(tickMs, signal);
     }
--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -144,8 +144,12 @@
     return isNew;
   }
 
-  /** Adds up the peers' loads and the shares that this node may use. */
-  refresh(): void {
+  /**
+   * Adds up the peers' loads and the shares that this node may use.
+   *
+   * @param rounds Reports after which each peer has got one.
+   */
+  refresh(rounds: number): void {
     const { members, clock, table, allowances, budget } = this.#options;
     const now = clock.now();
     const limitsNow = this.#options.limitsClock.now();
@@ -154,7 +158,7 @@
     const listNames = (members: readonly Member[]): readonly string[] =>
       members.map((member) => member.node).sort();
     allowances.setVisible(
-      { known: listNames(known), heard: listNames(heard) },
+      { known: listNames(known), heard: listNames(heard), rounds },
       limitsNow,
     );
     budget.setShare((heard.length + 1) / (known.length + 1));
--- a/packages/gateway/src/limits/allowance.ts
+++ b/packages/gateway/src/limits/allowance.ts
@@ -6,6 +6,11 @@
  * node hears only some of its peers, it uses only their share: mostly what they
  * used of each tenant's allowance before the split, which both sides remember
  * alike, so that together they stay within it.
+ *
+ * All nodes see the same few tokens in a bucket that is nearly empty, so between
+ * two reports each spends only its part of them. A request is admitted while the
+ * bucket is above its floor, whatever the request costs: large ones would never
+ * fit beside the small ones that take each token as it comes.
  */
 
 import type { Tenant } from "@almondcrank/model/configuration.ts";
@@ -19,6 +24,8 @@
 export interface VisiblePeers {
   readonly known: readonly string[];
   readonly heard: readonly string[];
+  /** Reports after which each peer has got one. */
+  readonly rounds: number;
 }
 
 /** What a peer admitted. */
@@ -31,8 +38,6 @@
 /** What a request takes out. */
 export interface Charge {
   readonly cost: number;
-  /** Rank of the request, 0 first. */
-  readonly rank: number;
 }
 
 interface Bucket {
@@ -48,6 +53,10 @@
   told: number;
   /** Part of the allowance that this node and those it hears may use. */
   share: number;
+  /** Part of what is left that this node may spend between two reports. */
+  ownPart: number;
+  /** What this node may still spend before its peers know. */
+  credit: number;
   /** Recent use of this node, and of its peers by name. */
   readonly ownUse: RecentUse;
   readonly peerUse: Map<string, RecentUse>;
@@ -78,8 +87,8 @@
 const useWeight = 0.75;
 /** Longest time for which refused requests queue up to come back. */
 const longestAwaitedMs = 20_000;
-/** Part of the overdraft that is open to less urgent requests. */
-const lessUrgentPart = 0.3;
+/** Part of the overdraft below which only small requests are admitted. */
+const softPart = 0.3;
 /** Share of the burst below which a request counts as small. */
 const smallShare = 0.005;
 
@@ -87,8 +96,10 @@
 export class Allowances {
   readonly #buckets = new Map<string, Bucket>();
   readonly #overdraft: number;
-  #visible: VisiblePeers = { known: [], heard: [] };
+  #visible: VisiblePeers = { known: [], heard: [], rounds: 1 };
   #visibleMark = "|";
+  /** Reports composed since the credits were set. */
+  #reports = 0;
 
   private constructor(tolerance: number) {
     this.#overdraft = tolerance * overdraftShare;
@@ -102,21 +113,22 @@
   /**
    * Takes a request's cost out of the tenant's bucket, if it holds enough.
    *
-   * Near its end the bucket is kept for the urgent and for the small.
+   * Near its end the bucket is kept for small requests.
    */
-  take(tenant: Tenant, charge: Charge, now: number): AllowanceVerdict {
+  take(
+    tenant: Tenant,
+    { cost }: Charge,
+    now: number,
+  ): AllowanceVerdict {
     if (tenant.ratePerSecond <= 0) return { kind: "admitted" };
-    const { cost } = charge;
     const bucket = this.#refill(tenant, now);
-    const isFavoured = charge.rank === 0 || cost < bucket.burst * smallShare;
-    const part = isFavoured ? 1 : lessUrgentPart;
-    const floor = -this.#overdraft * bucket.share * part;
-    if (bucket.level - Math.min(cost, bucket.burst) >= floor) {
+    const missing = this.#computeMissing(bucket, cost);
+    if (missing <= 0) {
       bucket.level -= cost;
+      bucket.credit -= cost;
       bucket.admitted += cost;
       return { kind: "admitted" };
     }
-    const missing = Math.min(cost, bucket.burst) + floor - bucket.level;
     const rate = bucket.rate * bucket.share;
     // Those who were refused before come first, so that all come back spread.
     const retryAfterMs = (missing + bucket.awaited) / rate * 1_000;
@@ -127,11 +139,25 @@
     return { kind: "over", retryAfterMs };
   }
 
+  /** Tokens that have to come back before a request is admitted; 0 if none. */
+  #computeMissing(bucket: Bucket, cost: number): number {
+    const lowest = -this.#overdraft * bucket.share;
+    const charged = Math.min(cost, bucket.burst);
+    const missingForCost = Math.max(0, lowest + charged - bucket.level);
+    if (cost < bucket.burst * smallShare) return missingForCost;
+    const floor = lowest * softPart;
+    const missingForAny = bucket.level > floor ? 0 : floor - bucket.level + 1;
+    const isPartSpent = bucket.ownPart < 1 && bucket.credit <= 0;
+    const missingPart = isPartSpent ? 1 - bucket.credit / bucket.ownPart : 0;
+    return Math.max(missingForCost, missingForAny, missingPart);
+  }
+
   /** Puts back what a request took that did not run. */
   refund(tenant: Tenant, cost: number): void {
     const bucket = this.#buckets.get(tenant.name);
     if (bucket === undefined) return;
     bucket.level = Math.min(bucket.burst, bucket.level + cost);
+    bucket.credit += cost;
     bucket.admitted -= cost;
   }
 
@@ -160,7 +186,7 @@
 
   /** Sets the shares anew when other peers are heard than before. */
   setVisible(peers: VisiblePeers, now: number): void {
-    const mark = `${peers.known.join()}|${peers.heard.join()}`;
+    const mark = `${peers.known.join()}|${peers.heard.join()}|${peers.rounds}`;
     if (mark === this.#visibleMark) return;
     this.#visibleMark = mark;
     this.#visible = peers;
@@ -171,6 +197,7 @@
         bucket.level *= share / bucket.share;
       }
       bucket.share = share;
+      this.#setCredit(bucket, now);
     }
   }
 
@@ -188,31 +215,55 @@
    * sides compute with the same figures.
    */
   list(now: number): readonly (readonly [string, number, number])[] {
+    this.#reports += 1;
+    const isRoundOver = this.#reports >= this.#visible.rounds;
+    if (isRoundOver) this.#reports = 0;
     return [...this.#buckets].map(([name, bucket]) => {
       this.#refillBucket(bucket, now);
       bucket.ownUse.add(bucket.admitted - bucket.told, now);
       bucket.told = bucket.admitted;
+      if (isRoundOver) this.#setCredit(bucket, now);
       return [name, Math.round(bucket.level), bucket.admitted];
     });
   }
 
+  /** Gives this node its part of what the bucket holds now. */
+  #setCredit(bucket: Bucket, now: number): void {
+    const { heard } = this.#visible;
+    const evenPart = 1 / (heard.length + 1);
+    const own = this.#readUse(bucket, bucket.ownUse, now);
+    const useOfAll = this.#sumUse(bucket, heard, now);
+    bucket.ownPart = (own / useOfAll + evenPart) / 2;
+    const left = bucket.level + this.#overdraft * bucket.share * softPart;
+    bucket.credit = Math.max(bucket.credit, left * bucket.ownPart);
+  }
+
   #computeShare(bucket: Bucket, now: number): number {
     const { known, heard } = this.#visible;
     const evenShare = (heard.length + 1) / (known.length + 1);
     if (evenShare >= 1) return 1;
-    // Use that is not known yet is taken to be even.
-    const assumed = bucket.burst * assumedUseShare;
-    const readUse = (use: RecentUse | undefined): number =>
-      assumed + (use?.read(now) ?? 0);
-    const sum = (peers: readonly string[]): number =>
-      peers.reduce(
-        (total, peer) => total + readUse(bucket.peerUse.get(peer)),
-        readUse(bucket.ownUse),
-      );
-    const useShare = sum(heard) / sum(known);
+    const useShare = this.#sumUse(bucket, heard, now) /
+      this.#sumUse(bucket, known, now);
     return useWeight * useShare + (1 - useWeight) * evenShare;
   }
 
+  /** Recent use of this node and of some peers. */
+  #sumUse(bucket: Bucket, peers: readonly string[], now: number): number {
+    return peers.reduce(
+      (sum, peer) => sum + this.#readUse(bucket, bucket.peerUse.get(peer), now),
+      this.#readUse(bucket, bucket.ownUse, now),
+    );
+  }
+
+  /** Use of one node; what is not known yet is taken to be even. */
+  #readUse(
+    { burst }: Bucket,
+    use: RecentUse | undefined,
+    now: number,
+  ): number {
+    return burst * assumedUseShare + (use?.read(now) ?? 0);
+  }
+
   #refill(tenant: Tenant, now: number): Bucket {
     const { name, ratePerSecond, burst } = tenant;
     let bucket = this.#buckets.get(name);
@@ -226,6 +277,8 @@
         admitted: 0,
         told: 0,
         share: 1,
+        ownPart: 1,
+        credit: 0,
         ownUse: new RecentUse(),
         peerUse: new Map(),
       };
@@ -244,6 +297,7 @@
     const gained = elapsedSeconds * bucket.rate * bucket.share;
     const refilled = bucket.level + gained;
     bucket.awaited = Math.max(0, bucket.awaited - gained);
+    bucket.credit += gained * bucket.ownPart;
     bucket.level = Math.min(bucket.burst * bucket.share, refilled);
     bucket.updatedAt = now;
   }
--- a/packages/gateway/src/relay/callers_front.ts
+++ b/packages/gateway/src/relay/callers_front.ts
@@ -218,17 +218,13 @@
 
   #charge(
     request: IncomingMessage,
-    { tenant, route }: Routed,
+    { tenant }: Routed,
   ): { readonly cost: number; readonly refusal: OwnAnswer | undefined } {
     if (tenant === undefined) return { cost: 0, refusal: undefined };
     const { services, allowances } = this.#options;
     const cost = computeCost(request, tenant);
     const now = services.clock.now();
-    const refusal = takeAllowance(allowances, tenant, {
-      cost,
-      rank: route.priority,
-      now,
-    });
+    const refusal = takeAllowance(allowances, tenant, { cost, now });
     return { cost, refusal };
   }
 
