Keep usage reports as long as a new holder could write them again

The record in the store kept four reports, whatever the windows' length; with windows of 2 s and 10 s until a report is due, a holder that took over looked further back than that, did not find the window and wrote it again from its own empty counts.

Ruled out: the lease; both reports came from the holder of their time.

Change: reports stay by their window, two windows beyond the oldest that is still due. With the users' windows of 5 s the old number was just enough.

--- a/packages/gateway/src/duties/duty_loop.ts
+++ b/packages/gateway/src/duties/duty_loop.ts
@@ -8,7 +8,7 @@
 /** What a loop needs. */
 export interface DutyLoopOptions {
   readonly clock: Clock;
-  readonly lease: DutyLease;
+  readonly lease: Pick<DutyLease, "fencing">;
   /** Pause between steps. */
   readonly pollMs: number;
   readonly signal: AbortSignal;
--- a/packages/gateway/src/duties/usage_reporter.ts
+++ b/packages/gateway/src/duties/usage_reporter.ts
@@ -27,7 +27,8 @@
 const settleMs = 1_500;
 /** The same while a node that may live is silent. */
 const longSettleMs = 6_000;
-const keptReports = 4;
+/** Windows for which a report is kept beyond those that are still due. */
+const keptWindows = 2;
 
 const reportRecord = z.object({
   reports: z.array(z.object({
@@ -39,8 +40,8 @@
 /** What a reporter needs. */
 export interface UsageReporterOptions {
   readonly store: ObjectStore;
-  readonly cloud: PlatformCloud;
-  readonly lease: DutyLease;
+  readonly cloud: Pick<PlatformCloud, "sendUsage">;
+  readonly lease: Pick<DutyLease, "fencing" | "readProof">;
   readonly counts: UsageCounts;
   readonly members: Members;
   readonly clock: Clock;
@@ -94,15 +95,20 @@
   async #reportAll(): Promise<void> {
     this.#stored ??= await this.#read();
     if (this.#stored === undefined) return;
-    const { bounds, counts } = this.#options;
-    const dueWindows = Math.ceil(bounds.usageDueMs / bounds.usageWindowMs);
-    const present = counts.readWindow();
-    for (let window = present - dueWindows - 1; window < present; window++) {
+    const present = this.#options.counts.readWindow();
+    for (let window = this.#readFirstDue(); window < present; window++) {
       if (this.#sent.has(window) || !this.#isSettled(window)) continue;
       if (!await this.#report(window)) return;
     }
   }
 
+  /** Oldest window that is reported if it was not yet. */
+  #readFirstDue(): number {
+    const { bounds, counts } = this.#options;
+    const dueWindows = Math.ceil(bounds.usageDueMs / bounds.usageWindowMs);
+    return counts.readWindow() - dueWindows - 1;
+  }
+
   /** Whether the sums of the nodes have had time to arrive. */
   #isSettled(window: number): boolean {
     const { bounds, counts, members, clock } = this.#options;
@@ -147,7 +153,10 @@
     if (stored === undefined) return undefined;
     const { store, counts } = this.#options;
     const report = { window, counts: counts.computeTotals(window) };
-    const reports = [...stored.reports, report].slice(-keptReports);
+    // A report that another holder could still write again must stay.
+    const oldestKept = this.#readFirstDue() - keptWindows;
+    const reports = [...stored.reports, report]
+      .filter((other) => other.window >= oldestKept);
     const written = await store.write(
       recordKey,
       { reports },
--- a/packages/scenario/src/gateway_nodes_test.ts
+++ b/packages/scenario/src/gateway_nodes_test.ts
@@ -10,7 +10,7 @@
   formatEvents,
   withSetup,
 } from "./testing/gateway_checks.ts";
-import { tenantKey } from "./testing/gateway_setup.ts";
+import { tenantKey } from "@almondcrank/standin/platform/example_configuration.ts";
 
 test("torn and foreign registrations are passed over", async () => {
   await withSetup(1, async (setup) => {
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -4,8 +4,7 @@
  */
 
 import { type Agent, request } from "node:http";
-import { createSocket } from "node:dgram";
-import { connect, createServer } from "node:net";
+import { connect } from "node:net";
 import { Right } from "purify-ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Gateway } from "@almondcrank/gateway/gateway.ts";
@@ -15,12 +14,19 @@
   GatewaySettings,
 } from "@almondcrank/model/gateway_settings.ts";
 import { CloudStandin } from "@almondcrank/standin/platform/cloud_standin.ts";
+import {
+  type ConfigurationChange,
+  createExampleConfiguration,
+  exampleHost,
+  tenantKey,
+} from "@almondcrank/standin/platform/example_configuration.ts";
+import {
+  findSharedPorts,
+  findTcpPort,
+} from "@almondcrank/standin/platform/node_settings.ts";
 import { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
 import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
 
-/** Key of the only tenant. */
-export const tenantKey = "key-of-garages";
-
 const bounds: Bounds = {
   configurationMs: 2_000,
   revocationMs: 3_000,
@@ -90,10 +96,9 @@
     await setup.addReplica("booking-1", "booking");
     await setup.addReplica("booking-2", "booking");
     setup.configure({});
-    const peerPort = await findUdpPort();
-    const controlPort = await findTcpPort();
+    const { control, peers } = await findSharedPorts();
     for (let at = 0; at < nodes; at += 1) {
-      await setup.#openNode(at, peerPort, controlPort);
+      await setup.#openNode(at, peers, control);
     }
     await setup.waitUntil(async () => {
       const answers = await Promise.all(
@@ -141,79 +146,10 @@
   }
 
   /** Writes the next configuration. */
-  configure(
-    { keys = [tenantKey], rate = 0, burst = 0, timeoutMs = 3_000, routes = [] }:
-      ConfigurationChange,
-  ): void {
+  configure(change: ConfigurationChange): void {
     this.#version += 1;
-    const base = {
-      hostname: "api.example",
-      "timeout-ms": timeoutMs,
-      "target-latency-ms": 100,
-      priority: 1,
-      public: false,
-    };
-    this.store.put("config", "main", {
-      version: this.#version,
-      routes: [
-        {
-          ...base,
-          "path-prefix": "/answer/",
-          "route-kind": "stream",
-          service: "models",
-          "max-attempts": 2,
-          "stream-resume": true,
-          "gap-target-ms": 800,
-        },
-        {
-          ...base,
-          "path-prefix": "/once/",
-          "route-kind": "stream",
-          service: "models",
-          "max-attempts": 1,
-          "stream-resume": false,
-          "gap-target-ms": 800,
-        },
-        {
-          ...base,
-          "path-prefix": "/book/",
-          "route-kind": "unsafe",
-          service: "booking",
-          "max-attempts": 1,
-        },
-        {
-          ...base,
-          "path-prefix": "/lookup/",
-          "route-kind": "safe",
-          service: "booking",
-          "max-attempts": 2,
-          public: true,
-        },
-        ...routes,
-      ],
-      services: [
-        {
-          name: "models",
-          "max-conns": 100,
-          engine: { slots: 8, "kv-capacity": 100_000, stride: 1, moves: true },
-        },
-        { name: "booking", "max-conns": 100 },
-      ],
-      limits: {
-        "max-header-bytes": 16_384,
-        "max-body-bytes": 65_536,
-        "header-timeout-ms": 1_000,
-        "idle-timeout-ms": 5_000,
-      },
-      tenants: [{
-        name: "garages",
-        "api-keys": keys,
-        unit: "token_stream",
-        "uncached-tokens": 10,
-        "rate-per-s": rate,
-        burst,
-      }],
-    });
+    const configuration = createExampleConfiguration(this.#version, change);
+    this.store.put("config", "main", configuration);
   }
 
   /** Sends a request as a caller does, on a connection of its own. */
@@ -238,7 +174,7 @@
         method: options.method ?? "POST",
         agent: options.agent ?? false,
         headers: {
-          Host: "api.example",
+          Host: exampleHost,
           "X-Request-Id": id,
           "X-Deadline-Ms": String(options.deadlineMs ?? 3_000),
           ...(key === undefined ? {} : { Authorization: `Bearer ${key}` }),
@@ -327,35 +263,3 @@
     this.nodes.push(await Gateway.open({ settings: live, log }));
   }
 }
-
-/** What a configuration changes from the usual one. */
-export interface ConfigurationChange {
-  readonly keys?: readonly string[];
-  readonly rate?: number;
-  readonly burst?: number;
-  readonly timeoutMs?: number;
-  readonly routes?: readonly unknown[];
-}
-
-function findTcpPort(ip = "127.0.0.1"): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once("error", reject);
-    server.listen(0, ip, () => {
-      const address = server.address();
-      const port = typeof address === "object" ? address?.port ?? 0 : 0;
-      server.close(() => resolve(port));
-    });
-  });
-}
-
-function findUdpPort(): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const socket = createSocket("udp4");
-    socket.once("error", reject);
-    socket.bind(0, "127.0.0.1", () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
-}
--- /dev/null
+++ b/packages/soak/src/soak_callers.ts
@@ -0,0 +1,156 @@
+/**
+ * Callers of a soak: each keeps connections open and sends one request after the
+ * other, now and then leaving early, and records what it saw.
+ */
+
+import { Agent, type IncomingMessage, request } from "node:http";
+import type { Random } from "@almondcrank/common/random.ts";
+import {
+  exampleHost,
+  tenantKey,
+} from "@almondcrank/standin/platform/example_configuration.ts";
+import type { CallerRecord, RequestKind } from "./records.ts";
+import { secondKey } from "./soak_system.ts";
+
+const kinds: readonly RequestKind[] = ["stream", "once", "book", "lookup"];
+const paths: Readonly<Record<RequestKind, string>> = {
+  stream: "/answer/draft/stream",
+  once: "/once/draft/stream",
+  book: "/book/slot",
+  lookup: "/lookup/slot",
+};
+const deadlineMs = 4_000;
+const meanPauseMs = 60;
+const leavingShare = 0.04;
+const leaveAfterMs = 90;
+const secondKeyShare = 0.15;
+/** Time beyond its deadline for which a caller waits. */
+const patienceMs = 1_500;
+
+/** Where callers send to and for how long. */
+export interface SoakCallersOptions {
+  /** Callers' addresses of the nodes, by name. */
+  readonly nodes: readonly {
+    readonly name: string;
+    readonly address: string;
+  }[];
+  readonly random: Random;
+  readonly callers: number;
+  readonly lengthMs: number;
+}
+
+/** Runs all callers and gives their records. */
+export async function runCallers(
+  options: SoakCallersOptions,
+): Promise<readonly CallerRecord[]> {
+  const records: CallerRecord[] = [];
+  const endsAt = performance.now() + options.lengthMs;
+  await Promise.all(
+    Array.from(
+      { length: options.callers },
+      (_, caller) => runCaller(options, { caller, endsAt, records }),
+    ),
+  );
+  return records;
+}
+
+interface CallerTask {
+  readonly caller: number;
+  readonly endsAt: number;
+  readonly records: CallerRecord[];
+}
+
+async function runCaller(
+  { nodes, random }: SoakCallersOptions,
+  { caller, endsAt, records }: CallerTask,
+): Promise<void> {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const node = nodes[caller % nodes.length];
+  let number = 0;
+  while (node !== undefined && performance.now() < endsAt) {
+    await sleep(random.nextExponential(meanPauseMs));
+    number += 1;
+    const isLeaving = random.next() < leavingShare;
+    const record = await sendRequest(agent, {
+      id: `c${caller}-${number}`,
+      kind: random.choose(kinds),
+      key: random.next() < secondKeyShare ? secondKey : tenantKey,
+      node,
+      leaveAfterMs: isLeaving ? leaveAfterMs : undefined,
+    });
+    records.push(record);
+  }
+  agent.destroy();
+}
+
+interface SoakRequest {
+  readonly id: string;
+  readonly kind: RequestKind;
+  readonly key: string;
+  readonly node: { readonly name: string; readonly address: string };
+  readonly leaveAfterMs: number | undefined;
+}
+
+function sendRequest(agent: Agent, sent: SoakRequest): Promise<CallerRecord> {
+  const { id, kind, key, node, leaveAfterMs } = sent;
+  const [host, port] = node.address.split(":");
+  const path = paths[kind];
+  const body = `question ${id}`;
+  const sentAt = performance.now();
+  return new Promise((resolve) => {
+    let answer: IncomingMessage | undefined;
+    let text = "";
+    let leftAt: number | undefined;
+    const timers: NodeJS.Timeout[] = [];
+    const finish = (isWhole: boolean): void => {
+      for (const timer of timers) clearTimeout(timer);
+      resolve({
+        id,
+        kind,
+        path,
+        body,
+        key,
+        node: node.name,
+        sentAt,
+        endedAt: performance.now(),
+        status: answer?.statusCode ?? 0,
+        seal: answer?.headers["x-server-seal"]?.toString(),
+        text,
+        isWhole,
+        leftAt,
+      });
+    };
+    const outgoing = request({
+      host,
+      port,
+      path,
+      method: "POST",
+      agent,
+      headers: {
+        Host: exampleHost,
+        "X-Request-Id": id,
+        "X-Deadline-Ms": String(deadlineMs),
+        Authorization: `Bearer ${key}`,
+      },
+    });
+    outgoing.on("error", () => finish(false));
+    outgoing.on("response", (message) => {
+      answer = message;
+      message.setEncoding("utf8");
+      message.on("data", (piece: string) => text += piece);
+      message.on("error", () => finish(false));
+      message.on("end", () => finish(message.complete));
+    });
+    outgoing.end(body);
+    timers.push(setTimeout(() => outgoing.destroy(), deadlineMs + patienceMs));
+    if (leaveAfterMs === undefined) return;
+    timers.push(setTimeout(() => {
+      leftAt = performance.now();
+      outgoing.destroy();
+    }, leaveAfterMs));
+  });
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/soak/src/soak_system.ts
@@ -0,0 +1,219 @@
+/**
+ * The system under soak: gateway programs as processes, stand-ins of the platform
+ * and of replicas, and a link that can misbehave before each of them.
+ */
+
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { CloudStandin } from "@almondcrank/standin/platform/cloud_standin.ts";
+import {
+  createExampleConfiguration,
+  tenantKey,
+} from "@almondcrank/standin/platform/example_configuration.ts";
+import { NodeProcess } from "@almondcrank/standin/platform/node_process.ts";
+import {
+  createNodePlace,
+  findSharedPorts,
+} from "@almondcrank/standin/platform/node_settings.ts";
+import { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
+import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
+import { LinkProxy } from "./link_proxy.ts";
+import type { RunRecord, UsageRecord } from "./records.ts";
+
+/** Key that is taken away in the course of a soak. */
+export const secondKey = "key-of-counters";
+/** Events of a whole stream and the time between them. */
+export const streamEvents = 30;
+const eventMs = 8;
+const replicasPerService = 3;
+const services = ["models", "booking"] as const;
+
+/** A replica behind its link. */
+export interface SoakReplica {
+  readonly standin: ReplicaStandin;
+  readonly link: LinkProxy;
+  readonly service: string;
+  isRegistered: boolean;
+}
+
+/** A node and its links to the platform. */
+export interface SoakNode {
+  readonly process: NodeProcess;
+  readonly storeLink: LinkProxy;
+}
+
+/** How large a system is and which program its nodes run. */
+export interface SoakSystemOptions {
+  readonly nodes: number;
+  /** Program and arguments after the runtime. */
+  readonly command: readonly string[];
+}
+
+/** One system; `close` ends all it started. */
+export class SoakSystem {
+  readonly store: StoreStandin;
+  readonly cloud: CloudStandin;
+  readonly cloudLink: LinkProxy;
+  readonly nodes: SoakNode[] = [];
+  readonly replicas: SoakReplica[] = [];
+  readonly #folder = mkdtempSync(join(tmpdir(), "almondcrank-soak-"));
+  readonly #logs: string[] = [];
+  #version = 0;
+  #keys: readonly string[] = [tenantKey, secondKey];
+  #nextReplica = 1;
+  #beats = 1;
+
+  private constructor(
+    store: StoreStandin,
+    cloud: CloudStandin,
+    cloudLink: LinkProxy,
+  ) {
+    this.store = store;
+    this.cloud = cloud;
+    this.cloudLink = cloudLink;
+  }
+
+  /** Starts everything and waits until the nodes listen. */
+  static async open(options: SoakSystemOptions): Promise<SoakSystem> {
+    const cloud = await CloudStandin.open();
+    const system = new SoakSystem(
+      await StoreStandin.open(),
+      cloud,
+      await LinkProxy.open(cloud.address),
+    );
+    for (const service of services) {
+      for (let count = 0; count < replicasPerService; count += 1) {
+        await system.addReplica(service);
+      }
+    }
+    system.configure({});
+    await system.#openNodes(options);
+    return system;
+  }
+
+  /** Folder with settings files and, after `close`, the nodes' logs. */
+  get folder(): string {
+    return this.#folder;
+  }
+
+  /** Starts and registers a replica. */
+  async addReplica(service: string): Promise<SoakReplica> {
+    const id = `${service}-${this.#nextReplica}`;
+    this.#nextReplica += 1;
+    const standin = await ReplicaStandin.open({
+      id,
+      events: streamEvents,
+      eventMs,
+    });
+    const link = await LinkProxy.open(standin.address);
+    const replica = { standin, link, service, isRegistered: true };
+    this.replicas.push(replica);
+    this.register(replica, "ready");
+    return replica;
+  }
+
+  /** Writes a replica's registration. */
+  register(replica: SoakReplica, state: "ready" | "draining"): void {
+    this.#beats += 1;
+    this.store.put("servers", replica.standin.id, {
+      service: replica.service,
+      address: replica.link.address,
+      zone: "muc-a",
+      slots: 8,
+      state,
+      "seq-no": this.#beats,
+    });
+  }
+
+  /** Removes a replica's registration. */
+  unregister(replica: SoakReplica): void {
+    replica.isRegistered = false;
+    this.store.remove("servers", replica.standin.id);
+  }
+
+  /** Writes the next configuration. */
+  configure({ timeoutMs = 3_000 }: { readonly timeoutMs?: number }): void {
+    this.#version += 1;
+    const change = { keys: this.#keys, timeoutMs };
+    const configuration = createExampleConfiguration(this.#version, change);
+    this.store.put("config", "main", configuration);
+  }
+
+  /** Takes the second key away. */
+  withdrawKey(): void {
+    this.#keys = [tenantKey];
+    this.configure({});
+  }
+
+  /** Replicas that are registered. */
+  listRegistered(): readonly SoakReplica[] {
+    return this.replicas.filter(({ isRegistered }) => isRegistered);
+  }
+
+  listRuns(): readonly RunRecord[] {
+    return this.replicas.flatMap(({ standin, service }) =>
+      standin.runs.map((run): RunRecord => ({
+        replica: standin.id,
+        service,
+        id: run.id,
+        path: run.path,
+        body: run.body,
+        tenant: run.headers["x-tenant"]?.toString(),
+        hasKey: run.headers.authorization !== undefined,
+        isMoved: run.isMoved,
+        startedAt: run.startedAt,
+        endedAt: run.endedAt,
+      }))
+    );
+  }
+
+  listUsage(): readonly UsageRecord[] {
+    return this.cloud.list("/usage").map(({ body, holder, fencing }) => ({
+      window: Number(body["window-id"]),
+      counts: JSON.stringify(body["counts"]),
+      holder,
+      fencing,
+    }));
+  }
+
+  /** Ends all processes; keeps the folder with the logs if asked. */
+  async close({ keepLogs }: { readonly keepLogs: boolean }): Promise<void> {
+    await Promise.all(this.nodes.map(({ process }) => process.kill()));
+    for (const { storeLink } of this.nodes) storeLink.close();
+    for (const { standin, link } of this.replicas) {
+      standin.close();
+      link.close();
+    }
+    this.cloudLink.close();
+    this.cloud.close();
+    this.store.close();
+    if (!keepLogs) return rmSync(this.#folder, { recursive: true });
+    this.nodes.forEach(({ process }, at) =>
+      writeFileSync(
+        join(this.#folder, `${process.place.name}.log`),
+        this.#logs[at] ?? "",
+      )
+    );
+  }
+
+  async #openNodes({ nodes, command }: SoakSystemOptions): Promise<void> {
+    const ports = await findSharedPorts();
+    for (let at = 0; at < nodes; at += 1) {
+      const storeLink = await LinkProxy.open(this.store.address);
+      const place = await createNodePlace(at, ports, {
+        storeAddress: storeLink.address,
+        cloudAddress: this.cloudLink.address,
+      });
+      this.#logs.push("");
+      const process = NodeProcess.create({
+        place,
+        command,
+        folder: this.#folder,
+        onOutput: (text) => this.#logs[at] += text,
+      });
+      this.nodes.push({ process, storeLink });
+    }
+    await Promise.all(this.nodes.map(({ process }) => process.start()));
+  }
+}
--- /dev/null
+++ b/packages/standin/src/platform/example_configuration.ts
@@ -0,0 +1,94 @@
+/**
+ * A small configuration as the operator writes it to the platform's store: one
+ * model service, one booking service and one tenant.
+ */
+
+/** Key of the only tenant. */
+export const tenantKey = "key-of-garages";
+/** Host of all routes. */
+export const exampleHost = "api.example";
+
+/** What a configuration changes from the usual one. */
+export interface ConfigurationChange {
+  readonly keys?: readonly string[];
+  readonly rate?: number;
+  readonly burst?: number;
+  readonly timeoutMs?: number;
+  readonly routes?: readonly unknown[];
+}
+
+/** Creates a configuration of a version. */
+export function createExampleConfiguration(
+  version: number,
+  { keys = [tenantKey], rate = 0, burst = 0, timeoutMs = 3_000, routes = [] }:
+    ConfigurationChange,
+): unknown {
+  const base = {
+    hostname: exampleHost,
+    "timeout-ms": timeoutMs,
+    "target-latency-ms": 100,
+    priority: 1,
+    public: false,
+  };
+  return {
+    version,
+    routes: [
+      {
+        ...base,
+        "path-prefix": "/answer/",
+        "route-kind": "stream",
+        service: "models",
+        "max-attempts": 2,
+        "stream-resume": true,
+        "gap-target-ms": 800,
+      },
+      {
+        ...base,
+        "path-prefix": "/once/",
+        "route-kind": "stream",
+        service: "models",
+        "max-attempts": 1,
+        "stream-resume": false,
+        "gap-target-ms": 800,
+      },
+      {
+        ...base,
+        "path-prefix": "/book/",
+        "route-kind": "unsafe",
+        service: "booking",
+        "max-attempts": 1,
+      },
+      {
+        ...base,
+        "path-prefix": "/lookup/",
+        "route-kind": "safe",
+        service: "booking",
+        "max-attempts": 2,
+        public: true,
+      },
+      ...routes,
+    ],
+    services: [
+      {
+        name: "models",
+        "max-conns": 100,
+        engine: { slots: 8, "kv-capacity": 100_000, stride: 1, moves: true },
+      },
+      { name: "booking", "max-conns": 100 },
+    ],
+    limits: {
+      "max-header-bytes": 16_384,
+      "max-body-bytes": 65_536,
+      "header-timeout-ms": 1_000,
+      "idle-timeout-ms": 5_000,
+    },
+    tenants: [{
+      name: "garages",
+      "api-keys": keys,
+      unit: "token_stream",
+      "uncached-tokens": 10,
+      "rate-per-s": rate,
+      burst,
+    }],
+  };
+}
--- /dev/null
+++ b/packages/standin/src/platform/node_settings.ts
@@ -0,0 +1,121 @@
+/**
+ * Settings files as the platform lays them out, for nodes on loopback.
+ */
+
+import { createSocket } from "node:dgram";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** Where one node listens and what it talks to. */
+export interface NodePlace {
+  readonly name: string;
+  readonly ip: string;
+  readonly callers: string;
+  readonly readiness: string;
+  readonly control: string;
+  readonly peerPort: number;
+  readonly storeAddress: string;
+  readonly cloudAddress: string;
+}
+
+/** Ports that all nodes of a system share. */
+export interface SharedPorts {
+  readonly control: number;
+  readonly peers: number;
+}
+
+const zone = "muc-a";
+
+/** Finds ports that are free on the first loopback address. */
+export async function findSharedPorts(): Promise<SharedPorts> {
+  return { control: await findTcpPort(), peers: await findUdpPort() };
+}
+
+/** Places node number `at` at a loopback address of its own. */
+export async function createNodePlace(
+  at: number,
+  ports: SharedPorts,
+  platform: Pick<NodePlace, "storeAddress" | "cloudAddress">,
+): Promise<NodePlace> {
+  const ip = `127.0.0.${at + 1}`;
+  return {
+    ...platform,
+    name: `node-${at + 1}`,
+    ip,
+    callers: `${ip}:${await findTcpPort(ip)}`,
+    readiness: `${ip}:${await findTcpPort(ip)}`,
+    control: `${ip}:${ports.control}`,
+    peerPort: ports.peers,
+  };
+}
+
+/** Formats the settings file of one node. */
+export function formatNodeSettings(
+  place: NodePlace,
+  { isFirstStart, bounds = {} }: {
+    readonly isFirstStart: boolean;
+    readonly bounds?: Readonly<Record<string, unknown>>;
+  },
+): string {
+  const settings = {
+    "node-name": place.name,
+    role: "gateway",
+    ip: place.ip,
+    zone,
+    zones: { [zone]: "bayern" },
+    listen: {
+      frontend: place.callers,
+      ready: place.readiness,
+      "control-plane": place.control,
+    },
+    "port-range": [place.peerPort, place.peerPort + 1],
+    seeds: [`127.0.0.1:${place.control.split(":")[1]}`],
+    bootstrap: isFirstStart,
+    limits: { "memory-mb": 350, "fd-limit": 4_100 },
+    bounds: { ...defaultBounds, ...bounds },
+    platform: { address: place.storeAddress },
+    cloud: { address: place.cloudAddress, duties: ["metering", "autoscale"] },
+  };
+  return JSON.stringify(settings);
+}
+
+const defaultBounds = {
+  "config-apply-ms": 2_000,
+  "revoke-fail-closed": true,
+  "revoke-ms": 5_000,
+  "drain-ms": 1_000,
+  "grace-s": 6,
+  "retry-budget-ratio": 0.2,
+  "budget-window-s": 10,
+  "budget-extra": 50,
+  "quota-window-s": 8,
+  "quota-overage": 0.1,
+  "quota-tolerance": 1_000,
+  "lease-ms": 1_500,
+  "window-s": 2,
+  "usage-late-s": 10,
+};
+
+/** A TCP port that is free at an address. */
+export function findTcpPort(ip = "127.0.0.1"): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", reject);
+    server.listen(0, ip, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+/** A UDP port that is free at the first loopback address. */
+export function findUdpPort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const socket = createSocket("udp4");
+    socket.once("error", reject);
+    socket.bind(0, "127.0.0.1", () => {
+      const { port } = socket.address();
+      socket.close(() => resolve(port));
+    });
+  });
+}
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -45,6 +45,9 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** Whether the run continued one of another replica. */
   readonly isMoved: boolean;
+  /** Monotonic times of the process. */
+  readonly startedAt: number;
+  endedAt: number | undefined;
   isOver: boolean;
 }
 
@@ -125,7 +128,10 @@
       return sendJson(response, 503, {});
     }
     const run = this.#beginRun(request, body);
-    response.on("close", () => run.isOver = true);
+    response.on("close", () => {
+      run.isOver = true;
+      run.endedAt ??= performance.now();
+    });
     const answerId = fault.kind === "foreign" ? "another-request" : run.id;
     response.setHeader("X-Request-Id", answerId);
     if (fault.kind !== "unsigned") {
@@ -150,6 +156,8 @@
       body,
       headers: request.headers,
       isMoved: request.headers["kv-from"] !== undefined,
+      startedAt: performance.now(),
+      endedAt: undefined,
       isOver: false,
     };
     this.runs.push(run);
