Order reclaimable replicas at once and dedicated ones in cheap zones

Cause: the first orders waited 2.5 s until replicas had registered, and the replicas of the start, all on demand, are paid until reclaimable ones serve. In a shortage dedicated replicas went round all zones, the dearest at 1.25 like the cheapest at 0.8.

Change: reclaimable replicas are ordered with the first configuration; dedicated ones still wait. New dedicated ones go round the cheaper half.

--- a/packages/gateway/src/duties/replica_orders.ts
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -117,8 +117,6 @@
   }
 
   async #orderAll(): Promise<void> {
-    const { clock } = this.#options;
-    if (clock.now() - this.#startedAt < registrationMs) return;
     const services = this.#options.readRoutes()?.configuration.services ?? [];
     for (const service of services) {
       if (service.scaling !== undefined) await this.#orderService(service);
@@ -142,6 +140,9 @@
         count: reclaimable,
         isReclaimable: true,
       });
+      // Replicas that have not registered yet would be bought a second time,
+      // or given up unseen.
+      if (!this.#haveRegistered()) continue;
       await this.#order(service, {
         ...base,
         count: onDemand,
@@ -150,6 +151,10 @@
     }
   }
 
+  #haveRegistered(): boolean {
+    return this.#options.clock.now() - this.#startedAt >= registrationMs;
+  }
+
   /** Zones in which the service has a price or a replica. */
   #listZones({ scaling }: Service): readonly string[] {
     const priced = [...scaling?.zonePrices.keys() ?? []];
--- a/packages/gateway/src/duties/replica_plan.ts
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -93,9 +93,11 @@
   }
   const hasRoom = (zone: string): boolean =>
     (planned.get(zone) ?? 0) + countZone(replicas, zone, true) < scaling.max;
-  // New ones go round the zones, so that no zone holds them all.
+  // New ones go round the cheaper zones, so that no zone holds them all.
+  const cheaper = byPrice.slice(0, Math.ceil(byPrice.length / 2));
   while (left > 0) {
-    const zone = byPrice.filter(hasRoom)
+    const open = cheaper.some(hasRoom) ? cheaper : byPrice;
+    const zone = open.filter(hasRoom)
       .sort((a, b) => (planned.get(a) ?? 0) - (planned.get(b) ?? 0))[0];
     if (zone === undefined) break;
     planned.set(zone, (planned.get(zone) ?? 0) + 1);
