Favour urgent requests near an allowance's end while scarcity is mild

Change: urgent requests use the whole overdraft and need no part of their node as long as no more than half of the tenant's cost is refused; beyond that they would take everything, and all are served alike.

--- a/packages/gateway/src/limits/allowance.ts
+++ b/packages/gateway/src/limits/allowance.ts
@@ -38,6 +38,8 @@
 /** What a request takes out. */
 export interface Charge {
   readonly cost: number;
+  /** Rank of the request, 0 first. */
+  readonly rank: number;
 }
 
 interface Bucket {
@@ -59,6 +61,10 @@
   credit: number;
   /** Recent use of this node, and of its peers by name. */
   readonly ownUse: RecentUse;
+  /** Recent cost of requests that this node admitted, told or not. */
+  readonly taken: RecentUse;
+  /** Recent cost of requests that this node refused. */
+  readonly refused: RecentUse;
   readonly peerUse: Map<string, RecentUse>;
 }
 
@@ -87,8 +93,13 @@
 const useWeight = 0.75;
 /** Longest time for which refused requests queue up to come back. */
 const longestAwaitedMs = 20_000;
-/** Part of the overdraft below which only small requests are admitted. */
+/** Part of the overdraft below which only favoured requests are admitted. */
 const softPart = 0.3;
+/**
+ * Refused cost, relative to what was admitted, above which urgent requests are
+ * no longer favoured: they would take everything.
+ */
+const scarceRatio = 1;
 /** Share of the burst below which a request counts as small. */
 const smallShare = 0.005;
 
@@ -113,22 +124,22 @@
   /**
    * Takes a request's cost out of the tenant's bucket, if it holds enough.
    *
-   * Near its end the bucket is kept for small requests.
+   * Near its end the bucket is kept for small requests, and for urgent ones as
+   * long as the others still get a good part of it.
    */
-  take(
-    tenant: Tenant,
-    { cost }: Charge,
-    now: number,
-  ): AllowanceVerdict {
+  take(tenant: Tenant, charge: Charge, now: number): AllowanceVerdict {
     if (tenant.ratePerSecond <= 0) return { kind: "admitted" };
+    const { cost } = charge;
     const bucket = this.#refill(tenant, now);
-    const missing = this.#computeMissing(bucket, cost);
+    const missing = this.#computeMissing(bucket, charge, now);
     if (missing <= 0) {
       bucket.level -= cost;
       bucket.credit -= cost;
       bucket.admitted += cost;
+      bucket.taken.add(cost, now);
       return { kind: "admitted" };
     }
+    bucket.refused.add(cost, now);
     const rate = bucket.rate * bucket.share;
     // Those who were refused before come first, so that all come back spread.
     const retryAfterMs = (missing + bucket.awaited) / rate * 1_000;
@@ -140,18 +151,43 @@
   }
 
   /** Tokens that have to come back before a request is admitted; 0 if none. */
-  #computeMissing(bucket: Bucket, cost: number): number {
+  #computeMissing(
+    bucket: Bucket,
+    { cost, rank }: Charge,
+    now: number,
+  ): number {
     const lowest = -this.#overdraft * bucket.share;
     const charged = Math.min(cost, bucket.burst);
     const missingForCost = Math.max(0, lowest + charged - bucket.level);
     if (cost < bucket.burst * smallShare) return missingForCost;
-    const floor = lowest * softPart;
+    const isScarce =
+      bucket.refused.read(now) > bucket.taken.read(now) * scarceRatio;
+    const isFavoured = rank === 0 && !isScarce;
+    const floor = isFavoured ? lowest : lowest * softPart;
     const missingForAny = bucket.level > floor ? 0 : floor - bucket.level + 1;
-    const isPartSpent = bucket.ownPart < 1 && bucket.credit <= 0;
-    const missingPart = isPartSpent ? 1 - bucket.credit / bucket.ownPart : 0;
+    // Where all peers hear of an admission soon, urgent ones need not wait for
+    // a part that other nodes do not spend.
+    const isBound = bucket.ownPart < 1 &&
+      !(isFavoured && this.#visible.rounds <= 1);
+    const isPartSpent = isBound && bucket.credit <= 0;
+    const missingPart = isPartSpent ? 1 - bucket.credit : 0;
     return Math.max(missingForCost, missingForAny, missingPart);
   }
 
+  /** What each tenant's bucket holds now. */
+  listLevels(now: number): readonly (readonly [string, number])[] {
+    return [...this.#buckets].map(([name, bucket]) => {
+      this.#refillBucket(bucket, now);
+      return [name, Math.round(bucket.level)];
+    });
+  }
+
+  /** What a tenant's bucket held last; undefined before its first request. */
+  readLevel(tenant: string): number | undefined {
+    const level = this.#buckets.get(tenant)?.level;
+    return level === undefined ? undefined : Math.round(level);
+  }
+
   /** Puts back what a request took that did not run. */
   refund(tenant: Tenant, cost: number): void {
     const bucket = this.#buckets.get(tenant.name);
@@ -280,6 +316,8 @@
         ownPart: 1,
         credit: 0,
         ownUse: new RecentUse(),
+        taken: new RecentUse(),
+        refused: new RecentUse(),
         peerUse: new Map(),
       };
       bucket.share = this.#computeShare(bucket, now);
--- a/packages/gateway/src/limits/allowance_test.ts
+++ b/packages/gateway/src/limits/allowance_test.ts
@@ -15,12 +15,14 @@
   };
 }
 
+const usual = { rank: 1 };
+
 test("a bucket admits its burst, then its rate", () => {
   const allowances = Allowances.create(0);
   const tenant = createTenant(100, 1_000);
   let admitted = 0;
   for (let at = 0; at <= 10_000; at += 10) {
-    const verdict = allowances.take(tenant, { cost: 50 }, at);
+    const verdict = allowances.take(tenant, { ...usual, cost: 50 }, at);
     if (verdict.kind === "admitted") admitted += 50;
   }
   assert.is(admitted, 2_000);
@@ -29,12 +31,12 @@
 test("a refusal tells when enough will be there", () => {
   const allowances = Allowances.create(0);
   const tenant = createTenant(100, 1_000);
-  allowances.take(tenant, { cost: 1_000 }, 0);
-  const verdict = allowances.take(tenant, { cost: 50 }, 0);
+  allowances.take(tenant, { ...usual, cost: 1_000 }, 0);
+  const verdict = allowances.take(tenant, { ...usual, cost: 50 }, 0);
   if (verdict.kind !== "over") throw new Error("admitted");
   const later = allowances.take(
     tenant,
-    { cost: 50 },
+    { ...usual, cost: 50 },
     verdict.retryAfterMs,
   );
   assert.is(later.kind, "admitted");
@@ -43,37 +45,57 @@
 test("refused callers are told to come back one after the other", () => {
   const allowances = Allowances.create(0);
   const tenant = createTenant(100, 1_000);
-  allowances.take(tenant, { cost: 1_000 }, 0);
+  allowances.take(tenant, { ...usual, cost: 1_000 }, 0);
   const times = [0, 0, 0].map(() => {
-    const verdict = allowances.take(tenant, { cost: 50 }, 0);
+    const verdict = allowances.take(tenant, { ...usual, cost: 50 }, 0);
     return verdict.kind === "over" ? Math.round(verdict.retryAfterMs) : 0;
   });
   assert.equal(times, [500, 1_000, 1_500]);
   for (const at of times) {
-    const verdict = allowances.take(tenant, { cost: 50 }, at);
+    const verdict = allowances.take(tenant, { ...usual, cost: 50 }, at);
     assert.is(verdict.kind, "admitted", `back after ${at} ms`);
   }
 });
 
 test("a lowered allowance binds at once", () => {
   const allowances = Allowances.create(0);
-  allowances.take(createTenant(1_000, 10_000), { cost: 1 }, 0);
+  allowances.take(createTenant(1_000, 10_000), { ...usual, cost: 1 }, 0);
   const lowered = createTenant(10, 100);
   let admitted = 0;
   for (let at = 0; at <= 1_000; at += 10) {
-    const verdict = allowances.take(lowered, { cost: 10 }, at);
+    const verdict = allowances.take(lowered, { ...usual, cost: 10 }, at);
     if (verdict.kind === "admitted") admitted += 10;
   }
   assert.ok(admitted <= 110, `${admitted}`);
 });
 
-test("near the end the small go first", () => {
+test("near the end the urgent and the small go first", () => {
   const allowances = Allowances.create(1_000);
-  const tenant = createTenant(1, 1_000);
-  allowances.take(tenant, { cost: 1_200 }, 0);
-  const take = (cost: number) => allowances.take(tenant, { cost }, 0).kind;
-  assert.is(take(100), "over");
-  assert.is(take(4), "admitted");
+  const tenant = createTenant(100, 1_000);
+  allowances.take(tenant, { rank: 0, cost: 1_200 }, 0);
+  const take = (rank: number, cost: number) =>
+    allowances.take(tenant, { rank, cost }, 0).kind;
+  assert.is(take(2, 100), "over");
+  assert.is(take(2, 4), "admitted");
+  assert.is(take(0, 100), "admitted");
+});
+
+test("urgent requests do not take everything from the others", () => {
+  const allowances = Allowances.create(140_000);
+  const tenant = createTenant(120_000, 120_000);
+  const admitted = [0, 0];
+  const asked = [0, 0];
+  for (let at = 0; at < 20_000; at += 20) {
+    const rank = (at / 20) % 2;
+    const cost = rank === 0 ? 12_000 : 900;
+    asked[rank] = (asked[rank] ?? 0) + 1;
+    const verdict = allowances.take(tenant, { rank, cost }, at);
+    if (verdict.kind === "admitted") admitted[rank] = (admitted[rank] ?? 0) + 1;
+  }
+  const [urgent = 0, others = 0] = admitted.map((count, rank) =>
+    count / (asked[rank] ?? 1)
+  );
+  assert.ok(others > urgent / 2, `${urgent} and ${others} admitted`);
 });
 
 test("under a hot tenant's load no size of request is starved", () => {
@@ -85,7 +107,10 @@
   for (let at = 0; at < 20_000; at += 20) {
     const kind = (at / 20) % costs.length;
     asked[kind] = (asked[kind] ?? 0) + 1;
-    const verdict = allowances.take(tenant, { cost: costs[kind] ?? 0 }, at);
+    const verdict = allowances.take(tenant, {
+      ...usual,
+      cost: costs[kind] ?? 0,
+    }, at);
     if (verdict.kind === "admitted") admitted[kind] = (admitted[kind] ?? 0) + 1;
   }
   const shares = costs.map((_, kind) =>
@@ -106,12 +131,12 @@
   for (const peer of known) {
     allowances.applyPeer({ peer, tenant: "t", cost: 2_000 }, 0);
   }
-  allowances.take(tenant, { cost: 2_000 }, 0);
+  allowances.take(tenant, { ...usual, cost: 2_000 }, 0);
   allowances.list(0);
   // 2,000 are left and four nodes use them alike.
   let admitted = 0;
   for (let request = 0; request < 100; request += 1) {
-    const verdict = allowances.take(tenant, { cost: 50 }, 0);
+    const verdict = allowances.take(tenant, { ...usual, cost: 50 }, 0);
     if (verdict.kind === "admitted") admitted += 50;
   }
   assert.ok(admitted >= 500 && admitted <= 1_000, `${admitted}`);
@@ -135,13 +160,13 @@
   allowances.setVisible({ known: ["p"], heard: ["p"], rounds: 1 }, 0);
   allowances.applyPeer({ peer: "p", tenant: "t", cost: 100 }, 0);
   for (let at = 0; at < 1_000; at += 10) {
-    allowances.take(tenant, { cost: 9 }, at);
+    allowances.take(tenant, { ...usual, cost: 9 }, at);
   }
   allowances.list(1_000);
   allowances.setVisible({ known: ["p"], heard: [], rounds: 1 }, 1_000);
   let admitted = 0;
   for (let at = 1_000; at < 11_000; at += 5) {
-    const verdict = allowances.take(tenant, { cost: 10 }, at);
+    const verdict = allowances.take(tenant, { ...usual, cost: 10 }, at);
     if (verdict.kind === "admitted") admitted += 10;
   }
   assert.ok(admitted > 7_000 && admitted < 9_500, `${admitted}`);
@@ -211,7 +236,7 @@
         const known = all.filter((other) => other !== node).map(formatName);
         node.setVisible({ known, heard: isCut ? [] : known, rounds: 1 }, at);
         const cost = 1 + Math.floor(draw() * 60);
-        const verdict = node.take(day.tenant, { cost }, at);
+        const verdict = node.take(day.tenant, { ...usual, cost }, at);
         if (verdict.kind === "admitted") admitted.push({ at, cost });
       }
       if (isCut || at % 200 !== 0) continue;
