Log the decisions on a request with what they went by

Cause: a line told how a request ended, not why: which replica was chosen by what load, what an allowance held, how old the configuration was.

Change: decisions are collected on the request (admission, choice, send, repeat, move) and written as one line each when it ends, within a rate of ten answered and forty failed requests a second; refusals carry what decided them. A node's status is served at its control address.

--- a/packages/gateway/src/feed/store_view.ts
+++ b/packages/gateway/src/feed/store_view.ts
@@ -61,13 +61,17 @@
     return this.#options.feeds.replicas.isKnown;
   }
 
+  /** Time since the configuration surely was the store's. */
+  get configurationAgeMs(): number {
+    const { proofClock, feeds } = this.#options;
+    return proofClock.now() - feeds.configuration.provenAt;
+  }
+
   /** Whether a key's withdrawal would be known by now. */
   get hasFreshConfiguration(): boolean {
-    const { proofClock, feeds } = this.#options;
     const bounds = this.#options.readBounds();
     if (!bounds.failsClosed) return true;
-    const ageMs = proofClock.now() - feeds.configuration.provenAt;
-    return ageMs < bounds.revocationMs - revocationMarginMs;
+    return this.configurationAgeMs < bounds.revocationMs - revocationMarginMs;
   }
 
   #applyConfiguration(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   configurationKind,
   replicasKind,
 } from "@almondcrank/platform/platform_store.ts";
+import type { GatewayStatus } from "@almondcrank/model/gateway_status.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
 import { Cluster } from "./cluster/cluster.ts";
 import { NodeDirectory } from "./cluster/node_directory.ts";
@@ -24,6 +25,7 @@
 import { UsageReporter } from "./duties/usage_reporter.ts";
 import { FeedReader } from "./feed/feed_reader.ts";
 import { StoreView } from "./feed/store_view.ts";
+import { composeGatewayStatus } from "./gateway_status.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import { ReadinessFront } from "./readiness_front.ts";
 import { CallersFront } from "./relay/callers_front.ts";
@@ -153,7 +155,10 @@
       feeds,
       isReader: () => this.#readers.some((reader) => reader.isReader),
       controlPort: Number(settings.control?.split(":")[1] ?? 0),
-      pages: { "/metrics": () => services.metrics.format() },
+      pages: {
+        "/metrics": () => services.metrics.format(),
+        "/status": () => JSON.stringify(this.#composeStatus(parts)),
+      },
     }, settings.control);
     clusterBox.cluster = cluster;
     this.#lifetime.register(cluster);
@@ -248,6 +253,14 @@
     if (settings.callers !== undefined) await front.open(settings.callers);
   }
 
+  #composeStatus(parts: GatewayParts): GatewayStatus {
+    return composeGatewayStatus(parts, {
+      isReady: this.#isReady(),
+      isDraining: this.#isDraining,
+      isDutyHolder: this.#lease?.fencing !== undefined,
+    });
+  }
+
   #isReady(): boolean {
     return !this.#isDraining && this.#view.routes !== undefined &&
       this.#view.hasReplicas && this.#view.hasFreshConfiguration;
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -116,6 +116,7 @@
     readView: () => ({
       routes: view.routes,
       hasFreshConfiguration: view.hasFreshConfiguration,
+      configurationAgeMs: view.configurationAgeMs,
       draw: random.next(),
     }),
   });
--- /dev/null
+++ b/packages/gateway/src/gateway_program.ts
@@ -0,0 +1,63 @@
+/**
+ * A gateway node as a process: its settings file, signals and exit codes.
+ */
+
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { type Log, TslogLog } from "@almondcrank/common/logs.ts";
+import {
+  decodeSettings,
+  settingsVariable,
+} from "@almondcrank/platform/decode_settings.ts";
+import { Gateway } from "./gateway.ts";
+import { LiveSettings } from "./live_settings.ts";
+
+const exitInvalid = 2;
+const settingsCheckMs = 1_000;
+
+/**
+ * Runs a gateway node until it is told to stop.
+ *
+ * Settings that cannot be used end the process with code 2 and a message.
+ */
+export async function runGatewayProgram(): Promise<void> {
+  const path = process.env[settingsVariable];
+  if (path === undefined) {
+    return endInvalid(
+      `${settingsVariable} is not set; give the path of the settings file`,
+    );
+  }
+  const log = TslogLog.create("gateway", {
+    level: "info",
+    format: "json",
+    write: (line) => void process.stdout.write(line + "\n"),
+  });
+  const settings = LiveSettings.create({
+    log,
+    readText: () => readFileSync(path, "utf8"),
+    decode: decodeSettings,
+  });
+  await settings.caseOf<void | Promise<void>>({
+    Left: (error) => endInvalid(error.message),
+    Right: (live) => runGateway(live, log),
+  });
+}
+
+async function runGateway(settings: LiveSettings, log: Log): Promise<void> {
+  process.on("SIGHUP", () => {
+    log.info("SIGHUP received, settings are read again.");
+    settings.refresh();
+  });
+  // Settings may also change without a signal.
+  setInterval(() => settings.refresh(), settingsCheckMs).unref();
+  const gateway = await Gateway.open({ settings, log });
+  log.info("gateway started.", { node: settings.current.nodeName });
+  process.once("SIGTERM", () => {
+    void gateway.drain().then(() => process.exit(0));
+  });
+}
+
+function endInvalid(message: string): void {
+  process.stderr.write(`${message}\n`);
+  process.exit(exitInvalid);
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_status.ts
@@ -0,0 +1,82 @@
+/**
+ * Composes a node's status from what its parts believe.
+ */
+
+import type {
+  GatewayStatus,
+  ReplicaStatus,
+} from "@almondcrank/model/gateway_status.ts";
+import type { ReplicaState } from "./choice/replica_state.ts";
+import type { GatewayParts } from "./gateway_parts.ts";
+
+/** What only the running process knows. */
+export interface ProcessStatus {
+  readonly isReady: boolean;
+  readonly isDraining: boolean;
+  readonly isDutyHolder: boolean;
+}
+
+/** Composes the status at this moment. */
+export function composeGatewayStatus(
+  parts: GatewayParts,
+  process: ProcessStatus,
+): GatewayStatus {
+  const { settings, services, view, feeds, proofClock, front } = parts;
+  const now = services.clock.now();
+  return {
+    ...process,
+    node: settings.nodeName,
+    zone: settings.zone,
+    requestsRunning: front.running,
+    configurationVersion: view.routes?.configuration.version ?? null,
+    configurationAgeMs: roundAge(view.configurationAgeMs),
+    replicasAgeMs: roundAge(proofClock.now() - feeds.replicas.provenAt),
+    replicas: [...services.table.listAll()]
+      .map((state) => composeReplica(state, now)),
+    peers: listPeers(parts),
+    allowances: parts.allowances.listLevels(now)
+      .map(([tenant, left]) => ({ tenant, left })),
+  };
+}
+
+function composeReplica(state: ReplicaState, now: number): ReplicaStatus {
+  const { replica, load } = state;
+  return {
+    id: replica.id,
+    service: replica.service,
+    zone: replica.zone,
+    state: readState(state),
+    isReclaimable: replica.isReclaimable,
+    active: load.active,
+    pendingTokens: Math.round(load.pendingTokens),
+    slowness: roundShare(state.slowness),
+    failureRate: roundShare(state.failures.read(now)),
+  };
+}
+
+function readState(state: ReplicaState): ReplicaStatus["state"] {
+  if (state.isDraining) return "draining";
+  return state.leavesAt === undefined ? "ready" : "gone";
+}
+
+function listPeers(
+  { members, proofClock }: GatewayParts,
+): GatewayStatus["peers"] {
+  const now = proofClock.now();
+  return members.listKnown(now).map((member) => ({
+    node: member.node,
+    ip: member.ip,
+    heardAgoMs: Math.round(now - member.heardAt),
+    isDraining: member.isDraining,
+    isStoreUnreachable: member.isStoreUnreachable,
+    isDutyHolder: member.duty !== undefined,
+  }));
+}
+
+function roundAge(ms: number): number | null {
+  return Number.isFinite(ms) ? Math.round(ms) : null;
+}
+
+function roundShare(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/packages/gateway/src/relay/admission_desk.ts
+++ b/packages/gateway/src/relay/admission_desk.ts
@@ -32,6 +32,8 @@
   readonly routes: RouteTable | undefined;
   /** Whether a key's withdrawal would be known by now. */
   readonly hasFreshConfiguration: boolean;
+  /** Time since the configuration surely was the store's; may be infinite. */
+  readonly configurationAgeMs: number;
   /** Uniform in [0, 1); draws the target of a split route. */
   readonly draw: number;
 }
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -101,7 +101,15 @@
       ...request,
       excluded: this.#tried,
     });
-    return choice?.state;
+    if (choice === undefined) return undefined;
+    const { state, predictedMs } = choice;
+    this.#request.trace.record("replica chosen.", {
+      replica: state.replica.id,
+      predictedMs: Math.round(predictedMs),
+      active: state.load.active,
+      usable: states.length,
+    });
+    return state;
   }
 
   async #send(state: ReplicaState): Promise<SendResult> {
@@ -122,6 +130,12 @@
     try {
       const outcome = await sending.outcome;
       const result = await this.#readResult(state, outcome);
+      this.#request.trace.record("send ended.", {
+        replica: state.replica.id,
+        outcome: result.kind,
+        reason: "reason" in outcome ? outcome.reason : undefined,
+        status: result.kind === "whole" ? result.answer.statusCode : undefined,
+      });
       const isSilent = result.kind === "lost" && aborter.signal.aborted &&
         !callerGone.aborted;
       if (isSilent) state.failures.record(true, clock.now());
@@ -194,6 +208,7 @@
 
   #countRepeat(reason: RepeatReason): void {
     this.#services.metrics.count("repeats_total", { reason });
+    this.#request.trace.record("request repeated.", { reason });
   }
 
   #deliver(whole: WholeAnswer): RelayResult {
--- a/packages/gateway/src/relay/callers_front.ts
+++ b/packages/gateway/src/relay/callers_front.ts
@@ -14,6 +14,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
+import type { LogFields } from "@almondcrank/common/logs.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
 import {
   lastEventIdHeader,
@@ -43,6 +44,7 @@
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { type BodyResult, readRequestBody } from "./request_body.ts";
 import { RequestLog } from "./request_log.ts";
+import { RequestTrace } from "./request_trace.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { StreamRegistry } from "./stream_registry.ts";
@@ -173,9 +175,13 @@
       return this.#refuse({ request, response }, answer);
     }
     const callerGone = watchCaller(response);
-    const routed = chooseRoute(request, readView());
+    const view = readView();
+    const routed = chooseRoute(request, view);
     if (routed.kind === "refused") {
-      return this.#refuse({ request, response }, routed.answer);
+      return this.#refuse({ request, response }, routed.answer, {
+        configuration: view.routes?.configuration.version,
+        configurationAgeMs: roundAge(view.configurationAgeMs),
+      });
     }
     const endsAt = receivedAt + computeTimeMs(request, routed);
     const body = await readRequestBody(request, {
@@ -184,10 +190,14 @@
     });
     if (body.kind !== "read") return this.#endUnread(request, response, body);
     const charge = this.#charge(request, routed);
+    const inputs = this.#listInputs(routed, view, charge.cost);
     if (charge.refusal !== undefined) {
-      return this.#refuse({ request, response }, charge.refusal);
+      return this.#refuse({ request, response }, charge.refusal, inputs);
     }
+    const trace = RequestTrace.create(services.clock, receivedAt);
+    trace.record("request admitted.", inputs);
     const admitted = composeRequest(request, routed, {
+      trace,
       body: body.body,
       receivedAt,
       endsAt,
@@ -218,16 +228,34 @@
 
   #charge(
     request: IncomingMessage,
-    { tenant }: Routed,
+    { tenant, route }: Routed,
   ): { readonly cost: number; readonly refusal: OwnAnswer | undefined } {
     if (tenant === undefined) return { cost: 0, refusal: undefined };
     const { services, allowances } = this.#options;
     const cost = computeCost(request, tenant);
     const now = services.clock.now();
-    const refusal = takeAllowance(allowances, tenant, { cost, now });
+    const { priority: rank } = route;
+    const refusal = takeAllowance(allowances, tenant, { cost, rank, now });
     return { cost, refusal };
   }
 
+  /** What the admission of a request went by. */
+  #listInputs(
+    { route, tenant }: Routed,
+    view: AdmissionView,
+    cost: number,
+  ): LogFields {
+    return {
+      route: route.name,
+      tenant: tenant?.name,
+      rank: route.priority,
+      cost,
+      allowanceLeft: this.#options.allowances.readLevel(tenant?.name ?? ""),
+      configuration: view.routes?.configuration.version,
+      configurationAgeMs: roundAge(view.configurationAgeMs),
+    };
+  }
+
   #endUnread(
     request: IncomingMessage,
     response: ServerResponse,
@@ -258,10 +286,12 @@
       readonly response: ServerResponse;
     },
     answer: OwnAnswer,
+    inputs: LogFields = {},
   ): void {
     const { metrics } = this.#options.services;
     metrics.count("refusals_total", { reason: answer.reason });
-    this.#log.recordRefusal(readHeader(request, requestIdHeader), answer);
+    const id = readHeader(request, requestIdHeader);
+    this.#log.recordRefusal(id, answer, inputs);
     request.resume();
     sendOwnAnswer(response, answer);
   }
@@ -277,6 +307,11 @@
   }
 }
 
+/** An age for the log; left out while nothing was ever proven. */
+function roundAge(ms: number): number | undefined {
+  return Number.isFinite(ms) ? Math.round(ms) : undefined;
+}
+
 /** Time until the final answer: the caller's deadline or the route's timeout. */
 function computeTimeMs(request: IncomingMessage, { route }: Routed): number {
   const stated = Number(readHeader(request, remainingTimeHeader));
@@ -288,7 +323,10 @@
 function composeRequest(
   request: IncomingMessage,
   { route, service, tenant }: Routed,
-  rest: Pick<RoutedRequest, "body" | "receivedAt" | "endsAt" | "callerGone">,
+  rest: Pick<
+    RoutedRequest,
+    "body" | "receivedAt" | "endsAt" | "callerGone" | "trace"
+  >,
 ): RoutedRequest {
   const count = parseTokenCount(readHeader(request, tokenCountHeader));
   const parts = parsePromptParts(readHeader(request, promptPartsHeader));
--- a/packages/gateway/src/relay/request_log.ts
+++ b/packages/gateway/src/relay/request_log.ts
@@ -1,25 +1,26 @@
 /**
- * One line for each request, within a rate.
+ * The story of a request in lines, one for each decision, within a rate.
  *
- * Lines beyond the rate are counted and the count is written with the next line,
- * so a flood of requests cannot spend the node's processor time on logs. A
+ * Requests beyond the rate are counted and the count is written with the next
+ * one, so a flood of requests cannot spend the node's processor time on logs. A
  * request that did not get a replica's answer has precedence.
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
-import type { Log } from "@almondcrank/common/logs.ts";
+import type { Log, LogFields } from "@almondcrank/common/logs.ts";
+import type { OwnAnswer } from "./own_answer.ts";
 import type { RelayResult } from "./relay_services.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
-const linesPerSecond = 20;
-const failureLinesPerSecond = 40;
+const requestsPerSecond = 10;
+const failuresPerSecond = 40;
 
 /** Writes the lines of one node. */
 export class RequestLog {
   readonly #clock: Clock;
   readonly #log: Log;
   #second = 0;
-  #lines = 0;
+  #written = 0;
   #omitted = 0;
 
   private constructor(clock: Clock, log: Log) {
@@ -31,12 +32,16 @@
     return new RequestLog(clock, log);
   }
 
-  /** Records how a request that was routed ended. */
+  /** Writes the decisions on a request and how it ended. */
   recordEnd(request: RoutedRequest, result: RelayResult): void {
     const isFailure = result.reason !== "answered";
     if (!this.#take(isFailure)) return;
+    const { id, trace } = request;
+    for (const { afterMs, sentence, fields } of trace.decisions) {
+      this.#log.info(sentence, { request: id, afterMs, ...fields });
+    }
     const fields = {
-      request: request.id,
+      request: id,
       route: request.route.name,
       tenant: request.tenant?.name,
       status: result.status,
@@ -49,18 +54,26 @@
     else this.#log.info("request answered.", fields);
   }
 
-  /** Records a request that was refused before it was routed. */
+  /**
+   * Writes a refusal before the request was taken on.
+   *
+   * @param inputs What decided it.
+   */
   recordRefusal(
     id: string | undefined,
-    { status, reason }: { readonly status: number; readonly reason: string },
+    { status, reason, retryAfterMs }: OwnAnswer,
+    inputs: LogFields,
   ): void {
     if (!this.#take(true)) return;
-    const omitted = this.#takeOmitted();
     this.#log.warn("request refused.", {
       request: id,
       status,
       reason,
-      omitted,
+      retryAfterMs: retryAfterMs === undefined
+        ? undefined
+        : Math.round(retryAfterMs),
+      ...inputs,
+      omitted: this.#takeOmitted(),
     });
   }
 
@@ -68,14 +81,14 @@
     const second = Math.floor(this.#clock.now() / 1_000);
     if (second !== this.#second) {
       this.#second = second;
-      this.#lines = 0;
+      this.#written = 0;
     }
-    const limit = isFailure ? failureLinesPerSecond : linesPerSecond;
-    if (this.#lines >= limit) {
+    const limit = isFailure ? failuresPerSecond : requestsPerSecond;
+    if (this.#written >= limit) {
       this.#omitted += 1;
       return false;
     }
-    this.#lines += 1;
+    this.#written += 1;
     return true;
   }
 
--- a/packages/gateway/src/relay/routed_request.ts
+++ b/packages/gateway/src/relay/routed_request.ts
@@ -8,6 +8,7 @@
   Tenant,
 } from "@almondcrank/model/configuration.ts";
 import type { PromptPart } from "@almondcrank/platform/headers.ts";
+import type { RequestTrace } from "./request_trace.ts";
 
 /** One attempt of a caller. */
 export interface RoutedRequest {
@@ -33,4 +34,6 @@
   readonly resumeAfter: number | undefined;
   /** Aborted when the caller has left. */
   readonly callerGone: AbortSignal;
+  /** Decisions so far, for the log. */
+  readonly trace: RequestTrace;
 }
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -66,3 +66,21 @@
     predictedMs: choice.predictedMs,
   });
 }
+
+/** Records a choice and what it went by. */
+export function recordStreamChoice(
+  { trace }: RoutedRequest,
+  { state, predictedMs, uncachedTokens }: EngineChoice,
+  lastId: number | undefined,
+): void {
+  const { active, pendingTokens } = state.load;
+  trace.record("replica chosen.", {
+    replica: state.replica.id,
+    predictedMs: Math.round(predictedMs),
+    uncachedTokens: Math.round(uncachedTokens),
+    active,
+    pendingTokens: Math.round(pendingTokens),
+    slowness: Math.round(state.slowness * 100) / 100,
+    after: lastId,
+  });
+}
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -88,7 +88,7 @@
     if (requestId === undefined || !request.service.engine?.canMove) return;
     const destination = this.#chooseDestination(source, stream);
     if (destination === undefined) return;
-    stream.setMove(this.#runMove(source, destination, requestId));
+    stream.setMove(this.#runMove({ source, destination, stream }, requestId));
   }
 
   #chooseDestination(
@@ -109,11 +109,10 @@
   }
 
   async #runMove(
-    source: ReplicaState,
-    destination: ReplicaState,
+    { source, destination, stream }: Move,
     requestId: string,
   ): Promise<MoveTarget | undefined> {
-    const { sender, metrics, log } = this.#services;
+    const { sender, metrics } = this.#services;
     const answer = await sender.callControl(
       source,
       formatMove(requestId, destination.replica.address),
@@ -123,8 +122,7 @@
       ? { kind: "failed" as const, reason: "no answer" }
       : parseMove(answer.status, answer.text);
     metrics.count("stream_moves_total", { outcome: outcome.kind });
-    log.debug("stream moved off a leaving replica.", {
-      request: requestId,
+    stream.request.trace.record("stream moved off a leaving replica.", {
       source: source.replica.id,
       destination: destination.replica.id,
       outcome: outcome.kind,
@@ -147,3 +145,9 @@
     }
   }
 }
+
+interface Move {
+  readonly source: ReplicaState;
+  readonly destination: ReplicaState;
+  readonly stream: RunningStream;
+}
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -24,7 +24,11 @@
 import { sendReplicaAnswer } from "./replica_answer.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readWholeAnswer } from "./replica_call.ts";
-import { checkStreamAdmission, chooseStreamReplica } from "./stream_choice.ts";
+import {
+  checkStreamAdmission,
+  chooseStreamReplica,
+  recordStreamChoice,
+} from "./stream_choice.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import { SilenceWatch } from "./silence_watch.ts";
@@ -130,6 +134,7 @@
         tried: this.#tried,
       });
       if (choice === undefined) return this.#fail("no_replica");
+      recordStreamChoice(this.#request, choice, this.#lastId);
       const refusal = this.#checkAdmission(choice);
       if (refusal !== undefined) return refusal;
       const leg = await this.#runLeg(choice, target);
@@ -186,6 +191,11 @@
     const silence = this.#watchSilence(choice);
     try {
       const outcome = await sending.outcome;
+      this.#request.trace.record("send ended.", {
+        replica: state.replica.id,
+        outcome: outcome.kind,
+        reason: "reason" in outcome ? outcome.reason : undefined,
+      });
       switch (outcome.kind) {
         case "not_sent":
           if (target === undefined) this.#attempts.recordUnsent();
@@ -304,6 +314,10 @@
       return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
     }
     metrics.count("repeats_total", { reason });
+    this.#request.trace.record("request repeated.", {
+      reason,
+      after: this.#lastId,
+    });
     return undefined;
   }
 
