--- /dev/null
+++ b/packages/cli/src/demo_routes_command.ts
@@ -0,0 +1,170 @@
+/**
+ * `almondcrank demo routes`: the routes interface on loopback, with what goes
+ * wrong on the users' platform.
+ */
+
+import { Command } from "clipanion";
+import {
+  type RouteAnswer,
+  sendRouteRequest,
+} from "@almondcrank/load/route_client.ts";
+import {
+  exampleHost,
+  tenantKey,
+} from "@almondcrank/standin/platform/example_configuration.ts";
+import { exitCodes } from "./exit_codes.ts";
+import { RoutesFleet, streamEvents } from "./routes_fleet.ts";
+
+const nodeCount = 2;
+const deadlineMs = 4_000;
+/** Time after which the middle of the demonstration's stream is reached. */
+const halfStreamMs = 400;
+const withdrawalPollMs = 20;
+const withdrawalTries = 200;
+
+/** Shows the path of the users' platform within half a minute. */
+export class DemoRoutesCommand extends Command {
+  static override paths = [["demo", "routes"]];
+  static override usage = Command.Usage({
+    description: "show the routes interface against stand-ins on loopback",
+    examples: [["Show it", "almondcrank demo routes"]],
+  });
+
+  #requests = 0;
+  #broken = 0;
+
+  override async execute(): Promise<number> {
+    const fleet = await RoutesFleet.open(nodeCount);
+    this.#write(
+      `${nodeCount} gateway nodes, 2 model and 2 booking replicas, a store and a cloud address on loopback`,
+    );
+    try {
+      await this.#book(fleet);
+      await this.#loseAnswer(fleet);
+      await this.#drainReplica(fleet);
+      await this.#withdrawKey(fleet);
+      await this.#killNode(fleet);
+    } finally {
+      await fleet.close();
+    }
+    this.#write(
+      this.#broken === 0
+        ? "Everything came out as promised."
+        : `${this.#broken} steps did not come out as promised.`,
+    );
+    return this.#broken === 0 ? exitCodes.done : exitCodes.failed;
+  }
+
+  async #book(fleet: RoutesFleet): Promise<void> {
+    const { id, answer } = await this.#send(fleet, {});
+    this.#check(
+      `a booking is answered ${answer.status} by its replica and runs ${
+        fleet.countRuns(id)
+      } time`,
+      answer.status === 200 && fleet.countRuns(id) === 1,
+    );
+  }
+
+  async #loseAnswer(fleet: RoutesFleet): Promise<void> {
+    for (const replica of fleet.replicas) {
+      replica.faults.push({ kind: "lose_answer" });
+    }
+    const { id, answer } = await this.#send(fleet, {});
+    this.#check(
+      `a booking whose answer is lost gets ${answer.status}, which promises nothing, and is not sent again (${
+        fleet.countRuns(id)
+      } run)`,
+      answer.status === 502 && fleet.countRuns(id) === 1,
+    );
+    for (const replica of fleet.replicas) replica.faults.length = 0;
+  }
+
+  async #drainReplica(fleet: RoutesFleet): Promise<void> {
+    const path = "/answer/draft/stream";
+    const sent = this.#send(fleet, { path, id: "draft" });
+    await new Promise((resolve) => setTimeout(resolve, halfStreamMs));
+    const source = fleet.findRunning("draft");
+    if (source !== undefined) fleet.register(source, "draining");
+    const { answer } = await sent;
+    const events = answer.body.split("\n\n").length - 1;
+    this.#check(
+      `${source?.id} leaves in the middle of a stream: ${events} of ${streamEvents} events arrive, ${
+        answer.isWhole ? "none missing" : "the rest is missing"
+      }`,
+      answer.isWhole && events === streamEvents,
+    );
+  }
+
+  async #withdrawKey(fleet: RoutesFleet): Promise<void> {
+    fleet.configure([tenantKey, "second-key"]);
+    await this.#waitStatus(fleet, "second-key", 200);
+    fleet.configure([tenantKey]);
+    const ms = await this.#waitStatus(fleet, "second-key", 401);
+    this.#check(
+      `a key that is taken away is refused everywhere ${ms} ms later`,
+      ms !== undefined,
+    );
+  }
+
+  async #killNode(fleet: RoutesFleet): Promise<void> {
+    const [first] = fleet.nodes;
+    await first?.kill();
+    const { answer } = await this.#send(fleet, { node: 1 });
+    this.#check(
+      `${first?.place.name} is killed; the other node answers ${answer.status}`,
+      answer.status === 200,
+    );
+  }
+
+  /** Time until all nodes answer a key with a status. */
+  async #waitStatus(
+    fleet: RoutesFleet,
+    key: string,
+    status: number,
+  ): Promise<number | undefined> {
+    const startedAt = performance.now();
+    for (let tries = 0; tries < withdrawalTries; tries += 1) {
+      const answers = await Promise.all(
+        fleet.callers.map((_, node) => this.#send(fleet, { node, key })),
+      );
+      if (answers.every(({ answer }) => answer.status === status)) {
+        return Math.round(performance.now() - startedAt);
+      }
+      await new Promise((resolve) => setTimeout(resolve, withdrawalPollMs));
+    }
+    return undefined;
+  }
+
+  async #send(
+    fleet: RoutesFleet,
+    { node = 0, path = "/book/slot", key = tenantKey, id }: DemoRequest,
+  ): Promise<{ readonly id: string; readonly answer: RouteAnswer }> {
+    this.#requests += 1;
+    const sentId = id ?? `demo-${this.#requests}`;
+    const answer = await sendRouteRequest({
+      address: fleet.callers[node] ?? "",
+      host: exampleHost,
+      path,
+      id: sentId,
+      key,
+      deadlineMs,
+    });
+    return { id: sentId, answer };
+  }
+
+  #check(line: string, isAsPromised: boolean): void {
+    if (!isAsPromised) this.#broken += 1;
+    this.#write(`${isAsPromised ? "ok   " : "WRONG"} ${line}`);
+  }
+
+  #write(line: string): void {
+    this.context.stdout.write(`${line}\n`);
+  }
+}
+
+interface DemoRequest {
+  readonly node?: number;
+  readonly path?: string;
+  readonly key?: string;
+  readonly id?: string;
+}
--- a/packages/cli/src/serve_command.ts
+++ b/packages/cli/src/serve_command.ts
@@ -1,5 +1,6 @@
 /**
- * `almondcrank serve`: runs one node until it is told to stop.
+ * `almondcrank serve`: runs one node until it is told to stop; `serve gateway`
+ * one of the users' platform.
  */
 
 import { readFile } from "node:fs/promises";
@@ -8,9 +9,31 @@
 import { TslogLog } from "@almondcrank/common/logs.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { Node } from "@almondcrank/node/node.ts";
+import { runGatewayProgram } from "@almondcrank/gateway/gateway_program.ts";
+import { settingsVariable } from "@almondcrank/platform/decode_settings.ts";
 import { parseNodeSettings } from "@almondcrank/node/settings.ts";
 import { exitCodes } from "./exit_codes.ts";
 
+/** Runs a gateway node, whose settings file the environment names. */
+export class ServeGatewayCommand extends Command {
+  static override paths = [["serve", "gateway"]];
+  static override usage = Command.Usage({
+    description: "run a gateway node of the users' platform",
+    details:
+      `Reads the settings file that ${settingsVariable} names. SIGHUP reads it again, SIGTERM drains the node.`,
+    examples: [[
+      "Run a gateway node",
+      `${settingsVariable}=settings.json almondcrank serve gateway`,
+    ]],
+  });
+
+  override async execute(): Promise<number> {
+    await runGatewayProgram();
+    // The node's listeners keep the process until a signal ends it.
+    return await new Promise<number>(() => undefined);
+  }
+}
+
 /** Runs a node. SIGTERM and SIGINT drain it. */
 export class ServeCommand extends Command {
   static override paths = [["serve"]];
--- a/packages/soak/src/link_proxy.ts
+++ b/packages/soak/src/link_proxy.ts
@@ -85,7 +85,7 @@
     from.on("data", (bytes) => this.#runLater(() => to.write(bytes)));
     from.on("end", () => this.#runLater(() => to.end()));
     // A connection that broke on one side breaks on the other.
-    from.on("error", () => to.resetAndDestroy());
+    from.on("error", () => reset(to));
     from.on("close", () => this.#runLater(() => to.destroy()));
   }
 
@@ -110,9 +110,15 @@
         target.pause();
         return;
       case "reset":
-        caller.resetAndDestroy();
-        target.resetAndDestroy();
+        reset(caller);
+        reset(target);
         return;
     }
   }
 }
+
+/** A connection whose sending side was ended cannot be reset any more. */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -235,7 +235,7 @@
     !withdrawn.has(caller.key)
   );
   const served = late.filter((caller) => caller.status === 200);
-  if (late.length > 0 && served.length >= late.length * servedShare) return [];
+  if (served.length >= late.length * servedShare) return [];
   return [{
     promise: "all is served again after the last fault",
     request: late.find((caller) => caller.status !== 200)?.id ?? "",
--- /dev/null
+++ b/packages/soak/src/promises_test.ts
@@ -0,0 +1,177 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { checkPromises, formatExpected } from "./promises.ts";
+import type { CallerRecord, RunRecord, SoakRecords } from "./records.ts";
+
+const events = 4;
+
+function createCaller(change: Partial<CallerRecord>): CallerRecord {
+  const base = { id: "r", kind: "book" as const, ...change };
+  return {
+    path: "/book/slot",
+    body: "b",
+    key: "k",
+    node: "n",
+    sentAt: 100,
+    endedAt: 200,
+    status: 200,
+    seal: "seal-of-booking-1",
+    text: formatExpected(base, events),
+    isWhole: true,
+    leftAt: undefined,
+    ...base,
+  };
+}
+
+function createRun(change: Partial<RunRecord>): RunRecord {
+  return {
+    replica: "booking-1",
+    service: "booking",
+    id: "r",
+    path: "/book/slot",
+    body: "b",
+    tenant: "garages",
+    hasKey: false,
+    isMoved: false,
+    startedAt: 120,
+    endedAt: 190,
+    ...change,
+  };
+}
+
+function listBroken(records: Partial<SoakRecords>): readonly string[] {
+  const findings = checkPromises({
+    callers: [createCaller({})],
+    runs: [createRun({})],
+    usage: [],
+    faults: [],
+    withdrawals: [],
+    calmFrom: 0,
+    events,
+    ...records,
+  });
+  return [...new Set(findings.map(({ promise }) => promise))];
+}
+
+test("a request that ran once and was answered breaks nothing", () => {
+  assert.equal(listBroken({}), []);
+});
+
+test("a booking that ran twice is found, a moved run is not", () => {
+  const other = { replica: "booking-2" };
+  assert.equal(listBroken({ runs: [createRun({}), createRun(other)] }), [
+    "runs at most once",
+  ]);
+  const moved = createRun({ ...other, isMoved: true });
+  assert.equal(listBroken({ runs: [createRun({}), moved] }), []);
+});
+
+test("a refusal of a request that ran is found", () => {
+  const refused = createCaller({ status: 503, seal: undefined, text: "" });
+  assert.equal(listBroken({ callers: [refused] }), [
+    "a refusal says not run",
+  ]);
+});
+
+test("foreign, short and reordered answers are found", () => {
+  const promise = "the answer is the replica's";
+  const check = (change: Partial<CallerRecord>): readonly string[] =>
+    listBroken({ callers: [createCaller(change)] });
+  assert.equal(check({ text: "answer to another" }), [promise]);
+  assert.equal(check({ text: "answer" }), [promise]);
+  assert.equal(check({ seal: "seal-of-booking-2" }), [promise]);
+  assert.equal(check({ seal: undefined }), [promise]);
+  const path = "/answer/draft/stream";
+  const stream = { kind: "stream" as const, path, seal: "seal-of-models-1" };
+  const run = createRun({ replica: "models-1", service: "models", path });
+  const whole = formatExpected({ kind: "stream", id: "r" }, events);
+  const checkStream = (text: string): readonly string[] =>
+    listBroken({
+      callers: [createCaller({ ...stream, text })],
+      runs: [run],
+    });
+  assert.equal(checkStream(whole), []);
+  assert.equal(checkStream(whole.replace(/id: 2\n[^\n]*\n\n/, "")), [promise]);
+  assert.equal(checkStream(whole + "id: 4\n"), [promise]);
+});
+
+test("an answer may break beside a fault and not beside planned work", () => {
+  const broken = createCaller({ status: 0, seal: undefined, text: "" });
+  const span = { from: 50, to: 150, name: "node_kill", isPlanned: false };
+  const check = (isPlanned: boolean): readonly string[] =>
+    listBroken({
+      callers: [{ ...broken, isWhole: false }],
+      faults: [{ ...span, isPlanned }],
+    });
+  assert.equal(check(false), []);
+  assert.equal(check(true), ["answers break only beside faults"]);
+});
+
+test("runs that differ from what was sent are found", () => {
+  const promise = "runs are what callers sent";
+  const check = (change: Partial<RunRecord>): readonly string[] =>
+    listBroken({ runs: [createRun(change)] });
+  assert.equal(check({ body: "c" }), [promise]);
+  assert.equal(check({ path: "/book/other" }), [promise]);
+  assert.equal(check({ tenant: "another" }), [promise]);
+  assert.equal(check({ hasKey: true }), [promise]);
+  assert.equal(check({ service: "models" }), [promise]);
+  assert.ok(listBroken({ callers: [] }).includes(promise));
+});
+
+test("work that goes on long after its caller left is found", () => {
+  const left = createCaller({
+    kind: "lookup",
+    path: "/lookup/slot",
+    leftAt: 150,
+    status: 0,
+    seal: undefined,
+    text: "",
+    isWhole: false,
+  });
+  const check = (endedAt: number | undefined): readonly string[] =>
+    listBroken({
+      callers: [left],
+      runs: [createRun({ path: left.path, tenant: undefined, endedAt })],
+    });
+  assert.equal(check(400), []);
+  assert.equal(check(undefined), ["work ends when its caller leaves"]);
+});
+
+test("two counts for a window and a shared fencing token are found", () => {
+  const first = { window: 1, counts: "1", holder: "a", fencing: 1 };
+  const check = (change: Partial<typeof first>): readonly string[] =>
+    listBroken({ usage: [first, { ...first, ...change }] });
+  assert.equal(check({}), []);
+  assert.equal(check({ counts: "2" }), ["one count for a usage window"]);
+  assert.equal(check({ window: 2, holder: "b" }), [
+    "one holder for a fencing token",
+  ]);
+});
+
+test("a withdrawn key that works later is found", () => {
+  const check = (sentAt: number): readonly string[] =>
+    listBroken({
+      callers: [createCaller({ sentAt, endedAt: sentAt })],
+      withdrawals: [{ key: "k", at: 1_000 }],
+    });
+  assert.equal(check(5_900), []);
+  assert.equal(check(6_100), ["a withdrawn key no longer works"]);
+});
+
+test("a system that does not recover is found", () => {
+  const late = { sentAt: 20_000, endedAt: 20_001 };
+  const refused = createCaller({
+    ...late,
+    id: "q",
+    status: 503,
+    seal: undefined,
+    text: "",
+  });
+  assert.equal(listBroken({ callers: [createCaller(late)] }), []);
+  assert.equal(listBroken({ callers: [createCaller(late), refused] }), [
+    "all is served again after the last fault",
+  ]);
+});
+
+test.run();
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -3,8 +3,9 @@
  * other, now and then leaving early, and records what it saw.
  */
 
-import { Agent, type IncomingMessage, request } from "node:http";
+import { Agent } from "node:http";
 import type { Random } from "@almondcrank/common/random.ts";
+import { sendRouteRequest } from "@almondcrank/load/route_client.ts";
 import {
   exampleHost,
   tenantKey,
@@ -24,8 +25,6 @@
 const leavingShare = 0.04;
 const leaveAfterMs = 90;
 const secondKeyShare = 0.15;
-/** Time beyond its deadline for which a caller waits. */
-const patienceMs = 1_500;
 
 /** Where callers send to and for how long. */
 export interface SoakCallersOptions {
@@ -91,64 +90,40 @@
   readonly leaveAfterMs: number | undefined;
 }
 
-function sendRequest(agent: Agent, sent: SoakRequest): Promise<CallerRecord> {
-  const { id, kind, key, node, leaveAfterMs } = sent;
-  const [host, port] = node.address.split(":");
+async function sendRequest(
+  agent: Agent,
+  { id, kind, key, node, leaveAfterMs }: SoakRequest,
+): Promise<CallerRecord> {
   const path = paths[kind];
   const body = `question ${id}`;
   const sentAt = performance.now();
-  return new Promise((resolve) => {
-    let answer: IncomingMessage | undefined;
-    let text = "";
-    let leftAt: number | undefined;
-    const timers: NodeJS.Timeout[] = [];
-    const finish = (isWhole: boolean): void => {
-      for (const timer of timers) clearTimeout(timer);
-      resolve({
-        id,
-        kind,
-        path,
-        body,
-        key,
-        node: node.name,
-        sentAt,
-        endedAt: performance.now(),
-        status: answer?.statusCode ?? 0,
-        seal: answer?.headers["x-server-seal"]?.toString(),
-        text,
-        isWhole,
-        leftAt,
-      });
-    };
-    const outgoing = request({
-      host,
-      port,
-      path,
-      method: "POST",
-      agent,
-      headers: {
-        Host: exampleHost,
-        "X-Request-Id": id,
-        "X-Deadline-Ms": String(deadlineMs),
-        Authorization: `Bearer ${key}`,
-      },
-    });
-    outgoing.on("error", () => finish(false));
-    outgoing.on("response", (message) => {
-      answer = message;
-      message.setEncoding("utf8");
-      message.on("data", (piece: string) => text += piece);
-      message.on("error", () => finish(false));
-      message.on("end", () => finish(message.complete));
-    });
-    outgoing.end(body);
-    timers.push(setTimeout(() => outgoing.destroy(), deadlineMs + patienceMs));
-    if (leaveAfterMs === undefined) return;
-    timers.push(setTimeout(() => {
-      leftAt = performance.now();
-      outgoing.destroy();
-    }, leaveAfterMs));
+  const answer = await sendRouteRequest({
+    address: node.address,
+    host: exampleHost,
+    path,
+    id,
+    key,
+    body,
+    deadlineMs,
+    agent,
+    leaveAfterMs,
   });
+  const endedAt = performance.now();
+  return {
+    id,
+    kind,
+    path,
+    body,
+    key,
+    node: node.name,
+    sentAt,
+    endedAt,
+    status: answer.status,
+    seal: answer.headers["x-server-seal"]?.toString(),
+    text: answer.body,
+    isWhole: answer.isWhole,
+    leftAt: answer.hasLeft ? endedAt : undefined,
+  };
 }
 
 function sleep(ms: number): Promise<void> {
