Send reports between nodes compressed, encoded once

Cause: each node sends its report to up to twelve peers five times a second, about 1.7 KB each as JSON, encoded anew for each receiver.

Ruled out: sending more seldom; loads and allowances go by the reports.

Change: a datagram is a small head for its receiver and the report in deflate, made once a tick. Bytes sent are counted. Metrics are served on port 9464, which the deploy file names.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -17,6 +17,7 @@
 import { sendControlCall } from "../relay/control_call.ts";
 import type { Members } from "./members.ts";
 import type { PeerLink } from "./peer_link.ts";
+import { encodePeerReport } from "./peer_messages.ts";
 import type { SharedWork } from "./shared_work.ts";
 
 const tickMs = 200;
@@ -186,12 +187,14 @@
     if (addresses.length === 0) return;
     const { clock, members, link, work } = this.#options;
     const withMembers = this.#tick % membersEveryTicks < 2;
-    const report = withReport ? work.composeReport({ withMembers }) : undefined;
+    const report = withReport
+      ? encodePeerReport(work.composeReport({ withMembers }))
+      : undefined;
     const byIp = new Map(
       members.listKnown(clock.now()).map((member) => [member.ip, member]),
     );
     for (const ip of addresses) {
-      link.send(work.compose(byIp.get(ip), report), ip);
+      link.send(work.composeHead(byIp.get(ip)), report, ip);
     }
   }
 
--- a/packages/gateway/src/cluster/peer_link.ts
+++ b/packages/gateway/src/cluster/peer_link.ts
@@ -6,9 +6,11 @@
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
 import {
   decodePeerMessage,
   encodePeerMessage,
+  type PeerHead,
   type PeerMessage,
 } from "./peer_messages.ts";
 
@@ -18,6 +20,7 @@
   /** Port of all nodes. */
   readonly port: number;
   readonly log: Log;
+  readonly metrics: Metrics;
 }
 
 /** Socket of one node. */
@@ -48,9 +51,14 @@
   /** Fired for each datagram that can be read. */
   readonly onReceived: Event<PeerMessage> = this.#received.event;
 
-  /** Sends a datagram; losses are not reported. */
-  send(message: PeerMessage, ip: string): void {
-    const bytes = encodePeerMessage(message);
+  /**
+   * Sends a datagram; losses are not reported.
+   *
+   * @param report Encoded report, if it carries one.
+   */
+  send(head: PeerHead, report: Buffer | undefined, ip: string): void {
+    const bytes = encodePeerMessage(head, report);
+    this.#options.metrics.count("peer_bytes_sent_total", {}, bytes.length);
     this.#socket.send(bytes, this.#options.port, ip, (error) => {
       if (error === null) return;
       this.#sendFailures += 1;
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -2,10 +2,12 @@
  * Datagrams that nodes send each other a few times a second.
  *
  * Sums are counted from the sender's start, so a lost datagram loses nothing:
- * the next one includes it. The encoding is JSON; a datagram that cannot be read
- * is dropped.
+ * the next one includes it. A datagram is a head in JSON, a line feed, and the
+ * report in compressed JSON, which is the same for all receivers and encoded
+ * once. A datagram that cannot be read is dropped.
  */
 
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { z } from "zod";
 
 const sums = z.array(z.tuple([z.string(), z.number(), z.number()]));
@@ -35,7 +37,7 @@
   members: z.array(z.tuple([z.string(), z.string()])),
 });
 
-const message = z.object({
+const head = z.object({
   /** Sender and its start, which tells incarnations apart. */
   node: z.string(),
   incarnation: z.string(),
@@ -54,27 +56,58 @@
   replicas: feedStatus,
   /** Fencing number while the sender holds the duties' lease. */
   duty: z.number().nullable(),
-  /** Left out of datagrams that only carry the feeds' status. */
-  report: report.optional(),
 });
 
 /** Status of one feed. */
 export type FeedStatus = z.infer<typeof feedStatus>;
 /** What a node has done and holds. */
 export type PeerReport = z.infer<typeof report>;
+/** What tells a datagram's receiver of its sender. */
+export type PeerHead = z.infer<typeof head>;
+
 /** One datagram. */
-export type PeerMessage = z.infer<typeof message>;
+export interface PeerMessage extends PeerHead {
+  /** Left out of datagrams that only carry the feeds' status. */
+  readonly report?: PeerReport;
+}
+
+/** Largest report that is taken in, in bytes of JSON. */
+const maxReportBytes = 1_048_576;
+const compressionLevel = 3;
+const lineFeed = 10;
+
+/** Encodes a report for any number of datagrams. */
+export function encodePeerReport(value: PeerReport): Buffer {
+  const json = Buffer.from(JSON.stringify(value));
+  return deflateRawSync(json, { level: compressionLevel });
+}
 
 /** Encodes a datagram. */
-export function encodePeerMessage(value: PeerMessage): Buffer {
-  return Buffer.from(JSON.stringify(value));
+export function encodePeerMessage(
+  value: PeerHead,
+  report: Buffer | undefined,
+): Buffer {
+  const json = Buffer.from(`${JSON.stringify(value)}\n`);
+  return report === undefined ? json : Buffer.concat([json, report]);
 }
 
 /** Decodes a datagram; `undefined` when it is not one. */
 export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
+  const end = bytes.indexOf(lineFeed);
+  if (end < 0) return undefined;
   try {
-    return message.safeParse(JSON.parse(bytes.toString("utf8"))).data;
+    const json: unknown = JSON.parse(bytes.toString("utf8", 0, end));
+    const { data } = head.safeParse(json);
+    if (data === undefined || end + 1 === bytes.length) return data;
+    const decoded = decodeReport(bytes.subarray(end + 1));
+    return decoded === undefined ? undefined : { ...data, report: decoded };
   } catch {
+    // Bytes of another program, or cut off.
     return undefined;
   }
 }
+
+function decodeReport(bytes: Buffer): PeerReport | undefined {
+  const json = inflateRawSync(bytes, { maxOutputLength: maxReportBytes });
+  return report.safeParse(JSON.parse(json.toString("utf8"))).data;
+}
--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -1,7 +1,7 @@
 /**
  * What nodes tell each other and what each makes of it.
  *
- * Holds no sockets: `compose` gives the next datagram and `apply` takes one in.
+ * Holds no sockets: `composeHead` and `composeReport` give the next datagram and `apply` takes one in.
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
@@ -13,7 +13,12 @@
 import type { Allowances } from "../limits/allowance.ts";
 import type { RepeatBudget } from "../limits/repeat_budget.ts";
 import type { Member, Members } from "./members.ts";
-import type { FeedStatus, PeerMessage, PeerReport } from "./peer_messages.ts";
+import type {
+  FeedStatus,
+  PeerHead,
+  PeerMessage,
+  PeerReport,
+} from "./peer_messages.ts";
 
 /** What shared work needs. */
 export interface SharedWorkOptions {
@@ -72,11 +77,8 @@
     return new SharedWork(options);
   }
 
-  /** Composes the datagram for one receiver, with or without the report. */
-  compose(
-    receiver: Member | undefined,
-    report: PeerReport | undefined,
-  ): PeerMessage {
+  /** Composes the head of a datagram for one receiver. */
+  composeHead(receiver: Member | undefined): PeerHead {
     const { clock } = this.#options;
     const now = clock.now();
     return {
@@ -94,7 +96,6 @@
       configuration: this.#composeStatus("configuration", now),
       replicas: this.#composeStatus("replicas", now),
       duty: this.#options.readDuty() ?? null,
-      ...(report === undefined ? {} : { report }),
     };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import { StoreView } from "./feed/store_view.ts";
 import { composeGatewayStatus } from "./gateway_status.ts";
 import type { LiveSettings } from "./live_settings.ts";
+import { MetricsFront } from "./metrics_front.ts";
 import { ReadinessFront } from "./readiness_front.ts";
 import { CallersFront } from "./relay/callers_front.ts";
 import { ReplicaSender } from "./relay/replica_sender.ts";
@@ -80,6 +81,9 @@
     const parts = await createParts(options);
     const gateway = new Gateway(options, parts);
     await gateway.#start(parts);
+    if (options.metricsPort !== undefined) {
+      await gateway.#openMetrics(options.metricsPort);
+    }
     return gateway;
   }
 
@@ -124,6 +128,7 @@
       ip: settings.ip,
       port: settings.peerPort,
       log: services.log.part("cluster"),
+      metrics: services.metrics,
     });
     this.#lifetime.register(link);
     const clusterBox: { cluster?: Cluster } = {};
@@ -253,6 +258,15 @@
     if (settings.callers !== undefined) await front.open(settings.callers);
   }
 
+  async #openMetrics(port: number): Promise<void> {
+    const front = MetricsFront.create({
+      log: this.#log,
+      format: () => this.#metrics.format(),
+    });
+    this.#lifetime.register(front);
+    await front.open(this.#settings.current.ip, port);
+  }
+
   #composeStatus(parts: GatewayParts): GatewayStatus {
     return composeGatewayStatus(parts, {
       isReady: this.#isReady(),
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -33,6 +33,8 @@
 export interface GatewayOptions {
   readonly settings: LiveSettings;
   readonly log: Log;
+  /** Port of the metrics; none are served when it is left out. */
+  readonly metricsPort?: number;
 }
 
 /** Parts of one process, not started yet. */
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -13,6 +13,8 @@
 import { LiveSettings } from "./live_settings.ts";
 
 const exitInvalid = 2;
+/** Port that the deploy file names for the metrics. */
+const metricsPort = 9_464;
 const settingsCheckMs = 1_000;
 
 /**
@@ -50,7 +52,7 @@
   });
   // Settings may also change without a signal.
   setInterval(() => settings.refresh(), settingsCheckMs).unref();
-  const gateway = await Gateway.open({ settings, log });
+  const gateway = await Gateway.open({ settings, log, metricsPort });
   log.info("gateway started.", { node: settings.current.nodeName });
   process.once("SIGTERM", () => {
     void gateway.drain().then(() => process.exit(0));
