--- a/packages/gateway/src/duties/replica_orders.ts
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -71,6 +71,12 @@
   readonly outcome: OrderOutcome | "unknown";
 }
 
+/** Replicas for the load of a service. */
+interface ReplicaNeed extends Pick<PlanInput, "wanted" | "essential"> {
+  /** Replicas that the present load would keep busy all the time. */
+  readonly busy: number;
+}
+
 interface Need {
   readonly needed: number;
   readonly at: number;
@@ -127,27 +133,22 @@
     const { scaling } = service;
     if (scaling === undefined) return;
     const zones = this.#listZones(service);
+    const need = this.#computeNeed(service, scaling, zones);
     const plan = computeReplicaPlan({
       scaling,
       zones,
       replicas: this.#listReplicas(service, zones),
-      ...this.#computeNeed(service, scaling, zones),
+      ...need,
     });
     for (const { zone, reclaimable, onDemand } of plan) {
       const base = { service: service.name, zone };
-      await this.#order(service, {
-        ...base,
-        count: reclaimable,
-        isReclaimable: true,
-      });
+      const order = { ...base, count: reclaimable, isReclaimable: true };
+      await this.#order(service, order, need);
       // Replicas that have not registered yet would be bought a second time,
       // or given up unseen.
       if (!this.#haveRegistered()) continue;
-      await this.#order(service, {
-        ...base,
-        count: onDemand,
-        isReclaimable: false,
-      });
+      const dedicated = { ...base, count: onDemand, isReclaimable: false };
+      await this.#order(service, dedicated, need);
     }
   }
 
@@ -202,7 +203,7 @@
     { name }: Service,
     scaling: ScalingLimits,
     zones: readonly string[],
-  ): Pick<PlanInput, "wanted" | "essential"> {
+  ): ReplicaNeed {
     const { work, clock } = this.#options;
     const now = clock.now();
     const busy = work.computeBusyReplicas(name, now);
@@ -216,7 +217,8 @@
       now,
     );
     const share = isKnown ? knownLoadShare : unknownLoadShare;
-    return { essential, wanted: Math.max(essential, Math.ceil(most * share)) };
+    const wanted = Math.max(essential, Math.ceil(most * share));
+    return { busy, essential, wanted };
   }
 
   #remember(service: string, needed: number, now: number): number {
@@ -228,7 +230,11 @@
     return needed;
   }
 
-  async #order(service: Service, order: ReplicaOrder): Promise<void> {
+  async #order(
+    service: Service,
+    order: ReplicaOrder,
+    { busy, essential, wanted }: ReplicaNeed,
+  ): Promise<void> {
     const { clock } = this.#options;
     const subject = formatSubject(order);
     const ordered = this.#ordered.get(subject);
@@ -250,6 +256,9 @@
       count: order.count,
       reclaimable: order.isReclaimable,
       outcome,
+      busy: Math.round(busy * 10) / 10,
+      essential,
+      wanted,
     });
   }
 
--- a/packages/scenario/src/gateway_calls_test.ts
+++ b/packages/scenario/src/gateway_calls_test.ts
@@ -134,6 +134,59 @@
   });
 });
 
+test("a replica that answers before it reads a long body gets all of it", async () => {
+  await withSetup(1, async (setup) => {
+    const body = "x".repeat(60_000);
+    for (const id of ["booking-1", "booking-2"]) {
+      setup.replica(id).faults.push({ kind: "early", afterMs: 150 });
+    }
+    const early = await setup.call({ path: "/book/", id: "e1", body });
+    assert.is(early.status, 400);
+    assert.is(early.body, "too long");
+    for (let at = 0; at < 6; at += 1) {
+      const id = `e2-${at}`;
+      const next = await setup.call({ path: "/book/", id, body: "short" });
+      assert.is(next.body === `answer to ${id}` || next.status === 400, true);
+    }
+    await setup.waitUntil(() => countRuns(setup, "e1") === 1);
+    const runs = [...setup.replicas.values()].flatMap(({ runs }) => runs);
+    for (const run of runs.filter(({ id }) => id.startsWith("e"))) {
+      const expected = run.id === "e1" ? body : "short";
+      assert.ok(run.body === expected, `${run.id}: ${run.body.length} bytes`);
+    }
+  });
+});
+
+test("hundreds of routes: the longest prefix decides, and all are served", async () => {
+  await withSetup(1, async (setup) => {
+    const routes = Array.from({ length: 400 }, (_, at) => ({
+      hostname: "api.example",
+      "path-prefix": `/book/part-${at}/`,
+      "route-kind": at % 2 === 0 ? "unsafe" : "safe",
+      service: at % 2 === 0 ? "booking" : "unknown-service",
+      "max-attempts": 1,
+      "timeout-ms": 3_000,
+      "target-latency-ms": 100,
+      priority: 1,
+      public: false,
+    }));
+    setup.configure({ routes });
+    await setup.waitUntil(async () => {
+      const answer = await setup.call({ path: "/book/part-399/x" });
+      return answer.status === 503;
+    });
+    const statuses = await Promise.all(
+      routes.map(async (route) =>
+        (await setup.call({ path: `${route["path-prefix"]}x` })).status
+      ),
+    );
+    const expected = routes.map((_, at) => at % 2 === 0 ? 200 : 503);
+    assert.equal(statuses, expected);
+    const other = await setup.call({ path: "/book/part-400/x" });
+    assert.is(other.status, 200);
+  });
+});
+
 test("malformed requests get a clear answer and disturb nobody", async () => {
   await withSetup(1, async (setup) => {
     const head = "POST /book/ HTTP/1.1\r\nHost: api.example\r\n";
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -35,7 +35,9 @@
   /** The answer has no length and ends with its connection. */
   | { readonly kind: "unframed" }
   /** A second answer follows the first one. */
-  | { readonly kind: "extra" };
+  | { readonly kind: "extra" }
+  /** Answered before the body is read, which happens `afterMs` later. */
+  | { readonly kind: "early"; readonly afterMs: number };
 
 /** A request that was run. */
 export interface ReplicaRun {
@@ -115,6 +117,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const [next] = this.faults;
+    if (next?.kind === "early") {
+      this.faults.shift();
+      return await this.#answerEarly(request, response, next.afterMs);
+    }
     const body = await readBody(request);
     if (request.url === "/kv-move") return this.#move(body, response);
     const expected = request.headers["x-expect-instance"];
@@ -149,6 +156,25 @@
     else this.#answerWhole(request, response, { run, fault });
   }
 
+  /** Answers from the head alone; what is read later shows in the run. */
+  async #answerEarly(
+    request: IncomingMessage,
+    response: ServerResponse,
+    afterMs: number,
+  ): Promise<void> {
+    const body = readBody(request);
+    request.socket.pause();
+    response.writeHead(400, {
+      "X-Request-Id": String(request.headers["x-request-id"]),
+      "X-Server-Seal": `seal-of-${this.id}`,
+      "Content-Length": "8",
+    });
+    response.end("too long");
+    await sleep(afterMs);
+    request.socket.resume();
+    this.#beginRun(request, await body);
+  }
+
   #beginRun(request: IncomingMessage, body: string): ReplicaRun {
     const run: ReplicaRun = {
       id: String(request.headers["x-request-id"]),
