--- a/packages/common/src/logs.ts
+++ b/packages/common/src/logs.ts
@@ -80,6 +80,8 @@
     const format = options.format === "json" ? formatJson : formatText;
     const logger = new Logger<Line>({
       type: "hidden",
+      // Nobody reads the position, and finding it takes most of a line's time.
+      hideLogPositionForProduction: true,
       minLevel: levelId(options.level),
     });
     logger.attachTransport((record) => {
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -10,6 +10,7 @@
   exampleHost,
   tenantKey,
 } from "@almondcrank/standin/platform/example_configuration.ts";
+import type { BalancedNode, LoadBalancer } from "./load_balancer.ts";
 import type { CallerRecord, RequestKind } from "./records.ts";
 import { secondKey } from "./soak_system.ts";
 
@@ -28,11 +29,7 @@
 
 /** Where callers send to and for how long. */
 export interface SoakCallersOptions {
-  /** Callers' addresses of the nodes, by name. */
-  readonly nodes: readonly {
-    readonly name: string;
-    readonly address: string;
-  }[];
+  readonly balancer: LoadBalancer;
   readonly random: Random;
   readonly callers: number;
   readonly lengthMs: number;
@@ -59,15 +56,19 @@
   readonly records: CallerRecord[];
 }
 
+/** A caller stays on its connection until that closes, as the pages say. */
 async function runCaller(
-  { nodes, random }: SoakCallersOptions,
+  { balancer, random }: SoakCallersOptions,
   { caller, endsAt, records }: CallerTask,
 ): Promise<void> {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  const node = nodes[caller % nodes.length];
+  let node = balancer.choose(caller);
   let number = 0;
-  while (node !== undefined && performance.now() < endsAt) {
+  while (performance.now() < endsAt) {
     await sleep(random.nextExponential(meanPauseMs));
+    const isConnected = Object.keys(agent.freeSockets).length > 0;
+    if (!isConnected) node = balancer.choose(caller);
+    if (node === undefined) continue;
     number += 1;
     const isLeaving = random.next() < leavingShare;
     const record = await sendRequest(agent, {
@@ -86,7 +87,7 @@
   readonly id: string;
   readonly kind: RequestKind;
   readonly key: string;
-  readonly node: { readonly name: string; readonly address: string };
+  readonly node: BalancedNode;
   readonly leaveAfterMs: number | undefined;
 }
 
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -6,6 +6,7 @@
 import { createFaultPlan, type PlannedFault } from "./fault_plan.ts";
 import { FaultRunner } from "./fault_runner.ts";
 import { FaultyFront, type PlantedFault } from "./faulty_front.ts";
+import { LoadBalancer } from "./load_balancer.ts";
 import { checkPromises, type Finding } from "./promises.ts";
 import type { CallerRecord } from "./records.ts";
 import { runCallers } from "./soak_callers.ts";
@@ -41,15 +42,17 @@
   const nodes = system.nodes.map(({ process: { place } }) => ({
     name: place.name,
     address: place.callers,
+    readiness: place.readiness,
   }));
   const front = await openFront(options, nodes[0]?.address);
   const [first, ...others] = nodes;
   const fronted = first === undefined || front === undefined
     ? nodes
     : [{ ...first, address: front.address }, ...others];
+  const balancer = LoadBalancer.create(fronted);
   const startedAt = performance.now();
   const [callers] = await Promise.all([
-    runCallers({ ...options, nodes: fronted, random }),
+    runCallers({ ...options, balancer, random }),
     runner.run(plan),
   ]);
   const calmFrom = Math.max(
@@ -65,6 +68,7 @@
     calmFrom,
     events: streamEvents,
   });
+  balancer.dispose();
   front?.close();
   await system.close({ keepLogs: findings.length > 0 });
   return { findings, plan, callers, folder: system.folder };
