Let the first callers after a start wait for the copies of the store

Change: a request waits up to 250 ms for configuration and replicas, then it is refused as before. The tests restart a node and call it at once: 503, 503 and 200 before, all served after; with a silent store it is refused within 0.7 s.

--- a/packages/gateway/src/feed/store_view.ts
+++ b/packages/gateway/src/feed/store_view.ts
@@ -18,6 +18,7 @@
 
 /** Time after an outage in which missing entries may have lapsed. */
 const lapseWatchMs = 6_000;
+const completePollMs = 5;
 /** Margin for a watch that stayed silent just before it was cut. */
 const revocationMarginMs = 1_000;
 
@@ -56,6 +57,19 @@
     return this.#routes;
   }
 
+  /** Whether configuration and replicas are known. */
+  get isComplete(): boolean {
+    return this.#routes !== undefined && this.hasReplicas;
+  }
+
+  /** Waits until all is known, at most until `signal` aborts. */
+  async waitComplete(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!this.isComplete && !signal.aborted) {
+      await clock.sleep(completePollMs, signal);
+    }
+  }
+
   /** Whether the replicas have been read once. */
   get hasReplicas(): boolean {
     return this.#options.feeds.replicas.isKnown;
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -121,6 +121,7 @@
       configurationAgeMs: view.configurationAgeMs,
       draw: random.next(),
     }),
+    waitComplete: (signal) => view.waitComplete(signal),
   });
   const store = PlatformStore.create(
     createClientOptions(settings.storeAddress, { clock, random, metrics, log }),
--- a/packages/gateway/src/relay/callers_front.ts
+++ b/packages/gateway/src/relay/callers_front.ts
@@ -53,6 +53,8 @@
 const listenBacklog = 2_048;
 const lowestRank = 9;
 const retryElsewhereMs = 20;
+/** Longest wait for the first copies of the store. */
+const firstCopiesMs = 250;
 
 /** What the front needs. */
 export interface CallersFrontOptions {
@@ -61,6 +63,8 @@
   readonly allowances: Allowances;
   /** What is believed now; read at each request. */
   readonly readView: () => AdmissionView;
+  /** Waits for the first configuration and replicas. */
+  readonly waitComplete: (signal: AbortSignal) => Promise<void>;
 }
 
 type Routed = Extract<RoutingVerdict, { readonly kind: "routed" }>;
@@ -168,13 +172,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { services, readView } = this.#options;
+    const { services, readView, waitComplete } = this.#options;
     const receivedAt = services.clock.now();
     if (this.#isClosed) {
       const answer = composeOwnAnswer(503, "draining", retryElsewhereMs);
       return this.#refuse({ request, response }, answer);
     }
     const callerGone = watchCaller(response);
+    // Right after a start the copies of the store arrive within milliseconds.
+    await waitComplete(
+      AbortSignal.any([callerGone, AbortSignal.timeout(firstCopiesMs)]),
+    );
     const view = readView();
     const routed = chooseRoute(request, view);
     if (routed.kind === "refused") {
--- a/packages/scenario/src/gateway_nodes_test.ts
+++ b/packages/scenario/src/gateway_nodes_test.ts
@@ -12,6 +12,30 @@
 } from "./testing/gateway_checks.ts";
 import { tenantKey } from "@almondcrank/standin/platform/example_configuration.ts";
 
+test("a node that has just started serves its first callers", async () => {
+  await withSetup(1, async (setup) => {
+    await setup.restart(0);
+    const answers = await Promise.all(
+      ["/book/", "/answer/x/stream", "/lookup/x"].map((path) =>
+        setup.call({ path })
+      ),
+    );
+    assert.equal(answers.map(({ status }) => status), [200, 200, 200]);
+  });
+});
+
+test("a node that knows no configuration refuses soon and says when to come back", async () => {
+  await withSetup(1, async (setup) => {
+    setup.store.fault = "silent";
+    await setup.restart(0);
+    const answer = await setup.call({ path: "/book/", id: "early" });
+    assert.is(answer.status, 503);
+    assert.ok(answer.headers["retry-after"] !== undefined);
+    assert.ok(answer.ms < 700, `${answer.ms} ms`);
+    assert.is(countRuns(setup, "early"), 0);
+  });
+});
+
 test("torn and foreign registrations are passed over", async () => {
   await withSetup(1, async (setup) => {
     setup.store.put("servers", "torn", "not an object");
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -150,6 +150,14 @@
     });
   }
 
+  /** Ends a node at once and starts it again at its place. */
+  async restart(node: number): Promise<void> {
+    this.nodes[node]?.dispose();
+    const settings = this.#settings[node];
+    if (settings === undefined) throw new Error(`no node ${node}`);
+    this.nodes[node] = await startNode({ ...settings, isFirstStart: false });
+  }
+
   /** Control address of a node. */
   findControl(node: number): string {
     return this.#settings[node]?.control ?? "";
@@ -212,12 +220,16 @@
       bounds,
     };
     this.#settings.push(settings);
-    const log = createSilentLog();
-    const live = LiveSettings.create({
-      log,
-      readText: () => "",
-      decode: () => Right(settings),
-    }).unsafeCoerce();
-    this.nodes.push(await Gateway.open({ settings: live, log }));
+    this.nodes.push(await startNode(settings));
   }
 }
+
+function startNode(settings: GatewaySettings): Promise<Gateway> {
+  const log = createSilentLog();
+  const live = LiveSettings.create({
+    log,
+    readText: () => "",
+    decode: () => Right(settings),
+  }).unsafeCoerce();
+  return Gateway.open({ settings: live, log });
+}
