One node reads the store for all, as was meant

A reader whose watch waits 0.8 s for news proves its copy at most every 0.8 s, and the proof is 0.8 s old by then, so its age reached 1.6 s while the next node stepped in at 1.05 s; and a node that had stepped in never stopped, since its own proof was the newest each time a watch of its ended.

Change: nodes tell when the store last answered them. Whoever comes later in the order waits while one before it is answered, and steps in 1.05 s after the last answer, as before.

--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -19,6 +19,8 @@
   ageMs: z.number().nullable(),
   /** Time since the store did not answer; null when it never failed. */
   outageMs: z.number().nullable(),
+  /** Time since the sender itself read the store; null when it never did. */
+  readMs: z.number().nullable(),
 });
 
 /** What a node has done and holds; the larger part of a datagram. */
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -8,7 +8,7 @@
   type PeerReport,
 } from "./peer_messages.ts";
 
-const status = { asOf: 1, digest: 2, ageMs: null, outageMs: 7 };
+const status = { asOf: 1, digest: 2, ageMs: null, outageMs: 7, readMs: 9 };
 const head: PeerHead = {
   node: "n",
   incarnation: "i",
--- a/packages/gateway/src/cluster/shared_work.ts
+++ b/packages/gateway/src/cluster/shared_work.ts
@@ -202,6 +202,7 @@
       ...state.mark,
       ageMs: formatAge(state.provenAt),
       outageMs: formatAge(state.outageAt),
+      readMs: formatAge(state.readAt),
     };
   }
 
@@ -210,6 +211,10 @@
     const { feeds, clock } = this.#options;
     const state = feeds[kind];
     const status = message[kind];
+    const isBefore = message.node < this.#options.node;
+    if (isBefore && status.readMs !== null) {
+      state.recordFirstRead(clock.now() - status.readMs);
+    }
     const { asOf, digest } = state.mark;
     const isSame = status.digest === digest && state.isKnown;
     if (!isSame) {
--- a/packages/gateway/src/feed/feed_reader.ts
+++ b/packages/gateway/src/feed/feed_reader.ts
@@ -5,7 +5,8 @@
  * proven its copy for a while, and that while is longer for each node further
  * back in their order. So one node usually reads for all, the next follows within
  * a fraction of a second when it fails, and a node that hears nobody reads alone.
- * A node that stepped in goes on without a pause until another one proves more.
+ * A node that stepped in goes on without a pause until one before it in the order
+ * reads again.
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
@@ -18,7 +19,7 @@
 
 /** Longest wait of one watch; also the usual age of a proof. */
 const watchWaitMs = 800;
-/** Age of the proof at which the second node in order reads too. */
+/** Silence of the readers after which the second node in order reads too. */
 const firstTakeoverMs = 1_050;
 const takeoverStepMs = 200;
 const pollMs = 25;
@@ -81,10 +82,14 @@
     const { state, clock, readRank } = this.#options;
     const rank = readRank();
     if (rank === 0 || !state.isKnown) return 0;
-    if (this.isReader) return 0;
+    const isFirstReading = clock.now() - state.firstReadAt < firstTakeoverMs;
+    if (this.isReader && !isFirstReading) return 0;
     const takeoverMs = firstTakeoverMs + (rank - 1) * takeoverStepMs +
       this.#options.readStatusDelayMs();
-    return takeoverMs - (clock.now() - state.provenAt);
+    // A reader whose watch waits for news proves little for a while, but tells
+    // that the store answers it.
+    const signAt = Math.max(state.provenAt, state.firstReadAt);
+    return takeoverMs - (clock.now() - signAt);
   }
 
   async #readOnce(): Promise<void> {
@@ -130,7 +135,9 @@
   }
 
   #recordSuccess(sentAt: number): void {
+    const { state, clock } = this.#options;
     this.#ownProvenAt = sentAt;
+    state.recordOwnRead(clock.now());
     if (this.#failures > 0) {
       const { log, kind } = this.#options;
       log.info(`the store answers again for ${kind}.`, {
--- a/packages/gateway/src/feed/feed_reader_test.ts
+++ b/packages/gateway/src/feed/feed_reader_test.ts
@@ -60,7 +60,10 @@
 }
 
 test("a node behind a reader that proves its copy does not read", async () => {
-  const reads = await runReader(1, (state, now) => state.confirm(now - 900));
+  const reads = await runReader(
+    1,
+    (state, now) => state.confirm(now - 900),
+  );
   assert.is(reads.length, 0);
 });
 
@@ -80,4 +83,42 @@
   assert.ok(reads.every((at) => at <= 3_900), `${reads}`);
 });
 
+test("of nodes that started together one reads on", async () => {
+  const clock = ManualClock.create();
+  const reads: number[] = [];
+  const nodes = [0, 1, 2, 3].map((rank) => {
+    const state = FeedState.create(hasher);
+    const reader = FeedReader.create({
+      kind: "replicas",
+      prefix: "servers",
+      state,
+      store: createStore(clock, reads),
+      clock,
+      random: Random.create(rank),
+      log: createSilentLog(),
+      readRank: () => rank,
+      readStatusDelayMs: () => 0,
+    });
+    return { state, reader };
+  });
+  for (let at = 0; at < 12_000; at += 200) {
+    // Each node tells the others how old its proof is and when it read.
+    const told = nodes.map(({ state }) => [state.provenAt, state.readAt]);
+    nodes.forEach(({ state }, to) => {
+      told.forEach(([provenAt = 0, readAt = 0], from) => {
+        if (from === to || !Number.isFinite(provenAt)) return;
+        state.confirm(provenAt);
+        if (from < to) state.recordFirstRead(readAt);
+      });
+    });
+    await clock.advance(50 + 10 * (at % 7));
+    await clock.advance(150 - 10 * (at % 7));
+  }
+  for (const { reader } of nodes) reader.dispose();
+  const late = reads.filter((at) => at >= 4_000);
+  // One reader with watches of 0.8 s reads ten times in 8 s.
+  assert.ok(late.length <= 14, `${late.length} reads in 8 s`);
+  assert.ok(late.length >= 8, `${late.length} reads in 8 s`);
+});
+
 test.run();
--- a/packages/gateway/src/feed/feed_state.ts
+++ b/packages/gateway/src/feed/feed_state.ts
@@ -39,6 +39,8 @@
   #asOf = 0;
   #digest = 0;
   #provenAt = -Infinity;
+  #readAt = -Infinity;
+  #firstReadAt = -Infinity;
   #watchFrom: number | undefined;
   #outageAt = -Infinity;
 
@@ -66,6 +68,16 @@
     return this.#provenAt;
   }
 
+  /** Monotonic time at which the store last answered this node. */
+  get readAt(): number {
+    return this.#readAt;
+  }
+
+  /** The same of the nodes before this one in the order of readers. */
+  get firstReadAt(): number {
+    return this.#firstReadAt;
+  }
+
   /** Last time at which the store was found not to answer. */
   get outageAt(): number {
     return this.#outageAt;
@@ -129,6 +141,16 @@
     this.#provenAt = Math.max(this.#provenAt, provenAt);
   }
 
+  /** Records that the store answered this node at `at`. */
+  recordOwnRead(at: number): void {
+    this.#readAt = at;
+  }
+
+  /** Records that a node before this one in the order read the store. */
+  recordFirstRead(at: number): void {
+    this.#firstReadAt = Math.max(this.#firstReadAt, at);
+  }
+
   /** Records that the store did not answer at `at`. */
   recordOutage(at: number): void {
     this.#outageAt = Math.max(this.#outageAt, at);
--- a/packages/standin/src/platform/store_standin.ts
+++ b/packages/standin/src/platform/store_standin.ts
@@ -61,6 +61,8 @@
   isHit: (ip: string) => boolean = () => true;
   /** Calls received, faults included. */
   calls = 0;
+  /** The same by method, kind of object and whether it was a watch. */
+  readonly callsByKind = new Map<string, number>();
 
   private constructor() {
     this.#server = createServer((request, response) =>
@@ -123,7 +125,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.calls += 1;
+    this.#countCall(request.method ?? "", request.url ?? "/");
     const body = await readBody(request);
     const ip = request.socket.remoteAddress ?? "";
     const fault = this.isHit(ip) ? this.fault : "none";
@@ -150,6 +152,15 @@
     sendJson(response, answer.status, answer.body);
   }
 
+  #countCall(method: string, path: string): void {
+    this.calls += 1;
+    const url = new URL(path, "http://store");
+    const isWatch = url.searchParams.has("watch");
+    const kind = url.pathname.split("/")[2] ?? "";
+    const name = `${isWatch ? "WATCH" : method} ${kind}`;
+    this.callsByKind.set(name, (this.callsByKind.get(name) ?? 0) + 1);
+  }
+
   async #answerRead(
     url: URL,
     kind: string,
