Give each process's local nodes loopback addresses of their own

Cause: two soaks side by side took the same control port: a port that is free on one loopback address need not be on the next. Nodes of tests, soaks and demonstrations now sit in a network of their process's own, and the tests' setup uses the same places as the others.

--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -25,8 +25,9 @@
   tenantKey,
 } from "@almondcrank/standin/platform/example_configuration.ts";
 import {
+  createNodePlace,
   findSharedPorts,
-  findTcpPort,
+  type SharedPorts,
 } from "@almondcrank/standin/platform/node_settings.ts";
 import { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
 import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
@@ -82,9 +83,9 @@
     await setup.addReplica("booking-1", "booking");
     await setup.addReplica("booking-2", "booking");
     setup.configure({});
-    const { control, peers } = await findSharedPorts();
+    const ports = await findSharedPorts();
     for (let at = 0; at < nodes; at += 1) {
-      await setup.#openNode(at, peers, control);
+      await setup.#openNode(at, ports);
     }
     await setup.waitUntil(async () => {
       const answers = await Promise.all(
@@ -195,22 +196,21 @@
     await Promise.resolve();
   }
 
-  async #openNode(
-    at: number,
-    peerPort: number,
-    controlPort: number,
-  ): Promise<void> {
-    const ip = `127.0.0.${at + 1}`;
+  async #openNode(at: number, ports: SharedPorts): Promise<void> {
+    const place = await createNodePlace(at, ports, {
+      storeAddress: this.store.address,
+      cloudAddress: this.cloud.address,
+    });
     const settings: GatewaySettings = {
-      nodeName: `node-${at + 1}`,
-      ip,
+      nodeName: place.name,
+      ip: place.ip,
       zone: "muc-a",
       zones: ["muc-a"],
-      callers: `${ip}:${await findTcpPort(ip)}`,
-      readiness: `${ip}:${await findTcpPort(ip)}`,
-      control: `${ip}:${controlPort}`,
-      peerPort,
-      seedIps: ["127.0.0.1"],
+      callers: place.callers,
+      readiness: place.readiness,
+      control: place.control,
+      peerPort: place.peerPort,
+      seedIps: [this.#settings[0]?.ip ?? place.ip],
       isFirstStart: true,
       memoryMb: 350,
       maxDescriptors: 1_024,
--- a/packages/standin/src/platform/node_settings.ts
+++ b/packages/standin/src/platform/node_settings.ts
@@ -5,6 +5,7 @@
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
+import process from "node:process";
 
 /** Where one node listens and what it talks to. */
 export interface NodePlace {
@@ -25,10 +26,13 @@
 }
 
 const zone = "muc-a";
+/** Loopback addresses of this process's nodes, apart from other processes'. */
+const network = `127.${1 + process.pid % 250}.0`;
 
-/** Finds ports that are free on the first loopback address. */
+/** Finds ports that are free on this process's loopback addresses. */
 export async function findSharedPorts(): Promise<SharedPorts> {
-  return { control: await findTcpPort(), peers: await findUdpPort() };
+  const ip = `${network}.1`;
+  return { control: await findTcpPort(ip), peers: await findUdpPort(ip) };
 }
 
 /** Places node number `at` at a loopback address of its own. */
@@ -37,7 +41,7 @@
   ports: SharedPorts,
   platform: Pick<NodePlace, "storeAddress" | "cloudAddress">,
 ): Promise<NodePlace> {
-  const ip = `127.0.0.${at + 1}`;
+  const ip = `${network}.${at + 1}`;
   return {
     ...platform,
     name: `node-${at + 1}`,
@@ -69,7 +73,7 @@
       "control-plane": place.control,
     },
     "port-range": [place.peerPort, place.peerPort + 1],
-    seeds: [`127.0.0.1:${place.control.split(":")[1]}`],
+    seeds: [`${network}.1:${place.control.split(":")[1]}`],
     bootstrap: isFirstStart,
     limits: { "memory-mb": 350, "fd-limit": 4_100 },
     bounds: { ...defaultBounds, ...bounds },
@@ -97,7 +101,7 @@
 };
 
 /** A TCP port that is free at an address. */
-export function findTcpPort(ip = "127.0.0.1"): Promise<number> {
+function findTcpPort(ip: string): Promise<number> {
   return new Promise((resolve, reject) => {
     const server = createServer();
     server.once("error", reject);
@@ -108,12 +112,12 @@
   });
 }
 
-/** A UDP port that is free at the first loopback address. */
-export function findUdpPort(): Promise<number> {
+/** A UDP port that is free at an address. */
+function findUdpPort(ip: string): Promise<number> {
   return new Promise((resolve, reject) => {
     const socket = createSocket("udp4");
     socket.once("error", reject);
-    socket.bind(0, "127.0.0.1", () => {
+    socket.bind(0, ip, () => {
       const { port } = socket.address();
       socket.close(() => resolve(port));
     });
