Group routing by what it does; types of a stream's legs apart

packages/routing had 62 files side by side and stream_run and stream_migration imported each other. Files now stand in choice, admission, limits, repeats, streams, keyed_calls and routers, tests beside their sources; what the runs of a node share is a module of its own, so the cycle is gone. stream_relay.ts of the gateway was over 400 lines; its types are in stream_leg.ts.

--- a/packages/bench/src/choice_time.ts
+++ b/packages/bench/src/choice_time.ts
@@ -19,13 +19,13 @@
 import { openHasher } from "@almondcrank/common/hashing.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import { computeBlockHashes } from "@almondcrank/endpoint/tokens.ts";
-import { LoadTable } from "@almondcrank/routing/load_table.ts";
-import { PrefixIndex } from "@almondcrank/routing/prefix_index.ts";
+import { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
+import { PrefixIndex } from "@almondcrank/routing/choice/prefix_index.ts";
 import {
   type ChoicePolicy,
   ReplicaChooser,
-} from "@almondcrank/routing/replica_choice.ts";
-import { ReplicaDirectory } from "@almondcrank/routing/service_replicas.ts";
+} from "@almondcrank/routing/choice/replica_choice.ts";
+import { ReplicaDirectory } from "@almondcrank/routing/choice/service_replicas.ts";
 
 const replicaCount = 5_500;
 const zoneCount = 16;
--- a/packages/bench/src/hedging.ts
+++ b/packages/bench/src/hedging.ts
@@ -11,14 +11,14 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import { HedgeDelay } from "@almondcrank/routing/hedge_delay.ts";
-import { PlainAttempts } from "@almondcrank/routing/plain_attempts.ts";
+import { HedgeDelay } from "@almondcrank/routing/repeats/hedge_delay.ts";
+import { PlainAttempts } from "@almondcrank/routing/repeats/plain_attempts.ts";
 import {
   noLoadReports,
   PlainChoice,
-} from "@almondcrank/routing/plain_choice.ts";
-import type { PlainRequest } from "@almondcrank/routing/plain_router.ts";
-import { RetryBudget } from "@almondcrank/routing/retry_budget.ts";
+} from "@almondcrank/routing/choice/plain_choice.ts";
+import type { PlainRequest } from "@almondcrank/routing/routers/plain_router.ts";
+import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import { createEndpoint, SimulatedEndpoint } from "./simulated_endpoint.ts";
 
 const requests = 6_000;
--- a/packages/bench/src/key_path.ts
+++ b/packages/bench/src/key_path.ts
@@ -17,14 +17,14 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import { MemoryObjectStore } from "@almondcrank/infrastructure/memory_object_store.ts";
-import type { KeyPeers } from "@almondcrank/routing/key_peers.ts";
+import type { KeyPeers } from "@almondcrank/routing/keyed_calls/key_peers.ts";
 import {
   defaultKeyLimits,
   KeyRecords,
-} from "@almondcrank/routing/key_records.ts";
-import { noLoadReports } from "@almondcrank/routing/plain_choice.ts";
-import { RetryBudget } from "@almondcrank/routing/retry_budget.ts";
-import { RoutedCalls } from "@almondcrank/routing/routed_calls.ts";
+} from "@almondcrank/routing/keyed_calls/key_records.ts";
+import { noLoadReports } from "@almondcrank/routing/choice/plain_choice.ts";
+import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
+import { RoutedCalls } from "@almondcrank/routing/routers/routed_calls.ts";
 import { createEndpoint } from "./simulated_endpoint.ts";
 
 const calls = 5_000;
--- a/packages/bench/src/policy_bench.ts
+++ b/packages/bench/src/policy_bench.ts
@@ -23,14 +23,14 @@
   computeBlockHashes,
   splitTokens,
 } from "@almondcrank/endpoint/tokens.ts";
-import { LoadTable } from "@almondcrank/routing/load_table.ts";
-import type { ModelStream } from "@almondcrank/routing/model_router.ts";
+import { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
+import type { ModelStream } from "@almondcrank/routing/routers/model_router.ts";
 import type {
   Choice,
   ChoicePolicy,
   ChoiceRequest,
-} from "@almondcrank/routing/replica_choice.ts";
-import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
+} from "@almondcrank/routing/choice/replica_choice.ts";
+import { RoutedModels } from "@almondcrank/routing/routers/routed_models.ts";
 import type { EngineSettingsInput } from "@almondcrank/standin/engine_settings.ts";
 import {
   createRandom,
--- a/packages/bench/src/relay_rate.ts
+++ b/packages/bench/src/relay_rate.ts
@@ -27,9 +27,9 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import { EnginePool } from "@almondcrank/endpoint/engine_pool.ts";
-import { LoadTable } from "@almondcrank/routing/load_table.ts";
-import type { ModelStream } from "@almondcrank/routing/model_router.ts";
-import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
+import { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
+import type { ModelStream } from "@almondcrank/routing/routers/model_router.ts";
+import { RoutedModels } from "@almondcrank/routing/routers/routed_models.ts";
 import { benchService } from "./policy_bench.ts";
 
 const streams = 672;
--- /dev/null
+++ b/packages/gateway/src/relay/stream_leg.ts
@@ -0,0 +1,32 @@
+/**
+ * One leg of a stream: what is relayed from one replica, and how that ends.
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RepeatReason } from "../limits/repeat_budget.ts";
+import type { RelayResult } from "./relay_services.ts";
+import type { Sending } from "./replica_sender.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+import type { SilenceWatch } from "./silence_watch.ts";
+import type { MoveTarget } from "./stream_registry.ts";
+
+/** A request and the response to write. */
+export interface StreamExchange {
+  readonly request: RoutedRequest;
+  readonly response: ServerResponse;
+}
+
+/** A send that was answered. */
+export interface Leg {
+  readonly answer: IncomingMessage;
+  readonly sending: Sending;
+  readonly sentAt: number;
+  readonly silence: SilenceWatch;
+  readonly isMoved: boolean;
+}
+
+/** How one leg ended. */
+export type LegEnd =
+  | { readonly kind: "done"; readonly result: RelayResult }
+  | { readonly kind: "retry"; readonly reason: RepeatReason }
+  | { readonly kind: "moved"; readonly target: MoveTarget };
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -32,7 +32,7 @@
 import { StreamAttempts } from "./stream_attempts.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import { SilenceWatch } from "./silence_watch.ts";
-import type { Sending } from "./replica_sender.ts";
+import type { Leg, LegEnd, StreamExchange } from "./stream_leg.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type {
   MoveTarget,
@@ -47,12 +47,6 @@
 const gapSilenceShare = 0.75;
 const defaultRetryMs = 300;
 
-/** How one leg ended. */
-type LegEnd =
-  | { readonly kind: "done"; readonly result: RelayResult }
-  | { readonly kind: "retry"; readonly reason: RepeatReason }
-  | { readonly kind: "moved"; readonly target: MoveTarget };
-
 /** Relays one stream. */
 export class StreamRelay implements RunningStream {
   readonly #services: RelayServices;
@@ -397,17 +391,3 @@
     };
   }
 }
-
-/** A request and the response to write. */
-export interface StreamExchange {
-  readonly request: RoutedRequest;
-  readonly response: ServerResponse;
-}
-
-interface Leg {
-  readonly answer: IncomingMessage;
-  readonly sending: Sending;
-  readonly sentAt: number;
-  readonly silence: SilenceWatch;
-  readonly isMoved: boolean;
-}
--- a/packages/node/src/callers_front.ts
+++ b/packages/node/src/callers_front.ts
@@ -10,7 +10,7 @@
   sendJson,
 } from "@almondcrank/common/http_server.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
-import { Refusal } from "@almondcrank/routing/refusal.ts";
+import { Refusal } from "@almondcrank/routing/admission/refusal.ts";
 import type { TeamDirectory } from "./authentication.ts";
 import type { ChatFront } from "./chat_front.ts";
 import type { PlainFront } from "./plain_front.ts";
--- a/packages/node/src/chat_front.ts
+++ b/packages/node/src/chat_front.ts
@@ -20,8 +20,8 @@
 import type {
   ModelRouter,
   ModelStream,
-} from "@almondcrank/routing/model_router.ts";
-import type { Refusal } from "@almondcrank/routing/refusal.ts";
+} from "@almondcrank/routing/routers/model_router.ts";
+import type { Refusal } from "@almondcrank/routing/admission/refusal.ts";
 import {
   type ChatAnswerHead,
   ChatEventFormatter,
--- a/packages/node/src/chat_protocol.ts
+++ b/packages/node/src/chat_protocol.ts
@@ -10,7 +10,7 @@
 import type {
   StreamEvent,
   StreamUsage,
-} from "@almondcrank/routing/model_router.ts";
+} from "@almondcrank/routing/routers/model_router.ts";
 
 const contentPart = z.object({ type: z.literal("text"), text: z.string() });
 
--- a/packages/node/src/load_exchange.ts
+++ b/packages/node/src/load_exchange.ts
@@ -22,10 +22,10 @@
   Digest,
   EndpointLoad,
 } from "@almondcrank/membership/membership.ts";
-import { LimitsFeed } from "@almondcrank/routing/limits_feed.ts";
-import type { LoadTable } from "@almondcrank/routing/load_table.ts";
-import type { PlainLoads } from "@almondcrank/routing/plain_loads.ts";
-import type { TeamLimits } from "@almondcrank/routing/team_limits.ts";
+import { LimitsFeed } from "@almondcrank/routing/limits/limits_feed.ts";
+import type { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
+import type { PlainLoads } from "@almondcrank/routing/choice/plain_loads.ts";
+import type { TeamLimits } from "@almondcrank/routing/limits/team_limits.ts";
 import type { EndpointClients } from "./endpoint_clients.ts";
 import type { NodeServices } from "./node_services.ts";
 
--- a/packages/node/src/peer_router.ts
+++ b/packages/node/src/peer_router.ts
@@ -13,8 +13,8 @@
   type ForwardedOutcome,
   type KeyBatch,
   keyBatchSchema,
-} from "@almondcrank/routing/key_peers.ts";
-import type { StreamExchange } from "@almondcrank/routing/stream_exchange.ts";
+} from "@almondcrank/routing/keyed_calls/key_peers.ts";
+import type { StreamExchange } from "@almondcrank/routing/streams/stream_exchange.ts";
 import {
   cancelStreamSchema,
   decodeHandOver,
--- a/packages/node/src/plain_front.ts
+++ b/packages/node/src/plain_front.ts
@@ -15,7 +15,7 @@
   sendJson,
 } from "@almondcrank/common/http_server.ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
-import type { PlainRouter } from "@almondcrank/routing/plain_router.ts";
+import type { PlainRouter } from "@almondcrank/routing/routers/plain_router.ts";
 import {
   sendBadRequest,
   sendBodyError,
--- a/packages/node/src/refusal_answer.ts
+++ b/packages/node/src/refusal_answer.ts
@@ -13,7 +13,7 @@
   Refusal,
   RefusalDetail,
   RefusalKind,
-} from "@almondcrank/routing/refusal.ts";
+} from "@almondcrank/routing/admission/refusal.ts";
 import { formatError } from "./chat_protocol.ts";
 
 const millisecondsPerSecond = 1_000;
--- a/packages/node/src/request_paths.ts
+++ b/packages/node/src/request_paths.ts
@@ -8,13 +8,13 @@
   DisposableStore,
 } from "@almondcrank/common/disposables.ts";
 import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
-import { ClaimCleaner } from "@almondcrank/routing/claim_cleaner.ts";
-import { LoadTable } from "@almondcrank/routing/load_table.ts";
-import { PlainLoads } from "@almondcrank/routing/plain_loads.ts";
-import { RetryBudget } from "@almondcrank/routing/retry_budget.ts";
-import { RoutedCalls } from "@almondcrank/routing/routed_calls.ts";
-import { RoutedModels } from "@almondcrank/routing/routed_models.ts";
-import { TeamLimits } from "@almondcrank/routing/team_limits.ts";
+import { ClaimCleaner } from "@almondcrank/routing/keyed_calls/claim_cleaner.ts";
+import { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
+import { PlainLoads } from "@almondcrank/routing/choice/plain_loads.ts";
+import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
+import { RoutedCalls } from "@almondcrank/routing/routers/routed_calls.ts";
+import { RoutedModels } from "@almondcrank/routing/routers/routed_models.ts";
+import { TeamLimits } from "@almondcrank/routing/limits/team_limits.ts";
 import type { Cluster } from "./cluster.ts";
 import { EndpointClients } from "./endpoint_clients.ts";
 import { LoadExchange } from "./load_exchange.ts";
--- a/packages/node/src/request_peers.ts
+++ b/packages/node/src/request_peers.ts
@@ -14,14 +14,14 @@
   type KeyOwner,
   KeyPeerError,
   type KeyPeers,
-} from "@almondcrank/routing/key_peers.ts";
+} from "@almondcrank/routing/keyed_calls/key_peers.ts";
 import type {
   EventBatch,
   PeerFailure,
   ReadEventsRequest,
   StreamHandOver,
   StreamPeers,
-} from "@almondcrank/routing/stream_peers.ts";
+} from "@almondcrank/routing/streams/stream_peers.ts";
 import type { NodeRouter } from "./peer_router.ts";
 import {
   decodeEventBatch,
--- a/packages/node/src/stream_wire.ts
+++ b/packages/node/src/stream_wire.ts
@@ -3,12 +3,12 @@
  */
 
 import { z } from "zod";
-import type { StreamEvent } from "@almondcrank/routing/model_router.ts";
-import { Refusal } from "@almondcrank/routing/refusal.ts";
+import type { StreamEvent } from "@almondcrank/routing/routers/model_router.ts";
+import { Refusal } from "@almondcrank/routing/admission/refusal.ts";
 import type {
   EventBatch,
   StreamHandOver,
-} from "@almondcrank/routing/stream_peers.ts";
+} from "@almondcrank/routing/streams/stream_peers.ts";
 
 /** Question of a peer for events of a stream. */
 export const readEventsSchema = z.object({
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission/admission.ts
@@ -14,9 +14,9 @@
 
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
-import type { ModelRequest } from "./model_router.ts";
+import type { ModelRequest } from "../routers/model_router.ts";
 import { Refusal } from "./refusal.ts";
-import type { Choice } from "./replica_choice.ts";
+import type { Choice } from "../choice/replica_choice.ts";
 
 /** Share of the first-token target that the first priority may wait. */
 const highestShare = 0.35;
--- a/packages/routing/src/admission_test.ts
+++ b/packages/routing/src/admission/admission_test.ts
@@ -2,12 +2,12 @@
 import { test } from "uvu";
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Admission } from "./admission.ts";
-import type { Choice } from "./replica_choice.ts";
+import type { Choice } from "../choice/replica_choice.ts";
 import {
   createEndpoint,
   createRequest,
   testTeam,
-} from "./testing/model_setup.ts";
+} from "../testing/model_setup.ts";
 
 function createChoice(waitMs: number, restMs = 0): Choice {
   const totalMs = waitMs + restMs;
--- a/packages/routing/src/brown_out_test.ts
+++ b/packages/routing/src/admission/brown_out_test.ts
@@ -6,10 +6,10 @@
 import { Random } from "@almondcrank/common/random.ts";
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
-import { HedgeDelay } from "./hedge_delay.ts";
-import { PlainAttempts } from "./plain_attempts.ts";
-import { noLoadReports, PlainChoice } from "./plain_choice.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { HedgeDelay } from "../repeats/hedge_delay.ts";
+import { PlainAttempts } from "../repeats/plain_attempts.ts";
+import { noLoadReports, PlainChoice } from "../choice/plain_choice.ts";
+import { RetryBudget } from "../repeats/retry_budget.ts";
 
 const names = ["a", "b", "c", "d"];
 const usualMs = 20;
--- a/packages/routing/src/load_table_test.ts
+++ b/packages/routing/src/choice/load_table_test.ts
@@ -4,7 +4,7 @@
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 import type { EndpointLoad } from "@almondcrank/membership/membership.ts";
 import { LoadTable } from "./load_table.ts";
-import { createEndpoint } from "./testing/model_setup.ts";
+import { createEndpoint } from "../testing/model_setup.ts";
 
 function createLoad(changes: Partial<EndpointLoad> = {}): EndpointLoad {
   return {
--- a/packages/routing/src/replica_choice_test.ts
+++ b/packages/routing/src/choice/replica_choice_test.ts
@@ -11,7 +11,7 @@
   createConfiguration,
   createEndpoint,
   testService,
-} from "./testing/model_setup.ts";
+} from "../testing/model_setup.ts";
 
 const hasher = await openHasher();
 
--- a/packages/routing/src/claim_cleaner_test.ts
+++ b/packages/routing/src/keyed_calls/claim_cleaner_test.ts
@@ -7,7 +7,7 @@
 import { claimBuckets, ClaimCleaner } from "./claim_cleaner.ts";
 import { formatClaimKey } from "./key_claims.ts";
 import type { KeyOwner } from "./key_peers.ts";
-import { FakeClaims } from "./testing/fake_claims.ts";
+import { FakeClaims } from "../testing/fake_claims.ts";
 
 const keepMs = 100_000;
 const roundMs = 10_000;
--- a/packages/routing/src/key_forwarding.ts
+++ b/packages/routing/src/keyed_calls/key_forwarding.ts
@@ -25,8 +25,8 @@
   encodeOutcome,
   type KeyedRequest,
 } from "./key_wire.ts";
-import type { Refusal } from "./refusal.ts";
-import { waitUntilDue } from "./wait_until_due.ts";
+import type { Refusal } from "../admission/refusal.ts";
+import { waitUntilDue } from "../admission/wait_until_due.ts";
 
 const maxForwards = 3;
 const forwardPauseMs = 50;
--- a/packages/routing/src/key_records.ts
+++ b/packages/routing/src/keyed_calls/key_records.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
-import type { Refusal } from "./refusal.ts";
+import type { Refusal } from "../admission/refusal.ts";
 
 /** Bounds of the table. */
 export interface KeyLimits {
--- a/packages/routing/src/key_refusals.ts
+++ b/packages/routing/src/keyed_calls/key_refusals.ts
@@ -7,7 +7,7 @@
 
 import type { RunState } from "@almondcrank/endpoint/endpoint_error.ts";
 import type { ClaimError } from "./key_claims.ts";
-import { Refusal } from "./refusal.ts";
+import { Refusal } from "../admission/refusal.ts";
 
 const fullRetryMs = 1_000;
 
--- a/packages/routing/src/key_wire.ts
+++ b/packages/routing/src/keyed_calls/key_wire.ts
@@ -16,8 +16,8 @@
   createDroppedRefusal,
   createLostOwnerRefusal,
 } from "./key_refusals.ts";
-import type { PlainRequest } from "./plain_router.ts";
-import { Refusal } from "./refusal.ts";
+import type { PlainRequest } from "../routers/plain_router.ts";
+import { Refusal } from "../admission/refusal.ts";
 
 const fingerprintLength = 32;
 
--- a/packages/routing/src/keyed_calls.ts
+++ b/packages/routing/src/keyed_calls/keyed_calls.ts
@@ -30,13 +30,13 @@
   createWithRun,
 } from "./key_refusals.ts";
 import { computeFingerprint, type KeyedRequest } from "./key_wire.ts";
-import type { Admission, Limiter } from "./limiter.ts";
+import type { Admission, Limiter } from "../limits/limiter.ts";
 import {
   createDeadlineRefusal,
   createDrainingRefusal,
-} from "./plain_refusals.ts";
-import type { Refusal } from "./refusal.ts";
-import { waitUntilDue } from "./wait_until_due.ts";
+} from "../admission/plain_refusals.ts";
+import type { Refusal } from "../admission/refusal.ts";
+import { waitUntilDue } from "../admission/wait_until_due.ts";
 
 const idLength = 32;
 
--- a/packages/routing/src/keyed_calls_property_test.ts
+++ b/packages/routing/src/keyed_calls/keyed_calls_property_test.ts
@@ -7,8 +7,8 @@
   counterTeam,
   type EndpointFault,
   FakeWorld,
-} from "./testing/fake_calls_world.ts";
-import { type StoreFault } from "./testing/fake_claims.ts";
+} from "../testing/fake_calls_world.ts";
+import { type StoreFault } from "../testing/fake_claims.ts";
 
 const nodes = 3;
 const histories = 300;
--- a/packages/routing/src/keyed_calls_test.ts
+++ b/packages/routing/src/keyed_calls/keyed_calls_test.ts
@@ -3,8 +3,8 @@
 import { Buffer } from "node:buffer";
 import type { Either } from "purify-ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
-import { FakeWorld, garageTeam } from "./testing/fake_calls_world.ts";
-import type { Refusal } from "./refusal.ts";
+import { FakeWorld, garageTeam } from "../testing/fake_calls_world.ts";
+import type { Refusal } from "../admission/refusal.ts";
 
 type Result = Either<Refusal, PlainAnswer>;
 
--- a/packages/routing/src/limiter.ts
+++ b/packages/routing/src/limits/limiter.ts
@@ -4,7 +4,7 @@
 
 import type { Either } from "purify-ts";
 import type { Team } from "@almondcrank/common/configuration.ts";
-import type { Refusal } from "./refusal.ts";
+import type { Refusal } from "../admission/refusal.ts";
 
 /** Permission to send one request; released once, when the request has ended. */
 export interface Admission {
--- a/packages/routing/src/limits_feed.ts
+++ b/packages/routing/src/limits/limits_feed.ts
@@ -21,7 +21,10 @@
   TeamDemand,
 } from "@almondcrank/membership/membership.ts";
 import type { ZoneAggregate } from "@almondcrank/membership/zone_summary.ts";
-import { type PoolCapacity, PoolCapacityMeter } from "./pool_capacity.ts";
+import {
+  type PoolCapacity,
+  PoolCapacityMeter,
+} from "../choice/pool_capacity.ts";
 import type { PeerDemand, TeamLimits } from "./team_limits.ts";
 
 const updateMs = 1_000;
--- a/packages/routing/src/request_limits.ts
+++ b/packages/routing/src/limits/request_limits.ts
@@ -4,8 +4,8 @@
 
 import type { Either } from "purify-ts";
 import type { Team } from "@almondcrank/common/configuration.ts";
-import type { Refusal } from "./refusal.ts";
-import type { RetryReason } from "./retry_budget.ts";
+import type { Refusal } from "../admission/refusal.ts";
+import type { RetryReason } from "../repeats/retry_budget.ts";
 
 /** Share of a team taken by one request until released. */
 export interface LimitLease {
--- a/packages/routing/src/team_limits.ts
+++ b/packages/routing/src/limits/team_limits.ts
@@ -20,8 +20,8 @@
 import type { Random } from "@almondcrank/common/random.ts";
 import type { TeamDemand } from "@almondcrank/membership/membership.ts";
 import type { Admission, Limiter } from "./limiter.ts";
-import type { PoolCapacity } from "./pool_capacity.ts";
-import { Refusal } from "./refusal.ts";
+import type { PoolCapacity } from "../choice/pool_capacity.ts";
+import { Refusal } from "../admission/refusal.ts";
 import {
   computeShares,
   type TeamNeed,
--- a/packages/routing/src/team_limits_test.ts
+++ b/packages/routing/src/limits/team_limits_test.ts
@@ -8,9 +8,9 @@
   type Team,
 } from "@almondcrank/common/configuration.ts";
 import { computeShares } from "./share_allocation.ts";
-import { PoolCapacityMeter } from "./pool_capacity.ts";
+import { PoolCapacityMeter } from "../choice/pool_capacity.ts";
 import { TeamLimits } from "./team_limits.ts";
-import { computeOnTime, LimitsWorld } from "./testing/limits_world.ts";
+import { computeOnTime, LimitsWorld } from "../testing/limits_world.ts";
 
 const chain: Team = { name: "chain", keyHash: "", priority: 1, share: 4 };
 const garage: Team = { name: "garage", keyHash: "", priority: 1, share: 1 };
--- a/packages/routing/src/plain_attempts.ts
+++ b/packages/routing/src/repeats/plain_attempts.ts
@@ -22,15 +22,15 @@
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
 import type { HedgeDelay } from "./hedge_delay.ts";
-import type { PlainChoice } from "./plain_choice.ts";
+import type { PlainChoice } from "../choice/plain_choice.ts";
 import {
   createDeadlineRefusal,
   createFailedRefusal,
   createNoEndpointRefusal,
   createUnknownRefusal,
-} from "./plain_refusals.ts";
-import type { PlainRequest } from "./plain_router.ts";
-import type { Refusal } from "./refusal.ts";
+} from "../admission/plain_refusals.ts";
+import type { PlainRequest } from "../routers/plain_router.ts";
+import type { Refusal } from "../admission/refusal.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 const maxAttempts = 4;
--- a/packages/routing/src/plain_attempts_test.ts
+++ b/packages/routing/src/repeats/plain_attempts_test.ts
@@ -14,8 +14,8 @@
   PlainCall,
 } from "@almondcrank/endpoint/plain_service.ts";
 import { PlainAttempts } from "./plain_attempts.ts";
-import { noLoadReports, PlainChoice } from "./plain_choice.ts";
-import type { PlainRequest } from "./plain_router.ts";
+import { noLoadReports, PlainChoice } from "../choice/plain_choice.ts";
+import type { PlainRequest } from "../routers/plain_router.ts";
 import { RetryBudget } from "./retry_budget.ts";
 
 const service: PlainService = {
--- a/packages/routing/src/model_router.ts
+++ b/packages/routing/src/routers/model_router.ts
@@ -4,7 +4,7 @@
 
 import type { Either } from "purify-ts";
 import type { ModelService, Team } from "@almondcrank/common/configuration.ts";
-import type { Refusal } from "./refusal.ts";
+import type { Refusal } from "../admission/refusal.ts";
 
 /** A caller's request to a model service, already authenticated. */
 export interface ModelRequest {
--- a/packages/routing/src/plain_router.ts
+++ b/packages/routing/src/routers/plain_router.ts
@@ -5,7 +5,7 @@
 import type { Either } from "purify-ts";
 import type { PlainAnswer } from "@almondcrank/endpoint/plain_service.ts";
 import type { PlainService, Team } from "@almondcrank/common/configuration.ts";
-import type { Refusal } from "./refusal.ts";
+import type { Refusal } from "../admission/refusal.ts";
 
 /** A caller's call of a plain service, already authenticated. */
 export interface PlainRequest {
--- a/packages/routing/src/routed_calls.ts
+++ b/packages/routing/src/routers/routed_calls.ts
@@ -25,29 +25,37 @@
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
 import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
-import { HedgeDelay } from "./hedge_delay.ts";
-import { KeyFormat } from "./key_format.ts";
-import { KeyClaims } from "./key_claims.ts";
-import { KeyForwarding } from "./key_forwarding.ts";
-import { chooseHeirs, createBatch, KeyInheritance } from "./key_inheritance.ts";
+import { HedgeDelay } from "../repeats/hedge_delay.ts";
+import { KeyFormat } from "../keyed_calls/key_format.ts";
+import { KeyClaims } from "../keyed_calls/key_claims.ts";
+import { KeyForwarding } from "../keyed_calls/key_forwarding.ts";
+import {
+  chooseHeirs,
+  createBatch,
+  KeyInheritance,
+} from "../keyed_calls/key_inheritance.ts";
 import type {
   ForwardedCall,
   ForwardedOutcome,
   KeyBatch,
   KeyOwner,
   KeyPeers,
-} from "./key_peers.ts";
-import { defaultKeyLimits, type KeyLimits, KeyRecords } from "./key_records.ts";
-import { encodeOutcome, type KeyedRequest } from "./key_wire.ts";
-import { KeyedCalls } from "./keyed_calls.ts";
-import type { Limiter } from "./limiter.ts";
-import { isIdempotent, PlainAttempts } from "./plain_attempts.ts";
-import { PlainChoice, type PlainLoadSource } from "./plain_choice.ts";
-import { createDrainingRefusal } from "./plain_refusals.ts";
+} from "../keyed_calls/key_peers.ts";
+import {
+  defaultKeyLimits,
+  type KeyLimits,
+  KeyRecords,
+} from "../keyed_calls/key_records.ts";
+import { encodeOutcome, type KeyedRequest } from "../keyed_calls/key_wire.ts";
+import { KeyedCalls } from "../keyed_calls/keyed_calls.ts";
+import type { Limiter } from "../limits/limiter.ts";
+import { isIdempotent, PlainAttempts } from "../repeats/plain_attempts.ts";
+import { PlainChoice, type PlainLoadSource } from "../choice/plain_choice.ts";
+import { createDrainingRefusal } from "../admission/plain_refusals.ts";
 import type { PlainRequest, PlainRouter } from "./plain_router.ts";
-import type { Refusal } from "./refusal.ts";
-import type { RetryBudget } from "./retry_budget.ts";
-import { ServiceEndpoints } from "./service_endpoints.ts";
+import type { Refusal } from "../admission/refusal.ts";
+import type { RetryBudget } from "../repeats/retry_budget.ts";
+import { ServiceEndpoints } from "../choice/service_endpoints.ts";
 
 const defaultClaimCallsPerSecond = 150;
 const unknownTeamPriority = 9;
--- a/packages/routing/src/routed_models.ts
+++ b/packages/routing/src/routers/routed_models.ts
@@ -23,36 +23,40 @@
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import type { Engine } from "@almondcrank/endpoint/engine.ts";
-import { Admission } from "./admission.ts";
-import type { LoadTable } from "./load_table.ts";
+import { Admission } from "../admission/admission.ts";
+import type { LoadTable } from "../choice/load_table.ts";
 import type { ModelRequest, ModelRouter, ModelStream } from "./model_router.ts";
-import { PrefixIndex } from "./prefix_index.ts";
-import { Refusal, type RefusalKind } from "./refusal.ts";
+import { PrefixIndex } from "../choice/prefix_index.ts";
+import { Refusal, type RefusalKind } from "../admission/refusal.ts";
 import {
   type Choice,
   type ChoicePolicy,
   type Chooser,
   ReplicaChooser,
-} from "./replica_choice.ts";
+} from "../choice/replica_choice.ts";
 import type {
   LimitLease,
   RequestLimiter,
   RetryPermits,
-} from "./request_limits.ts";
+} from "../limits/request_limits.ts";
 import {
   computeInput,
   noPast,
   RoutedStream,
   type RoutedStreamOptions,
   type StreamInput,
-} from "./routed_stream.ts";
-import { ReplicaDirectory } from "./service_replicas.ts";
-import { StreamExchange } from "./stream_exchange.ts";
-import { formatStreamId } from "./stream_id.ts";
-import { defaultStreamLimits, type StreamLimits } from "./stream_limits.ts";
-import type { StreamPeers } from "./stream_peers.ts";
-import { StreamRun, type StreamRunServices } from "./stream_run.ts";
-import { StreamSet } from "./stream_set.ts";
+} from "../streams/routed_stream.ts";
+import { ReplicaDirectory } from "../choice/service_replicas.ts";
+import { StreamExchange } from "../streams/stream_exchange.ts";
+import { formatStreamId } from "../streams/stream_id.ts";
+import {
+  defaultStreamLimits,
+  type StreamLimits,
+} from "../streams/stream_limits.ts";
+import type { StreamPeers } from "../streams/stream_peers.ts";
+import { StreamRun } from "../streams/stream_run.ts";
+import type { StreamRunServices } from "../streams/stream_run_services.ts";
+import { StreamSet } from "../streams/stream_set.ts";
 
 /** Options of the router. */
 export interface RoutedModelsOptions {
--- a/packages/routing/src/peer_stream.ts
+++ b/packages/routing/src/streams/peer_stream.ts
@@ -3,8 +3,8 @@
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
-import type { ModelStream, StreamEvent } from "./model_router.ts";
-import { Refusal } from "./refusal.ts";
+import type { ModelStream, StreamEvent } from "../routers/model_router.ts";
+import { Refusal } from "../admission/refusal.ts";
 import type { EventBatch, StreamPeers } from "./stream_peers.ts";
 
 const waitMs = 1_000;
--- a/packages/routing/src/routed_stream.ts
+++ b/packages/routing/src/streams/routed_stream.ts
@@ -9,8 +9,12 @@
   computeBlockHashes,
   splitTokens,
 } from "@almondcrank/endpoint/tokens.ts";
-import type { ModelRequest, ModelStream, StreamEvent } from "./model_router.ts";
-import type { ConversationOpening } from "./replica_choice.ts";
+import type {
+  ModelRequest,
+  ModelStream,
+  StreamEvent,
+} from "../routers/model_router.ts";
+import type { ConversationOpening } from "../choice/replica_choice.ts";
 import { StreamLog } from "./stream_log.ts";
 import type { StreamLimits } from "./stream_limits.ts";
 import { UsageCounter } from "./stream_usage.ts";
--- a/packages/routing/src/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -14,7 +14,7 @@
   GenerateRequest,
 } from "@almondcrank/endpoint/engine.ts";
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
-import type { Choice } from "./replica_choice.ts";
+import type { Choice } from "../choice/replica_choice.ts";
 import type { StreamLog } from "./stream_log.ts";
 
 /** How an attempt ended. */
--- a/packages/routing/src/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -17,9 +17,13 @@
 import { computeRendezvous, type Hasher } from "@almondcrank/common/hashing.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
-import type { ModelRequest, ModelStream, StreamEvent } from "./model_router.ts";
+import type {
+  ModelRequest,
+  ModelStream,
+  StreamEvent,
+} from "../routers/model_router.ts";
 import { PeerStream } from "./peer_stream.ts";
-import { Refusal } from "./refusal.ts";
+import { Refusal } from "../admission/refusal.ts";
 import type { StreamPast } from "./routed_stream.ts";
 import { parseStreamOwner } from "./stream_id.ts";
 import type {
--- a/packages/routing/src/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -1,15 +1,15 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
-import type { ModelStream } from "./model_router.ts";
-import { formatToken } from "./testing/fake_engine.ts";
+import type { ModelStream } from "../routers/model_router.ts";
+import { formatToken } from "../testing/fake_engine.ts";
 import {
   createRequest,
   type ModelSetup,
   openModelSetup,
   startReading,
   testTeam,
-} from "./testing/model_setup.ts";
-import { TestPeers } from "./testing/test_peers.ts";
+} from "../testing/model_setup.ts";
+import { TestPeers } from "../testing/test_peers.ts";
 
 interface Nodes {
   readonly peers: TestPeers;
--- a/packages/routing/src/stream_failures_test.ts
+++ b/packages/routing/src/streams/stream_failures_test.ts
@@ -1,13 +1,13 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
-import type { ModelStream } from "./model_router.ts";
-import { type FakeEngine, formatToken } from "./testing/fake_engine.ts";
+import type { ModelStream } from "../routers/model_router.ts";
+import { type FakeEngine, formatToken } from "../testing/fake_engine.ts";
 import {
   createRequest,
   type ModelSetup,
   openModelSetup,
   startReading,
-} from "./testing/model_setup.ts";
+} from "../testing/model_setup.ts";
 
 const request = createRequest;
 
--- a/packages/routing/src/stream_log.ts
+++ b/packages/routing/src/streams/stream_log.ts
@@ -7,7 +7,7 @@
  * slow caller holds back its engine.
  */
 
-import type { StreamEvent } from "./model_router.ts";
+import type { StreamEvent } from "../routers/model_router.ts";
 
 /** Event that ends a stream. */
 export type FinalEvent = Exclude<StreamEvent, { readonly kind: "token" }>;
--- a/packages/routing/src/stream_migration.ts
+++ b/packages/routing/src/streams/stream_migration.ts
@@ -9,10 +9,10 @@
  */
 
 import type { Endpoint } from "@almondcrank/common/configuration.ts";
-import type { Choice } from "./replica_choice.ts";
+import type { Choice } from "../choice/replica_choice.ts";
 import type { RoutedStream } from "./routed_stream.ts";
 import type { StreamAttempt } from "./stream_attempt.ts";
-import type { StreamRunServices } from "./stream_run.ts";
+import type { StreamRunServices } from "./stream_run_services.ts";
 
 /** Part of the notice in which an answer must end to be left in place. */
 const finishShare = 0.7;
--- a/packages/routing/src/stream_migration_test.ts
+++ b/packages/routing/src/streams/stream_migration_test.ts
@@ -1,13 +1,13 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
-import { type FakeEngine, formatToken } from "./testing/fake_engine.ts";
+import { type FakeEngine, formatToken } from "../testing/fake_engine.ts";
 import {
   createRequest,
   type ModelSetup,
   openModelSetup,
   type Reading,
   startReading,
-} from "./testing/model_setup.ts";
+} from "../testing/model_setup.ts";
 
 interface Moved {
   readonly setup: ModelSetup;
--- a/packages/routing/src/stream_peers.ts
+++ b/packages/routing/src/streams/stream_peers.ts
@@ -4,7 +4,7 @@
 
 import type { Either } from "purify-ts";
 import type { KindError } from "@almondcrank/common/kind_error.ts";
-import type { StreamEvent } from "./model_router.ts";
+import type { StreamEvent } from "../routers/model_router.ts";
 
 /** Why a peer did not answer a question about a stream. */
 export type PeerFailure = KindError<
--- a/packages/routing/src/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -9,37 +9,16 @@
  * load.
  */
 
-import type { Clock } from "@almondcrank/common/clock.ts";
-import type { Endpoint } from "@almondcrank/common/configuration.ts";
-import type { Hasher } from "@almondcrank/common/hashing.ts";
-import type { Metrics } from "@almondcrank/common/metrics.ts";
-import type { Engine } from "@almondcrank/endpoint/engine.ts";
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 import { computeBlockHashes } from "@almondcrank/endpoint/tokens.ts";
-import type { LoadTable } from "./load_table.ts";
-import type { ModelStream } from "./model_router.ts";
-import type { PrefixIndex } from "./prefix_index.ts";
-import type { RefusalKind } from "./refusal.ts";
-import { Refusal } from "./refusal.ts";
-import type { Choice, Chooser } from "./replica_choice.ts";
-import type { RetryPermits } from "./request_limits.ts";
+import type { ModelStream } from "../routers/model_router.ts";
+import type { RefusalKind } from "../admission/refusal.ts";
+import { Refusal } from "../admission/refusal.ts";
+import type { Choice } from "../choice/replica_choice.ts";
 import { type AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
 import { StreamMigration } from "./stream_migration.ts";
+import type { StreamRunServices } from "./stream_run_services.ts";
 import { computeContext, type RoutedStream } from "./routed_stream.ts";
-import type { StreamLimits } from "./stream_limits.ts";
-
-/** What all runs of a node share. */
-export interface StreamRunServices {
-  readonly engines: (endpoint: Endpoint) => Engine;
-  readonly loads: LoadTable;
-  readonly prefixes: PrefixIndex;
-  readonly chooser: Chooser;
-  readonly retries: RetryPermits;
-  readonly clock: Clock;
-  readonly hasher: Hasher;
-  readonly metrics: Metrics;
-  readonly limits: StreamLimits;
-}
 
 /** Longest that the first token may be overdue, as a multiple of its prediction. */
 const firstTokenPatience = 4;
--- a/packages/routing/src/stream_usage.ts
+++ b/packages/routing/src/streams/stream_usage.ts
@@ -3,7 +3,7 @@
  */
 
 import type { EngineUsage } from "@almondcrank/endpoint/engine.ts";
-import type { StreamUsage } from "./model_router.ts";
+import type { StreamUsage } from "../routers/model_router.ts";
 
 /** What was known when an attempt was sent. */
 export interface AttemptInput {
--- a/packages/routing/src/testing/fake_calls_world.ts
+++ b/packages/routing/src/testing/fake_calls_world.ts
@@ -33,14 +33,14 @@
   type KeyOwner,
   KeyPeerError,
   type KeyPeers,
-} from "../key_peers.ts";
+} from "../keyed_calls/key_peers.ts";
 import { FakeClaims } from "./fake_claims.ts";
-import type { KeyLimits } from "../key_records.ts";
-import type { Limiter } from "../limiter.ts";
-import { noLoadReports } from "../plain_choice.ts";
-import { Refusal } from "../refusal.ts";
-import { RetryBudget } from "../retry_budget.ts";
-import { RoutedCalls } from "../routed_calls.ts";
+import type { KeyLimits } from "../keyed_calls/key_records.ts";
+import type { Limiter } from "../limits/limiter.ts";
+import { noLoadReports } from "../choice/plain_choice.ts";
+import { Refusal } from "../admission/refusal.ts";
+import { RetryBudget } from "../repeats/retry_budget.ts";
+import { RoutedCalls } from "../routers/routed_calls.ts";
 
 export const bookingService: PlainService = {
   kind: "plain",
--- a/packages/routing/src/testing/limits_world.ts
+++ b/packages/routing/src/testing/limits_world.ts
@@ -14,7 +14,7 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import type { TeamDemand } from "@almondcrank/membership/membership.ts";
-import { TeamLimits } from "../team_limits.ts";
+import { TeamLimits } from "../limits/team_limits.ts";
 
 const updateMs = 1_000;
 const pollMs = 500;
--- a/packages/routing/src/testing/model_setup.ts
+++ b/packages/routing/src/testing/model_setup.ts
@@ -17,10 +17,13 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import { LoadTable } from "../load_table.ts";
-import type { ModelRequest, ModelStream } from "../model_router.ts";
-import { RoutedModels, type RoutedModelsOptions } from "../routed_models.ts";
-import type { PeerFailure, StreamPeers } from "../stream_peers.ts";
+import { LoadTable } from "../choice/load_table.ts";
+import type { ModelRequest, ModelStream } from "../routers/model_router.ts";
+import {
+  RoutedModels,
+  type RoutedModelsOptions,
+} from "../routers/routed_models.ts";
+import type { PeerFailure, StreamPeers } from "../streams/stream_peers.ts";
 import { FakeEngine } from "./fake_engine.ts";
 
 export const testTeam: Team = {
--- a/packages/routing/src/testing/test_peers.ts
+++ b/packages/routing/src/testing/test_peers.ts
@@ -3,14 +3,14 @@
  */
 
 import { type Either, Left, Right } from "purify-ts";
-import type { RoutedModels } from "../routed_models.ts";
+import type { RoutedModels } from "../routers/routed_models.ts";
 import type {
   EventBatch,
   PeerFailure,
   ReadEventsRequest,
   StreamHandOver,
   StreamPeers,
-} from "../stream_peers.ts";
+} from "../streams/stream_peers.ts";
 import { TestPeerFailure } from "./model_setup.ts";
 
 /** Nodes that can be cut off or leave. */
