Need replicas by their places and by what a token costs a small engine

An output token was taken to keep an engine busy for 0.25 ms, which holds for a batch of 18 requests; an engine of twelve places makes it in 0.42 ms. And a service may run out of places before it runs out of engine time.

Change: engine time of a token goes by the places of the engine; replicas are needed for the larger of the work and the places taken.

--- a/packages/gateway/src/duties/replica_orders.ts
+++ b/packages/gateway/src/duties/replica_orders.ts
@@ -24,6 +24,7 @@
 import type { DutyLease } from "./duty_lease.ts";
 import { runDutyLoop } from "./duty_loop.ts";
 import {
+  computeNeeded,
   computeReplicaPlan,
   type PlanInput,
   type ZoneReplicas,
@@ -37,8 +38,6 @@
 const shortageProbeMs = 600;
 /** Time beyond the boot time until an order counts as lost. */
 const bootMarginMs = 2_500;
-/** Replicas needed for each one that would be busy all the time. */
-const headroom = 1.35;
 /** Share of the most replicas allowed that is wanted before load is known. */
 const unknownLoadShare = 0.45;
 /** The same once it is. */
@@ -200,7 +199,7 @@
 
   /** Replicas for the load, remembering a high need for a while. */
   #computeNeed(
-    { name }: Service,
+    { name, engine }: Service,
     scaling: ScalingLimits,
     zones: readonly string[],
   ): ReplicaNeed {
@@ -210,7 +209,10 @@
     if (busy > 0 && !this.#busySince.has(name)) this.#busySince.set(name, now);
     const isKnown = now - (this.#busySince.get(name) ?? now) > learnMs;
     const most = scaling.max * zones.length;
-    const loaded = Math.min(most, Math.ceil(busy * headroom));
+    const active = this.#options.table.listUsable(name)
+      .reduce((sum, { load }) => sum + load.active, 0);
+    const slots = engine?.slots ?? Infinity;
+    const loaded = Math.min(most, computeNeeded({ busy, active, slots }));
     const essential = this.#remember(
       name,
       Math.max(loaded, Math.ceil(most * essentialShare)),
--- a/packages/gateway/src/duties/replica_plan.ts
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -38,6 +38,28 @@
   readonly onDemand: number;
 }
 
+/** Replicas needed for each one that would be busy all the time. */
+const headroom = 1.35;
+/** Share of a replica's places that may be taken before more are needed. */
+const takenShare = 0.7;
+
+/** Load of a service. */
+export interface ServiceLoad {
+  /** Replicas that the present work would keep busy all the time. */
+  readonly busy: number;
+  /** Requests that its replicas have at present. */
+  readonly active: number;
+  /** Requests that one replica takes at once. */
+  readonly slots: number;
+}
+
+/** Replicas that the load needs, by engine time and by places. */
+export function computeNeeded({ busy, active, slots }: ServiceLoad): number {
+  const byWork = Math.ceil(busy * headroom);
+  const byPlaces = Math.ceil(active / Math.max(1, slots * takenShare));
+  return Math.max(byWork, byPlaces);
+}
+
 /** Plans all zones of a service. */
 export function computeReplicaPlan(input: PlanInput): readonly ZonePlan[] {
   const { zones, scaling } = input;
--- a/packages/gateway/src/duties/replica_plan_test.ts
+++ b/packages/gateway/src/duties/replica_plan_test.ts
@@ -1,7 +1,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import fc from "fast-check";
-import { computeReplicaPlan, type ZoneReplicas } from "./replica_plan.ts";
+import {
+  computeNeeded,
+  computeReplicaPlan,
+  type ZoneReplicas,
+} from "./replica_plan.ts";
+import { computeEngineMs } from "./work_meter.ts";
 
 const zones = ["a", "b", "c", "d"];
 const scaling = {
@@ -113,4 +118,18 @@
   );
 });
 
+test("engines with few places are needed by places, large ones by work", () => {
+  assert.is(computeNeeded({ busy: 3, active: 45, slots: 64 }), 5);
+  assert.is(computeNeeded({ busy: 3, active: 45, slots: 12 }), 6);
+  assert.is(computeNeeded({ busy: 0, active: 0, slots: 12 }), 0);
+});
+
+test("an output token keeps a small engine busy for longer", () => {
+  const output = { prompt: 0, output: 1_000 };
+  const large = computeEngineMs(output, 64);
+  const small = computeEngineMs(output, 12);
+  assert.ok(small > large * 1.4 && small < large * 2, `${small}, ${large}`);
+  assert.is(computeEngineMs({ prompt: 5_000, output: 0 }, 12), 100);
+});
+
 test.run();
--- a/packages/gateway/src/duties/work_meter.ts
+++ b/packages/gateway/src/duties/work_meter.ts
@@ -10,13 +10,41 @@
 import { promptTokensPerMs } from "../choice/engine_choice.ts";
 import { SlidingCount } from "../limits/sliding_count.ts";
 
-/** Engine time of one output token at a moderate batch. */
-const outputTokenMs = 0.25;
+/** Time of one step of an engine, alone and for each request in its batch. */
+const stepMs = 2.9;
+const stepMsPerRequest = 0.1;
+/** Requests of a moderate batch, where an engine has places for as many. */
+const moderateBatch = 18;
+/** Share of its places that a smaller engine has taken at a moderate load. */
+const moderateShare = 0.75;
 /** Window over which work is averaged. */
 const windowMs = 4_000;
 /** Least span over which the first work is averaged. */
 const minSpanMs = 1_000;
 
+/** Tokens that a replica has to read or has made. */
+export interface EngineWork {
+  readonly prompt: number;
+  readonly output: number;
+}
+
+/**
+ * Engine time of some tokens, in milliseconds.
+ *
+ * An engine makes one token for each request of its batch in a step, so the fewer
+ * requests it takes at once, the longer each token keeps it busy.
+ *
+ * @param slots Requests that an engine of the service takes at once.
+ */
+export function computeEngineMs(
+  { prompt, output }: EngineWork,
+  slots: number,
+): number {
+  const batch = Math.max(1, Math.min(moderateBatch, slots * moderateShare));
+  const outputMs = (stepMs + stepMsPerRequest * batch) / batch;
+  return prompt / promptTokensPerMs + output * outputMs;
+}
+
 interface ServiceWork {
   readonly recent: SlidingCount;
   ownMs: number;
@@ -32,14 +60,8 @@
     return new WorkMeter();
   }
 
-  /** Records tokens that a replica has to read or has made. */
-  record(
-    service: string,
-    tokens: { readonly prompt: number; readonly output: number },
-    now: number,
-  ): void {
-    const ms = tokens.prompt / promptTokensPerMs +
-      tokens.output * outputTokenMs;
+  /** Records engine time that a request needs. */
+  record(service: string, ms: number, now: number): void {
     const work = this.#find(service);
     work.ownMs += ms;
     this.#add(work, ms, now);
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -13,6 +13,7 @@
   type EngineChoice,
   promptTokensPerMs,
 } from "../choice/engine_choice.ts";
+import { computeEngineMs, type EngineWork } from "../duties/work_meter.ts";
 import type { RepeatReason } from "../limits/repeat_budget.ts";
 import { type PumpEnd, runEventPump } from "./event_pump.ts";
 import { listAnswerHeaders } from "./message_headers.ts";
@@ -341,9 +342,11 @@
     });
   }
 
-  #recordWork(tokens: { readonly prompt: number; readonly output: number }) {
+  #recordWork(tokens: EngineWork): void {
     const { work, clock } = this.#services;
-    work.record(this.#request.service.name, tokens, clock.now());
+    const { name, engine } = this.#request.service;
+    const ms = computeEngineMs(tokens, engine?.slots ?? Infinity);
+    work.record(name, ms, clock.now());
   }
 
   #recordStart(choice: EngineChoice, leg: Leg): void {
