A soak or demonstration that fails ends what it started

Cause: of two soaks side by side one ended with EADDRINUSE of a node, and its own process and two of its nodes ran on for 40 minutes until they were ended by id: a failure between the start and the end closed nothing.

Change: a start that fails, and a run that is thrown out of, close the nodes and stand-ins; all nodes have started or failed before that. The new test starts a program that ends at once; its file's process could not end before.

--- a/packages/cli/src/routes_fleet.ts
+++ b/packages/cli/src/routes_fleet.ts
@@ -48,12 +48,13 @@
       await StoreStandin.open(),
       await CloudStandin.open(),
     );
-    for (const service of ["models", "booking"]) {
-      await fleet.#addReplica(`${service}-1`, service);
-      await fleet.#addReplica(`${service}-2`, service);
+    try {
+      await fleet.#openAll(nodes);
+    } catch (thrown) {
+      // A node that does not start must not leave the others running.
+      await fleet.close();
+      throw thrown;
     }
-    fleet.configure([tenantKey]);
-    await fleet.#startNodes(nodes);
     return fleet;
   }
 
@@ -102,6 +103,15 @@
     rmSync(this.#folder, { recursive: true });
   }
 
+  async #openAll(nodes: number): Promise<void> {
+    for (const service of ["models", "booking"]) {
+      await this.#addReplica(`${service}-1`, service);
+      await this.#addReplica(`${service}-2`, service);
+    }
+    this.configure([tenantKey]);
+    await this.#startNodes(nodes);
+  }
+
   async #addReplica(id: string, service: string): Promise<void> {
     const events = service === "models"
       ? { events: streamEvents, eventMs }
@@ -123,7 +133,10 @@
         NodeProcess.create({ place, command, folder: this.#folder }),
       );
     }
-    await Promise.all(this.nodes.map((node) => node.start()));
+    const starts = this.nodes.map((node) => node.start());
+    // All have started or failed before a failure ends the others.
+    await Promise.allSettled(starts);
+    await Promise.all(starts);
     for (const { place } of this.nodes) await waitReady(place.readiness);
   }
 }
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -38,6 +38,24 @@
   const random = Random.create(options.seed);
   const plan = createFaultPlan(random, options.lengthMs);
   const system = await SoakSystem.open(options);
+  try {
+    return await playSoak(options, { system, random, plan });
+  } catch (thrown) {
+    await system.close({ keepLogs: true });
+    throw thrown;
+  }
+}
+
+interface OpenSoak {
+  readonly system: SoakSystem;
+  readonly random: Random;
+  readonly plan: readonly PlannedFault[];
+}
+
+async function playSoak(
+  options: SoakOptions,
+  { system, random, plan }: OpenSoak,
+): Promise<SoakResult> {
   const runner = FaultRunner.create(system);
   const nodes = system.nodes.map(({ process: { place } }) => ({
     name: place.name,
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -82,13 +82,13 @@
       cloud,
       await LinkProxy.open(cloud.address),
     );
-    for (const service of services) {
-      for (let count = 0; count < replicasPerService; count += 1) {
-        await system.addReplica(service);
-      }
+    try {
+      await system.#openAll(options);
+    } catch (thrown) {
+      // A node that does not start must not leave the others running.
+      await system.close({ keepLogs: false });
+      throw thrown;
     }
-    system.configure({});
-    await system.#openNodes(options);
     return system;
   }
 
@@ -197,6 +197,16 @@
     );
   }
 
+  async #openAll(options: SoakSystemOptions): Promise<void> {
+    for (const service of services) {
+      for (let count = 0; count < replicasPerService; count += 1) {
+        await this.addReplica(service);
+      }
+    }
+    this.configure({});
+    await this.#openNodes(options);
+  }
+
   async #openNodes({ nodes, command }: SoakSystemOptions): Promise<void> {
     const ports = await findSharedPorts();
     for (let at = 0; at < nodes; at += 1) {
@@ -214,6 +224,9 @@
       });
       this.nodes.push({ process, storeLink });
     }
-    await Promise.all(this.nodes.map(({ process }) => process.start()));
+    const starts = this.nodes.map(({ process }) => process.start());
+    // All have started or failed before a failure ends the others.
+    await Promise.allSettled(starts);
+    await Promise.all(starts);
   }
 }
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -24,6 +24,15 @@
   assert.match(ended.stderr.toString(), /ALMONDCRANK_SETTINGS is not set/);
 });
 
+test("a soak whose nodes do not start ends with all it started", async () => {
+  // This file's process could not end with stand-ins or nodes left open.
+  const broken = ["-e", "process.exit(3)"];
+  let message = "";
+  await runSoak({ seed: 1, lengthMs: 1_000, ...small, command: broken })
+    .catch((thrown: Error) => message = thrown.message);
+  assert.match(message, /did not start/);
+});
+
 test("promises hold while faults come and go", async () => {
   const { findings, callers } = await runSoak({
     seed: 11,
