Callers and soak take header names from the adapter

Cause: the soak and the callers' client spelled the platform's header names themselves; they belong to packages/platform.

Change: the adapter's constants are used.

--- a/packages/load/src/route_client.ts
+++ b/packages/load/src/route_client.ts
@@ -10,6 +10,13 @@
   request,
 } from "node:http";
 
+import {
+  authorizationHeader,
+  keyScheme,
+  remainingTimeHeader,
+  requestIdHeader,
+} from "@almondcrank/platform/headers.ts";
+
 /** A request to send. */
 export interface RouteRequest {
   /** Callers' address of a node. */
@@ -102,9 +109,11 @@
 function composeHeaders(sent: RouteRequest): Record<string, string> {
   return {
     Host: sent.host,
-    "X-Request-Id": sent.id,
-    "X-Deadline-Ms": String(sent.deadlineMs),
-    ...(sent.key === undefined ? {} : { Authorization: `Bearer ${sent.key}` }),
+    [requestIdHeader]: sent.id,
+    [remainingTimeHeader]: String(sent.deadlineMs),
+    ...(sent.key === undefined
+      ? {}
+      : { [authorizationHeader]: `${keyScheme}${sent.key}` }),
     ...sent.headers,
   };
 }
--- a/packages/soak/src/faulty_front.ts
+++ b/packages/soak/src/faulty_front.ts
@@ -13,6 +13,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { signatureHeader } from "@almondcrank/platform/headers.ts";
 
 /** What a faulty front does wrong. */
 export const plantedFaults = [
@@ -125,8 +126,8 @@
 }
 
 function pickHeaders(answer: IncomingMessage): Record<string, string> {
-  const seal = answer.headers["x-server-seal"];
-  return seal === undefined ? {} : { "X-Server-Seal": String(seal) };
+  const seal = answer.headers[signatureHeader];
+  return seal === undefined ? {} : { [signatureHeader]: String(seal) };
 }
 
 async function readAll(message: IncomingMessage): Promise<string> {
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -5,6 +5,7 @@
 
 import { Agent } from "node:http";
 import type { Random } from "@almondcrank/common/random.ts";
+import { signatureHeader } from "@almondcrank/platform/headers.ts";
 import { sendRouteRequest } from "@almondcrank/load/route_client.ts";
 import {
   exampleHost,
@@ -120,7 +121,7 @@
     sentAt,
     endedAt,
     status: answer.status,
-    seal: answer.headers["x-server-seal"]?.toString(),
+    seal: answer.headers[signatureHeader]?.toString(),
     text: answer.body,
     isWhole: answer.isWhole,
     leftAt: answer.hasLeft ? endedAt : undefined,
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -6,6 +6,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { tenantHeader } from "@almondcrank/platform/headers.ts";
 import { CloudStandin } from "@almondcrank/standin/platform/cloud_standin.ts";
 import {
   createExampleConfiguration,
@@ -159,7 +160,7 @@
         id: run.id,
         path: run.path,
         body: run.body,
-        tenant: run.headers["x-tenant"]?.toString(),
+        tenant: run.headers[tenantHeader]?.toString(),
         hasKey: run.headers.authorization !== undefined,
         isMoved: run.isMoved,
         startedAt: run.startedAt,
