--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -8,6 +8,12 @@
  * compared. Each new holder increments the fencing token. When the answer to a
  * write is lost, the object is read again: it holds the sequence number of its
  * last write, from which the holder knows when it sent that write.
+ *
+ * After the store came back from an older copy, a record of an earlier era proves
+ * nothing: another process may have held the lease since. Only a holder whose
+ * lease has not lapsed yet may claim it again at once; all others wait one
+ * duration from when they first read the record in the new era. Fencing tokens of
+ * a later era are higher than all of an earlier one.
  */
 
 import { type Either, Left, Right } from "purify-ts";
@@ -28,6 +34,8 @@
 const maxClockDrift = 0.01;
 /** Latest writes whose sending times are kept. */
 const maxTrackedWrites = 32;
+/** Fencing tokens that one era of the store can give out. */
+const tokensPerEra = 1_000_000;
 
 /** Stored value of a lease. */
 export interface LeaseRecord {
@@ -40,14 +48,18 @@
   readonly durationMs: number;
   /** Whether the holder gave the lease up before its expiry. */
   readonly released: boolean;
+  /** Era of the store in which the record was written. */
+  readonly era: number;
 }
 
-const leaseRecord: z.ZodType<LeaseRecord> = z.object({
+const leaseRecord = z.object({
   holder: z.string(),
   fencing: z.number().int().nonnegative(),
   sequence: z.number().int().nonnegative(),
   durationMs: z.number().positive(),
   released: z.boolean(),
+  // Records of earlier releases lack it.
+  era: z.number().int().nonnegative().default(0),
 });
 
 /** Dependencies and settings of a lease. */
@@ -58,6 +70,11 @@
   /** Name of this process, unique to its incarnation. */
   readonly holder: string;
   readonly durationMs: number;
+  /**
+   * Reads the highest fencing token that this process has heard of by other ways,
+   * in case a restore of the store made it forget that one.
+   */
+  readonly readKnownFencing?: () => number;
 }
 
 /** State of a lease after an attempt to acquire or renew it. */
@@ -69,25 +86,38 @@
 interface HeldLease {
   readonly fencing: number;
   readonly version: number;
+  /** Era of the store in which it was claimed or last renewed. */
+  readonly era: number;
   /** Monotonic time at which this process learned that it has this token. */
   readonly acquiredAt: number;
   /** Monotonic time, in milliseconds. */
   readonly validUntil: number;
 }
 
+/** A write that may show up in the store. */
+interface TrackedWrite {
+  /** Monotonic time at which it was sent, in milliseconds. */
+  readonly sentAt: number;
+  /** Era of the store at that time. */
+  readonly era: number;
+}
+
 /** Latest version of the lease object that was read or written. */
 interface ObservedLease {
+  readonly era: number;
   /** 0 when nothing is stored. */
   readonly version: number;
   readonly record: LeaseRecord | undefined;
+  /** Whether the store was restored since this process first read the lease. */
+  readonly isRestored: boolean;
   readonly firstSeenAt: number;
 }
 
 /** One process's view of the lease on one shard. */
 export class Lease {
   readonly #options: LeaseOptions;
-  /** Monotonic time at which each recent write was sent, by sequence number. */
-  readonly #sentAt = new Map<number, number>();
+  /** Recent writes by sequence number. */
+  readonly #writes = new Map<number, TrackedWrite>();
   #sequence = 0;
   #highestFencing = 0;
   #observed: ObservedLease | undefined;
@@ -136,7 +166,7 @@
       Left: (cause) => Left(this.#createPlatformError(cause)),
       Right: (object) => {
         this.#recordObject(object);
-        if (this.#held !== undefined) return this.renew();
+        if (this.#held !== undefined) return this.#renewHeld(this.#held);
         return this.#isFree() ? this.#claim() : Right(this.#status);
       },
     });
@@ -151,8 +181,10 @@
    */
   renew(): Promise<Either<LeaseError, LeaseStatus>> {
     const held = this.#held;
-    if (held === undefined) return this.acquire();
-    return this.#write({ fencing: held.fencing, released: false });
+    const isRestored = held !== undefined &&
+      held.era !== this.#options.store.era;
+    if (held === undefined || isRestored) return this.acquire();
+    return this.#renewHeld(held);
   }
 
   /** Gives the lease up at once; no order may be sent from now on. */
@@ -161,7 +193,7 @@
     this.#held = undefined;
     // Earlier writes must not count as a held lease again: the release may take
     // effect at any time from now on.
-    this.#sentAt.clear();
+    this.#writes.clear();
     if (held === undefined) return;
     await this.#write({ fencing: held.fencing, released: true });
   }
@@ -173,7 +205,7 @@
   markSuperseded(knownFencing: number): void {
     this.#highestFencing = Math.max(this.#highestFencing, knownFencing);
     this.#held = undefined;
-    this.#sentAt.clear();
+    this.#writes.clear();
   }
 
   get #key(): string {
@@ -187,8 +219,21 @@
     return { kind: "other", holder: this.#observed?.record?.holder ?? "" };
   }
 
+  /** Renews the lease, or claims it again if it is of an earlier era. */
+  #renewHeld(
+    { fencing, era }: HeldLease,
+  ): Promise<Either<LeaseError, LeaseStatus>> {
+    if (era !== this.#options.store.era) return this.#claim();
+    return this.#write({ fencing, released: false });
+  }
+
   #claim(): Promise<Either<LeaseError, LeaseStatus>> {
-    const fencing = this.#highestFencing + 1;
+    const { store, readKnownFencing } = this.#options;
+    const fencing = 1 + Math.max(
+      this.#highestFencing,
+      store.era * tokensPerEra,
+      readKnownFencing?.() ?? 0,
+    );
     return this.#write({ fencing, released: false });
   }
 
@@ -198,10 +243,11 @@
     const { store, clock, holder, durationMs } = this.#options;
     this.#sequence += 1;
     const sequence = this.#sequence;
-    const record = { holder, fencing, sequence, durationMs, released };
+    const { era } = store;
+    const record = { holder, fencing, sequence, durationMs, released, era };
     const version = this.#observed?.version ?? 0;
-    this.#sentAt.set(sequence, clock.now());
-    this.#sentAt.delete(sequence - maxTrackedWrites);
+    this.#writes.set(sequence, { sentAt: clock.now(), era });
+    this.#writes.delete(sequence - maxTrackedWrites);
     const outcome = await store.write(
       this.#key,
       record,
@@ -232,48 +278,76 @@
    * writes.
    */
   #recordObject(object: StoredObject | undefined): void {
+    const { store, clock, durationMs } = this.#options;
+    const { era } = store;
     const version = object?.version ?? 0;
     const seenVersion = this.#observed?.version ?? 0;
     if (object !== undefined && version < seenVersion) return;
-    if (this.#observed?.version !== version) {
-      const record = leaseRecord.safeParse(object?.value).data;
-      const firstSeenAt = this.#options.clock.now();
-      this.#observed = { version, record, firstSeenAt };
-      this.#highestFencing = Math.max(
-        this.#highestFencing,
-        record?.fencing ?? 0,
-      );
-    }
+    const isNew = this.#observed?.version !== version ||
+      this.#observed.era !== era;
+    if (isNew) this.#observe(object, era);
     const record = this.#observed?.record;
-    const sentAt = this.#findSentAt(record);
-    if (record === undefined || sentAt === undefined || record.released) {
-      this.#held = undefined;
+    const write = this.#findWrite(record);
+    if (record === undefined || write === undefined || record.released) {
+      this.#dropHeld(record);
       return;
     }
     const { fencing } = record;
     const isSame = this.#held?.fencing === fencing;
-    const { clock, durationMs } = this.#options;
     this.#held = {
       fencing,
       version,
+      era,
       acquiredAt: isSame && this.#held !== undefined
         ? this.#held.acquiredAt
         : clock.now(),
-      validUntil: sentAt + durationMs * (1 - maxClockDrift),
+      validUntil: write.sentAt + durationMs * (1 - maxClockDrift),
     };
   }
 
-  #findSentAt(record: LeaseRecord | undefined): number | undefined {
-    return record?.holder === this.#options.holder
-      ? this.#sentAt.get(record.sequence)
-      : undefined;
+  #observe(object: StoredObject | undefined, era: number): void {
+    const record = leaseRecord.safeParse(object?.value).data;
+    const previous = this.#observed ?? { era, isRestored: false };
+    this.#observed = {
+      era,
+      version: object?.version ?? 0,
+      record,
+      isRestored: previous.isRestored || previous.era < era,
+      firstSeenAt: this.#options.clock.now(),
+    };
+    this.#highestFencing = Math.max(this.#highestFencing, record?.fencing ?? 0);
+  }
+
+  /**
+   * Drops the lease unless it is of an earlier era, has not lapsed, and nobody
+   * has claimed it in the present one.
+   */
+  #dropHeld(record: LeaseRecord | undefined): void {
+    const held = this.#held;
+    if (held === undefined) return;
+    const { store, clock } = this.#options;
+    const isKept = held.era < store.era && record?.era !== store.era &&
+      clock.now() < held.validUntil;
+    if (!isKept) this.#held = undefined;
+  }
+
+  /** Finds this process's write of a record in the present era. */
+  #findWrite(record: LeaseRecord | undefined): TrackedWrite | undefined {
+    if (record?.holder !== this.#options.holder) return undefined;
+    const write = this.#writes.get(record.sequence);
+    const { era } = this.#options.store;
+    return write?.era === era && record.era === era ? write : undefined;
   }
 
   #isFree(): boolean {
-    if (this.#observed?.record === undefined) return true;
-    const { record, firstSeenAt } = this.#observed;
-    const expiresAt = firstSeenAt + record.durationMs * (1 + maxClockDrift);
-    return record.released || this.#options.clock.now() >= expiresAt;
+    const observed = this.#observed;
+    if (observed === undefined) return true;
+    const { record, firstSeenAt } = observed;
+    const durationMs = record?.durationMs ?? this.#options.durationMs;
+    const expiresAt = firstSeenAt + durationMs * (1 + maxClockDrift);
+    if (this.#options.clock.now() >= expiresAt) return true;
+    if (record === undefined) return !observed.isRestored;
+    return record.released && record.era === observed.era;
   }
 
   #createNotHeldError(): LeaseError {
--- a/packages/fleet/src/lease_test.ts
+++ b/packages/fleet/src/lease_test.ts
@@ -18,12 +18,14 @@
 function createLease(
   holder: string,
   store: MemoryObjectStore,
-  { clock, chooseOutcome = () => "pass" }: {
+  { clock, chooseOutcome = () => "pass", ...rest }: {
     readonly clock: ManualClock;
     readonly chooseOutcome?: ChooseOutcome;
+    readonly readKnownFencing?: () => number;
   },
 ): Lease {
   return Lease.create({
+    ...rest,
     store: store.createClient(chooseOutcome),
     clock,
     shard: "muc-1",
@@ -222,4 +224,93 @@
   for (const renewer of renewers) renewer.dispose();
 });
 
+test("a holder whose lease has not lapsed claims it again after a restore, with a higher token", async () => {
+  const { clock, store } = setUp();
+  const copy = store.copy();
+  const a = createLease("a", store, { clock });
+  await a.acquire();
+  const before = readFencing(a);
+  store.restore(copy);
+  await a.renew();
+  assert.ok(readFencing(a) > 0, "the lease stays valid");
+  await a.renew();
+  assert.ok(readFencing(a) > before, `${readFencing(a)} after ${before}`);
+});
+
+test("a process whose old record a restore brings back does not hold the lease", async () => {
+  const { clock, store } = setUp();
+  const a = createLease("a", store, { clock });
+  const b = createLease("b", store, { clock });
+  await a.acquire();
+  const copy = store.copy();
+  await a.release();
+  await b.acquire();
+  const tokenOfB = readFencing(b);
+  assert.ok(tokenOfB > 0);
+  store.restore(copy);
+  await a.acquire();
+  assert.is(readFencing(a), 0, "a waits, since b may still hold the lease");
+  await clock.advance(durationMs * 1.02);
+  await a.acquire();
+  assert.ok(readFencing(a) > tokenOfB, "a's token is higher than b's");
+});
+
+test("nobody else claims within one duration after a restore", async () => {
+  const { clock, store } = setUp();
+  const copy = store.copy();
+  const a = createLease("a", store, { clock });
+  const b = createLease("b", store, { clock });
+  await b.acquire();
+  await a.acquire();
+  await clock.advance(durationMs * 1.02);
+  await a.acquire();
+  assert.ok(readFencing(a) > 0);
+  // The copy is from before the lease existed.
+  store.restore(copy);
+  await b.acquire();
+  assert.is(readFencing(b), 0, "b waits, since a may still hold the lease");
+  await clock.advance(durationMs * 1.02);
+  assert.is(readFencing(a), 0);
+  await b.acquire();
+  assert.ok(readFencing(b) > 0);
+});
+
+test("a write that crosses a restore gives no lease", async () => {
+  const { clock, store } = setUp();
+  const copy = store.copy();
+  let isHeldUp = false;
+  let release = (): void => {};
+  let tokenOfB = 0;
+  const a = createLease("a", store, {
+    clock,
+    chooseOutcome: async (call): Promise<InjectedOutcome> => {
+      if (isHeldUp && call === "write") {
+        await new Promise<void>((resolve) => release = resolve);
+      }
+      return "pass";
+    },
+    readKnownFencing: () => tokenOfB,
+  });
+  await a.acquire();
+  isHeldUp = true;
+  const renewal = a.renew();
+  await clock.advance(1);
+  store.restore(copy);
+  const b = createLease("b", store, { clock });
+  await b.acquire();
+  tokenOfB = readFencing(b);
+  // The held-up renewal finds b's record at the revision of its own one.
+  release();
+  await renewal;
+  isHeldUp = false;
+  await clock.advance(durationMs * 1.02);
+  await b.renew();
+  assert.is(readFencing(b), 0, "b sees the overwritten record");
+  await a.acquire();
+  assert.is(readFencing(a), 0);
+  await clock.advance(durationMs * 1.02);
+  await a.acquire();
+  assert.ok(readFencing(a) > tokenOfB);
+});
+
 test.run();
--- a/packages/gateway/src/choice/call_choice.ts
+++ b/packages/gateway/src/choice/call_choice.ts
@@ -7,7 +7,7 @@
 
 import type { ReplicaState } from "./replica_state.ts";
 
-/** Assumed answer time of a replica that has not answered yet. */
+/** Assumed answer time while no replica of the service has answered yet. */
 const defaultServiceMs = 30;
 /** Cost of a call that fails and has to be sent again. */
 const failureCostMs = 600;
@@ -38,11 +38,13 @@
 ): CallChoice | undefined {
   let best: CallChoice | undefined;
   let bestCost = Infinity;
+  const leastMs = computeLeastServiceMs(states);
   const offset = Math.floor(request.draw * states.length);
   for (let index = 0; index < states.length; index += 1) {
     const state = states[(index + offset) % states.length];
     if (state === undefined || request.excluded.has(state.key)) continue;
-    const predictedMs = computeAnswerMs(state);
+    if (state.isPaused(request.now)) continue;
+    const predictedMs = computeAnswerMs(state, leastMs, request.now);
     const cost = predictedMs + computePenaltyMs(state, request);
     if (cost >= bestCost) continue;
     bestCost = cost;
@@ -51,8 +53,21 @@
   return best;
 }
 
-function computeAnswerMs(state: ReplicaState): number {
-  const serviceMs = state.serviceMs ?? defaultServiceMs;
+/** Least average answer time; replicas that nothing is known of may match it. */
+function computeLeastServiceMs(states: readonly ReplicaState[]): number {
+  let leastMs = Infinity;
+  for (const { observedServiceMs } of states) {
+    leastMs = Math.min(leastMs, observedServiceMs ?? Infinity);
+  }
+  return Number.isFinite(leastMs) ? leastMs : defaultServiceMs;
+}
+
+function computeAnswerMs(
+  state: ReplicaState,
+  leastMs: number,
+  now: number,
+): number {
+  const serviceMs = state.readServiceMs(now, leastMs);
   const { slots } = state.replica;
   const { active } = state.totalLoad;
   const waiting = Math.max(0, active + 1 - slots);
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -79,7 +79,10 @@
   request: EngineRequest,
   services: EngineChoiceServices,
 ): EngineChoice | undefined {
-  const usable = states.filter((state) => !request.excluded.has(state.key));
+  const { excluded, now } = request;
+  const usable = states.filter((state) =>
+    !excluded.has(state.key) && !state.isPaused(now)
+  );
   const { candidates, preferred } = listCandidates(usable, request, services);
   let best: EngineChoice | undefined;
   let bestCost = Infinity;
@@ -146,7 +149,7 @@
 
 function computeFirstEventMs(
   state: ReplicaState,
-  { traits, promptTokens }: EngineRequest,
+  { traits, promptTokens, now }: EngineRequest,
   uncachedTokens: number,
 ): number {
   const { active, pendingTokens, activeTokens } = state.totalLoad;
@@ -159,7 +162,7 @@
   const slotWaitMs = missingSlots * typicalStreamMs / traits.slots;
   const cacheWaitMs = missingCacheTokens / traits.cacheTokens * typicalStreamMs;
   const unqueuedMs = baseFirstEventMs + prefillMs + active * msPerActiveRequest;
-  return unqueuedMs * state.slowness + slotWaitMs + cacheWaitMs;
+  return unqueuedMs * state.readSlowness(now) + slotWaitMs + cacheWaitMs;
 }
 
 function computePenaltyMs(
--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -18,6 +18,10 @@
 const noLoad: NodeLoad = { active: 0, pendingTokens: 0, activeTokens: 0 };
 /** Weight of the latest observation in averages of times. */
 const observationWeight = 0.2;
+/** Time in which an average nears the usual value to 1/e without observations. */
+const forgetMs = 4_000;
+/** Slowness of a replica about which nothing is known. */
+const usualSlowness = 1;
 /** Bounds of the slowness of one observation. */
 const maxSlowness = 12;
 const minSlowness = 0.5;
@@ -29,10 +33,14 @@
   #replica: Replica;
   #own: NodeLoad = noLoad;
   #peers: NodeLoad = noLoad;
-  #slowness = 1;
+  #slowness = usualSlowness;
+  #slownessAt = 0;
   #serviceMs: number | undefined;
+  #serviceMsAt = 0;
   #leavesAt: number | undefined;
   #isDraining = false;
+  #isAnnounced = false;
+  #pausedUntil = -Infinity;
   #lastEventAt = -Infinity;
 
   private constructor(key: string, replica: Replica) {
@@ -73,13 +81,28 @@
     };
   }
 
-  /** Average ratio of observed to predicted time to the first event. */
-  get slowness(): number {
-    return this.#slowness;
+  /**
+   * Average ratio of observed to predicted time to the first event. It nears 1
+   * while nothing is observed: a replica that seems slow gets no streams, so
+   * observations alone would never correct it.
+   */
+  readSlowness(now: number): number {
+    const weight = Math.exp(-(now - this.#slownessAt) / forgetMs);
+    return usualSlowness + (this.#slowness - usualSlowness) * weight;
   }
 
-  /** Average time of a whole answer; undefined before the first one. */
-  get serviceMs(): number | undefined {
+  /**
+   * Average time of a whole answer, which nears `leastMs` while nothing is
+   * observed; that is also the time of a replica that has not answered yet.
+   */
+  readServiceMs(now: number, leastMs: number): number {
+    if (this.#serviceMs === undefined) return leastMs;
+    const weight = Math.exp(-(now - this.#serviceMsAt) / forgetMs);
+    return leastMs + (this.#serviceMs - leastMs) * weight;
+  }
+
+  /** Average time of its whole answers; undefined before the first one. */
+  get observedServiceMs(): number | undefined {
     return this.#serviceMs;
   }
 
@@ -91,6 +114,32 @@
     this.#isDraining = true;
   }
 
+  /** Whether the replica announced in an answer that it is leaving. */
+  get isAnnouncedLeaving(): boolean {
+    return this.#isAnnounced;
+  }
+
+  /** Records that announcement; like a registered drain, it is never undone. */
+  markAnnouncedLeaving(): void {
+    this.#isAnnounced = true;
+    this.#isDraining = true;
+  }
+
+  /** Whether the replica asked this node to send nothing at `now`. */
+  isPaused(now: number): boolean {
+    return now < this.#pausedUntil;
+  }
+
+  /** Monotonic time until which the replica wants nothing from this node. */
+  get pausedUntil(): number {
+    return this.#pausedUntil;
+  }
+
+  /** Records that the replica wants nothing from this node until `until`. */
+  pauseUntil(until: number): void {
+    this.#pausedUntil = Math.max(this.#pausedUntil, until);
+  }
+
   /** Marks the replica as leaving; the earliest of several times counts. */
   markLeaving(leavesAt: number): void {
     this.#leavesAt = Math.min(this.#leavesAt ?? Infinity, leavesAt);
@@ -125,15 +174,18 @@
   }
 
   /** Updates the slowness with an observed and a predicted time to the first event. */
-  recordFirstEvent(observedMs: number, predictedMs: number): void {
+  recordFirstEvent(observedMs: number, predictedMs: number, now: number): void {
     const ratio = observedMs / Math.max(10, predictedMs);
     const bounded = Math.min(maxSlowness, Math.max(minSlowness, ratio));
-    this.#slowness += observationWeight * (bounded - this.#slowness);
+    const previous = this.readSlowness(now);
+    this.#slowness = previous + observationWeight * (bounded - previous);
+    this.#slownessAt = now;
   }
 
   /** Updates the average time of a whole answer. */
-  recordServiceTime(ms: number): void {
+  recordServiceTime(ms: number, now: number): void {
     const previous = this.#serviceMs ?? ms;
     this.#serviceMs = previous + observationWeight * (ms - previous);
+    this.#serviceMsAt = now;
   }
 }
--- a/packages/gateway/src/choice/replica_table.ts
+++ b/packages/gateway/src/choice/replica_table.ts
@@ -5,6 +5,10 @@
  * A replica whose registration disappears gets no new requests, unless the store
  * has just recovered from an outage. Registrations may expire during an outage,
  * and running replicas register again within `reregistrationGraceMs`.
+ *
+ * A store that was restored from an older copy lists replicas again that have left
+ * since. Those that this node knows to have left stay out of use until their
+ * registrations have had time to expire.
  */
 
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
@@ -14,6 +18,9 @@
 /** Time in which a running replica registers again after an outage. */
 const reregistrationGraceMs = 1_500;
 
+/** Time after a restore in which registrations of gone replicas expire. */
+const staleRegistrationMs = 6_000;
+
 /** Options of a replica table. */
 export interface ReplicaTableOptions {
   /** Time that a leaving replica goes on serving unless it states its own. */
@@ -34,6 +41,11 @@
   readonly #states = new Map<string, ReplicaState>();
   readonly #missingSince = new Map<string, number>();
   readonly #byService = new Map<string, ReplicaState[]>();
+  /** Keys of incarnations that had left before the store was restored. */
+  readonly #leftBeforeRestore = new Set<string>();
+  /** Those of them that the restored store lists as ready. */
+  readonly #listedAgain = new Set<string>();
+  #restoreSettlesAt = -Infinity;
   readonly #leaving = Emitter.create<ReplicaState>();
 
   private constructor(options: ReplicaTableOptions) {
@@ -62,9 +74,42 @@
     return this.#states.get(key);
   }
 
+  /** Lists the keys of replicas that announced in an answer that they leave. */
+  listAnnouncedLeaving(): string[] {
+    return [...this.#states.values()]
+      .filter((state) => state.isAnnouncedLeaving)
+      .map(({ key }) => key);
+  }
+
+  /** Records that a replica announced in an answer that it is leaving. */
+  recordLeaving(key: string, now: number): void {
+    const state = this.#states.get(key);
+    if (state === undefined || state.isAnnouncedLeaving) return;
+    state.markAnnouncedLeaving();
+    if (state.leavesAt !== undefined) return;
+    this.#markLeaving(state, now + this.#drainMs);
+    this.#index();
+  }
+
+  /** Computes the time until a paused replica takes requests; 0 if one does. */
+  computeResumeMs(service: string, now: number): number {
+    const pausesMs = this.listUsable(service)
+      .map(({ pausedUntil }) => Math.max(0, pausedUntil - now));
+    return pausesMs.length === 0 ? 0 : Math.min(...pausesMs);
+  }
+
+  /** Records that the store came back from an older copy. */
+  recordRestore(now: number): void {
+    this.#restoreSettlesAt = now + staleRegistrationMs;
+    for (const [key, { leavesAt }] of this.#states) {
+      if (leavesAt !== undefined) this.#leftBeforeRestore.add(key);
+    }
+  }
+
   /** Replaces the registrations with the given ones. */
   apply(replicas: readonly Replica[], update: TableUpdate): void {
     const present = new Set<string>();
+    this.#listedAgain.clear();
     for (const replica of replicas) {
       const key = formatIncarnation(replica);
       present.add(key);
@@ -81,7 +126,7 @@
    * period, and forgets idle replicas 30 s after they were due to stop.
    */
   expire(now: number): void {
-    let hasChanged = false;
+    let hasChanged = this.#settleRestore(now);
     for (const [key, since] of this.#missingSince) {
       if (now - since < reregistrationGraceMs) continue;
       this.#missingSince.delete(key);
@@ -97,6 +142,20 @@
     if (hasChanged) this.#index();
   }
 
+  /** Takes replicas back into use that are listed long after a restore. */
+  #settleRestore(now: number): boolean {
+    if (this.#leftBeforeRestore.size === 0 || now < this.#restoreSettlesAt) {
+      return false;
+    }
+    for (const key of this.#listedAgain) {
+      const state = this.#states.get(key);
+      if (state?.isDraining === false) state.cancelLeaving();
+    }
+    this.#leftBeforeRestore.clear();
+    this.#listedAgain.clear();
+    return true;
+  }
+
   #applyPresent(key: string, replica: Replica, now: number): void {
     this.#missingSince.delete(key);
     let state = this.#states.get(key);
@@ -107,8 +166,9 @@
     state.update(replica);
     switch (replica.state) {
       case "ready":
+        if (this.#leftBeforeRestore.has(key)) this.#listedAgain.add(key);
         // An earlier heartbeat that arrives late must not end a drain.
-        if (!state.isDraining) state.cancelLeaving();
+        else if (!state.isDraining) state.cancelLeaving();
         return;
       case "draining": {
         if (state.isDraining) return;
--- a/packages/gateway/src/choice/replica_table_test.ts
+++ b/packages/gateway/src/choice/replica_table_test.ts
@@ -69,4 +69,72 @@
   assert.is(table.listUsable("s").length, 1);
 });
 
+test("a replica that announces its leaving gets no new requests", () => {
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  const leavingIds: string[] = [];
+  table.onLeaving((state) => leavingIds.push(state.replica.id));
+  table.apply([createReplica()], { now: 0, ...noOutage });
+  table.recordLeaving("r1/1", 100);
+  table.recordLeaving("r1/1", 200);
+  assert.is(table.listUsable("s").length, 0);
+  assert.equal(leavingIds, ["r1"]);
+  assert.is(table.find("r1/1")?.leavesAt, 2_100);
+  assert.equal(table.listAnnouncedLeaving(), ["r1/1"]);
+  // A registration from before the announcement changes nothing.
+  table.apply([createReplica()], { now: 300, ...noOutage });
+  assert.is(table.listUsable("s").length, 0);
+  // The announcement is of one incarnation.
+  table.apply([createReplica({ startedAtMs: 2 })], { now: 400, ...noOutage });
+  assert.equal(table.listUsable("s").map(({ key }) => key), ["r1/2"]);
+});
+
+test("a replica that had left is not used again when an older copy lists it", () => {
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  table.apply([createReplica()], { now: 0, ...noOutage });
+  table.apply([], { now: 1_000, ...noOutage });
+  table.recordRestore(2_000);
+  table.apply([createReplica()], { now: 2_000, mayHaveExpired: true });
+  assert.is(table.listUsable("s").length, 0);
+  table.apply([], { now: 5_000, mayHaveExpired: true });
+  table.expire(9_000);
+  assert.is(table.listUsable("s").length, 0);
+});
+
+test("a replica that is still listed long after a restore is used again", () => {
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  table.apply([createReplica()], { now: 0, ...noOutage });
+  table.apply([], { now: 1_000, ...noOutage });
+  table.recordRestore(2_000);
+  table.apply([createReplica()], { now: 2_000, mayHaveExpired: true });
+  table.expire(7_900);
+  assert.is(table.listUsable("s").length, 0);
+  table.expire(8_100);
+  assert.is(table.listUsable("s").length, 1);
+});
+
+test("a replica that registers again after a restore is used at once", () => {
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  table.apply([createReplica()], { now: 0, ...noOutage });
+  // The copy is from before the replica started.
+  table.recordRestore(2_000);
+  table.apply([], { now: 2_000, mayHaveExpired: true });
+  table.expire(4_000);
+  assert.is(table.listUsable("s").length, 0);
+  table.apply([createReplica()], { now: 4_500, mayHaveExpired: true });
+  assert.is(table.listUsable("s").length, 1);
+});
+
+test("the time until a replica takes requests is that of the shortest pause", () => {
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  table.apply([createReplica(), createReplica({ id: "r2" })], {
+    now: 0,
+    ...noOutage,
+  });
+  table.find("r1/1")?.pauseUntil(3_000);
+  assert.is(table.computeResumeMs("s", 0), 0);
+  table.find("r2/1")?.pauseUntil(1_000);
+  assert.is(table.computeResumeMs("s", 400), 600);
+  assert.is(table.computeResumeMs("s", 1_000), 0);
+});
+
 test.run();
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -104,14 +104,15 @@
     if (this.#pulling.has(kind)) return;
     this.#pulling.add(kind);
     try {
-      const { controlPort, feeds } = this.#options;
+      const { clock, controlPort, feeds } = this.#options;
       const answer = await sendControlCall(
         { method: "GET", path: snapshotPath + kind, body: "" },
         { address: `${ip}:${controlPort}`, timeoutMs: pullTimeoutMs },
       );
-      if (answer?.status !== 200) return;
+      if (answer?.statusCode !== 200) return;
       const snapshot = parseSnapshot(answer.text);
-      if (snapshot !== undefined) feeds[kind].applySnapshot(snapshot);
+      if (snapshot === undefined) return;
+      feeds[kind].applySnapshot(snapshot, clock.now());
     } finally {
       this.#pulling.delete(kind);
     }
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
+import { readStoreEra } from "@almondcrank/infrastructure/store_version.ts";
 import type { NodeLoad } from "../choice/replica_state.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { WorkMeter } from "../duties/work_meter.ts";
@@ -108,6 +109,7 @@
       members,
       rateLimiter,
       budget,
+      table,
       usage,
       work,
     } = this.#options;
@@ -118,6 +120,7 @@
       budgets: budget.listSums().map((entry) => [...entry]),
       work: work.listSums().map((entry) => [...entry]),
       loads: this.#listLoads(),
+      leaving: table.listAnnouncedLeaving(),
       usage: usage.listRecent(),
       members: known.map(({ node, ip }) => [node, ip]),
     };
@@ -230,12 +233,9 @@
     if (isBefore && status.readMs !== null) {
       state.recordPrecedingRead(clock.now() - status.readMs);
     }
-    const { asOf, digest } = state.version;
+    const { digest } = state.version;
     const isSame = status.digest === digest && state.isSynced;
-    if (!isSame) {
-      if (status.asOf > asOf) this.#options.pullFeed(kind, message.ip);
-      return;
-    }
+    if (!isSame) return this.#handleOtherCopy(kind, status, message.ip);
     const { echo } = message;
     if (echo === null || status.ageMs === null) return;
     // The peer received our datagram after we sent it, so a confirmation counted
@@ -247,9 +247,23 @@
     }
   }
 
+  /** Pulls the copy of a peer if it may hold something newer. */
+  #handleOtherCopy(kind: FeedKind, { asOf }: FeedStatus, ip: string): void {
+    const { feeds, clock, pullFeed } = this.#options;
+    const state = feeds[kind];
+    const own = state.version.asOf;
+    const now = clock.now();
+    // A node that started after a restore learns of it from its peers.
+    const isBeforeRestore = asOf > 0 && state.isSynced &&
+      readStoreEra(asOf) < readStoreEra(own);
+    if (isBeforeRestore && !state.isMerging(now)) state.recordRestore(now);
+    if (asOf > own || (asOf > 0 && state.isMerging(now))) pullFeed(kind, ip);
+  }
+
   #applyReport(message: PeerMessage, report: PeerReport, now: number): void {
-    const { rateLimiter, budget, limitsClock } = this.#options;
+    const { rateLimiter, budget, table, limitsClock } = this.#options;
     const limitsNow = limitsClock.now();
+    for (const key of report.leaving) table.recordLeaving(key, limitsNow);
     const previous = this.#peers.get(message.node);
     const isSameIncarnation = previous?.incarnation === message.incarnation;
     // What a peer did before this node started is part of the adopted levels.
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -33,6 +33,8 @@
   work: counters,
   /** Replica, active requests, pending tokens, active tokens. */
   loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+  /** Replicas that announced in an answer that they are leaving. */
+  leaving: z.array(z.string()).default([]),
   /** Usage window, then requests by tenant. */
   usage: z.array(z.tuple([z.number(), z.record(z.string(), z.number())])),
   /** Other nodes that the sender knows: name, IP address. Mostly empty. */
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -31,6 +31,7 @@
     { length: 40 },
     (_, index) => [`replica-${index}/1`, index, 0, 9],
   ),
+  leaving: ["replica-3/1"],
   usage: [[7, { t: 3 }]],
   members: [["m", "127.0.0.2"]],
 };
--- a/packages/gateway/src/feed/feed_reader.ts
+++ b/packages/gateway/src/feed/feed_reader.ts
@@ -18,6 +18,8 @@
 
 /** Longest wait of one watch; also the usual age of a confirmation. */
 const watchWaitMs = 800;
+/** The same right after a restore, to confirm the copy as soon as possible. */
+const heldWatchWaitMs = 200;
 /** Time without a confirmation after which the node of rank 1 reads. */
 const firstTakeoverMs = 1_050;
 /** Additional takeover time for each further rank. */
@@ -108,7 +110,8 @@
         },
       });
     }
-    const watch = await store.watch(prefix, revision, watchWaitMs);
+    const waitMs = state.isHeld(sentAt) ? heldWatchWaitMs : watchWaitMs;
+    const watch = await store.watch(prefix, revision, waitMs);
     await watch.caseOf<Promise<void>>({
       Left: (error) => this.#recordFailure(error),
       Right: async (outcome) => {
--- a/packages/gateway/src/feed/feed_reader_test.ts
+++ b/packages/gateway/src/feed/feed_reader_test.ts
@@ -17,6 +17,7 @@
     throw new Error("not used");
   };
   return {
+    era: 0,
     read: unused,
     write: unused,
     remove: unused,
--- a/packages/gateway/src/feed/feed_state.ts
+++ b/packages/gateway/src/feed/feed_state.ts
@@ -4,6 +4,11 @@
  * The copy includes its freshness: `confirmedAt` is a time at which it certainly
  * matched the store. It is read from the store or from a peer, and an equal copy
  * of a peer confirms it too.
+ *
+ * The store may come back from an older copy of itself. Objects that this node
+ * knows in a newer state than the restored store are retained until they are
+ * written again, and for a short time nothing confirms the copy, so that peers
+ * can send newer objects first.
  */
 
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
@@ -13,6 +18,7 @@
   StoredObject,
   WatchBatch,
 } from "@almondcrank/infrastructure/object_store.ts";
+import { readStoreEra } from "@almondcrank/infrastructure/store_version.ts";
 
 /** Kinds of objects that every node keeps a copy of. */
 export const feedKinds = ["configuration", "replicas"] as const;
@@ -31,9 +37,24 @@
   readonly objects: readonly StoredObject[];
 }
 
+/** Time after a restore in which only the state before it is trusted. */
+const restoreHoldMs = 1_000;
+/** Time after a restore in which copies of one version may still differ. */
+const restoreMergeMs = 10_000;
+
+/** Options of a feed. */
+export interface FeedOptions {
+  /**
+   * Whether an object holds a newer state than a restored one. Without it, the
+   * restored store is always right.
+   */
+  readonly isNewer?: (held: StoredObject, restored: StoredObject) => boolean;
+}
+
 /** Copy of one feed. */
 export class FeedState {
   readonly #hasher: Hasher;
+  readonly #options: FeedOptions;
   readonly #objects = new Map<string, StoredObject>();
   readonly #changed = Emitter.create<void>();
   #asOf = 0;
@@ -43,13 +64,15 @@
   #precedingReadAt = -Infinity;
   #watchRevision: number | undefined;
   #lastOutageAt = -Infinity;
+  #restoredAt = -Infinity;
 
-  private constructor(hasher: Hasher) {
+  private constructor(hasher: Hasher, options: FeedOptions) {
     this.#hasher = hasher;
+    this.#options = options;
   }
 
-  static create(hasher: Hasher): FeedState {
-    return new FeedState(hasher);
+  static create(hasher: Hasher, options: FeedOptions = {}): FeedState {
+    return new FeedState(hasher, options);
   }
 
   /** Fired when objects were added, changed or removed. */
@@ -83,6 +106,21 @@
     return this.#lastOutageAt;
   }
 
+  /** Monotonic time at which this node learned that the store was restored. */
+  get restoredAt(): number {
+    return this.#restoredAt;
+  }
+
+  /** Whether nothing confirms the copy at `now`, after a restore. */
+  isHeld(now: number): boolean {
+    return this.#retainsObjects && now - this.#restoredAt < restoreHoldMs;
+  }
+
+  /** Whether a peer's copy may hold newer objects than one of the same version. */
+  isMerging(now: number): boolean {
+    return this.#retainsObjects && now - this.#restoredAt < restoreMergeMs;
+  }
+
   /** Revision to watch from; `undefined` if a list is needed first. */
   get watchRevision(): number | undefined {
     return this.#watchRevision;
@@ -96,8 +134,8 @@
   applyList(list: ObjectList, sentAt: number): void {
     // An older list that arrives late must not replace a newer copy.
     if (list.version < this.#asOf) return;
-    this.#objects.clear();
-    for (const object of list.objects) this.#objects.set(object.key, object);
+    this.#recordEra(list.version, sentAt);
+    this.#replaceAll(list.objects, list.version);
     this.#watchRevision = list.version;
     this.#advance(list.version);
     this.confirm(sentAt);
@@ -108,7 +146,7 @@
     for (const change of batch.changes) {
       switch (change.kind) {
         case "written":
-          this.#objects.set(change.object.key, change.object);
+          this.#set(change.object);
           break;
         case "removed":
           this.#objects.delete(change.key);
@@ -125,19 +163,21 @@
     this.confirm(sentAt);
   }
 
-  /** Replaces the copy by a newer one of a peer. */
-  applySnapshot(snapshot: FeedSnapshot): void {
-    if (snapshot.asOf <= this.#asOf) return;
-    this.#objects.clear();
-    for (const object of snapshot.objects) {
-      this.#objects.set(object.key, object);
-    }
+  /**
+   * Applies the copy of a peer that was received at `now`: replaces this node's
+   * copy if the peer's version is higher, else takes only newer objects from it.
+   */
+  applySnapshot(snapshot: FeedSnapshot, now: number): void {
+    if (snapshot.asOf <= this.#asOf) return this.#merge(snapshot);
+    this.#recordEra(snapshot.asOf, now);
+    this.#replaceAll(snapshot.objects, snapshot.asOf);
     this.#watchRevision = undefined;
     this.#advance(snapshot.asOf);
   }
 
   /** Records that the copy was current at `confirmedAt`. */
   confirm(confirmedAt: number): void {
+    if (confirmedAt >= this.#restoredAt && this.isHeld(confirmedAt)) return;
     this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
   }
 
@@ -161,6 +201,67 @@
     this.#watchRevision = undefined;
   }
 
+  /** Records at `now` that some node of the system knows of a restore. */
+  recordRestore(now: number): void {
+    this.#restoredAt = Math.max(this.#restoredAt, now);
+  }
+
+  get #retainsObjects(): boolean {
+    return this.#options.isNewer !== undefined;
+  }
+
+  #recordEra(version: number, now: number): void {
+    const isRestored = this.isSynced &&
+      readStoreEra(version) > readStoreEra(this.#asOf);
+    if (isRestored) this.recordRestore(now);
+  }
+
+  #replaceAll(objects: readonly StoredObject[], version: number): void {
+    const held = new Map(this.#objects);
+    this.#objects.clear();
+    for (const object of objects) {
+      const known = held.get(object.key);
+      this.#objects.set(object.key, this.#chooseNewer(known, object));
+      held.delete(object.key);
+    }
+    if (!this.#retainsObjects) return;
+    // What the restored store does not have yet was written after its copy.
+    const era = readStoreEra(version);
+    for (const [key, object] of held) {
+      if (readStoreEra(object.version) < era) this.#objects.set(key, object);
+    }
+  }
+
+  #set(object: StoredObject): void {
+    const held = this.#objects.get(object.key);
+    this.#objects.set(object.key, this.#chooseNewer(held, object));
+  }
+
+  /** Chooses between the object that this node holds and the store's one. */
+  #chooseNewer(
+    held: StoredObject | undefined,
+    object: StoredObject,
+  ): StoredObject {
+    const { isNewer } = this.#options;
+    if (held === undefined || isNewer === undefined) return object;
+    const isOtherEra =
+      readStoreEra(held.version) !== readStoreEra(object.version);
+    return isOtherEra && isNewer(held, object) ? held : object;
+  }
+
+  /** Takes over the objects of a peer that are newer than this node's. */
+  #merge({ objects }: FeedSnapshot): void {
+    const { isNewer } = this.#options;
+    if (isNewer === undefined) return;
+    for (const object of objects) {
+      const held = this.#objects.get(object.key);
+      if (held === undefined || isNewer(object, held)) {
+        this.#objects.set(object.key, object);
+      }
+    }
+    this.#advance(this.#asOf);
+  }
+
   #advance(asOf: number): void {
     this.#asOf = Math.max(this.#asOf, asOf);
     const digest = this.#computeDigest();
--- a/packages/gateway/src/feed/store_view.ts
+++ b/packages/gateway/src/feed/store_view.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
+import { readStoreEra } from "@almondcrank/infrastructure/store_version.ts";
 import type { Bounds } from "@almondcrank/model/gateway_settings.ts";
 import { decodeConfiguration } from "@almondcrank/platform/decode_configuration.ts";
 import { decodeReplica } from "@almondcrank/platform/decode_replica.ts";
@@ -39,6 +40,7 @@
   readonly #options: StoreViewOptions;
   readonly #configured = Emitter.create<RouteTable>();
   #routes: RouteTable | undefined;
+  #replicasEra: number | undefined;
 
   private constructor(options: StoreViewOptions) {
     this.#options = options;
@@ -107,6 +109,18 @@
     this.#configured.fire(this.#routes);
   }
 
+  /** Treats a restored store like one that was out of reach. */
+  #applyEra(now: number): void {
+    const { feeds, table, log } = this.#options;
+    const era = readStoreEra(feeds.replicas.version.asOf);
+    const previous = this.#replicasEra;
+    this.#replicasEra = era;
+    if (previous === undefined || previous >= era) return;
+    log.warn("the store came back from an older copy.", { era });
+    feeds.replicas.recordOutage(this.#options.suspensionClock.now());
+    table.recordRestore(now);
+  }
+
   #applyReplicas(): void {
     const { feeds, table, clock, suspensionClock, log } = this.#options;
     const now = clock.now();
@@ -114,6 +128,7 @@
       const id = key.slice(key.indexOf("/") + 1);
       return decodeReplica(id, value) ?? [];
     });
+    this.#applyEra(now);
     const outageAgeMs = now - feeds.replicas.lastOutageAt;
     table.apply(replicas, { now, mayHaveExpired: outageAgeMs < lapseWindowMs });
     log.info("replicas changed.", {
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -9,6 +9,7 @@
 import { Random } from "@almondcrank/common/random.ts";
 import type { PlatformClientOptions } from "@almondcrank/infrastructure/platform_client.ts";
 import type { GatewaySettings } from "@almondcrank/model/gateway_settings.ts";
+import { isNewerConfiguration } from "@almondcrank/platform/decode_configuration.ts";
 import { PlatformStore } from "@almondcrank/platform/platform_store.ts";
 import { PrefixIndex } from "./choice/prefix_index.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
@@ -77,7 +78,9 @@
   });
   const table = ReplicaTable.create({ drainMs: settings.bounds.drainMs });
   const feeds = {
-    configuration: FeedState.create(hasher),
+    configuration: FeedState.create(hasher, {
+      isNewer: isNewerConfiguration,
+    }),
     replicas: FeedState.create(hasher),
   };
   const view = StoreView.create({
@@ -101,6 +104,7 @@
     sender: ReplicaSender.create({
       clock,
       metrics,
+      table,
       countNodes: () => members.listKnown(suspensionClock.now()).length + 1,
     }),
     budget: RetryBudget.create({
--- a/packages/gateway/src/gateway_status.ts
+++ b/packages/gateway/src/gateway_status.ts
@@ -56,7 +56,7 @@
     isReclaimable: replica.isReclaimable,
     active: load.active,
     pendingTokens: Math.round(load.pendingTokens),
-    slowness: roundShare(state.slowness),
+    slowness: roundShare(state.readSlowness(now)),
     failureRate: roundShare(state.failures.read(now)),
   };
 }
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -145,7 +145,8 @@
         !callerSignal.aborted;
       if (isTimedOut) state.failures.record(true, clock.now());
       if (result.kind === "whole") {
-        state.recordServiceTime(clock.now() - startedAt);
+        const endedAt = clock.now();
+        state.recordServiceTime(endedAt - startedAt, endedAt);
       }
       if (isTimedOut && clock.now() < deadline) return { kind: "silent" };
       return result;
@@ -226,11 +227,18 @@
     );
   }
 
+  /**
+   * Refuses the request at once; if all replicas asked for a pause, with the time
+   * until the first one takes requests again.
+   */
   #refuse(reason: FailureReason): RelayResult {
     if (this.#failure !== undefined) return this.#deliver(this.#failure);
+    const { table, clock, random } = this.#services;
+    const { name } = this.#request.service;
+    const resumeMs = table.computeResumeMs(name, clock.now());
     const reply = composeFailureReply(reason, {
       mayHaveRun: this.#mayHaveRun,
-      retryAfterMs: declinedRetryMs * (0.5 + this.#services.random.next()),
+      retryAfterMs: resumeMs + declinedRetryMs * (0.5 + random.next()),
     });
     sendLocalReply(this.#callerResponse, reply);
     return this.#end(reply.status, reply.reason);
--- a/packages/gateway/src/relay/control_call.ts
+++ b/packages/gateway/src/relay/control_call.ts
@@ -3,14 +3,15 @@
  * requests between nodes.
  */
 
-import { request } from "node:http";
+import { type IncomingHttpHeaders, request } from "node:http";
 import type { ReplicaCall } from "@almondcrank/platform/kv_move.ts";
 
 const maxResponseBytes = 16 * 1_048_576;
 
 /** A buffered response. */
 export interface ControlResponse {
-  readonly status: number;
+  readonly statusCode: number;
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
 }
 
@@ -60,9 +61,9 @@
       });
       response.on("error", () => finish(undefined));
       response.on("end", () => {
-        const status = response.statusCode ?? 0;
+        const { statusCode = 0, headers } = response;
         const text = Buffer.concat(chunks).toString("utf8");
-        finish(response.complete ? { status, text } : undefined);
+        finish(response.complete ? { statusCode, headers, text } : undefined);
       });
     });
     outgoing.end(call.body);
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -46,7 +46,8 @@
   body_timeout:
     "the request body did not arrive in time; send the request again",
   over_allowance: "the tenant has exceeded its allowance; try again later",
-  no_replica: "no replica is ready; the request has not run, try again",
+  no_replica:
+    "no replica takes requests now; the request has not run, try again",
   overloaded:
     "the service is overloaded; the request has not run, try again later",
   declined: "no replica accepted the request; it has not run, try again later",
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -26,6 +26,10 @@
   /** Aborts the request and closes its connection. */
   readonly signal: AbortSignal;
   readonly connectTimeoutMs: number;
+  /** Whether the replica still wants the request once a connection is free. */
+  readonly isWanted: () => boolean;
+  /** Called with each response of the replica to this request. */
+  readonly onAnswer: (response: IncomingMessage) => void;
 }
 
 /** Outcome of a send, known when the response headers arrive. */
@@ -56,7 +60,7 @@
       setHost: false,
       signal: call.signal,
     });
-    watchConnect(outgoing, call.connectTimeoutMs, () => isConnected = true);
+    watchConnect(outgoing, call, () => isConnected = true);
     outgoing.on("error", (error) => {
       const reason = error.message;
       // When the connection is reset, Node.js ends a response without a length
@@ -78,13 +82,20 @@
   });
 }
 
-/** Fails a request whose new connection is not established in time. */
+/**
+ * Fails a request whose new connection is not established in time, or that is no
+ * longer wanted when a connection is free; nothing has been sent then.
+ */
 function watchConnect(
   outgoing: ClientRequest,
-  timeoutMs: number,
+  { connectTimeoutMs: timeoutMs, isWanted }: ReplicaRequest,
   onConnect: () => void,
 ): void {
   outgoing.on("socket", (socket) => {
+    if (!isWanted()) {
+      outgoing.destroy(new Error("the replica asked for a pause"));
+      return;
+    }
     if (!socket.connecting) return onConnect();
     const timer = setTimeout(
       () => outgoing.destroy(new Error(`no connection in ${timeoutMs} ms`)),
@@ -132,6 +143,7 @@
     };
   }
   const status = response.statusCode ?? 0;
+  if (status !== misdirectedStatus) call.onAnswer(response);
   const isDeclined = status === misdirectedStatus ||
     (status >= 400 && response.headers[notExecutedHeader] !== undefined);
   if (!isDeclined) return { kind: "answered", response };
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -3,11 +3,17 @@
  * node, the failures, and the pooled connections.
  */
 
+import type { IncomingMessage } from "node:http";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { ReplicaCall } from "@almondcrank/platform/kv_move.ts";
+import {
+  isLeavingAnswer,
+  parseRetryAfter,
+} from "@almondcrank/platform/headers.ts";
 import type { NodeLoad, ReplicaState } from "../choice/replica_state.ts";
+import type { ReplicaTable } from "../choice/replica_table.ts";
 import { composeRequestHeaders } from "./message_headers.ts";
 import { ReplicaAgent } from "./replica_agent.ts";
 import { type ControlResponse, sendControlCall } from "./control_call.ts";
@@ -16,11 +22,13 @@
 
 const connectTimeoutMs = 400;
 const minConnectionsPerReplica = 4;
+const unavailableStatus = 503;
 
 /** Dependencies of a sender. */
 export interface ReplicaSenderOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly table: ReplicaTable;
   /** Number of nodes that share each replica's connections. */
   readonly countNodes: () => number;
 }
@@ -84,6 +92,8 @@
       requestId: request.id,
       signal: options.signal,
       connectTimeoutMs,
+      isWanted: () => !state.isPaused(clock.now()),
+      onAnswer: (response) => this.#recordAnswer(state, response),
     }).then((outcome) => {
       this.#recordOutcome(state, outcome, options.signal);
       return outcome;
@@ -92,13 +102,15 @@
   }
 
   /** Makes a control call to a replica; `undefined` when it fails. */
-  callControl(
+  async callControl(
     state: ReplicaState,
     call: ReplicaCall,
     timeoutMs: number,
   ): Promise<ControlResponse | undefined> {
     const { address } = state.replica;
-    return sendControlCall(call, { address, timeoutMs });
+    const response = await sendControlCall(call, { address, timeoutMs });
+    if (response !== undefined) this.#recordAnswer(state, response);
+    return response;
   }
 
   /** Closes the connections to incarnations that are no longer known. */
@@ -151,6 +163,21 @@
     return { markStarted, end };
   }
 
+  /** Records what a replica says of itself in the headers of an answer. */
+  #recordAnswer(
+    state: ReplicaState,
+    { statusCode, headers }: Pick<IncomingMessage, "headers" | "statusCode">,
+  ): void {
+    const { clock, metrics, table } = this.#options;
+    const now = clock.now();
+    if (isLeavingAnswer(headers)) table.recordLeaving(state.key, now);
+    if (statusCode !== unavailableStatus) return;
+    const retryAfterMs = parseRetryAfter(headers);
+    if (retryAfterMs === undefined) return;
+    state.pauseUntil(now + retryAfterMs);
+    metrics.count("replica_pauses_total", { service: state.replica.service });
+  }
+
   #recordOutcome(
     state: ReplicaState,
     outcome: SendOutcome,
@@ -160,7 +187,9 @@
     const { service } = state.replica;
     metrics.count("send_outcomes_total", { service, outcome: outcome.kind });
     if (outcome.kind === "answered" || signal.aborted) return;
-    state.failures.record(true, clock.now());
+    const now = clock.now();
+    // A replica that asked for a pause works as it should.
+    if (!state.isPaused(now)) state.failures.record(true, now);
   }
 
   #findAgent(state: ReplicaState, maxConnections: number): ReplicaAgent {
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -76,7 +76,11 @@
 export function recordStreamChoice(
   { trace }: RoutedRequest,
   { state, predictedMs, uncachedTokens }: EngineChoice,
-  lastId: number | undefined,
+  { after, now }: {
+    /** Id of the last event that the caller has received. */
+    readonly after: number | undefined;
+    readonly now: number;
+  },
 ): void {
   const { active, pendingTokens } = state.totalLoad;
   trace.record("replica chosen.", {
@@ -85,7 +89,7 @@
     uncachedTokens: Math.round(uncachedTokens),
     active,
     pendingTokens: Math.round(pendingTokens),
-    slowness: Math.round(state.slowness * 100) / 100,
-    after: lastId,
+    slowness: Math.round(state.readSlowness(now) * 100) / 100,
+    after,
   });
 }
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -85,6 +85,8 @@
   #move(source: ReplicaState, stream: RunningStream): void {
     const { request } = stream;
     const { id: requestId } = request;
+    // A replica that asked for a pause gets no control calls either.
+    if (source.isPaused(this.#services.clock.now())) return;
     if (requestId === undefined || !request.service.engine?.canMove) return;
     const destination = this.#chooseDestination(source, stream);
     if (destination === undefined) return;
@@ -120,7 +122,7 @@
     );
     const outcome = response === undefined
       ? { kind: "failed" as const, reason: "no answer" }
-      : parseMove(response.status, response.text);
+      : parseMove(response.statusCode, response.text);
     metrics.count("stream_moves_total", { outcome: outcome.kind });
     stream.request.trace.record(
       "stream move ended.",
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -130,7 +130,10 @@
         tried: this.#tried,
       });
       if (choice === undefined) return this.#fail("no_replica");
-      recordStreamChoice(this.#request, choice, this.#lastId);
+      recordStreamChoice(this.#request, choice, {
+        after: this.#lastId,
+        now: this.#services.clock.now(),
+      });
       const refusal = this.#checkAdmission(choice);
       if (refusal !== undefined) return refusal;
       const segment = await this.#runSegment(choice, target);
@@ -354,8 +357,9 @@
 
   #recordStart(choice: EngineChoice, segment: Segment): void {
     const { clock, runs } = this.#services;
-    const observedMs = clock.now() - segment.sentAt;
-    choice.state.recordFirstEvent(observedMs, choice.predictedMs);
+    const now = clock.now();
+    const observedMs = now - segment.sentAt;
+    choice.state.recordFirstEvent(observedMs, choice.predictedMs, now);
     if (!segment.isMoved) runs.recordRun(this.#request.tenant?.name);
   }
 
@@ -380,9 +384,12 @@
       this.#response.destroy();
       return this.#end(0, reason);
     }
+    const { table, clock, random } = this.#services;
+    const { name } = this.#request.service;
+    const resumeMs = table.computeResumeMs(name, clock.now());
     const reply = composeFailureReply(reason, {
       mayHaveRun: this.#attempts.mayHaveRun,
-      retryAfterMs: retryMs * (0.75 + this.#services.random.next() / 2),
+      retryAfterMs: resumeMs + retryMs * (0.75 + random.next() / 2),
     });
     sendLocalReply(this.#response, reply);
     return this.#end(reply.status, reason);
--- a/packages/infrastructure/src/http_object_store.ts
+++ b/packages/infrastructure/src/http_object_store.ts
@@ -20,34 +20,61 @@
   type PlatformResponse,
 } from "./platform_client.ts";
 import { PlatformError } from "./platform_error.ts";
+import {
+  composeStoreVersion,
+  readStoreEra,
+  readStoreRevision,
+} from "./store_version.ts";
+
+/** Header with the era of the store, in every answer. */
+export const eraHeader = "object-api-era";
 
-const version = z.number().int().nonnegative();
-const storedObject: z.ZodType<StoredObject> = z.object({
-  key: z.string(),
-  version,
-  value: z.unknown(),
-});
-const objectList = z.object({ version, objects: z.array(storedObject) });
-const written = z.object({ version });
-const conflict = z.object({ current: storedObject.nullish() });
-const watchBatch = z.object({
-  version,
-  changes: z.array(z.union([
-    z.object({ kind: z.literal("written"), object: storedObject }),
-    z.object({ kind: z.literal("removed"), key: z.string(), version }),
-  ])),
-});
+const revision = z.number().int().nonnegative();
+
+/** Schemas of the bodies of one era's answers. */
+function createSchemas(era: number) {
+  const version = revision.transform((revision) =>
+    composeStoreVersion({ era, revision })
+  );
+  const storedObject = z.object({
+    key: z.string(),
+    version,
+    value: z.unknown(),
+  });
+  return {
+    storedObject,
+    objectList: z.object({ version, objects: z.array(storedObject) }),
+    written: z.object({ version }),
+    conflict: z.object({ current: storedObject.nullish() }),
+    watchBatch: z.object({
+      version,
+      changes: z.array(z.union([
+        z.object({ kind: z.literal("written"), object: storedObject }),
+        z.object({ kind: z.literal("removed"), key: z.string(), version }),
+      ])),
+    }),
+  };
+}
+type Schemas = ReturnType<typeof createSchemas>;
 
 /** Client of the object API at one address. */
 export class HttpObjectStore implements ObjectStore, Disposable {
   readonly #client: PlatformClient;
+  #schemas = createSchemas(0);
+  #schemasEra = 0;
 
   private constructor(client: PlatformClient) {
     this.#client = client;
   }
 
   static create(options: PlatformClientOptions): HttpObjectStore {
-    return new HttpObjectStore(PlatformClient.create("object_api", options));
+    return new HttpObjectStore(
+      PlatformClient.create("object_api", { ...options, eraHeader }),
+    );
+  }
+
+  get era(): number {
+    return this.#client.era;
   }
 
   async read(
@@ -60,7 +87,7 @@
     return response.chain((response) =>
       response.status === 404
         ? Right(undefined)
-        : this.#client.parse(storedObject, response)
+        : this.#client.parse(this.#readSchemas().storedObject, response)
     );
   }
 
@@ -70,7 +97,7 @@
       path: `/objects?prefix=${encodeURIComponent(prefix)}`,
     });
     return response.chain((response) =>
-      this.#client.parse(objectList, response)
+      this.#client.parse(this.#readSchemas().objectList, response)
     );
   }
 
@@ -79,25 +106,28 @@
     value: unknown,
     condition: WriteCondition,
   ): Promise<Either<PlatformError, WriteOutcome>> {
+    if (this.#isFromEarlierEra(condition)) return await this.#readConflict(key);
     const response = await this.#client.call({
       method: "PUT",
       path: formatObjectPath(key),
       headers: formatCondition(condition),
       body: JSON.stringify(value),
     });
-    return response.chain((response) => this.#parseWrite(response));
+    return response.chain((response) => this.#parseWrite(response, condition));
   }
 
   async remove(
     key: string,
     version: number,
   ): Promise<Either<PlatformError, WriteOutcome>> {
+    const condition = { kind: "version", version } as const;
+    if (this.#isFromEarlierEra(condition)) return await this.#readConflict(key);
     const response = await this.#client.call({
       method: "DELETE",
       path: formatObjectPath(key),
-      headers: formatCondition({ kind: "version", version }),
+      headers: formatCondition(condition),
     });
-    return response.chain((response) => this.#parseWrite(response));
+    return response.chain((response) => this.#parseWrite(response, condition));
   }
 
   async watch(
@@ -105,9 +135,11 @@
     since: number,
     waitMs: number,
   ): Promise<Either<PlatformError, WatchOutcome>> {
+    const sinceEra = readStoreEra(since);
+    if (sinceEra < this.era) return Right({ kind: "expired" });
     const query = new URLSearchParams({
       prefix,
-      since: String(since),
+      since: String(readStoreRevision(since)),
       waitMs: String(Math.round(waitMs)),
     });
     const response = await this.#client.call({
@@ -116,9 +148,9 @@
       waitMs,
     });
     return response.chain((response): Either<PlatformError, WatchOutcome> =>
-      response.status === 410
+      response.status === 410 || this.era !== sinceEra
         ? Right({ kind: "expired" })
-        : this.#client.parse(watchBatch, response)
+        : this.#client.parse(this.#readSchemas().watchBatch, response)
           .map((batch) => ({ kind: "changes", batch }))
     );
   }
@@ -127,10 +159,40 @@
     this.#client.dispose();
   }
 
+  /** Schemas of the present era. */
+  #readSchemas(): Schemas {
+    if (this.#schemasEra !== this.era) {
+      this.#schemasEra = this.era;
+      this.#schemas = createSchemas(this.era);
+    }
+    return this.#schemas;
+  }
+
+  #isFromEarlierEra(condition: WriteCondition): boolean {
+    return condition.kind === "version" &&
+      readStoreEra(condition.version) < this.era;
+  }
+
+  /** Answers a write whose condition cannot hold, with the present object. */
+  async #readConflict(
+    key: string,
+  ): Promise<Either<PlatformError, WriteOutcome>> {
+    const read = await this.read(key);
+    return read.map((current) => ({ kind: "conflict", current }));
+  }
+
   /**
    * Parses the answer of a write; an invalid one leaves the outcome unknown.
    */
-  #parseWrite(response: PlatformResponse): Either<PlatformError, WriteOutcome> {
+  #parseWrite(
+    response: PlatformResponse,
+    condition: WriteCondition,
+  ): Either<PlatformError, WriteOutcome> {
+    const { written, conflict } = this.#readSchemas();
+    if (response.status < 400 && this.#isFromEarlierEra(condition)) {
+      const reason = "the store was restored before the write";
+      return Left(createUnknownOutcomeError(reason));
+    }
     switch (response.status) {
       case 404:
         return Right({ kind: "conflict", current: undefined });
@@ -169,6 +231,6 @@
     case "absent":
       return { "if-none-match": "*" };
     case "version":
-      return { "if-match": String(condition.version) };
+      return { "if-match": String(readStoreRevision(condition.version)) };
   }
 }
--- a/packages/infrastructure/src/memory_object_store.ts
+++ b/packages/infrastructure/src/memory_object_store.ts
@@ -19,6 +19,11 @@
   WriteOutcome,
 } from "./object_store.ts";
 import { PlatformError } from "./platform_error.ts";
+import {
+  composeStoreVersion,
+  readStoreEra,
+  readStoreRevision,
+} from "./store_version.ts";
 
 /** Kind of a call, for fault injection and for `counts`. */
 export type StoreCall = "read" | "list" | "write" | "remove" | "watch";
@@ -39,6 +44,12 @@
   key: string,
 ) => InjectedOutcome | Promise<InjectedOutcome>;
 
+/** Copy of a store's objects, to restore them later. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: readonly StoredObject[];
+}
+
 /** Object store that keeps its objects in memory. */
 export class MemoryObjectStore implements ObjectStore {
   readonly #clock: Clock;
@@ -63,6 +74,7 @@
   /** Creates a client of this store with its own injected faults. */
   createClient(chooseOutcome: ChooseOutcome): ObjectStore {
     const client = Object.create(this) as MemoryObjectStore;
+    Object.defineProperty(client, "era", { get: () => this.era });
     const run = <T>(
       call: StoreCall,
       key: string,
@@ -71,10 +83,17 @@
       this.#run(chooseOutcome, { call, key, effect });
     client.read = (key) => run("read", key, () => this.#objects.get(key));
     client.list = (prefix) => run("list", prefix, () => this.#list(prefix));
-    client.write = (key, value, condition) =>
-      run("write", key, () => this.#write(key, value, condition));
+    client.write = (key, value, condition) => {
+      const isStale = condition.kind === "version" &&
+        readStoreEra(condition.version) < this.era;
+      return isStale
+        ? run("read", key, () => this.#createConflict(key))
+        : run("write", key, () => this.#write(key, value, condition));
+    };
     client.remove = (key, version) =>
-      run("remove", key, () => this.#remove(key, version));
+      readStoreEra(version) < this.era
+        ? run("read", key, () => this.#createConflict(key))
+        : run("remove", key, () => this.#remove(key, version));
     client.watch = (prefix, since, waitMs) =>
       run("watch", prefix, () => this.#watch(prefix, since, waitMs));
     return client;
@@ -120,6 +139,35 @@
     this.#expiredUntil = this.#version;
   }
 
+  /** Number of times that the store was restored from a copy. */
+  get era(): number {
+    return readStoreEra(this.#version);
+  }
+
+  /** Copies all objects, as `restore` takes them. */
+  copy(): StoreCopy {
+    return {
+      revision: readStoreRevision(this.#version),
+      objects: [...this.#objects.values()],
+    };
+  }
+
+  /** Goes back to a copy, in a new era; later writes are gone. */
+  restore({ revision, objects }: StoreCopy): void {
+    const era = this.era + 1;
+    this.#version = composeStoreVersion({ era, revision });
+    this.#objects.clear();
+    for (const object of objects) {
+      const version = composeStoreVersion({
+        era,
+        revision: readStoreRevision(object.version),
+      });
+      this.#objects.set(object.key, { ...object, version });
+    }
+    this.compactHistory();
+    this.#changed.fire();
+  }
+
   /** Number of calls so far; a watch counts once. */
   get calls(): number {
     return [...this.counts.values()].reduce((sum, count) => sum + count, 0);
@@ -134,11 +182,17 @@
     },
   ): Promise<Either<PlatformError, T>> {
     this.counts.set(call, (this.counts.get(call) ?? 0) + 1);
+    const { era } = this;
     const outcome = await chooseOutcome(call, key);
     const isWrite = call === "write" || call === "remove";
     switch (outcome) {
-      case "pass":
-        return Right(structuredClone(await effect()));
+      case "pass": {
+        const result = await effect();
+        // A client cannot know what a write did that crossed a restore.
+        return isWrite && this.era !== era
+          ? Left(createFailure("outcome_unknown"))
+          : Right(structuredClone(result));
+      }
       case "unavailable":
         return Left(createFailure("unavailable"));
       case "lost_before":
@@ -159,7 +213,7 @@
     const current = this.#objects.get(key);
     const holds = condition.kind === "absent"
       ? current === undefined
-      : current?.version === condition.version;
+      : current !== undefined && isSameRevision(current, condition.version);
     if (!holds) return { kind: "conflict", current };
     this.#version += 1;
     const version = this.#version;
@@ -169,9 +223,16 @@
     return { kind: "written", version };
   }
 
+  /** Outcome of a write whose condition is of an earlier era. */
+  #createConflict(key: string): WriteOutcome {
+    return { kind: "conflict", current: this.#objects.get(key) };
+  }
+
   #remove(key: string, version: number): WriteOutcome {
     const current = this.#objects.get(key);
-    if (current?.version !== version) return { kind: "conflict", current };
+    if (current === undefined || !isSameRevision(current, version)) {
+      return { kind: "conflict", current };
+    }
     this.#objects.delete(key);
     this.#version += 1;
     this.#addChange({ kind: "removed", key, version: this.#version });
@@ -192,10 +253,14 @@
     if (waitMs > 0 && this.#findChanges(prefix, since).length === 0) {
       const woken = new AbortController();
       const subscription = this.#changed.event(() => {
-        if (this.#findChanges(prefix, since).length > 0) woken.abort();
+        const isExpired = since < this.#expiredUntil;
+        if (isExpired || this.#findChanges(prefix, since).length > 0) {
+          woken.abort();
+        }
       });
       await this.#clock.sleep(waitMs, woken.signal);
       subscription.dispose();
+      if (readStoreEra(since) < this.era) return { kind: "expired" };
     }
     const changes = this.#findChanges(prefix, since);
     return { kind: "changes", batch: { version: this.#version, changes } };
@@ -211,6 +276,11 @@
   }
 }
 
+/** The store itself compares revisions, which a restore gives out again. */
+function isSameRevision({ version }: StoredObject, expected: number): boolean {
+  return readStoreRevision(version) === readStoreRevision(expected);
+}
+
 function createFailure(kind: "unavailable" | "outcome_unknown"): PlatformError {
   const reason = "injected fault";
   return PlatformError.create({ kind, service: "object_api", reason });
--- a/packages/infrastructure/src/object_store.ts
+++ b/packages/infrastructure/src/object_store.ts
@@ -6,6 +6,12 @@
  * the whole store, so they order all writes. A write is conditional. When its
  * outcome is unknown, the writer reads the object back before it writes again.
  *
+ * The store may come back from an older copy of itself: writes since that copy
+ * are gone, its era rises by one, and its revisions are given out again. Clients
+ * combine both in the versions that they return, so versions still order all
+ * writes; see `store_version.ts`. VERSION below is the revision alone, and each
+ * answer states the era in the header `object-api-era`.
+ *
  * Wire format, HTTP with JSON:
  *
  *     GET    /objects/KEY                      200 StoredObject | 404
@@ -78,6 +84,11 @@
 
 /** Client of the object API. No method throws for a failed call. */
 export interface ObjectStore {
+  /**
+   * Era of the latest answer. An answer of an earlier era counts as lost, so the
+   * era of an answer is this one at the time it is received.
+   */
+  readonly era: number;
   /** Reads an object; undefined when there is none at the key. */
   read(
     key: string,
--- a/packages/infrastructure/src/platform_client.ts
+++ b/packages/infrastructure/src/platform_client.ts
@@ -43,6 +43,8 @@
    * the pause after a 429 that does not state one.
    */
   readonly longestPauseMs?: number;
+  /** Header with the era of the service's data; without it the era stays 0. */
+  readonly eraHeader?: string;
 }
 
 /** One call to a platform service. */
@@ -71,6 +73,7 @@
   readonly #log: Log;
   #isFailing = false;
   #rateLimitedUntil = 0;
+  #era = 0;
 
   private constructor(
     service: PlatformService,
@@ -99,6 +102,11 @@
     return new PlatformClient(service, options);
   }
 
+  /** Highest era that an answer stated. */
+  get era(): number {
+    return this.#era;
+  }
+
   /** Sends a call once and parses its JSON answer. */
   async call(
     call: PlatformCall,
@@ -199,6 +207,10 @@
     call: PlatformCall,
     { statusCode, headers, text }: RawResponse,
   ): Either<PlatformError, PlatformResponse> {
+    if (!this.#applyEra(headers)) {
+      const reason = "the answer is from before the service was restored";
+      return Left(this.#createFailure(call, { reason, isSent: true }));
+    }
     if (statusCode === 429) {
       return Left(this.#recordRateLimit(headers["retry-after-ms"]));
     }
@@ -221,6 +233,19 @@
     }
   }
 
+  /** Applies the era of an answer; false if the answer is of an earlier one. */
+  #applyEra(headers: RawResponse["headers"]): boolean {
+    const { eraHeader } = this.#options;
+    const era = Number(eraHeader === undefined ? NaN : headers[eraHeader]);
+    if (!Number.isSafeInteger(era)) return true;
+    if (era < this.#era) return false;
+    if (era > this.#era && this.#era > 0) {
+      this.#log.warn(`${this.#service} came back from an older copy.`, { era });
+    }
+    this.#era = era;
+    return true;
+  }
+
   /**
    * Stops calls for the pause that the service stated, and creates the error.
    */
--- a/packages/platform/src/decode_configuration.ts
+++ b/packages/platform/src/decode_configuration.ts
@@ -43,6 +43,18 @@
   };
 }
 
+/** Whether a stored configuration has a higher version than another one. */
+export function isNewerConfiguration(
+  stored: { readonly value: unknown },
+  other: { readonly value: unknown },
+): boolean {
+  return readVersion(stored.value) > readVersion(other.value);
+}
+
+function readVersion(value: unknown): number {
+  return readNumber(readFields(value)?.["version"]) ?? -Infinity;
+}
+
 function decodeRoute(value: unknown): readonly Route[] {
   const fields = readFields(value);
   const host = readString(fields?.["hostname"]);
--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -22,6 +22,12 @@
 export const expectedReplicaHeader = "x-expect-instance";
 /** Present in an answer if the replica did not run the request and never will. */
 export const notExecutedHeader = "x-not-executed";
+/** Present with the value 1 in all answers of a replica that is leaving. */
+export const leavingHeader = "server-leaving";
+/** Number of times that the store has come back from an older copy. */
+export const storeEraHeader = "store-era";
+/** Seconds, possibly a fraction, for which the sender wants no more requests. */
+const retryAfterHeader = "retry-after";
 /** Priority from 0 (highest) to 9. */
 export const priorityHeader = "x-request-priority";
 /** API key of the caller, after `keyScheme`. */
@@ -50,6 +56,21 @@
   "kv-fetch",
 ]);
 
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** Whether an answer's headers say that its replica is leaving. */
+export function isLeavingAnswer(headers: Headers): boolean {
+  return headers[leavingHeader] === "1";
+}
+
+/** Parses the time of `Retry-After`, in milliseconds; `undefined` if there is none. */
+export function parseRetryAfter(headers: Headers): number | undefined {
+  const text = headers[retryAfterHeader];
+  if (typeof text !== "string" || text.trim() === "") return undefined;
+  const seconds = Number(text);
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : undefined;
+}
+
 /** A part of a prompt, with the id that it has in `promptPartsHeader`. */
 export interface PromptPart {
   readonly id: string;
--- a/packages/platform/src/platform_store.ts
+++ b/packages/platform/src/platform_store.ts
@@ -3,6 +3,9 @@
  *
  * A key is `KIND/NAME`; the value is the object's `spec`. The system's own kinds may
  * contain slashes, which the wire does not allow, so they are sent as hyphens.
+ *
+ * A condition or a watch with a version of an earlier era is not sent: the store
+ * may have given out that revision again for another change.
  */
 
 import { type Either, Left, Right } from "purify-ts";
@@ -23,6 +26,12 @@
   type PlatformResponse,
 } from "@almondcrank/infrastructure/platform_client.ts";
 import { PlatformError } from "@almondcrank/infrastructure/platform_error.ts";
+import {
+  composeStoreVersion,
+  readStoreEra,
+  readStoreRevision,
+} from "@almondcrank/infrastructure/store_version.ts";
+import { storeEraHeader } from "./headers.ts";
 import { readFields, readNumber, readString } from "./fields.ts";
 
 /** Kind of the replica registrations. */
@@ -57,7 +66,16 @@
   }
 
   static create(options: PlatformClientOptions): PlatformStore {
-    return new PlatformStore(PlatformClient.create("object_api", options));
+    return new PlatformStore(
+      PlatformClient.create("object_api", {
+        ...options,
+        eraHeader: storeEraHeader,
+      }),
+    );
+  }
+
+  get era(): number {
+    return this.#client.era;
   }
 
   async read(
@@ -73,7 +91,7 @@
       if (answer.status >= 400) {
         return Left(this.#client.createRejection(answer));
       }
-      const object = decodeObject(reference.kind, answer.body);
+      const object = decodeObject(reference.kind, answer.body, this.era);
       return object === undefined
         ? Left(createBadAnswer("the object has no name or revision"))
         : Right(object);
@@ -84,6 +102,7 @@
     const kind = formatKind(prefix);
     const objects: StoredObject[] = [];
     let after = "";
+    let firstEra: number | undefined;
     while (true) {
       const query = after === "" ? "" : `?after=${encodeURIComponent(after)}`;
       const answer = await this.#client.call({
@@ -95,12 +114,25 @@
       );
       if (page.isLeft()) return page as Either<PlatformError, never>;
       const { items, ...rest } = page.extract() as z.infer<typeof listPage>;
-      objects.push(...items.flatMap((item) => decodeObject(kind, item) ?? []));
+      const { era } = this;
+      firstEra ??= era;
+      if (era !== firstEra) {
+        return Left(
+          createBadAnswer("the store was restored between two pages"),
+        );
+      }
+      objects.push(
+        ...items.flatMap((item) => decodeObject(kind, item, era) ?? []),
+      );
       const last = readString(
         readFields(readFields(items.at(-1))?.["metadata"])?.["name"],
       );
       if (rest["more-pages"] !== true || last === undefined) {
-        return Right({ version: rest["store-revision"], objects });
+        const revision = rest["store-revision"];
+        return Right({
+          version: composeStoreVersion({ era, revision }),
+          objects,
+        });
       }
       after = last;
     }
@@ -111,26 +143,34 @@
     value: unknown,
     condition: WriteCondition,
   ): Promise<Either<PlatformError, WriteOutcome>> {
+    const { era } = this;
+    if (condition.kind === "version" && readStoreEra(condition.version) < era) {
+      return await this.#readConflict(key);
+    }
     const reference = parseKey(key);
     const answer = await this.#client.call(
       formatWrite(reference, value, condition),
     );
-    return answer.chain((answer) => this.#parseWrite(reference, answer));
+    return answer.chain((answer) =>
+      this.#parseWrite(reference, answer, condition)
+    );
   }
 
   async remove(
     key: string,
     version: number,
   ): Promise<Either<PlatformError, WriteOutcome>> {
+    if (readStoreEra(version) < this.era) return await this.#readConflict(key);
     const reference = parseKey(key);
+    const revision = readStoreRevision(version);
     const answer = await this.#client.call({
       method: "DELETE",
-      path: `${formatPath(reference)}?revision=${version}`,
+      path: `${formatPath(reference)}?revision=${revision}`,
     });
     return answer.chain((answer): Either<PlatformError, WriteOutcome> =>
       answer.status < 400
         ? Right({ kind: "written", version })
-        : this.#parseWrite(reference, answer)
+        : this.#parseWrite(reference, answer, { kind: "version", version })
     );
   }
 
@@ -139,35 +179,53 @@
     since: number,
     waitMs: number,
   ): Promise<Either<PlatformError, WatchOutcome>> {
+    const sinceEra = readStoreEra(since);
+    if (sinceEra < this.era) return Right({ kind: "expired" });
     const kind = formatKind(prefix);
     const wait = Math.round(waitMs);
+    const revision = readStoreRevision(since);
     const answer = await this.#client.call({
       method: "GET",
-      path: `/objects/${kind}?watch=${since}&wait-ms=${wait}`,
+      path: `/objects/${kind}?watch=${revision}&wait-ms=${wait}`,
       waitMs,
     });
-    return answer.chain((answer): Either<PlatformError, WatchOutcome> =>
-      answer.status === 410
-        ? Right({ kind: "expired" })
-        : this.#client.parse(watchAnswer, answer).map((body) => ({
-          kind: "changes",
-          batch: {
-            version: body["store-revision"],
-            changes: body.events.flatMap((event) => decodeEvent(kind, event)),
-          },
-        }))
-    );
+    return answer.chain((answer): Either<PlatformError, WatchOutcome> => {
+      const { era } = this;
+      const isExpired = answer.status === 410 || era !== sinceEra;
+      if (isExpired) return Right({ kind: "expired" });
+      return this.#client.parse(watchAnswer, answer).map((body) => ({
+        kind: "changes",
+        batch: {
+          version: composeStoreVersion({
+            era,
+            revision: body["store-revision"],
+          }),
+          changes: body.events.flatMap((event) =>
+            decodeEvent(kind, event, era)
+          ),
+        },
+      }));
+    });
   }
 
   dispose(): void {
     this.#client.dispose();
   }
 
+  /** Answers a write whose condition cannot hold, with the present object. */
+  async #readConflict(
+    key: string,
+  ): Promise<Either<PlatformError, WriteOutcome>> {
+    const read = await this.read(key);
+    return read.map((current) => ({ kind: "conflict", current }));
+  }
+
   #parseWrite(
     reference: ObjectReference,
     answer: PlatformResponse,
+    condition: WriteCondition,
   ): Either<PlatformError, WriteOutcome> {
-    const object = decodeObject(reference.kind, answer.body);
+    const object = decodeObject(reference.kind, answer.body, this.era);
     switch (answer.status) {
       case 404:
         return Right({ kind: "conflict", current: undefined });
@@ -177,17 +235,15 @@
     if (answer.status >= 400) {
       return Left(this.#client.createRejection(answer));
     }
-    if (object !== undefined) {
-      return Right({ kind: "written", version: object.version });
+    if (object === undefined) {
+      return Left(createUnknownOutcome("the written object has no revision"));
     }
-    const reason = "the written object has no revision";
-    return Left(
-      PlatformError.create({
-        kind: "outcome_unknown",
-        service: "object_api",
-        reason,
-      }),
-    );
+    // The revision that the write was conditional on may be another change now.
+    const isRestored = condition.kind === "version" &&
+      readStoreEra(condition.version) < this.era;
+    return isRestored
+      ? Left(createUnknownOutcome("the store was restored before the write"))
+      : Right({ kind: "written", version: object.version });
   }
 }
 
@@ -229,25 +285,34 @@
         method: "PUT",
         path: formatPath(reference),
         body: JSON.stringify({
-          metadata: { name, revision: condition.version },
+          metadata: { name, revision: readStoreRevision(condition.version) },
           spec: value,
         }),
       };
   }
 }
 
-function decodeObject(kind: string, value: unknown): StoredObject | undefined {
+function decodeObject(
+  kind: string,
+  value: unknown,
+  era: number,
+): StoredObject | undefined {
   const fields = readFields(value);
   const metadata = readFields(fields?.["metadata"]);
   const name = readString(metadata?.["name"]);
-  const version = readNumber(metadata?.["revision"]);
-  if (name === undefined || version === undefined) return undefined;
+  const revision = readNumber(metadata?.["revision"]);
+  if (name === undefined || revision === undefined) return undefined;
+  const version = composeStoreVersion({ era, revision });
   return { key: `${kind}/${name}`, version, value: fields?.["spec"] };
 }
 
-function decodeEvent(kind: string, value: unknown): readonly ObjectChange[] {
+function decodeEvent(
+  kind: string,
+  value: unknown,
+  era: number,
+): readonly ObjectChange[] {
   const event = readFields(value);
-  const object = decodeObject(kind, event?.["object"]);
+  const object = decodeObject(kind, event?.["object"], era);
   if (object === undefined) return [];
   if (event?.["deleted"] === true) {
     return [{ kind: "removed", key: object.key, version: object.version }];
@@ -255,6 +320,14 @@
   return [{ kind: "written", object }];
 }
 
+function createUnknownOutcome(reason: string): PlatformError {
+  return PlatformError.create({
+    kind: "outcome_unknown",
+    service: "object_api",
+    reason,
+  });
+}
+
 function createBadAnswer(reason: string): PlatformError {
   return PlatformError.create({
     kind: "bad_answer",
--- a/packages/routing/src/testing/fake_cluster.ts
+++ b/packages/routing/src/testing/fake_cluster.ts
@@ -374,6 +374,9 @@
     return result;
   };
   return {
+    get era() {
+      return store.era;
+    },
     read: (key) => callGated(() => store.read(key)),
     list: (prefix) => callGated(() => store.list(prefix)),
     write: (key, value, condition) =>
--- a/packages/routing/src/testing/fake_object_store.ts
+++ b/packages/routing/src/testing/fake_object_store.ts
@@ -23,6 +23,7 @@
   /** Faults of the next calls; `fault` applies when it is empty. */
   readonly nextFaults: StoreFault[] = [];
   fault: StoreFault = "none";
+  readonly era = 0;
   writes = 0;
   calls = 0;
   #version = 0;
--- a/packages/standin/src/object_api_standin.ts
+++ b/packages/standin/src/object_api_standin.ts
@@ -7,6 +7,7 @@
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import { parseJsonBody } from "@almondcrank/common/http_server.ts";
+import { eraHeader } from "@almondcrank/infrastructure/http_object_store.ts";
 import {
   maxObjectBytes,
   type WriteCondition,
@@ -24,7 +25,11 @@
   type PartCall,
   PartServer,
 } from "./part_server.ts";
-import { findKey, VersionedObjects } from "./versioned_objects.ts";
+import {
+  findKey,
+  type ObjectsCopy,
+  VersionedObjects,
+} from "./versioned_objects.ts";
 
 const maxWatchMs = 60_000;
 
@@ -73,6 +78,7 @@
   readonly #ended = new AbortController();
   #server!: PartServer;
   #counts = createCounts();
+  #copy: ObjectsCopy | undefined;
 
   private constructor(options: ObjectApiOptions, settings: ObjectApiSettings) {
     this.name = options.name ?? "objectApi";
@@ -101,20 +107,38 @@
       faults: standin.faults,
       routes: [
         // A wildcard, because the router limits the length of named parameters.
-        { method: "GET", path: "/objects/*", handle: (e) => standin.#read(e) },
-        { method: "GET", path: "/objects", handle: (e) => standin.#list(e) },
-        { method: "PUT", path: "/objects/*", handle: (e) => standin.#write(e) },
+        {
+          method: "GET",
+          path: "/objects/*",
+          handle: (e) => standin.#stateEra(standin.#read(e)),
+        },
+        {
+          method: "GET",
+          path: "/objects",
+          handle: (e) => standin.#stateEra(standin.#list(e)),
+        },
+        {
+          method: "PUT",
+          path: "/objects/*",
+          handle: (e) => standin.#stateEra(standin.#write(e)),
+        },
         {
           method: "DELETE",
           path: "/objects/*",
-          handle: (e) => standin.#remove(e),
+          handle: (e) => standin.#stateEra(standin.#remove(e)),
+        },
+        {
+          method: "GET",
+          path: "/watch",
+          handle: async (e) => standin.#stateEra(await standin.#watch(e)),
         },
-        { method: "GET", path: "/watch", handle: (e) => standin.#watch(e) },
       ],
       controls: {
         "GET /control/counts": () => createAnswer(200, standin.#counts),
         "POST /control/counts/reset": () => standin.#resetCounts(),
         "POST /control/history/drop": () => standin.#compactHistory(),
+        "POST /control/copy": () => standin.#copyObjects(),
+        "POST /control/restore": () => standin.#restoreObjects(),
         "POST /control/rates": (call) => standin.#setRates(call),
       },
     });
@@ -259,6 +283,29 @@
     return createAnswer(200, { version: this.objects.version });
   }
 
+  /** Keeps a copy of all objects for `restore`. */
+  #copyObjects(): PartAnswer {
+    this.#copy = this.objects.copy();
+    return createAnswer(200, { version: this.objects.version });
+  }
+
+  /** Goes back to the last copy, in a new era. */
+  #restoreObjects(): PartAnswer {
+    if (this.#copy === undefined) {
+      const reason = "no copy to restore; POST /control/copy first";
+      return createAnswer(409, { reason });
+    }
+    this.objects.restore(this.#copy);
+    return createAnswer(200, { era: this.objects.era });
+  }
+
+  /** Adds the store's era to an answer. */
+  #stateEra(answer: PartAnswer): PartAnswer {
+    if (answer.kind !== "json") return answer;
+    const headers = { ...answer.headers, [eraHeader]: `${this.objects.era}` };
+    return { ...answer, headers };
+  }
+
   #setRates(call: ControlCall): PartAnswer {
     return handleControlCall(ratesChange, call, (rates) => {
       this.#writes.setRate(rates.writesPerSecond);
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -20,6 +20,8 @@
   | { readonly kind: "none" }
   /** Declined as full: answered 503 and marked as not executed. */
   | { readonly kind: "decline" }
+  /** The same, with a time for which the node should send nothing more. */
+  | { readonly kind: "pause"; readonly seconds: number }
   /** Run; then the connection is reset without an answer. */
   | { readonly kind: "lose_answer" }
   /** The connection is reset in the middle of the event after `events`. */
@@ -54,6 +56,13 @@
   hasEnded: boolean;
 }
 
+/** Arrival of one request, run or not. */
+export interface ReplicaArrival {
+  readonly id: string;
+  /** Time on the monotonic clock of this process, in milliseconds. */
+  readonly at: number;
+}
+
 /** Options of a replica. */
 export interface ReplicaStandinOptions {
   readonly id: string;
@@ -79,6 +88,10 @@
   readonly id: string;
   /** Requests that were run, in order of arrival. */
   readonly runs: ReplicaRun[] = [];
+  /** All requests that arrived, in order. */
+  readonly arrivals: ReplicaArrival[] = [];
+  /** Whether all answers say that the replica is leaving. */
+  isLeaving = false;
   readonly #server: Server;
   readonly #events: number;
   readonly #eventMs: number;
@@ -129,6 +142,11 @@
       return await this.#answerEarly(request, response, next.afterMs);
     }
     const body = await readBody(request);
+    this.arrivals.push({
+      id: String(request.headers["x-request-id"]),
+      at: performance.now(),
+    });
+    if (this.isLeaving) response.setHeader("Server-Leaving", "1");
     if (request.url === "/kv-move") return this.#move(body, response);
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
@@ -140,6 +158,11 @@
       response.setHeader("X-Not-Executed", "1");
       return sendJson(response, 503, {});
     }
+    if (fault.kind === "pause") {
+      response.setHeader("X-Not-Executed", "1");
+      response.setHeader("Retry-After", String(fault.seconds));
+      return sendJson(response, 503, {});
+    }
     const run = this.#beginRun(request, body);
     response.on("close", () => {
       run.hasEnded = true;
--- a/packages/standin/src/platform/store_standin.ts
+++ b/packages/standin/src/platform/store_standin.ts
@@ -45,6 +45,12 @@
   readonly object: StoredEntry;
 }
 
+/** Copy of a store's objects, to restore them later. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredEntry>>;
+}
+
 const maxPageItems = 500;
 const maxWaitMs = 30_000;
 
@@ -56,6 +62,7 @@
   #history: ChangeEvent[] = [];
   #historyStartRevision = 1;
   #revision = 1;
+  #era = 1;
   /** Fault of calls from now on. */
   fault: StoreFault = "none";
   /** Whether the fault affects calls from an IP address. */
@@ -116,6 +123,25 @@
     this.#wakeAll();
   }
 
+  /** Copies all objects, as `restore` takes them. */
+  copy(): StoreCopy {
+    const kinds = new Map(
+      [...this.#kinds].map(([kind, objects]) => [kind, new Map(objects)]),
+    );
+    return { revision: this.#revision, kinds };
+  }
+
+  /** Goes back to a copy, in a new era; later writes and the history are gone. */
+  restore({ revision, kinds }: StoreCopy): void {
+    this.#era += 1;
+    this.#revision = revision;
+    this.#kinds.clear();
+    for (const [kind, objects] of kinds) {
+      this.#kinds.set(kind, new Map(objects));
+    }
+    this.compact();
+  }
+
   /** Closes the listener and all connections. */
   close(): void {
     this.#wakeAll();
@@ -131,6 +157,7 @@
     const body = await readBody(request);
     const ip = request.socket.remoteAddress ?? "";
     const fault = this.isAffected(ip) ? this.fault : "none";
+    response.setHeader("Store-Era", this.#era);
     if (fault === "silent") return;
     if (fault === "reset") return void request.socket.resetAndDestroy();
     if (fault === "busy") return sendJson(response, 503, {});
@@ -177,11 +204,12 @@
     if (since === null) return this.#answerList(url, kind, response);
     const waitMs = Number(url.searchParams.get("wait-ms") ?? 0);
     await this.#waitForEvent(kind, Number(since), waitMs);
+    response.setHeader("Store-Era", this.#era);
     // The store may have fallen silent while the call waited.
     if (this.fault === "silent") return;
-    if (Number(since) + 1 < this.#historyStartRevision) {
-      return sendJson(response, 410, {});
-    }
+    const isGone = Number(since) + 1 < this.#historyStartRevision ||
+      Number(since) > this.#revision;
+    if (isGone) return sendJson(response, 410, {});
     const events = this.#listEvents(kind, Number(since))
       .map(({ deleted, object }) => ({ deleted, object }));
     sendJson(response, 200, { events, "store-revision": this.#revision });
@@ -284,7 +312,9 @@
     const endsAt = performance.now() + Math.min(waitMs, maxWaitMs);
     while (this.#listEvents(kind, since).length === 0) {
       const leftMs = endsAt - performance.now();
-      if (leftMs <= 0 || since + 1 < this.#historyStartRevision) return;
+      const isGone = since + 1 < this.#historyStartRevision ||
+        since > this.#revision;
+      if (leftMs <= 0 || isGone) return;
       await this.#waitForChange(leftMs);
     }
   }
--- a/packages/standin/src/versioned_objects.ts
+++ b/packages/standin/src/versioned_objects.ts
@@ -13,6 +13,12 @@
 } from "@almondcrank/infrastructure/object_store.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 
+/** Copy of all objects, to restore them later. */
+export interface ObjectsCopy {
+  readonly revision: number;
+  readonly objects: readonly StoredObject[];
+}
+
 /** Objects of the object API. */
 export class VersionedObjects {
   readonly #objects = new Map<string, StoredObject>();
@@ -22,6 +28,7 @@
   /** Oldest version from which a watch can still read; older watches expire. */
   #oldestWatchVersion = 0;
   #version = 0;
+  #era = 0;
 
   private constructor(historyLimit: number) {
     this.#historyLimit = historyLimit;
@@ -41,6 +48,25 @@
     return this.#version;
   }
 
+  /** Number of times that the objects were restored from a copy. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Copies all objects, as `restore` takes them. */
+  copy(): ObjectsCopy {
+    return { revision: this.#version, objects: [...this.#objects.values()] };
+  }
+
+  /** Goes back to a copy, in a new era; later changes are gone. */
+  restore({ revision, objects }: ObjectsCopy): void {
+    this.#era += 1;
+    this.#version = revision;
+    this.#objects.clear();
+    for (const object of objects) this.#objects.set(object.key, object);
+    this.compactHistory();
+  }
+
   find(key: string): StoredObject | undefined {
     return this.#objects.get(key);
   }
