--- a/packages/routing/src/choice/replica_load.ts
+++ b/packages/routing/src/choice/replica_load.ts
@@ -42,6 +42,8 @@
 /** Weights of the latest sample in the moving averages. */
 const excessWeight = 0.3;
 const gapWeight = 0.05;
+/** Largest ratio of one observed time between tokens to their average. */
+const maxGapGrowth = 3;
 /** Time for which observed token gaps are used beside reported ones. */
 const maxGapAgeMs = 10_000;
 const millisecondsPerSecond = 1_000;
@@ -197,13 +199,20 @@
   }
 
   /**
-   * Adds an observed time between tokens to its moving average. The average begins
-   * at the reported time: one pause alone must not refuse the requests that would
-   * show that it is over.
+   * Adds an observed time between tokens to its moving average. A pause counts as a
+   * small multiple of the average: taken for the engine's speed, it would refuse the
+   * requests that show that it is over.
    */
   recordTokenGap(gapMs: number, now: number): void {
-    const previous = this.computeBetweenTokensMs(now);
-    this.#observedGapMs = previous + gapWeight * (gapMs - previous);
+    const isRecent = now - this.#observedGapAt < maxGapAgeMs;
+    const reportedMs = this.#betweenTokensMs > 0
+      ? this.#betweenTokensMs
+      : gapMs;
+    const previous = isRecent
+      ? this.#observedGapMs
+      : Math.min(gapMs, reportedMs);
+    const boundedMs = Math.min(gapMs, previous * maxGapGrowth);
+    this.#observedGapMs = previous + gapWeight * (boundedMs - previous);
     this.#observedGapAt = now;
   }
 
