Store a release again that a restored store forgot

Cause: on the product's own interface a version of a later era is higher, so after a restore the older head would be taken as the newest configuration everywhere. Change: the reader keeps a head whose writes go beyond those of the restored one, or that the store lacks, and stores it again conditional on the older one. Claims of callers' keys and rented endpoints are not restored yet.

--- a/packages/infrastructure/src/configuration_reader.ts
+++ b/packages/infrastructure/src/configuration_reader.ts
@@ -4,6 +4,10 @@
  * The reader caches the decoded objects, so a change transfers only the changed
  * object. The revision that it returns never decreases: a stale list is
  * ignored.
+ *
+ * A store that comes back from an older copy may lack the latest releases. The reader
+ * keeps those that it knows and stores them again, conditional on the older head, so
+ * that of all readers one succeeds.
  */
 
 import { type Either, Left, Right } from "purify-ts";
@@ -16,6 +20,7 @@
   configurationPrefix,
   decodeHead,
   decodeRentedEndpoints,
+  type Head,
   headKey,
   type ReleasedConfiguration,
   rentedPrefix,
@@ -26,8 +31,10 @@
   ObjectStore,
   StoredObject,
   WatchOutcome,
+  WriteCondition,
 } from "./object_store.ts";
 import type { PlatformError } from "./platform_error.ts";
+import { readStoreEra } from "./store_version.ts";
 
 /** Rented endpoints of one shard at one version of their object. */
 interface RentedPart {
@@ -35,11 +42,20 @@
   readonly endpoints: readonly Endpoint[];
 }
 
+/** A head as it was read. */
+interface KnownHead {
+  readonly object: StoredObject;
+  readonly head: Head;
+}
+
 /** Reader of the configuration in force. */
 export class ConfigurationReader {
   readonly #store: ObjectStore;
   #released: ReleasedConfiguration = emptyConfiguration;
   #headRevision = 0;
+  #knownHead: KnownHead | undefined;
+  /** Condition for storing the known head again, while the store has an older one. */
+  #restoreCondition: WriteCondition | undefined;
   #rented: ReadonlyMap<string, RentedPart> = new Map();
   /** Version of the store up to which all changes are applied. */
   #cursor: number | undefined;
@@ -61,7 +77,9 @@
   /** Reads the whole configuration. */
   async read(): Promise<Either<PlatformError, Configuration>> {
     const list = await this.#store.list(configurationPrefix);
-    return list.chain((list) => this.#applyList(list));
+    const applied = list.chain((list) => this.#applyList(list));
+    await this.#restoreHead();
+    return applied;
   }
 
   /**
@@ -95,8 +113,10 @@
     switch (outcome.kind) {
       case "changes": {
         const { changes, version } = outcome.batch;
-        return this.#applyChanges(changes, version)
+        const applied = this.#applyChanges(changes, version)
           .map((next) => findNewer(next, since));
+        await this.#restoreHead();
+        return applied;
       }
       case "expired":
         this.#cursor = undefined;
@@ -108,8 +128,13 @@
     const known = Math.max(this.#cursor ?? 0, this.#configuration.revision);
     if (list.version < known) return Right(this.#configuration);
     this.#rented = new Map();
-    this.#released = emptyConfiguration;
     this.#headRevision = 0;
+    const hasHead = list.objects.some(({ key }) => key === headKey);
+    if (!hasHead && this.#isRestored(list.version)) {
+      this.#restoreCondition = { kind: "absent" };
+    } else {
+      this.#released = emptyConfiguration;
+    }
     const changes = list.objects.map((object): ObjectChange => ({
       kind: "written",
       object,
@@ -154,11 +179,39 @@
 
   #applyHead(object: StoredObject): Either<PlatformError, void> {
     return decodeHead(object).map((head) => {
+      const { version } = object;
+      this.#headRevision = version;
+      const known = this.#knownHead;
+      if (
+        known !== undefined && this.#isRestored(version) &&
+        isEarlierRelease(head, known.head)
+      ) {
+        this.#released = known.head.configuration;
+        this.#restoreCondition = { kind: "version", version };
+        return;
+      }
       this.#released = head.configuration;
-      this.#headRevision = object.version;
+      this.#knownHead = { object, head };
+      this.#restoreCondition = undefined;
     });
   }
 
+  /** Whether a version is of a later era than the known head. */
+  #isRestored(version: number): boolean {
+    return this.#knownHead !== undefined &&
+      readStoreEra(version) > readStoreEra(this.#knownHead.object.version);
+  }
+
+  /** Stores the known head again if the restored store has an older one. */
+  async #restoreHead(): Promise<void> {
+    const condition = this.#restoreCondition;
+    if (condition === undefined || this.#knownHead === undefined) return;
+    const { value } = this.#knownHead.object;
+    const written = await this.#store.write(headKey, value, condition);
+    // After a conflict or a failure, the next read shows what the store has.
+    written.ifRight(() => this.#restoreCondition = undefined);
+  }
+
   /**
    * Merges the released and the rented endpoints; omits those of removed
    * services.
@@ -175,6 +228,13 @@
   }
 }
 
+/** Whether the latest write of `head` is followed by others in `known`. */
+function isEarlierRelease(head: Head, known: Head): boolean {
+  const last = head.writes.at(-1)?.writeId;
+  const ids = known.writes.map(({ writeId }) => writeId);
+  return ids.at(-1) !== last && (last === undefined || ids.includes(last));
+}
+
 function findVersion(change: ObjectChange): number {
   switch (change.kind) {
     case "written":
--- a/packages/infrastructure/src/configuration_reader_test.ts
+++ b/packages/infrastructure/src/configuration_reader_test.ts
@@ -140,4 +140,65 @@
   assert.is(recovered?.endpoints.length, 2);
 });
 
+/** Writes a release whose head lists the writes so far. */
+async function writeRelease(
+  store: MemoryObjectStore,
+  writeIds: readonly string[],
+): Promise<void> {
+  const current = (await store.read(headKey)).unsafeCoerce();
+  const head = encodeStoredValue({
+    writes: writeIds.map((writeId, base) => ({ writeId, base, changes: [] })),
+    configuration: {
+      teams: [],
+      models: [],
+      adapters: [],
+      services: [service],
+      endpoints: writeIds.map(createEndpoint),
+    },
+  });
+  await store.write(
+    headKey,
+    head,
+    current === undefined
+      ? { kind: "absent" }
+      : { kind: "version", version: current.version },
+  );
+}
+
+test("a release that a restored store forgot stays in force and is stored again", async () => {
+  const store = MemoryObjectStore.create(ManualClock.create());
+  const readers = [1, 2, 3].map(() => ConfigurationReader.create(store));
+  await writeRelease(store, ["one"]);
+  const copy = store.copy();
+  await writeRelease(store, ["one", "two"]);
+  for (const reader of readers) await reader.read();
+  store.restore(copy);
+  for (const reader of readers) {
+    const names = (await reader.read()).unsafeCoerce().endpoints
+      .map(({ name }) => name);
+    assert.equal(names, ["one", "two"]);
+  }
+  const fresh = ConfigurationReader.create(store);
+  const stored = (await fresh.read()).unsafeCoerce();
+  assert.equal(stored.endpoints.map(({ name }) => name), ["one", "two"]);
+  assert.is(store.counts.get("write"), 3, "it is stored again once");
+  await writeRelease(store, ["one", "two", "three"]);
+  const last = (await readers[0]!.read()).unsafeCoerce();
+  assert.is(last.endpoints.length, 3);
+});
+
+test("a head that a restored store lacks is stored again", async () => {
+  const store = MemoryObjectStore.create(ManualClock.create());
+  const copy = store.copy();
+  const reader = ConfigurationReader.create(store);
+  await writeRelease(store, ["one"]);
+  const before = (await reader.read()).unsafeCoerce();
+  store.restore(copy);
+  const after = (await reader.read()).unsafeCoerce();
+  assert.is(after.endpoints.length, 1);
+  assert.ok(after.revision >= before.revision);
+  const stored = (await store.read(headKey)).unsafeCoerce();
+  assert.ok(stored !== undefined);
+});
+
 test.run();
