Count refused work as demand; report every 0.2 s in small zones; split the exchange

With relays every 0.4 s, nodes of small zones knew loads later than before. Change: half of the prompt work of a refused stream counts as demand. Zones of up to 16 nodes report every 0.2 s. The exchange is split: feed statuses, collected reports, composed reports.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -23,8 +23,8 @@
   type PeerReport,
   type ReportScope,
 } from "./peer_messages.ts";
-import { meshTickMs, type PeerExchange, relayTickMs } from "./peer_exchange.ts";
-import type { ReportTopology } from "./report_topology.ts";
+import type { PeerExchange } from "./peer_exchange.ts";
+import { chooseTickMs, type ReportTopology } from "./report_topology.ts";
 
 /** Interval, in ticks, at which reports list the other nodes. */
 const membersEveryTicks = 12;
@@ -153,8 +153,7 @@
       const topology = exchange.refresh();
       this.#tickCount += 1;
       this.#sendReports(topology);
-      const tickMs = topology.kind === "mesh" ? meshTickMs : relayTickMs;
-      await clock.sleep(tickMs, signal);
+      await clock.sleep(chooseTickMs(topology), signal);
     }
   }
 
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -7,47 +7,42 @@
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
-import { readStoreEra } from "@almondcrank/infrastructure/store_version.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { WorkMeter } from "../duties/work_meter.ts";
-import type { UsageCounts, UsageSource } from "../duties/usage_counts.ts";
+import type { UsageCounts } from "../duties/usage_counts.ts";
 import type { FeedKind, FeedState } from "../feed/feed_state.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
+import { FeedStatuses } from "./feed_statuses.ts";
 import type { Member, MemberTable } from "./member_table.ts";
 import type {
   AliveMember,
-  FeedStatus,
-  IncludedReport,
   PeerHeader,
   PeerMessage,
   PeerReport,
   ReportScope,
 } from "./peer_messages.ts";
 import { RelayWatch } from "./relay_watch.ts";
+import { ReportCollector, summedPeers } from "./report_collector.ts";
 import {
   addCounters,
   composeCounterLists,
   type Counters,
-  parseCounterKey,
   readCounters,
-  subtractCounters,
 } from "./report_counters.ts";
-import { LoadSums, ReportSums } from "./report_sums.ts";
-import { chooseTopology, type ReportTopology } from "./report_topology.ts";
+import { LoadSums } from "./report_sums.ts";
+import {
+  chooseTickMs,
+  chooseTopology,
+  type ReportTopology,
+} from "./report_topology.ts";
 
-/** Interval between the reports of a node in a small system. */
-export const meshTickMs = 200;
-/** The same where relays sum the reports. */
-export const relayTickMs = 400;
 /** Reports on the way from a node over two relays to another node. */
 const reportsToCrossZones = 3;
-/** Uptime below which a node's first report to a relay counts from its start. */
-const justStartedMs = 1_500;
-/** Age up to which a sum of loads is used. */
-const maxLoadAgeMs = 2_400;
-/** Name under which all nodes count that are only known from sums. */
-const summedPeers = "summed";
+/** Shortest time assumed for reports over relays, in case one is lost. */
+const minRoundMs = 600;
+/** Time for which a node that sent the sums of its zone gets those of this one. */
+const zoneSenderMs = 2_400;
 
 /** Dependencies of a peer exchange. */
 export interface PeerExchangeOptions {
@@ -81,29 +76,12 @@
   readonly withMembers: boolean;
 }
 
-/** Last report of a node that reports to this one directly. */
-interface NodeReport {
-  readonly incarnation: string;
-  readonly zone: string;
-  readonly counters: Counters;
-  /** Changes of its counters that this node has counted. */
-  readonly counted: ReadonlyMap<string, number>;
-  readonly loads: PeerReport["loads"];
-  /** Monotonic time at which it arrived, in milliseconds. */
-  readonly at: number;
-}
-
 /** Peer exchange of one node. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
   readonly #startedAt: number;
-  readonly #nodes = new Map<string, NodeReport>();
-  /** Sums of other zones, for a relay. */
-  readonly #zones = new Map<string, ReportSums>();
-  /** Sums of the whole system, for a node that is no relay. */
-  readonly #system = ReportSums.create();
-  /** Changes counted so far, by zone of the nodes they come from. */
-  readonly #countedByZone = new Map<string, Map<string, number>>();
+  readonly #collector: ReportCollector;
+  readonly #statuses: FeedStatuses;
   /** Counters of this node as of its last report. */
   #ownCounters: Counters = new Map();
   #levels: ReadonlyMap<string, number> = new Map();
@@ -115,6 +93,8 @@
   private constructor(options: PeerExchangeOptions) {
     this.#options = options;
     this.#startedAt = options.clock.now();
+    this.#collector = ReportCollector.create(options);
+    this.#statuses = FeedStatuses.create(options);
   }
 
   static create(options: PeerExchangeOptions): PeerExchange {
@@ -128,12 +108,7 @@
 
   /** Lists the nodes that report to this relay at present. */
   listReporters(): readonly Member[] {
-    const { members, clock } = this.#options;
-    const now = clock.now();
-    return [...this.#nodes].flatMap(([node, { at }]) => {
-      const member = members.find(node);
-      return member !== undefined && now - at <= maxLoadAgeMs ? [member] : [];
-    });
+    return this.#collector.listReporters();
   }
 
   /** Composes the header of a datagram for one receiver. */
@@ -159,11 +134,10 @@
       echo: datagram === undefined
         ? null
         : { sentAt: datagram.sentAt, heldMs: now - datagram.receivedAt },
-      configuration: this.#composeStatus("configuration", now),
-      replicas: this.#composeStatus("replicas", now),
+      ...this.#statuses.compose(now),
       duty: this.#options.readFencingToken() ?? null,
       included: scope === "system" && receiver !== undefined
-        ? this.#composeIncluded(receiver)
+        ? this.#collector.composeIncluded(receiver)
         : null,
     };
   }
@@ -213,11 +187,11 @@
   /** Composes the sums of this relay's zone, as of its last own report. */
   composeZoneReport(): PeerReport {
     const { zone, table, usage, members, clock } = this.#options;
-    const counters = new Map(this.#countedByZone.get(zone) ?? []);
+    const counters = new Map(this.#collector.readCountedOfZone(zone));
     addCounters(counters, this.#ownCounters);
     const loads = LoadSums.create();
     loads.add(this.#listOwnLoads());
-    for (const list of this.#listNodeLoads()) loads.add(list);
+    for (const list of this.#collector.listNodeLoads()) loads.add(list);
     const neighbours = members.listAlive(clock.now())
       .filter((member) => member.zone === zone);
     return {
@@ -233,11 +207,9 @@
   /** Composes the sums of all nodes that this relay knows of. */
   composeSystemReport({ withMembers }: ReportOptions): PeerReport {
     const { table, usage, members, clock } = this.#options;
-    const counters = new Map(this.#ownCounters);
-    for (const counted of this.#countedByZone.values()) {
-      addCounters(counters, counted);
-    }
-    const loads = this.#sumPeerLoads();
+    const counters = this.#collector.sumCounted();
+    addCounters(counters, this.#ownCounters);
+    const loads = this.#collector.sumLoads();
     loads.add(this.#listOwnLoads());
     return {
       ...composeCounterLists(counters, (name) => this.#levels.get(name) ?? 0),
@@ -269,8 +241,7 @@
         wallTimeOffset: this.#chooseTime(message) - now,
       },
     });
-    this.#applyStatus("configuration", message);
-    this.#applyStatus("replicas", message);
+    this.#statuses.apply(message);
     if (message.report !== undefined) {
       this.#applyReport(message, message.report, now);
     }
@@ -292,26 +263,20 @@
     );
     this.#relays.record(this.#listChosenRelays(), now);
     const isMesh = this.#topology.kind === "mesh";
-    if (!isMesh) this.#forgetOtherZones();
-    members.setRoundMs(isMesh ? meshTickMs : relayTickMs * 2);
+    this.#collector.setRole(
+      isMesh ? "mesh" : this.#isRelay ? "relay" : "listener",
+    );
+    const tickMs = chooseTickMs(this.#topology);
+    // Signs of life pass over relays.
+    members.setRoundMs(isMesh ? tickMs : Math.max(minRoundMs, tickMs * 2));
     this.#refreshLimits(alive, known);
-    const loads = this.#sumPeerLoads();
+    const loads = this.#collector.sumLoads();
     for (const state of table.listAll()) {
       state.setPeerLoad(loads.read(state.key));
     }
     return this.#topology;
   }
 
-  /** Forgets single nodes of other zones, of which relays report sums. */
-  #forgetOtherZones(): void {
-    const { zone, usage } = this.#options;
-    for (const [node, report] of this.#nodes) {
-      if (report.zone === zone) continue;
-      this.#nodes.delete(node);
-      usage.forgetNode(node);
-    }
-  }
-
   /** Lists the relays from which this node should hear in every tick. */
   #listChosenRelays(): readonly Member[] {
     const topology = this.#topology;
@@ -334,7 +299,7 @@
     );
     for (const [node, at] of this.#zoneSenders) {
       const member = members.find(node);
-      if (member === undefined || now - at > maxLoadAgeMs) {
+      if (member === undefined || now - at > zoneSenderMs) {
         this.#zoneSenders.delete(node);
       } else receivers.set(node, member);
     }
@@ -379,131 +344,10 @@
     for (const key of report.leaving) {
       table.recordLeaving(key, limitsClock.now());
     }
-    const isMesh = this.#topology.kind === "mesh";
-    switch (message.scope) {
-      case "none":
-        return;
-      case "node":
-        // A node that has just started reports to all nodes that it knows.
-        if (isMesh || (this.#isRelay && message.zone === this.#options.zone)) {
-          this.#applyNode(message, report, now);
-        }
-        return;
-      case "zone":
-        if (this.#isRelay) this.#applyZone(message, report, now);
-        return;
-      case "system":
-        if (!isMesh && !this.#isRelay) this.#applySystem(message, report, now);
-        return;
-    }
-  }
-
-  #applyNode(message: PeerMessage, report: PeerReport, now: number): void {
-    const { node, incarnation, zone } = message;
-    const previous = this.#nodes.get(node);
-    const isSameIncarnation = previous?.incarnation === incarnation;
-    const counters = readCounters(report);
-    const isBaseline = !isSameIncarnation && this.#isLongRunning(message, now);
-    if (isBaseline) this.#adoptLevels(report);
-    const base = isBaseline ? counters : new Map<string, number>();
-    const changes = subtractCounters(
-      counters,
-      isSameIncarnation ? previous.counters : base,
-    );
-    this.#applyChanges(node, zone, changes);
-    const counted = new Map(previous?.counted ?? []);
-    addCounters(counted, changes);
-    const { loads } = report;
-    this.#nodes.set(node, {
-      incarnation,
-      zone,
-      counters,
-      counted,
-      loads,
-      at: now,
-    });
-    this.#applyUsage({ kind: "node", node, incarnation }, report.usage);
-  }
-
-  /** Whether a node's earlier activity is part of what this node has adopted. */
-  #isLongRunning({ upMs }: PeerMessage, now: number): boolean {
-    return this.#topology.kind === "mesh"
-      ? upMs > now - this.#startedAt
-      : upMs > justStartedMs;
-  }
-
-  #applyZone(message: PeerMessage, report: PeerReport, now: number): void {
-    const { zone } = message;
-    if (zone === this.#options.zone) return;
-    this.#zoneSenders.set(message.node, now);
-    let sums = this.#zones.get(zone);
-    if (sums === undefined) {
-      sums = ReportSums.create();
-      this.#zones.set(zone, sums);
-    }
-    const content = { counters: readCounters(report), loads: report.loads };
-    const changes = sums.apply(formatSender(message), content, now);
-    this.#applyUsage({ kind: "zone", zone }, report.usage);
-    if (changes !== undefined) this.#applyChanges(summedPeers, zone, changes);
-  }
-
-  #applySystem(message: PeerMessage, report: PeerReport, now: number): void {
-    const { included } = message;
-    if (included === null) return;
-    if (message.upMs > now - this.#startedAt) this.#adoptLevels(report);
-    const counters = subtractCounters(
-      readCounters(report),
-      new Map(included.counters),
-    );
-    const loads = LoadSums.create();
-    loads.add(report.loads);
-    loads.add(included.loads, -1);
-    const content = { counters, loads: loads.list() };
-    const changes = this.#system.apply(formatSender(message), content, now);
-    this.#applyUsage({ kind: "system" }, subtractUsage(report.usage, included));
-    if (changes !== undefined) {
-      this.#applyChanges(summedPeers, message.zone, changes);
-    }
-  }
-
-  #applyChanges(peer: string, zone: string, changes: Counters): void {
-    const { rateLimiter, budget, work, limitsClock } = this.#options;
-    const now = limitsClock.now();
-    for (const [key, change] of changes) {
-      const { kind, name } = parseCounterKey(key);
-      switch (kind) {
-        case "cost":
-          rateLimiter.applyPeerCharge(
-            { peer, tenant: name, cost: change },
-            now,
-          );
-          break;
-        case "requests":
-          budget.applyPeerCounts(name, { requests: change, retries: 0 }, now);
-          break;
-        case "retries":
-          budget.applyPeerCounts(name, { requests: 0, retries: change }, now);
-          break;
-        case "work":
-          work.applyPeerWork(name, change, now);
-          break;
-      }
-    }
-    const counted = this.#countedByZone.get(zone) ?? new Map<string, number>();
-    addCounters(counted, changes);
-    this.#countedByZone.set(zone, counted);
-  }
-
-  #adoptLevels({ allowances }: PeerReport): void {
-    for (const [tenant, level] of allowances) {
-      this.#options.rateLimiter.adoptLevel(tenant, level);
-    }
-  }
-
-  #applyUsage(source: UsageSource, list: PeerReport["usage"]): void {
-    for (const [window, counts] of list) {
-      this.#options.usage.applyPeerCounts(source, { window, counts });
+    if (this.#isRelay && message.scope === "zone") {
+      this.#zoneSenders.set(message.node, now);
     }
+    this.#collector.apply(message, report, now);
   }
 
   #applyAlive(alive: readonly AliveMember[], now: number): void {
@@ -537,17 +381,6 @@
       .map(({ node, ip, zone }) => ({ node, ip, zone }));
   }
 
-  /** Part of a report of the system that comes from its receiver. */
-  #composeIncluded({ node, incarnation }: Member): IncludedReport {
-    const report = this.#nodes.get(node);
-    const usage = this.#options.usage.listNodeCounts(node, incarnation);
-    return {
-      counters: [...report?.counted ?? []],
-      loads: report?.loads ?? [],
-      usage: usage.map(([window, counts]) => [window, { ...counts }]),
-    };
-  }
-
   #listOwnLoads(): PeerReport["loads"] {
     const loads: PeerReport["loads"] = [];
     for (const { key, ownLoad: own } of this.#options.table.listAll()) {
@@ -556,104 +389,4 @@
     }
     return loads;
   }
-
-  /** Loads of the nodes that report to this one directly and are alive. */
-  #listNodeLoads(): readonly PeerReport["loads"][] {
-    const { members, clock } = this.#options;
-    const alive = new Set(
-      members.listAlive(clock.now()).map(({ node }) => node),
-    );
-    return [...this.#nodes]
-      .filter(([node]) => alive.has(node))
-      .map(([, { loads }]) => loads);
-  }
-
-  /** Sums the loads of all other nodes, from whatever reports count. */
-  #sumPeerLoads(): LoadSums {
-    const now = this.#options.clock.now();
-    const sums = LoadSums.create();
-    if (this.#topology.kind === "zones" && !this.#isRelay) {
-      sums.add(this.#system.listLoads(now, maxLoadAgeMs));
-      return sums;
-    }
-    for (const loads of this.#listNodeLoads()) sums.add(loads);
-    for (const zone of this.#zones.values()) {
-      sums.add(zone.listLoads(now, maxLoadAgeMs));
-    }
-    return sums;
-  }
-
-  #composeStatus(kind: FeedKind, now: number): FeedStatus {
-    const state = this.#options.feeds[kind];
-    const formatAge = (time: number): number | null =>
-      Number.isFinite(time) ? now - time : null;
-    const reader = state.findReader(this.#options.node, now);
-    return {
-      ...state.version,
-      ageMs: formatAge(state.confirmedAt),
-      outageMs: formatAge(state.lastOutageAt),
-      readMs: formatAge(state.lastReadAt),
-      reader: reader === undefined
-        ? null
-        : { node: reader.node, ageMs: now - reader.at },
-    };
-  }
-
-  /** Confirms this node's copy by an equal one, or pulls a newer one. */
-  #applyStatus(kind: FeedKind, message: PeerMessage): void {
-    const { feeds, clock } = this.#options;
-    const state = feeds[kind];
-    const status = message[kind];
-    this.#applyReader(state, status);
-    const { digest } = state.version;
-    const isSame = status.digest === digest && state.isSynced;
-    if (!isSame) return this.#handleOtherCopy(kind, status, message.ip);
-    const { echo } = message;
-    if (echo === null || status.ageMs === null) return;
-    // The peer received our datagram after we sent it, so a confirmation counted
-    // from our own timestamp never appears more recent than it is.
-    if (echo.sentAt > clock.now()) return;
-    state.confirm(echo.sentAt + echo.heldMs - status.ageMs);
-    if (status.outageMs !== null) {
-      state.recordOutage(clock.now() - status.outageMs);
-    }
-  }
-
-  #applyReader(state: FeedState, { reader }: FeedStatus): void {
-    if (reader === null || reader.node === this.#options.node) return;
-    const at = this.#options.clock.now() - reader.ageMs;
-    state.recordReader({ node: reader.node, at });
-    if (reader.node < this.#options.node) state.recordPrecedingRead(at);
-  }
-
-  /** Pulls the copy of a peer if it may hold something newer. */
-  #handleOtherCopy(kind: FeedKind, { asOf }: FeedStatus, ip: string): void {
-    const { feeds, clock, pullFeed } = this.#options;
-    const state = feeds[kind];
-    const own = state.version.asOf;
-    const now = clock.now();
-    // A node that started after a restore learns of it from its peers.
-    const isBeforeRestore = asOf > 0 && state.isSynced &&
-      readStoreEra(asOf) < readStoreEra(own);
-    if (isBeforeRestore && !state.isMerging(now)) state.recordRestore(now);
-    if (asOf > own || (asOf > 0 && state.isMerging(now))) pullFeed(kind, ip);
-  }
-}
-
-function formatSender({ node, incarnation }: PeerMessage): string {
-  return `${node}/${incarnation}`;
-}
-
-/** Takes the counts of a receiver out of the sums of the system. */
-function subtractUsage(
-  sums: PeerReport["usage"],
-  { usage }: IncludedReport,
-): PeerReport["usage"] {
-  const included = new Map(usage);
-  return sums.map(([window, counts]) => {
-    const own = included.get(window) ?? {};
-    const entries = Object.entries(counts)
-      .map(([tenant, count]) => [tenant, count - (own[tenant] ?? 0)]);
-    return [window, Object.fromEntries(entries)];
-  });
 }
--- a/packages/gateway/src/cluster/report_topology.ts
+++ b/packages/gateway/src/cluster/report_topology.ts
@@ -16,6 +16,13 @@
 /** Relays of each zone; the second one covers the loss of the first. */
 const relaysPerZone = 2;
 
+/** Interval between the reports of a node, in milliseconds. */
+const shortTickMs = 200;
+/** The same where a relay has many nodes to hear and to tell. */
+const longTickMs = 400;
+/** Largest number of nodes in a zone that report in the short interval. */
+const maxShortTickNodes = 16;
+
 /** Place of this node. */
 export interface TopologyNode {
   readonly node: string;
@@ -80,6 +87,18 @@
     .slice(0, relaysPerZone);
 }
 
+/** Chooses the interval between a node's reports, in milliseconds. */
+export function chooseTickMs(topology: ReportTopology): number {
+  switch (topology.kind) {
+    case "mesh":
+      return shortTickMs;
+    case "zones":
+      return topology.neighbours.length < maxShortTickNodes
+        ? shortTickMs
+        : longTickMs;
+  }
+}
+
 function groupByZone(members: readonly Member[]): readonly Member[][] {
   const zones = new Map<string, Member[]>();
   for (const member of members) {
--- a/packages/gateway/src/duties/work_meter.ts
+++ b/packages/gateway/src/duties/work_meter.ts
@@ -5,6 +5,9 @@
  * loaded engine. The sum over a window, divided by the window's length, is the
  * number of replicas that would be busy all the time. Nodes exchange their sums, so
  * each knows the work of all.
+ *
+ * Requests that are refused for lack of replicas count too. Otherwise the refusals
+ * would hide the demand for which replicas are missing, and go on.
  */
 
 import { prefillTokensPerMs } from "../choice/engine_choice.ts";
@@ -17,6 +20,8 @@
 const moderateBatch = 18;
 /** Share of its slots that a smaller engine uses at moderate load. */
 const moderateSlotShare = 0.75;
+/** Share of a refused request that counts, as many of them are sent once more. */
+const refusedShare = 0.5;
 /** Window over which work is averaged. */
 const windowMs = 4_000;
 /** Shortest span over which work is averaged after a service's first request. */
@@ -67,6 +72,11 @@
     this.#add(work, ms, now);
   }
 
+  /** Records the engine time that a refused request would have taken. */
+  recordRefused(service: string, ms: number, now: number): void {
+    this.record(service, ms * refusedShare, now);
+  }
+
   /** Adds the engine time of a peer since its last report, in milliseconds. */
   applyPeerWork(service: string, ms: number, now: number): void {
     if (ms > 0) this.#add(this.#find(service), ms, now);
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -9,6 +9,7 @@
   checkAdmission,
   type StreamVerdict,
 } from "../choice/stream_admission.ts";
+import { computeEngineMs } from "../duties/work_meter.ts";
 import type { RelayServices } from "./relay_services.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { MoveTarget } from "./stream_registry.ts";
@@ -72,6 +73,17 @@
   });
 }
 
+/** Records the engine time that a refused stream would have taken. */
+export function recordRefusedWork(
+  { work, clock }: RelayServices,
+  { service }: RoutedRequest,
+  { uncachedTokens }: EngineChoice,
+): void {
+  const tokens = { prompt: uncachedTokens, output: 0 };
+  const ms = computeEngineMs(tokens, service.engine?.slots ?? Infinity);
+  work.recordRefused(service.name, ms, clock.now());
+}
+
 /** Records a choice and its inputs in the trace of the request. */
 export function recordStreamChoice(
   { trace }: RoutedRequest,
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -28,6 +28,7 @@
 import {
   checkStreamAdmission,
   chooseStreamReplica,
+  recordRefusedWork,
   recordStreamChoice,
 } from "./stream_choice.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
@@ -161,6 +162,7 @@
       case "admitted":
         return undefined;
       case "refused":
+        recordRefusedWork(this.#services, this.#request, choice);
         return this.#fail("overloaded", verdict.retryAfterMs);
     }
   }
