Take no duties while isolated

Change: a node that knows 13 or more others and sees less than a quarter of them alive tries for no lease.

--- a/packages/gateway/src/cluster/member_table.ts
+++ b/packages/gateway/src/cluster/member_table.ts
@@ -42,6 +42,10 @@
 const lostRounds = 3;
 /** Time without a sign of life after which a node no longer shares limits. */
 const knownWithinMs = 12_000;
+/** Number of known nodes from which on a node can tell that it is isolated. */
+const minNodesToBeIsolated = 13;
+/** Share of the known nodes that are alive for a node that is not isolated. */
+const isolatedShare = 0.25;
 /** Time for which the median of the clocks is reused. */
 const wallTimeReuseMs = 200;
 
@@ -163,6 +167,16 @@
     return rank;
   }
 
+  /**
+   * Whether this node has lost sight of most others lately: more likely it hears
+   * nobody than that they all have ended at once.
+   */
+  isIsolated(now: number): boolean {
+    const known = this.listKnown(now).length;
+    return known >= minNodesToBeIsolated &&
+      this.listAlive(now).length < known * isolatedShare;
+  }
+
   /** Finds the node that claims to hold the duties' lease. */
   findDutyHolder(now: number): Member | undefined {
     return this.listAlive(now).find((member) =>
--- /dev/null
+++ b/packages/gateway/src/cluster/member_table_test.ts
@@ -0,0 +1,58 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { MemberTable } from "./member_table.ts";
+
+/** Records a datagram of each of the nodes from `first` to `last`. */
+function recordNodes(
+  table: MemberTable,
+  [first, last]: readonly [number, number],
+  now: number,
+): void {
+  for (let at = first; at <= last; at += 1) {
+    table.record({
+      node: `n${String(at).padStart(3, "0")}`,
+      incarnation: "1",
+      ip: `10.0.0.${at}`,
+      zone: "z",
+      isDraining: false,
+      isStoreUnreachable: false,
+      lastSeenAt: now,
+      fencingToken: undefined,
+      datagram: { receivedAt: now, sentAt: now, wallTimeOffset: 0 },
+    });
+  }
+}
+
+test("a node that hears from nobody any more is isolated, not the first in rank", () => {
+  const table = MemberTable.create("n100");
+  recordNodes(table, [0, 99], 0);
+  assert.is(table.readRank(0, false), 100);
+  assert.is(table.isIsolated(1_000), false);
+  assert.is(table.readRank(5_000, false), 0);
+  assert.is(table.isIsolated(5_000), true);
+  // After a while the others have ended, as far as this node can tell.
+  assert.is(table.isIsolated(13_000), false);
+});
+
+test("a node is not isolated while many others are alive", () => {
+  const table = MemberTable.create("n100");
+  recordNodes(table, [0, 99], 0);
+  recordNodes(table, [60, 99], 5_000);
+  assert.is(table.isIsolated(5_000), false);
+});
+
+test("in a small system the loss of most nodes is no isolation", () => {
+  const table = MemberTable.create("n100");
+  recordNodes(table, [0, 7], 0);
+  assert.is(table.isIsolated(5_000), false);
+  assert.is(table.readRank(5_000, false), 0);
+});
+
+test("nodes that reach the store come before those that do not", () => {
+  const table = MemberTable.create("n005");
+  recordNodes(table, [0, 9], 0);
+  assert.is(table.readRank(0, false), 5);
+  assert.is(table.readRank(0, true), 10);
+});
+
+test.run();
--- a/packages/gateway/src/duties/duty_lease.ts
+++ b/packages/gateway/src/duties/duty_lease.ts
@@ -170,6 +170,9 @@
     if (!isFirstStart && now - this.#startedAt < leaseMs) return false;
     // The restored store may not know of a lease that is still valid.
     if (now - readRestoredAt() < leaseMs) return false;
+    // A node that hears from nobody would take itself for the first in rank, and
+    // report only its own usage.
+    if (members.isIsolated(now)) return false;
     if (members.findDutyHolder(now) !== undefined) {
       this.#silentSince = undefined;
       return false;
