Log and count how a replica's part of a stream ended

Lines and metrics of a broken and of a whole stream were the same. Each segment now has a line with how it ended, how the response was framed, the size of an event that had begun and the id it ended after, and two counters. No decision changes.

--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -8,6 +8,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EventSplitter } from "./event_splitter.ts";
+import { findFraming, type ResponseFraming } from "./replica_request.ts";
 
 /** How the relay of one response ended. */
 export type RelayEnd =
@@ -19,6 +20,14 @@
   | "out_of_order"
   | "caller_gone";
 
+/** How the relay of one response ended, and what had arrived by then. */
+export interface RelayOutcome {
+  readonly end: RelayEnd;
+  readonly framing: ResponseFraming;
+  /** Size of the event that had begun but was not complete, in bytes. */
+  readonly unfinishedBytes: number;
+}
+
 /** Source, destination and callbacks of one event relay. */
 export interface EventRelayOptions {
   /** Response of the replica. */
@@ -35,7 +44,7 @@
 /** Relays events until the response or the caller's connection ends. */
 export function relayEvents(
   options: EventRelayOptions,
-): Promise<RelayEnd> {
+): Promise<RelayOutcome> {
   const { response, callerResponse, writeHead, onEvents } = options;
   const splitter = EventSplitter.create();
   let lastId = options.lastId;
@@ -43,11 +52,12 @@
     const onDrain = (): void => void response.resume();
     const onCallerClose = (): void => finish("caller_gone");
     const finish = (end: RelayEnd): void => {
+      const unfinishedBytes = splitter.remainderBytes;
       callerResponse.off("drain", onDrain);
       callerResponse.off("close", onCallerClose);
       response.removeAllListeners("data");
       if (end !== "complete") response.destroy();
-      resolve(end);
+      resolve({ end, framing: findFraming(response), unfinishedBytes });
     };
     callerResponse.on("drain", onDrain);
     callerResponse.on("close", onCallerClose);
@@ -66,9 +76,9 @@
     response.on("end", () => {
       if (!response.complete) return finish("broken");
       writeHead();
+      finish("complete");
       const remainder = splitter.takeRemainder();
       if (remainder !== undefined) callerResponse.write(remainder);
-      finish("complete");
     });
     response.on("error", () => finish("broken"));
     response.on("close", () => finish("broken"));
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -30,6 +30,11 @@
     return new EventSplitter();
   }
 
+  /** Number of bytes after the last complete event. */
+  get remainderBytes(): number {
+    return this.#remainder?.length ?? 0;
+  }
+
   /** Takes the bytes after the last complete event, once the stream ended. */
   takeRemainder(): Buffer | undefined {
     const remainder = this.#remainder;
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -117,16 +117,24 @@
  * address, which tells the two apart.
  */
 function watchReset(response: IncomingMessage): void {
-  const { headers, socket } = response;
-  const isFramed = headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-  if (isFramed) return;
+  if (findFraming(response) !== "connection") return;
+  const { socket } = response;
   socket.prependOnceListener("end", () => {
     if (socket.remoteAddress !== undefined) return;
     response.destroy(new Error("the connection was reset"));
   });
 }
 
+/** What tells where a response ends. */
+export type ResponseFraming = "length" | "chunks" | "connection";
+
+/** Finds how a response is framed. */
+export function findFraming({ headers }: IncomingMessage): ResponseFraming {
+  if (headers["transfer-encoding"] !== undefined) return "chunks";
+  if (headers["content-length"] !== undefined) return "length";
+  return "connection";
+}
+
 function readOutcome(
   call: ReplicaRequest,
   outgoing: ClientRequest,
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -15,7 +15,11 @@
 } from "../choice/engine_choice.ts";
 import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
 import type { RetryReason } from "./retry_reason.ts";
-import { type RelayEnd, relayEvents } from "./event_relay.ts";
+import {
+  type RelayEnd,
+  relayEvents,
+  type RelayOutcome,
+} from "./event_relay.ts";
 import { listResponseHeaders } from "./message_headers.ts";
 import {
   composeFailureReply,
@@ -237,7 +241,7 @@
     }
     const { tokensPerEvent = 1 } = this.#request.service.engine ?? {};
     let isFirst = true;
-    const end = await relayEvents({
+    const outcome = await relayEvents({
       response,
       callerResponse: this.#response,
       lastId: this.#lastId,
@@ -253,7 +257,24 @@
         this.#recordStart(choice, segment);
       },
     });
-    return await this.#endRelay(end, choice);
+    this.#recordEnd(choice, outcome);
+    return await this.#endRelay(outcome.end, choice);
+  }
+
+  #recordEnd({ state }: EngineChoice, outcome: RelayOutcome): void {
+    const { end, framing, unfinishedBytes } = outcome;
+    const { metrics } = this.#services;
+    metrics.count("stream_segments_total", { end, framing });
+    if (unfinishedBytes > 0) {
+      metrics.count("unfinished_events_total", { end, framing });
+    }
+    this.#request.trace.record("stream segment ended.", {
+      replica: state.replica.id,
+      end,
+      framing,
+      unfinishedBytes,
+      after: this.#lastId,
+    });
   }
 
   async #endRelay(end: RelayEnd, { state }: EngineChoice): Promise<SegmentEnd> {
