Add failing tests of streams that end within an event

A replica's stream that ends without an error inside an event reaches the caller as complete, with the unfinished event at its end, whether the end of the connection or a last chunk ends it.

--- a/packages/scenario/src/gateway_streams_test.ts
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -31,6 +31,34 @@
   });
 });
 
+for (const framing of ["connection", "chunks"] as const) {
+  test(`a stream framed by its ${framing} that ends within an event is not complete`, async () => {
+    await runWithSetup(1, async (setup) => {
+      const [first, second] = [
+        setup.findReplica("model-1"),
+        setup.findReplica("model-2"),
+      ];
+      first.streamFraming = framing;
+      second.streamFraming = framing;
+      first.fault = { kind: "end_within_event", events: 2 };
+      let resumed = 0;
+      for (let at = 0; at < 6; at += 1) {
+        const id = `stream-${at}`;
+        const answer = await setup.call({ path: "/answer/stream", id });
+        assert.is(answer.isComplete, true);
+        assert.is(answer.body, formatEvents(1, 5));
+        if (countRuns(setup, id) === 2) resumed += 1;
+      }
+      assert.ok(resumed >= 1);
+      second.fault = { kind: "end_within_event", events: 2 };
+      const once = await setup.call({ path: "/once/stream", id: "once" });
+      assert.is(once.isComplete, false);
+      assert.is(once.body, formatEvents(1, 2));
+      assert.is(countRuns(setup, "once"), 1);
+    });
+  });
+}
+
 test("a stream that must not be resumed is cut and not run again", async () => {
   await runWithSetup(1, async (setup) => {
     for (const id of ["model-1", "model-2"]) {
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -26,6 +26,8 @@
   | { readonly kind: "lose_answer" }
   /** The connection is reset in the middle of the event after `events`. */
   | { readonly kind: "break"; readonly events: number }
+  /** The answer ends without an error in the middle of the event after `events`. */
+  | { readonly kind: "end_within_event"; readonly events: number }
   /** Run but never answered. */
   | { readonly kind: "hang" }
   /** The answer carries the id of another request. */
@@ -70,8 +72,13 @@
   readonly events?: number;
   /** Time from one event to the next, in milliseconds. */
   readonly eventMs?: number;
+  /** What tells callers where a stream ends; chunks by default. */
+  readonly streamFraming?: StreamFraming;
 }
 
+/** What tells callers where a stream ends. */
+export type StreamFraming = "chunks" | "connection";
+
 const defaultEvents = 5;
 const defaultEventMs = 5;
 
@@ -95,6 +102,8 @@
   readonly #server: Server;
   readonly #events: number;
   readonly #eventMs: number;
+  /** What tells callers where a stream ends. */
+  streamFraming: StreamFraming;
   /** Id of the last event sent, by request id. */
   readonly #lastEventIds = new Map<string, number>();
   /** Request ids of runs that were moved to another replica. */
@@ -108,6 +117,7 @@
     this.id = options.id;
     this.#events = options.events ?? defaultEvents;
     this.#eventMs = options.eventMs ?? defaultEventMs;
+    this.streamFraming = options.streamFraming ?? "chunks";
     this.#server = createServer((request, response) =>
       void this.#handle(request, response)
     );
@@ -257,6 +267,7 @@
     response: ServerResponse,
     { run, fault }: RunWithFault,
   ): Promise<void> {
+    response.useChunkedEncodingByDefault = this.streamFraming === "chunks";
     response.writeHead(200, { "Content-Type": "text/event-stream" });
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
     let sent = 0;
@@ -267,6 +278,9 @@
         await sleep(this.#eventMs);
         return void request.socket.resetAndDestroy();
       }
+      if (fault.kind === "end_within_event" && sent === fault.events) {
+        return void response.end(`id: ${id}\ndata: to`);
+      }
       response.write(`id: ${id}\ndata: token ${id}\n\n`);
       this.#lastEventIds.set(run.id, id);
       sent += 1;
