Treat a stream that ends within an event as broken off

What callers saw: answers of crashed runs framed as complete, with an unfinished event at their end.

Cause: the relay took the regular end of a replica's response for the end of the stream. A response with neither a length nor chunks also ends regularly when its sender ends; so does one whose last chunk follows half an event. The relay then even forwarded the unfinished event.

Change: a response that ends within an event is broken: the stream goes on at another replica after its last whole event, or the caller's connection is closed where it may not. The unfinished bytes are not forwarded.

Two assertions on the removed remainder are replaced: its size, and that the next bytes complete it.

--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -14,7 +14,7 @@
 export type RelayEnd =
   /** The replica completed the stream. */
   | "complete"
-  /** The connection to the replica broke or was aborted. */
+  /** The response broke, was aborted, or ended within an event. */
   | "broken"
   /** The next id was not the last one plus 1. */
   | "out_of_order"
@@ -74,11 +74,11 @@
       onEvents(lastId, chunkEvents.eventCount);
     });
     response.on("end", () => {
-      if (!response.complete) return finish("broken");
+      // A regular end of the response does not show that the stream is whole.
+      const isWhole = response.complete && splitter.remainderBytes === 0;
+      if (!isWhole) return finish("broken");
       writeHead();
       finish("complete");
-      const remainder = splitter.takeRemainder();
-      if (remainder !== undefined) callerResponse.write(remainder);
     });
     response.on("error", () => finish("broken"));
     response.on("close", () => finish("broken"));
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -30,18 +30,11 @@
     return new EventSplitter();
   }
 
-  /** Number of bytes after the last complete event. */
+  /** Size of the event that has begun but is not complete, in bytes. */
   get remainderBytes(): number {
     return this.#remainder?.length ?? 0;
   }
 
-  /** Takes the bytes after the last complete event, once the stream ended. */
-  takeRemainder(): Buffer | undefined {
-    const remainder = this.#remainder;
-    this.#remainder = undefined;
-    return remainder;
-  }
-
   /** Adds a chunk; returns the events that it completes, if any. */
   add(chunk: Buffer): EventChunk | undefined {
     const buffered = this.#remainder === undefined
--- a/packages/gateway/src/relay/event_splitter_test.ts
+++ b/packages/gateway/src/relay/event_splitter_test.ts
@@ -33,7 +33,7 @@
         }
         assert.is(forwarded, text);
         assert.is(lastId, 3);
-        assert.is(splitter.takeRemainder(), undefined);
+        assert.is(splitter.remainderBytes, 0);
       },
     ),
     { seed: 20261204 },
@@ -46,7 +46,9 @@
   assert.is(events?.bytes.toString(), "id: 4\ndata: a\n\n");
   assert.is(events?.firstId, 4);
   assert.is(events?.lastId, 4);
-  assert.is(splitter.takeRemainder()?.toString(), "id: 5\nda");
+  assert.is(splitter.remainderBytes, "id: 5\nda".length);
+  const next = splitter.add(Buffer.from("ta: b\n\n"));
+  assert.is(next?.bytes.toString(), "id: 5\ndata: b\n\n");
 });
 
 test.run();
