Follow a move whose stream has no length

What callers would see: a run that is moved off a leaving replica ends early and looks complete. Found by looking for the cause of the broken streams elsewhere.

Cause: the old replica closes its stream without its end. Without a length or chunks that is a regular end after a whole event, which the relay took for the end of the stream; it did not look at the move in progress.

Change: a stream framed by its connection that ends while a move is in progress waits for the move's outcome and follows it. If the replica says that no such run exists, the stream was whole.

The replicas' stand-in can frame its streams by connection, length or chunks.

--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -15,11 +15,7 @@
 } from "../choice/engine_choice.ts";
 import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
 import type { RetryReason } from "./retry_reason.ts";
-import {
-  type RelayEnd,
-  relayEvents,
-  type RelayOutcome,
-} from "./event_relay.ts";
+import { relayEvents, type RelayOutcome } from "./event_relay.ts";
 import { listResponseHeaders } from "./message_headers.ts";
 import {
   composeFailureReply,
@@ -258,7 +254,7 @@
       },
     });
     this.#recordEnd(choice, outcome);
-    return await this.#endRelay(outcome.end, choice);
+    return await this.#endRelay(outcome, choice);
   }
 
   #recordEnd({ state }: EngineChoice, outcome: RelayOutcome): void {
@@ -277,13 +273,20 @@
     });
   }
 
-  async #endRelay(end: RelayEnd, { state }: EngineChoice): Promise<SegmentEnd> {
+  async #endRelay(
+    { end, framing }: RelayOutcome,
+    { state }: EngineChoice,
+  ): Promise<SegmentEnd> {
     const now = this.#services.clock.now();
     switch (end) {
-      case "complete":
+      case "complete": {
         state.failures.record(false, now);
+        // A run that was moved away ends its connection like a whole stream.
+        const target = framing === "connection" ? await this.#move : undefined;
+        if (target !== undefined) return { kind: "moved", target };
         this.#response.end();
         return { kind: "done", result: this.#end(200, "answered") };
+      }
       case "caller_gone":
         this.#segmentAborter.abort();
         return { kind: "done", result: this.#end(0, "caller_gone") };
--- a/packages/scenario/src/gateway_streams_test.ts
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -59,6 +59,32 @@
   });
 }
 
+test("a run that moves from a replica whose stream has no length is not complete there", async () => {
+  await runWithSetup(1, async (setup) => {
+    const options = {
+      events: 60,
+      eventMs: 20,
+      streamFraming: "connection",
+    } as const;
+    await setup.addReplica("slow-1", "models", options);
+    setup.registerReplica("model-1", "models", "draining");
+    setup.registerReplica("model-2", "models", "draining");
+    await setup.waitUntil(async () => {
+      await setup.call({ path: "/once/stream", abortAfterMs: 100 });
+      return setup.findReplica("slow-1").runs.length > 0;
+    });
+    const streaming = setup.call({ path: "/once/stream", id: "moved" });
+    await setup.waitUntil(() => countRuns(setup, "moved") === 1);
+    await setup.addReplica("slow-2", "models", options);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    setup.registerReplica("slow-1", "models", "draining", { leaves_ms: 900 });
+    const answer = await streaming;
+    assert.is(answer.isComplete, true);
+    assert.is(answer.body, formatEvents(1, 60));
+    assert.is(countRuns(setup, "moved"), 2);
+  });
+});
+
 test("a stream that must not be resumed is cut and not run again", async () => {
   await runWithSetup(1, async (setup) => {
     for (const id of ["model-1", "model-2"]) {
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -29,7 +29,10 @@
   findSharedPorts,
   type SharedPorts,
 } from "@almondcrank/standin/platform/node_settings.ts";
-import { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
+import {
+  ReplicaStandin,
+  type ReplicaStandinOptions,
+} from "@almondcrank/standin/platform/replica_standin.ts";
 import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
 
 const bounds: Bounds = {
@@ -56,6 +59,12 @@
   readonly node?: number;
 }
 
+/** What a node sent on one connection, and how the connection closed. */
+export interface RawEnd {
+  readonly text: string;
+  readonly isReset: boolean;
+}
+
 let nextId = 1;
 
 /** A running system; `close` ends all its parts. */
@@ -103,7 +112,7 @@
   async addReplica(
     id: string,
     service: string,
-    options: { readonly events?: number; readonly eventMs?: number } = {},
+    options: Omit<ReplicaStandinOptions, "id"> = {},
   ): Promise<ReplicaStandin> {
     const replica = await ReplicaStandin.open({ id, ...options });
     this.replicas.set(id, replica);
@@ -174,15 +183,20 @@
   }
 
   /** Sends text to the first node and reads until the connection closes. */
-  sendRaw(text: string): Promise<string> {
+  async sendRaw(text: string): Promise<string> {
+    return (await this.readRawEnd(text)).text;
+  }
+
+  /** Like `sendRaw`, but also tells how the connection closed. */
+  readRawEnd(text: string): Promise<RawEnd> {
     const [host, port] = (this.#settings[0]?.callers ?? "").split(":");
     return new Promise((resolve) => {
       const socket = connect(Number(port), host ?? "");
       let answer = "";
       socket.setEncoding("utf8");
       socket.on("data", (chunk: string) => answer += chunk);
-      socket.on("error", () => resolve(answer));
-      socket.on("close", () => resolve(answer));
+      socket.on("error", () => resolve({ text: answer, isReset: true }));
+      socket.on("close", () => resolve({ text: answer, isReset: false }));
       socket.write(text);
     });
   }
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -26,6 +26,8 @@
   | { readonly kind: "lose_answer" }
   /** The connection is reset in the middle of the event after `events`. */
   | { readonly kind: "break"; readonly events: number }
+  /** The answer ends without an error before its first event. */
+  | { readonly kind: "end_without_events" }
   /** The answer ends without an error in the middle of the event after `events`. */
   | { readonly kind: "end_within_event"; readonly events: number }
   /** Run but never answered. */
@@ -77,7 +79,7 @@
 }
 
 /** What tells callers where a stream ends. */
-export type StreamFraming = "chunks" | "connection";
+export type StreamFraming = "chunks" | "connection" | "length";
 
 const defaultEvents = 5;
 const defaultEventMs = 5;
@@ -102,6 +104,8 @@
   readonly #server: Server;
   readonly #events: number;
   readonly #eventMs: number;
+  /** Text of each event, before its number. */
+  tokenText = "token";
   /** What tells callers where a stream ends. */
   streamFraming: StreamFraming;
   /** Id of the last event sent, by request id. */
@@ -267,12 +271,20 @@
     response: ServerResponse,
     { run, fault }: RunWithFault,
   ): Promise<void> {
+    const first = Number(request.headers["last-event-id"] ?? 0) + 1;
     response.useChunkedEncodingByDefault = this.streamFraming === "chunks";
+    if (this.streamFraming === "length") {
+      response.setHeader("Content-Length", this.#computeStreamBytes(first));
+    }
     response.writeHead(200, { "Content-Type": "text/event-stream" });
-    const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+    if (fault.kind === "end_without_events") return void response.end();
     let sent = 0;
     for (let id = first; id <= this.#events; id += 1) {
-      if (this.#stoppedRuns.has(run.id)) return void response.destroy();
+      if (this.#stoppedRuns.has(run.id)) {
+        return void (this.streamFraming === "connection"
+          ? response.end()
+          : response.destroy());
+      }
       if (fault.kind === "break" && sent === fault.events) {
         response.write(`id: ${id}\ndata: to`);
         await sleep(this.#eventMs);
@@ -281,7 +293,7 @@
       if (fault.kind === "end_within_event" && sent === fault.events) {
         return void response.end(`id: ${id}\ndata: to`);
       }
-      response.write(`id: ${id}\ndata: token ${id}\n\n`);
+      response.write(this.#formatEvent(id));
       this.#lastEventIds.set(run.id, id);
       sent += 1;
       await sleep(this.#eventMs);
@@ -291,6 +303,19 @@
     run.hasEnded = true;
   }
 
+  #formatEvent(id: number): string {
+    return `id: ${id}\ndata: ${this.tokenText} ${id}\n\n`;
+  }
+
+  /** Size of a stream from the event `first` on. */
+  #computeStreamBytes(first: number): number {
+    let bytes = 0;
+    for (let id = first; id <= this.#events; id += 1) {
+      bytes += this.#formatEvent(id).length;
+    }
+    return bytes;
+  }
+
   /** Stops a run; answers a handle with which another replica continues it. */
   #move(body: string, response: ServerResponse): void {
     const { id } = JSON.parse(body);
