Treat a stream without a length and without events as broken off

What callers would see: an empty stream that looks complete, from a replica that ended right after its headers. Found beside the broken streams.

Cause: the end of the connection alone said that the stream was whole. Change: a stream framed by its connection that ends before its first event is broken off, unless it resumes one, where no event may be left. Evidence: the test failed before (complete, status 200) and passes now.

--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -14,7 +14,7 @@
 export type RelayEnd =
   /** The replica completed the stream. */
   | "complete"
-  /** The response broke, was aborted, or ended within an event. */
+  /** The response broke, was aborted, or ended before the stream was whole. */
   | "broken"
   /** The next id was not the last one plus 1. */
   | "out_of_order"
@@ -47,8 +47,14 @@
 ): Promise<RelayOutcome> {
   const { response, callerResponse, writeHead, onEvents } = options;
   const splitter = EventSplitter.create();
+  const isResumed = options.lastId !== undefined;
   let lastId = options.lastId;
+  let hasEvents = false;
   return new Promise((resolve) => {
+    // A regular end of the response does not show that the stream is whole.
+    const isWhole = (): boolean =>
+      response.complete && splitter.remainderBytes === 0 &&
+      (hasEvents || isResumed || findFraming(response) !== "connection");
     const onDrain = (): void => void response.resume();
     const onCallerClose = (): void => finish("caller_gone");
     const finish = (end: RelayEnd): void => {
@@ -69,14 +75,13 @@
         firstId === lastId + 1;
       if (!isNext) return finish("out_of_order");
       lastId = chunkEvents.lastId ?? lastId;
+      hasEvents = true;
       writeHead();
       if (!callerResponse.write(chunkEvents.bytes)) response.pause();
       onEvents(lastId, chunkEvents.eventCount);
     });
     response.on("end", () => {
-      // A regular end of the response does not show that the stream is whole.
-      const isWhole = response.complete && splitter.remainderBytes === 0;
-      if (!isWhole) return finish("broken");
+      if (!isWhole()) return finish("broken");
       writeHead();
       finish("complete");
     });
--- a/packages/scenario/src/gateway_streams_test.ts
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -85,6 +85,20 @@
   });
 });
 
+test("a stream without a length that ends before its first event is not complete", async () => {
+  await runWithSetup(1, async (setup) => {
+    for (const id of ["model-1", "model-2"]) {
+      setup.findReplica(id).streamFraming = "connection";
+      setup.findReplica(id).fault = { kind: "end_without_events" };
+    }
+    const once = await setup.call({ path: "/once/stream", id: "once" });
+    assert.is(once.isComplete && once.status === 200, false);
+    setup.findReplica("model-2").fault = { kind: "none" };
+    const answer = await setup.call({ path: "/answer/stream", id: "again" });
+    assert.is(answer.body, formatEvents(1, 5));
+  });
+});
+
 test("a stream that must not be resumed is cut and not run again", async () => {
   await runWithSetup(1, async (setup) => {
     for (const id of ["model-1", "model-2"]) {
