State no length for a stream that several replicas may write

What callers would see: a resumed stream that is cut or followed by stray bytes, where its first replica stated a length. Found beside the broken streams: the framing of one connection was used for another.

Cause: the first replica's Content-Length was forwarded with the stream, and the next replica's events differ in size. Change: a stream goes to its caller in chunks, whatever the replica stated. Evidence: the test failed before (the caller's answer was not complete) and passes now.

--- a/packages/gateway/src/relay/message_headers.ts
+++ b/packages/gateway/src/relay/message_headers.ts
@@ -87,6 +87,14 @@
   return headers;
 }
 
+/**
+ * Headers of a stream to forward, without the length that its first replica
+ * stated: other replicas may send the rest.
+ */
+export function listStreamHeaders(response: IncomingMessage): string[] {
+  return removeHeader(listResponseHeaders(response), "content-length");
+}
+
 /** Headers of a response to forward, as alternating names and values. */
 export function listResponseHeaders(response: IncomingMessage): string[] {
   const connectionOptions = listConnectionOptions(response.headers.connection);
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -16,7 +16,7 @@
 import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
 import type { RetryReason } from "./retry_reason.ts";
 import { relayEvents, type RelayOutcome } from "./event_relay.ts";
-import { listResponseHeaders } from "./message_headers.ts";
+import { listStreamHeaders } from "./message_headers.ts";
 import {
   composeFailureReply,
   type FailureReason,
@@ -391,7 +391,7 @@
 
   #writeHead(response: IncomingMessage): void {
     if (this.#response.headersSent) return;
-    this.#response.writeHead(200, listResponseHeaders(response));
+    this.#response.writeHead(200, listStreamHeaders(response));
   }
 
   #isOver(): boolean {
--- a/packages/scenario/src/gateway_streams_test.ts
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -85,6 +85,27 @@
   });
 });
 
+test("a stream resumed after a replica that stated a length is delivered whole", async () => {
+  await runWithSetup(1, async (setup) => {
+    const first = setup.findReplica("model-1");
+    const second = setup.findReplica("model-2");
+    first.streamFraming = "length";
+    first.fault = { kind: "break", events: 2 };
+    second.tokenText = "a longer token";
+    let resumed = 0;
+    for (let at = 0; at < 6; at += 1) {
+      const id = `stated-${at}`;
+      const answer = await setup.call({ path: "/answer/stream", id });
+      assert.is(answer.isComplete, true);
+      if (countRuns(setup, id) < 2) continue;
+      resumed += 1;
+      assert.match(answer.body, /data: token 2\n\nid: 3\n/);
+      assert.match(answer.body, /id: 5\ndata: a longer token 5\n\n$/);
+    }
+    assert.ok(resumed >= 1);
+  });
+});
+
 test("a stream without a length that ends before its first event is not complete", async () => {
   await runWithSetup(1, async (setup) => {
     for (const id of ["model-1", "model-2"]) {
