Reset the connection of a broken stream that has no chunks

What callers would see: a caller with HTTP/1.0 gets a broken stream that looks complete. Found beside the broken streams, on the way to the caller.

Cause: a stream that can't go on is closed. To a caller with HTTP/1.0 a response has neither a length nor chunks, so the closed connection is its regular end. Change: without chunks the connection is reset, in one function that closes a response that has begun. Evidence: the test failed before (a regular end) and passes now.

--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -13,6 +13,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { LogFields } from "@almondcrank/common/logs.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
@@ -161,7 +162,7 @@
       const reason = thrown instanceof Error ? thrown.stack : String(thrown);
       const { log } = this.#options.services;
       log.error("request failed with an internal error.", { reason });
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) abortResponse(response);
       else sendLocalReply(response, composeLocalReply(502, "answer_lost"));
     } finally {
       this.#running -= 1;
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -8,6 +8,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import { signatureHeader } from "@almondcrank/platform/headers.ts";
 import {
   type EngineChoice,
@@ -406,8 +407,7 @@
 
   #fail(reason: FailureReason, retryMs = defaultRetryMs): RelayResult {
     if (this.#response.headersSent) {
-      // Once headers are sent, only closing the connection shows truncation.
-      this.#response.destroy();
+      abortResponse(this.#response);
       return this.#end(0, reason);
     }
     const { table, clock, random } = this.#services;
--- a/packages/scenario/src/gateway_streams_test.ts
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -4,6 +4,10 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import {
+  exampleHostname,
+  tenantKey,
+} from "@almondcrank/standin/platform/example_configuration.ts";
 import {
   countRuns,
   formatEvents,
@@ -120,6 +124,21 @@
   });
 });
 
+test("a broken stream is not complete for a caller that reads to the end of the connection", async () => {
+  await runWithSetup(1, async (setup) => {
+    for (const id of ["model-1", "model-2"]) {
+      setup.findReplica(id).fault = { kind: "break", events: 2 };
+    }
+    const ended = await setup.readRawEnd(
+      `POST /once/stream HTTP/1.0\r\nHost: ${exampleHostname}\r\n` +
+        `X-Request-Id: old\r\nX-Deadline-Ms: 2000\r\n` +
+        `Authorization: Bearer ${tenantKey}\r\nContent-Length: 0\r\n\r\n`,
+    );
+    assert.match(ended.text, /id: 2\n/);
+    assert.is(ended.isReset, true);
+  });
+});
+
 test("a stream that must not be resumed is cut and not run again", async () => {
   await runWithSetup(1, async (setup) => {
     for (const id of ["model-1", "model-2"]) {
