Abort a chat answer whose stream ends without a final event

What callers would see: on the product's own interface, an answer without a finish reason that is framed as complete. Looked for as the same class as the broken streams: a regular end of the source taken for the end of the answer. No way to it is known: an engine's stream without its end event, and a peer's lost stream, are failures already. The handler relied on it.

Change: only a final event (end or failed) ends the response; else the connection is closed without its last chunk, after what was written is sent.

--- a/packages/node/src/chat_handler.ts
+++ b/packages/node/src/chat_handler.ts
@@ -5,6 +5,7 @@
 
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type {
   ConfigurationSource,
@@ -265,7 +266,9 @@
     response.once("close", () => gone.abort(connectionClosed));
     const writer = EventWriter.create(response);
     const recorder = LatencyRecorder.create(this.#options, started);
+    let isFinal = false;
     for await (const event of stream.read(from, gone.signal)) {
+      isFinal = event.kind !== "token";
       if (!response.headersSent) {
         if (event.kind === "failed") {
           return sendRefusal(response, event.refusal);
@@ -277,7 +280,12 @@
       const flushed = writer.write(formatter.format(event));
       if (!flushed) await waitDrained(response, gone.signal);
     }
-    response.end();
+    if (isFinal) {
+      response.end();
+      return;
+    }
+    writer.flush();
+    abortResponse(response);
   }
 }
 
--- a/packages/node/src/event_writer.ts
+++ b/packages/node/src/event_writer.ts
@@ -27,11 +27,15 @@
     if (!this.#isCorked) {
       this.#isCorked = true;
       this.#response.cork();
-      process.nextTick(() => {
-        this.#isCorked = false;
-        this.#response.uncork();
-      });
+      process.nextTick(() => this.flush());
     }
     return this.#response.write(text);
   }
+
+  /** Sends what was written; needed only before the response is aborted. */
+  flush(): void {
+    if (!this.#isCorked) return;
+    this.#isCorked = false;
+    this.#response.uncork();
+  }
 }
