Soak: replicas that end streams within an event

The soak's replicas framed every stream by chunks and broke streams only by a reset, so it could not meet the broken streams. The new fault drops the length and the chunks and ends the stream within an event. Stand-ins that crash reset such streams, since a regular end between events can't be told from a whole one.

--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -38,6 +38,7 @@
   "replica_loses_answers",
   "replica_hangs",
   "replica_breaks_off",
+  "replica_ends_within_event",
   "replica_mixes_answers",
   "replica_sends_extra",
   "cloud_silent",
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -171,6 +171,8 @@
         const broken = { kind: "break", events: 7 } as const;
         return await this.#applyReplicaFault(target, broken, durationMs);
       }
+      case "replica_ends_within_event":
+        return await this.#endStreamsWithinEvent(target, durationMs);
       case "replica_mixes_answers":
         return await this.#applyReplicaFault(
           target,
@@ -348,6 +350,19 @@
     await sleep(durationMs);
     standin.fault = noFault;
   }
+
+  /** A replica sends streams without a length and ends them within an event. */
+  async #endStreamsWithinEvent(
+    target: number,
+    durationMs: number,
+  ): Promise<void> {
+    const { standin } = pick(this.#system.listRegisteredReplicas(), target);
+    standin.streamFraming = "connection";
+    standin.fault = { kind: "end_within_event", events: 7 };
+    await sleep(durationMs);
+    standin.fault = noFault;
+    standin.streamFraming = "chunks";
+  }
 }
 
 function pick<T>(items: readonly T[], target: number): T {
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -12,7 +12,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { readBody, sendJson } from "./store_standin.ts";
 
 /** Fault injected into a request. */
@@ -110,6 +110,8 @@
   streamFraming: StreamFraming;
   /** Id of the last event sent, by request id. */
   readonly #lastEventIds = new Map<string, number>();
+  /** Connections of running streams without chunks. */
+  readonly #unframedStreams = new Set<Socket>();
   /** Request ids of runs that were moved to another replica. */
   readonly #stoppedRuns = new Set<string>();
   /** Faults of the next requests, one each, in order. */
@@ -140,9 +142,13 @@
     return `127.0.0.1:${port}`;
   }
 
-  /** Closes the listener and all connections. */
+  /**
+   * Closes the listener and all connections. Those of streams without chunks
+   * are reset: a regular end would make them look whole.
+   */
   close(): void {
     this.#server.close();
+    for (const socket of this.#unframedStreams) socket.resetAndDestroy();
     this.#server.closeAllConnections();
   }
 
@@ -273,6 +279,11 @@
   ): Promise<void> {
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
     response.useChunkedEncodingByDefault = this.streamFraming === "chunks";
+    if (this.streamFraming === "connection") {
+      const { socket } = request;
+      this.#unframedStreams.add(socket);
+      response.on("close", () => this.#unframedStreams.delete(socket));
+    }
     if (this.streamFraming === "length") {
       response.setHeader("Content-Length", this.#computeStreamBytes(first));
     }
