Log the software version of replicas and who resumes which stream

A choice named its replica but not the replica's version, and nothing said that a request resumes a stream. The registration's version is decoded (one of another type makes the registration unusable, like the other fields), logged with each choice and segment, and a caller's return is logged with the event and the request that it names, and counted. No choice changes.

--- a/packages/gateway/src/choice/replica_state_test.ts
+++ b/packages/gateway/src/choice/replica_state_test.ts
@@ -10,6 +10,7 @@
     service: "s",
     address: "10.0.0.1:80",
     zone: "a",
+    softwareVersion: "v1",
     slots: 6,
     state: "ready",
     startedAtMs: 1,
--- a/packages/gateway/src/choice/replica_table_test.ts
+++ b/packages/gateway/src/choice/replica_table_test.ts
@@ -9,6 +9,7 @@
     service: "s",
     address: "10.0.0.1:80",
     zone: "a",
+    softwareVersion: "v1",
     slots: 4,
     state: "ready",
     startedAtMs: 1,
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -41,6 +41,7 @@
   service: "s",
   address: "10.0.0.1:80",
   zone: "a",
+  softwareVersion: "v1",
   slots: 4,
   state: "ready",
   startedAtMs: 1,
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -24,6 +24,7 @@
   promptPartsHeader,
   remainingTimeHeader,
   requestIdHeader,
+  resumedRequestHeader,
   tokenCountHeader,
 } from "@almondcrank/platform/headers.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
@@ -215,6 +216,7 @@
       deadline,
       callerSignal,
     });
+    this.#recordResume(admitted);
     services.budget.recordRequest(routed.service.name, receivedAt);
     const result = await this.#relay(admitted, response);
     if (!result.mayHaveRun && routed.tenant !== undefined) {
@@ -223,6 +225,18 @@
     this.#recordEnd(admitted, result);
   }
 
+  #recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
+    if (resumeAfter === undefined) return;
+    const isNamed = resumedRequest !== undefined;
+    this.#options.services.metrics.count("streams_resumed_total", {
+      named: isNamed ? "yes" : "no",
+    });
+    trace.record("stream resumed by its caller.", {
+      after: resumeAfter,
+      resumes: resumedRequest,
+    });
+  }
+
   #relay(
     request: RoutedRequest,
     response: ServerResponse,
@@ -365,6 +379,7 @@
     promptTokens: count?.prompt ??
       promptParts.reduce((sum, part) => sum + part.tokens, 0),
     resumeAfter: Number.isInteger(resumeAfter) ? resumeAfter : undefined,
+    resumedRequest: readHeader(request, resumedRequestHeader),
   };
 }
 
--- a/packages/gateway/src/relay/routed_request.ts
+++ b/packages/gateway/src/relay/routed_request.ts
@@ -32,6 +32,8 @@
   readonly promptTokens: number;
   /** Id after which the caller wants to resume its stream. */
   readonly resumeAfter: number | undefined;
+  /** Id of the request that brought the first event of that stream, if named. */
+  readonly resumedRequest: string | undefined;
   /** Aborts when the caller disconnects. */
   readonly callerSignal: AbortSignal;
   /** Decisions on the request, for the log. */
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -97,6 +97,7 @@
   const { active, pendingTokens } = state.totalLoad;
   trace.record("replica chosen.", {
     replica: state.replica.id,
+    version: state.replica.softwareVersion,
     predictedMs: Math.round(predictedMs),
     uncachedTokens: Math.round(uncachedTokens),
     active,
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -267,6 +267,7 @@
     }
     this.#request.trace.record("stream segment ended.", {
       replica: state.replica.id,
+      version: state.replica.softwareVersion,
       end,
       framing,
       unfinishedBytes,
--- a/packages/model/src/replica.ts
+++ b/packages/model/src/replica.ts
@@ -9,6 +9,8 @@
   /** IP address and port, such as `10.0.0.4:8080`. */
   readonly address: string;
   readonly zone: string;
+  /** Version of its software; empty if not registered. */
+  readonly softwareVersion: string;
   /** Requests that run at once. */
   readonly slots: number;
   readonly state: "ready" | "draining";
--- a/packages/platform/src/decode_replica.ts
+++ b/packages/platform/src/decode_replica.ts
@@ -19,11 +19,16 @@
   const zone = readString(fields["zone"]);
   const slots = readNumber(fields["slots"]);
   if (zone === undefined || slots === undefined || slots < 1) return undefined;
+  const softwareVersion = fields["version"] === undefined
+    ? ""
+    : readString(fields["version"]);
+  if (softwareVersion === undefined) return undefined;
   return {
     id,
     service,
     address,
     zone,
+    softwareVersion,
     slots,
     state,
     startedAtMs: readNumber(fields["born"]),
--- a/packages/platform/src/decode_test.ts
+++ b/packages/platform/src/decode_test.ts
@@ -70,6 +70,7 @@
       { address: 5 },
       { state: "unknown" },
       { slots: "4" },
+      { version: 5 },
       { zone: null },
     ]
   ) {
--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -14,6 +14,8 @@
 export const tokenCountHeader = "x-token-count";
 /** Id of the last event that was received of a stream that is resumed. */
 export const lastEventIdHeader = "last-event-id";
+/** Request that brought the first event of a stream that is resumed. */
+export const resumedRequestHeader = "resumes";
 /** Signature of the replica that made an answer. */
 export const signatureHeader = "x-server-seal";
 /** Name of the tenant that a request belongs to, for replicas. */
