--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -59,6 +59,11 @@
   readonly node?: number;
 }
 
+/** Options of a replica, and the version that it registers. */
+export interface AddedReplicaOptions extends Omit<ReplicaStandinOptions, "id"> {
+  readonly softwareVersion?: string;
+}
+
 /** What a node sent on one connection, and how the connection closed. */
 export interface RawEnd {
   readonly text: string;
@@ -74,6 +79,7 @@
   readonly nodes: Gateway[] = [];
   readonly replicas = new Map<string, ReplicaStandin>();
   readonly #settings: GatewaySettings[] = [];
+  readonly #softwareVersions = new Map<string, string>();
   #version = 0;
 
   private constructor(store: StoreStandin, cloud: CloudStandin) {
@@ -112,9 +118,10 @@
   async addReplica(
     id: string,
     service: string,
-    options: Omit<ReplicaStandinOptions, "id"> = {},
+    { softwareVersion = "v1", ...options }: AddedReplicaOptions = {},
   ): Promise<ReplicaStandin> {
     const replica = await ReplicaStandin.open({ id, ...options });
+    this.#softwareVersions.set(id, softwareVersion);
     this.replicas.set(id, replica);
     this.registerReplica(id, service, "ready");
     return replica;
@@ -131,6 +138,7 @@
       service,
       address: this.findReplica(id).address,
       zone: "muc-a",
+      version: this.#softwareVersions.get(id),
       slots: 8,
       state,
       "seq-no": 1,
