--- /dev/null
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -0,0 +1,72 @@
+/**
+ * Records what happens to one stream: engine time, runs, learnt times, and how
+ * its segments ended.
+ */
+
+import type { EngineChoice } from "../choice/engine_choice.ts";
+import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
+import type { RelayOutcome } from "./event_relay.ts";
+import type { RelayServices } from "./relay_services.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+import type { Segment } from "./stream_segment.ts";
+
+/** Recorder of one stream. */
+export class StreamRecorder {
+  readonly #services: RelayServices;
+  readonly #request: RoutedRequest;
+
+  private constructor(services: RelayServices, request: RoutedRequest) {
+    this.#services = services;
+    this.#request = request;
+  }
+
+  static create(
+    services: RelayServices,
+    request: RoutedRequest,
+  ): StreamRecorder {
+    return new StreamRecorder(services, request);
+  }
+
+  /** Records engine time that the stream takes. */
+  recordWork(tokens: EngineTokens): void {
+    const { work, clock } = this.#services;
+    const { name, engine } = this.#request.service;
+    const ms = computeEngineMs(tokens, engine?.slots ?? Infinity);
+    work.record(name, ms, clock.now());
+  }
+
+  /** Records the first event of a segment. */
+  recordStart(choice: EngineChoice, segment: Segment): void {
+    const { clock, runs } = this.#services;
+    const now = clock.now();
+    const observedMs = now - segment.sentAt;
+    choice.state.recordFirstEvent(observedMs, choice.predictedMs, now);
+    if (!segment.isMoved) runs.recordRun(this.#request.tenant?.name);
+  }
+
+  /**
+   * Records how a segment ended.
+   *
+   * @param lastId Id of the last event that the caller has received.
+   */
+  recordEnd(
+    { state }: EngineChoice,
+    outcome: RelayOutcome,
+    lastId: number | undefined,
+  ): void {
+    const { end, framing, unfinishedBytes } = outcome;
+    const { metrics } = this.#services;
+    metrics.count("stream_segments_total", { end, framing });
+    if (unfinishedBytes > 0) {
+      metrics.count("unfinished_events_total", { end, framing });
+    }
+    this.#request.trace.record("stream segment ended.", {
+      replica: state.replica.id,
+      version: state.replica.softwareVersion,
+      end,
+      framing,
+      unfinishedBytes,
+      after: lastId,
+    });
+  }
+}
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -14,7 +14,6 @@
   type EngineChoice,
   prefillTokensPerMs,
 } from "../choice/engine_choice.ts";
-import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
 import type { RetryReason } from "./retry_reason.ts";
 import { relayEvents, type RelayOutcome } from "./event_relay.ts";
 import { listStreamHeaders } from "./message_headers.ts";
@@ -33,6 +32,7 @@
   recordStreamChoice,
 } from "./stream_choice.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
+import { StreamRecorder } from "./stream_recorder.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import { StallDetector } from "./stall_detector.ts";
 import type { Segment, SegmentEnd, StreamExchange } from "./stream_segment.ts";
@@ -58,6 +58,7 @@
   /** Response to the caller. */
   readonly #response: ServerResponse;
   readonly #attempts: StreamAttempts;
+  readonly #recorder: StreamRecorder;
   readonly #tried = new Set<string>();
   #segmentAborter = new AbortController();
   #move: Promise<MoveTarget | undefined> | undefined;
@@ -75,6 +76,7 @@
     this.#request = request;
     this.#response = response;
     this.#attempts = StreamAttempts.create(request.route);
+    this.#recorder = StreamRecorder.create(services, request);
     this.#lastId = request.resumeAfter;
   }
 
@@ -187,7 +189,7 @@
       ...(this.#lastId === undefined ? {} : { resumeAfter: this.#lastId }),
       ...(target === undefined ? {} : { movedRun: target.movedRun }),
     });
-    this.#recordWork({ prompt: choice.uncachedTokens, output: 0 });
+    this.#recorder.recordWork({ prompt: choice.uncachedTokens, output: 0 });
     if (target === undefined) this.#attempts.recordSend();
     const registration = this.#registry.add(state.key, this);
     const stallDetector = this.#createStallDetector(choice);
@@ -246,35 +248,21 @@
       onEvents: (lastId, events) => {
         this.#lastId = lastId;
         this.#events += 1;
-        this.#recordWork({ prompt: 0, output: events * tokensPerEvent });
+        this.#recorder.recordWork({
+          prompt: 0,
+          output: events * tokensPerEvent,
+        });
         segment.stallDetector.recordEvents();
         if (!isFirst) return;
         isFirst = false;
         pendingSend.markStarted();
-        this.#recordStart(choice, segment);
+        this.#recorder.recordStart(choice, segment);
       },
     });
-    this.#recordEnd(choice, outcome);
+    this.#recorder.recordEnd(choice, outcome, this.#lastId);
     return await this.#endRelay(outcome, choice);
   }
 
-  #recordEnd({ state }: EngineChoice, outcome: RelayOutcome): void {
-    const { end, framing, unfinishedBytes } = outcome;
-    const { metrics } = this.#services;
-    metrics.count("stream_segments_total", { end, framing });
-    if (unfinishedBytes > 0) {
-      metrics.count("unfinished_events_total", { end, framing });
-    }
-    this.#request.trace.record("stream segment ended.", {
-      replica: state.replica.id,
-      version: state.replica.softwareVersion,
-      end,
-      framing,
-      unfinishedBytes,
-      after: this.#lastId,
-    });
-  }
-
   async #endRelay(
     { end, framing }: RelayOutcome,
     { state }: EngineChoice,
@@ -376,21 +364,6 @@
     });
   }
 
-  #recordWork(tokens: EngineTokens): void {
-    const { work, clock } = this.#services;
-    const { name, engine } = this.#request.service;
-    const ms = computeEngineMs(tokens, engine?.slots ?? Infinity);
-    work.record(name, ms, clock.now());
-  }
-
-  #recordStart(choice: EngineChoice, segment: Segment): void {
-    const { clock, runs } = this.#services;
-    const now = clock.now();
-    const observedMs = now - segment.sentAt;
-    choice.state.recordFirstEvent(observedMs, choice.predictedMs, now);
-    if (!segment.isMoved) runs.recordRun(this.#request.tenant?.name);
-  }
-
   #writeHead(response: IncomingMessage): void {
     if (this.#response.headersSent) return;
     this.#response.writeHead(200, listStreamHeaders(response));
