--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -10,10 +10,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import { signatureHeader } from "@almondcrank/platform/headers.ts";
-import {
-  type EngineChoice,
-  prefillTokensPerMs,
-} from "../choice/engine_choice.ts";
+import type { EngineChoice } from "../choice/engine_choice.ts";
 import type { RetryReason } from "./retry_reason.ts";
 import { relayEvents, type RelayOutcome } from "./event_relay.ts";
 import { listStreamHeaders } from "./message_headers.ts";
@@ -34,6 +31,7 @@
 import { StreamAttempts } from "./stream_attempts.ts";
 import { StreamRecorder } from "./stream_recorder.ts";
 import { computeTimerMs } from "./timer_ms.ts";
+import { computeStallTimeouts } from "./stall_timeouts.ts";
 import { StallDetector } from "./stall_detector.ts";
 import type { Segment, SegmentEnd, StreamExchange } from "./stream_segment.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -43,11 +41,6 @@
   StreamRegistry,
 } from "./stream_registry.ts";
 
-/** Timeout of the first event, as a multiple of its predicted time. */
-const firstEventTimeoutFactor = 4;
-const minFirstEventTimeoutMs = 700;
-/** Timeout between events, as a share of the gap that the route allows. */
-const gapShare = 0.75;
 const defaultRetryMs = 300;
 
 /** Relays one stream, with retries and moves. */
@@ -338,22 +331,12 @@
 
   /** Aborts the segment when it stalls and another replica could resume. */
   #createStallDetector(choice: EngineChoice): StallDetector {
-    const { route, promptTokens } = this.#request;
     const { clock } = this.#services;
-    const readMs = promptTokens / prefillTokensPerMs;
-    const firstEventTimeoutMs = Math.max(
-      minFirstEventTimeoutMs,
-      choice.predictedMs * firstEventTimeoutFactor,
-      readMs * firstEventTimeoutFactor,
-    );
     const { state } = choice;
     return StallDetector.create({
       clock,
       state,
-      firstEventTimeoutMs: route.isResumable ? firstEventTimeoutMs : Infinity,
-      nextEventTimeoutMs: route.isResumable
-        ? route.maxEventGapMs * gapShare
-        : Infinity,
+      ...computeStallTimeouts(this.#request, choice.predictedMs),
       onStalled: () => {
         // If the stream cannot be resumed, waiting is better than ending it.
         if (!this.#attempts.canResume || this.#move !== undefined) return;
