Continue a stream only at the software version that began it

What callers saw: streams that hold events of two versions, within one answer.

Cause: the registration's software version was dropped, so a retry of a broken stream and a move of a run chose any replica of the service. Change: from its first event on, a stream is retried and moved only to replicas of the version that sent it; one that failed it is tried again if it is the only one left. If none serves, the answer is broken off, and its caller may come back.

--- a/packages/gateway/src/choice/replica_table.ts
+++ b/packages/gateway/src/choice/replica_table.ts
@@ -59,9 +59,16 @@
   /** Fires when a replica starts to drain or its registration disappears. */
   readonly onLeaving: Event<ReplicaState> = this.#leaving.event;
 
-  /** Lists the replicas of a service that take new requests. */
-  listUsable(service: string): readonly ReplicaState[] {
-    return this.#byService.get(service) ?? [];
+  /**
+   * Lists the replicas of a service that take new requests.
+   *
+   * @param version Software version that they must have; any if left out.
+   */
+  listUsable(service: string, version?: string): readonly ReplicaState[] {
+    const states = this.#byService.get(service) ?? [];
+    return version === undefined
+      ? states
+      : states.filter(({ replica }) => replica.softwareVersion === version);
   }
 
   /** Lists all known incarnations, including those that are leaving. */
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -30,13 +30,15 @@
   readonly target: MoveTarget | undefined;
   /** Keys of incarnations that ran the stream or failed to. */
   readonly tried: ReadonlySet<string>;
+  /** Software version that began the stream; undefined before its first event. */
+  readonly version: string | undefined;
 }
 
 /** Chooses the next replica; `undefined` if none is usable. */
 export function chooseStreamReplica(
   services: RelayServices,
   { service, promptParts, promptTokens }: RoutedRequest,
-  { target, tried }: StreamProgress,
+  { target, tried, version }: StreamProgress,
 ): EngineChoice | undefined {
   const { table, clock, zone } = services;
   const destination = target === undefined
@@ -49,14 +51,18 @@
       uncachedTokens: 0,
     };
   }
-  return chooseEngine(table.listUsable(service.name), {
+  const states = table.listUsable(service.name, version);
+  const query = {
     parts: promptParts,
     promptTokens,
     zone,
     traits: service.engine ?? nonEngineTraits,
     now: clock.now(),
-    excluded: tried,
-  }, services);
+  };
+  const untried = chooseEngine(states, { ...query, excluded: tried }, services);
+  if (untried !== undefined || version === undefined) return untried;
+  // Few replicas of a version may be left: better one that failed than none.
+  return chooseEngine(states, { ...query, excluded: new Set() }, services);
 }
 
 /** Decides whether to admit a stream that has not been sent yet. */
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -100,7 +100,8 @@
     const { table, clock } = this.#services;
     const { service, promptTokens } = request;
     if (service.engine === undefined) return undefined;
-    return chooseEngine(table.listUsable(service.name), {
+    const { softwareVersion } = source.replica;
+    return chooseEngine(table.listUsable(service.name, softwareVersion), {
       parts: [],
       promptTokens,
       zone: source.replica.zone,
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -56,6 +56,8 @@
   #segmentAborter = new AbortController();
   #move: Promise<MoveTarget | undefined> | undefined;
   #lastId: number | undefined;
+  /** Software version that began the stream; others can't continue it. */
+  #version: string | undefined;
   #events = 0;
   #isStalled = false;
 
@@ -125,6 +127,7 @@
       const choice = chooseStreamReplica(this.#services, this.#request, {
         target,
         tried: this.#tried,
+        version: this.#version,
       });
       if (choice === undefined) return this.#fail("no_replica");
       recordStreamChoice(this.#request, choice, {
@@ -240,6 +243,7 @@
       writeHead: () => this.#writeHead(response),
       onEvents: (lastId, events) => {
         this.#lastId = lastId;
+        this.#version ??= state.replica.softwareVersion;
         this.#events += 1;
         this.#recorder.recordWork({
           prompt: 0,
