Compose requests apart from the callers' server

Reading a request's headers into an admitted request is a module of its own. No change of behaviour; the gateway's tests of streams, calls and nodes pass.

--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -17,16 +17,7 @@
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { LogFields } from "@almondcrank/common/logs.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
-import {
-  lastEventIdHeader,
-  parsePromptParts,
-  parseTokenCount,
-  promptPartsHeader,
-  remainingTimeHeader,
-  requestIdHeader,
-  resumedRequestHeader,
-  tokenCountHeader,
-} from "@almondcrank/platform/headers.ts";
+import { requestIdHeader } from "@almondcrank/platform/headers.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
 import {
   type AdmissionContext,
@@ -34,10 +25,10 @@
   chooseRoute,
   computeRequestCost,
   readHeader,
-  type RoutingVerdict,
+  type Routed,
 } from "./request_admission.ts";
+import { composeRequest, computeTimeoutMs } from "./request_composer.ts";
 import { CallRelay } from "./call_relay.ts";
-import { listForwardedHeaders } from "./message_headers.ts";
 import {
   composeLocalReply,
   type LocalReply,
@@ -53,7 +44,6 @@
 
 const connectionsCheckMs = 1_000;
 const listenBacklog = 2_048;
-const lowestPriority = 9;
 const drainingRetryMs = 20;
 /** Longest wait of a request for the first configuration and replicas. */
 const initialSyncTimeoutMs = 250;
@@ -69,8 +59,6 @@
   readonly waitUntilSynced: (signal: AbortSignal) => Promise<void>;
 }
 
-type Routed = Extract<RoutingVerdict, { readonly kind: "routed" }>;
-
 /** Server for the callers of one node. */
 export class CallerServer implements Disposable {
   readonly #options: CallerServerOptions;
@@ -343,46 +331,6 @@
   return Number.isFinite(ms) ? Math.round(ms) : undefined;
 }
 
-/** Time limit of a request: the caller's, at most the route's timeout. */
-function computeTimeoutMs(request: IncomingMessage, { route }: Routed): number {
-  const headerMs = Number(readHeader(request, remainingTimeHeader));
-  const callerMs = Number.isFinite(headerMs) && headerMs > 0
-    ? headerMs
-    : Infinity;
-  const maxTimerMs = 2_147_483_647;
-  return Math.min(callerMs, route.timeoutMs, maxTimerMs);
-}
-
-function composeRequest(
-  request: IncomingMessage,
-  { route, service, tenant }: Routed,
-  rest: Pick<
-    RoutedRequest,
-    "body" | "receivedAt" | "deadline" | "callerSignal" | "trace"
-  >,
-): RoutedRequest {
-  const count = parseTokenCount(readHeader(request, tokenCountHeader));
-  const promptParts = parsePromptParts(readHeader(request, promptPartsHeader));
-  const resumeAfter = Number(readHeader(request, lastEventIdHeader));
-  const priority = tenant?.priority ?? route.priority;
-  return {
-    ...rest,
-    id: readHeader(request, requestIdHeader),
-    route,
-    service,
-    tenant,
-    priority: Math.max(0, Math.min(lowestPriority, priority)),
-    method: request.method ?? "GET",
-    path: request.url ?? "/",
-    headers: listForwardedHeaders(request, rest.body.length),
-    promptParts,
-    promptTokens: count?.prompt ??
-      promptParts.reduce((sum, part) => sum + part.tokens, 0),
-    resumeAfter: Number.isInteger(resumeAfter) ? resumeAfter : undefined,
-    resumedRequest: readHeader(request, resumedRequestHeader),
-  };
-}
-
 /** Signal that aborts if the caller disconnects before the response ends. */
 function watchCaller(response: ServerResponse): AbortSignal {
   const aborter = new AbortController();
--- a/packages/gateway/src/relay/request_admission.ts
+++ b/packages/gateway/src/relay/request_admission.ts
@@ -53,6 +53,9 @@
   }
   | { readonly kind: "refused"; readonly reply: LocalReply };
 
+/** A request that has a route. */
+export type Routed = Extract<RoutingVerdict, { readonly kind: "routed" }>;
+
 /** Finds the route, tenant and service of a request, or refuses it. */
 export function chooseRoute(
   request: IncomingMessage,
--- /dev/null
+++ b/packages/gateway/src/relay/request_composer.ts
@@ -0,0 +1,64 @@
+/**
+ * Composes an admitted request from the caller's message.
+ */
+
+import type { IncomingMessage } from "node:http";
+import {
+  lastEventIdHeader,
+  parsePromptParts,
+  parseTokenCount,
+  promptPartsHeader,
+  remainingTimeHeader,
+  requestIdHeader,
+  resumedRequestHeader,
+  tokenCountHeader,
+} from "@almondcrank/platform/headers.ts";
+import { listForwardedHeaders } from "./message_headers.ts";
+import { readHeader, type Routed } from "./request_admission.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+
+const lowestPriority = 9;
+
+/** Time limit of a request: the caller's, at most the route's timeout. */
+export function computeTimeoutMs(
+  request: IncomingMessage,
+  { route }: Routed,
+): number {
+  const headerMs = Number(readHeader(request, remainingTimeHeader));
+  const callerMs = Number.isFinite(headerMs) && headerMs > 0
+    ? headerMs
+    : Infinity;
+  const maxTimerMs = 2_147_483_647;
+  return Math.min(callerMs, route.timeoutMs, maxTimerMs);
+}
+
+/** Composes a request from its message and what was decided on it. */
+export function composeRequest(
+  request: IncomingMessage,
+  { route, service, tenant }: Routed,
+  rest: Pick<
+    RoutedRequest,
+    "body" | "receivedAt" | "deadline" | "callerSignal" | "trace"
+  >,
+): RoutedRequest {
+  const count = parseTokenCount(readHeader(request, tokenCountHeader));
+  const promptParts = parsePromptParts(readHeader(request, promptPartsHeader));
+  const resumeAfter = Number(readHeader(request, lastEventIdHeader));
+  const priority = tenant?.priority ?? route.priority;
+  return {
+    ...rest,
+    id: readHeader(request, requestIdHeader),
+    route,
+    service,
+    tenant,
+    priority: Math.max(0, Math.min(lowestPriority, priority)),
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    headers: listForwardedHeaders(request, rest.body.length),
+    promptParts,
+    promptTokens: count?.prompt ??
+      promptParts.reduce((sum, part) => sum + part.tokens, 0),
+    resumeAfter: Number.isInteger(resumeAfter) ? resumeAfter : undefined,
+    resumedRequest: readHeader(request, resumedRequestHeader),
+  };
+}
