Let a caller come back only to the software version that began its stream

Cause: which version brought a stream's first event was known, if at all, to the relay that ran it, and ended with it. The class of fault: something that must stay the same for a unit of work that outlives its node was kept nowhere.

Change: a node remembers the service and version of each stream that began there until it is complete. While replicas of a service have several versions, it tells three peers that follow from the stream's id by rendezvous hashing (one datagram for all streams of 25 ms; running ones too when the second version appears). A caller that comes back names the request that brought the first event; a node that does not know it asks five peers in that order, at most 250 ms. It goes on at that service and version; if that is not known, only where there is one version; else it is refused at once, not run, with the advice to begin anew.

--- a/packages/gateway/src/choice/replica_table.ts
+++ b/packages/gateway/src/choice/replica_table.ts
@@ -41,6 +41,7 @@
   readonly #states = new Map<string, ReplicaState>();
   readonly #missingSince = new Map<string, number>();
   readonly #byService = new Map<string, ReplicaState[]>();
+  readonly #versions = new Map<string, string[]>();
   /** Keys of incarnations that had left before the store was restored. */
   readonly #leftBeforeRestore = new Set<string>();
   /** Those of them that the restored store lists as ready. */
@@ -71,6 +72,19 @@
       : states.filter(({ replica }) => replica.softwareVersion === version);
   }
 
+  /**
+   * Lists the software versions of a service's known replicas, also of those that
+   * left lately.
+   */
+  listVersions(service: string): readonly string[] {
+    return this.#versions.get(service) ?? [];
+  }
+
+  /** Whether a service's known replicas have several software versions. */
+  isMixed(service: string): boolean {
+    return this.listVersions(service).length > 1;
+  }
+
   /** Lists all known incarnations, including those that are leaving. */
   listAll(): Iterable<ReplicaState> {
     return this.#states.values();
@@ -144,7 +158,9 @@
     for (const [key, state] of this.#states) {
       const isExpired = state.leavesAt !== undefined &&
         state.leavesAt + 30_000 < now && state.ownLoad.active === 0;
-      if (isExpired) this.#states.delete(key);
+      if (!isExpired) continue;
+      this.#states.delete(key);
+      hasChanged = true;
     }
     if (hasChanged) this.#index();
   }
@@ -203,9 +219,16 @@
 
   #index(): void {
     this.#byService.clear();
+    this.#versions.clear();
     for (const state of this.#states.values()) {
+      const { service, softwareVersion } = state.replica;
+      const versions = this.#versions.get(service);
+      if (versions === undefined) {
+        this.#versions.set(service, [softwareVersion]);
+      } else if (!versions.includes(softwareVersion)) {
+        versions.push(softwareVersion);
+      }
       if (state.leavesAt !== undefined) continue;
-      const { service } = state.replica;
       const states = this.#byService.get(service);
       if (states === undefined) this.#byService.set(service, [state]);
       else states.push(state);
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -15,6 +15,7 @@
 } from "../feed/feed_state.ts";
 import { sendControlCall } from "../relay/control_call.ts";
 import { decodeFeedSnapshot, FeedSnapshots } from "./feed_snapshots.ts";
+import { originPath } from "./origin_exchange.ts";
 import type { Member, MemberTable } from "./member_table.ts";
 import {
   encodePeerReport,
@@ -53,6 +54,8 @@
   readonly isLeading: () => boolean;
   /** Port of the control listener, the same on all nodes. */
   readonly controlPort: number;
+  /** Answers a peer that asks for the origin of a stream. */
+  readonly answerOrigin: (id: string) => string | undefined;
   /** Further text pages of the control listener, by path. */
   readonly pages: Readonly<Record<string, () => string>>;
 }
@@ -276,14 +279,21 @@
   async #answer(url: string, response: ServerResponse): Promise<void> {
     const kind = feedKinds.find((kind) => url === snapshotPath + kind);
     if (kind !== undefined) return await this.#answerSnapshot(kind, response);
-    const page = this.#options.pages[url];
-    if (page === undefined) {
+    const text = this.#composeText(url);
+    if (text === undefined) {
       response.writeHead(404);
       response.end();
       return;
     }
     response.setHeader("Content-Type", "text/plain; charset=utf-8");
-    response.end(page());
+    response.end(text);
+  }
+
+  #composeText(url: string): string | undefined {
+    const { answerOrigin, pages } = this.#options;
+    return url.startsWith(originPath)
+      ? answerOrigin(url.slice(originPath.length))
+      : pages[url]?.();
   }
 
   async #answerSnapshot(
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -154,6 +154,7 @@
       feeds,
       isLeading: () => node.fencingToken !== undefined,
       controlPort: 0,
+      answerOrigin: () => undefined,
       pages: {},
     }, undefined);
   }
--- /dev/null
+++ b/packages/gateway/src/cluster/origin_exchange.ts
@@ -0,0 +1,208 @@
+/**
+ * Tells a few peers which version began each stream, and asks them.
+ *
+ * The holders of a stream follow from its id and the member list by rendezvous
+ * hashing, so a node that needs a stream's origin knows whom to ask. Nodes that
+ * end move the others up in that order, so a holder that is left is found.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import {
+  computeRendezvousOrder,
+  type Hasher,
+} from "@almondcrank/common/hashing.ts";
+import type { ReplicaTable } from "../choice/replica_table.ts";
+import type {
+  StreamOrigin,
+  StreamOriginDirectory,
+  StreamOrigins,
+} from "../choice/stream_origins.ts";
+import { sendControlCall } from "../relay/control_call.ts";
+import type { Member, MemberTable } from "./member_table.ts";
+import { encodeOrigins } from "./origin_messages.ts";
+
+/** Peers that hold the origin of a stream beside the node that began it. */
+const holderCount = 3;
+/** Peers that a node asks for the origin of a stream. */
+const askedCount = holderCount + 2;
+/** Time that origins wait for others, so that one datagram takes several. */
+const collectMs = 25;
+const askTimeoutMs = 250;
+/** Path of the control listener for that question; the id in base64url follows. */
+export const originPath = "/peer/origin/";
+
+/** Dependencies of an exchange. */
+export interface OriginExchangeOptions {
+  /** Clock of the origins. */
+  readonly clock: Clock;
+  /** Clock of membership. */
+  readonly membersClock: Clock;
+  readonly hasher: Hasher;
+  readonly origins: StreamOrigins;
+  readonly members: MemberTable;
+  readonly table: ReplicaTable;
+  /** Port of the control listener, the same on all nodes. */
+  readonly controlPort: number;
+}
+
+/** A datagram for one peer. */
+export interface OriginDatagram {
+  readonly ip: string;
+  readonly bytes: Buffer;
+}
+
+/** Exchange of one node. */
+export class OriginExchange implements StreamOriginDirectory {
+  readonly #options: OriginExchangeOptions;
+  readonly #send = Emitter.create<OriginDatagram>();
+  #isScheduled = false;
+
+  private constructor(options: OriginExchangeOptions) {
+    this.#options = options;
+  }
+
+  static create(options: OriginExchangeOptions): OriginExchange {
+    return new OriginExchange(options);
+  }
+
+  /** Fired for each datagram to send. */
+  readonly onSend: Event<OriginDatagram> = this.#send.event;
+
+  /** Records a stream, and tells its holders soon if versions are mixed. */
+  begin(id: string, origin: StreamOrigin): void {
+    const { origins, clock, table } = this.#options;
+    origins.begin(id, origin, clock.now());
+    if (!table.isMixed(origin.service) || this.#isScheduled) return;
+    this.#isScheduled = true;
+    void clock.sleep(collectMs).then(() => {
+      this.#isScheduled = false;
+      this.tellDue();
+    });
+  }
+
+  complete(id: string): void {
+    this.#options.origins.complete(id);
+  }
+
+  /** Records what a peer told. */
+  apply(told: ReadonlyMap<string, StreamOrigin>): void {
+    const { origins, clock } = this.#options;
+    for (const [id, origin] of told) origins.learn(id, origin, clock.now());
+  }
+
+  /** Tells the holders of all streams that are due. */
+  tellDue(): void {
+    const { origins, table } = this.#options;
+    const due = origins.takeDue((service) => table.isMixed(service));
+    if (due.size === 0) return;
+    const byIp = new Map<string, Map<string, StreamOrigin>>();
+    const members = this.#listMembers();
+    for (const [id, origin] of due) {
+      for (const { ip } of this.#choosePeers(id, members, chooseHolders)) {
+        const told = byIp.get(ip);
+        if (told === undefined) byIp.set(ip, new Map([[id, origin]]));
+        else told.set(id, origin);
+      }
+    }
+    for (const [ip, told] of byIp) {
+      for (const bytes of encodeOrigins(told)) this.#send.fire({ ip, bytes });
+    }
+  }
+
+  /** Finds the origin of a stream, here or, if `mayAsk`, at its holders. */
+  async find(
+    id: string,
+    mayAsk: boolean,
+  ): Promise<StreamOrigin | undefined> {
+    const { origins, clock } = this.#options;
+    const known = origins.find(id, clock.now());
+    if (known !== undefined || !mayAsk) return known;
+    const asked = this.#choosePeers(id, this.#listMembers(), chooseAsked);
+    const answers = asked.map((member) => this.#ask(member, id));
+    return await Promise.any(answers).catch(() => undefined);
+  }
+
+  /**
+   * Composes the answer to a peer's question; `undefined` if not known here.
+   *
+   * @param encodedId Id of the stream's first request, as in the path.
+   */
+  composeAnswer(encodedId: string): string | undefined {
+    const { origins, clock } = this.#options;
+    const id = Buffer.from(encodedId, "base64url").toString();
+    const origin = origins.find(id, clock.now());
+    return origin === undefined ? undefined : JSON.stringify(origin);
+  }
+
+  /** Asks one peer; rejects if it does not know or answer. */
+  async #ask({ ip }: Member, id: string): Promise<StreamOrigin> {
+    const answer = await sendControlCall(
+      {
+        method: "GET",
+        path: originPath + Buffer.from(id).toString("base64url"),
+        body: "",
+      },
+      {
+        address: `${ip}:${this.#options.controlPort}`,
+        timeoutMs: askTimeoutMs,
+      },
+    );
+    const origin = answer?.statusCode === 200
+      ? parseOrigin(answer.text)
+      : undefined;
+    if (origin === undefined) throw new Error("the peer does not know it");
+    return origin;
+  }
+
+  #listMembers(): ReadonlyMap<string, Member> {
+    const { members, membersClock } = this.#options;
+    return new Map(
+      members.listAlive(membersClock.now())
+        .map((member) => [member.node, member]),
+    );
+  }
+
+  #choosePeers(
+    id: string,
+    members: ReadonlyMap<string, Member>,
+    choose: typeof chooseHolders,
+  ): readonly Member[] {
+    return choose(this.#options.hasher, id, [...members.keys()])
+      .flatMap((node) => members.get(node) ?? []);
+  }
+}
+
+/** Chooses the peers that a node tells of a stream that began there. */
+export function chooseHolders(
+  hasher: Hasher,
+  id: string,
+  peers: readonly string[],
+): readonly string[] {
+  return computeRendezvousOrder(hasher, id, peers).slice(0, holderCount);
+}
+
+/**
+ * Chooses the peers that a node asks for a stream. The node that began it and the
+ * asking one are each in only one of the two lists, so more are asked than told.
+ */
+export function chooseAsked(
+  hasher: Hasher,
+  id: string,
+  peers: readonly string[],
+): readonly string[] {
+  return computeRendezvousOrder(hasher, id, peers).slice(0, askedCount);
+}
+
+function parseOrigin(text: string): StreamOrigin | undefined {
+  try {
+    const { service, version } = JSON.parse(text) as Partial<
+      Record<keyof StreamOrigin, unknown>
+    >;
+    return typeof service === "string" && typeof version === "string"
+      ? { service, version }
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/cluster/peer_socket.ts
+++ b/packages/gateway/src/cluster/peer_socket.ts
@@ -7,6 +7,8 @@
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { StreamOrigin } from "../choice/stream_origins.ts";
+import { decodeOrigins } from "./origin_messages.ts";
 import {
   decodePeerMessage,
   encodePeerMessage,
@@ -28,6 +30,7 @@
   readonly #options: PeerSocketOptions;
   readonly #socket: Socket;
   readonly #received = Emitter.create<PeerMessage>();
+  readonly #origins = Emitter.create<ReadonlyMap<string, StreamOrigin>>();
   #sendFailures = 0;
 
   private constructor(options: PeerSocketOptions) {
@@ -51,13 +54,21 @@
   /** Fired for each datagram that can be decoded. */
   readonly onReceived: Event<PeerMessage> = this.#received.event;
 
+  /** Fired for each datagram that tells the origins of streams. */
+  readonly onOrigins: Event<ReadonlyMap<string, StreamOrigin>> =
+    this.#origins.event;
+
   /**
-   * Sends a datagram without confirmation; only the first failure is logged.
+   * Sends a report without confirmation.
    *
    * @param report Encoded report to append, if any.
    */
   send(header: PeerHeader, report: Buffer | undefined, ip: string): void {
-    const bytes = encodePeerMessage(header, report);
+    this.sendBytes(encodePeerMessage(header, report), ip);
+  }
+
+  /** Sends a datagram without confirmation; only the first failure is logged. */
+  sendBytes(bytes: Buffer, ip: string): void {
     this.#options.metrics.count("peer_bytes_sent_total", {}, bytes.length);
     this.#socket.send(bytes, this.#options.port, ip, (error) => {
       if (error === null) return;
@@ -73,6 +84,7 @@
 
   dispose(): void {
     this.#received.dispose();
+    this.#origins.dispose();
     this.#socket.close();
   }
 
@@ -82,6 +94,8 @@
       log.warn("the UDP socket for peers failed.", { reason: error.message });
     });
     this.#socket.on("message", (bytes) => {
+      const origins = decodeOrigins(bytes);
+      if (origins !== undefined) return this.#origins.fire(origins);
       const message = decodePeerMessage(bytes);
       if (message !== undefined) this.#received.fire(message);
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import {
   createClientOptions,
   createParts,
+  findControlPort,
   type GatewayOptions,
   type GatewayParts,
 } from "./gateway_parts.ts";
@@ -133,6 +134,11 @@
       metrics: services.metrics,
     });
     this.#lifetime.register(socket);
+    const { origins } = parts;
+    this.#lifetime.register(
+      origins.onSend(({ bytes, ip }) => socket.sendBytes(bytes, ip)),
+    );
+    this.#lifetime.register(socket.onOrigins((told) => origins.apply(told)));
     const clusterRef: { cluster?: Cluster } = {};
     const exchange = PeerExchange.create({
       node: settings.nodeName,
@@ -164,7 +170,8 @@
       isLeading: () =>
         this.#lease?.fencingToken !== undefined ||
         this.#readers.some((reader) => reader.isActiveReader),
-      controlPort: Number(settings.control?.split(":")[1] ?? 0),
+      controlPort: findControlPort(settings),
+      answerOrigin: (id) => parts.origins.composeAnswer(id),
       pages: {
         "/metrics": () => services.metrics.format(),
         "/status": () => JSON.stringify(this.#composeStatus(parts)),
@@ -184,7 +191,10 @@
     );
     this.#startDuties(parts);
     const maintenanceTimer = setInterval(
-      () => this.#runMaintenance(),
+      () => {
+        this.#runMaintenance();
+        origins.tellDue();
+      },
       maintenanceIntervalMs,
     );
     this.#lifetime.register(
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -13,7 +13,9 @@
 import { PlatformStore } from "@almondcrank/platform/platform_store.ts";
 import { PrefixIndex } from "./choice/prefix_index.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
+import { StreamOrigins } from "./choice/stream_origins.ts";
 import { MemberTable } from "./cluster/member_table.ts";
+import { OriginExchange } from "./cluster/origin_exchange.ts";
 import { WorkMeter } from "./duties/work_meter.ts";
 import { UsageCounts } from "./duties/usage_counts.ts";
 import { type FeedKind, FeedState } from "./feed/feed_state.ts";
@@ -52,6 +54,7 @@
   readonly registry: StreamRegistry;
   readonly rateLimiter: TenantRateLimiter;
   readonly members: MemberTable;
+  readonly origins: OriginExchange;
   readonly usage: UsageCounts;
   readonly store: PlatformStore;
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
@@ -94,6 +97,15 @@
     table,
   });
   const { bounds } = settings;
+  const origins = OriginExchange.create({
+    clock,
+    membersClock: suspensionClock,
+    hasher,
+    origins: StreamOrigins.create(),
+    members,
+    table,
+    controlPort: findControlPort(settings),
+  });
   const services: RelayServices = {
     clock,
     log,
@@ -115,6 +127,7 @@
       windowMs: bounds.retryWindowMs,
       usedShare: usedRetryShare,
     }),
+    origins,
     runs: usage,
     work: WorkMeter.create(),
   };
@@ -144,6 +157,7 @@
     registry,
     rateLimiter,
     members,
+    origins,
     usage,
     store,
     feeds,
@@ -152,6 +166,11 @@
   };
 }
 
+/** Port of the control listeners of all nodes; 0 if there are none. */
+export function findControlPort({ control }: GatewaySettings): number {
+  return Number(control?.split(":")[1] ?? 0);
+}
+
 /** Creates the options of a platform client, with deadline and backoff. */
 export function createClientOptions(
   address: string,
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -37,6 +37,7 @@
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { type BodyResult, readRequestBody } from "./request_body.ts";
 import { RequestLog } from "./request_log.ts";
+import { findResume, type FoundResume } from "./stream_resume.ts";
 import { RequestTrace } from "./request_trace.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -177,19 +178,25 @@
       ]),
     );
     const context = readContext();
-    const routed = chooseRoute(request, context);
-    if (routed.kind === "refused") {
-      return this.#refuse({ request, response }, routed.reply, {
+    const found = chooseRoute(request, context);
+    if (found.kind === "refused") {
+      return this.#refuse({ request, response }, found.reply, {
         configuration: context.routes?.configuration.version,
         configurationAgeMs: roundAge(context.configurationAgeMs),
       });
     }
-    const deadline = receivedAt + computeTimeoutMs(request, routed);
+    const deadline = receivedAt + computeTimeoutMs(request, found);
     const body = await readRequestBody(request, {
-      maxBytes: routed.routes.configuration.limits.maxBodyBytes,
+      maxBytes: found.routes.configuration.limits.maxBodyBytes,
       timeoutMs: Math.max(1, deadline - receivedAt),
     });
     if (body.kind !== "read") return this.#endUnread(request, response, body);
+    const resume = await this.#findResume(request, found);
+    if (resume.kind === "refused") {
+      const reply = composeLocalReply(503, "unknown_origin");
+      return this.#refuse({ request, response }, reply, resume.fields);
+    }
+    const { routed } = resume;
     const charge = this.#charge(request, routed);
     const fields = this.#listAdmissionFields(routed, context, charge.cost);
     if (charge.refusal !== undefined) {
@@ -203,6 +210,7 @@
       receivedAt,
       deadline,
       callerSignal,
+      resumedVersion: resume.version,
     });
     this.#recordResume(admitted);
     services.budget.recordRequest(routed.service.name, receivedAt);
@@ -213,6 +221,11 @@
     this.#recordEnd(admitted, result);
   }
 
+  #findResume(request: IncomingMessage, routed: Routed): Promise<FoundResume> {
+    const { table, origins } = this.#options.services;
+    return findResume(request, routed, { table, origins });
+  }
+
   #recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
     if (resumeAfter === undefined) return;
     const isNamed = resumedRequest !== undefined;
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -20,6 +20,8 @@
   | "over_allowance"
   | "no_replica"
   | "overloaded"
+  | "unknown_origin"
+  | "version_gone"
   | "declined"
   | "answer_lost"
   | "out_of_time";
@@ -50,6 +52,12 @@
     "no replica takes requests now; the request has not run, try again",
   overloaded:
     "the service is overloaded; the request has not run, try again later",
+  unknown_origin:
+    "it is not known which software version began this stream, or this route " +
+    "no longer has it; send the request again without Last-Event-ID",
+  version_gone:
+    "no replica of the software version that began this stream takes requests; " +
+    "send the request again without Last-Event-ID",
   declined: "no replica accepted the request; it has not run, try again later",
   answer_lost: "the response of the replica was lost; the request may have run",
   out_of_time: "the deadline of the request passed; it may have run",
@@ -71,6 +79,7 @@
 export type FailureReason =
   | "no_replica"
   | "overloaded"
+  | "version_gone"
   | "declined"
   | "answer_lost"
   | "out_of_time";
@@ -89,7 +98,10 @@
 ): LocalReply {
   if (!mayHaveRun) {
     const kind = reason === "answer_lost" ? "declined" : reason;
-    return composeLocalReply(503, kind, retryAfterMs);
+    // A version that is gone rarely comes back: the caller begins anew at once.
+    return kind === "version_gone"
+      ? composeLocalReply(503, kind)
+      : composeLocalReply(503, kind, retryAfterMs);
   }
   return reason === "out_of_time"
     ? composeLocalReply(504, "out_of_time")
--- a/packages/gateway/src/relay/relay_services.ts
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -9,6 +9,7 @@
 import type { Random } from "@almondcrank/common/random.ts";
 import type { PrefixIndex } from "../choice/prefix_index.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
+import type { StreamOriginDirectory } from "../choice/stream_origins.ts";
 import type { WorkMeter } from "../duties/work_meter.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { ReplicaSender } from "./replica_sender.ts";
@@ -30,6 +31,7 @@
   readonly prefixes: PrefixIndex;
   readonly sender: ReplicaSender;
   readonly budget: RetryBudget;
+  readonly origins: StreamOriginDirectory;
   readonly runs: RunCounter;
   readonly work: WorkMeter;
 }
--- a/packages/gateway/src/relay/request_composer.ts
+++ b/packages/gateway/src/relay/request_composer.ts
@@ -38,7 +38,12 @@
   { route, service, tenant }: Routed,
   rest: Pick<
     RoutedRequest,
-    "body" | "receivedAt" | "deadline" | "callerSignal" | "trace"
+    | "body"
+    | "receivedAt"
+    | "deadline"
+    | "callerSignal"
+    | "trace"
+    | "resumedVersion"
   >,
 ): RoutedRequest {
   const count = parseTokenCount(readHeader(request, tokenCountHeader));
--- a/packages/gateway/src/relay/routed_request.ts
+++ b/packages/gateway/src/relay/routed_request.ts
@@ -34,6 +34,8 @@
   readonly resumeAfter: number | undefined;
   /** Id of the request that brought the first event of that stream, if named. */
   readonly resumedRequest: string | undefined;
+  /** Software version that began that stream; undefined if it does not matter. */
+  readonly resumedVersion: string | undefined;
   /** Aborts when the caller disconnects. */
   readonly callerSignal: AbortSignal;
   /** Decisions on the request, for the log. */
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -3,6 +3,7 @@
  * its segments ended.
  */
 
+import type { Replica } from "@almondcrank/model/replica.ts";
 import type { EngineChoice } from "../choice/engine_choice.ts";
 import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
 import type { RelayOutcome } from "./event_relay.ts";
@@ -14,6 +15,7 @@
 export class StreamRecorder {
   readonly #services: RelayServices;
   readonly #request: RoutedRequest;
+  #version: string | undefined;
 
   private constructor(services: RelayServices, request: RoutedRequest) {
     this.#services = services;
@@ -27,6 +29,27 @@
     return new StreamRecorder(services, request);
   }
 
+  /**
+   * Records, once, which version the caller's events are of, for the case that
+   * the caller comes back; returns that version.
+   */
+  recordOrigin({ service, softwareVersion }: Replica): string {
+    if (this.#version !== undefined) return this.#version;
+    this.#version = softwareVersion;
+    const id = this.#originId;
+    if (id !== undefined) {
+      const origin = { service, version: softwareVersion };
+      this.#services.origins.begin(id, origin);
+    }
+    return softwareVersion;
+  }
+
+  /** Records that the caller has the whole stream. */
+  recordComplete(): void {
+    const id = this.#originId;
+    if (id !== undefined) this.#services.origins.complete(id);
+  }
+
   /** Records engine time that the stream takes. */
   recordWork(tokens: EngineTokens): void {
     const { work, clock } = this.#services;
@@ -35,6 +58,11 @@
     work.record(name, ms, clock.now());
   }
 
+  /** Id under which a caller that comes back names the stream. */
+  get #originId(): string | undefined {
+    return this.#request.resumedRequest ?? this.#request.id;
+  }
+
   /** Records the first event of a segment. */
   recordStart(choice: EngineChoice, segment: Segment): void {
     const { clock, runs } = this.#services;
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -73,6 +73,7 @@
     this.#attempts = StreamAttempts.create(request.route);
     this.#recorder = StreamRecorder.create(services, request);
     this.#lastId = request.resumeAfter;
+    this.#version = request.resumedVersion;
   }
 
   static create(
@@ -129,7 +130,11 @@
         tried: this.#tried,
         version: this.#version,
       });
-      if (choice === undefined) return this.#fail("no_replica");
+      if (choice === undefined) {
+        return this.#fail(
+          this.#version === undefined ? "no_replica" : "version_gone",
+        );
+      }
       recordStreamChoice(this.#request, choice, {
         after: this.#lastId,
         now: this.#services.clock.now(),
@@ -243,7 +248,7 @@
       writeHead: () => this.#writeHead(response),
       onEvents: (lastId, events) => {
         this.#lastId = lastId;
-        this.#version ??= state.replica.softwareVersion;
+        this.#version = this.#recorder.recordOrigin(state.replica);
         this.#events += 1;
         this.#recorder.recordWork({
           prompt: 0,
@@ -272,6 +277,7 @@
         const target = framing === "connection" ? await this.#move : undefined;
         if (target !== undefined) return { kind: "moved", target };
         this.#response.end();
+        this.#recorder.recordComplete();
         return { kind: "done", result: this.#end(200, "answered") };
       }
       case "caller_gone":
--- /dev/null
+++ b/packages/gateway/src/relay/stream_resume_test.ts
@@ -0,0 +1,78 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { Route, Service } from "@almondcrank/model/configuration.ts";
+import type { Replica } from "@almondcrank/model/replica.ts";
+import { ReplicaTable } from "../choice/replica_table.ts";
+import { decideResume } from "./stream_resume.ts";
+
+const route = {
+  targets: [{ service: "models", weight: 1 }, { service: "spare", weight: 1 }],
+} as unknown as Route;
+const service = { name: "models" } as unknown as Service;
+
+function createTable(versions: readonly string[]): ReplicaTable {
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  const replicas = versions.map((softwareVersion, at): Replica => ({
+    id: `r${at}`,
+    service: "models",
+    address: "10.0.0.1:80",
+    zone: "a",
+    softwareVersion,
+    slots: 4,
+    state: "ready",
+    startedAtMs: 1,
+    isReclaimable: false,
+    leavesInMs: undefined,
+  }));
+  table.apply(replicas, { now: 0, mayHaveExpired: false });
+  return table;
+}
+
+test("a stream goes on at the service and version that began it", () => {
+  const origin = { service: "spare", version: "v3" };
+  const table = createTable(["v1", "v2"]);
+  assert.equal(decideResume({ route, service }, { table, origin }), {
+    kind: "continues",
+    origin,
+  });
+});
+
+test("a stream of a service that the route no longer has is refused", () => {
+  const origin = { service: "gone", version: "v1" };
+  const verdict = decideResume({ route, service }, {
+    table: createTable(["v1"]),
+    origin,
+  });
+  assert.is(verdict.kind, "refused");
+});
+
+test("a stream of unknown origin goes on only at the only version", () => {
+  const decide = (versions: readonly string[]) =>
+    decideResume({ route, service }, {
+      table: createTable(versions),
+      origin: undefined,
+    });
+  assert.equal(decide(["v1", "v1"]), {
+    kind: "continues",
+    origin: { service: "models", version: "v1" },
+  });
+  assert.is(decide(["v1", "v2"]).kind, "refused");
+  assert.is(decide([]).kind, "unknown");
+});
+
+test("a version whose last replica has just left still counts", () => {
+  const table = createTable(["v1", "v2"]);
+  const [left] = [...table.listAll()].filter(({ replica }) =>
+    replica.softwareVersion === "v2"
+  );
+  assert.ok(left !== undefined);
+  table.apply([left?.replica as Replica], { now: 100, mayHaveExpired: false });
+  assert.equal(table.listUsable("models").length, 1);
+  const decide = () =>
+    decideResume({ route, service }, { table, origin: undefined }).kind;
+  assert.is(decide(), "refused");
+  table.expire(100 + 2_000 + 30_000 + 1);
+  assert.is(decide(), "continues");
+});
+
+test.run();
