Soak: two software versions, and callers that come back for the rest

The soak's replicas had no version, and its callers never came back with the last event, so it could not meet streams that go on at another version. Replicas of models are of two versions by turns and write other texts, a caller whose stream broke mostly comes back at another node and names its first request, and a stream whose two halves are of different versions is a finding.

--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -12,6 +12,7 @@
   RunRecord,
   SoakRecords,
 } from "./records.ts";
+import { tokenTexts } from "./soak_system.ts";
 
 /** A broken promise. */
 export interface Finding {
@@ -102,7 +103,13 @@
   if (!runs.some((run) => seal === `seal-of-${run.replica}`)) {
     return `signature ${seal} of a replica that did not run it`;
   }
-  const expected = formatExpectedBody(caller, events);
+  // A stream holds events of one software version only.
+  const expected = tokenTexts
+    .map((tokenText) => formatExpectedBody(caller, events, tokenText))
+    .find((body, at) =>
+      at === tokenTexts.length - 1 || body.startsWith(text)
+    ) ??
+    "";
   if (isComplete && text !== expected) return `complete, with other content`;
   if (!expected.startsWith(text)) return `content that is not the replica's`;
   return undefined;
@@ -110,15 +117,18 @@
 
 /**
  * Formats the body of a replica's answer; `events` is the length of a stream.
+ *
+ * @param tokenText Text of each event, before its number.
  */
 export function formatExpectedBody(
   { kind, id }: Pick<CallerRecord, "kind" | "id">,
   events: number,
+  tokenText: string,
 ): string {
   if (kind === "book" || kind === "lookup") return `answer to ${id}`;
   const lines = Array.from(
     { length: events },
-    (_, at) => `id: ${at + 1}\ndata: token ${at + 1}\n\n`,
+    (_, at) => `id: ${at + 1}\ndata: ${tokenText} ${at + 1}\n\n`,
   );
   return lines.join("");
 }
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -6,9 +6,12 @@
 import * as assert from "uvu/assert";
 import { checkPromises, formatExpectedBody } from "./promises.ts";
 import type { CallerRecord, RunRecord, SoakRecords } from "./records.ts";
+import { tokenTexts } from "./soak_system.ts";
 
 const events = 4;
 
+const [firstText = "", secondText = ""] = tokenTexts;
+
 function createCaller(change: Partial<CallerRecord>): CallerRecord {
   const base = { id: "r", kind: "book" as const, ...change };
   return {
@@ -20,7 +23,7 @@
     endedAt: 200,
     status: 200,
     seal: "seal-of-booking-1",
-    text: formatExpectedBody(base, events),
+    text: formatExpectedBody(base, events, firstText),
     isComplete: true,
     leftAt: undefined,
     ...base,
@@ -91,7 +94,16 @@
   const path = "/answer/draft/stream";
   const stream = { kind: "stream" as const, path, seal: "seal-of-models-1" };
   const run = createRun({ replica: "models-1", service: "models", path });
-  const whole = formatExpectedBody({ kind: "stream", id: "r" }, events);
+  const whole = formatExpectedBody(
+    { kind: "stream", id: "r" },
+    events,
+    firstText,
+  );
+  const other = formatExpectedBody(
+    { kind: "stream", id: "r" },
+    events,
+    secondText,
+  );
   const checkStream = (text: string): readonly string[] =>
     listBrokenPromises({
       callers: [createCaller({ ...stream, text })],
@@ -100,6 +112,10 @@
   assert.equal(checkStream(whole), []);
   assert.equal(checkStream(whole.replace(/id: 2\n[^\n]*\n\n/, "")), [promise]);
   assert.equal(checkStream(whole + "id: 4\n"), [promise]);
+  assert.equal(checkStream(other), []);
+  const half = whole.indexOf("id: 3\n");
+  const mixed = whole.slice(0, half) + other.slice(other.indexOf("id: 3\n"));
+  assert.equal(checkStream(mixed), [promise]);
 });
 
 test("an answer may break during a fault, but not during a masked one", () => {
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -5,7 +5,11 @@
 
 import { Agent } from "node:http";
 import type { Random } from "@almondcrank/common/random.ts";
-import { signatureHeader } from "@almondcrank/platform/headers.ts";
+import {
+  lastEventIdHeader,
+  resumedRequestHeader,
+  signatureHeader,
+} from "@almondcrank/platform/headers.ts";
 import { sendRouteRequest } from "@almondcrank/load/route_client.ts";
 import {
   exampleHostname,
@@ -27,6 +31,8 @@
 const abortProbability = 0.04;
 const abortAfterMs = 90;
 const secondKeyProbability = 0.15;
+/** Probability that the caller of a broken stream comes back for its rest. */
+const returnProbability = 0.7;
 /** Longest time for which `minRequests` extends a soak. */
 const maxExtensionMs = 60_000;
 
@@ -95,6 +101,12 @@
       abortAfterMs: willAbort ? abortAfterMs : undefined,
     });
     records.push(record);
+    const returning = composeReturn(record);
+    const other = balancer.choose(caller + 1);
+    if (returning === undefined || other === undefined) continue;
+    if (random.next() < returnProbability) {
+      records.push(await sendReturn(returning, other));
+    }
   }
   agent.destroy();
 }
@@ -104,12 +116,47 @@
   readonly kind: RequestKind;
   readonly key: string;
   readonly node: BalancedNode;
-  readonly abortAfterMs: number | undefined;
+  readonly abortAfterMs?: number | undefined;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** A broken stream whose caller comes back. */
+interface ReturningStream {
+  readonly broken: CallerRecord;
+  /** Its whole events. */
+  readonly text: string;
+  readonly lastId: string;
+}
+
+/** Composes the return to a stream that broke after an event, if it did. */
+function composeReturn(broken: CallerRecord): ReturningStream | undefined {
+  const { kind, status, isComplete } = broken;
+  if (kind !== "stream" || status !== 200 || isComplete) return undefined;
+  const text = broken.text.slice(0, broken.text.lastIndexOf("\n\n") + 2);
+  const lastId = [...text.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1];
+  return lastId === undefined ? undefined : { broken, text, lastId };
+}
+
+/** Asks another node for the rest; the record has the events of both. */
+async function sendReturn(
+  { broken, text, lastId }: ReturningStream,
+  node: BalancedNode,
+): Promise<CallerRecord> {
+  const agent = new Agent({ keepAlive: false });
+  const rest = await sendRequest(agent, {
+    id: `${broken.id}-again`,
+    kind: broken.kind,
+    key: broken.key,
+    node,
+    headers: { [lastEventIdHeader]: lastId, [resumedRequestHeader]: broken.id },
+  });
+  agent.destroy();
+  return rest.status === 200 ? { ...rest, text: text + rest.text } : rest;
 }
 
 async function sendRequest(
   agent: Agent,
-  { id, kind, key, node, abortAfterMs }: SoakRequest,
+  { id, kind, key, node, abortAfterMs, headers = {} }: SoakRequest,
 ): Promise<CallerRecord> {
   const path = paths[kind];
   const body = `question ${id}`;
@@ -124,6 +171,7 @@
     deadlineMs,
     agent,
     abortAfterMs,
+    headers,
   });
   const endedAt = performance.now();
   return {
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -30,12 +30,22 @@
 const eventMs = 8;
 const replicasPerService = 3;
 const services = ["models", "booking"] as const;
+/** Software versions of the replicas by turns, and the text of their events. */
+const softwareVersions = [
+  { version: "v1", tokenText: "token" },
+  { version: "v2", tokenText: "word" },
+] as const;
+/** Texts of which each stream holds only one. */
+export const tokenTexts: readonly string[] = softwareVersions.map((
+  { tokenText },
+) => tokenText);
 
 /** A replica and the link to it. */
 export interface SoakReplica {
   readonly standin: ReplicaStandin;
   readonly link: LinkProxy;
   readonly service: string;
+  readonly softwareVersion: string;
   isRegistered: boolean;
 }
 
@@ -102,14 +112,25 @@
   /** Starts and registers a replica. */
   async addReplica(service: string): Promise<SoakReplica> {
     const id = `${service}-${this.#nextReplica}`;
+    const software =
+      softwareVersions[this.#nextReplica % softwareVersions.length] ??
+        softwareVersions[0];
     this.#nextReplica += 1;
     const standin = await ReplicaStandin.open({
       id,
       events: streamEvents,
       eventMs,
     });
+    standin.tokenText = software.tokenText;
     const link = await LinkProxy.open(standin.address);
-    const replica = { standin, link, service, isRegistered: true };
+    const softwareVersion = software.version;
+    const replica = {
+      standin,
+      link,
+      service,
+      softwareVersion,
+      isRegistered: true,
+    };
     this.replicas.push(replica);
     this.register(replica, "ready");
     return replica;
@@ -122,6 +143,7 @@
       service: replica.service,
       address: replica.link.address,
       zone: "muc-a",
+      version: replica.softwareVersion,
       slots: 8,
       state,
       "seq-no": this.#sequenceNumber,
