Let duties lapse at a node that has lost sight of most others

A node that sees few of many known ones did not try for the lease (no test showed it), but one that held it went on, renewing at the store and reporting its own counts.

Change: such a holder renews no more, so its lease lapses and a node that sees the others takes over; it reports no window meanwhile, as a report once stored is final. It does not release the lease, since that could overtake a call of its own.

--- a/packages/gateway/src/duties/duty_lease.ts
+++ b/packages/gateway/src/duties/duty_lease.ts
@@ -122,10 +122,13 @@
   }
 
   async #step(): Promise<number> {
-    const { clock, leaseMs } = this.#options;
+    const { clock, leaseMs, members } = this.#options;
     if (this.fencingToken !== undefined) {
-      const dueMs = this.#renewedAt + leaseMs / 3 - clock.now();
-      if (dueMs <= 0) await this.#renew();
+      const now = clock.now();
+      const dueMs = this.#renewedAt + leaseMs / 3 - now;
+      // An isolated holder lets the lease lapse, so that a node that sees the
+      // others takes over. A release could overtake a call on its way.
+      if (dueMs <= 0 && !members.isIsolated(now)) await this.#renew();
       return pollMs;
     }
     this.#recordLoss();
--- a/packages/gateway/src/duties/usage_reporter.ts
+++ b/packages/gateway/src/duties/usage_reporter.ts
@@ -147,6 +147,8 @@
     const isUnknown = window < this.#firstWindow - 1 ||
       window < this.#computeFirstAfterRestore(wallTime, now);
     if (isUnknown) return this.#find(window) !== undefined;
+    // The counts of most nodes would be missing.
+    if (members.isIsolated(now)) return false;
     const waitMs = silentNodes > 0
       ? silentNodeSettleMs
       : settleMs + members.roundMs * settleRounds;
--- a/packages/gateway/src/duties/usage_reporter_test.ts
+++ b/packages/gateway/src/duties/usage_reporter_test.ts
@@ -55,7 +55,7 @@
       },
     },
   });
-  return { counts, lease, reporter, restoredAt };
+  return { counts, lease, members, reporter, restoredAt };
 }
 
 test("a new holder sends the same counts for each window that is still due", async () => {
@@ -146,4 +146,24 @@
   node.reporter.dispose();
 });
 
+test("a window is not reported by a holder that sees none of many known nodes", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const sent: UsageReport[] = [];
+  const { lease, members, counts, reporter } = createNode(clock, store, sent);
+  lease.fencingToken = 1;
+  // The nodes are known for 12 s after they were last seen, which is later than
+  // the time for which a window waits for silent nodes.
+  for (let peer = 1; peer <= 20; peer += 1) {
+    const node = `node-${peer}`;
+    members.introduce({ node, ip: `10.0.0.${peer}`, zone: "a" }, clock.now());
+  }
+  await clock.advance(1_500);
+  const window = counts.readWindow();
+  counts.recordRun("garages");
+  await clock.advance(9_000);
+  assert.equal(sent.filter((report) => report.window >= window), []);
+  reporter.dispose();
+});
+
 test.run();
