Forget what was learnt in one class for both interfaces

Five places of both interfaces had a value of their own that nears its usual value without observations: the failure rate and the slowness of a replica, a tenant's recent use, an engine's excess wait, the demand at admission. They share DecayingValue now. Formulas are the same; the tests of choice, admission, limits and streams of both pass unchanged.

--- a/packages/gateway/src/choice/failure_rate.ts
+++ b/packages/gateway/src/choice/failure_rate.ts
@@ -6,6 +6,8 @@
  * health probe.
  */
 
+import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
+
 /** Weight of the latest outcome. */
 const outcomeWeight = 0.3;
 /** Time in which the rate decays to 1/e without outcomes. */
@@ -13,8 +15,7 @@
 
 /** Exponentially weighted failure rate, 0 to 1. */
 export class FailureRate {
-  #value = 0;
-  #updatedAt = 0;
+  readonly #rate = DecayingValue.create(decayMs);
 
   static create(): FailureRate {
     return new FailureRate();
@@ -29,15 +30,14 @@
   record(isFailure: boolean, now: number, weight = 1): void {
     const value = this.read(now);
     const step = outcomeWeight * weight;
-    this.#value = isFailure
+    const next = isFailure
       ? value + step * (1 - value)
       : value * (1 - outcomeWeight);
-    this.#updatedAt = now;
+    this.#rate.write(next, now);
   }
 
   /** Reads the rate at `now`, in monotonic milliseconds. */
   read(now: number): number {
-    if (this.#value === 0) return 0;
-    return this.#value * Math.exp(-(now - this.#updatedAt) / decayMs);
+    return this.#rate.read(now);
   }
 }
--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -2,6 +2,7 @@
  * Load, speed and health of one incarnation of a replica, as this node knows them.
  */
 
+import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { Replica } from "@almondcrank/model/replica.ts";
 import { FailureRate } from "./failure_rate.ts";
 
@@ -33,8 +34,7 @@
   #replica: Replica;
   #own: NodeLoad = noLoad;
   #peers: NodeLoad = noLoad;
-  #slowness = usualSlowness;
-  #slownessAt = 0;
+  readonly #extraSlowness = DecayingValue.create(forgetMs);
   #serviceMs: number | undefined;
   #serviceMsAt = 0;
   #leavesAt: number | undefined;
@@ -87,8 +87,7 @@
    * observations alone would never correct it.
    */
   readSlowness(now: number): number {
-    const weight = Math.exp(-(now - this.#slownessAt) / forgetMs);
-    return usualSlowness + (this.#slowness - usualSlowness) * weight;
+    return usualSlowness + this.#extraSlowness.read(now);
   }
 
   /**
@@ -178,8 +177,8 @@
     const ratio = observedMs / Math.max(10, predictedMs);
     const bounded = Math.min(maxSlowness, Math.max(minSlowness, ratio));
     const previous = this.readSlowness(now);
-    this.#slowness = previous + observationWeight * (bounded - previous);
-    this.#slownessAt = now;
+    const slowness = previous + observationWeight * (bounded - previous);
+    this.#extraSlowness.write(slowness - usualSlowness, now);
   }
 
   /** Updates the average time of a whole answer. */
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -13,6 +13,7 @@
  * requests would starve, as small ones take each token as soon as it is refilled.
  */
 
+import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { Tenant } from "@almondcrank/model/configuration.ts";
 
 /** Outcome of the rate limit check of one request. */
@@ -64,28 +65,13 @@
   /** Cost that this node may still admit before the next report. */
   credit: number;
   /** Recent cost that this node admitted and reported. */
-  readonly ownUse: DecayingSum;
+  readonly ownUse: DecayingValue;
   /** Recent cost that this node admitted, reported or not. */
-  readonly admittedCost: DecayingSum;
+  readonly admittedCost: DecayingValue;
   /** Recent cost that this node refused. */
-  readonly refusedCost: DecayingSum;
+  readonly refusedCost: DecayingValue;
   /** Recent cost that each peer reported, by the peer's name. */
-  readonly peerUse: Map<string, DecayingSum>;
-}
-
-/** Sum that decays exponentially with time. */
-class DecayingSum {
-  #value = 0;
-  #at = 0;
-
-  add(cost: number, now: number): void {
-    this.#value = this.read(now) + cost;
-    this.#at = now;
-  }
-
-  read(now: number): number {
-    return this.#value * Math.exp(-(now - this.#at) / useDecayMs);
-  }
+  readonly peerUse: Map<string, DecayingValue>;
 }
 
 /** Share of the contract's tolerance by which a bucket may be overdrawn. */
@@ -213,7 +199,7 @@
     bucket.level -= cost;
     let use = bucket.peerUse.get(peer);
     if (use === undefined) {
-      use = new DecayingSum();
+      use = DecayingValue.create(useDecayMs);
       bucket.peerUse.set(peer, use);
     }
     use.add(cost, now);
@@ -302,7 +288,7 @@
   /** Reads the use of one node, plus a fixed amount for use not yet reported. */
   #readUse(
     { burst }: Bucket,
-    use: DecayingSum | undefined,
+    use: DecayingValue | undefined,
     now: number,
   ): number {
     return burst * assumedUseShare + (use?.read(now) ?? 0);
@@ -323,9 +309,9 @@
         share: 1,
         creditShare: 1,
         credit: 0,
-        ownUse: new DecayingSum(),
-        admittedCost: new DecayingSum(),
-        refusedCost: new DecayingSum(),
+        ownUse: DecayingValue.create(useDecayMs),
+        admittedCost: DecayingValue.create(useDecayMs),
+        refusedCost: DecayingValue.create(useDecayMs),
         peerUse: new Map(),
       };
       bucket.share = this.#computeShare(bucket, now);
--- a/packages/routing/src/admission/admission_controller.ts
+++ b/packages/routing/src/admission/admission_controller.ts
@@ -14,6 +14,7 @@
 
 import { type Either, Left, Right } from "purify-ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
+import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { ModelRequest } from "../routers/model_router.ts";
 import { Refusal } from "./refusal.ts";
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
@@ -32,9 +33,8 @@
 /** Accepts or refuses requests before they are sent. */
 export class AdmissionController {
   readonly #clock: Clock;
-  #accepted = 0;
-  #refused = 0;
-  #countedAt = 0;
+  readonly #accepted = DecayingValue.create(demandDecayMs);
+  readonly #refused = DecayingValue.create(demandDecayMs);
 
   private constructor(clock: Clock) {
     this.#clock = clock;
@@ -47,18 +47,17 @@
   /** Accepts or refuses a request by the predictions for its chosen replica. */
   check(request: ModelRequest, choice: ReplicaChoice): Either<Refusal, void> {
     const now = this.#clock.now();
-    this.#advance(now);
     const limitMs = computeWaitLimit(request);
     const lateMs = Math.max(
       choice.waitMs - limitMs,
       now + choice.totalMs - request.deadline,
     );
     if (lateMs <= 0) {
-      this.#accepted++;
+      this.#accepted.add(1, now);
       return Right(undefined);
     }
-    this.#refused++;
-    return Left(this.#createRefusal(lateMs));
+    this.#refused.add(1, now);
+    return Left(this.#createRefusal(lateMs, now));
   }
 
   /**
@@ -66,9 +65,10 @@
    * is multiplied by the ratio of demand to accepted requests, since retries
    * compete with new requests.
    */
-  #createRefusal(lateMs: number): Refusal {
-    const demand = (this.#accepted + this.#refused) /
-      Math.max(1, this.#accepted);
+  #createRefusal(lateMs: number, now: number): Refusal {
+    const accepted = this.#accepted.read(now);
+    const refused = this.#refused.read(now);
+    const demand = (accepted + refused) / Math.max(1, accepted);
     const factor = Math.min(maxDemandFactor, demand);
     const retryAfterMs = Math.min(
       maxRetryAfterMs,
@@ -82,13 +82,6 @@
         `send it again in ${retryAfterMs} ms or allow more time`,
     });
   }
-
-  #advance(now: number): void {
-    const decay = Math.exp((this.#countedAt - now) / demandDecayMs);
-    this.#accepted *= decay;
-    this.#refused *= decay;
-    this.#countedAt = now;
-  }
 }
 
 /** Longest predicted wait until prefill starts, in milliseconds. */
--- a/packages/routing/src/choice/replica_load.ts
+++ b/packages/routing/src/choice/replica_load.ts
@@ -6,6 +6,7 @@
  * the replica's prefill rate. Observed waits and token gaps correct replicas whose reports are too low.
  */
 
+import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { EndpointLoad } from "@almondcrank/membership/membership.ts";
 
 /** Whether a replica can take work. */
@@ -65,8 +66,7 @@
   #backlogAt = 0;
   #sends: OwnSend[] = [];
   #ends: number[] = [];
-  #excessMs = 0;
-  #excessAt = 0;
+  readonly #excessMs = DecayingValue.create(excessDecayMs);
   #observedGapMs = 0;
   #observedGapAt = -Infinity;
 
@@ -121,7 +121,7 @@
   /** Predicted wait for the input backlog, including the observed excess wait. */
   computeBacklogMs(now: number): number {
     this.#drainBacklog(now);
-    return this.#backlogTokens / this.#tokensPerMs + this.#readExcessMs(now);
+    return this.#backlogTokens / this.#tokensPerMs + this.#excessMs.read(now);
   }
 
   /** Prefill time of `tokens` input tokens. */
@@ -186,12 +186,9 @@
 
   /** Records a first token: clears failures and averages the excess wait. */
   recordFirstToken(excessMs: number, now: number): void {
-    const previous = this.#readExcessMs(now);
-    this.#excessMs = Math.max(
-      0,
-      previous + excessWeight * (excessMs - previous),
-    );
-    this.#excessAt = now;
+    const previous = this.#excessMs.read(now);
+    const next = previous + excessWeight * (excessMs - previous);
+    this.#excessMs.write(Math.max(0, next), now);
     this.#failures = 0;
     if (this.#state.kind === "suspect" || this.#state.kind === "unreachable") {
       this.#state = reachable;
@@ -261,9 +258,4 @@
     this.#backlogTokens = Math.max(0, this.#backlogTokens - drained);
     this.#backlogAt = Math.max(now, this.#backlogAt);
   }
-
-  #readExcessMs(now: number): number {
-    if (this.#excessMs === 0) return 0;
-    return this.#excessMs * Math.exp((this.#excessAt - now) / excessDecayMs);
-  }
 }
