Keep origins only of streams whose callers may come back

Streams of routes that can't be resumed were remembered too, and what is due was scanned four times a second also while no service has two versions. Neither is needed.

--- a/packages/gateway/src/choice/replica_table.ts
+++ b/packages/gateway/src/choice/replica_table.ts
@@ -42,6 +42,7 @@
   readonly #missingSince = new Map<string, number>();
   readonly #byService = new Map<string, ReplicaState[]>();
   readonly #versions = new Map<string, string[]>();
+  #hasMixedService = false;
   /** Keys of incarnations that had left before the store was restored. */
   readonly #leftBeforeRestore = new Set<string>();
   /** Those of them that the restored store lists as ready. */
@@ -85,6 +86,11 @@
     return this.listVersions(service).length > 1;
   }
 
+  /** Whether any service's known replicas have several software versions. */
+  get hasMixedService(): boolean {
+    return this.#hasMixedService;
+  }
+
   /** Lists all known incarnations, including those that are leaving. */
   listAll(): Iterable<ReplicaState> {
     return this.#states.values();
@@ -233,5 +239,7 @@
       if (states === undefined) this.#byService.set(service, [state]);
       else states.push(state);
     }
+    this.#hasMixedService = [...this.#versions.values()]
+      .some((versions) => versions.length > 1);
   }
 }
--- a/packages/gateway/src/cluster/origin_exchange.ts
+++ b/packages/gateway/src/cluster/origin_exchange.ts
@@ -94,6 +94,7 @@
   /** Tells the holders of all streams that are due. */
   tellDue(): void {
     const { origins, table } = this.#options;
+    if (!table.hasMixedService) return;
     const due = origins.takeDue((service) => table.isMixed(service));
     if (due.size === 0) return;
     const byIp = new Map<string, Map<string, StreamOrigin>>();
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -31,13 +31,13 @@
 
   /**
    * Records, once, which version the caller's events are of, for the case that
-   * the caller comes back; returns that version.
+   * the caller comes back to a route on which it may; returns that version.
    */
   recordOrigin({ service, softwareVersion }: Replica): string {
     if (this.#version !== undefined) return this.#version;
     this.#version = softwareVersion;
     const id = this.#originId;
-    if (id !== undefined) {
+    if (id !== undefined && this.#request.route.isResumable) {
       const origin = { service, version: softwareVersion };
       this.#services.origins.begin(id, origin);
     }
