--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -37,7 +37,7 @@
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { type BodyResult, readRequestBody } from "./request_body.ts";
 import { RequestLog } from "./request_log.ts";
-import { findResume, type FoundResume } from "./stream_resume.ts";
+import { findResume } from "./stream_resume.ts";
 import { RequestTrace } from "./request_trace.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -191,7 +191,7 @@
       timeoutMs: Math.max(1, deadline - receivedAt),
     });
     if (body.kind !== "read") return this.#endUnread(request, response, body);
-    const resume = await this.#findResume(request, found);
+    const resume = await findResume(request, found, services);
     if (resume.kind === "refused") {
       const reply = composeLocalReply(503, "unknown_origin");
       return this.#refuse({ request, response }, reply, resume.fields);
@@ -221,11 +221,6 @@
     this.#recordEnd(admitted, result);
   }
 
-  #findResume(request: IncomingMessage, routed: Routed): Promise<FoundResume> {
-    const { table, origins } = this.#options.services;
-    return findResume(request, routed, { table, origins });
-  }
-
   #recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
     if (resumeAfter === undefined) return;
     const isNamed = resumedRequest !== undefined;
--- a/packages/gateway/src/relay/stream_resume.ts
+++ b/packages/gateway/src/relay/stream_resume.ts
@@ -9,10 +9,8 @@
   resumedRequestHeader,
 } from "@almondcrank/platform/headers.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
-import type {
-  StreamOrigin,
-  StreamOriginDirectory,
-} from "../choice/stream_origins.ts";
+import type { StreamOrigin } from "../choice/stream_origins.ts";
+import type { RelayServices } from "./relay_services.ts";
 import { readHeader, type Routed } from "./request_admission.ts";
 
 /** Where a stream may go on. */
@@ -67,10 +65,7 @@
 export async function findResume(
   request: IncomingMessage,
   routed: Routed,
-  { table, origins }: {
-    readonly table: ReplicaTable;
-    readonly origins: StreamOriginDirectory;
-  },
+  { table, origins }: Pick<RelayServices, "table" | "origins">,
 ): Promise<FoundResume> {
   const isResume = routed.route.kind === "stream" &&
     readHeader(request, lastEventIdHeader) !== undefined;
