Release no reclaimable replica that serves while none are to be had

Load: the platform takes all reclaimable replicas of two zones within 1.2 s, and none are to be had for the next 20 s. In that moment the autoscaler's first guess of the load gave way to the measured one, and it ordered five instead of seven in each of the other zones: four replicas that served were released and could not be had again. And since an order for less is always accepted, it ended the shortage in the autoscaler's books.

Change: while none are available a zone keeps the reclaimable replicas that serve; only an accepted order for more than serve ends a shortage. The shortage is a class of its own.

--- a/packages/gateway/src/duties/autoscaler.ts
+++ b/packages/gateway/src/duties/autoscaler.ts
@@ -29,13 +29,12 @@
   type ReplicaPlanInput,
   type ZoneReplicas,
 } from "./replica_plan.ts";
+import { ReclaimableShortage } from "./reclaimable_shortage.ts";
 import type { WorkMeter } from "./work_meter.ts";
 
 const pollMs = 250;
 /** Delay before a refused or unanswered order is sent again. */
 const retryMs = 900;
-/** Delay between orders for reclaimable replicas while none are available. */
-const shortageProbeMs = 600;
 /** Time beyond the boot time after which ordered replicas count as missing. */
 const bootMarginMs = 2_500;
 /** Least share of the maximum number of replicas wanted while load is unknown. */
@@ -95,8 +94,7 @@
   /** Time of each service's first request. */
   readonly #busySince = new Map<string, number>();
   readonly #startedAt: number;
-  /** Time of the next order for services whose reclaimable replicas ran out. */
-  readonly #nextProbeAt = new Map<string, number>();
+  readonly #shortage = ReclaimableShortage.create();
 
   private constructor(options: AutoscalerOptions) {
     this.#options = options;
@@ -142,6 +140,7 @@
       scaling,
       zones,
       replicas: this.#listReplicas(service, zones),
+      isShort: this.#shortage.isShort(service.name),
       ...need,
     });
     for (const { zone, reclaimable, onDemand } of plan) {
@@ -260,7 +259,10 @@
       Right: (outcome) => outcome,
     });
     this.#sentOrders.set(orderKey, { count: order.count, at: now, outcome });
-    if (order.isReclaimable) this.#recordShortage(order, outcome, now);
+    if (order.isReclaimable) {
+      const ready = this.#countReady(service.name, order.zone, true);
+      this.#shortage.record({ ...order, ready, outcome }, now);
+    }
     metrics.count("orders_total", { outcome });
     log.info("replicas ordered.", {
       zone: order.zone,
@@ -273,19 +275,6 @@
     });
   }
 
-  /** Begins or ends a shortage; one accepted order ends it for all zones. */
-  #recordShortage(
-    { service, count }: ReplicaOrder,
-    outcome: SentOrder["outcome"],
-    now: number,
-  ): void {
-    if (outcome === "none_available") {
-      this.#nextProbeAt.set(service, now + shortageProbeMs);
-    } else if (outcome === "accepted" && count > 0) {
-      this.#nextProbeAt.delete(service);
-    }
-  }
-
   /** Whether no other zone of the service was refused longer ago. */
   #isOldestRefusal(service: string, { at }: SentOrder): boolean {
     for (const [orderKey, other] of this.#sentOrders) {
@@ -296,16 +285,6 @@
     return true;
   }
 
-  /** Whether an order may be sent now; in a shortage zones take turns. */
-  #takeShortageProbe(service: string): boolean {
-    const now = this.#options.clock.now();
-    const nextProbeAt = this.#nextProbeAt.get(service);
-    if (nextProbeAt === undefined) return true;
-    if (now < nextProbeAt) return false;
-    this.#nextProbeAt.set(service, now + shortageProbeMs);
-    return true;
-  }
-
   /** Whether an order differs from the last one or has to be sent again. */
   #isDue(
     service: Service,
@@ -316,7 +295,7 @@
     const ageMs = this.#options.clock.now() - ordered.at;
     if (ordered.outcome === "none_available" && order.isReclaimable) {
       return this.#isOldestRefusal(order.service, ordered) &&
-        this.#takeShortageProbe(order.service);
+        this.#shortage.takeProbe(order.service, this.#options.clock.now());
     }
     if (ordered.outcome !== "accepted") return ageMs >= retryMs;
     if (ordered.count !== order.count) return true;
--- a/packages/gateway/src/duties/replica_plan.ts
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -29,6 +29,8 @@
   readonly wanted: number;
   /** Least number of replicas that answers the present load in time. */
   readonly essential: number;
+  /** Whether no more reclaimable replicas are to be had at present. */
+  readonly isShort: boolean;
 }
 
 /** Planned numbers of replicas in one zone. */
@@ -66,15 +68,17 @@
 export function computeReplicaPlan(
   input: ReplicaPlanInput,
 ): readonly ZonePlan[] {
-  const { zones, scaling } = input;
+  const { zones, scaling, replicas, isShort } = input;
   const reclaimable = computeReclaimable(input);
   const onDemand = computeOnDemandByZone(input, computeOnDemand(input));
   return zones.map((zone) => {
     const onDemandCount = onDemand.get(zone) ?? 0;
     const room = Math.max(0, scaling.maxPerZone - onDemandCount);
+    // What is released in a shortage can't be had again when it is needed.
+    const kept = isShort ? countReady(replicas, zone, true) : 0;
     return {
       zone,
-      reclaimable: Math.min(reclaimable, room),
+      reclaimable: Math.min(Math.max(reclaimable, kept), room),
       onDemand: onDemandCount,
     };
   });
@@ -137,6 +141,17 @@
   return plannedByZone;
 }
 
+/** Counts replicas of one kind that serve in a zone. */
+function countReady(
+  replicas: readonly ZoneReplicas[],
+  zone: string,
+  isReclaimable: boolean,
+): number {
+  return replicas.find((entry) =>
+    entry.zone === zone && entry.isReclaimable === isReclaimable
+  )?.ready ?? 0;
+}
+
 /** Counts replicas of one kind in a zone, including those that boot. */
 function countZone(
   replicas: readonly ZoneReplicas[],
--- a/packages/gateway/src/duties/replica_plan_test.ts
+++ b/packages/gateway/src/duties/replica_plan_test.ts
@@ -36,6 +36,7 @@
     scaling,
     zones,
     wanted: 4,
+    isShort: false,
     essential: 4,
     replicas: createReplicas([0, 0, 0, 0], [2, 2, 2, 2]),
   });
@@ -48,6 +49,7 @@
     scaling,
     zones,
     wanted: 4,
+    isShort: false,
     essential: 4,
     replicas: createReplicas([2, 2, 2, 2]),
   });
@@ -59,6 +61,7 @@
     scaling,
     zones,
     wanted: 4,
+    isShort: false,
     essential: 4,
     replicas: createReplicas([2, 2, 0, 0]),
   });
@@ -73,6 +76,7 @@
     scaling,
     zones,
     wanted: 8,
+    isShort: false,
     essential: 3,
     replicas: createReplicas([2, 2, 0, 0]),
   });
@@ -85,6 +89,7 @@
     scaling,
     zones,
     wanted: 16,
+    isShort: false,
     essential: 16,
     replicas: createReplicas([3, 3, 3, 0]),
   });
@@ -93,6 +98,20 @@
   }
 });
 
+test("in a shortage no reclaimable replica that serves is released", () => {
+  const computeCounts = (isShort: boolean): readonly number[] =>
+    computeReplicaPlan({
+      scaling,
+      zones,
+      wanted: 6,
+      isShort,
+      essential: 4,
+      replicas: createReplicas([4, 4, 0, 1]),
+    }).map(({ reclaimable }) => reclaimable);
+  assert.equal(computeCounts(false), [2, 2, 2, 2]);
+  assert.equal(computeCounts(true), [4, 4, 2, 2]);
+});
+
 test("no plan exceeds a zone's limits", () => {
   const counts = fc.array(fc.integer({ min: 0, max: 4 }), {
     minLength: 4,
@@ -103,7 +122,8 @@
       counts,
       counts,
       fc.integer({ min: 1, max: 40 }),
-      (reclaimable, onDemand, needed) => {
+      fc.boolean(),
+      (reclaimable, onDemand, needed, isShort) => {
         const replicas = createReplicas(reclaimable, onDemand);
         for (
           const zone of computeReplicaPlan({
@@ -111,6 +131,7 @@
             zones,
             replicas,
             wanted: needed,
+            isShort,
             essential: needed,
           })
         ) {
