Make up a shortage of reclaimable replicas with the headroom for the load

Load: reclaims take most replicas of a service while no reclaimable ones are to be had. On demand only as many were ordered as the measured load needed at that moment. The new replicas have no prompts cached, so the same load is more work; the measure followed over ten seconds, each step four seconds of boot late, while a third of the requests were answered in time.

Change: in a shortage replicas on demand make up the wanted number, which has the headroom that can't be ordered later, not just the essential one.

--- a/packages/gateway/src/duties/replica_plan.ts
+++ b/packages/gateway/src/duties/replica_plan.ts
@@ -4,7 +4,7 @@
  * Reclaimable replicas carry the load, as they cost a fraction of the price. Each
  * zone gets enough of them that the rest suffices when the largest zone is lost.
  * While too few are available, replicas on demand fill the gap, in the cheapest
- * zones. They are released once reclaimable replicas serve again. A serving
+ * zones, and in a shortage the headroom as well. They are released once reclaimable replicas serve again. A serving
  * replica is never released to make room for the other kind.
  */
 
@@ -94,13 +94,18 @@
 }
 
 /** Number of replicas on demand that fill the gap of the reclaimable ones. */
-function computeOnDemand({ essential, replicas }: ReplicaPlanInput): number {
+function computeOnDemand(
+  { essential, wanted, isShort, replicas }: ReplicaPlanInput,
+): number {
   const ready = count(replicas, true, "ready");
   const booting = count(replicas, true, "booting");
-  const missing = Math.max(0, essential - ready);
+  // In a shortage the next reclaim can't be made up, and replicas that begin
+  // without cached prompts do more work for the same load.
+  const target = isShort ? wanted : essential;
+  const missing = Math.max(0, target - ready);
   // Reclaim notices are shorter than the boot time of a replacement, so the
   // capacity for the next reclaim is ordered in advance.
-  const missingAfterReclaim = essential - countSurviving(replicas);
+  const missingAfterReclaim = target - countSurviving(replicas);
   const missingLater = Math.max(0, missing - booting, missingAfterReclaim);
   // Replicas on demand stay until reclaimable ones are ready, not just booting.
   const kept = Math.min(missing, count(replicas, false, "ready"));
--- a/packages/gateway/src/duties/replica_plan_test.ts
+++ b/packages/gateway/src/duties/replica_plan_test.ts
@@ -112,6 +112,27 @@
   assert.equal(computeCounts(true), [4, 4, 2, 2]);
 });
 
+test("a shortage is made up on demand, with the headroom that can't be ordered later", () => {
+  const countOnDemand = (
+    isShort: boolean,
+    reclaimable: readonly number[],
+  ): number =>
+    sum(
+      computeReplicaPlan({
+        scaling,
+        zones,
+        wanted: 8,
+        isShort,
+        essential: 3,
+        replicas: createReplicas(reclaimable),
+      }).map(({ onDemand }) => onDemand),
+    );
+  assert.is(countOnDemand(false, [1, 1, 1, 0]), 1);
+  assert.is(countOnDemand(true, [1, 1, 1, 0]), 6);
+  // Enough are left even if the zone with most of them is lost.
+  assert.is(countOnDemand(true, [4, 4, 4, 0]), 0);
+});
+
 test("no plan exceeds a zone's limits", () => {
   const counts = fc.array(fc.integer({ min: 0, max: 4 }), {
     minLength: 4,
