--- a/packages/gateway/src/choice/replica_state_test.ts
+++ b/packages/gateway/src/choice/replica_state_test.ts
@@ -1,23 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Replica } from "@almondcrank/model/replica.ts";
+import { createReplica } from "../testing/create_replica.ts";
 import { chooseCallReplica } from "./call_choice.ts";
 import { ReplicaState } from "./replica_state.ts";
 
 function createState(id: string): ReplicaState {
-  const replica: Replica = {
-    id,
-    service: "s",
-    address: "10.0.0.1:80",
-    zone: "a",
-    softwareVersion: "v1",
-    slots: 6,
-    state: "ready",
-    startedAtMs: 1,
-    isReclaimable: false,
-    leavesInMs: undefined,
-  };
-  return ReplicaState.create(id, replica);
+  return ReplicaState.create(id, createReplica({ id, slots: 6 }));
 }
 
 function choose(states: readonly ReplicaState[], now: number) {
--- a/packages/gateway/src/choice/replica_table_test.ts
+++ b/packages/gateway/src/choice/replica_table_test.ts
@@ -1,24 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Replica } from "@almondcrank/model/replica.ts";
+import { createReplica } from "../testing/create_replica.ts";
 import { ReplicaTable } from "./replica_table.ts";
 
-function createReplica(change: Partial<Replica> = {}): Replica {
-  return {
-    id: "r1",
-    service: "s",
-    address: "10.0.0.1:80",
-    zone: "a",
-    softwareVersion: "v1",
-    slots: 4,
-    state: "ready",
-    startedAtMs: 1,
-    isReclaimable: false,
-    leavesInMs: undefined,
-    ...change,
-  };
-}
-
 const noOutage = { mayHaveExpired: false };
 
 test("a draining or unregistered replica gets no new requests", () => {
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -11,7 +11,7 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import type { Tenant } from "@almondcrank/model/configuration.ts";
-import type { Replica } from "@almondcrank/model/replica.ts";
+import { createReplica } from "../testing/create_replica.ts";
 import { ReplicaTable } from "../choice/replica_table.ts";
 import { UsageCounts } from "../duties/usage_counts.ts";
 import { WorkMeter } from "../duties/work_meter.ts";
@@ -36,18 +36,7 @@
   ratePerSecond: 1,
   burst: 1_000_000,
 };
-const replica: Replica = {
-  id: "r",
-  service: "s",
-  address: "10.0.0.1:80",
-  zone: "a",
-  softwareVersion: "v1",
-  slots: 4,
-  state: "ready",
-  startedAtMs: 1,
-  isReclaimable: false,
-  leavesInMs: undefined,
-};
+const replica = createReplica({ id: "r" });
 const replicaKey = "r/1";
 const delayMs = 5;
 const windowMs = 5_000;
--- a/packages/gateway/src/cluster/origin_exchange_test.ts
+++ b/packages/gateway/src/cluster/origin_exchange_test.ts
@@ -3,9 +3,9 @@
 import { openHasher } from "@almondcrank/common/hashing.ts";
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import type { Replica } from "@almondcrank/model/replica.ts";
 import { ReplicaTable } from "../choice/replica_table.ts";
 import { StreamOrigins } from "../choice/stream_origins.ts";
+import { createReplica } from "../testing/create_replica.ts";
 import { MemberTable } from "./member_table.ts";
 import {
   chooseAsked,
@@ -19,18 +19,9 @@
 /** Table of a service whose replicas have two versions. */
 function createMixedTable(): ReplicaTable {
   const table = ReplicaTable.create({ drainMs: 2_000 });
-  const replicas = ["v1", "v1.2"].map((softwareVersion): Replica => ({
-    id: softwareVersion,
-    service: "models",
-    address: "10.0.0.1:80",
-    zone: "a",
-    softwareVersion,
-    slots: 4,
-    state: "ready",
-    startedAtMs: 1,
-    isReclaimable: false,
-    leavesInMs: undefined,
-  }));
+  const replicas = ["v1", "v1.2"].map((softwareVersion) =>
+    createReplica({ id: softwareVersion, service: "models", softwareVersion })
+  );
   table.apply(replicas, { now: 0, mayHaveExpired: false });
   return table;
 }
--- a/packages/gateway/src/relay/stream_resume_test.ts
+++ b/packages/gateway/src/relay/stream_resume_test.ts
@@ -3,6 +3,7 @@
 import type { Route, Service } from "@almondcrank/model/configuration.ts";
 import type { Replica } from "@almondcrank/model/replica.ts";
 import { ReplicaTable } from "../choice/replica_table.ts";
+import { createReplica } from "../testing/create_replica.ts";
 import { decideResume } from "./stream_resume.ts";
 
 const route = {
@@ -12,18 +13,9 @@
 
 function createTable(versions: readonly string[]): ReplicaTable {
   const table = ReplicaTable.create({ drainMs: 2_000 });
-  const replicas = versions.map((softwareVersion, at): Replica => ({
-    id: `r${at}`,
-    service: "models",
-    address: "10.0.0.1:80",
-    zone: "a",
-    softwareVersion,
-    slots: 4,
-    state: "ready",
-    startedAtMs: 1,
-    isReclaimable: false,
-    leavesInMs: undefined,
-  }));
+  const replicas = versions.map((softwareVersion, at) =>
+    createReplica({ id: `r${at}`, service: "models", softwareVersion })
+  );
   table.apply(replicas, { now: 0, mayHaveExpired: false });
   return table;
 }
