Tests of versions count events instead of waiting

The fault was the test's: callers leave after ten events now, and the test of an ended node waits until the others say that they know its streams. What is asserted is the same.

--- a/packages/load/src/route_client.ts
+++ b/packages/load/src/route_client.ts
@@ -38,6 +38,8 @@
   readonly agent?: Agent;
   /** Time after which the caller closes the connection, if at all. */
   readonly abortAfterMs?: number | undefined;
+  /** Number of events after which the caller closes the connection, if at all. */
+  readonly abortAfterEvents?: number;
 }
 
 /** An answer as its caller received it. */
@@ -80,6 +82,11 @@
         isAborted,
       });
     };
+    const { abortAfterEvents } = sent;
+    const abort = (): void => {
+      isAborted = true;
+      outgoing.destroy();
+    };
     const [host, port] = sent.address.split(":");
     const outgoing = request({
       host,
@@ -96,6 +103,9 @@
       message.on("data", (text: string) => {
         firstByteMs ??= performance.now() - startedAt;
         body += text;
+        const isEnough = abortAfterEvents !== undefined &&
+          countEvents(body) >= abortAfterEvents;
+        if (isEnough) abort();
       });
       message.on("error", () => finish(false));
       message.on("end", () => finish(message.complete));
@@ -104,13 +114,15 @@
     const end = (): void => void outgoing.destroy();
     timers.push(setTimeout(end, sent.deadlineMs + graceMs));
     if (sent.abortAfterMs === undefined) return;
-    timers.push(setTimeout(() => {
-      isAborted = true;
-      end();
-    }, sent.abortAfterMs));
+    timers.push(setTimeout(abort, sent.abortAfterMs));
   });
 }
 
+/** Counts the events of a stream that have arrived whole. */
+function countEvents(body: string): number {
+  return body.split("\n\n").length - 1;
+}
+
 function composeHeaders(sent: RouteRequest): Record<string, string> {
   return {
     Host: sent.host,
--- a/packages/scenario/src/gateway_versions_test.ts
+++ b/packages/scenario/src/gateway_versions_test.ts
@@ -6,6 +6,7 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { originPath } from "@almondcrank/gateway/cluster/origin_exchange.ts";
 import { countRuns, runWithSetup } from "./testing/gateway_helpers.ts";
 import type {
   AddedReplicaOptions,
@@ -65,7 +66,7 @@
     path: "/answer/stream",
     id,
     node,
-    abortAfterMs: eventMs * 12,
+    abortAfterEvents: 10,
   });
   const events = [...begun.body.matchAll(/id: (\d+)\ndata: (\S+) /g)];
   const last = events.at(-1);
@@ -93,6 +94,22 @@
   });
 }
 
+/** Whether a node was told of the first `count` streams. */
+async function knowsAll(
+  setup: GatewaySetup,
+  node: number,
+  count: number,
+): Promise<boolean> {
+  const control = `http://${setup.findControlAddress(node)}`;
+  const answers = await Promise.all(
+    Array.from({ length: count }, (_, at) => {
+      const id = Buffer.from(`first-${at}`).toString("base64url");
+      return fetch(control + originPath + id);
+    }),
+  );
+  return answers.every(({ status }) => status === 200);
+}
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
@@ -148,7 +165,6 @@
     const begun = await Promise.all(
       Array.from({ length: 16 }, (_, at) => beginStream(setup, `first-${at}`)),
     );
-    await sleep(150);
     for (const [at, { version, lastId }] of begun.entries()) {
       const rest = await callResume(setup, {
         id: `second-${at}`,
@@ -172,7 +188,9 @@
         (_, at) => beginStream(setup, `first-${at}`, 2),
       ),
     );
-    await sleep(150);
+    for (const node of [0, 1]) {
+      await setup.waitUntil(() => knowsAll(setup, node, begun.length));
+    }
     setup.nodes[2]?.dispose();
     const rests = await Promise.all(
       begun.map(({ lastId }, at) =>
@@ -206,7 +224,7 @@
         setup.call({
           path: "/answer/stream",
           id: `first-${at}`,
-          abortAfterMs: 900,
+          abortAfterEvents: 45,
         }),
     );
     await sleep(100);
