Stand-in of replicas: silence

Tests could not play a replica that sends nothing for a second and then goes on, sound. A stream with neither length nor chunks that ends within an event existed; it has a test now.

--- /dev/null
+++ b/packages/standin/src/platform/replica_standin_test.ts
@@ -0,0 +1,72 @@
+/**
+ * Faults of the replica's stand-in that do more than alter one answer.
+ */
+
+import { connect } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ReplicaStandin } from "./replica_standin.ts";
+
+const id = "replica-1";
+
+/** What came on one connection, and whether it was reset. */
+interface RawAnswer {
+  readonly text: string;
+  readonly isReset: boolean;
+}
+
+/** Sends a request for a stream. */
+function readStream(
+  address: string,
+  { parts = "own:1" } = {},
+): Promise<RawAnswer> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host);
+    let text = "";
+    let isReset = false;
+    socket.setEncoding("latin1");
+    socket.on("data", (chunk: string) => text += chunk);
+    socket.on("error", () => isReset = true);
+    socket.on("close", () => resolve({ text, isReset }));
+    socket.write(
+      `POST /s/stream HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n` +
+        `X-Prefix-Hash: ${parts}\r\nConnection: close\r\n` +
+        "Content-Length: 0\r\n\r\n",
+    );
+  });
+}
+
+test("a replica that fell silent goes on with the event that was due", async () => {
+  const replica = await ReplicaStandin.open({ id, events: 3 });
+  const pausedMs = 60;
+  replica.queuedFaults.push({ kind: "fall_silent", events: 2, ms: pausedMs });
+  const paused = await readStream(replica.address);
+  const { startedAt = 0, endedAt = 0 } = replica.runs[0] ?? {};
+  const sound = await readStream(replica.address);
+  replica.pauseFor(pausedMs);
+  const pausedAt = performance.now();
+  const pausedWhole = await readStream(replica.address);
+  const wholeMs = performance.now() - pausedAt;
+  replica.close();
+  const eventsOf = ({ text }: RawAnswer): readonly string[] =>
+    text.match(/^id: \d+$/gm) ?? [];
+  assert.equal(eventsOf(sound), ["id: 1", "id: 2", "id: 3"]);
+  assert.equal(eventsOf(paused), eventsOf(sound));
+  assert.equal(eventsOf(pausedWhole), eventsOf(sound));
+  assert.ok(endedAt - startedAt >= pausedMs);
+  assert.ok(wholeMs >= pausedMs);
+});
+
+test("a stream with neither length nor chunks can end within an event", async () => {
+  const replica = await ReplicaStandin.open({ id });
+  replica.streamFraming = "connection";
+  replica.queuedFaults.push({ kind: "end_within_event", events: 1 });
+  const { text, isReset } = await readStream(replica.address);
+  replica.close();
+  assert.not.ok(isReset);
+  assert.not.match(text, /content-length|transfer-encoding/i);
+  assert.ok(text.endsWith("id: 1\ndata: token 1\n\nid: 2\ndata: to"));
+});
+
+test.run();
