Stand-in of replicas: a prompt part that crashes them

Tests could not play a part of prompts that crashes every replica which begins to answer a request with it. The stand-in gains crashingParts, crashAfterMs and onCrash; a new replica can listen at the address afterwards.

Run: replica_standin_test, passed.

--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -15,6 +15,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { parseAddress } from "@almondcrank/common/address.ts";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 import type { ReplicaFault } from "./replica_fault.ts";
 import { readBody, sendJson } from "./store_standin.ts";
 
@@ -88,8 +89,20 @@
   readonly #lastEventIds = new Map<string, number>();
   /** Connections of running streams without chunks. */
   readonly #unframedStreams = new Set<Socket>();
+  readonly #connections = new Set<Socket>();
+  readonly #crashed = Emitter.create<ReplicaRun>();
   /** Time until which nothing is sent, on the monotonic clock. */
   #pausedUntil = 0;
+  /**
+   * Prompt parts that crash the replica when it begins to answer a request that
+   * has one of them before its last part.
+   */
+  crashingParts: ReadonlySet<string> = new Set();
+  /** Time from the begin of such an answer to the crash, in milliseconds. */
+  crashAfterMs = 0;
+  /** Fires with the run that has crashed the replica. */
+  readonly onCrash: Event<ReplicaRun> = (listener) =>
+    this.#crashed.event(listener);
   /** Request ids of runs that were moved to another replica. */
   readonly #stoppedRuns = new Set<string>();
   /** Faults of the next requests, one each, in order. */
@@ -105,6 +118,10 @@
     this.#server = createServer((request, response) =>
       void this.#handle(request, response)
     );
+    this.#server.on("connection", (socket) => {
+      this.#connections.add(socket);
+      socket.on("close", () => this.#connections.delete(socket));
+    });
   }
 
   static async open(options: ReplicaStandinOptions): Promise<ReplicaStandin> {
@@ -144,6 +161,14 @@
     ) await sleep(Math.ceil(leftMs));
   }
 
+  /** Closes the listener and resets all connections. */
+  #crash(run: ReplicaRun): void {
+    if (!this.#server.listening) return;
+    this.#server.close();
+    for (const socket of this.#connections) socket.resetAndDestroy();
+    this.#crashed.fire(run);
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -187,6 +212,11 @@
     if (fault.kind !== "unsigned") {
       response.setHeader("X-Server-Seal", `seal-of-${this.id}`);
     }
+    const willCrash = hasPart(request, this.crashingParts);
+    if (willCrash) {
+      if (this.crashAfterMs === 0) return this.#crash(run);
+      setTimeout(() => this.#crash(run), this.crashAfterMs);
+    }
     if (fault.kind === "unframed" || fault.kind === "reset_unframed") {
       return await this.#answerUnframed(request, { run, fault });
     }
@@ -198,6 +228,7 @@
     if (isStream) {
       return await this.#stream(request, response, { run, fault });
     }
+    if (willCrash) return response.flushHeaders();
     if (fault.kind === "fall_silent") await sleep(fault.ms);
     this.#answerWhole(request, response, { run, fault });
   }
@@ -348,6 +379,15 @@
   readonly fault: ReplicaFault;
 }
 
+/** Whether one of the parts stands before the last part of the prompt. */
+function hasPart(
+  { headers }: IncomingMessage,
+  ids: ReadonlySet<string>,
+): boolean {
+  const parts = String(headers["x-prefix-hash"] ?? "").split(",");
+  return parts.slice(0, -1).some((part) => ids.has(part.split(":")[0] ?? ""));
+}
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/standin/src/platform/replica_standin_test.ts
+++ b/packages/standin/src/platform/replica_standin_test.ts
@@ -58,6 +58,42 @@
   assert.ok(wholeMs >= pausedMs);
 });
 
+test("a part of a prompt crashes the replica, but not as the last part", async () => {
+  const replica = await ReplicaStandin.open({ id });
+  const { address } = replica;
+  replica.crashingParts = new Set(["bad"]);
+  const crashes: string[] = [];
+  replica.onCrash((run) => crashes.push(run.id));
+  const sound = await readStream(address, { parts: "good:8,bad:4" });
+  assert.match(sound.text, /id: 5\n/);
+  assert.equal(crashes, []);
+  const [other, crashing] = await Promise.all([
+    readStream(address, { parts: "good:8,own:4" }),
+    readStream(address, { parts: "bad:8,own:4" }),
+  ]);
+  assert.ok(other.isReset);
+  assert.ok(crashing.isReset);
+  assert.is(crashing.text, "");
+  assert.equal(crashes, ["r"]);
+  const refused = await readStream(address);
+  assert.is(refused.text, "");
+  const next = await ReplicaStandin.open({ id: "replica-2", address });
+  assert.match((await readStream(address)).text, /seal-of-replica-2/);
+  next.close();
+});
+
+test("a replica may crash some time after its answer has begun", async () => {
+  const replica = await ReplicaStandin.open({ id, events: 1_000 });
+  replica.crashingParts = new Set(["bad"]);
+  replica.crashAfterMs = 30;
+  const crashed = new Promise((resolve) => replica.onCrash(resolve));
+  const answer = await readStream(replica.address, { parts: "bad:8,own:4" });
+  await crashed;
+  assert.ok(answer.isReset);
+  assert.match(answer.text, /^HTTP\/1.1 200 /);
+  assert.match(answer.text, /id: 1\n/);
+});
+
 test("a stream with neither length nor chunks can end within an event", async () => {
   const replica = await ReplicaStandin.open({ id });
   replica.streamFraming = "connection";
