Log and count why a stream may not be retried

A stream whose replica was silent ended in the middle of its answer, and no line told whether the route's attempts or the budget were used up. Both get a line in the request's trace and a counter. Decisions stay as they were.

Run: gateway_streams_test, all passed.

--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -29,6 +29,7 @@
   recordStreamChoice,
 } from "./stream_choice.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
+import { StreamRetries } from "./stream_retries.ts";
 import { StreamRecorder } from "./stream_recorder.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import { computeStallTimeouts } from "./stall_timeouts.ts";
@@ -51,6 +52,7 @@
   /** Response to the caller. */
   readonly #response: ServerResponse;
   readonly #attempts: StreamAttempts;
+  readonly #retries: StreamRetries;
   readonly #recorder: StreamRecorder;
   readonly #tried = new Set<string>();
   #segmentAborter = new AbortController();
@@ -71,6 +73,7 @@
     this.#request = request;
     this.#response = response;
     this.#attempts = StreamAttempts.create(request.route);
+    this.#retries = StreamRetries.create(services, request, this.#attempts);
     this.#recorder = StreamRecorder.create(services, request);
     this.#lastId = request.resumeAfter;
     this.#version = request.resumedVersion;
@@ -324,19 +327,8 @@
 
   /** Checks whether to retry; returns the final result if not. */
   #checkRetry(reason: RetryReason): RelayResult | undefined {
-    const { budget, clock, metrics } = this.#services;
-    const { service } = this.#request;
-    const isAllowed = this.#attempts.isRetryable(reason) &&
-      (reason === "not_sent" || budget.take(service.name, clock.now()));
-    if (!isAllowed) {
-      return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
-    }
-    metrics.count("repeats_total", { reason });
-    this.#request.trace.record("request retried.", {
-      reason,
-      after: this.#lastId,
-    });
-    return undefined;
+    if (this.#retries.take(reason, this.#lastId)) return undefined;
+    return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
   }
 
   /** Aborts the segment when it stalls and another replica could resume. */
