Test that fails: a caller comes back while its version's replicas drain

A caller whose connection was lost comes back with Last-Event-ID while the last replicas of the stream's software version drain. They go on serving for the drain time, but the request is refused as version_gone, while new streams begin at the other version.

--- a/packages/scenario/src/gateway_versions_test.ts
+++ b/packages/scenario/src/gateway_versions_test.ts
@@ -245,6 +245,25 @@
   });
 });
 
+test("a stream whose caller comes back while the last replicas of its software version drain continues there", async () => {
+  await runWithSetup(1, async (setup) => {
+    await replaceReplicas(setup);
+    const { version, lastId } = await beginStream(setup, "first");
+    for (const copy of ["a", "b"]) {
+      setup.registerReplica(`${version}-${copy}`, "models", "draining");
+    }
+    await sleep(200);
+    const rest = await callResume(setup, {
+      id: "second",
+      resumes: "first",
+      lastId,
+      node: 0,
+    });
+    assert.is(rest.status, 200, `${rest.status} ${rest.body}`);
+    assert.is(rest.body, formatVersion(version, lastId + 1, eventCount));
+  });
+});
+
 test("a stream whose software version is not known or gone is refused at once", async () => {
   await runWithSetup(1, async (setup) => {
     await replaceReplicas(setup);
