Give up the run of a silent replica only once another one answers

Callers of streams lost the rest of their answers: a replica that is silent for a second, which is no fault, had its run aborted 600 ms after the last event, and only then the retry budget was asked and another replica chosen. If there was no budget or no replica, or if it declined, the answer was cut.

Now the run goes on beside a standby send, which takes a retry and an attempt like before. Whichever goes on first serves the stream: the standby takes over when its response begins, and is aborted when the silent replica sends an event. If the silent run ends by itself, the standby goes on in its place. Without a standby the stream waits.

The test of the spent budget now lets whichever replica runs the stream be the silent one: after the broken streams it happened that none began at the first. The checks are the same.

--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -87,5 +87,7 @@
     });
     response.on("error", () => finish("broken"));
     response.on("close", () => finish("broken"));
+    // It may have broken before anyone listened.
+    if (response.destroyed) finish("broken");
   });
 }
--- a/packages/gateway/src/relay/stall_detector.ts
+++ b/packages/gateway/src/relay/stall_detector.ts
@@ -20,7 +20,7 @@
   readonly firstEventTimeoutMs: number;
   /** Longest time between events; infinite for no timeout. */
   readonly nextEventTimeoutMs: number;
-  /** Called once when a timeout has passed. */
+  /** Called each time that a timeout has passed without events. */
   readonly onStalled: () => void;
 }
 
@@ -70,7 +70,8 @@
     const limitMs = isBusyElsewhere
       ? this.#timeoutMs * busyReplicaFactor
       : this.#timeoutMs;
-    if (idleMs < limitMs) this.#schedule(limitMs - idleMs);
-    else onStalled();
+    if (idleMs < limitMs) return this.#schedule(limitMs - idleMs);
+    this.#schedule(this.#timeoutMs);
+    onStalled();
   }
 }
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -32,13 +32,15 @@
   readonly tried: ReadonlySet<string>;
   /** Software version that began the stream; undefined before its first event. */
   readonly version: string | undefined;
+  /** Whether one of `tried` may be chosen if no other is left. */
+  readonly mayReuse: boolean;
 }
 
 /** Chooses the next replica; `undefined` if none is usable. */
 export function chooseStreamReplica(
   services: RelayServices,
   { service, promptParts, promptTokens }: RoutedRequest,
-  { target, tried, version }: StreamProgress,
+  { target, tried, version, mayReuse }: StreamProgress,
 ): EngineChoice | undefined {
   const { table, clock, zone } = services;
   const destination = target === undefined
@@ -60,7 +62,9 @@
     now: clock.now(),
   };
   const untried = chooseEngine(states, { ...query, excluded: tried }, services);
-  if (untried !== undefined || version === undefined) return untried;
+  if (untried !== undefined || !mayReuse || version === undefined) {
+    return untried;
+  }
   // Few replicas of a version may be left: better one that failed than none.
   return chooseEngine(states, { ...query, excluded: new Set() }, services);
 }
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -9,7 +9,7 @@
 import type { RelayOutcome } from "./event_relay.ts";
 import type { RelayServices } from "./relay_services.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import type { Segment } from "./stream_segment.ts";
+import type { StreamSend } from "./stream_segment.ts";
 
 /** Recorder of one stream. */
 export class StreamRecorder {
@@ -64,12 +64,11 @@
   }
 
   /** Records the first event of a segment. */
-  recordStart(choice: EngineChoice, segment: Segment): void {
+  recordStart({ choice, sentAt, isMoved }: StreamSend): void {
     const { clock, runs } = this.#services;
     const now = clock.now();
-    const observedMs = now - segment.sentAt;
-    choice.state.recordFirstEvent(observedMs, choice.predictedMs, now);
-    if (!segment.isMoved) runs.recordRun(this.#request.tenant?.name);
+    choice.state.recordFirstEvent(now - sentAt, choice.predictedMs, now);
+    if (!isMoved) runs.recordRun(this.#request.tenant?.name);
   }
 
   /**
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -1,24 +1,20 @@
 /**
  * Relays one event stream, from several replicas in turn if necessary.
  *
- * The part from one replica is a segment. If a replica fails or stalls, another
- * one resumes after the last complete event if the route allows it. If a replica
- * leaves, the run is moved with its KV cache, which counts as the same run on any
+ * The part from one replica is a segment. If a replica fails, another one resumes
+ * after the last complete event if the route allows it. If it is silent, it is
+ * given up only once another one has begun to answer. If a replica leaves, the run is moved with its KV cache, which counts as the same run on any
  * route. The caller receives one response, with the first replica's headers.
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import { signatureHeader } from "@almondcrank/platform/headers.ts";
 import type { EngineChoice } from "../choice/engine_choice.ts";
 import type { RetryReason } from "./retry_reason.ts";
 import { relayEvents, type RelayOutcome } from "./event_relay.ts";
 import { listStreamHeaders } from "./message_headers.ts";
-import {
-  composeFailureReply,
-  type FailureReason,
-  sendLocalReply,
-} from "./local_reply.ts";
+import type { FailureReason } from "./local_reply.ts";
+import { sendStreamFailure } from "./stream_failure.ts";
 import { sendBufferedResponse } from "./buffered_response.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readResponseBody } from "./replica_request.ts";
@@ -27,14 +23,21 @@
   chooseStreamReplica,
   recordRefusedWork,
   recordStreamChoice,
+  type StreamProgress,
 } from "./stream_choice.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
 import { StreamRetries } from "./stream_retries.ts";
 import { StreamRecorder } from "./stream_recorder.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import { computeStallTimeouts } from "./stall_timeouts.ts";
-import { StallDetector } from "./stall_detector.ts";
-import type { Segment, SegmentEnd, StreamExchange } from "./stream_segment.ts";
+import type {
+  Segment,
+  SegmentEnd,
+  StreamExchange,
+  StreamSend,
+} from "./stream_segment.ts";
+import { StreamSends } from "./stream_sends.ts";
+import { StreamStandby } from "./stream_standby.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type {
   MoveTarget,
@@ -42,8 +45,6 @@
   StreamRegistry,
 } from "./stream_registry.ts";
 
-const defaultRetryMs = 300;
-
 /** Relays one stream, with retries and moves. */
 export class StreamRelay implements RunningStream {
   readonly #services: RelayServices;
@@ -54,14 +55,15 @@
   readonly #attempts: StreamAttempts;
   readonly #retries: StreamRetries;
   readonly #recorder: StreamRecorder;
-  readonly #tried = new Set<string>();
-  #segmentAborter = new AbortController();
+  readonly #sends: StreamSends;
+  /** The send whose response is relayed. */
+  #send: StreamSend | undefined;
+  #standby: StreamStandby | undefined;
   #move: Promise<MoveTarget | undefined> | undefined;
   #lastId: number | undefined;
   /** Software version that began the stream; others can't continue it. */
   #version: string | undefined;
   #events = 0;
-  #isStalled = false;
 
   private constructor(
     services: RelayServices,
@@ -75,6 +77,12 @@
     this.#attempts = StreamAttempts.create(request.route);
     this.#retries = StreamRetries.create(services, request, this.#attempts);
     this.#recorder = StreamRecorder.create(services, request);
+    this.#sends = StreamSends.create({
+      services,
+      request,
+      attempts: this.#attempts,
+      recorder: this.#recorder,
+    });
     this.#lastId = request.resumeAfter;
     this.#version = request.resumedVersion;
   }
@@ -102,6 +110,7 @@
   /** Sets the pending move; the relay follows it when the segment ends. */
   setMove(move: Promise<MoveTarget | undefined>): void {
     this.#move = move;
+    this.#standby?.cancel();
     void move.then((target) => {
       // A failed move leaves the run where it is and may be retried.
       if (target === undefined && this.#move === move) this.#move = undefined;
@@ -111,48 +120,42 @@
   /** Relays the stream until the caller has its final response. */
   async run(): Promise<RelayResult> {
     const { callerSignal, deadline } = this.#request;
-    const abortSegment = (): void => this.#segmentAborter.abort();
-    callerSignal.addEventListener("abort", abortSegment);
+    const abortSends = (): void => {
+      this.#standby?.cancel();
+      this.#send?.aborter.abort();
+    };
+    callerSignal.addEventListener("abort", abortSends);
     const timer = setTimeout(
-      abortSegment,
+      abortSends,
       computeTimerMs(deadline - this.#services.clock.now()),
     );
     try {
       return await this.#runSegments();
     } finally {
       clearTimeout(timer);
-      callerSignal.removeEventListener("abort", abortSegment);
+      callerSignal.removeEventListener("abort", abortSends);
     }
   }
 
   async #runSegments(): Promise<RelayResult> {
     let target: MoveTarget | undefined;
+    let taken: StreamSend | undefined;
     while (true) {
-      const choice = chooseStreamReplica(this.#services, this.#request, {
-        target,
-        tried: this.#tried,
-        version: this.#version,
-      });
-      if (choice === undefined) {
-        return this.#fail(
-          this.#version === undefined ? "no_replica" : "version_gone",
-        );
-      }
-      recordStreamChoice(this.#request, choice, {
-        after: this.#lastId,
-        now: this.#services.clock.now(),
-      });
-      const refusal = this.#checkAdmission(choice);
-      if (refusal !== undefined) return refusal;
-      const segment = await this.#runSegment(choice, target);
+      const next = taken ?? this.#sendNext(target);
+      if ("status" in next) return next;
+      const segment = await this.#runSegment(next);
+      target = undefined;
+      taken = undefined;
       switch (segment.kind) {
         case "done":
           return segment.result;
         case "moved":
           target = segment.target;
           break;
+        case "taken_over":
+          taken = segment.send;
+          break;
         case "retry": {
-          target = undefined;
           const failure = this.#checkRetry(segment.reason);
           if (failure !== undefined) return failure;
           break;
@@ -161,6 +164,34 @@
     }
   }
 
+  /** Sends the stream to the replica chosen next; returns the result if it ends. */
+  #sendNext(target: MoveTarget | undefined): StreamSend | RelayResult {
+    const choice = this.#choose({ target, mayReuse: true });
+    if (choice === undefined) {
+      return this.#fail(
+        this.#version === undefined ? "no_replica" : "version_gone",
+      );
+    }
+    const refusal = this.#checkAdmission(choice);
+    if (refusal !== undefined) return refusal;
+    if (this.#isOver()) return this.#endEarly();
+    return this.#sends.open(choice, { after: this.#lastId, target });
+  }
+
+  #choose(
+    options: Pick<StreamProgress, "target" | "mayReuse">,
+  ): EngineChoice | undefined {
+    const choice = chooseStreamReplica(this.#services, this.#request, {
+      ...options,
+      tried: this.#sends.tried,
+      version: this.#version,
+    });
+    if (choice === undefined) return undefined;
+    const now = this.#services.clock.now();
+    recordStreamChoice(this.#request, choice, { after: this.#lastId, now });
+    return choice;
+  }
+
   /** Refuses a stream that has not been sent and would start too late. */
   #checkAdmission(choice: EngineChoice): RelayResult | undefined {
     if (this.#attempts.sends > 0) return undefined;
@@ -174,65 +205,36 @@
     }
   }
 
-  async #runSegment(
-    choice: EngineChoice,
-    target: MoveTarget | undefined,
-  ): Promise<SegmentEnd> {
-    const { sender, clock, prefixes } = this.#services;
-    const { state } = choice;
-    if (this.#isOver()) return { kind: "done", result: this.#endEarly() };
-    this.#segmentAborter = new AbortController();
+  async #runSegment(send: StreamSend): Promise<SegmentEnd> {
+    const { choice, pendingSend } = send;
+    this.#send = send;
     this.#move = undefined;
-    this.#isStalled = false;
-    this.#tried.add(state.key);
-    prefixes.record(this.#request.promptParts, state.key, clock.now());
-    const sentAt = clock.now();
-    const pendingSend = sender.send(this.#request, state, {
-      signal: this.#segmentAborter.signal,
-      uncachedTokens: choice.uncachedTokens,
-      ...(this.#lastId === undefined ? {} : { resumeAfter: this.#lastId }),
-      ...(target === undefined ? {} : { movedRun: target.movedRun }),
-    });
-    this.#recorder.recordWork({ prompt: choice.uncachedTokens, output: 0 });
-    if (target === undefined) this.#attempts.recordSend();
-    const registration = this.#registry.add(state.key, this);
-    const stallDetector = this.#createStallDetector(choice);
+    const standby = this.#createStandby(send);
+    this.#standby = standby;
+    const registration = this.#registry.add(choice.state.key, this);
     try {
       const outcome = await pendingSend.outcome;
-      this.#request.trace.record("send ended.", {
-        replica: state.replica.id,
-        outcome: outcome.kind,
-        reason: "reason" in outcome ? outcome.reason : undefined,
-      });
       switch (outcome.kind) {
         case "not_sent":
-          if (target === undefined) this.#attempts.recordConnectFailure();
-          return this.#endSegment("not_sent");
         case "declined":
-          if (target !== undefined) this.#tried.delete(state.key);
-          return this.#endSegment("declined");
+          return this.#endSegment(outcome.kind);
         case "lost":
-          this.#attempts.recordRun();
           return await this.#followMove("lost");
-        case "answered":
-          this.#attempts.recordRun();
-          return await this.#relay(choice, {
-            response: outcome.response,
-            pendingSend,
-            sentAt,
-            stallDetector,
-            isMoved: target !== undefined,
-          });
+        case "answered": {
+          const { response } = outcome;
+          return await this.#relay({ response, send, standby });
+        }
       }
     } finally {
-      stallDetector.dispose();
       registration.dispose();
+      standby.dispose();
       pendingSend.end();
     }
   }
 
-  async #relay(choice: EngineChoice, segment: Segment): Promise<SegmentEnd> {
-    const { response, pendingSend } = segment;
+  async #relay(segment: Segment): Promise<SegmentEnd> {
+    const { response, send } = segment;
+    const { choice, pendingSend } = send;
     const { state } = choice;
     const now = this.#services.clock.now();
     const isSigned = response.headers[signatureHeader] !== undefined;
@@ -257,21 +259,22 @@
           prompt: 0,
           output: events * tokensPerEvent,
         });
-        segment.stallDetector.recordEvents();
+        segment.standby.recordEvents();
         if (!isFirst) return;
         isFirst = false;
         pendingSend.markStarted();
-        this.#recorder.recordStart(choice, segment);
+        this.#recorder.recordStart(send);
       },
     });
     this.#recorder.recordEnd(choice, outcome, this.#lastId);
-    return await this.#endRelay(outcome, choice);
+    return await this.#endRelay(outcome, send);
   }
 
   async #endRelay(
     { end, framing }: RelayOutcome,
-    { state }: EngineChoice,
+    { choice, aborter }: StreamSend,
   ): Promise<SegmentEnd> {
+    const { state } = choice;
     const now = this.#services.clock.now();
     switch (end) {
       case "complete": {
@@ -284,16 +287,16 @@
         return { kind: "done", result: this.#end(200, "answered") };
       }
       case "caller_gone":
-        this.#segmentAborter.abort();
+        aborter.abort();
         return { kind: "done", result: this.#end(0, "caller_gone") };
       case "broken":
-        if (this.#move === undefined && !this.#isOver()) {
+        if (this.#move === undefined && !aborter.signal.aborted) {
           state.failures.record(true, now);
         }
-        return await this.#followMove(this.#isStalled ? "silent" : "lost");
+        return await this.#followMove("lost");
       case "out_of_order":
         state.failures.record(true, now);
-        this.#segmentAborter.abort();
+        aborter.abort();
         return this.#endSegment("lost");
     }
   }
@@ -320,9 +323,13 @@
     return this.#endSegment(reason);
   }
 
+  /** Goes on with the standby if there is one; otherwise retries the stream. */
   #endSegment(reason: RetryReason): SegmentEnd {
     if (this.#isOver()) return { kind: "done", result: this.#endEarly() };
-    return { kind: "retry", reason };
+    const send = this.#standby?.take();
+    return send === undefined
+      ? { kind: "retry", reason }
+      : { kind: "taken_over", send };
   }
 
   /** Checks whether to retry; returns the final result if not. */
@@ -331,24 +338,25 @@
     return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
   }
 
-  /** Aborts the segment when it stalls and another replica could resume. */
-  #createStallDetector(choice: EngineChoice): StallDetector {
-    const { clock } = this.#services;
-    const { state } = choice;
-    return StallDetector.create({
-      clock,
-      state,
+  #createStandby({ choice, aborter }: StreamSend): StreamStandby {
+    return StreamStandby.create({
+      clock: this.#services.clock,
+      state: choice.state,
       ...computeStallTimeouts(this.#request, choice.predictedMs),
-      onStalled: () => {
-        // If the stream cannot be resumed, waiting is better than ending it.
-        if (!this.#attempts.canResume || this.#move !== undefined) return;
-        this.#isStalled = true;
-        state.failures.record(true, clock.now());
-        this.#segmentAborter.abort();
-      },
+      openSend: () => this.#openStandbySend(),
+      onReady: () => aborter.abort(),
     });
   }
 
+  /** Sends the stream to a second replica, if one is left and a retry may be. */
+  #openStandbySend(): StreamSend | undefined {
+    if (!this.#attempts.canResume || this.#move !== undefined) return undefined;
+    const choice = this.#choose({ target: undefined, mayReuse: false });
+    if (choice === undefined) return undefined;
+    if (!this.#retries.take("silent", this.#lastId)) return undefined;
+    return this.#sends.open(choice, { after: this.#lastId });
+  }
+
   #writeHead(response: IncomingMessage): void {
     if (this.#response.headersSent) return;
     this.#response.writeHead(200, listStreamHeaders(response));
@@ -364,20 +372,12 @@
     return this.#fail("out_of_time");
   }
 
-  #fail(reason: FailureReason, retryMs = defaultRetryMs): RelayResult {
-    if (this.#response.headersSent) {
-      abortResponse(this.#response);
-      return this.#end(0, reason);
-    }
-    const { table, clock, random } = this.#services;
-    const { name } = this.#request.service;
-    const resumeMs = table.computeResumeMs(name, clock.now());
-    const reply = composeFailureReply(reason, {
-      mayHaveRun: this.#attempts.mayHaveRun,
-      retryAfterMs: resumeMs + retryMs * (0.75 + random.next() / 2),
-    });
-    sendLocalReply(this.#response, reply);
-    return this.#end(reply.status, reason);
+  #fail(reason: FailureReason, retryMs?: number): RelayResult {
+    const exchange = { request: this.#request, response: this.#response };
+    const { mayHaveRun } = this.#attempts;
+    const failure = { reason, mayHaveRun, retryMs };
+    const status = sendStreamFailure(this.#services, exchange, failure);
+    return this.#end(status, reason);
   }
 
   #end(status: number, reason: string): RelayResult {
--- a/packages/scenario/src/gateway_silence_test.ts
+++ b/packages/scenario/src/gateway_silence_test.ts
@@ -11,51 +11,38 @@
   formatEvents,
   runWithSetup,
 } from "./testing/gateway_helpers.ts";
+import type { ReplicaFault } from "@almondcrank/standin/platform/replica_fault.ts";
 import type { GatewaySetup } from "./testing/gateway_setup.ts";
 
 const silence = { kind: "fall_silent", events: 2, ms: 1_300 } as const;
 
-/** Calls a stream that began at `model-1`; others end before it is sent. */
+/** Calls a stream whose replica falls silent; the other replica has `other`. */
 async function callSilentStream(
   setup: GatewaySetup,
-  whenSilent: () => void,
+  other: ReplicaFault,
 ): Promise<void> {
-  const [first, second] = [
-    setup.findReplica("model-1"),
-    setup.findReplica("model-2"),
-  ];
-  for (let at = 0; at < 40; at += 1) {
-    const id = `silent-${at}`;
-    first.queuedFaults.push(silence);
-    const calling = setup.call({ path: "/answer/stream", id });
-    await setup.waitUntil(() => countRuns(setup, id) === 1);
-    if (second.runs.some((run) => run.id === id)) {
-      first.queuedFaults.length = 0;
-      await calling;
-      continue;
-    }
-    whenSilent();
-    const answer = await calling;
-    assert.is(answer.body, formatEvents(1, 5));
-    assert.is(answer.isComplete, true);
-    return;
-  }
-  assert.unreachable("no stream began at the first replica");
+  const id = "silent";
+  const replicas = ["model-1", "model-2"].map((name) =>
+    setup.findReplica(name)
+  );
+  for (const replica of replicas) replica.fault = silence;
+  const calling = setup.call({ path: "/answer/stream", id });
+  await setup.waitUntil(() => countRuns(setup, id) === 1);
+  for (const replica of replicas) replica.fault = other;
+  const answer = await calling;
+  assert.is(answer.body, formatEvents(1, 5));
+  assert.is(answer.isComplete, true);
 }
 
 test("a stream whose replica falls silent is not cut when the others are full", async () => {
   await runWithSetup(1, async (setup) => {
-    await callSilentStream(setup, () => {
-      setup.findReplica("model-2").fault = { kind: "decline" };
-    });
+    await callSilentStream(setup, { kind: "decline" });
   });
 });
 
 test("a stream whose replica falls silent is not cut when the others fall silent too", async () => {
   await runWithSetup(1, async (setup) => {
-    await callSilentStream(setup, () => {
-      setup.findReplica("model-2").fault = { ...silence, events: 0 };
-    });
+    await callSilentStream(setup, { ...silence, events: 0 });
   });
 });
 
@@ -73,9 +60,7 @@
         ),
       );
     }
-    first.fault = { kind: "none" };
-    second.fault = { kind: "none" };
-    await callSilentStream(setup, () => {});
+    await callSilentStream(setup, { kind: "none" });
   });
 });
 
