--- a/packages/gateway/src/cluster/origin_exchange_test.ts
+++ b/packages/gateway/src/cluster/origin_exchange_test.ts
@@ -1,7 +1,11 @@
+import { once } from "node:events";
+import { createServer, type RequestListener } from "node:http";
+import type { AddressInfo } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { openHasher } from "@almondcrank/common/hashing.ts";
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { SystemClock } from "@almondcrank/common/clock.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import { ReplicaTable } from "../choice/replica_table.ts";
 import { StreamOrigins } from "../choice/stream_origins.ts";
@@ -116,4 +120,49 @@
   assert.ok(Math.max(...held.values()) < mean * 2.5);
 });
 
+/** Runs a search for an origin against one peer with the given handler. */
+async function findAtPeer(answer: RequestListener): Promise<unknown> {
+  const peer = createServer(answer);
+  peer.listen(0, "127.0.0.1");
+  await once(peer, "listening");
+  const { port: controlPort } = peer.address() as AddressInfo;
+  const clock = SystemClock.create();
+  const members = MemberTable.create("self");
+  const member = { node: "peer", ip: "127.0.0.1", zone: "a" };
+  members.introduce(member, clock.now());
+  const exchange = OriginExchange.create({
+    clock,
+    membersClock: clock,
+    hasher: await openHasher(),
+    origins: StreamOrigins.create(),
+    members,
+    table: createMixedTable(),
+    controlPort,
+  });
+  const found = await exchange.find("stream", true);
+  peer.close();
+  peer.closeAllConnections();
+  return found;
+}
+
+test("a peer that does not answer one question about a stream is asked again", async () => {
+  const origin = { service: "models", version: "v1.2" };
+  let questions = 0;
+  const found = await findAtPeer((_, response) => {
+    questions += 1;
+    if (questions > 1) response.end(JSON.stringify(origin));
+  });
+  assert.equal(found, origin);
+});
+
+test("a peer that does not know a stream is asked once", async () => {
+  let questions = 0;
+  const found = await findAtPeer((_, response) => {
+    questions += 1;
+    response.writeHead(404).end();
+  });
+  assert.is(found, undefined);
+  assert.is(questions, 1);
+});
+
 test.run();
