Ask a peer that does not answer about a stream's origin again

Callers that came back at another node were refused as unknown_origin when the peers that knew their stream did not answer one question within 250 ms, on a busy node or a connection gone silent. No answer was taken for "not known". Now a peer that does not answer is asked up to four times, each on a new connection; an answer, also that it is not known, ends the search there.

--- a/packages/gateway/src/cluster/origin_exchange.ts
+++ b/packages/gateway/src/cluster/origin_exchange.ts
@@ -18,7 +18,10 @@
   StreamOriginDirectory,
   StreamOrigins,
 } from "../choice/stream_origins.ts";
-import { sendControlCall } from "../relay/control_call.ts";
+import {
+  type ControlResponse,
+  sendControlCall,
+} from "../relay/control_call.ts";
 import type { Member, MemberTable } from "./member_table.ts";
 import { encodeOrigins } from "./origin_messages.ts";
 
@@ -29,6 +32,8 @@
 /** Time that origins wait for others, so that one datagram takes several. */
 const collectMs = 25;
 const askTimeoutMs = 250;
+/** Questions to a peer that does not answer, each on a new connection. */
+const maxQuestions = 4;
 /** Path of the control listener for that question; the id in base64url follows. */
 export const originPath = "/peer/origin/";
 
@@ -136,9 +141,25 @@
     return origin === undefined ? undefined : JSON.stringify(origin);
   }
 
-  /** Asks one peer; rejects if it does not know or answer. */
-  async #ask({ ip }: Member, id: string): Promise<StreamOrigin> {
-    const answer = await sendControlCall(
+  /** Asks one peer; rejects if it does not know, or never answers. */
+  async #ask(member: Member, id: string): Promise<StreamOrigin> {
+    for (let questions = 0; questions < maxQuestions; questions += 1) {
+      const answer = await this.#askOnce(member, id);
+      if (answer === undefined) continue;
+      const origin = answer.statusCode === 200
+        ? parseOrigin(answer.text)
+        : undefined;
+      if (origin !== undefined) return origin;
+      throw new Error("the peer does not know it");
+    }
+    throw new Error("the peer does not answer");
+  }
+
+  #askOnce(
+    { ip }: Member,
+    id: string,
+  ): Promise<ControlResponse | undefined> {
+    return sendControlCall(
       {
         method: "GET",
         path: originPath + Buffer.from(id).toString("base64url"),
@@ -149,11 +170,6 @@
         timeoutMs: askTimeoutMs,
       },
     );
-    const origin = answer?.statusCode === 200
-      ? parseOrigin(answer.text)
-      : undefined;
-    if (origin === undefined) throw new Error("the peer does not know it");
-    return origin;
   }
 
   #listMembers(): ReadonlyMap<string, Member> {
