Admit callers that come back by the time they have left

A caller that comes back for the rest of a stream was refused as overloaded when its next event was predicted later than the objective of a first event. It has had that event, and half of an answer is of no use to it, so the rest is worth sending as long as its time allows.

stream_choice_test: failed before, passes.

--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -69,15 +69,18 @@
   return chooseEngine(states, { ...query, excluded: new Set() }, services);
 }
 
-/** Decides whether to admit a stream that has not been sent yet. */
+/**
+ * Decides whether to admit a stream that has not been sent yet. The objective is
+ * that of a first event, which a caller that comes back has had.
+ */
 export function checkStreamAdmission(
   services: RelayServices,
-  { route, deadline }: RoutedRequest,
+  { route, deadline, resumeAfter }: RoutedRequest,
   choice: EngineChoice,
 ): StreamVerdict {
   return checkAdmission({
     priority: route.priority,
-    objectiveMs: route.objectiveMs,
+    objectiveMs: resumeAfter === undefined ? route.objectiveMs : Infinity,
     timeLeftMs: deadline - services.clock.now(),
     predictedMs: choice.predictedMs,
   });
