Send the rest of a stream to draining replicas of its version

Callers whose connection was lost in the middle of a release were refused with version_gone: all replicas of the version that began their streams drained, and a draining replica got nothing, though it serves for the drain time and nobody else can go on with those streams. New streams began at the new version.

Streams that are bound to a version may now go on at replicas that began to leave less than half of the drain time ago; the other half covers the age of what a node knows. New streams still get none of them.

--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -38,6 +38,7 @@
   #serviceMs: number | undefined;
   #serviceMsAt = 0;
   #leavesAt: number | undefined;
+  #leavingSince: number | undefined;
   #isDraining = false;
   #isAnnounced = false;
   #pausedUntil = -Infinity;
@@ -62,6 +63,11 @@
     return this.#leavesAt;
   }
 
+  /** Monotonic time at which this node learnt that it leaves, if it does. */
+  get leavingSince(): number | undefined {
+    return this.#leavingSince;
+  }
+
   /** Whether the replica registered itself as draining. */
   get isDraining(): boolean {
     return this.#isDraining;
@@ -140,13 +146,15 @@
   }
 
   /** Marks the replica as leaving; the earliest of several times counts. */
-  markLeaving(leavesAt: number): void {
+  markLeaving(leavesAt: number, now: number): void {
+    this.#leavingSince ??= now;
     this.#leavesAt = Math.min(this.#leavesAt ?? Infinity, leavesAt);
   }
 
   /** Takes a replica back into use whose registration was only missing for a time. */
   cancelLeaving(): void {
     this.#leavesAt = undefined;
+    this.#leavingSince = undefined;
   }
 
   setPeerLoad(load: NodeLoad): void {
--- a/packages/gateway/src/choice/replica_table.ts
+++ b/packages/gateway/src/choice/replica_table.ts
@@ -21,6 +21,12 @@
 /** Time after a restore in which registrations of gone replicas expire. */
 const staleRegistrationMs = 6_000;
 
+/**
+ * Share of the drain time in which a leaving replica may get the rest of streams.
+ * What is left of it covers the age of this node's knowledge.
+ */
+const drainUseShare = 0.5;
+
 /** Options of a replica table. */
 export interface ReplicaTableOptions {
   /** Time that a leaving replica goes on serving unless it states its own. */
@@ -73,6 +79,23 @@
       : states.filter(({ replica }) => replica.softwareVersion === version);
   }
 
+  /**
+   * Lists the replicas of a software version that began to leave a short time ago.
+   * They go on serving for the drain time, and may be the only ones that can go on
+   * with a stream of their version.
+   */
+  listDraining(
+    service: string,
+    { version, now }: { readonly version: string; readonly now: number },
+  ): readonly ReplicaState[] {
+    const since = now - this.#drainMs * drainUseShare;
+    return [...this.#states.values()].filter(
+      ({ replica, leavingSince = -Infinity, leavesAt = -Infinity }) =>
+        replica.service === service && replica.softwareVersion === version &&
+        leavingSince > since && leavesAt > now,
+    );
+  }
+
   /**
    * Lists the software versions of a service's known replicas, also of those that
    * left lately.
@@ -114,7 +137,7 @@
     if (state === undefined || state.isAnnouncedLeaving) return;
     state.markAnnouncedLeaving();
     if (state.leavesAt !== undefined) return;
-    this.#markLeaving(state, now + this.#drainMs);
+    this.#markLeaving(state, now + this.#drainMs, now);
     this.#index();
   }
 
@@ -158,7 +181,9 @@
       if (now - since < reregistrationGraceMs) continue;
       this.#missingSince.delete(key);
       const state = this.#states.get(key);
-      if (state !== undefined) this.#markLeaving(state, now + this.#drainMs);
+      if (state !== undefined) {
+        this.#markLeaving(state, now + this.#drainMs, now);
+      }
       hasChanged = true;
     }
     for (const [key, state] of this.#states) {
@@ -202,7 +227,8 @@
       case "draining": {
         if (state.isDraining) return;
         state.markDraining();
-        this.#markLeaving(state, now + (replica.leavesInMs ?? this.#drainMs));
+        const leavesInMs = replica.leavesInMs ?? this.#drainMs;
+        this.#markLeaving(state, now + leavesInMs, now);
         return;
       }
     }
@@ -212,14 +238,14 @@
     if (state.leavesAt !== undefined) return;
     if (!update.mayHaveExpired) {
       this.#missingSince.delete(key);
-      this.#markLeaving(state, update.now + this.#drainMs);
+      this.#markLeaving(state, update.now + this.#drainMs, update.now);
     } else if (!this.#missingSince.has(key)) {
       this.#missingSince.set(key, update.now);
     }
   }
 
-  #markLeaving(state: ReplicaState, leavesAt: number): void {
-    state.markLeaving(leavesAt);
+  #markLeaving(state: ReplicaState, leavesAt: number, now: number): void {
+    state.markLeaving(leavesAt, now);
     this.#leaving.fire(state);
   }
 
--- a/packages/gateway/src/choice/replica_table_test.ts
+++ b/packages/gateway/src/choice/replica_table_test.ts
@@ -122,4 +122,22 @@
   assert.is(table.computeResumeMs("s", 1_000), 0);
 });
 
+test("a leaving replica may get the rest of streams for half of the drain time, and no longer than it serves", () => {
+  const table = ReplicaTable.create({ drainMs: 2_000 });
+  const leaving = [
+    createReplica({ id: "a", state: "draining" }),
+    createReplica({ id: "b", state: "draining", leavesInMs: 300 }),
+    createReplica({ id: "c", state: "draining", leavesInMs: 9_000 }),
+    createReplica({ id: "d", state: "draining", softwareVersion: "v2" }),
+    createReplica({ id: "e" }),
+  ];
+  table.apply(leaving, { now: 100, ...noOutage });
+  const listIds = (now: number): readonly string[] =>
+    table.listDraining("s", { version: "v1", now })
+      .map(({ replica }) => replica.id);
+  assert.equal(listIds(150), ["a", "b", "c"]);
+  assert.equal(listIds(1_050), ["a", "c"]);
+  assert.equal(listIds(1_100), []);
+});
+
 test.run();
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -62,9 +62,13 @@
     now: clock.now(),
   };
   const untried = chooseEngine(states, { ...query, excluded: tried }, services);
-  if (untried !== undefined || !mayReuse || version === undefined) {
-    return untried;
-  }
+  if (untried !== undefined || version === undefined) return untried;
+  const draining = chooseEngine(
+    table.listDraining(service.name, { version, now: query.now }),
+    { ...query, excluded: tried },
+    services,
+  );
+  if (draining !== undefined || !mayReuse) return draining;
   // Few replicas of a version may be left: better one that failed than none.
   return chooseEngine(states, { ...query, excluded: new Set() }, services);
 }
