Tests that fail: streams read through another node are cut or stop

What callers would see: who came back at another node than the one that holds the stream, or whose node handed the stream over, is answered for 15 s and then gets stream_lost; a long answer stops after 1,024 tokens until its deadline.

--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -6,9 +6,11 @@
   createRequest,
   type ModelSetup,
   openModelSetup,
+  type Reading,
   startReading,
   testTeam,
 } from "../testing/model_setup.ts";
+import type { StreamLimits } from "./stream_limits.ts";
 import { TestPeers } from "../testing/test_peers.ts";
 
 interface Nodes {
@@ -19,7 +21,10 @@
 
 const names = ["n1", "n2", "n3", "n4"];
 
-async function openNodes(outputTokens = 100): Promise<Nodes> {
+async function openNodes(
+  outputTokens = 100,
+  limits: Partial<StreamLimits> = {},
+): Promise<Nodes> {
   const peers = TestPeers.create();
   const setups = new Map<string, ModelSetup>();
   let shared: ModelSetup | undefined;
@@ -27,6 +32,7 @@
     const setup: ModelSetup = await openModelSetup({
       nodeName,
       peers: peers.createChannel(nodeName),
+      limits,
       ...(shared === undefined ? {} : { shared }),
     });
     shared ??= setup;
@@ -79,6 +85,55 @@
   dispose(nodes);
 });
 
+/** Reads a stream of n1 through n2 after its caller left n1. */
+async function readThroughPeer(nodes: Nodes): Promise<Reading> {
+  const abort = new AbortController();
+  const stream = await open(nodes);
+  startReading(stream, 0, abort.signal);
+  await nodes.first.clock.advance(55);
+  abort.abort();
+  const found = await findNode(nodes, "n2").router.find(stream.id, testTeam);
+  return startReading(found.unsafeCoerce());
+}
+
+// Reads by a peer were no readers to the node that owned the stream.
+test("a stream that is read through another node is not abandoned", async () => {
+  const nodes = await openNodes(100, { reconnectGraceMs: 200 });
+  const reading = await readThroughPeer(nodes);
+  await nodes.first.clock.advance(5_000);
+  assert.equal(reading.texts, expectTokens(nodes, 0));
+  assert.is(reading.outcome, "length");
+  dispose(nodes);
+});
+
+test("a stream that is read through another node is not blocked as unread", async () => {
+  const nodes = await openNodes(100, { maxUnreadTokens: 20 });
+  const reading = await readThroughPeer(nodes);
+  await nodes.first.clock.advance(5_000);
+  assert.equal(reading.texts, expectTokens(nodes, 0));
+  assert.is(reading.outcome, "length");
+  dispose(nodes);
+});
+
+test("a stream whose caller left the other node as well is cancelled", async () => {
+  const nodes = await openNodes(100, { reconnectGraceMs: 200 });
+  const stream = await open(nodes);
+  const abort = new AbortController();
+  const found = await findNode(nodes, "n2").router.find(stream.id, testTeam);
+  startReading(found.unsafeCoerce(), 0, abort.signal);
+  await nodes.first.clock.advance(55);
+  abort.abort();
+  await nodes.first.clock.advance(600);
+  assert.is(nodes.first.router.running, 0);
+  assert.is(
+    nodes.first.metrics.readCounter("streams_cancelled_total", {
+      reason: "abandoned",
+    }),
+    1,
+  );
+  dispose(nodes);
+});
+
 test("a leaving node lets streams finish that fit its notice", async () => {
   const nodes = await openNodes(30);
   const reading = startReading(await open(nodes));
