Count reads of a stream through another node as readers

What callers saw: who came back at another node than the one that holds the stream, or whose node handed the stream over, was answered for the 15 s of the grace and then got stream_lost; a long answer stopped for good after 1,024 tokens.

Cause: only readers attached on the node itself counted. A peer that read for its caller neither kept the stream from being abandoned nor moved the mark that lets its engine go on.

Change: a peer's request attaches a reader until it is answered, at the token from which it asks. One task per stream watches for the last reader, as a peer attaches many times a second.

--- a/packages/routing/src/streams/routed_stream.ts
+++ b/packages/routing/src/streams/routed_stream.ts
@@ -117,7 +117,9 @@
   readonly usage: UsageCounter;
   readonly #options: RoutedStreamOptions;
   #successor: ModelStream | undefined;
-  #detachCount = 0;
+  /** Monotonic time at which the last reader detached, in milliseconds. */
+  #detachedAt: number;
+  #isWatchingReaders = false;
 
   private constructor(options: RoutedStreamOptions) {
     const { progress, input } = options;
@@ -132,11 +134,12 @@
       options.limits.maxUnreadTokens,
     );
     this.usage = UsageCounter.create(input.promptTokens.length, progress);
+    this.#detachedAt = options.clock.now();
   }
 
   static create(options: RoutedStreamOptions): RoutedStream {
     const stream = new RoutedStream(options);
-    void stream.#waitForReader();
+    void stream.#watchReaders();
     return stream;
   }
 
@@ -167,9 +170,7 @@
         yield event;
       }
     } finally {
-      if (this.output.readerCount === 0 && this.output.final === undefined) {
-        void this.#waitForReader();
-      }
+      this.#handleDetached();
     }
     if (this.#successor !== undefined && !signal.aborted) {
       yield* this.#successor.read(next, signal);
@@ -181,16 +182,48 @@
     this.#options.onCancel("caller");
   }
 
-  /** Cancels the stream unless a reader attaches within `reconnectGraceMs`. */
-  async #waitForReader(): Promise<void> {
+  /**
+   * Counts a peer, whose caller has all tokens before `from`, as a reader until
+   * `read` ends.
+   */
+  async readForPeer<T>(from: number, read: () => Promise<T>): Promise<T> {
+    const detach = this.output.attach(from);
+    try {
+      return await read();
+    } finally {
+      detach();
+      this.#handleDetached();
+    }
+  }
+
+  #handleDetached(): void {
+    this.#detachedAt = this.#options.clock.now();
+    void this.#watchReaders();
+  }
+
+  /**
+   * Cancels the stream once it had no reader for `reconnectGraceMs`. One task
+   * serves all readers, since a peer attaches anew for each of its requests.
+   */
+  async #watchReaders(): Promise<void> {
+    if (this.#isWatchingReaders) return;
+    this.#isWatchingReaders = true;
     const { clock, limits, signal, onCancel } = this.#options;
-    const detachment = ++this.#detachCount;
-    await clock.sleep(limits.reconnectGraceMs, signal);
-    if (signal.aborted) return;
-    const isAbandoned = detachment === this.#detachCount &&
-      this.output.readerCount === 0;
-    if (isAbandoned && this.output.final === undefined && !this.isHandedOver) {
-      onCancel("abandoned");
+    while (this.#isUnread() && !signal.aborted) {
+      const leftMs = this.#detachedAt + limits.reconnectGraceMs - clock.now();
+      if (leftMs <= 0) {
+        onCancel("abandoned");
+        break;
+      }
+      // Sleeps of under 1 ms may not advance a floating-point clock.
+      await clock.sleep(Math.max(1, leftMs), signal);
     }
+    this.#isWatchingReaders = false;
+  }
+
+  /** Whether the stream goes on here and nobody reads it. */
+  #isUnread(): boolean {
+    return this.output.readerCount === 0 && this.output.final === undefined &&
+      !this.isHandedOver;
   }
 }
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -130,13 +130,15 @@
     const { id, team, from, waitMs } = request;
     const run = this.#findLocal(id, team);
     if (run === undefined) return undefined;
-    const { output } = run.stream;
-    if (
-      waitMs > 0 && output.tokens.length <= from && output.final === undefined
-    ) {
-      await this.#waitForEvent(run, waitMs);
-    }
-    return createBatch(run, from);
+    return await run.stream.readForPeer(from, async () => {
+      const { output } = run.stream;
+      if (
+        waitMs > 0 && output.tokens.length <= from && output.final === undefined
+      ) {
+        await this.#waitForEvent(run, waitMs);
+      }
+      return createBatch(run, from);
+    });
   }
 
   /** Cancels a stream of this node on behalf of a peer's caller. */
--- a/packages/routing/src/streams/stream_output.ts
+++ b/packages/routing/src/streams/stream_output.ts
@@ -105,7 +105,7 @@
   ): AsyncGenerator<StreamEvent, void, void> {
     const wake = (): void => this.wake();
     signal.addEventListener("abort", wake, { once: true });
-    this.#readerCount++;
+    const detach = this.attach(from);
     let index = from;
     try {
       while (!signal.aborted) {
@@ -124,11 +124,23 @@
         }
       }
     } finally {
-      this.#readerCount--;
+      detach();
       signal.removeEventListener("abort", wake);
     }
   }
 
+  /**
+   * Attaches a reader that has received all tokens before `from`; the returned
+   * function detaches it.
+   */
+  attach(from: number): () => void {
+    this.#readerCount++;
+    this.#recordRead(Math.min(from, this.#tokens.length));
+    return () => {
+      this.#readerCount--;
+    };
+  }
+
   #recordRead(index: number): void {
     if (index <= this.#furthestRead) return;
     this.#furthestRead = index;
