Tests that fail: a silent replica loses its stream before another has it

What callers would see: an answer is cut with endpoint_failed, or starts over, when its replica is silent for a little over a second and the others are full, leaving, or out of attempts, though the replica would have gone on.

--- /dev/null
+++ b/packages/routing/src/streams/stream_silence_test.ts
@@ -0,0 +1,142 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { type FakeEngine, formatToken } from "../testing/fake_engine.ts";
+import {
+  createRequest,
+  type ModelSetup,
+  type ModelSetupOptions,
+  openModelSetup,
+  type Reading,
+  startReading,
+} from "../testing/model_setup.ts";
+
+/** A stream of 20 tokens whose replica fell silent after the twelfth. */
+interface SilentStream {
+  readonly setup: ModelSetup;
+  readonly silent: FakeEngine;
+  readonly others: readonly FakeEngine[];
+  readonly reading: Reading;
+  readonly cancel: () => void;
+}
+
+const silentFrom = 12;
+const betweenTokensMs = 200;
+/** Time at which the replica has sent its last token before the silence. */
+const silentAtMs = 2_300;
+
+async function openSilentStream(
+  options: ModelSetupOptions = {},
+): Promise<SilentStream> {
+  const setup = await openModelSetup(options);
+  for (const engine of setup.engines.values()) {
+    engine.behaviour.betweenTokensMs = betweenTokensMs;
+  }
+  const opened = await setup.router.open(createRequest(setup.clock));
+  const stream = opened.unsafeCoerce();
+  const reading = startReading(stream);
+  await setup.clock.advance(silentAtMs);
+  const engines = [...setup.engines.values()];
+  const silent = engines.find((engine) => engine.running > 0);
+  if (silent === undefined) throw new Error("no engine has the stream");
+  silent.behaviour.freezeAt = silentFrom;
+  const others = engines.filter((engine) => engine !== silent);
+  const cancel = (): void => stream.cancel();
+  return { setup, silent, others, reading, cancel };
+}
+
+/** Lets the replica be silent for 1.5 s, and checks that it ends the answer. */
+async function checkEndsInPlace(stream: SilentStream): Promise<void> {
+  const { setup, silent } = stream;
+  await setup.clock.advance(1_500);
+  silent.wake();
+  await setup.clock.advance(10_000);
+  checkAnswer(stream);
+  assert.is(silent.requests.length, 1);
+  assert.is(silent.aborted.length, 0);
+  setup.router.dispose();
+}
+
+function checkAnswer({ setup, reading }: SilentStream): void {
+  const { prompt } = createRequest(setup.clock);
+  const whole = Array.from({ length: 20 }, (_, i) => formatToken(prompt, i));
+  assert.equal(reading.texts, whole);
+  assert.is(reading.outcome, "stop");
+}
+
+function sumRunning(setup: ModelSetup): number {
+  return [...setup.engines.values()]
+    .reduce((sum, { running }) => sum + running, 0);
+}
+
+test("a silent replica keeps its stream while all others decline it", async () => {
+  const stream = await openSilentStream();
+  for (const other of stream.others) other.behaviour.declines = true;
+  await checkEndsInPlace(stream);
+});
+
+test("a silent replica keeps its stream when the retry budget allows one decline", async () => {
+  const stream = await openSilentStream();
+  for (const other of stream.others) other.behaviour.declines = true;
+  stream.setup.budget.retries = 1;
+  await checkEndsInPlace(stream);
+});
+
+test("a silent replica keeps its stream while no other replica is usable", async () => {
+  const stream = await openSilentStream();
+  for (const { name } of stream.others) {
+    stream.setup.loads.markLeaving(name, 60_000);
+  }
+  await checkEndsInPlace(stream);
+});
+
+test("a silent replica keeps its stream when no attempt is left", async () => {
+  await checkEndsInPlace(
+    await openSilentStream({ limits: { maxAttempts: 1 } }),
+  );
+});
+
+test("a silent replica that goes on before its replacement keeps its stream", async () => {
+  const stream = await openSilentStream();
+  for (const other of stream.others) other.behaviour.firstTokenMs = 2_000;
+  await checkEndsInPlace(stream);
+  const aborted = stream.others.flatMap((other) => other.aborted);
+  assert.is(aborted.length, 1);
+});
+
+test("a replica that dies while its replacement starts is not replaced twice", async () => {
+  const stream = await openSilentStream();
+  const { setup, silent, others } = stream;
+  for (const other of others) other.behaviour.firstTokenMs = 900;
+  await setup.clock.advance(1_200);
+  silent.kill();
+  await setup.clock.advance(5_000);
+  checkAnswer(stream);
+  const sent = others.flatMap((other) => other.requests);
+  assert.is(sent.length, 1);
+  assert.is(sent[0]?.tokensSoFar.length, silentFrom);
+  setup.router.dispose();
+});
+
+test("a caller that cancels ends a silent attempt and its replacement", async () => {
+  const { setup, others, silent, cancel } = await openSilentStream();
+  for (const other of others) other.behaviour.firstTokenMs = 5_000;
+  await setup.clock.advance(1_200);
+  cancel();
+  silent.wake();
+  await setup.clock.advance(6_000);
+  assert.is(sumRunning(setup), 0);
+  setup.router.dispose();
+});
+
+test("the deadline ends a silent attempt and its replacement", async () => {
+  const { setup, others, silent, reading } = await openSilentStream();
+  for (const other of others) other.behaviour.firstTokenMs = 40_000;
+  await setup.clock.advance(30_000 - silentAtMs);
+  assert.is(reading.outcome, "deadline/ran");
+  silent.wake();
+  await setup.clock.advance(40_000);
+  assert.is(sumRunning(setup), 0);
+  setup.router.dispose();
+});
+
+test.run();
