--- /dev/null
+++ b/packages/routing/src/streams/attempt_sender.ts
@@ -0,0 +1,118 @@
+/**
+ * Sends the attempts of one stream and records what they show: load, speed and
+ * cache of their replicas, and the tokens spent on the stream.
+ */
+
+import { computeBlockHashes } from "@almondcrank/endpoint/tokens.ts";
+import type { ReplicaChoice } from "../choice/replica_chooser.ts";
+import { computeContext, type RoutedStream } from "./routed_stream.ts";
+import {
+  type AttemptObserver,
+  type AttemptOutcome,
+  StreamAttempt,
+} from "./stream_attempt.ts";
+import type { StreamRunServices } from "./stream_run_services.ts";
+
+/** An attempt that was sent to the replica of `choice`. */
+export interface SentAttempt {
+  readonly attempt: StreamAttempt;
+  readonly choice: ReplicaChoice;
+  /** Resolves once the attempt has settled and its end was recorded. */
+  readonly ended: Promise<AttemptOutcome>;
+}
+
+/** Computes the chain of block hashes of a stream's prompt and output so far. */
+export function computeChain(
+  stream: RoutedStream,
+  { hasher }: Pick<StreamRunServices, "hasher">,
+): readonly number[] {
+  const { promptTokens, chain, output, request } = stream;
+  if (output.tokens.length === 0) return chain;
+  const context = computeContext(request.prompt, promptTokens, output.tokens);
+  return computeBlockHashes(hasher, context);
+}
+
+/** Sends the attempts of one stream. */
+export class AttemptSender {
+  readonly #stream: RoutedStream;
+  readonly #services: StreamRunServices;
+
+  private constructor(stream: RoutedStream, services: StreamRunServices) {
+    this.#stream = stream;
+    this.#services = services;
+  }
+
+  static create(
+    stream: RoutedStream,
+    services: StreamRunServices,
+  ): AttemptSender {
+    return new AttemptSender(stream, services);
+  }
+
+  /** @param importId Cache that the replica has imported for this attempt. */
+  send(choice: ReplicaChoice, importId: string | undefined): SentAttempt {
+    const { loads, prefixes, retries } = this.#services;
+    const { inputTokens, usage, output } = this.#stream;
+    const { name } = choice.endpoint;
+    retries.recordSend(name);
+    loads.recordSend(name, Math.max(0, inputTokens - choice.cachedTokens));
+    prefixes.recordSend(computeChain(this.#stream, this.#services), name);
+    usage.recordSend();
+    const tokensBefore = output.tokens.length;
+    const attempt = this.#start(choice, importId);
+    const ended = attempt.outcome.then((outcome) => {
+      this.#recordEnd(choice, outcome, tokensBefore);
+      return outcome;
+    });
+    return { attempt, choice, ended };
+  }
+
+  #recordEnd(
+    { endpoint, seenTokens }: ReplicaChoice,
+    outcome: AttemptOutcome,
+    tokensBefore: number,
+  ): void {
+    this.#services.loads.recordEnd(endpoint.name);
+    if (outcome.kind !== "ended") return;
+    this.#stream.usage.recordUsage(outcome.usage, { tokensBefore, seenTokens });
+  }
+
+  #start(
+    choice: ReplicaChoice,
+    importId: string | undefined,
+  ): StreamAttempt {
+    const { engines, clock } = this.#services;
+    const { request, id, output, usage } = this.#stream;
+    return StreamAttempt.start({
+      engine: engines(choice.endpoint),
+      output,
+      clock,
+      observer: this.#createObserver(choice),
+      request: {
+        id: `${id}.${usage.attempts}`,
+        model: request.service.model,
+        ...(request.adapter === undefined ? {} : { adapter: request.adapter }),
+        prompt: request.prompt,
+        tokensSoFar: [...output.tokens],
+        maxTokens: request.maxTokens,
+        priority: request.team.priority,
+        remainingMs: Math.max(0, request.deadline - clock.now()),
+        ...(importId === undefined ? {} : { importId }),
+      },
+    });
+  }
+
+  #createObserver({ endpoint, firstTokenMs }: ReplicaChoice): AttemptObserver {
+    const { loads, metrics } = this.#services;
+    const { usage } = this.#stream;
+    const { name } = endpoint;
+    return {
+      recordFirstToken: (waitMs) => {
+        usage.recordFirstToken();
+        loads.recordFirstToken(name, waitMs - firstTokenMs);
+        metrics.recordDuration("engine_first_token_seconds", waitMs);
+      },
+      recordTokenGap: (gapMs) => loads.recordTokenGap(name, gapMs),
+    };
+  }
+}
--- /dev/null
+++ b/packages/routing/src/streams/replica_search.ts
@@ -0,0 +1,79 @@
+/**
+ * Search for the next replica of one stream.
+ *
+ * Replicas that failed the stream are tried again only when no other one can take
+ * it. While none can, the search backs off.
+ */
+
+import type { ReplicaChoice } from "../choice/replica_chooser.ts";
+import { computeChain } from "./attempt_sender.ts";
+import type { RoutedStream } from "./routed_stream.ts";
+import type { StreamRunServices } from "./stream_run_services.ts";
+
+/** Chooses the replicas of one stream. */
+export class ReplicaSearch {
+  readonly #stream: RoutedStream;
+  readonly #services: StreamRunServices;
+  readonly #failed = new Set<string>();
+
+  private constructor(stream: RoutedStream, services: StreamRunServices) {
+    this.#stream = stream;
+    this.#services = services;
+  }
+
+  static create(
+    stream: RoutedStream,
+    services: StreamRunServices,
+  ): ReplicaSearch {
+    return new ReplicaSearch(stream, services);
+  }
+
+  /** Records that an endpoint failed the stream. */
+  recordFailure(endpoint: string): void {
+    this.#failed.add(endpoint);
+  }
+
+  /** @param leaving Endpoint that is not to be chosen at all. */
+  choose(leaving: string | undefined): ReplicaChoice | undefined {
+    const choice = this.chooseUntried(leaving);
+    if (choice !== undefined || this.#failed.size === 0) return choice;
+    return this.#choose(new Set(leaving === undefined ? [] : [leaving]));
+  }
+
+  /** Chooses among the replicas that have not failed the stream. */
+  chooseUntried(leaving: string | undefined): ReplicaChoice | undefined {
+    const excluded = new Set(this.#failed);
+    if (leaving !== undefined) excluded.add(leaving);
+    return this.#choose(excluded);
+  }
+
+  /** Chooses a replica, with backoff while none can take work. */
+  async wait(signal: AbortSignal): Promise<ReplicaChoice | undefined> {
+    const { clock, limits, metrics } = this.#services;
+    const { request } = this.#stream;
+    let backoffMs = limits.initialBackoffMs;
+    for (let backoff = 0; backoff <= limits.maxBackoffs; backoff++) {
+      const choice = this.choose(undefined);
+      if (choice !== undefined) return choice;
+      if (clock.now() + backoffMs >= request.deadline) break;
+      metrics.count("stream_pauses_total", { reason: "no_endpoint" });
+      await clock.sleep(backoffMs, signal);
+      if (signal.aborted || this.#stream.output.final !== undefined) break;
+      backoffMs *= 2;
+    }
+    return undefined;
+  }
+
+  #choose(excluded: ReadonlySet<string>): ReplicaChoice | undefined {
+    const { request, output, conversationPrefix, inputTokens } = this.#stream;
+    return this.#services.chooser.choose({
+      service: request.service.name,
+      chain: computeChain(this.#stream, this.#services),
+      conversationPrefix,
+      inputTokens,
+      outputTokens: request.maxTokens - output.tokens.length,
+      betweenTokensMs: request.service.target.betweenTokensMs,
+      excluded,
+    });
+  }
+}
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -10,15 +10,16 @@
  */
 
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
-import { computeBlockHashes } from "@almondcrank/endpoint/tokens.ts";
 import type { ModelStream } from "../routers/model_router.ts";
 import type { RefusalKind } from "../admission/refusal.ts";
 import { Refusal } from "../admission/refusal.ts";
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
-import { type AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
+import { AttemptSender, computeChain } from "./attempt_sender.ts";
+import { ReplicaSearch } from "./replica_search.ts";
+import type { AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
 import { StreamMigration } from "./stream_migration.ts";
 import type { StreamRunServices } from "./stream_run_services.ts";
-import { computeContext, type RoutedStream } from "./routed_stream.ts";
+import type { RoutedStream } from "./routed_stream.ts";
 
 /** Timeout of the first token, as a multiple of its predicted time. */
 const firstTokenTimeoutFactor = 4;
@@ -42,7 +43,8 @@
   readonly stream: RoutedStream;
   readonly #services: StreamRunServices;
   readonly #ended = new AbortController();
-  readonly #failedEndpoints = new Set<string>();
+  readonly #sender: AttemptSender;
+  readonly #search: ReplicaSearch;
   #attempt: StreamAttempt | undefined;
   #choice: ReplicaChoice | undefined;
   #importId: string | undefined;
@@ -53,6 +55,8 @@
   private constructor(stream: RoutedStream, services: StreamRunServices) {
     this.stream = stream;
     this.#services = services;
+    this.#sender = AttemptSender.create(stream, services);
+    this.#search = ReplicaSearch.create(stream, services);
   }
 
   static create(stream: RoutedStream, services: StreamRunServices): StreamRun {
@@ -66,11 +70,13 @@
 
   /** Runs the stream to its end, with its first attempt on `choice` if given. */
   async run(choice: ReplicaChoice | undefined): Promise<void> {
-    let next = choice ?? await this.#waitForChoice();
+    let next = choice ?? await this.#search.wait(this.#ended.signal);
     while (next !== undefined && !this.#isEnded()) {
       if (this.#pause !== undefined) {
         await this.#pause.ended;
-        next = this.#isEnded() ? undefined : await this.#waitForChoice();
+        next = this.#isEnded()
+          ? undefined
+          : await this.#search.wait(this.#ended.signal);
         continue;
       }
       const outcome = await this.#runAttempt(next);
@@ -125,7 +131,7 @@
       from: choice.endpoint,
       stream: this.stream,
       services: this.#services,
-      choose: () => this.#choose(choice.endpoint.name),
+      choose: () => this.#search.choose(choice.endpoint.name),
       signal: this.#ended.signal,
     });
     void this.#migration.run(remainingMs);
@@ -136,17 +142,11 @@
   }
 
   async #runAttempt(choice: ReplicaChoice): Promise<AttemptOutcome> {
-    const { loads, prefixes, clock, limits } = this.#services;
-    const { stream } = this;
+    const { loads, clock, limits } = this.#services;
     const { endpoint } = choice;
-    const chain = this.#computeChain();
-    const input = stream.inputTokens;
-    this.#services.retries.recordSend(endpoint.name);
-    loads.recordSend(endpoint.name, Math.max(0, input - choice.cachedTokens));
-    prefixes.recordSend(chain, endpoint.name);
-    stream.usage.recordSend();
-    const tokensBefore = stream.output.tokens.length;
-    const attempt = this.#startAttempt(choice);
+    const importId = this.#importId;
+    this.#importId = undefined;
+    const { attempt, ended } = this.#sender.send(choice, importId);
     this.#attempt = attempt;
     this.#choice = choice;
     const { state } = loads.find(endpoint.name) ?? {};
@@ -158,45 +158,7 @@
         limits.minFirstTokenWaitMs,
       ),
     );
-    const outcome = await attempt.outcome;
-    loads.recordEnd(endpoint.name);
-    if (outcome.kind === "ended") {
-      const { seenTokens } = choice;
-      stream.usage.recordUsage(outcome.usage, { tokensBefore, seenTokens });
-    }
-    return outcome;
-  }
-
-  #startAttempt(choice: ReplicaChoice): StreamAttempt {
-    const { engines, loads, clock, metrics } = this.#services;
-    const { request, id, output, usage } = this.stream;
-    const importId = this.#importId;
-    this.#importId = undefined;
-    const name = choice.endpoint.name;
-    return StreamAttempt.start({
-      engine: engines(choice.endpoint),
-      output,
-      clock,
-      observer: {
-        recordFirstToken: (waitMs) => {
-          usage.recordFirstToken();
-          loads.recordFirstToken(name, waitMs - choice.firstTokenMs);
-          metrics.recordDuration("engine_first_token_seconds", waitMs);
-        },
-        recordTokenGap: (gapMs) => loads.recordTokenGap(name, gapMs),
-      },
-      request: {
-        id: `${id}.${usage.attempts}`,
-        model: request.service.model,
-        ...(request.adapter === undefined ? {} : { adapter: request.adapter }),
-        prompt: request.prompt,
-        tokensSoFar: [...output.tokens],
-        maxTokens: request.maxTokens,
-        priority: request.team.priority,
-        remainingMs: Math.max(0, request.deadline - clock.now()),
-        ...(importId === undefined ? {} : { importId }),
-      },
-    });
+    return await ended;
   }
 
   /**
@@ -277,7 +239,7 @@
     const { loads, metrics, limits } = this.#services;
     const { output, request, usage } = this.stream;
     loads.recordFailure(error);
-    this.#failedEndpoints.add(choice.endpoint.name);
+    this.#search.recordFailure(choice.endpoint.name);
     if (error.run !== "not_run") this.#mayHaveRun = true;
     // The replica failed after its last token but before the end event.
     if (output.tokens.length >= request.maxTokens) {
@@ -293,7 +255,7 @@
       ? "stream_resumes_total"
       : "stream_retries_total";
     metrics.count(kind, { reason: error.kind });
-    return await this.#waitForChoice();
+    return await this.#search.wait(this.#ended.signal);
   }
 
   #takeRetry(error: EndpointError): boolean {
@@ -313,54 +275,13 @@
     }
   }
 
-  /** Chooses the next replica, with backoff while none can take work. */
-  async #waitForChoice(): Promise<ReplicaChoice | undefined> {
-    const { clock, limits, metrics } = this.#services;
-    const { request } = this.stream;
-    let backoffMs = limits.initialBackoffMs;
-    for (let backoff = 0; backoff <= limits.maxBackoffs; backoff++) {
-      const choice = this.#choose(undefined);
-      if (choice !== undefined) return choice;
-      if (clock.now() + backoffMs >= request.deadline) break;
-      metrics.count("stream_pauses_total", { reason: "no_endpoint" });
-      await clock.sleep(backoffMs, this.#ended.signal);
-      if (this.#isEnded()) return undefined;
-      backoffMs *= 2;
-    }
-    return undefined;
-  }
-
-  #choose(leaving: string | undefined): ReplicaChoice | undefined {
-    const { chooser } = this.#services;
-    const { request, output } = this.stream;
-    const excluded = new Set(this.#failedEndpoints);
-    if (leaving !== undefined) excluded.add(leaving);
-    const query = {
-      service: request.service.name,
-      chain: this.#computeChain(),
-      conversationPrefix: this.stream.conversationPrefix,
-      inputTokens: this.stream.inputTokens,
-      outputTokens: request.maxTokens - output.tokens.length,
-      betweenTokensMs: request.service.target.betweenTokensMs,
-    };
-    const choice = chooser.choose({ ...query, excluded });
-    if (choice !== undefined || this.#failedEndpoints.size === 0) return choice;
-    // No other replica can take work, so one that failed may be tried again.
-    const excludedNow = new Set(leaving === undefined ? [] : [leaving]);
-    return chooser.choose({ ...query, excluded: excludedNow });
-  }
-
-  #computeChain(): readonly number[] {
-    const { promptTokens, chain, output, request } = this.stream;
-    if (output.tokens.length === 0) return chain;
-    const context = computeContext(request.prompt, promptTokens, output.tokens);
-    return computeBlockHashes(this.#services.hasher, context);
-  }
-
   #closeComplete(reason: "stop" | "length", choice: ReplicaChoice): void {
     const { loads, prefixes, metrics } = this.#services;
     const { output, usage } = this.stream;
-    prefixes.recordSend(this.#computeChain(), choice.endpoint.name);
+    prefixes.recordSend(
+      computeChain(this.stream, this.#services),
+      choice.endpoint.name,
+    );
     loads.recordOutput(output.tokens.length);
     const total = usage.compute(output.tokens.length);
     metrics.count("streams_finished_total", { reason });
