Keep a silent replica's attempt until another one goes on with the stream

What callers saw: an answer was cut with endpoint_failed when its replica was silent for a little over a second and no other one took the stream: all others full, leaving or declining, or no attempt left. With another one it was computed again, though the first would have gone on.

Cause: the silent attempt was cancelled as soon as the retry budget had one retry left, before another replica was chosen, let alone had accepted. Silence of a second is no fault, and the loss of the attempt could not be undone.

Change: a replacement is sent beside the silent attempt, within the same budget. The first of the two that has a token or the end is kept and the other ends. Where there is no budget, no other replica or no attempt, the stream waits and asks again at twice the time. A declined replacement costs the caller nothing. The last attempt is kept for a failure.

Why it holds: an attempt ends the other one before it adds its token, so each index is added once, from one of them.

--- a/packages/routing/src/streams/attempt_sender.ts
+++ b/packages/routing/src/streams/attempt_sender.ts
@@ -21,6 +21,14 @@
   readonly ended: Promise<AttemptOutcome>;
 }
 
+/** Options of one send. */
+export interface SendOptions {
+  /** Cache that the replica has imported for this attempt. */
+  readonly importId: string | undefined;
+  /** Called before the attempt adds a token or ends the answer. */
+  readonly onProgress: (attempt: StreamAttempt) => void;
+}
+
 /** Computes the chain of block hashes of a stream's prompt and output so far. */
 export function computeChain(
   stream: RoutedStream,
@@ -49,41 +57,35 @@
     return new AttemptSender(stream, services);
   }
 
-  /** @param importId Cache that the replica has imported for this attempt. */
-  send(choice: ReplicaChoice, importId: string | undefined): SentAttempt {
+  send(choice: ReplicaChoice, options: SendOptions): SentAttempt {
     const { loads, prefixes, retries } = this.#services;
     const { inputTokens, usage, output } = this.#stream;
     const { name } = choice.endpoint;
     retries.recordSend(name);
     loads.recordSend(name, Math.max(0, inputTokens - choice.cachedTokens));
     prefixes.recordSend(computeChain(this.#stream, this.#services), name);
-    usage.recordSend();
-    const tokensBefore = output.tokens.length;
-    const attempt = this.#start(choice, importId);
+    const input = {
+      tokensBefore: output.tokens.length,
+      seenTokens: choice.seenTokens,
+      wasComputed: usage.recordSend(),
+    };
+    const attempt = this.#start(choice, options);
     const ended = attempt.outcome.then((outcome) => {
-      this.#recordEnd(choice, outcome, tokensBefore);
+      loads.recordEnd(name);
+      if (outcome.kind === "ended") usage.recordUsage(outcome.usage, input);
       return outcome;
     });
     return { attempt, choice, ended };
   }
 
-  #recordEnd(
-    { endpoint, seenTokens }: ReplicaChoice,
-    outcome: AttemptOutcome,
-    tokensBefore: number,
-  ): void {
-    this.#services.loads.recordEnd(endpoint.name);
-    if (outcome.kind !== "ended") return;
-    this.#stream.usage.recordUsage(outcome.usage, { tokensBefore, seenTokens });
-  }
-
   #start(
     choice: ReplicaChoice,
-    importId: string | undefined,
+    { importId, onProgress }: SendOptions,
   ): StreamAttempt {
     const { engines, clock } = this.#services;
     const { request, id, output, usage } = this.#stream;
     return StreamAttempt.start({
+      onProgress,
       engine: engines(choice.endpoint),
       output,
       clock,
--- a/packages/routing/src/streams/replica_search.ts
+++ b/packages/routing/src/streams/replica_search.ts
@@ -33,18 +33,16 @@
     this.#failed.add(endpoint);
   }
 
-  /** @param leaving Endpoint that is not to be chosen at all. */
-  choose(leaving: string | undefined): ReplicaChoice | undefined {
-    const choice = this.chooseUntried(leaving);
+  /** @param excluded Endpoints that are not to be chosen at all. */
+  choose(excluded: readonly string[] = []): ReplicaChoice | undefined {
+    const choice = this.chooseUntried(excluded);
     if (choice !== undefined || this.#failed.size === 0) return choice;
-    return this.#choose(new Set(leaving === undefined ? [] : [leaving]));
+    return this.#choose(new Set(excluded));
   }
 
   /** Chooses among the replicas that have not failed the stream. */
-  chooseUntried(leaving: string | undefined): ReplicaChoice | undefined {
-    const excluded = new Set(this.#failed);
-    if (leaving !== undefined) excluded.add(leaving);
-    return this.#choose(excluded);
+  chooseUntried(excluded: readonly string[]): ReplicaChoice | undefined {
+    return this.#choose(new Set([...this.#failed, ...excluded]));
   }
 
   /** Chooses a replica, with backoff while none can take work. */
@@ -53,7 +51,7 @@
     const { request } = this.#stream;
     let backoffMs = limits.initialBackoffMs;
     for (let backoff = 0; backoff <= limits.maxBackoffs; backoff++) {
-      const choice = this.choose(undefined);
+      const choice = this.choose();
       if (choice !== undefined) return choice;
       if (clock.now() + backoffMs >= request.deadline) break;
       metrics.count("stream_pauses_total", { reason: "no_endpoint" });
--- a/packages/routing/src/streams/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -31,6 +31,8 @@
     readonly to: ReplicaChoice;
     readonly importId: string | undefined;
   }
+  /** Another attempt of the stream has gone on in its place. */
+  | { readonly kind: "replaced" }
   /** The caller cancelled, or the run was paused. */
   | { readonly kind: "cancelled" }
   | { readonly kind: "deadline" };
@@ -53,6 +55,8 @@
   readonly output: StreamOutput;
   readonly clock: Clock;
   readonly observer: AttemptObserver;
+  /** Called before the attempt adds a token or ends the answer. */
+  readonly onProgress: (attempt: StreamAttempt) => void;
 }
 
 /** An attempt, from its send until it settles with an outcome. */
@@ -146,6 +150,7 @@
     if (reason === "cancelled") {
       return this.#closeFailed("the engine cancelled the generation");
     }
+    this.#options.onProgress(this);
     this.#close({ kind: "ended", reason, usage });
   }
 
@@ -156,6 +161,7 @@
       this.#closeFailed(`received token ${index}, expected token ${expected}`);
       return false;
     }
+    this.#options.onProgress(this);
     const now = clock.now();
     const gapMs = now - this.#lastProgressAt;
     this.#lastProgressAt = now;
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -7,17 +7,22 @@
  * no new work, so resuming its streams takes no retry budget. Leaving a replica
  * that is only slow, or that declined, takes budget; otherwise a brown-out would
  * multiply the load.
+ *
+ * A replica that falls silent may still go on. So it keeps its attempt while a
+ * replacement is sent to another replica; the first of the two that goes on is
+ * kept, and the other one ends.
  */
 
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 import type { ModelStream } from "../routers/model_router.ts";
 import type { RefusalKind } from "../admission/refusal.ts";
-import { Refusal } from "../admission/refusal.ts";
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
-import { AttemptSender, computeChain } from "./attempt_sender.ts";
+import { AttemptSender, type SentAttempt } from "./attempt_sender.ts";
 import { ReplicaSearch } from "./replica_search.ts";
 import type { AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
+import { StreamEnding } from "./stream_ending.ts";
 import { StreamMigration } from "./stream_migration.ts";
+import { createPause, type StreamPause } from "./stream_pause.ts";
 import type { StreamRunServices } from "./stream_run_services.ts";
 import type { RoutedStream } from "./routed_stream.ts";
 
@@ -26,17 +31,14 @@
 /** Timeout between tokens, as a multiple of the service's target. */
 const tokenGapTimeoutFactor = 20;
 
-/** A pause of a run. */
-interface Pause {
-  readonly ended: Promise<void>;
-  readonly end: () => void;
+/** The last of several attempts, and how it ended. */
+interface EndedAttempt {
+  readonly sent: SentAttempt;
+  readonly outcome: AttemptOutcome;
 }
 
-function createPause(): Pause {
-  let end = (): void => {};
-  const ended = new Promise<void>((resolve) => end = resolve);
-  return { ended, end };
-}
+/** Why a silent attempt was not replaced. */
+type ReplaceRefusal = "attempts" | "no_endpoint" | "timeout";
 
 /** Runs the attempts of one stream. */
 export class StreamRun {
@@ -45,18 +47,21 @@
   readonly #ended = new AbortController();
   readonly #sender: AttemptSender;
   readonly #search: ReplicaSearch;
-  #attempt: StreamAttempt | undefined;
-  #choice: ReplicaChoice | undefined;
+  readonly #ending: StreamEnding;
+  #current: SentAttempt | undefined;
+  /** Second attempt of the stream while the current one is silent. */
+  #replacement: SentAttempt | undefined;
   #importId: string | undefined;
   #mayHaveRun = false;
   #migration: StreamMigration | undefined;
-  #pause: Pause | undefined;
+  #pause: StreamPause | undefined;
 
   private constructor(stream: RoutedStream, services: StreamRunServices) {
     this.stream = stream;
     this.#services = services;
     this.#sender = AttemptSender.create(stream, services);
     this.#search = ReplicaSearch.create(stream, services);
+    this.#ending = StreamEnding.create(stream, services);
   }
 
   static create(stream: RoutedStream, services: StreamRunServices): StreamRun {
@@ -65,7 +70,7 @@
 
   /** Name of the endpoint of the latest attempt. */
   get endpoint(): string | undefined {
-    return this.#choice?.endpoint.name;
+    return this.#current?.choice.endpoint.name;
   }
 
   /** Runs the stream to its end, with its first attempt on `choice` if given. */
@@ -79,8 +84,8 @@
           : await this.#search.wait(this.#ended.signal);
         continue;
       }
-      const outcome = await this.#runAttempt(next);
-      next = await this.#handleOutcome(next, outcome);
+      const { sent, outcome } = await this.#runAttempts(next);
+      next = await this.#handleOutcome(sent.choice, outcome);
     }
     if (this.stream.output.final === undefined && !this.stream.isHandedOver) {
       this.#closeFailed(
@@ -91,16 +96,16 @@
     this.#ended.abort("ended");
   }
 
-  /** Cancels the current attempt and ends the stream as failed. */
+  /** Cancels the running attempts and ends the stream as failed. */
   cancel(): void {
-    this.#attempt?.stop({ kind: "cancelled" });
+    this.#stopAttempts();
     this.#closeFailed("stream_lost", "the request was cancelled");
   }
 
   /** Stops generation until `resume` or `release`. */
   pause(): void {
     this.#pause ??= createPause();
-    this.#attempt?.stop({ kind: "cancelled" });
+    this.#stopAttempts();
   }
 
   /** Continues after a pause. */
@@ -122,16 +127,15 @@
    * @param remainingMs Milliseconds until the endpoint's host is taken back.
    */
   migrate(remainingMs: number): void {
-    const attempt = this.#attempt;
-    const choice = this.#choice;
-    if (attempt === undefined || choice === undefined) return;
+    if (this.#current === undefined) return;
+    const { attempt, choice } = this.#current;
     if (this.#migration?.attempt === attempt) return;
     this.#migration = StreamMigration.create({
       attempt,
       from: choice.endpoint,
       stream: this.stream,
       services: this.#services,
-      choose: () => this.#search.choose(choice.endpoint.name),
+      choose: () => this.#search.choose([choice.endpoint.name]),
       signal: this.#ended.signal,
     });
     void this.#migration.run(remainingMs);
@@ -141,66 +145,156 @@
     return this.stream.output.final !== undefined || this.#ended.signal.aborted;
   }
 
-  async #runAttempt(choice: ReplicaChoice): Promise<AttemptOutcome> {
-    const { loads, clock, limits } = this.#services;
-    const { endpoint } = choice;
+  #hasAllTokens(): boolean {
+    const { output, request } = this.stream;
+    return output.tokens.length >= request.maxTokens;
+  }
+
+  #stopAttempts(): void {
+    this.#current?.attempt.stop({ kind: "cancelled" });
+    this.#replacement?.attempt.stop({ kind: "cancelled" });
+  }
+
+  /** Runs an attempt and those that replace it, until the last one ends. */
+  async #runAttempts(choice: ReplicaChoice): Promise<EndedAttempt> {
     const importId = this.#importId;
     this.#importId = undefined;
-    const { attempt, ended } = this.#sender.send(choice, importId);
-    this.#attempt = attempt;
-    this.#choice = choice;
-    const { state } = loads.find(endpoint.name) ?? {};
+    let sent = this.#send(choice, importId);
+    for (;;) {
+      this.#current = sent;
+      this.#migrateIfLeaving(sent);
+      void this.#watchProgress(sent);
+      const outcome = await sent.ended;
+      const replacement = this.#replacement;
+      this.#replacement = undefined;
+      if (replacement === undefined) return { sent, outcome };
+      if (outcome.kind !== "failed" && outcome.kind !== "replaced") {
+        replacement.attempt.stop({ kind: "cancelled" });
+        return { sent, outcome };
+      }
+      if (outcome.kind === "failed") this.#recordFailure(outcome.error);
+      else this.#search.recordFailure(sent.choice.endpoint.name);
+      sent = replacement;
+    }
+  }
+
+  #send(choice: ReplicaChoice, importId?: string): SentAttempt {
+    return this.#sender.send(choice, {
+      importId,
+      onProgress: (attempt) => this.#endOther(attempt),
+    });
+  }
+
+  /** Ends the other one of two attempts before `attempt` goes on. */
+  #endOther(attempt: StreamAttempt): void {
+    const replacement = this.#replacement;
+    if (replacement === undefined) return;
+    if (replacement.attempt === attempt) {
+      this.#current?.attempt.stop({ kind: "replaced" });
+      return;
+    }
+    this.#replacement = undefined;
+    replacement.attempt.stop({ kind: "replaced" });
+  }
+
+  #migrateIfLeaving({ choice }: SentAttempt): void {
+    const { loads, clock } = this.#services;
+    const { state } = loads.find(choice.endpoint.name) ?? {};
     if (state?.kind === "leaving") this.migrate(state.goneAt - clock.now());
-    void this.#watchProgress(
-      attempt,
-      Math.max(
-        firstTokenTimeoutFactor * choice.firstTokenMs,
-        limits.minFirstTokenWaitMs,
-      ),
-    );
-    return await ended;
   }
 
   /**
-   * Stops an attempt at the deadline, or when its engine makes no progress and
-   * the retry budget allows another attempt. Without budget the timeout doubles.
+   * Stops an attempt at the deadline, and replaces it while its engine makes no
+   * progress. When that is not possible, the timeout doubles.
    */
-  async #watchProgress(
-    attempt: StreamAttempt,
-    firstTokenMs: number,
-  ): Promise<void> {
-    const { clock, limits, retries, metrics } = this.#services;
-    const { request } = this.stream;
-    const gapMs = Math.max(
-      limits.minTokenGapMs,
-      tokenGapTimeoutFactor * request.service.target.betweenTokensMs,
-    );
+  async #watchProgress({ attempt }: SentAttempt): Promise<void> {
+    const { clock, metrics } = this.#services;
     let timeoutFactor = 1;
     while (!attempt.isSettled) {
-      const leftMs = request.deadline - clock.now();
+      const leftMs = this.stream.request.deadline - clock.now();
       if (leftMs <= 0) return attempt.stop({ kind: "deadline" });
-      const allowedMs = timeoutFactor *
-        (attempt.tokens === 0 ? firstTokenMs : gapMs);
-      const idleMs = attempt.computeIdleMs();
+      await this.#removeFailedReplacement();
+      const latest = this.#replacement ?? this.#current;
+      if (attempt.isSettled || latest === undefined) return;
+      const allowedMs = timeoutFactor * this.#computeTimeoutMs(latest);
+      const idleMs = latest.attempt.computeIdleMs();
       if (idleMs < allowedMs) {
         // Sleeps of under 1 ms may not advance a floating-point clock.
         const waitMs = Math.max(1, Math.min(leftMs, allowedMs - idleMs));
-        await clock.sleep(waitMs, attempt.ended);
+        const { ended } = latest.attempt;
+        const either = ended === attempt.ended
+          ? ended
+          : AbortSignal.any([attempt.ended, ended]);
+        await clock.sleep(waitMs, either);
         continue;
       }
-      if (retries.takeRetry(attempt.engine.name, "timeout")) {
-        const endpoint = attempt.engine.name;
-        const timeoutMs = idleMs;
-        const error = EndpointError.create({
-          kind: "timeout",
-          endpoint,
-          timeoutMs,
-        });
-        return attempt.stop({ kind: "failed", error });
+      if (this.#hasAllTokens()) return attempt.stop(createTimeout(latest));
+      const triesAgain = timeoutFactor > 1;
+      const refusal = this.#replace(latest, triesAgain);
+      if (refusal !== undefined) {
+        metrics.count("retries_refused_total", { reason: refusal });
       }
-      metrics.count("retries_refused_total", { reason: "timeout" });
-      timeoutFactor *= 2;
+      if (refusal !== undefined || triesAgain) timeoutFactor *= 2;
+    }
+  }
+
+  /** Time without progress after which an attempt counts as silent. */
+  #computeTimeoutMs({ attempt, choice }: SentAttempt): number {
+    const { limits } = this.#services;
+    const { betweenTokensMs } = this.stream.request.service.target;
+    return attempt.tokens === 0
+      ? Math.max(
+        firstTokenTimeoutFactor * choice.firstTokenMs,
+        limits.minFirstTokenWaitMs,
+      )
+      : Math.max(
+        limits.minTokenGapMs,
+        tokenGapTimeoutFactor * betweenTokensMs,
+      );
+  }
+
+  async #removeFailedReplacement(): Promise<void> {
+    const replacement = this.#replacement;
+    if (replacement?.attempt.isSettled !== true) return;
+    this.#replacement = undefined;
+    const outcome = await replacement.ended;
+    if (outcome.kind === "failed") this.#recordFailure(outcome.error);
+  }
+
+  /**
+   * Sends a replacement of a silent attempt; returns why not, if it could not.
+   * A silent replacement ends, the attempt that it was to replace goes on.
+   *
+   * @param triesAgain Whether replicas that failed the stream may be chosen.
+   */
+  #replace(
+    { attempt, choice }: SentAttempt,
+    triesAgain: boolean,
+  ): ReplaceRefusal | undefined {
+    const { limits, loads, metrics, retries } = this.#services;
+    const { usage, output } = this.stream;
+    // One attempt is kept for a failure of the silent one.
+    if (usage.attempts + 1 >= limits.maxAttempts) return "attempts";
+    const { name } = choice.endpoint;
+    const excluded = [name, this.#current?.choice.endpoint.name ?? name];
+    const next = triesAgain
+      ? this.#search.choose(excluded)
+      : this.#search.chooseUntried(excluded);
+    if (next === undefined) return "no_endpoint";
+    if (!retries.takeRetry(name, "timeout")) return "timeout";
+    const { error } = createTimeout({ attempt, choice });
+    loads.recordFailure(error);
+    const kind = output.tokens.length > 0
+      ? "stream_resumes_total"
+      : "stream_retries_total";
+    metrics.count(kind, { reason: error.kind });
+    this.#mayHaveRun = true;
+    if (attempt === this.#replacement?.attempt) {
+      attempt.stop({ kind: "replaced" });
+      this.#search.recordFailure(name);
     }
+    this.#replacement = this.#send(next);
+    return undefined;
   }
 
   async #handleOutcome(
@@ -209,7 +303,7 @@
   ): Promise<ReplicaChoice | undefined> {
     switch (outcome.kind) {
       case "ended":
-        this.#closeComplete(outcome.reason, choice);
+        this.#ending.complete(outcome.reason, choice.endpoint.name);
         return undefined;
       case "failed":
         return await this.#handleFailure(choice, outcome.error);
@@ -221,6 +315,9 @@
           "the deadline passed before the answer ended",
         );
         return undefined;
+      // `#runAttempts` has gone on with the replacement.
+      case "replaced":
+        return undefined;
       case "cancelled":
         return this.#pause === undefined ? undefined : choice;
     }
@@ -236,14 +333,12 @@
     choice: ReplicaChoice,
     error: EndpointError,
   ): Promise<ReplicaChoice | undefined> {
-    const { loads, metrics, limits } = this.#services;
-    const { output, request, usage } = this.stream;
-    loads.recordFailure(error);
-    this.#search.recordFailure(choice.endpoint.name);
-    if (error.run !== "not_run") this.#mayHaveRun = true;
+    const { metrics, limits } = this.#services;
+    const { output, usage } = this.stream;
+    this.#recordFailure(error);
     // The replica failed after its last token but before the end event.
-    if (output.tokens.length >= request.maxTokens) {
-      this.#closeComplete("length", choice);
+    if (this.#hasAllTokens()) {
+      this.#ending.complete("length", choice.endpoint.name);
       return undefined;
     }
     if (usage.attempts >= limits.maxAttempts || !this.#takeRetry(error)) {
@@ -258,12 +353,18 @@
     return await this.#search.wait(this.#ended.signal);
   }
 
+  #recordFailure(error: EndpointError): void {
+    this.#services.loads.recordFailure(error);
+    this.#search.recordFailure(error.detail.endpoint);
+    if (error.run !== "not_run") this.#mayHaveRun = true;
+  }
+
   #takeRetry(error: EndpointError): boolean {
     switch (error.kind) {
       case "unreachable":
       case "connection_lost":
       case "bad_answer":
-      // `#watchProgress` took budget before it stopped the attempt.
+      // The engine's client gives up at the deadline only.
       case "timeout":
         return true;
       case "declined":
@@ -275,35 +376,18 @@
     }
   }
 
-  #closeComplete(reason: "stop" | "length", choice: ReplicaChoice): void {
-    const { loads, prefixes, metrics } = this.#services;
-    const { output, usage } = this.stream;
-    prefixes.recordSend(
-      computeChain(this.stream, this.#services),
-      choice.endpoint.name,
-    );
-    loads.recordOutput(output.tokens.length);
-    const total = usage.compute(output.tokens.length);
-    metrics.count("streams_finished_total", { reason });
-    metrics.count("tokens_computed_total", {}, total.computedTokens);
-    metrics.count("tokens_recomputed_total", {}, total.recomputedTokens);
-    metrics.count("tokens_cached_total", {}, total.cachedTokens);
-    output.close({ kind: "end", reason, usage: total });
-  }
-
   #closeFailed(kind: RefusalKind, message: string): void {
-    const { output } = this.stream;
-    if (output.final !== undefined) return;
-    this.#services.metrics.count("streams_failed_total", { reason: kind });
-    const ran = output.tokens.length > 0;
-    const mayHaveRun = this.#mayHaveRun || this.#attempt?.isSettled === false ||
-      kind === "deadline";
-    const refusal = Refusal.create({
-      kind,
-      run: ran ? "ran" : mayHaveRun ? "unknown" : "not_run",
-      retryAfterMs: kind === "endpoint_failed" ? 1_000 : undefined,
-      message: `${message}; send the request again if the answer is needed`,
-    });
-    output.close({ kind: "failed", refusal });
+    const mayHaveRun = this.#mayHaveRun || kind === "deadline" ||
+      this.#current?.attempt.isSettled === false;
+    this.#ending.fail({ kind, message, mayHaveRun });
   }
 }
+
+function createTimeout(
+  { attempt, choice }: Pick<SentAttempt, "attempt" | "choice">,
+): { readonly kind: "failed"; readonly error: EndpointError } {
+  const endpoint = choice.endpoint.name;
+  const timeoutMs = attempt.computeIdleMs();
+  const error = EndpointError.create({ kind: "timeout", endpoint, timeoutMs });
+  return { kind: "failed", error };
+}
--- a/packages/routing/src/streams/stream_silence_test.ts
+++ b/packages/routing/src/streams/stream_silence_test.ts
@@ -26,12 +26,15 @@
 
 async function openSilentStream(
   options: ModelSetupOptions = {},
+  maxTokens = 100,
 ): Promise<SilentStream> {
   const setup = await openModelSetup(options);
   for (const engine of setup.engines.values()) {
     engine.behaviour.betweenTokensMs = betweenTokensMs;
   }
-  const opened = await setup.router.open(createRequest(setup.clock));
+  const opened = await setup.router.open(
+    createRequest(setup.clock, { maxTokens }),
+  );
   const stream = opened.unsafeCoerce();
   const reading = startReading(stream);
   await setup.clock.advance(silentAtMs);
@@ -53,6 +56,7 @@
   checkAnswer(stream);
   assert.is(silent.requests.length, 1);
   assert.is(silent.aborted.length, 0);
+  assert.is(setup.metrics.readCounterTotal("tokens_recomputed_total"), 0);
   setup.router.dispose();
 }
 
@@ -117,6 +121,30 @@
   setup.router.dispose();
 });
 
+test("a replacement that is silent as well is replaced elsewhere", async () => {
+  const stream = await openSilentStream();
+  const { setup, others } = stream;
+  for (const other of others) other.behaviour.freezeAt = silentFrom;
+  await setup.clock.advance(1_200);
+  const last = others.find(({ running }) => running === 0);
+  if (last === undefined) throw new Error("both engines have the stream");
+  last.behaviour.freezeAt = undefined;
+  await setup.clock.advance(10_000);
+  checkAnswer(stream);
+  const sent = [...setup.engines.values()].map((e) => e.requests.length);
+  assert.equal(sent, [1, 1, 1]);
+  setup.router.dispose();
+});
+
+test("a replica that is silent after the last token has ended its answer", async () => {
+  const { setup, reading } = await openSilentStream({}, silentFrom);
+  await setup.clock.advance(1_500);
+  assert.is(reading.outcome, "length");
+  const sent = [...setup.engines.values()].flatMap((e) => e.requests);
+  assert.is(sent.length, 1);
+  setup.router.dispose();
+});
+
 test("a caller that cancels ends a silent attempt and its replacement", async () => {
   const { setup, others, silent, cancel } = await openSilentStream();
   for (const other of others) other.behaviour.firstTokenMs = 5_000;
--- a/packages/routing/src/streams/stream_usage.ts
+++ b/packages/routing/src/streams/stream_usage.ts
@@ -11,6 +11,8 @@
   readonly tokensBefore: number;
   /** Input tokens that earlier requests of any caller already computed. */
   readonly seenTokens: number;
+  /** Whether an earlier attempt had computed the stream's input. */
+  readonly wasComputed: boolean;
 }
 
 /** Sums the token usage of a stream's attempts. */
@@ -21,7 +23,6 @@
   #cachedTokens = 0;
   #computedTokens = 0;
   #hasComputedInput = false;
-  #hadComputedInput = false;
 
   private constructor(
     promptTokens: number,
@@ -52,10 +53,13 @@
     return this.#recomputedTokens;
   }
 
-  /** Records that an attempt was sent. */
-  recordSend(): void {
+  /**
+   * Records that an attempt was sent; returns whether an earlier one had computed
+   * the stream's input.
+   */
+  recordSend(): boolean {
     this.#attempts++;
-    this.#hadComputedInput = this.#hasComputedInput;
+    return this.#hasComputedInput;
   }
 
   /** Records the first token of an attempt, which proves its input computed. */
@@ -67,7 +71,7 @@
   recordUsage(usage: EngineUsage, input: AttemptInput): void {
     this.#cachedTokens += usage.cachedTokens;
     this.#computedTokens += usage.computedTokens;
-    const computedBefore = this.#hadComputedInput
+    const computedBefore = input.wasComputed
       ? this.#promptTokens + input.tokensBefore
       : input.seenTokens;
     this.#recomputedTokens += Math.min(
