--- a/packages/routing/src/streams/stream_silence_test.ts
+++ b/packages/routing/src/streams/stream_silence_test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
+import { Random } from "@almondcrank/common/random.ts";
 import { type FakeEngine, formatToken } from "../testing/fake_engine.ts";
 import {
   createRequest,
@@ -102,9 +103,17 @@
 test("a silent replica that goes on before its replacement keeps its stream", async () => {
   const stream = await openSilentStream();
   for (const other of stream.others) other.behaviour.firstTokenMs = 2_000;
-  await checkEndsInPlace(stream);
-  const aborted = stream.others.flatMap((other) => other.aborted);
+  const { setup, silent, others } = stream;
+  await setup.clock.advance(1_500);
+  silent.wake();
+  await setup.clock.advance(10);
+  const aborted = others.flatMap((other) => other.aborted);
   assert.is(aborted.length, 1);
+  await setup.clock.advance(10_000);
+  checkAnswer(stream);
+  assert.is(silent.requests.length, 1);
+  assert.is(silent.aborted.length, 0);
+  setup.router.dispose();
 });
 
 test("a replica that dies while its replacement starts is not replaced twice", async () => {
@@ -167,4 +176,44 @@
   setup.router.dispose();
 });
 
+/** Lets engines be silent, decline, lose a connection or recover at random. */
+async function applyRandomFaults(
+  setup: ModelSetup,
+  random: Random,
+): Promise<void> {
+  const engines = [...setup.engines.values()];
+  for (let step = 0; step < 12; step++) {
+    const { behaviour } = random.choose(engines);
+    behaviour.declines = random.nextInt(3) === 0;
+    behaviour.firstTokenMs = 10 + random.nextInt(1_500);
+    behaviour.cutAt = random.nextInt(4) === 0 ? random.nextInt(20) : undefined;
+    behaviour.freezeAt = random.nextInt(2) === 0
+      ? random.nextInt(20)
+      : undefined;
+    await setup.clock.advance(random.nextInt(900));
+    random.choose(engines).wake();
+  }
+  for (const engine of engines) {
+    engine.behaviour.declines = false;
+    engine.behaviour.cutAt = undefined;
+    engine.wake();
+  }
+}
+
+test("an answer has each token once whatever replicas are silent or decline", async () => {
+  for (let seed = 1; seed <= 60; seed++) {
+    const setup = await openModelSetup({ seed, limits: { maxAttempts: 50 } });
+    const opened = await setup.router.open(createRequest(setup.clock));
+    const reading = startReading(opened.unsafeCoerce());
+    await applyRandomFaults(setup, Random.create(seed));
+    await setup.clock.advance(15_000);
+    const { prompt } = createRequest(setup.clock);
+    const whole = Array.from({ length: 20 }, (_, i) => formatToken(prompt, i));
+    assert.equal(reading.texts, whole, `seed ${seed}`);
+    assert.is(reading.outcome, "stop", `seed ${seed}`);
+    assert.is(sumRunning(setup), 0, `seed ${seed}`);
+    setup.router.dispose();
+  }
+});
+
 test.run();
