Let a begun answer wait for a replica until its deadline

What callers saw: an answer of which they had a part was cut with endpoint_failed 6.4 s after the loss of its replica while no other was usable, though its deadline was far and new requests were admitted once there was one.

Cause: the search for the next replica gave up after the backoffs that are meant for a request without a token, which its caller can send again.

Change: a begun stream searches on, at the longest of these backoffs, until its deadline, and then ends with the refusal of the deadline.

--- a/packages/routing/src/streams/replica_search.ts
+++ b/packages/routing/src/streams/replica_search.ts
@@ -45,21 +45,27 @@
     return this.#choose(new Set([...this.#failed, ...excluded]));
   }
 
-  /** Chooses a replica, with backoff while none can take work. */
+  /**
+   * Chooses a replica, with backoff while none can take work. A stream without a
+   * token gives up after `maxBackoffs`, since its caller can send the request
+   * again; one that has begun waits until its deadline.
+   */
   async wait(signal: AbortSignal): Promise<ReplicaChoice | undefined> {
     const { clock, limits, metrics } = this.#services;
-    const { request } = this.#stream;
+    const { request, output } = this.#stream;
     let backoffMs = limits.initialBackoffMs;
-    for (let backoff = 0; backoff <= limits.maxBackoffs; backoff++) {
+    for (let backoff = 0;; backoff++) {
       const choice = this.choose();
       if (choice !== undefined) return choice;
-      if (clock.now() + backoffMs >= request.deadline) break;
+      const hasBegun = output.tokens.length > 0;
+      const leftMs = request.deadline - clock.now();
+      if (leftMs <= 0 || (backoffMs >= leftMs && !hasBegun)) return undefined;
       metrics.count("stream_pauses_total", { reason: "no_endpoint" });
-      await clock.sleep(backoffMs, signal);
-      if (signal.aborted || this.#stream.output.final !== undefined) break;
-      backoffMs *= 2;
+      await clock.sleep(Math.min(backoffMs, leftMs), signal);
+      if (signal.aborted || output.final !== undefined) return undefined;
+      if (backoff >= limits.maxBackoffs && !hasBegun) return undefined;
+      if (backoff < limits.maxBackoffs) backoffMs *= 2;
     }
-    return undefined;
   }
 
   #choose(excluded: ReadonlySet<string>): ReplicaChoice | undefined {
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -87,12 +87,7 @@
       const { sent, outcome } = await this.#runAttempts(next);
       next = await this.#handleOutcome(sent.choice, outcome);
     }
-    if (this.stream.output.final === undefined && !this.stream.isHandedOver) {
-      this.#closeFailed(
-        "endpoint_failed",
-        "no endpoint could finish the request",
-      );
-    }
+    if (!this.stream.isHandedOver) this.#closeUnfinished();
     this.#ended.abort("ended");
   }
 
@@ -310,10 +305,7 @@
       case "moved":
         return this.#handleMove(outcome.to, outcome.importId);
       case "deadline":
-        this.#closeFailed(
-          "deadline",
-          "the deadline passed before the answer ended",
-        );
+        this.#closeUnfinished();
         return undefined;
       // `#runAttempts` has gone on with the replacement.
       case "replaced":
@@ -376,6 +368,17 @@
     }
   }
 
+  #closeUnfinished(): void {
+    if (this.#services.clock.now() >= this.stream.request.deadline) {
+      const message = "the deadline passed before the answer ended";
+      return this.#closeFailed("deadline", message);
+    }
+    this.#closeFailed(
+      "endpoint_failed",
+      "no endpoint could finish the request",
+    );
+  }
+
   #closeFailed(kind: RefusalKind, message: string): void {
     const mayHaveRun = this.#mayHaveRun || kind === "deadline" ||
       this.#current?.attempt.isSettled === false;
