Let a begun answer wait for retry budget after a decline

What callers saw: an answer of which they had a part was cut with endpoint_failed at once when it had lost or left its replica, the next one declined and the retry budget of that one was spent. That is the rule in a shortage: many streams resume at the few replicas left, those decline, and two retries in ten seconds beside a tenth of the sends is all that a node has for each.

Cause: a spent budget ended the stream. It limits what is sent, so it is reason to wait, not to give up what has been answered.

Change: a begun stream asks for budget again, with backoff, until its deadline. Nothing is sent beyond the budget. A request without a token is refused as before; its caller can send it again.

--- a/packages/routing/src/streams/replica_search.ts
+++ b/packages/routing/src/streams/replica_search.ts
@@ -8,6 +8,7 @@
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
 import { computeChain } from "./attempt_sender.ts";
 import type { RoutedStream } from "./routed_stream.ts";
+import { computeBackoffMs } from "./stream_limits.ts";
 import type { StreamRunServices } from "./stream_run_services.ts";
 
 /** Chooses the replicas of one stream. */
@@ -53,18 +54,17 @@
   async wait(signal: AbortSignal): Promise<ReplicaChoice | undefined> {
     const { clock, limits, metrics } = this.#services;
     const { request, output } = this.#stream;
-    let backoffMs = limits.initialBackoffMs;
-    for (let backoff = 0;; backoff++) {
+    for (let backoffs = 0;; backoffs++) {
       const choice = this.choose();
       if (choice !== undefined) return choice;
       const hasBegun = output.tokens.length > 0;
+      const backoffMs = computeBackoffMs(limits, backoffs);
       const leftMs = request.deadline - clock.now();
       if (leftMs <= 0 || (backoffMs >= leftMs && !hasBegun)) return undefined;
       metrics.count("stream_pauses_total", { reason: "no_endpoint" });
       await clock.sleep(Math.min(backoffMs, leftMs), signal);
       if (signal.aborted || output.final !== undefined) return undefined;
-      if (backoff >= limits.maxBackoffs && !hasBegun) return undefined;
-      if (backoff < limits.maxBackoffs) backoffMs *= 2;
+      if (backoffs >= limits.maxBackoffs && !hasBegun) return undefined;
     }
   }
 
--- a/packages/routing/src/streams/stream_limits.ts
+++ b/packages/routing/src/streams/stream_limits.ts
@@ -36,3 +36,11 @@
   maxBackoffs: 6,
   initialBackoffMs: 50,
 };
+
+/** Computes the backoff in milliseconds that follows `backoffs` earlier ones. */
+export function computeBackoffMs(
+  limits: Pick<StreamLimits, "initialBackoffMs" | "maxBackoffs">,
+  backoffs: number,
+): number {
+  return limits.initialBackoffMs * 2 ** Math.min(backoffs, limits.maxBackoffs);
+}
--- /dev/null
+++ b/packages/routing/src/streams/stream_retries.ts
@@ -0,0 +1,64 @@
+/**
+ * Decides whether a stream may be sent again after a failed attempt.
+ *
+ * A replica that cannot be reached or lost the connection gets no new work, so
+ * leaving it is free; leaving one that declined takes retry budget. A request
+ * without a token ends when the budget is spent, since its caller can send it
+ * again. A begun stream waits for budget until its deadline.
+ */
+
+import type { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
+import type { RoutedStream } from "./routed_stream.ts";
+import { computeBackoffMs } from "./stream_limits.ts";
+import type { StreamRunServices } from "./stream_run_services.ts";
+
+/** Retries of one stream. */
+export class StreamRetries {
+  readonly #stream: RoutedStream;
+  readonly #services: StreamRunServices;
+
+  private constructor(stream: RoutedStream, services: StreamRunServices) {
+    this.#stream = stream;
+    this.#services = services;
+  }
+
+  static create(
+    stream: RoutedStream,
+    services: StreamRunServices,
+  ): StreamRetries {
+    return new StreamRetries(stream, services);
+  }
+
+  /** Takes a retry after a failure; false if the stream ends with it. */
+  async take(error: EndpointError, signal: AbortSignal): Promise<boolean> {
+    const { clock, limits, metrics } = this.#services;
+    const { output, request, usage } = this.#stream;
+    if (usage.attempts >= limits.maxAttempts) return false;
+    for (let backoffs = 0; !this.#takeBudget(error); backoffs++) {
+      const leftMs = request.deadline - clock.now();
+      if (output.tokens.length === 0 || leftMs <= 0) return false;
+      metrics.count("stream_pauses_total", { reason: "no_retry_budget" });
+      const backoffMs = computeBackoffMs(limits, backoffs);
+      await clock.sleep(Math.min(backoffMs, leftMs), signal);
+      if (signal.aborted || output.final !== undefined) return false;
+    }
+    return true;
+  }
+
+  #takeBudget(error: EndpointError): boolean {
+    switch (error.kind) {
+      case "unreachable":
+      case "connection_lost":
+      case "bad_answer":
+      // The engine's client gives up at the deadline only.
+      case "timeout":
+        return true;
+      case "declined":
+      case "stale_fencing":
+        return this.#services.retries.takeRetry(
+          error.detail.endpoint,
+          "declined",
+        );
+    }
+  }
+}
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -22,6 +22,7 @@
 import type { AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
 import { StreamEnding } from "./stream_ending.ts";
 import { StreamMigration } from "./stream_migration.ts";
+import { StreamRetries } from "./stream_retries.ts";
 import { createPause, type StreamPause } from "./stream_pause.ts";
 import type { StreamRunServices } from "./stream_run_services.ts";
 import type { RoutedStream } from "./routed_stream.ts";
@@ -47,6 +48,7 @@
   readonly #ended = new AbortController();
   readonly #sender: AttemptSender;
   readonly #search: ReplicaSearch;
+  readonly #retries: StreamRetries;
   readonly #ending: StreamEnding;
   #current: SentAttempt | undefined;
   /** Second attempt of the stream while the current one is silent. */
@@ -61,6 +63,7 @@
     this.#services = services;
     this.#sender = AttemptSender.create(stream, services);
     this.#search = ReplicaSearch.create(stream, services);
+    this.#retries = StreamRetries.create(stream, services);
     this.#ending = StreamEnding.create(stream, services);
   }
 
@@ -87,7 +90,7 @@
       const { sent, outcome } = await this.#runAttempts(next);
       next = await this.#handleOutcome(sent.choice, outcome);
     }
-    if (!this.stream.isHandedOver) this.#closeUnfinished();
+    this.#closeUnfinished();
     this.#ended.abort("ended");
   }
 
@@ -325,17 +328,17 @@
     choice: ReplicaChoice,
     error: EndpointError,
   ): Promise<ReplicaChoice | undefined> {
-    const { metrics, limits } = this.#services;
-    const { output, usage } = this.stream;
+    const { metrics } = this.#services;
+    const { output } = this.stream;
     this.#recordFailure(error);
     // The replica failed after its last token but before the end event.
     if (this.#hasAllTokens()) {
       this.#ending.complete("length", choice.endpoint.name);
       return undefined;
     }
-    if (usage.attempts >= limits.maxAttempts || !this.#takeRetry(error)) {
+    if (!await this.#retries.take(error, this.#ended.signal)) {
       metrics.count("retries_refused_total", { reason: error.kind });
-      this.#closeFailed("endpoint_failed", error.message);
+      this.#closeUnfinished(error.message);
       return undefined;
     }
     const kind = output.tokens.length > 0
@@ -351,32 +354,14 @@
     if (error.run !== "not_run") this.#mayHaveRun = true;
   }
 
-  #takeRetry(error: EndpointError): boolean {
-    switch (error.kind) {
-      case "unreachable":
-      case "connection_lost":
-      case "bad_answer":
-      // The engine's client gives up at the deadline only.
-      case "timeout":
-        return true;
-      case "declined":
-      case "stale_fencing":
-        return this.#services.retries.takeRetry(
-          error.detail.endpoint,
-          "declined",
-        );
+  /** @param reason Why the stream ends if its deadline has not passed. */
+  #closeUnfinished(reason = "no endpoint could finish the request"): void {
+    if (this.stream.isHandedOver) return;
+    if (this.#services.clock.now() < this.stream.request.deadline) {
+      return this.#closeFailed("endpoint_failed", reason);
     }
-  }
-
-  #closeUnfinished(): void {
-    if (this.#services.clock.now() >= this.stream.request.deadline) {
-      const message = "the deadline passed before the answer ended";
-      return this.#closeFailed("deadline", message);
-    }
-    this.#closeFailed(
-      "endpoint_failed",
-      "no endpoint could finish the request",
-    );
+    const message = "the deadline passed before the answer ended";
+    this.#closeFailed("deadline", message);
   }
 
   #closeFailed(kind: RefusalKind, message: string): void {
