Count only attempts that may have run against a begun stream's limit

What callers saw: an answer of which they had a part was cut with endpoint_failed when its sixth attempt ended, though all the earlier ones had been moved off leaving replicas, declined or refused a connection. In a shortage six declines took no time: replicas that had declined were asked again without a pause.

Cause: the limit is there to keep a request that fails its replicas from failing many, but counted every send.

Change: attempts that were moved or not run do not count once the stream has begun. A replica that failed the stream is tried again only after a backoff, which doubles until the stream goes on. Declines still take retry budget.

--- a/packages/routing/src/streams/replica_search.ts
+++ b/packages/routing/src/streams/replica_search.ts
@@ -2,7 +2,7 @@
  * Search for the next replica of one stream.
  *
  * Replicas that failed the stream are tried again only when no other one can take
- * it. While none can, the search backs off.
+ * it, and after a backoff, which doubles until the stream goes on.
  */
 
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
@@ -16,6 +16,9 @@
   readonly #stream: RoutedStream;
   readonly #services: StreamRunServices;
   readonly #failed = new Set<string>();
+  #backoffs = 0;
+  /** Tokens of the stream at its last search. */
+  #tokens = 0;
 
   private constructor(stream: RoutedStream, services: StreamRunServices) {
     this.#stream = stream;
@@ -54,20 +57,28 @@
   async wait(signal: AbortSignal): Promise<ReplicaChoice | undefined> {
     const { clock, limits, metrics } = this.#services;
     const { request, output } = this.#stream;
-    for (let backoffs = 0;; backoffs++) {
-      const choice = this.choose();
+    this.#resetBackoff();
+    for (let waits = 0;; waits++) {
+      const choice = waits === 0 ? this.chooseUntried([]) : this.choose();
       if (choice !== undefined) return choice;
       const hasBegun = output.tokens.length > 0;
-      const backoffMs = computeBackoffMs(limits, backoffs);
+      const backoffMs = computeBackoffMs(limits, this.#backoffs++);
       const leftMs = request.deadline - clock.now();
       if (leftMs <= 0 || (backoffMs >= leftMs && !hasBegun)) return undefined;
       metrics.count("stream_pauses_total", { reason: "no_endpoint" });
       await clock.sleep(Math.min(backoffMs, leftMs), signal);
       if (signal.aborted || output.final !== undefined) return undefined;
-      if (backoffs >= limits.maxBackoffs && !hasBegun) return undefined;
+      if (waits >= limits.maxBackoffs && !hasBegun) return undefined;
     }
   }
 
+  /** Starts with the first backoff again once the stream has gone on. */
+  #resetBackoff(): void {
+    const tokens = this.#stream.output.tokens.length;
+    if (tokens > this.#tokens) this.#backoffs = 0;
+    this.#tokens = tokens;
+  }
+
   #choose(excluded: ReadonlySet<string>): ReplicaChoice | undefined {
     const { request, output, conversationPrefix, inputTokens } = this.#stream;
     return this.#services.chooser.choose({
--- a/packages/routing/src/streams/stream_limits.ts
+++ b/packages/routing/src/streams/stream_limits.ts
@@ -12,7 +12,10 @@
   readonly reconnectGraceMs: number;
   /** Time for which a finished stream can still be read. */
   readonly retainMs: number;
-  /** Attempts of one stream, those on earlier owners included. */
+  /**
+   * Attempts of one stream, those on earlier owners included; of a begun stream
+   * only those that may have run.
+   */
   readonly maxAttempts: number;
   /** Lower bound of the timeout for the first token. */
   readonly minFirstTokenWaitMs: number;
--- a/packages/routing/src/streams/stream_retries.ts
+++ b/packages/routing/src/streams/stream_retries.ts
@@ -4,7 +4,9 @@
  * A replica that cannot be reached or lost the connection gets no new work, so
  * leaving it is free; leaving one that declined takes retry budget. A request
  * without a token ends when the budget is spent, since its caller can send it
- * again. A begun stream waits for budget until its deadline.
+ * again. A begun stream waits for budget until its deadline, and only attempts that
+ * may have run count against its limit, which keeps a request that fails its
+ * replicas from failing many.
  */
 
 import type { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
@@ -16,6 +18,8 @@
 export class StreamRetries {
   readonly #stream: RoutedStream;
   readonly #services: StreamRunServices;
+  /** Attempts that ended without a sign that the request fails its replicas. */
+  #uncounted = 0;
 
   private constructor(stream: RoutedStream, services: StreamRunServices) {
     this.#stream = stream;
@@ -29,14 +33,30 @@
     return new StreamRetries(stream, services);
   }
 
+  /** Attempts that may have failed because of the request. */
+  get countedAttempts(): number {
+    return this.#stream.usage.attempts - this.#uncounted;
+  }
+
+  /** Records that an attempt was moved off a leaving replica. */
+  recordMove(): void {
+    this.#uncounted++;
+  }
+
+  recordFailure(error: EndpointError): void {
+    if (error.run === "not_run") this.#uncounted++;
+  }
+
   /** Takes a retry after a failure; false if the stream ends with it. */
   async take(error: EndpointError, signal: AbortSignal): Promise<boolean> {
     const { clock, limits, metrics } = this.#services;
     const { output, request, usage } = this.#stream;
-    if (usage.attempts >= limits.maxAttempts) return false;
+    const hasBegun = output.tokens.length > 0;
+    const attempts = hasBegun ? this.countedAttempts : usage.attempts;
+    if (attempts >= limits.maxAttempts) return false;
     for (let backoffs = 0; !this.#takeBudget(error); backoffs++) {
       const leftMs = request.deadline - clock.now();
-      if (output.tokens.length === 0 || leftMs <= 0) return false;
+      if (!hasBegun || leftMs <= 0) return false;
       metrics.count("stream_pauses_total", { reason: "no_retry_budget" });
       const backoffMs = computeBackoffMs(limits, backoffs);
       await clock.sleep(Math.min(backoffMs, leftMs), signal);
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -270,9 +270,11 @@
     triesAgain: boolean,
   ): ReplaceRefusal | undefined {
     const { limits, loads, metrics, retries } = this.#services;
-    const { usage, output } = this.stream;
+    const { output } = this.stream;
     // One attempt is kept for a failure of the silent one.
-    if (usage.attempts + 1 >= limits.maxAttempts) return "attempts";
+    if (this.#retries.countedAttempts + 1 >= limits.maxAttempts) {
+      return "attempts";
+    }
     const { name } = choice.endpoint;
     const excluded = [name, this.#current?.choice.endpoint.name ?? name];
     const next = triesAgain
@@ -306,6 +308,7 @@
       case "failed":
         return await this.#handleFailure(choice, outcome.error);
       case "moved":
+        this.#retries.recordMove();
         return this.#handleMove(outcome.to, outcome.importId);
       case "deadline":
         this.#closeUnfinished();
@@ -351,6 +354,7 @@
   #recordFailure(error: EndpointError): void {
     this.#services.loads.recordFailure(error);
     this.#search.recordFailure(error.detail.endpoint);
+    this.#retries.recordFailure(error);
     if (error.run !== "not_run") this.#mayHaveRun = true;
   }
 
