Close a dropped endpoint's client after its running calls

What callers saw: beside a change of the configuration that drops an endpoint or moves its name to another address, a call that is not idempotent ended with outcome_unknown, and a stream was computed again elsewhere, or cut where no replica took it. The host would have answered.

Cause: the client was destroyed at once, with its running calls. The configuration says where new calls go; it is no sign that a host is gone.

Change: a client counts its calls and closes after the last one. Both kinds of clients are in one pool, which had the same lines twice. Disposing the pool ends all calls as before.

--- a/packages/bench/src/relay_rate.ts
+++ b/packages/bench/src/relay_rate.ts
@@ -26,7 +26,8 @@
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
-import { EnginePool } from "@almondcrank/endpoint/engine_pool.ts";
+import { ClientPool } from "@almondcrank/endpoint/client_pool.ts";
+import { HttpEngine } from "@almondcrank/endpoint/http_engine.ts";
 import { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
 import type { ModelStream } from "@almondcrank/routing/routers/model_router.ts";
 import { NodeModelRouter } from "@almondcrank/routing/routers/node_model_router.ts";
@@ -156,7 +157,9 @@
   };
   const loads = LoadTable.create({ clock, assumed });
   loads.apply(endpoints);
-  const engines = EnginePool.create(clock, { maxConnections: 2_048 });
+  const engines = ClientPool.create((endpoint) =>
+    HttpEngine.create({ endpoint, clock, maxConnections: 2_048 })
+  );
   const router = NodeModelRouter.create({
     nodeName: "n1",
     incarnation: "1",
--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -33,6 +33,7 @@
   parseGenerateEvent,
   staleFencingSchema,
 } from "./engine_messages.ts";
+import { RunningCalls } from "./running_calls.ts";
 import { LineSplitter, maxLineBytes } from "./line_splitter.ts";
 
 const defaultCallTimeoutMs = 2_000;
@@ -87,6 +88,7 @@
   readonly #clock: Clock;
   readonly #callTimeoutMs: number;
   readonly #pool: Pool;
+  readonly #calls = RunningCalls.create();
 
   private constructor(options: HttpEngineOptions) {
     this.name = options.endpoint.name;
@@ -104,6 +106,12 @@
     return new HttpEngine(options);
   }
 
+  /** Closes all connections once the running calls have ended. */
+  async close(): Promise<void> {
+    await this.#calls.waitIdle();
+    this.dispose();
+  }
+
   /** Closes all connections at once; running calls fail. */
   dispose(): void {
     void this.#pool.destroy();
@@ -114,6 +122,7 @@
     signal: AbortSignal,
   ): AsyncGenerator<Either<EndpointError, GenerateEvent>, void, void> {
     if (signal.aborted) return;
+    this.#calls.start();
     // Whether the engine has no state of this request that a cancel would remove.
     let engineEnded = false;
     try {
@@ -145,6 +154,7 @@
       yield Left(error);
     } finally {
       if (!engineEnded) void this.cancel(request.id);
+      this.#calls.end();
     }
   }
 
@@ -257,6 +267,7 @@
     path: string,
     body?: unknown,
   ): Promise<Either<EndpointError, CompleteAnswer>> {
+    this.#calls.start();
     const timeout = new AbortController();
     const finished = new AbortController();
     const timeoutMs = this.#callTimeoutMs;
@@ -283,6 +294,7 @@
       );
     } finally {
       finished.abort();
+      this.#calls.end();
     }
   }
 
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -15,6 +15,7 @@
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { EndpointError, type EndpointErrorDetail } from "./endpoint_error.ts";
+import { RunningCalls } from "./running_calls.ts";
 import type {
   PlainAnswer,
   PlainCall,
@@ -66,6 +67,7 @@
   readonly #clock: Clock;
   readonly #pool: Pool;
   readonly #maxAnswerBytes: number;
+  readonly #calls = RunningCalls.create();
 
   private constructor(options: HttpPlainEndpointOptions) {
     this.name = options.name;
@@ -120,6 +122,13 @@
     return answer.chain((received) => this.#parseLoad(received));
   }
 
+  /** Closes all connections once the running calls have ended. */
+  async close(): Promise<void> {
+    await this.#calls.waitIdle();
+    this.dispose();
+  }
+
+  /** Closes all connections at once; running calls fail. */
   dispose(): void {
     void this.#pool.destroy();
   }
@@ -134,7 +143,20 @@
     }
   }
 
-  #send(exchange: Exchange): Promise<Either<EndpointError, ReceivedAnswer>> {
+  async #send(
+    exchange: Exchange,
+  ): Promise<Either<EndpointError, ReceivedAnswer>> {
+    this.#calls.start();
+    try {
+      return await this.#dispatch(exchange);
+    } finally {
+      this.#calls.end();
+    }
+  }
+
+  #dispatch(
+    exchange: Exchange,
+  ): Promise<Either<EndpointError, ReceivedAnswer>> {
     return new Promise((resolve) => {
       const handler = AnswerHandler.create({
         clock: this.#clock,
--- a/packages/node/src/endpoint_clients.ts
+++ b/packages/node/src/endpoint_clients.ts
@@ -8,25 +8,24 @@
   Endpoint,
 } from "@almondcrank/common/configuration.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { ClientPool } from "@almondcrank/endpoint/client_pool.ts";
 import type { Engine } from "@almondcrank/endpoint/engine.ts";
-import { EnginePool } from "@almondcrank/endpoint/engine_pool.ts";
+import { HttpEngine } from "@almondcrank/endpoint/http_engine.ts";
 import { HttpPlainEndpoint } from "@almondcrank/endpoint/http_plain_endpoint.ts";
 
-interface PooledPlainClient {
-  readonly address: string;
-  readonly client: HttpPlainEndpoint;
-}
-
-/** Creates, caches and disposes the endpoints' clients. */
+/** Creates, caches and closes the endpoints' clients. */
 export class EndpointClients implements Disposable {
-  readonly #clock: Clock;
-  readonly #engines: EnginePool;
-  readonly #plain = new Map<string, PooledPlainClient>();
+  readonly #engines: ClientPool<HttpEngine>;
+  readonly #plain: ClientPool<HttpPlainEndpoint>;
   #kinds: ReadonlyMap<string, "model" | "plain"> = new Map();
 
   private constructor(clock: Clock) {
-    this.#clock = clock;
-    this.#engines = EnginePool.create(clock);
+    this.#engines = ClientPool.create((endpoint) =>
+      HttpEngine.create({ endpoint, clock })
+    );
+    this.#plain = ClientPool.create(({ name, address }) =>
+      HttpPlainEndpoint.create({ name, address, clock })
+    );
   }
 
   static create(clock: Clock): EndpointClients {
@@ -43,39 +42,24 @@
     return this.#engines.find(endpoint);
   }
 
-  /** Client of a plain endpoint, created anew when its address has changed. */
+  /** Client of a plain endpoint. */
   findPlain(endpoint: Endpoint): HttpPlainEndpoint {
-    const { name, address } = endpoint;
-    const pooled = this.#plain.get(name);
-    if (pooled?.address === address) return pooled.client;
-    pooled?.client.dispose();
-    const client = HttpPlainEndpoint.create({
-      name,
-      address,
-      clock: this.#clock,
-    });
-    this.#plain.set(name, { address, client });
-    return client;
+    return this.#plain.find(endpoint);
   }
 
   /**
-   * Applies a configuration: disposes the clients of endpoints that it lacks.
+   * Applies a configuration: clients of endpoints that it lacks close after their
+   * running calls.
    */
   apply(configuration: Configuration): void {
     const { services, endpoints } = configuration;
     this.#kinds = new Map(services.map(({ name, kind }) => [name, kind]));
     this.#engines.apply(endpoints);
-    const names = new Set(endpoints.map(({ name }) => name));
-    for (const [name, { client }] of this.#plain) {
-      if (names.has(name)) continue;
-      client.dispose();
-      this.#plain.delete(name);
-    }
+    this.#plain.apply(endpoints);
   }
 
   dispose(): void {
     this.#engines.dispose();
-    for (const { client } of this.#plain.values()) client.dispose();
-    this.#plain.clear();
+    this.#plain.dispose();
   }
 }
