Test that fails: a caller that comes back is refused when one request is lost

What callers would see: who comes back with Last-Event-ID at another node gets stream_lost when the node that holds the stream does not answer one request, though the stream goes on there.

--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -238,6 +238,38 @@
   dispose(nodes);
 });
 
+// One request that its owner did not answer had a caller refused as lost.
+test("a caller that comes back while the stream's node is silent gets the rest", async () => {
+  const nodes = await openNodes();
+  const { clock } = nodes.first;
+  const stream = await open(nodes);
+  const abort = new AbortController();
+  const before = startReading(stream, 0, abort.signal);
+  await clock.advance(205);
+  abort.abort();
+  nodes.peers.silent.add("n1");
+  const finding = findNode(nodes, "n2").router.find(stream.id, testTeam);
+  await clock.advance(500);
+  nodes.peers.silent.delete("n1");
+  await clock.advance(2_000);
+  const found = (await finding).unsafeCoerce();
+  const after = startReading(found, before.texts.length);
+  await clock.advance(5_000);
+  assert.equal([...before.texts, ...after.texts], expectTokens(nodes, 0));
+  dispose(nodes);
+});
+
+test("a stream of a node that stays silent is refused as lost", async () => {
+  const nodes = await openNodes();
+  const { clock } = nodes.first;
+  const stream = await open(nodes);
+  nodes.peers.silent.add("n1");
+  const finding = findNode(nodes, "n2").router.find(stream.id, testTeam);
+  await clock.advance(5_000);
+  assert.is((await finding).swap().unsafeCoerce().kind, "stream_lost");
+  dispose(nodes);
+});
+
 test("streams of a crashed node are lost, with an unknown run", async () => {
   const nodes = await openNodes();
   const stream = await open(nodes);
--- a/packages/routing/src/testing/test_peers.ts
+++ b/packages/routing/src/testing/test_peers.ts
@@ -18,6 +18,8 @@
   readonly #nodes = new Map<string, NodeModelRouter>();
   /** Nodes that cannot be reached. */
   readonly disconnected = new Set<string>();
+  /** Nodes that are alive but answer no request. */
+  readonly silent = new Set<string>();
   /** Nodes that are left out of the list of peers. */
   readonly leaving = new Set<string>();
   /** Nodes that accept a hand-over but whose answer is lost. */
@@ -74,6 +76,7 @@
   }
 
   #find(node: string): NodeModelRouter | undefined {
-    return this.disconnected.has(node) ? undefined : this.#nodes.get(node);
+    const answers = !this.disconnected.has(node) && !this.silent.has(node);
+    return answers ? this.#nodes.get(node) : undefined;
   }
 }
