Ask a silent peer for a stream again before the stream counts as lost

What callers saw: who came back with Last-Event-ID at another node than the one that holds the stream got stream_lost when that node did not answer one request, while a new request was admitted.

Cause: the search for the owner asked each candidate once, and took no answer for the answer that the stream is not known. A stream that was found is read with five rounds and backoff.

Change: one search for both. A peer that is a member and does not answer is asked again in up to five rounds; one that does not know the stream, or is no member, ends the search at once as before.

--- a/packages/node/src/request_peers.ts
+++ b/packages/node/src/request_peers.ts
@@ -34,18 +34,24 @@
 /** Timeout of a forwarded call, which includes the call to the endpoint. */
 const forwardTimeoutMs = 60_000;
 
-type StreamPeerErrorDetail =
-  | { readonly kind: "peer_unreachable" }
-  | { readonly kind: "unknown_stream" };
-
-class StreamPeerError extends KindError<StreamPeerErrorDetail> {
-  static create(detail: StreamPeerErrorDetail): StreamPeerError {
-    return new StreamPeerError(
-      detail,
-      detail.kind === "unknown_stream"
-        ? "the peer does not hold the stream; ask another peer"
-        : "the peer did not answer; ask another peer",
-    );
+type StreamPeerErrorKind = PeerFailure["kind"];
+
+class StreamPeerError extends KindError<
+  { readonly kind: StreamPeerErrorKind }
+> {
+  static create(kind: StreamPeerErrorKind): StreamPeerError {
+    return new StreamPeerError({ kind }, formatStreamPeerError(kind));
+  }
+}
+
+function formatStreamPeerError(kind: StreamPeerErrorKind): string {
+  switch (kind) {
+    case "unknown_stream":
+      return "the peer does not hold the stream; ask another peer";
+    case "peer_unreachable":
+      return "the peer did not answer; ask it again or another peer";
+    case "unknown_peer":
+      return "the peer is no member; ask another peer";
   }
 }
 
@@ -78,7 +84,9 @@
   ): Promise<Either<PeerFailure, EventBatch>> {
     const { node, ...query } = request;
     const address = this.#findAddress(node);
-    if (address === undefined) return Left(createUnreachableError());
+    if (address === undefined) {
+      return Left(StreamPeerError.create("unknown_peer"));
+    }
     const answer = await this.#options.clients.call(address, {
       timeoutMs: callTimeoutMs + query.waitMs,
       send: ({ client, signal }) => client.readEvents.mutate(query, { signal }),
@@ -88,7 +96,7 @@
       if (!parsed.success) return Left(createUnreachableError());
       const batch = decodeEventBatch(parsed.data);
       return batch === undefined
-        ? Left(StreamPeerError.create({ kind: "unknown_stream" }))
+        ? Left(StreamPeerError.create("unknown_stream"))
         : Right(batch);
     });
   }
@@ -107,7 +115,9 @@
     stream: StreamHandOver,
   ): Promise<Either<PeerFailure, void>> {
     const address = this.#findAddress(node);
-    if (address === undefined) return Left(createUnreachableError());
+    if (address === undefined) {
+      return Left(StreamPeerError.create("unknown_peer"));
+    }
     const answer = await this.#options.clients.call(address, {
       timeoutMs: callTimeoutMs,
       send: ({ client, signal }) =>
@@ -116,7 +126,7 @@
     return answer.mapLeft(createUnreachableError).chain((result) =>
       result.kind === "taken"
         ? Right(undefined)
-        : Left(StreamPeerError.create({ kind: "unknown_stream" }))
+        : Left(StreamPeerError.create("unknown_stream"))
     );
   }
 
@@ -191,7 +201,7 @@
 }
 
 function createUnreachableError(): StreamPeerError {
-  return StreamPeerError.create({ kind: "peer_unreachable" });
+  return StreamPeerError.create("peer_unreachable");
 }
 
 /** Peer address of the latest incarnation of a node. */
--- a/packages/routing/src/streams/peer_stream.ts
+++ b/packages/routing/src/streams/peer_stream.ts
@@ -5,13 +5,11 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { ModelStream, StreamEvent } from "../routers/model_router.ts";
 import { Refusal } from "../admission/refusal.ts";
+import { askOwners } from "./owner_search.ts";
 import type { EventBatch, StreamPeers } from "./stream_peers.ts";
 
 /** Time a peer waits for the next event before it answers with none. */
 const longPollMs = 1_000;
-const initialBackoffMs = 50;
-/** Passes over all candidate owners before the stream counts as lost. */
-const maxRounds = 5;
 
 /** Options of a `PeerStream`. */
 export interface PeerStreamOptions {
@@ -73,25 +71,17 @@
     signal: AbortSignal,
   ): Promise<EventBatch | undefined> {
     const { peers, id, team, clock, owners } = this.#options;
-    let backoffMs = initialBackoffMs;
-    for (let round = 0; round < maxRounds; round++) {
-      for (const node of new Set([this.#node, ...owners()])) {
-        if (signal.aborted) return undefined;
-        const batch = await peers.readEvents({
-          node,
-          id,
-          team,
-          from,
-          waitMs: longPollMs,
-        });
-        if (batch.isLeft()) continue;
-        this.#node = node;
-        return batch.unsafeCoerce();
-      }
-      await clock.sleep(backoffMs, signal);
-      backoffMs *= 2;
-    }
-    return undefined;
+    const found = await askOwners({
+      clock,
+      signal,
+      owners: () => [this.#node, ...owners()],
+      ask: (node) =>
+        peers.readEvents({ node, id, team, from, waitMs: longPollMs }),
+      mayMove: true,
+    });
+    if (found === undefined) return undefined;
+    this.#node = found.node;
+    return found.answer;
   }
 }
 
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -26,6 +26,7 @@
   ModelStream,
   StreamEvent,
 } from "../routers/model_router.ts";
+import { askOwners } from "./owner_search.ts";
 import { PeerStream } from "./peer_stream.ts";
 import { Refusal } from "../admission/refusal.ts";
 import type { StreamProgress } from "./routed_stream.ts";
@@ -84,26 +85,25 @@
   async find(id: string, team: Team): Promise<Either<Refusal, ModelStream>> {
     const local = this.#findLocal(id, team.name);
     if (local !== undefined) return Right(local.stream);
-    for (const node of this.listCandidateOwners(id)) {
-      const batch = await this.#options.peers.readEvents({
-        node,
-        id,
-        team: team.name,
-        from: 0,
-        waitMs: 0,
-      });
-      if (batch.isLeft()) continue;
-      this.#options.metrics.count("streams_found_total", { where: "peer" });
-      const { peers, clock } = this.#options;
-      const owners = (): readonly string[] => this.listCandidateOwners(id);
-      return Right(
-        PeerStream.create({ id, team: team.name, node, peers, clock, owners }),
-      );
-    }
-    this.#options.metrics.count("model_refusals_total", {
-      reason: "stream_lost",
+    const { peers, clock, signal, metrics } = this.#options;
+    const owners = (): readonly string[] => this.listCandidateOwners(id);
+    const found = await askOwners({
+      clock,
+      signal,
+      owners,
+      ask: (node) =>
+        peers.readEvents({ node, id, team: team.name, from: 0, waitMs: 0 }),
+      mayMove: false,
     });
-    return Left(createLostRefusal());
+    if (found === undefined) {
+      metrics.count("model_refusals_total", { reason: "stream_lost" });
+      return Left(createLostRefusal());
+    }
+    metrics.count("streams_found_total", { where: "peer" });
+    const { node } = found;
+    return Right(
+      PeerStream.create({ id, team: team.name, node, peers, clock, owners }),
+    );
   }
 
   /** Lists other nodes that may own a stream, the most likely first. */
--- a/packages/routing/src/streams/stream_peers.ts
+++ b/packages/routing/src/streams/stream_peers.ts
@@ -8,7 +8,10 @@
 
 /** Why a call to a peer about a stream failed. */
 export type PeerFailure = KindError<
+  /** The peer did not answer. */
   | { readonly kind: "peer_unreachable" }
+  /** No such node is a member. */
+  | { readonly kind: "unknown_peer" }
   /** The peer does not hold the stream, or it belongs to another team. */
   | { readonly kind: "unknown_stream" }
 >;
--- a/packages/routing/src/testing/test_peers.ts
+++ b/packages/routing/src/testing/test_peers.ts
@@ -16,7 +16,7 @@
 /** Routers by node name, with faults of the channel between them. */
 export class TestPeers {
   readonly #nodes = new Map<string, NodeModelRouter>();
-  /** Nodes that cannot be reached. */
+  /** Nodes that have crashed and are no members any more. */
   readonly disconnected = new Set<string>();
   /** Nodes that are alive but answer no request. */
   readonly silent = new Set<string>();
@@ -55,7 +55,10 @@
   ): Promise<Either<PeerFailure, EventBatch>> {
     const router = this.#find(request.node);
     if (router === undefined) {
-      return Left(TestPeerFailure.create("peer_unreachable"));
+      const kind = this.#isMember(request.node)
+        ? "peer_unreachable"
+        : "unknown_peer";
+      return Left(TestPeerFailure.create(kind));
     }
     const batch = await router.exchange.readEvents(request);
     return batch === undefined
@@ -75,6 +78,10 @@
     return accepted.mapLeft(() => TestPeerFailure.create("unknown_stream"));
   }
 
+  #isMember(node: string): boolean {
+    return this.#nodes.has(node) && !this.disconnected.has(node);
+  }
+
   #find(node: string): NodeModelRouter | undefined {
     const answers = !this.disconnected.has(node) && !this.silent.has(node);
     return answers ? this.#nodes.get(node) : undefined;
