Test that fails: a server error answers a hedged call in place of its first attempt

What callers would see: a call that may be repeated and takes longer than most gets the 500 or 429 of the second endpoint, though the first one would have answered it.

--- a/packages/routing/src/repeats/plain_attempts_test.ts
+++ b/packages/routing/src/repeats/plain_attempts_test.ts
@@ -16,6 +16,7 @@
 import { PlainAttempts } from "./plain_attempts.ts";
 import { noLoadReports, PlainChooser } from "../choice/plain_chooser.ts";
 import type { PlainRequest } from "../routers/plain_router.ts";
+import { HedgeDelay } from "./hedge_delay.ts";
 import { EndpointRetries } from "./endpoint_retries.ts";
 
 const service: PlainService = {
@@ -30,10 +31,23 @@
   contentType: undefined,
   body: new Uint8Array(),
 };
-type Reaction = "answer" | "unreachable" | "declined" | "lost" | "late";
+type Reaction =
+  | "answer"
+  | "unreachable"
+  | "declined"
+  | "lost"
+  | "late"
+  /** Answers after a second. */
+  | "slow"
+  /** Answers with status 500. */
+  | "error"
+  /** Answers with status 500 after a second. */
+  | "slow_error";
+
+const slowMs = 1_000;
 
 /** Creates attempts over endpoints that consume one common list of reactions. */
-function createSetup(reactions: Reaction[]) {
+function createSetup(reactions: Reaction[], hedges = false) {
   const clock = ManualClock.create();
   const metrics = Metrics.create();
   const sent: string[] = [];
@@ -42,6 +56,14 @@
     switch (reactions.shift() ?? "answer") {
       case "answer":
         return Right(answer);
+      case "slow":
+        await clock.sleep(slowMs);
+        return Right(answer);
+      case "slow_error":
+        await clock.sleep(slowMs);
+        return Right({ ...answer, status: 500 });
+      case "error":
+        return Right({ ...answer, status: 500 });
       case "unreachable":
         return Left(
           EndpointError.create({ kind: "unreachable", endpoint, reason: "" }),
@@ -83,17 +105,25 @@
     random: Random.create(1),
     loads: noLoadReports,
   });
+  const hedge = hedges ? createHedgeDelay(clock) : undefined;
   const run = (method: string) =>
     attempts.run({
       request: createRequest(method),
       endpoints: ["a", "b", "c"].map(createEndpoint),
       chooser,
-      hedge: undefined,
+      hedge,
       signal: new AbortController().signal,
     });
   return { clock, metrics, sent, run };
 }
 
+/** Creates a delay that has seen calls of 10 ms only. */
+function createHedgeDelay(clock: ManualClock): HedgeDelay {
+  const hedge = HedgeDelay.create(clock);
+  for (let call = 0; call < 100; call++) hedge.record(10);
+  return hedge;
+}
+
 function createRequest(method: string): PlainRequest {
   return {
     team,
@@ -174,4 +204,32 @@
   assert.ok(setup.metrics.readCounterTotal("retries_denied_total") > 0);
 });
 
+/** Sends a hedged call; reads the status of its answer after `afterMs`. */
+async function readHedgedStatus(
+  reactions: Reaction[],
+  afterMs: number,
+): Promise<number> {
+  const setup = createSetup(reactions, true);
+  const pending = setup.run("GET");
+  await setup.clock.advance(afterMs);
+  assert.is(setup.sent.length, 2);
+  return (await pending).unsafeCoerce().status;
+}
+
+test("the first answer to a hedged call counts", async () => {
+  assert.is(await readHedgedStatus(["slow", "answer"], 50), 200);
+});
+
+// The running attempt was ended for an answer that only said that the other
+// endpoint had failed.
+test("a hedged call is not answered by a server error while its other attempt runs", async () => {
+  assert.is(await readHedgedStatus(["slow", "error"], 2_000), 200);
+  assert.is(await readHedgedStatus(["slow_error", "slow"], 2_000), 200);
+});
+
+test("a hedged call that gets only server errors is answered with one", async () => {
+  assert.is(await readHedgedStatus(["slow_error", "error"], 2_000), 500);
+  assert.is(await readHedgedStatus(["late", "error"], 5_000), 500);
+});
+
 test.run();
