Let no server error of one endpoint end the other attempt of a hedged call

What callers saw: a call that may be repeated and took longer than most got the 500 or 429 of the second endpoint, though the first one would have answered it.

Cause: any answer settled the call and cancelled the other attempt, also one that says only that its endpoint failed.

Change: such an answer waits for the other attempt, and counts if that has none that is better. Calls that are not hedged are answered as before.

--- a/packages/routing/src/repeats/plain_attempts.ts
+++ b/packages/routing/src/repeats/plain_attempts.ts
@@ -5,8 +5,8 @@
  * run or the call is idempotent, within the call's deadline and the retry
  * budget. A call that is not idempotent and may have run is never sent again. An
  * idempotent call that takes longer than most is hedged: it is also sent to a
- * second endpoint within the same budget, the first answer counts, and the other
- * attempt is cancelled.
+ * second endpoint within the same budget, the first answer that is no server error
+ * counts, and the other attempt is cancelled.
  */
 
 import { type Either, Left, Right } from "purify-ts";
@@ -34,6 +34,8 @@
 import type { EndpointRetries } from "./endpoint_retries.ts";
 
 const maxAttempts = 4;
+const minServerErrorStatus = 500;
+const tooManyRequestsStatus = 429;
 const hedgeAbortReason = "another attempt was answered";
 
 /** Dependencies of `PlainAttempts`. */
@@ -187,13 +189,24 @@
   return request.service.idempotentMethods.includes(request.method);
 }
 
-/** Waits until one of two attempts is answered or both have failed. */
+/**
+ * Waits until one of two attempts is answered or both have ended. An answer that
+ * says only that its endpoint failed counts if the other attempt has no better one.
+ */
 async function waitFirstAnswer(
   first: Promise<EndpointResult>,
   second: Promise<EndpointResult>,
 ): Promise<EndpointResult> {
   const earlier = await Promise.race([first, second]);
-  if (earlier.isRight()) return earlier;
+  if (isUsable(earlier)) return earlier;
   const results = await Promise.all([first, second]);
-  return results.find((result) => result.isRight()) ?? earlier;
+  return results.find(isUsable) ??
+    results.find((result) => result.isRight()) ?? earlier;
+}
+
+/** Whether a result is an answer, and not one that another endpoint may better. */
+function isUsable(result: EndpointResult): boolean {
+  return result.map(({ status }) =>
+    status < minServerErrorStatus && status !== tooManyRequestsStatus
+  ).orDefault(false);
 }
