Refuse a request without a token right after its last search for a replica

What callers saw: the refusal of a request for which there was no replica came 3.2 s after the last search, with nothing done in between.

Cause: the run slept once more after its last choice.

--- a/packages/routing/src/streams/replica_search.ts
+++ b/packages/routing/src/streams/replica_search.ts
@@ -62,13 +62,13 @@
       const choice = waits === 0 ? this.chooseUntried([]) : this.choose();
       if (choice !== undefined) return choice;
       const hasBegun = output.tokens.length > 0;
+      if (waits >= limits.maxBackoffs && !hasBegun) return undefined;
       const backoffMs = computeBackoffMs(limits, this.#backoffs++);
       const leftMs = request.deadline - clock.now();
       if (leftMs <= 0 || (backoffMs >= leftMs && !hasBegun)) return undefined;
       metrics.count("stream_pauses_total", { reason: "no_endpoint" });
       await clock.sleep(Math.min(backoffMs, leftMs), signal);
       if (signal.aborted || output.final !== undefined) return undefined;
-      if (waits >= limits.maxBackoffs && !hasBegun) return undefined;
     }
   }
 
--- a/packages/routing/src/streams/stream_shortage_test.ts
+++ b/packages/routing/src/streams/stream_shortage_test.ts
@@ -149,6 +149,23 @@
   setup.router.dispose();
 });
 
+test("a request that has no token yet is refused right after its last search", async () => {
+  const setup = await openModelSetup();
+  const opened = await setup.router.open(createRequest(setup.clock));
+  const reading = startReading(opened.unsafeCoerce());
+  await setup.clock.advance(5);
+  for (const engine of setup.engines.values()) {
+    setup.loads.markDrained(engine.name);
+    engine.kill();
+  }
+  // Six backoffs, of 50 ms to 1.6 s.
+  await setup.clock.advance(3_100);
+  assert.is(reading.outcome, undefined);
+  await setup.clock.advance(100);
+  assert.is(reading.outcome, "endpoint_failed/unknown");
+  setup.router.dispose();
+});
+
 test("a request that has no token yet is refused when the retry budget is spent", async () => {
   const setup = await openModelSetup();
   setDeclines([...setup.engines.values()], true);
