Bound the backoff of begun streams

What callers would see: an answer that has waited long for a replica or for retry budget goes on up to 3.2 s after there is one, and new requests, which come all the time, take the free slots before it.

Change: a begun stream's backoff grows to 0.8 s only.

--- a/packages/routing/src/streams/replica_search.ts
+++ b/packages/routing/src/streams/replica_search.ts
@@ -63,7 +63,8 @@
       if (choice !== undefined) return choice;
       const hasBegun = output.tokens.length > 0;
       if (waits >= limits.maxBackoffs && !hasBegun) return undefined;
-      const backoffMs = computeBackoffMs(limits, this.#backoffs++);
+      const backoffs = this.#backoffs++;
+      const backoffMs = computeBackoffMs(limits, { backoffs, hasBegun });
       const leftMs = request.deadline - clock.now();
       if (leftMs <= 0 || (backoffMs >= leftMs && !hasBegun)) return undefined;
       metrics.count("stream_pauses_total", { reason: "no_endpoint" });
--- a/packages/routing/src/streams/stream_limits.ts
+++ b/packages/routing/src/streams/stream_limits.ts
@@ -25,6 +25,11 @@
   readonly maxBackoffs: number;
   /** First backoff; each further one is twice as long. */
   readonly initialBackoffMs: number;
+  /**
+   * Longest backoff of a begun stream: new requests must not take each free slot
+   * before it.
+   */
+  readonly maxBegunBackoffMs: number;
 }
 
 /** Limits used where the router's options set none. */
@@ -38,12 +43,22 @@
   minTokenGapMs: 1_000,
   maxBackoffs: 6,
   initialBackoffMs: 50,
+  maxBegunBackoffMs: 800,
 };
 
 /** Computes the backoff in milliseconds that follows `backoffs` earlier ones. */
 export function computeBackoffMs(
-  limits: Pick<StreamLimits, "initialBackoffMs" | "maxBackoffs">,
-  backoffs: number,
+  limits: Pick<
+    StreamLimits,
+    "initialBackoffMs" | "maxBackoffs" | "maxBegunBackoffMs"
+  >,
+  { backoffs, hasBegun }: {
+    readonly backoffs: number;
+    /** Whether the stream has a token. */
+    readonly hasBegun: boolean;
+  },
 ): number {
-  return limits.initialBackoffMs * 2 ** Math.min(backoffs, limits.maxBackoffs);
+  const { initialBackoffMs, maxBackoffs, maxBegunBackoffMs } = limits;
+  const backoffMs = initialBackoffMs * 2 ** Math.min(backoffs, maxBackoffs);
+  return hasBegun ? Math.min(backoffMs, maxBegunBackoffMs) : backoffMs;
 }
--- a/packages/routing/src/streams/stream_retries.ts
+++ b/packages/routing/src/streams/stream_retries.ts
@@ -58,7 +58,7 @@
       const leftMs = request.deadline - clock.now();
       if (!hasBegun || leftMs <= 0) return false;
       metrics.count("stream_pauses_total", { reason: "no_retry_budget" });
-      const backoffMs = computeBackoffMs(limits, backoffs);
+      const backoffMs = computeBackoffMs(limits, { backoffs, hasBegun });
       await clock.sleep(Math.min(backoffMs, leftMs), signal);
       if (signal.aborted || output.final !== undefined) return false;
     }
--- a/packages/routing/src/streams/stream_shortage_test.ts
+++ b/packages/routing/src/streams/stream_shortage_test.ts
@@ -98,6 +98,19 @@
   checkAnswer(stream);
 });
 
+test("a begun stream that has waited long goes on soon after a replica is usable", async () => {
+  const { setup, busy, others, reading } = await openBegunStream({
+    replicas: 2,
+  });
+  for (const { name } of others) markUnreachable(setup, name);
+  busy.kill();
+  await setup.clock.advance(15_000);
+  assert.is(reading.texts.length, 5);
+  await setup.clock.advance(900);
+  assert.ok(reading.texts.length > 5, "the stream still waits");
+  setup.router.dispose();
+});
+
 test("a begun stream for which no replica is found ends at its deadline", async () => {
   const { setup, busy, reading } = await openBegunStream();
   for (const { name } of setup.engines.values()) setup.loads.markDrained(name);
