Name the model in the events of a resumed stream

What callers saw: the events after a return with Last-Event-ID had an empty model, while those before it named it.

Cause: the handler knew the model from the request's body only, which a caller that comes back does not send.

Change: a stream knows its model. Nodes tell each other; one of an earlier version leaves it out, and the model is empty as before.

--- a/packages/node/src/chat_handler.ts
+++ b/packages/node/src/chat_handler.ts
@@ -156,7 +156,7 @@
       return sendRefusal(exchange.response, opened.extract() as Refusal);
     }
     const stream = opened.extract() as ModelStream;
-    const metadata = this.#createMetadata(stream, chat.model);
+    const metadata = this.#createMetadata(stream);
     if (!chat.stream) return await this.#sendWhole(exchange, stream, metadata);
     const formatter = ChatEventFormatter.create(metadata, chat.includeUsage);
     await this.#sendEvents(exchange.response, {
@@ -187,7 +187,7 @@
       return sendRefusal(exchange.response, found.extract() as Refusal);
     }
     const stream = found.extract() as ModelStream;
-    const metadata = this.#createMetadata(stream, "");
+    const metadata = this.#createMetadata(stream);
     this.#options.metrics.count("almondcrank_streams_returned_total");
     await this.#sendEvents(exchange.response, {
       stream,
@@ -197,11 +197,11 @@
     });
   }
 
-  #createMetadata(stream: ModelStream, model: string): CompletionMetadata {
+  #createMetadata({ id, model }: ModelStream): CompletionMetadata {
     const created = Math.floor(
       this.#options.clock.wallTime() / millisecondsPerSecond,
     );
-    return { streamId: stream.id, model, created };
+    return { streamId: id, model, created };
   }
 
   #findTarget(model: string): Target | undefined {
--- a/packages/node/src/chat_handler_test.ts
+++ b/packages/node/src/chat_handler_test.ts
@@ -24,6 +24,7 @@
 function createStream(events: readonly StreamEvent[]): ModelStream {
   return {
     id: "node-1.1",
+    model: "chat:formal",
     async *read(): AsyncGenerator<StreamEvent, void, void> {
       yield* events;
     },
@@ -87,6 +88,7 @@
     const received = await readStream(server.address() as AddressInfo);
     assert.match(received.text, "two");
     assert.is(received.isComplete, false);
+    assert.match(received.text, '"model":"chat:formal"');
   } finally {
     server.close();
   }
--- a/packages/node/src/stream_wire.ts
+++ b/packages/node/src/stream_wire.ts
@@ -87,6 +87,8 @@
     from: z.int().min(0),
     /** Texts of the tokens from `from` on. */
     tokens: z.array(z.string()),
+    /** Left out by nodes of earlier versions. */
+    model: z.string().optional(),
     final: finalSchema.optional(),
   }),
 ]);
@@ -106,7 +108,13 @@
     if (event.kind === "token") tokens.push(event.text);
     else final = encodeFinal(event);
   }
-  return { kind: "events", from, tokens, ...(final ? { final } : {}) };
+  return {
+    kind: "events",
+    from,
+    tokens,
+    ...(batch.model === undefined ? {} : { model: batch.model }),
+    ...(final ? { final } : {}),
+  };
 }
 
 function encodeFinal(
@@ -132,14 +140,18 @@
   message: EventBatchMessage,
 ): EventBatch | undefined {
   if (message.kind === "unknown_stream") return undefined;
-  const { from, final } = message;
+  const { from, final, model } = message;
   const events: StreamEvent[] = message.tokens.map((text, offset) => ({
     kind: "token",
     index: from + offset,
     text,
   }));
   if (final !== undefined) events.push(decodeFinal(final));
-  return { events, done: final !== undefined };
+  return {
+    events,
+    done: final !== undefined,
+    ...(model === undefined ? {} : { model }),
+  };
 }
 
 function decodeFinal(final: z.output<typeof finalSchema>): StreamEvent {
--- a/packages/routing/src/routers/model_router.ts
+++ b/packages/routing/src/routers/model_router.ts
@@ -22,6 +22,13 @@
   readonly deadline: number;
 }
 
+/** Formats the model of a request as its caller named it. */
+export function formatModelName(
+  { service, adapter }: Pick<ModelRequest, "service" | "adapter">,
+): string {
+  return adapter === undefined ? service.name : `${service.name}:${adapter}`;
+}
+
 /** Tokens used by one request over all its attempts. */
 export interface StreamUsage {
   readonly promptTokens: number;
@@ -48,6 +55,8 @@
 export interface ModelStream {
   /** Identifies the stream on every node; begins with the owning node's name. */
   readonly id: string;
+  /** Model as the caller named it; empty if the stream's node does not say. */
+  readonly model: string;
   /**
    * Yields events from token `from` on, ending after `end` or `failed`.
    * Aborting `signal` detaches the reader; the stream goes on for some time so
--- a/packages/routing/src/streams/peer_stream.ts
+++ b/packages/routing/src/streams/peer_stream.ts
@@ -14,6 +14,7 @@
 /** Options of a `PeerStream`. */
 export interface PeerStreamOptions {
   readonly id: string;
+  readonly model: string;
   readonly team: string;
   /** Node that owned the stream when it was found. */
   readonly node: string;
@@ -26,11 +27,13 @@
 /** Reads a stream of another node and follows it when its owner changes. */
 export class PeerStream implements ModelStream {
   readonly id: string;
+  readonly model: string;
   readonly #options: PeerStreamOptions;
   #node: string;
 
   private constructor(options: PeerStreamOptions) {
     this.id = options.id;
+    this.model = options.model;
     this.#options = options;
     this.#node = options.node;
   }
--- a/packages/routing/src/streams/routed_stream.ts
+++ b/packages/routing/src/streams/routed_stream.ts
@@ -9,10 +9,11 @@
   computeBlockHashes,
   splitTokens,
 } from "@almondcrank/endpoint/tokens.ts";
-import type {
-  ModelRequest,
-  ModelStream,
-  StreamEvent,
+import {
+  formatModelName,
+  type ModelRequest,
+  type ModelStream,
+  type StreamEvent,
 } from "../routers/model_router.ts";
 import type { ConversationPrefix } from "../choice/replica_chooser.ts";
 import { StreamOutput } from "./stream_output.ts";
@@ -143,6 +144,10 @@
     return stream;
   }
 
+  get model(): string {
+    return formatModelName(this.request);
+  }
+
   /** Input tokens of an attempt sent now: the prompt and the output so far. */
   get inputTokens(): number {
     return this.promptTokens.length + this.output.tokens.length;
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -100,10 +100,16 @@
       return Left(createLostRefusal());
     }
     metrics.count("streams_found_total", { where: "peer" });
-    const { node } = found;
-    return Right(
-      PeerStream.create({ id, team: team.name, node, peers, clock, owners }),
-    );
+    const { node, answer } = found;
+    return Right(PeerStream.create({
+      id,
+      model: answer.model ?? "",
+      team: team.name,
+      node,
+      peers,
+      clock,
+      owners,
+    }));
   }
 
   /** Lists other nodes that may own a stream, the most likely first. */
@@ -242,13 +248,13 @@
 
   #createPeerStream(
     node: string,
-    stream: { readonly id: string; readonly request: ModelRequest },
+    stream: ModelStream & { readonly request: ModelRequest },
   ): PeerStream {
     const { peers, clock } = this.#options;
-    const { id } = stream;
+    const { id, model } = stream;
     const team = stream.request.team.name;
     const owners = (): readonly string[] => this.listCandidateOwners(id);
-    return PeerStream.create({ id, team, node, peers, clock, owners });
+    return PeerStream.create({ id, model, team, node, peers, clock, owners });
   }
 
   #createHandOver({ stream }: StreamRun): StreamHandOver {
@@ -283,7 +289,7 @@
 }
 
 function createBatch({ stream }: StreamRun, from: number): EventBatch {
-  const { tokens, final } = stream.output;
+  const { model, output: { tokens, final } } = stream;
   const to = Math.min(tokens.length, from + maxBatchEvents);
   const events: StreamEvent[] = [];
   for (let index = from; index < to; index++) {
@@ -291,7 +297,7 @@
   }
   const done = final !== undefined && to === tokens.length;
   if (done) events.push(final);
-  return { events, done };
+  return { events, done, model };
 }
 
 function createLostRefusal(): Refusal {
--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -76,6 +76,7 @@
   await clock.advance(300);
   const found = await findNode(nodes, "n3").router.find(stream.id, testTeam);
   const reading = startReading(found.unsafeCoerce(), 10);
+  assert.is(found.unsafeCoerce().model, "assistant");
   await clock.advance(5_000);
   assert.equal(reading.texts, expectTokens(nodes, 10));
   assert.is(reading.outcome, "length");
--- a/packages/routing/src/streams/stream_peers.ts
+++ b/packages/routing/src/streams/stream_peers.ts
@@ -31,6 +31,8 @@
 export interface EventBatch {
   readonly events: readonly StreamEvent[];
   readonly done: boolean;
+  /** Model as the caller named it; undefined from a peer that does not say. */
+  readonly model?: string;
 }
 
 /** State of a running stream that is sent to the node taking it over. */
