Tell a refused hand-over from a stream that is not known

What operators saw: stream_hand_overs_total counted refusals as unknown_stream. A peer that had refused was offered the stream again and then told to cancel it, while the stream was paused.

Change: a refusal is a failure of its own, and the stream is offered to the next peer at once.

--- a/packages/node/src/request_peers.ts
+++ b/packages/node/src/request_peers.ts
@@ -50,6 +50,8 @@
       return "the peer does not hold the stream; ask another peer";
     case "peer_unreachable":
       return "the peer did not answer; ask it again or another peer";
+    case "refused":
+      return "the peer does not take the stream over; offer it to another peer";
     case "unknown_peer":
       return "the peer is no member; ask another peer";
   }
@@ -126,7 +128,7 @@
     return answer.mapLeft(createUnreachableError).chain((result) =>
       result.kind === "taken"
         ? Right(undefined)
-        : Left(StreamPeerError.create("unknown_stream"))
+        : Left(StreamPeerError.create("refused"))
     );
   }
 
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -33,6 +33,7 @@
 import { parseStreamOwner } from "./stream_id.ts";
 import type {
   EventBatch,
+  PeerFailure,
   ReadEventsRequest,
   StreamHandOver,
   StreamPeers,
@@ -227,7 +228,8 @@
   }
 
   /**
-   * Offers a stream to a peer; repeats are safe, as a peer accepts an id once.
+   * Offers a stream to a peer; repeats are safe, as a peer accepts an id once. A
+   * peer that refused is not asked again.
    *
    * A peer whose answer was lost may run the stream. It is told to cancel, so
    * that two nodes do not continue the stream with different texts.
@@ -238,9 +240,9 @@
     for (let tries = 0; tries < maxOffers; tries++) {
       const taken = await peers.handOver(node, this.#createHandOver(run));
       if (taken.isRight()) return true;
-      taken.ifLeft(({ kind }) => {
-        metrics.count("stream_hand_overs_total", { result: kind });
-      });
+      const { kind } = taken.extract() as PeerFailure;
+      metrics.count("stream_hand_overs_total", { result: kind });
+      if (kind !== "peer_unreachable") return false;
     }
     void peers.cancel(node, id, request.team.name);
     return false;
--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -225,6 +225,21 @@
   dispose(nodes);
 });
 
+test("a peer that refuses a stream is offered it once", async () => {
+  const nodes = await openNodes();
+  for (const name of names) {
+    if (name !== "n1") void findNode(nodes, name).router.drain(0);
+  }
+  const { before } = await drainFirst(nodes, await open(nodes));
+  await nodes.first.clock.advance(5_000);
+  assert.equal(before.texts, expectTokens(nodes, 0));
+  const refused = nodes.first.metrics.readCounter("stream_hand_overs_total", {
+    result: "refused",
+  });
+  assert.is(refused, 3);
+  dispose(nodes);
+});
+
 test("a stream whose hand-over answer is lost runs on one node only", async () => {
   const nodes = await openNodes();
   for (const name of names) nodes.peers.losingAnswers.add(name);
--- a/packages/routing/src/streams/stream_peers.ts
+++ b/packages/routing/src/streams/stream_peers.ts
@@ -14,6 +14,8 @@
   | { readonly kind: "unknown_peer" }
   /** The peer does not hold the stream, or it belongs to another team. */
   | { readonly kind: "unknown_stream" }
+  /** The peer does not take the stream over. */
+  | { readonly kind: "refused" }
 >;
 
 /** Request to a peer for events of a stream. */
--- a/packages/routing/src/testing/test_peers.ts
+++ b/packages/routing/src/testing/test_peers.ts
@@ -75,7 +75,7 @@
     if (accepted === undefined || this.losingAnswers.has(node)) {
       return Left(TestPeerFailure.create("peer_unreachable"));
     }
-    return accepted.mapLeft(() => TestPeerFailure.create("unknown_stream"));
+    return accepted.mapLeft(() => TestPeerFailure.create("refused"));
   }
 
   #isMember(node: string): boolean {
