Test that fails: a leaving node ends an attempt before a peer has the stream

What callers would see: an answer pauses and is computed again, or waits for a replica, when their node leaves and no other node takes its streams.

--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -40,6 +40,7 @@
     peers.add(nodeName, setup.router);
   }
   if (shared === undefined) throw new Error("no node");
+  peers.clock = shared.clock;
   for (const engine of shared.engines.values()) {
     engine.behaviour.outputTokens = outputTokens;
   }
@@ -240,6 +241,38 @@
   dispose(nodes);
 });
 
+// The attempt was ended before a peer had taken the stream.
+test("a stream that no peer takes over keeps its attempt", async () => {
+  const nodes = await openNodes();
+  for (const name of names) {
+    if (name !== "n1") void findNode(nodes, name).router.drain(0);
+  }
+  const { before } = await drainFirst(nodes, await open(nodes));
+  await nodes.first.clock.advance(5_000);
+  assert.equal(before.texts, expectTokens(nodes, 0));
+  const engines = [...nodes.first.engines.values()];
+  assert.is(engines.flatMap(({ requests }) => requests).length, 1);
+  assert.is(engines.flatMap(({ aborted }) => aborted).length, 0);
+  dispose(nodes);
+});
+
+test("a replica that dies while its stream is offered is replaced once", async () => {
+  const nodes = await openNodes();
+  for (const name of names) nodes.peers.slow.add(name);
+  const reading = startReading(await open(nodes));
+  const { clock } = nodes.first;
+  await clock.advance(205);
+  void nodes.first.router.drain(0);
+  await clock.advance(100);
+  const engines = [...nodes.first.engines.values()];
+  engines.find(({ running }) => running > 0)?.kill();
+  await clock.advance(5_000);
+  assert.equal(reading.texts, expectTokens(nodes, 0));
+  assert.is(reading.outcome, "length");
+  assert.is(engines.flatMap(({ requests }) => requests).length, 2);
+  dispose(nodes);
+});
+
 test("a stream whose hand-over answer is lost runs on one node only", async () => {
   const nodes = await openNodes();
   for (const name of names) nodes.peers.losingAnswers.add(name);
--- a/packages/routing/src/testing/test_peers.ts
+++ b/packages/routing/src/testing/test_peers.ts
@@ -3,6 +3,7 @@
  */
 
 import { type Either, Left, Right } from "purify-ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
 import type { NodeModelRouter } from "../routers/node_model_router.ts";
 import type {
   EventBatch,
@@ -13,6 +14,8 @@
 } from "../streams/stream_peers.ts";
 import { TestPeerFailure } from "./model_setup.ts";
 
+const slowMs = 500;
+
 /** Routers by node name, with faults of the channel between them. */
 export class TestPeers {
   readonly #nodes = new Map<string, NodeModelRouter>();
@@ -20,11 +23,16 @@
   readonly disconnected = new Set<string>();
   /** Nodes that are alive but answer no request. */
   readonly silent = new Set<string>();
+  /** Nodes that take `slowMs` to answer a hand-over. */
+  readonly slow = new Set<string>();
   /** Nodes that are left out of the list of peers. */
   readonly leaving = new Set<string>();
   /** Nodes that accept a hand-over but whose answer is lost. */
   readonly losingAnswers = new Set<string>();
 
+  /** Clock of the slow nodes. */
+  clock: Clock | undefined;
+
   static create(): TestPeers {
     return new TestPeers();
   }
@@ -46,7 +54,7 @@
         this.#find(node)?.exchange.cancel(id, team);
         return Promise.resolve();
       },
-      handOver: (node, stream) => Promise.resolve(this.#handOver(node, stream)),
+      handOver: (node, stream) => this.#handOver(node, stream),
     };
   }
 
@@ -66,11 +74,12 @@
       : Right(batch);
   }
 
-  #handOver(
+  async #handOver(
     node: string,
     stream: StreamHandOver,
-  ): Either<PeerFailure, void> {
+  ): Promise<Either<PeerFailure, void>> {
     const router = this.#find(node);
+    if (this.slow.has(node)) await this.clock?.sleep(slowMs);
     const accepted = router?.exchange.acceptHandOver(stream);
     if (accepted === undefined || this.losingAnswers.has(node)) {
       return Left(TestPeerFailure.create("peer_unreachable"));
