Keep the attempt of a stream until a peer has taken it over

What callers saw: when their node left and no other node took its streams, an answer stopped for the offers, was sent to a replica again and computed anew; in a shortage it waited for a replica.

Cause: the attempt was cancelled before the stream was offered, so that no token came after the message to the peer.

Change: the output is held instead. The attempt waits with its next token, and ends when a peer has taken the stream; otherwise it goes on where it was. How an attempt ends during an offer is handled after it.

--- a/packages/routing/src/streams/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -33,7 +33,7 @@
   }
   /** Another attempt of the stream has gone on in its place. */
   | { readonly kind: "replaced" }
-  /** The caller cancelled, or the run was paused. */
+  /** The caller cancelled, or a peer has taken the stream over. */
   | { readonly kind: "cancelled" }
   | { readonly kind: "deadline" };
 
@@ -108,7 +108,7 @@
 
   /**
    * Milliseconds since the engine last made progress; 0 while backpressure from
-   * a slow reader blocks it.
+   * a slow reader, or an offer of the stream to a peer, blocks it.
    */
   computeIdleMs(): number {
     return this.#isBlocked
@@ -127,6 +127,7 @@
     const { engine, request } = this.#options;
     try {
       for await (const item of engine.generate(request, this.#abort.signal)) {
+        if (this.#options.output.isHeld) await this.#waitReleased();
         if (this.#isSettled) return;
         const event = item.extract();
         if (event instanceof Error) {
@@ -180,6 +181,15 @@
     this.#gaps = 0;
   }
 
+  /** Waits while the stream is offered to a peer, which must have all its tokens. */
+  async #waitReleased(): Promise<void> {
+    const { output, clock } = this.#options;
+    this.#isBlocked = true;
+    await output.waitReleased();
+    this.#isBlocked = false;
+    this.#lastProgressAt = clock.now();
+  }
+
   async #waitWritable(): Promise<void> {
     this.#isBlocked = true;
     await this.#options.output.waitWritable();
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -207,9 +207,9 @@
   /**
    * Hands one stream to the first peer that accepts it.
    *
-   * Generation pauses first, so that no token is produced after the hand-over
-   * message was composed. If no peer accepts, the stream resumes on this node
-   * until the process ends.
+   * The output is held first, so that no token is added after the hand-over message
+   * was composed. If no peer accepts, the stream goes on with its attempt until the
+   * process ends.
    */
   async #handOver(run: StreamRun): Promise<boolean> {
     const { peers, metrics, hasher, nodeName } = this.#options;
--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -265,11 +265,13 @@
   void nodes.first.router.drain(0);
   await clock.advance(100);
   const engines = [...nodes.first.engines.values()];
-  engines.find(({ running }) => running > 0)?.kill();
+  const busy = engines.find(({ running }) => running > 0);
+  busy?.kill();
   await clock.advance(5_000);
   assert.equal(reading.texts, expectTokens(nodes, 0));
   assert.is(reading.outcome, "length");
-  assert.is(engines.flatMap(({ requests }) => requests).length, 2);
+  const others = engines.filter((engine) => engine !== busy);
+  assert.is(others.flatMap(({ requests }) => requests).length, 1);
   dispose(nodes);
 });
 
--- a/packages/routing/src/streams/stream_output.ts
+++ b/packages/routing/src/streams/stream_output.ts
@@ -18,6 +18,7 @@
   readonly #maxUnread: number;
   #final: FinalEvent | undefined;
   #isStopped = false;
+  #isHeld = false;
   #readerCount = 0;
   #furthestRead = 0;
   #wakeReaders: (() => void) | undefined;
@@ -54,7 +55,24 @@
 
   /** Whether the writer may append without waiting. */
   get isWritable(): boolean {
-    return this.#tokens.length - this.#furthestRead < this.#maxUnread;
+    return !this.#isHeld &&
+      this.#tokens.length - this.#furthestRead < this.#maxUnread;
+  }
+
+  /** Whether nothing may be appended until `release`. */
+  get isHeld(): boolean {
+    return this.#isHeld;
+  }
+
+  /** Keeps all writers from appending until `release`. */
+  hold(): void {
+    this.#isHeld = true;
+  }
+
+  /** Lets writers append again after `hold`. */
+  release(): void {
+    this.#isHeld = false;
+    this.#wakeAllWriters();
   }
 
   /** Appends the next token. */
@@ -147,6 +165,13 @@
     if (this.#writerWakes.length > 0 && this.isWritable) this.#wakeAllWriters();
   }
 
+  /** Resolves when the output is not held, or the stream has ended or stopped. */
+  async waitReleased(): Promise<void> {
+    while (this.#isHeld && this.#final === undefined && !this.#isStopped) {
+      await new Promise<void>((resolve) => this.#writerWakes.push(resolve));
+    }
+  }
+
   /** Wakes all writers: a replaced attempt may wait beside the current one. */
   #wakeAllWriters(): void {
     const wakes = this.#writerWakes;
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -88,6 +88,8 @@
         continue;
       }
       const { sent, outcome } = await this.#runAttempts(next);
+      await this.#waitResumed();
+      if (this.#isEnded()) break;
       next = await this.#handleOutcome(sent.choice, outcome);
     }
     this.#closeUnfinished();
@@ -100,21 +102,26 @@
     this.#closeFailed("stream_lost", "the request was cancelled");
   }
 
-  /** Stops generation until `resume` or `release`. */
+  /**
+   * Adds nothing to the stream and sends no attempt until `resume` or `release`. The
+   * running attempt is kept, since no peer may take the stream.
+   */
   pause(): void {
     this.#pause ??= createPause();
-    this.#stopAttempts();
+    this.stream.output.hold();
   }
 
   /** Continues after a pause. */
   resume(): void {
     this.#pause?.end();
     this.#pause = undefined;
+    this.stream.output.release();
   }
 
   /** Ends this run without ending the stream, which `successor` continues. */
   release(successor: ModelStream): void {
     this.stream.setSuccessor(successor);
+    this.#stopAttempts();
     this.resume();
     this.#ended.abort("ended");
   }
@@ -139,6 +146,11 @@
     void this.#migration.run(remainingMs);
   }
 
+  /** Waits while the stream is offered to a peer. */
+  async #waitResumed(): Promise<void> {
+    await this.#pause?.ended;
+  }
+
   #isEnded(): boolean {
     return this.stream.output.final !== undefined || this.#ended.signal.aborted;
   }
@@ -315,9 +327,8 @@
         return undefined;
       // `#runAttempts` has gone on with the replacement.
       case "replaced":
-        return undefined;
       case "cancelled":
-        return this.#pause === undefined ? undefined : choice;
+        return undefined;
     }
   }
 
