Hand a stream over with the start of its conversation

What callers would see: after their node has left, the stream and its next attempts go to a replica that has nothing of the conversation cached, so the answer pauses for a prefill of all its input.

Cause: the message to the new owner left out where the conversation's shared prefix ends, by which every node finds its home replica.

Change: the message has it; a node of an earlier version leaves it out, and the stream goes on as before.

--- a/packages/node/src/stream_wire.ts
+++ b/packages/node/src/stream_wire.ts
@@ -31,6 +31,8 @@
   service: z.string(),
   adapter: z.string().optional(),
   prompt: z.string(),
+  /** Left out by nodes of earlier versions. */
+  conversationStart: z.int().min(0).optional(),
   maxTokens: z.int().min(1),
   tokens: z.array(z.string()),
   remainingMs: z.number(),
@@ -179,5 +181,10 @@
 export function decodeHandOver(
   message: z.output<typeof handOverSchema>,
 ): StreamHandOver {
-  return { ...message, adapter: message.adapter };
+  const { adapter, conversationStart, ...rest } = message;
+  return {
+    ...rest,
+    adapter,
+    ...(conversationStart === undefined ? {} : { conversationStart }),
+  };
 }
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -173,6 +173,7 @@
       service,
       ...(stream.adapter === undefined ? {} : { adapter: stream.adapter }),
       prompt,
+      ...copyConversationStart(stream),
       maxTokens,
       deadline: clock.now() + stream.remainingMs,
     };
@@ -267,6 +268,7 @@
       service: request.service.name,
       adapter: request.adapter,
       prompt: request.prompt,
+      ...copyConversationStart(request),
       maxTokens: request.maxTokens,
       tokens: [...output.tokens],
       remainingMs: Math.max(0, request.deadline - this.#options.clock.now()),
@@ -290,6 +292,12 @@
   }
 }
 
+function copyConversationStart(
+  { conversationStart }: Pick<ModelRequest, "conversationStart">,
+): Pick<ModelRequest, "conversationStart"> {
+  return conversationStart === undefined ? {} : { conversationStart };
+}
+
 function createBatch({ stream }: StreamRun, from: number): EventBatch {
   const { model, output: { tokens, final } } = stream;
   const to = Math.min(tokens.length, from + maxBatchEvents);
--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -1,5 +1,9 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
+import type {
+  ChoiceRequest,
+  ConversationPrefix,
+} from "../choice/replica_chooser.ts";
 import type { ModelStream } from "../routers/model_router.ts";
 import { formatToken } from "../testing/fake_engine.ts";
 import {
@@ -8,9 +12,11 @@
   openModelSetup,
   type Reading,
   startReading,
+  TestPeerFailure,
   testTeam,
 } from "../testing/model_setup.ts";
 import type { StreamLimits } from "./stream_limits.ts";
+import type { StreamHandOver, StreamPeers } from "./stream_peers.ts";
 import { TestPeers } from "../testing/test_peers.ts";
 
 interface Nodes {
@@ -275,6 +281,32 @@
   dispose(nodes);
 });
 
+// The new owner did not know the conversation's home and cached prefix.
+test("a stream that is handed over keeps its place in its conversation", async () => {
+  const searched: (ConversationPrefix | undefined)[] = [];
+  const choose = (request: ChoiceRequest): undefined => {
+    searched.push(request.conversationPrefix);
+    return undefined;
+  };
+  const second = await openModelSetup({ chooser: { choose } });
+  const accept = (stream: StreamHandOver) =>
+    second.router.exchange.acceptHandOver(stream)
+      .mapLeft(() => TestPeerFailure.create("refused"));
+  const peers: StreamPeers = {
+    ...TestPeers.create().createChannel("n1"),
+    list: () => ["n2"],
+    handOver: (_, stream) => Promise.resolve(accept(stream)),
+  };
+  const first = await openModelSetup({ peers });
+  const request = createRequest(first.clock, { conversationStart: 10 });
+  startReading((await first.router.open(request)).unsafeCoerce());
+  await first.clock.advance(55);
+  await first.router.drain(0);
+  assert.ok(searched[0] !== undefined);
+  first.router.dispose();
+  second.router.dispose();
+});
+
 test("a stream whose hand-over answer is lost runs on one node only", async () => {
   const nodes = await openNodes();
   for (const name of names) nodes.peers.losingAnswers.add(name);
--- a/packages/routing/src/streams/stream_peers.ts
+++ b/packages/routing/src/streams/stream_peers.ts
@@ -44,6 +44,8 @@
   readonly service: string;
   readonly adapter: string | undefined;
   readonly prompt: string;
+  /** `conversationStart` of the request, if it is known. */
+  readonly conversationStart?: number;
   readonly maxTokens: number;
   readonly tokens: readonly string[];
   /** Time left until the deadline, in milliseconds. */
