Tests that fail: a migrated stream leaves its replica for one that declines

What callers would see: an answer stops when a reclaim is announced and the replica that is to take it over declines, though its own replica goes on until the end of the notice.

--- a/packages/routing/src/streams/stream_migration_test.ts
+++ b/packages/routing/src/streams/stream_migration_test.ts
@@ -138,6 +138,35 @@
   assert.is(others[0]?.requests.length, 0);
 });
 
+// The attempt was ended before its target had accepted the stream.
+test("a stream whose migration targets decline goes on at the leaving replica", async () => {
+  const moved = await startReclaim(1_000);
+  const others = [...moved.setup.engines.values()]
+    .filter((engine) => engine !== moved.from);
+  for (const other of others) other.behaviour.declines = true;
+  await moved.setup.clock.advance(300);
+  assert.ok(moved.reading.texts.length > 40, `${moved.reading.texts.length}`);
+  assert.is(moved.from.aborted.length, 0);
+  for (const other of others) other.behaviour.declines = false;
+  await moved.setup.clock.advance(650);
+  assert.is(moved.from.running, 0);
+  moved.from.kill();
+  await moved.setup.clock.advance(5_000);
+  checkCompleteAnswer(moved);
+});
+
+test("a stream whose migration targets all decline ends at the leaving replica", async () => {
+  const moved = await startReclaim(1_000);
+  moved.setup.budget.retries = 0;
+  for (const engine of moved.setup.engines.values()) {
+    engine.behaviour.declines = true;
+  }
+  await moved.setup.clock.advance(1_000);
+  const sent = [...moved.setup.engines.values()].flatMap((e) => e.requests);
+  assert.is(sent.length, 2);
+  checkCompleteAnswer(moved);
+});
+
 test("new requests avoid a leaving replica at once", async () => {
   const moved = await startReclaim(60_000);
   const before = moved.from.requests.length;
