Keep a migrated stream's attempt until its target goes on with the stream

What callers saw: an answer stopped when a reclaim was announced and the replica that was to take it over declined, which full replicas do in a shortage, though its own replica went on until the end of the notice.

Cause: the attempt ended before the target had accepted the stream, and a leaving replica takes no stream back. A migration that failed was not tried again either.

Change: the attempt is held while the stream is sent to the target, so that the target starts from all tokens, and ends at the target's first token. If the target does not take the stream, the attempt goes on, and the migration tries the next target, with backoff and, after a decline, within the retry budget.

--- a/packages/routing/src/streams/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -14,8 +14,8 @@
   GenerateRequest,
 } from "@almondcrank/endpoint/engine.ts";
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
-import type { ReplicaChoice } from "../choice/replica_chooser.ts";
 import type { StreamOutput } from "./stream_output.ts";
+import { createPause, type StreamPause } from "./stream_pause.ts";
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -25,12 +25,6 @@
     readonly usage: EngineUsage;
   }
   | { readonly kind: "failed"; readonly error: EndpointError }
-  /** The stream continues on another replica, with an imported cache if any. */
-  | {
-    readonly kind: "moved";
-    readonly to: ReplicaChoice;
-    readonly importId: string | undefined;
-  }
   /** Another attempt of the stream has gone on in its place. */
   | { readonly kind: "replaced" }
   /** The caller cancelled, or a peer has taken the stream over. */
@@ -73,6 +67,7 @@
   #gapSumMs = 0;
   #gaps = 0;
   #isBlocked = false;
+  #hold: StreamPause | undefined;
 
   private constructor(options: AttemptOptions) {
     this.id = options.request.id;
@@ -108,14 +103,21 @@
 
   /**
    * Milliseconds since the engine last made progress; 0 while backpressure from
-   * a slow reader, or an offer of the stream to a peer, blocks it.
+   * a slow reader blocks it, or the attempt or its stream is held.
    */
   computeIdleMs(): number {
-    return this.#isBlocked
+    return this.#isBlocked || this.#hold !== undefined
       ? 0
       : this.#options.clock.now() - this.#lastProgressAt;
   }
 
+  /** Creates the error of an attempt that made no progress. */
+  createTimeout(): EndpointError {
+    const endpoint = this.#options.engine.name;
+    const timeoutMs = this.computeIdleMs();
+    return EndpointError.create({ kind: "timeout", endpoint, timeoutMs });
+  }
+
   /** Settles the attempt and cancels it on its engine; the first call counts. */
   stop(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
@@ -123,11 +125,24 @@
     this.#abort.abort();
   }
 
+  /** Keeps the attempt from adding tokens, and from ending, until `release`. */
+  hold(): void {
+    this.#hold ??= createPause();
+  }
+
+  /** Lets the attempt go on after `hold`. */
+  release(): void {
+    if (this.#hold === undefined) return;
+    this.#hold.end();
+    this.#hold = undefined;
+    this.#lastProgressAt = this.#options.clock.now();
+  }
+
   async #run(): Promise<void> {
     const { engine, request } = this.#options;
     try {
       for await (const item of engine.generate(request, this.#abort.signal)) {
-        if (this.#options.output.isHeld) await this.#waitReleased();
+        if (this.#isHeld()) await this.#waitReleased();
         if (this.#isSettled) return;
         const event = item.extract();
         if (event instanceof Error) {
@@ -181,11 +196,18 @@
     this.#gaps = 0;
   }
 
-  /** Waits while the stream is offered to a peer, which must have all its tokens. */
+  #isHeld(): boolean {
+    return this.#hold !== undefined || this.#options.output.isHeld;
+  }
+
+  /** Waits while another replica, or a peer, is to go on from the tokens so far. */
   async #waitReleased(): Promise<void> {
     const { output, clock } = this.#options;
     this.#isBlocked = true;
-    await output.waitReleased();
+    while (this.#isHeld() && !this.#isSettled) {
+      await this.#hold?.ended;
+      await output.waitReleased();
+    }
     this.#isBlocked = false;
     this.#lastProgressAt = clock.now();
   }
@@ -208,6 +230,7 @@
   #close(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
+    this.release();
     this.#resolve(outcome);
     this.#ended.abort("ended");
   }
--- a/packages/routing/src/streams/stream_migration.ts
+++ b/packages/routing/src/streams/stream_migration.ts
@@ -3,9 +3,10 @@
  *
  * If the rest of the answer fits the notice, the stream stays. Otherwise the
  * replica exports its KV cache while it continues to generate, and the target
- * replica imports it. Only then does the attempt move, so that the caller sees
+ * replica imports it. Only then does the stream move, so that the caller sees
  * no pause. If the export or import fails, the stream moves without a cache and
- * the target computes its input again.
+ * the target computes its input again. If the target does not take the stream, its
+ * replica goes on, and the next target is tried.
  */
 
 import type { Endpoint } from "@almondcrank/common/configuration.ts";
@@ -28,6 +29,14 @@
   readonly services: StreamRunServices;
   /** Chooses the target replica. */
   readonly choose: () => ReplicaChoice | undefined;
+  /**
+   * Moves the stream to `target`, with an imported cache if any; false if the
+   * target did not take it.
+   */
+  readonly move: (
+    target: ReplicaChoice,
+    importId: string | undefined,
+  ) => Promise<boolean>;
   /** Aborts when the stream has ended. */
   readonly signal: AbortSignal;
 }
@@ -62,8 +71,11 @@
     let backoffMs = services.limits.initialBackoffMs;
     while (!this.attempt.isSettled && !signal.aborted && clock.now() < goneAt) {
       const target = this.#options.choose();
-      if (target !== undefined) return await this.#move(target, goneAt);
-      metrics.count("stream_pauses_total", { reason: "no_migration_target" });
+      if (target === undefined) {
+        metrics.count("stream_pauses_total", { reason: "no_migration_target" });
+      } else if (await this.#move(target, goneAt)) {
+        return;
+      }
       await clock.sleep(backoffMs, this.attempt.ended);
       backoffMs *= 2;
     }
@@ -79,21 +91,22 @@
     return rest * gapMs;
   }
 
-  async #move(target: ReplicaChoice, goneAt: number): Promise<void> {
+  async #move(target: ReplicaChoice, goneAt: number): Promise<boolean> {
     const { clock, metrics } = this.#options.services;
     const budgetMs = (goneAt - clock.now()) * cacheMoveFraction;
     const importId = this.attempt.tokens === 0
       ? undefined
       : await this.#importWithin(target, budgetMs);
-    if (this.attempt.isSettled) return;
+    if (this.attempt.isSettled) return true;
     // The target may have begun to leave during the import.
     const usable = this.#isUsable(target);
     const to = usable ? target : this.#options.choose();
-    if (to === undefined) return;
+    if (to === undefined) return false;
     const usedImportId = usable ? importId : undefined;
     const reason = usedImportId === undefined ? "prefill" : "cache";
-    metrics.count("stream_migrations_total", { reason });
-    this.attempt.stop({ kind: "moved", to, importId: usedImportId });
+    const moved = await this.#options.move(to, usedImportId);
+    if (moved) metrics.count("stream_migrations_total", { reason });
+    return moved;
   }
 
   #isUsable(target: ReplicaChoice): boolean {
--- a/packages/routing/src/streams/stream_output.ts
+++ b/packages/routing/src/streams/stream_output.ts
@@ -61,7 +61,7 @@
 
   /** Whether nothing may be appended until `release`. */
   get isHeld(): boolean {
-    return this.#isHeld;
+    return this.#isHeld && this.#final === undefined && !this.#isStopped;
   }
 
   /** Keeps all writers from appending until `release`. */
@@ -167,7 +167,7 @@
 
   /** Resolves when the output is not held, or the stream has ended or stopped. */
   async waitReleased(): Promise<void> {
-    while (this.#isHeld && this.#final === undefined && !this.#isStopped) {
+    while (this.isHeld) {
       await new Promise<void>((resolve) => this.#writerWakes.push(resolve));
     }
   }
--- a/packages/routing/src/streams/stream_pause.ts
+++ b/packages/routing/src/streams/stream_pause.ts
@@ -1,5 +1,5 @@
 /**
- * Pause of a stream's run, while the stream is offered to a peer.
+ * Pause of a stream or of an attempt, while a peer or a replica is to take it over.
  */
 
 /** A pause; `ended` resolves at the call of `end`. */
--- a/packages/routing/src/streams/stream_retries.ts
+++ b/packages/routing/src/streams/stream_retries.ts
@@ -20,6 +20,8 @@
   readonly #services: StreamRunServices;
   /** Attempts that ended without a sign that the request fails its replicas. */
   #uncounted = 0;
+  /** Failure after which the stream has not been sent again. */
+  #lastFailure: EndpointError | undefined;
 
   private constructor(stream: RoutedStream, services: StreamRunServices) {
     this.#stream = stream;
@@ -38,15 +40,27 @@
     return this.#stream.usage.attempts - this.#uncounted;
   }
 
-  /** Records that an attempt was moved off a leaving replica. */
-  recordMove(): void {
-    this.#uncounted++;
-  }
-
   recordFailure(error: EndpointError): void {
+    this.#lastFailure = error;
     if (error.run === "not_run") this.#uncounted++;
   }
 
+  /**
+   * Takes a move off a leaving replica, which is free unless the last replica that
+   * was asked declined; false if the retry budget is spent.
+   */
+  takeMove(): boolean {
+    const failure = this.#lastFailure;
+    if (failure !== undefined && !this.#takeBudget(failure)) return false;
+    this.#lastFailure = undefined;
+    return true;
+  }
+
+  /** Records that the stream was moved off a leaving replica. */
+  recordMove(): void {
+    this.#uncounted++;
+  }
+
   /** Takes a retry after a failure; false if the stream ends with it. */
   async take(error: EndpointError, signal: AbortSignal): Promise<boolean> {
     const { clock, limits, metrics } = this.#services;
@@ -62,6 +76,7 @@
       await clock.sleep(Math.min(backoffMs, leftMs), signal);
       if (signal.aborted || output.final !== undefined) return false;
     }
+    this.#lastFailure = undefined;
     return true;
   }
 
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -19,6 +19,7 @@
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
 import { AttemptSender, type SentAttempt } from "./attempt_sender.ts";
 import { ReplicaSearch } from "./replica_search.ts";
+import { computeSilenceTimeoutMs } from "./silence_timeout.ts";
 import type { AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
 import { StreamEnding } from "./stream_ending.ts";
 import { StreamMigration } from "./stream_migration.ts";
@@ -27,11 +28,6 @@
 import type { StreamRunServices } from "./stream_run_services.ts";
 import type { RoutedStream } from "./routed_stream.ts";
 
-/** Timeout of the first token, as a multiple of its predicted time. */
-const firstTokenTimeoutFactor = 4;
-/** Timeout between tokens, as a multiple of the service's target. */
-const tokenGapTimeoutFactor = 20;
-
 /** The last of several attempts, and how it ended. */
 interface EndedAttempt {
   readonly sent: SentAttempt;
@@ -53,7 +49,6 @@
   #current: SentAttempt | undefined;
   /** Second attempt of the stream while the current one is silent. */
   #replacement: SentAttempt | undefined;
-  #importId: string | undefined;
   #mayHaveRun = false;
   #migration: StreamMigration | undefined;
   #pause: StreamPause | undefined;
@@ -140,6 +135,7 @@
       from: choice.endpoint,
       stream: this.stream,
       services: this.#services,
+      move: (target, importId) => this.#move(target, importId),
       choose: () => this.#search.choose([choice.endpoint.name]),
       signal: this.#ended.signal,
     });
@@ -167,9 +163,7 @@
 
   /** Runs an attempt and those that replace it, until the last one ends. */
   async #runAttempts(choice: ReplicaChoice): Promise<EndedAttempt> {
-    const importId = this.#importId;
-    this.#importId = undefined;
-    let sent = this.#send(choice, importId);
+    let sent = this.#send(choice);
     for (;;) {
       this.#current = sent;
       this.#migrateIfLeaving(sent);
@@ -218,7 +212,8 @@
    * progress. When that is not possible, the timeout doubles.
    */
   async #watchProgress({ attempt }: SentAttempt): Promise<void> {
-    const { clock, metrics } = this.#services;
+    const { clock, metrics, limits } = this.#services;
+    const { service } = this.stream.request;
     let timeoutFactor = 1;
     while (!attempt.isSettled) {
       const leftMs = this.stream.request.deadline - clock.now();
@@ -226,7 +221,8 @@
       await this.#removeFailedReplacement();
       const latest = this.#replacement ?? this.#current;
       if (attempt.isSettled || latest === undefined) return;
-      const allowedMs = timeoutFactor * this.#computeTimeoutMs(latest);
+      const allowedMs = timeoutFactor *
+        computeSilenceTimeoutMs(latest, { service, limits });
       const idleMs = latest.attempt.computeIdleMs();
       if (idleMs < allowedMs) {
         // Sleeps of under 1 ms may not advance a floating-point clock.
@@ -238,7 +234,9 @@
         await clock.sleep(waitMs, either);
         continue;
       }
-      if (this.#hasAllTokens()) return attempt.stop(createTimeout(latest));
+      if (this.#hasAllTokens()) {
+        return attempt.stop({ kind: "failed", error: attempt.createTimeout() });
+      }
       const triesAgain = timeoutFactor > 1;
       const refusal = this.#replace(latest, triesAgain);
       if (refusal !== undefined) {
@@ -248,29 +246,40 @@
     }
   }
 
-  /** Time without progress after which an attempt counts as silent. */
-  #computeTimeoutMs({ attempt, choice }: SentAttempt): number {
-    const { limits } = this.#services;
-    const { betweenTokensMs } = this.stream.request.service.target;
-    return attempt.tokens === 0
-      ? Math.max(
-        firstTokenTimeoutFactor * choice.firstTokenMs,
-        limits.minFirstTokenWaitMs,
-      )
-      : Math.max(
-        limits.minTokenGapMs,
-        tokenGapTimeoutFactor * betweenTokensMs,
-      );
-  }
-
   async #removeFailedReplacement(): Promise<void> {
     const replacement = this.#replacement;
     if (replacement?.attempt.isSettled !== true) return;
     this.#replacement = undefined;
+    this.#current?.attempt.release();
     const outcome = await replacement.ended;
     if (outcome.kind === "failed") this.#recordFailure(outcome.error);
   }
 
+  /**
+   * Sends the stream to `target` and holds the running attempt, which ends at the
+   * first token of the target; false if the target did not take the stream.
+   */
+  async #move(
+    target: ReplicaChoice,
+    importId: string | undefined,
+  ): Promise<boolean> {
+    const current = this.#current;
+    if (current === undefined || this.#replacement !== undefined) return false;
+    if (!this.#retries.takeMove()) return false;
+    const cachedTokens = importId === undefined
+      ? target.cachedTokens
+      : this.stream.inputTokens;
+    current.attempt.hold();
+    const replacement = this.#send({ ...target, cachedTokens }, importId);
+    this.#replacement = replacement;
+    await Promise.race([replacement.ended, current.ended]);
+    await this.#removeFailedReplacement();
+    if (!current.attempt.isSettled) return false;
+    const { kind } = await current.ended;
+    if (kind === "replaced") this.#retries.recordMove();
+    return kind === "replaced";
+  }
+
   /**
    * Sends a replacement of a silent attempt; returns why not, if it could not.
    * A silent replacement ends, the attempt that it was to replace goes on.
@@ -294,7 +303,7 @@
       : this.#search.chooseUntried(excluded);
     if (next === undefined) return "no_endpoint";
     if (!retries.takeRetry(name, "timeout")) return "timeout";
-    const { error } = createTimeout({ attempt, choice });
+    const error = attempt.createTimeout();
     loads.recordFailure(error);
     const kind = output.tokens.length > 0
       ? "stream_resumes_total"
@@ -319,9 +328,6 @@
         return undefined;
       case "failed":
         return await this.#handleFailure(choice, outcome.error);
-      case "moved":
-        this.#retries.recordMove();
-        return this.#handleMove(outcome.to, outcome.importId);
       case "deadline":
         this.#closeUnfinished();
         return undefined;
@@ -332,12 +338,6 @@
     }
   }
 
-  #handleMove(to: ReplicaChoice, importId: string | undefined): ReplicaChoice {
-    this.#importId = importId;
-    if (importId === undefined) return to;
-    return { ...to, cachedTokens: this.stream.inputTokens };
-  }
-
   async #handleFailure(
     choice: ReplicaChoice,
     error: EndpointError,
@@ -385,12 +385,3 @@
     this.#ending.fail({ kind, message, mayHaveRun });
   }
 }
-
-function createTimeout(
-  { attempt, choice }: Pick<SentAttempt, "attempt" | "choice">,
-): { readonly kind: "failed"; readonly error: EndpointError } {
-  const endpoint = choice.endpoint.name;
-  const timeoutMs = attempt.computeIdleMs();
-  const error = EndpointError.create({ kind: "timeout", endpoint, timeoutMs });
-  return { kind: "failed", error };
-}
