Test answers under random reclaims too

An engine of the tests that was killed while frozen stayed frozen, and its stream never learned of it; it now loses its connections. In 60 seeds an engine leaves with a notice of 0.6 s beside silence, declines and lost connections.

--- a/packages/routing/src/streams/stream_silence_test.ts
+++ b/packages/routing/src/streams/stream_silence_test.ts
@@ -176,13 +176,23 @@
   setup.router.dispose();
 });
 
+/** Announces the reclaim of an engine's host, and ends it after the notice. */
+async function reclaim(setup: ModelSetup, engine: FakeEngine): Promise<void> {
+  const noticeMs = 600;
+  setup.loads.markLeaving(engine.name, noticeMs);
+  await setup.clock.sleep(noticeMs);
+  engine.kill();
+}
+
 /** Lets engines be silent, decline, lose a connection or recover at random. */
 async function applyRandomFaults(
   setup: ModelSetup,
   random: Random,
 ): Promise<void> {
   const engines = [...setup.engines.values()];
+  const leavingAt = random.nextInt(12);
   for (let step = 0; step < 12; step++) {
+    if (step === leavingAt) void reclaim(setup, random.choose(engines));
     const { behaviour } = random.choose(engines);
     behaviour.declines = random.nextInt(3) === 0;
     behaviour.firstTokenMs = 10 + random.nextInt(1_500);
@@ -200,7 +210,7 @@
   }
 }
 
-test("an answer has each token once whatever replicas are silent or decline", async () => {
+test("an answer has each token once whatever replicas are silent, decline or leave", async () => {
   for (let seed = 1; seed <= 60; seed++) {
     const setup = await openModelSetup({ seed, limits: { maxAttempts: 50 } });
     const opened = await setup.router.open(createRequest(setup.clock));
--- a/packages/routing/src/testing/fake_engine.ts
+++ b/packages/routing/src/testing/fake_engine.ts
@@ -122,9 +122,7 @@
         ? behaviour.firstTokenMs
         : behaviour.betweenTokensMs;
       await this.#clock.sleep(delayMs, this.#dead.signal);
-      while (behaviour.freezeAt !== undefined && index >= behaviour.freezeAt) {
-        await this.#waitWake();
-      }
+      while (this.#isFrozenAt(index)) await this.#waitWake();
       if (this.#dead.signal.aborted || index === behaviour.cutAt) {
         return yield this.#fail("connection_lost");
       }
@@ -139,6 +137,12 @@
     yield Right(this.#createEnd(request, to));
   }
 
+  #isFrozenAt(index: number): boolean {
+    const { freezeAt } = this.behaviour;
+    return freezeAt !== undefined && index >= freezeAt &&
+      !this.#dead.signal.aborted;
+  }
+
   #createEnd(request: GenerateRequest, outputTokens: number): GenerateEvent {
     const promptTokens = splitTokens(request.prompt).length;
     const input = promptTokens + request.tokensSoFar.length;
