--- a/packages/node/src/stream_wire.ts
+++ b/packages/node/src/stream_wire.ts
@@ -31,6 +31,8 @@
   service: z.string(),
   adapter: z.string().optional(),
   prompt: z.string(),
+  /** Left out by nodes of earlier versions. */
+  conversationStart: z.int().min(0).optional(),
   maxTokens: z.int().min(1),
   tokens: z.array(z.string()),
   remainingMs: z.number(),
@@ -87,6 +89,8 @@
     from: z.int().min(0),
     /** Texts of the tokens from `from` on. */
     tokens: z.array(z.string()),
+    /** Left out by nodes of earlier versions. */
+    model: z.string().optional(),
     final: finalSchema.optional(),
   }),
 ]);
@@ -106,7 +110,13 @@
     if (event.kind === "token") tokens.push(event.text);
     else final = encodeFinal(event);
   }
-  return { kind: "events", from, tokens, ...(final ? { final } : {}) };
+  return {
+    kind: "events",
+    from,
+    tokens,
+    ...(batch.model === undefined ? {} : { model: batch.model }),
+    ...(final ? { final } : {}),
+  };
 }
 
 function encodeFinal(
@@ -132,14 +142,18 @@
   message: EventBatchMessage,
 ): EventBatch | undefined {
   if (message.kind === "unknown_stream") return undefined;
-  const { from, final } = message;
+  const { from, final, model } = message;
   const events: StreamEvent[] = message.tokens.map((text, offset) => ({
     kind: "token",
     index: from + offset,
     text,
   }));
   if (final !== undefined) events.push(decodeFinal(final));
-  return { events, done: final !== undefined };
+  return {
+    events,
+    done: final !== undefined,
+    ...(model === undefined ? {} : { model }),
+  };
 }
 
 function decodeFinal(final: z.output<typeof finalSchema>): StreamEvent {
@@ -167,5 +181,10 @@
 export function decodeHandOver(
   message: z.output<typeof handOverSchema>,
 ): StreamHandOver {
-  return { ...message, adapter: message.adapter };
+  const { adapter, conversationStart, ...rest } = message;
+  return {
+    ...rest,
+    adapter,
+    ...(conversationStart === undefined ? {} : { conversationStart }),
+  };
 }
--- a/packages/routing/src/streams/peer_stream.ts
+++ b/packages/routing/src/streams/peer_stream.ts
@@ -5,17 +5,16 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { ModelStream, StreamEvent } from "../routers/model_router.ts";
 import { Refusal } from "../admission/refusal.ts";
+import { askOwners } from "./owner_search.ts";
 import type { EventBatch, StreamPeers } from "./stream_peers.ts";
 
 /** Time a peer waits for the next event before it answers with none. */
 const longPollMs = 1_000;
-const initialBackoffMs = 50;
-/** Passes over all candidate owners before the stream counts as lost. */
-const maxRounds = 5;
 
 /** Options of a `PeerStream`. */
 export interface PeerStreamOptions {
   readonly id: string;
+  readonly model: string;
   readonly team: string;
   /** Node that owned the stream when it was found. */
   readonly node: string;
@@ -28,11 +27,13 @@
 /** Reads a stream of another node and follows it when its owner changes. */
 export class PeerStream implements ModelStream {
   readonly id: string;
+  readonly model: string;
   readonly #options: PeerStreamOptions;
   #node: string;
 
   private constructor(options: PeerStreamOptions) {
     this.id = options.id;
+    this.model = options.model;
     this.#options = options;
     this.#node = options.node;
   }
@@ -73,25 +74,17 @@
     signal: AbortSignal,
   ): Promise<EventBatch | undefined> {
     const { peers, id, team, clock, owners } = this.#options;
-    let backoffMs = initialBackoffMs;
-    for (let round = 0; round < maxRounds; round++) {
-      for (const node of new Set([this.#node, ...owners()])) {
-        if (signal.aborted) return undefined;
-        const batch = await peers.readEvents({
-          node,
-          id,
-          team,
-          from,
-          waitMs: longPollMs,
-        });
-        if (batch.isLeft()) continue;
-        this.#node = node;
-        return batch.unsafeCoerce();
-      }
-      await clock.sleep(backoffMs, signal);
-      backoffMs *= 2;
-    }
-    return undefined;
+    const found = await askOwners({
+      clock,
+      signal,
+      owners: () => [this.#node, ...owners()],
+      ask: (node) =>
+        peers.readEvents({ node, id, team, from, waitMs: longPollMs }),
+      mayMove: true,
+    });
+    if (found === undefined) return undefined;
+    this.#node = found.node;
+    return found.answer;
   }
 }
 
--- a/packages/routing/src/streams/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -14,8 +14,8 @@
   GenerateRequest,
 } from "@almondcrank/endpoint/engine.ts";
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
-import type { ReplicaChoice } from "../choice/replica_chooser.ts";
 import type { StreamOutput } from "./stream_output.ts";
+import { createPause, type StreamPause } from "./stream_pause.ts";
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -25,13 +25,9 @@
     readonly usage: EngineUsage;
   }
   | { readonly kind: "failed"; readonly error: EndpointError }
-  /** The stream continues on another replica, with an imported cache if any. */
-  | {
-    readonly kind: "moved";
-    readonly to: ReplicaChoice;
-    readonly importId: string | undefined;
-  }
-  /** The caller cancelled, or the run was paused. */
+  /** Another attempt of the stream has gone on in its place. */
+  | { readonly kind: "replaced" }
+  /** The caller cancelled, or a peer has taken the stream over. */
   | { readonly kind: "cancelled" }
   | { readonly kind: "deadline" };
 
@@ -53,6 +49,8 @@
   readonly output: StreamOutput;
   readonly clock: Clock;
   readonly observer: AttemptObserver;
+  /** Called before the attempt adds a token or ends the answer. */
+  readonly onProgress: (attempt: StreamAttempt) => void;
 }
 
 /** An attempt, from its send until it settles with an outcome. */
@@ -69,6 +67,7 @@
   #gapSumMs = 0;
   #gaps = 0;
   #isBlocked = false;
+  #hold: StreamPause | undefined;
 
   private constructor(options: AttemptOptions) {
     this.id = options.request.id;
@@ -104,14 +103,21 @@
 
   /**
    * Milliseconds since the engine last made progress; 0 while backpressure from
-   * a slow reader blocks it.
+   * a slow reader blocks it, or the attempt or its stream is held.
    */
   computeIdleMs(): number {
-    return this.#isBlocked
+    return this.#isBlocked || this.#hold !== undefined
       ? 0
       : this.#options.clock.now() - this.#lastProgressAt;
   }
 
+  /** Creates the error of an attempt that made no progress. */
+  createTimeout(): EndpointError {
+    const endpoint = this.#options.engine.name;
+    const timeoutMs = this.computeIdleMs();
+    return EndpointError.create({ kind: "timeout", endpoint, timeoutMs });
+  }
+
   /** Settles the attempt and cancels it on its engine; the first call counts. */
   stop(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
@@ -119,10 +125,24 @@
     this.#abort.abort();
   }
 
+  /** Keeps the attempt from adding tokens, and from ending, until `release`. */
+  hold(): void {
+    this.#hold ??= createPause();
+  }
+
+  /** Lets the attempt go on after `hold`. */
+  release(): void {
+    if (this.#hold === undefined) return;
+    this.#hold.end();
+    this.#hold = undefined;
+    this.#lastProgressAt = this.#options.clock.now();
+  }
+
   async #run(): Promise<void> {
     const { engine, request } = this.#options;
     try {
       for await (const item of engine.generate(request, this.#abort.signal)) {
+        if (this.#isHeld()) await this.#waitReleased();
         if (this.#isSettled) return;
         const event = item.extract();
         if (event instanceof Error) {
@@ -146,6 +166,7 @@
     if (reason === "cancelled") {
       return this.#closeFailed("the engine cancelled the generation");
     }
+    this.#options.onProgress(this);
     this.#close({ kind: "ended", reason, usage });
   }
 
@@ -156,6 +177,7 @@
       this.#closeFailed(`received token ${index}, expected token ${expected}`);
       return false;
     }
+    this.#options.onProgress(this);
     const now = clock.now();
     const gapMs = now - this.#lastProgressAt;
     this.#lastProgressAt = now;
@@ -174,6 +196,22 @@
     this.#gaps = 0;
   }
 
+  #isHeld(): boolean {
+    return this.#hold !== undefined || this.#options.output.isHeld;
+  }
+
+  /** Waits while another replica, or a peer, is to go on from the tokens so far. */
+  async #waitReleased(): Promise<void> {
+    const { output, clock } = this.#options;
+    this.#isBlocked = true;
+    while (this.#isHeld() && !this.#isSettled) {
+      await this.#hold?.ended;
+      await output.waitReleased();
+    }
+    this.#isBlocked = false;
+    this.#lastProgressAt = clock.now();
+  }
+
   async #waitWritable(): Promise<void> {
     this.#isBlocked = true;
     await this.#options.output.waitWritable();
@@ -192,6 +230,7 @@
   #close(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
+    this.release();
     this.#resolve(outcome);
     this.#ended.abort("ended");
   }
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -26,12 +26,14 @@
   ModelStream,
   StreamEvent,
 } from "../routers/model_router.ts";
+import { askOwners } from "./owner_search.ts";
 import { PeerStream } from "./peer_stream.ts";
 import { Refusal } from "../admission/refusal.ts";
 import type { StreamProgress } from "./routed_stream.ts";
 import { parseStreamOwner } from "./stream_id.ts";
 import type {
   EventBatch,
+  PeerFailure,
   ReadEventsRequest,
   StreamHandOver,
   StreamPeers,
@@ -84,26 +86,31 @@
   async find(id: string, team: Team): Promise<Either<Refusal, ModelStream>> {
     const local = this.#findLocal(id, team.name);
     if (local !== undefined) return Right(local.stream);
-    for (const node of this.listCandidateOwners(id)) {
-      const batch = await this.#options.peers.readEvents({
-        node,
-        id,
-        team: team.name,
-        from: 0,
-        waitMs: 0,
-      });
-      if (batch.isLeft()) continue;
-      this.#options.metrics.count("streams_found_total", { where: "peer" });
-      const { peers, clock } = this.#options;
-      const owners = (): readonly string[] => this.listCandidateOwners(id);
-      return Right(
-        PeerStream.create({ id, team: team.name, node, peers, clock, owners }),
-      );
-    }
-    this.#options.metrics.count("model_refusals_total", {
-      reason: "stream_lost",
+    const { peers, clock, signal, metrics } = this.#options;
+    const owners = (): readonly string[] => this.listCandidateOwners(id);
+    const found = await askOwners({
+      clock,
+      signal,
+      owners,
+      ask: (node) =>
+        peers.readEvents({ node, id, team: team.name, from: 0, waitMs: 0 }),
+      mayMove: false,
     });
-    return Left(createLostRefusal());
+    if (found === undefined) {
+      metrics.count("model_refusals_total", { reason: "stream_lost" });
+      return Left(createLostRefusal());
+    }
+    metrics.count("streams_found_total", { where: "peer" });
+    const { node, answer } = found;
+    return Right(PeerStream.create({
+      id,
+      model: answer.model ?? "",
+      team: team.name,
+      node,
+      peers,
+      clock,
+      owners,
+    }));
   }
 
   /** Lists other nodes that may own a stream, the most likely first. */
@@ -130,13 +137,15 @@
     const { id, team, from, waitMs } = request;
     const run = this.#findLocal(id, team);
     if (run === undefined) return undefined;
-    const { output } = run.stream;
-    if (
-      waitMs > 0 && output.tokens.length <= from && output.final === undefined
-    ) {
-      await this.#waitForEvent(run, waitMs);
-    }
-    return createBatch(run, from);
+    return await run.stream.readForPeer(from, async () => {
+      const { output } = run.stream;
+      if (
+        waitMs > 0 && output.tokens.length <= from && output.final === undefined
+      ) {
+        await this.#waitForEvent(run, waitMs);
+      }
+      return createBatch(run, from);
+    });
   }
 
   /** Cancels a stream of this node on behalf of a peer's caller. */
@@ -164,6 +173,7 @@
       service,
       ...(stream.adapter === undefined ? {} : { adapter: stream.adapter }),
       prompt,
+      ...copyConversationStart(stream),
       maxTokens,
       deadline: clock.now() + stream.remainingMs,
     };
@@ -198,9 +208,9 @@
   /**
    * Hands one stream to the first peer that accepts it.
    *
-   * Generation pauses first, so that no token is produced after the hand-over
-   * message was composed. If no peer accepts, the stream resumes on this node
-   * until the process ends.
+   * The output is held first, so that no token is added after the hand-over message
+   * was composed. If no peer accepts, the stream goes on with its attempt until the
+   * process ends.
    */
   async #handOver(run: StreamRun): Promise<boolean> {
     const { peers, metrics, hasher, nodeName } = this.#options;
@@ -219,7 +229,8 @@
   }
 
   /**
-   * Offers a stream to a peer; repeats are safe, as a peer accepts an id once.
+   * Offers a stream to a peer; repeats are safe, as a peer accepts an id once. A
+   * peer that refused is not asked again.
    *
    * A peer whose answer was lost may run the stream. It is told to cancel, so
    * that two nodes do not continue the stream with different texts.
@@ -230,9 +241,9 @@
     for (let tries = 0; tries < maxOffers; tries++) {
       const taken = await peers.handOver(node, this.#createHandOver(run));
       if (taken.isRight()) return true;
-      taken.ifLeft(({ kind }) => {
-        metrics.count("stream_hand_overs_total", { result: kind });
-      });
+      const { kind } = taken.extract() as PeerFailure;
+      metrics.count("stream_hand_overs_total", { result: kind });
+      if (kind !== "peer_unreachable") return false;
     }
     void peers.cancel(node, id, request.team.name);
     return false;
@@ -240,13 +251,13 @@
 
   #createPeerStream(
     node: string,
-    stream: { readonly id: string; readonly request: ModelRequest },
+    stream: ModelStream & { readonly request: ModelRequest },
   ): PeerStream {
     const { peers, clock } = this.#options;
-    const { id } = stream;
+    const { id, model } = stream;
     const team = stream.request.team.name;
     const owners = (): readonly string[] => this.listCandidateOwners(id);
-    return PeerStream.create({ id, team, node, peers, clock, owners });
+    return PeerStream.create({ id, model, team, node, peers, clock, owners });
   }
 
   #createHandOver({ stream }: StreamRun): StreamHandOver {
@@ -257,6 +268,7 @@
       service: request.service.name,
       adapter: request.adapter,
       prompt: request.prompt,
+      ...copyConversationStart(request),
       maxTokens: request.maxTokens,
       tokens: [...output.tokens],
       remainingMs: Math.max(0, request.deadline - this.#options.clock.now()),
@@ -280,8 +292,14 @@
   }
 }
 
+function copyConversationStart(
+  { conversationStart }: Pick<ModelRequest, "conversationStart">,
+): Pick<ModelRequest, "conversationStart"> {
+  return conversationStart === undefined ? {} : { conversationStart };
+}
+
 function createBatch({ stream }: StreamRun, from: number): EventBatch {
-  const { tokens, final } = stream.output;
+  const { model, output: { tokens, final } } = stream;
   const to = Math.min(tokens.length, from + maxBatchEvents);
   const events: StreamEvent[] = [];
   for (let index = from; index < to; index++) {
@@ -289,7 +307,7 @@
   }
   const done = final !== undefined && to === tokens.length;
   if (done) events.push(final);
-  return { events, done };
+  return { events, done, model };
 }
 
 function createLostRefusal(): Refusal {
--- a/packages/routing/src/streams/stream_output.ts
+++ b/packages/routing/src/streams/stream_output.ts
@@ -18,6 +18,7 @@
   readonly #maxUnread: number;
   #final: FinalEvent | undefined;
   #isStopped = false;
+  #isHeld = false;
   #readerCount = 0;
   #furthestRead = 0;
   #wakeReaders: (() => void) | undefined;
@@ -54,7 +55,24 @@
 
   /** Whether the writer may append without waiting. */
   get isWritable(): boolean {
-    return this.#tokens.length - this.#furthestRead < this.#maxUnread;
+    return !this.#isHeld &&
+      this.#tokens.length - this.#furthestRead < this.#maxUnread;
+  }
+
+  /** Whether nothing may be appended until `release`. */
+  get isHeld(): boolean {
+    return this.#isHeld && this.#final === undefined && !this.#isStopped;
+  }
+
+  /** Keeps all writers from appending until `release`. */
+  hold(): void {
+    this.#isHeld = true;
+  }
+
+  /** Lets writers append again after `hold`. */
+  release(): void {
+    this.#isHeld = false;
+    this.#wakeAllWriters();
   }
 
   /** Appends the next token. */
@@ -105,7 +123,7 @@
   ): AsyncGenerator<StreamEvent, void, void> {
     const wake = (): void => this.wake();
     signal.addEventListener("abort", wake, { once: true });
-    this.#readerCount++;
+    const detach = this.attach(from);
     let index = from;
     try {
       while (!signal.aborted) {
@@ -124,17 +142,36 @@
         }
       }
     } finally {
-      this.#readerCount--;
+      detach();
       signal.removeEventListener("abort", wake);
     }
   }
 
+  /**
+   * Attaches a reader that has received all tokens before `from`; the returned
+   * function detaches it.
+   */
+  attach(from: number): () => void {
+    this.#readerCount++;
+    this.#recordRead(Math.min(from, this.#tokens.length));
+    return () => {
+      this.#readerCount--;
+    };
+  }
+
   #recordRead(index: number): void {
     if (index <= this.#furthestRead) return;
     this.#furthestRead = index;
     if (this.#writerWakes.length > 0 && this.isWritable) this.#wakeAllWriters();
   }
 
+  /** Resolves when the output is not held, or the stream has ended or stopped. */
+  async waitReleased(): Promise<void> {
+    while (this.isHeld) {
+      await new Promise<void>((resolve) => this.#writerWakes.push(resolve));
+    }
+  }
+
   /** Wakes all writers: a replaced attempt may wait beside the current one. */
   #wakeAllWriters(): void {
     const wakes = this.#writerWakes;
--- a/packages/routing/src/streams/stream_peers.ts
+++ b/packages/routing/src/streams/stream_peers.ts
@@ -8,9 +8,14 @@
 
 /** Why a call to a peer about a stream failed. */
 export type PeerFailure = KindError<
+  /** The peer did not answer. */
   | { readonly kind: "peer_unreachable" }
+  /** No such node is a member. */
+  | { readonly kind: "unknown_peer" }
   /** The peer does not hold the stream, or it belongs to another team. */
   | { readonly kind: "unknown_stream" }
+  /** The peer does not take the stream over. */
+  | { readonly kind: "refused" }
 >;
 
 /** Request to a peer for events of a stream. */
@@ -28,6 +33,8 @@
 export interface EventBatch {
   readonly events: readonly StreamEvent[];
   readonly done: boolean;
+  /** Model as the caller named it; undefined from a peer that does not say. */
+  readonly model?: string;
 }
 
 /** State of a running stream that is sent to the node taking it over. */
@@ -37,6 +44,8 @@
   readonly service: string;
   readonly adapter: string | undefined;
   readonly prompt: string;
+  /** `conversationStart` of the request, if it is known. */
+  readonly conversationStart?: number;
   readonly maxTokens: number;
   readonly tokens: readonly string[];
   /** Time left until the deadline, in milliseconds. */
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -7,52 +7,59 @@
  * no new work, so resuming its streams takes no retry budget. Leaving a replica
  * that is only slow, or that declined, takes budget; otherwise a brown-out would
  * multiply the load.
+ *
+ * A replica that falls silent may still go on. So it keeps its attempt while a
+ * replacement is sent to another replica; the first of the two that goes on is
+ * kept, and the other one ends.
  */
 
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
-import { computeBlockHashes } from "@almondcrank/endpoint/tokens.ts";
 import type { ModelStream } from "../routers/model_router.ts";
 import type { RefusalKind } from "../admission/refusal.ts";
-import { Refusal } from "../admission/refusal.ts";
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
-import { type AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
+import { AttemptSender, type SentAttempt } from "./attempt_sender.ts";
+import { ReplicaSearch } from "./replica_search.ts";
+import { computeSilenceTimeoutMs } from "./silence_timeout.ts";
+import type { AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
+import { StreamEnding } from "./stream_ending.ts";
 import { StreamMigration } from "./stream_migration.ts";
+import { StreamRetries } from "./stream_retries.ts";
+import { createPause, type StreamPause } from "./stream_pause.ts";
 import type { StreamRunServices } from "./stream_run_services.ts";
-import { computeContext, type RoutedStream } from "./routed_stream.ts";
-
-/** Timeout of the first token, as a multiple of its predicted time. */
-const firstTokenTimeoutFactor = 4;
-/** Timeout between tokens, as a multiple of the service's target. */
-const tokenGapTimeoutFactor = 20;
+import type { RoutedStream } from "./routed_stream.ts";
 
-/** A pause of a run. */
-interface Pause {
-  readonly ended: Promise<void>;
-  readonly end: () => void;
+/** The last of several attempts, and how it ended. */
+interface EndedAttempt {
+  readonly sent: SentAttempt;
+  readonly outcome: AttemptOutcome;
 }
 
-function createPause(): Pause {
-  let end = (): void => {};
-  const ended = new Promise<void>((resolve) => end = resolve);
-  return { ended, end };
-}
+/** Why a silent attempt was not replaced. */
+type ReplaceRefusal = "attempts" | "no_endpoint" | "timeout";
 
 /** Runs the attempts of one stream. */
 export class StreamRun {
   readonly stream: RoutedStream;
   readonly #services: StreamRunServices;
   readonly #ended = new AbortController();
-  readonly #failedEndpoints = new Set<string>();
-  #attempt: StreamAttempt | undefined;
-  #choice: ReplicaChoice | undefined;
-  #importId: string | undefined;
+  readonly #sender: AttemptSender;
+  readonly #search: ReplicaSearch;
+  readonly #retries: StreamRetries;
+  readonly #ending: StreamEnding;
+  #current: SentAttempt | undefined;
+  /** Second attempt of the stream while the current one is silent. */
+  #replacement: SentAttempt | undefined;
   #mayHaveRun = false;
   #migration: StreamMigration | undefined;
-  #pause: Pause | undefined;
+  #pause: StreamPause | undefined;
 
   private constructor(stream: RoutedStream, services: StreamRunServices) {
     this.stream = stream;
     this.#services = services;
+    this.#sender = AttemptSender.create(stream, services);
+    this.#search = ReplicaSearch.create(stream, services);
+    this.#retries = StreamRetries.create(stream, services);
+    this.#ending = StreamEnding.create(stream, services);
   }
 
   static create(stream: RoutedStream, services: StreamRunServices): StreamRun {
@@ -61,51 +68,55 @@
 
   /** Name of the endpoint of the latest attempt. */
   get endpoint(): string | undefined {
-    return this.#choice?.endpoint.name;
+    return this.#current?.choice.endpoint.name;
   }
 
   /** Runs the stream to its end, with its first attempt on `choice` if given. */
   async run(choice: ReplicaChoice | undefined): Promise<void> {
-    let next = choice ?? await this.#waitForChoice();
+    let next = choice ?? await this.#search.wait(this.#ended.signal);
     while (next !== undefined && !this.#isEnded()) {
       if (this.#pause !== undefined) {
         await this.#pause.ended;
-        next = this.#isEnded() ? undefined : await this.#waitForChoice();
+        next = this.#isEnded()
+          ? undefined
+          : await this.#search.wait(this.#ended.signal);
         continue;
       }
-      const outcome = await this.#runAttempt(next);
-      next = await this.#handleOutcome(next, outcome);
-    }
-    if (this.stream.output.final === undefined && !this.stream.isHandedOver) {
-      this.#closeFailed(
-        "endpoint_failed",
-        "no endpoint could finish the request",
-      );
+      const { sent, outcome } = await this.#runAttempts(next);
+      await this.#waitResumed();
+      if (this.#isEnded()) break;
+      next = await this.#handleOutcome(sent.choice, outcome);
     }
+    this.#closeUnfinished();
     this.#ended.abort("ended");
   }
 
-  /** Cancels the current attempt and ends the stream as failed. */
+  /** Cancels the running attempts and ends the stream as failed. */
   cancel(): void {
-    this.#attempt?.stop({ kind: "cancelled" });
+    this.#stopAttempts();
     this.#closeFailed("stream_lost", "the request was cancelled");
   }
 
-  /** Stops generation until `resume` or `release`. */
+  /**
+   * Adds nothing to the stream and sends no attempt until `resume` or `release`. The
+   * running attempt is kept, since no peer may take the stream.
+   */
   pause(): void {
     this.#pause ??= createPause();
-    this.#attempt?.stop({ kind: "cancelled" });
+    this.stream.output.hold();
   }
 
   /** Continues after a pause. */
   resume(): void {
     this.#pause?.end();
     this.#pause = undefined;
+    this.stream.output.release();
   }
 
   /** Ends this run without ending the stream, which `successor` continues. */
   release(successor: ModelStream): void {
     this.stream.setSuccessor(successor);
+    this.#stopAttempts();
     this.resume();
     this.#ended.abort("ended");
   }
@@ -116,273 +127,261 @@
    * @param remainingMs Milliseconds until the endpoint's host is taken back.
    */
   migrate(remainingMs: number): void {
-    const attempt = this.#attempt;
-    const choice = this.#choice;
-    if (attempt === undefined || choice === undefined) return;
+    if (this.#current === undefined) return;
+    const { attempt, choice } = this.#current;
     if (this.#migration?.attempt === attempt) return;
     this.#migration = StreamMigration.create({
       attempt,
       from: choice.endpoint,
       stream: this.stream,
       services: this.#services,
-      choose: () => this.#choose(choice.endpoint.name),
+      move: (target, importId) => this.#move(target, importId),
+      choose: () => this.#search.choose([choice.endpoint.name]),
       signal: this.#ended.signal,
     });
     void this.#migration.run(remainingMs);
   }
 
+  /** Waits while the stream is offered to a peer. */
+  async #waitResumed(): Promise<void> {
+    await this.#pause?.ended;
+  }
+
   #isEnded(): boolean {
     return this.stream.output.final !== undefined || this.#ended.signal.aborted;
   }
 
-  async #runAttempt(choice: ReplicaChoice): Promise<AttemptOutcome> {
-    const { loads, prefixes, clock, limits } = this.#services;
-    const { stream } = this;
-    const { endpoint } = choice;
-    const chain = this.#computeChain();
-    const input = stream.inputTokens;
-    this.#services.retries.recordSend(endpoint.name);
-    loads.recordSend(endpoint.name, Math.max(0, input - choice.cachedTokens));
-    prefixes.recordSend(chain, endpoint.name);
-    stream.usage.recordSend();
-    const tokensBefore = stream.output.tokens.length;
-    const attempt = this.#startAttempt(choice);
-    this.#attempt = attempt;
-    this.#choice = choice;
-    const { state } = loads.find(endpoint.name) ?? {};
-    if (state?.kind === "leaving") this.migrate(state.goneAt - clock.now());
-    void this.#watchProgress(
-      attempt,
-      Math.max(
-        firstTokenTimeoutFactor * choice.firstTokenMs,
-        limits.minFirstTokenWaitMs,
-      ),
-    );
-    const outcome = await attempt.outcome;
-    loads.recordEnd(endpoint.name);
-    if (outcome.kind === "ended") {
-      const { seenTokens } = choice;
-      stream.usage.recordUsage(outcome.usage, { tokensBefore, seenTokens });
+  #hasAllTokens(): boolean {
+    const { output, request } = this.stream;
+    return output.tokens.length >= request.maxTokens;
+  }
+
+  #stopAttempts(): void {
+    this.#current?.attempt.stop({ kind: "cancelled" });
+    this.#replacement?.attempt.stop({ kind: "cancelled" });
+  }
+
+  /** Runs an attempt and those that replace it, until the last one ends. */
+  async #runAttempts(choice: ReplicaChoice): Promise<EndedAttempt> {
+    let sent = this.#send(choice);
+    for (;;) {
+      this.#current = sent;
+      this.#migrateIfLeaving(sent);
+      void this.#watchProgress(sent);
+      const outcome = await sent.ended;
+      const replacement = this.#replacement;
+      this.#replacement = undefined;
+      if (replacement === undefined) return { sent, outcome };
+      if (outcome.kind !== "failed" && outcome.kind !== "replaced") {
+        replacement.attempt.stop({ kind: "cancelled" });
+        return { sent, outcome };
+      }
+      if (outcome.kind === "failed") this.#recordFailure(outcome.error);
+      else this.#search.recordFailure(sent.choice.endpoint.name);
+      sent = replacement;
     }
-    return outcome;
   }
 
-  #startAttempt(choice: ReplicaChoice): StreamAttempt {
-    const { engines, loads, clock, metrics } = this.#services;
-    const { request, id, output, usage } = this.stream;
-    const importId = this.#importId;
-    this.#importId = undefined;
-    const name = choice.endpoint.name;
-    return StreamAttempt.start({
-      engine: engines(choice.endpoint),
-      output,
-      clock,
-      observer: {
-        recordFirstToken: (waitMs) => {
-          usage.recordFirstToken();
-          loads.recordFirstToken(name, waitMs - choice.firstTokenMs);
-          metrics.recordDuration("engine_first_token_seconds", waitMs);
-        },
-        recordTokenGap: (gapMs) => loads.recordTokenGap(name, gapMs),
-      },
-      request: {
-        id: `${id}.${usage.attempts}`,
-        model: request.service.model,
-        ...(request.adapter === undefined ? {} : { adapter: request.adapter }),
-        prompt: request.prompt,
-        tokensSoFar: [...output.tokens],
-        maxTokens: request.maxTokens,
-        priority: request.team.priority,
-        remainingMs: Math.max(0, request.deadline - clock.now()),
-        ...(importId === undefined ? {} : { importId }),
-      },
+  #send(choice: ReplicaChoice, importId?: string): SentAttempt {
+    return this.#sender.send(choice, {
+      importId,
+      onProgress: (attempt) => this.#endOther(attempt),
     });
   }
 
+  /** Ends the other one of two attempts before `attempt` goes on. */
+  #endOther(attempt: StreamAttempt): void {
+    const replacement = this.#replacement;
+    if (replacement === undefined) return;
+    if (replacement.attempt === attempt) {
+      this.#current?.attempt.stop({ kind: "replaced" });
+      return;
+    }
+    this.#replacement = undefined;
+    replacement.attempt.stop({ kind: "replaced" });
+  }
+
+  #migrateIfLeaving({ choice }: SentAttempt): void {
+    const { loads, clock } = this.#services;
+    const { state } = loads.find(choice.endpoint.name) ?? {};
+    if (state?.kind === "leaving") this.migrate(state.goneAt - clock.now());
+  }
+
   /**
-   * Stops an attempt at the deadline, or when its engine makes no progress and
-   * the retry budget allows another attempt. Without budget the timeout doubles.
+   * Stops an attempt at the deadline, and replaces it while its engine makes no
+   * progress. When that is not possible, the timeout doubles.
    */
-  async #watchProgress(
-    attempt: StreamAttempt,
-    firstTokenMs: number,
-  ): Promise<void> {
-    const { clock, limits, retries, metrics } = this.#services;
-    const { request } = this.stream;
-    const gapMs = Math.max(
-      limits.minTokenGapMs,
-      tokenGapTimeoutFactor * request.service.target.betweenTokensMs,
-    );
+  async #watchProgress({ attempt }: SentAttempt): Promise<void> {
+    const { clock, metrics, limits } = this.#services;
+    const { service } = this.stream.request;
     let timeoutFactor = 1;
     while (!attempt.isSettled) {
-      const leftMs = request.deadline - clock.now();
+      const leftMs = this.stream.request.deadline - clock.now();
       if (leftMs <= 0) return attempt.stop({ kind: "deadline" });
+      await this.#removeFailedReplacement();
+      const latest = this.#replacement ?? this.#current;
+      if (attempt.isSettled || latest === undefined) return;
       const allowedMs = timeoutFactor *
-        (attempt.tokens === 0 ? firstTokenMs : gapMs);
-      const idleMs = attempt.computeIdleMs();
+        computeSilenceTimeoutMs(latest, { service, limits });
+      const idleMs = latest.attempt.computeIdleMs();
       if (idleMs < allowedMs) {
         // Sleeps of under 1 ms may not advance a floating-point clock.
         const waitMs = Math.max(1, Math.min(leftMs, allowedMs - idleMs));
-        await clock.sleep(waitMs, attempt.ended);
+        const { ended } = latest.attempt;
+        const either = ended === attempt.ended
+          ? ended
+          : AbortSignal.any([attempt.ended, ended]);
+        await clock.sleep(waitMs, either);
         continue;
       }
-      if (retries.takeRetry(attempt.engine.name, "timeout")) {
-        const endpoint = attempt.engine.name;
-        const timeoutMs = idleMs;
-        const error = EndpointError.create({
-          kind: "timeout",
-          endpoint,
-          timeoutMs,
-        });
-        return attempt.stop({ kind: "failed", error });
+      if (this.#hasAllTokens()) {
+        return attempt.stop({ kind: "failed", error: attempt.createTimeout() });
       }
-      metrics.count("retries_refused_total", { reason: "timeout" });
-      timeoutFactor *= 2;
+      const triesAgain = timeoutFactor > 1;
+      const refusal = this.#replace(latest, triesAgain);
+      if (refusal !== undefined) {
+        metrics.count("retries_refused_total", { reason: refusal });
+      }
+      if (refusal !== undefined || triesAgain) timeoutFactor *= 2;
     }
   }
 
+  async #removeFailedReplacement(): Promise<void> {
+    const replacement = this.#replacement;
+    if (replacement?.attempt.isSettled !== true) return;
+    this.#replacement = undefined;
+    this.#current?.attempt.release();
+    const outcome = await replacement.ended;
+    if (outcome.kind === "failed") this.#recordFailure(outcome.error);
+  }
+
+  /**
+   * Sends the stream to `target` and holds the running attempt, which ends at the
+   * first token of the target; false if the target did not take the stream.
+   */
+  async #move(
+    target: ReplicaChoice,
+    importId: string | undefined,
+  ): Promise<boolean> {
+    const current = this.#current;
+    if (current === undefined || this.#replacement !== undefined) return false;
+    if (!this.#retries.takeMove()) return false;
+    const cachedTokens = importId === undefined
+      ? target.cachedTokens
+      : this.stream.inputTokens;
+    current.attempt.hold();
+    const replacement = this.#send({ ...target, cachedTokens }, importId);
+    this.#replacement = replacement;
+    await Promise.race([replacement.ended, current.ended]);
+    await this.#removeFailedReplacement();
+    if (!current.attempt.isSettled) return false;
+    const { kind } = await current.ended;
+    if (kind === "replaced") this.#retries.recordMove();
+    return kind === "replaced";
+  }
+
+  /**
+   * Sends a replacement of a silent attempt; returns why not, if it could not.
+   * A silent replacement ends, the attempt that it was to replace goes on.
+   *
+   * @param triesAgain Whether replicas that failed the stream may be chosen.
+   */
+  #replace(
+    { attempt, choice }: SentAttempt,
+    triesAgain: boolean,
+  ): ReplaceRefusal | undefined {
+    const { limits, loads, metrics, retries } = this.#services;
+    const { output } = this.stream;
+    // One attempt is kept for a failure of the silent one.
+    if (this.#retries.countedAttempts + 1 >= limits.maxAttempts) {
+      return "attempts";
+    }
+    const { name } = choice.endpoint;
+    const excluded = [name, this.#current?.choice.endpoint.name ?? name];
+    const next = triesAgain
+      ? this.#search.choose(excluded)
+      : this.#search.chooseUntried(excluded);
+    if (next === undefined) return "no_endpoint";
+    if (!retries.takeRetry(name, "timeout")) return "timeout";
+    const error = attempt.createTimeout();
+    loads.recordFailure(error);
+    const kind = output.tokens.length > 0
+      ? "stream_resumes_total"
+      : "stream_retries_total";
+    metrics.count(kind, { reason: error.kind });
+    this.#mayHaveRun = true;
+    if (attempt === this.#replacement?.attempt) {
+      attempt.stop({ kind: "replaced" });
+      this.#search.recordFailure(name);
+    }
+    this.#replacement = this.#send(next);
+    return undefined;
+  }
+
   async #handleOutcome(
     choice: ReplicaChoice,
     outcome: AttemptOutcome,
   ): Promise<ReplicaChoice | undefined> {
     switch (outcome.kind) {
       case "ended":
-        this.#closeComplete(outcome.reason, choice);
+        this.#ending.complete(outcome.reason, choice.endpoint.name);
         return undefined;
       case "failed":
         return await this.#handleFailure(choice, outcome.error);
-      case "moved":
-        return this.#handleMove(outcome.to, outcome.importId);
       case "deadline":
-        this.#closeFailed(
-          "deadline",
-          "the deadline passed before the answer ended",
-        );
+        this.#closeUnfinished();
         return undefined;
+      // `#runAttempts` has gone on with the replacement.
+      case "replaced":
       case "cancelled":
-        return this.#pause === undefined ? undefined : choice;
+        return undefined;
     }
   }
 
-  #handleMove(to: ReplicaChoice, importId: string | undefined): ReplicaChoice {
-    this.#importId = importId;
-    if (importId === undefined) return to;
-    return { ...to, cachedTokens: this.stream.inputTokens };
-  }
-
   async #handleFailure(
     choice: ReplicaChoice,
     error: EndpointError,
   ): Promise<ReplicaChoice | undefined> {
-    const { loads, metrics, limits } = this.#services;
-    const { output, request, usage } = this.stream;
-    loads.recordFailure(error);
-    this.#failedEndpoints.add(choice.endpoint.name);
-    if (error.run !== "not_run") this.#mayHaveRun = true;
+    const { metrics } = this.#services;
+    const { output } = this.stream;
+    this.#recordFailure(error);
     // The replica failed after its last token but before the end event.
-    if (output.tokens.length >= request.maxTokens) {
-      this.#closeComplete("length", choice);
+    if (this.#hasAllTokens()) {
+      this.#ending.complete("length", choice.endpoint.name);
       return undefined;
     }
-    if (usage.attempts >= limits.maxAttempts || !this.#takeRetry(error)) {
+    if (!await this.#retries.take(error, this.#ended.signal)) {
       metrics.count("retries_refused_total", { reason: error.kind });
-      this.#closeFailed("endpoint_failed", error.message);
+      this.#closeUnfinished(error.message);
       return undefined;
     }
     const kind = output.tokens.length > 0
       ? "stream_resumes_total"
       : "stream_retries_total";
     metrics.count(kind, { reason: error.kind });
-    return await this.#waitForChoice();
+    return await this.#search.wait(this.#ended.signal);
   }
 
-  #takeRetry(error: EndpointError): boolean {
-    switch (error.kind) {
-      case "unreachable":
-      case "connection_lost":
-      case "bad_answer":
-      // `#watchProgress` took budget before it stopped the attempt.
-      case "timeout":
-        return true;
-      case "declined":
-      case "stale_fencing":
-        return this.#services.retries.takeRetry(
-          error.detail.endpoint,
-          "declined",
-        );
-    }
+  #recordFailure(error: EndpointError): void {
+    this.#services.loads.recordFailure(error);
+    this.#search.recordFailure(error.detail.endpoint);
+    this.#retries.recordFailure(error);
+    if (error.run !== "not_run") this.#mayHaveRun = true;
   }
 
-  /** Chooses the next replica, with backoff while none can take work. */
-  async #waitForChoice(): Promise<ReplicaChoice | undefined> {
-    const { clock, limits, metrics } = this.#services;
-    const { request } = this.stream;
-    let backoffMs = limits.initialBackoffMs;
-    for (let backoff = 0; backoff <= limits.maxBackoffs; backoff++) {
-      const choice = this.#choose(undefined);
-      if (choice !== undefined) return choice;
-      if (clock.now() + backoffMs >= request.deadline) break;
-      metrics.count("stream_pauses_total", { reason: "no_endpoint" });
-      await clock.sleep(backoffMs, this.#ended.signal);
-      if (this.#isEnded()) return undefined;
-      backoffMs *= 2;
+  /** @param reason Why the stream ends if its deadline has not passed. */
+  #closeUnfinished(reason = "no endpoint could finish the request"): void {
+    if (this.stream.isHandedOver) return;
+    if (this.#services.clock.now() < this.stream.request.deadline) {
+      return this.#closeFailed("endpoint_failed", reason);
     }
-    return undefined;
-  }
-
-  #choose(leaving: string | undefined): ReplicaChoice | undefined {
-    const { chooser } = this.#services;
-    const { request, output } = this.stream;
-    const excluded = new Set(this.#failedEndpoints);
-    if (leaving !== undefined) excluded.add(leaving);
-    const query = {
-      service: request.service.name,
-      chain: this.#computeChain(),
-      conversationPrefix: this.stream.conversationPrefix,
-      inputTokens: this.stream.inputTokens,
-      outputTokens: request.maxTokens - output.tokens.length,
-      betweenTokensMs: request.service.target.betweenTokensMs,
-    };
-    const choice = chooser.choose({ ...query, excluded });
-    if (choice !== undefined || this.#failedEndpoints.size === 0) return choice;
-    // No other replica can take work, so one that failed may be tried again.
-    const excludedNow = new Set(leaving === undefined ? [] : [leaving]);
-    return chooser.choose({ ...query, excluded: excludedNow });
-  }
-
-  #computeChain(): readonly number[] {
-    const { promptTokens, chain, output, request } = this.stream;
-    if (output.tokens.length === 0) return chain;
-    const context = computeContext(request.prompt, promptTokens, output.tokens);
-    return computeBlockHashes(this.#services.hasher, context);
-  }
-
-  #closeComplete(reason: "stop" | "length", choice: ReplicaChoice): void {
-    const { loads, prefixes, metrics } = this.#services;
-    const { output, usage } = this.stream;
-    prefixes.recordSend(this.#computeChain(), choice.endpoint.name);
-    loads.recordOutput(output.tokens.length);
-    const total = usage.compute(output.tokens.length);
-    metrics.count("streams_finished_total", { reason });
-    metrics.count("tokens_computed_total", {}, total.computedTokens);
-    metrics.count("tokens_recomputed_total", {}, total.recomputedTokens);
-    metrics.count("tokens_cached_total", {}, total.cachedTokens);
-    output.close({ kind: "end", reason, usage: total });
+    const message = "the deadline passed before the answer ended";
+    this.#closeFailed("deadline", message);
   }
 
   #closeFailed(kind: RefusalKind, message: string): void {
-    const { output } = this.stream;
-    if (output.final !== undefined) return;
-    this.#services.metrics.count("streams_failed_total", { reason: kind });
-    const ran = output.tokens.length > 0;
-    const mayHaveRun = this.#mayHaveRun || this.#attempt?.isSettled === false ||
-      kind === "deadline";
-    const refusal = Refusal.create({
-      kind,
-      run: ran ? "ran" : mayHaveRun ? "unknown" : "not_run",
-      retryAfterMs: kind === "endpoint_failed" ? 1_000 : undefined,
-      message: `${message}; send the request again if the answer is needed`,
-    });
-    output.close({ kind: "failed", refusal });
+    const mayHaveRun = this.#mayHaveRun || kind === "deadline" ||
+      this.#current?.attempt.isSettled === false;
+    this.#ending.fail({ kind, message, mayHaveRun });
   }
 }
