A quarantine for prompt parts under which replicas crash

Nothing knew that one part of prompts crashes every replica that begins to answer with it: each crash was a failure of that replica alone.

PartQuarantine decides it from the incarnations that crashed under a part and the runs on it that went well since. It is guilty from the third crash that no guiltier part explains; shared parts are cleared by the next run that goes well. Nodes tell each other evidence as ages, which merges in any order and any number of times. Probes come at growing intervals from one node; a request that has only one of two equally guilty parts is let through singly, to tell them apart. It has no clock or I/O and is meant for both interfaces; nothing uses it yet.

--- /dev/null
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -0,0 +1,277 @@
+/**
+ * Quarantine of prompt parts under which replicas crash.
+ *
+ * A node records the crashes and the runs that went well which it sees, and learns
+ * those of its peers. Requests with a guilty part are refused, except for single
+ * probes at growing intervals, so that a part that was blocked wrongly comes free.
+ */
+
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import {
+  chooseGuiltyParts,
+  guiltyCrashes,
+  isTellingApart,
+} from "./guilty_parts.ts";
+import { PartEvidence } from "./part_evidence.ts";
+import { computeProbeMs } from "./probe_interval.ts";
+import { SurvivalTable } from "./survival_table.ts";
+import { composeToldPart, type ToldPart } from "./told_part.ts";
+
+/** Parts with evidence that are kept; those without news for longest go first. */
+const maxParts = 2_048;
+/** Time without crashes and requests after which a part is forgotten. */
+const forgetMs = 600_000;
+const forgetIntervalMs = 1_000;
+/** Time for which news are repeated to peers, since datagrams are lost. */
+const tellMs = 3_000;
+const maxToldParts = 48;
+/** Crashes from which a broken run with the part is not repeated. */
+const suspectedCrashes = guiltyCrashes - 1;
+const minRetryAfterMs = 1_000;
+/** Time between requests of a node that tell a part from one beside it. */
+const trialIntervalMs = 1_000;
+
+/** Dependencies of a quarantine. */
+export interface PartQuarantineOptions {
+  /** Whether this node is the one that sends the probes of a part. */
+  readonly isProber: (part: string) => boolean;
+}
+
+/** Whether a request may be sent. */
+export type QuarantineVerdict =
+  | { readonly kind: "free" }
+  /** It may be sent, to find out whether the part still crashes replicas. */
+  | { readonly kind: "probe"; readonly part: string }
+  | {
+    readonly kind: "quarantined";
+    readonly part: string;
+    /** Time to the next probe, in milliseconds. */
+    readonly retryAfterMs: number;
+  };
+
+/** A part that enters or leaves the quarantine. */
+export interface QuarantineChange {
+  readonly kind: "entered" | "left";
+  readonly part: string;
+  /** Incarnations that crashed under it and that count at present. */
+  readonly crashes: number;
+}
+
+/** Quarantine as one node sees it. Times are monotonic, in milliseconds. */
+export class PartQuarantine {
+  readonly #options: PartQuarantineOptions;
+  readonly #evidence = new Map<string, PartEvidence>();
+  readonly #survivals = SurvivalTable.create();
+  #guilty: ReadonlySet<string> = new Set();
+  /** Time of the last probe that this node sent of each part. */
+  readonly #probedAt = new Map<string, number>();
+  #forgotAt = -Infinity;
+  readonly #changed = Emitter.create<QuarantineChange>();
+
+  private constructor(options: PartQuarantineOptions) {
+    this.#options = options;
+  }
+
+  static create(options: PartQuarantineOptions): PartQuarantine {
+    return new PartQuarantine(options);
+  }
+
+  /** Fired for each part that enters or leaves the quarantine. */
+  readonly onChanged: Event<QuarantineChange> = this.#changed.event;
+
+  /** Number of parts in quarantine. */
+  get size(): number {
+    return this.#guilty.size;
+  }
+
+  /**
+   * Decides whether to send a request. A probe that is granted counts as sent.
+   *
+   * @param parts Parts of the prompt that other requests may share.
+   */
+  check(parts: readonly string[], now: number): QuarantineVerdict {
+    if (!parts.some((part) => this.#isNoted(part))) return free;
+    this.refresh(now);
+    const blocked = parts.filter((part) => this.#guilty.has(part));
+    for (const part of blocked) this.#evidence.get(part)?.recordRequest(now);
+    const waits = blocked
+      .map((part) => ({ part, waitMs: this.#computeProbeAt(part) - now }))
+      .sort((a, b) => b.waitMs - a.waitMs);
+    const [longest] = waits;
+    if (longest === undefined) return free;
+    const { part, waitMs } = longest;
+    const isProbe = waitMs <= 0 && this.#options.isProber(part);
+    if (isProbe || this.#isTrial(blocked, parts, now)) {
+      for (const probed of blocked) this.#probedAt.set(probed, now);
+      return { kind: "probe", part };
+    }
+    const retryAfterMs = Math.max(minRetryAfterMs, waitMs);
+    return { kind: "quarantined", part, retryAfterMs };
+  }
+
+  /** Whether a broken run may be repeated: no part of it is under suspicion. */
+  mayRepeat(parts: readonly string[], now: number): boolean {
+    if (!parts.some((part) => this.#isNoted(part))) return true;
+    this.refresh(now);
+    return !parts.some((part) =>
+      this.#guilty.has(part) || this.#isSuspected(part)
+    );
+  }
+
+  /**
+   * Records that the connection to a replica broke while a run waited for its first
+   * output or shortly after it.
+   */
+  recordCrash(
+    parts: readonly string[],
+    incarnation: string,
+    now: number,
+  ): void {
+    for (const part of parts) {
+      this.#find(part).recordCrash(incarnation, now, now);
+    }
+    this.refresh(now);
+  }
+
+  /**
+   * Records a run that went well: it was whole, or it has gone on for some time.
+   *
+   * @param startedAt Time of its first output.
+   */
+  recordSurvival(
+    parts: readonly string[],
+    startedAt: number,
+    now: number,
+  ): void {
+    for (const part of parts) {
+      this.#survivals.record(part, startedAt);
+      this.#evidence.get(part)?.recordSurvival(startedAt, now);
+    }
+    if (parts.some((part) => this.#guilty.has(part))) this.refresh(now);
+  }
+
+  /** Lists what peers may not know, and all that is in quarantine. */
+  listTold(now: number): readonly ToldPart[] {
+    this.refresh(now);
+    return [...this.#evidence]
+      .filter(([part, { changedAt }]) =>
+        this.#guilty.has(part) || now - changedAt <= tellMs
+      )
+      .sort(([, a], [, b]) =>
+        b.crashes.size - a.crashes.size || b.changedAt - a.changedAt
+      )
+      .slice(0, maxToldParts)
+      .map(([part, entry]) => composeToldPart(part, entry, now));
+  }
+
+  /** Applies what a peer told. */
+  learn(told: readonly ToldPart[], now: number): void {
+    if (told.length === 0) return;
+    for (const entry of told) this.#learnPart(entry, now);
+    this.refresh(now);
+  }
+
+  /** Judges all parts anew, as far as time and evidence went on. */
+  refresh(now: number): void {
+    this.#forgetOld(now);
+    const previous = this.#guilty;
+    const guilty = chooseGuiltyParts(this.#evidence, now);
+    this.#guilty = guilty;
+    for (const part of guilty) {
+      if (!previous.has(part)) this.#fireChange("entered", part);
+    }
+    for (const part of previous) {
+      if (guilty.has(part)) continue;
+      this.#probedAt.delete(part);
+      this.#fireChange("left", part);
+    }
+  }
+
+  #learnPart(
+    { part, survivedAgeMs, requestedAgeMs, crashes }: ToldPart,
+    now: number,
+  ): void {
+    const recent = crashes.filter(([, ageMs]) => ageMs <= forgetMs);
+    const isKnown = this.#evidence.has(part);
+    if (!isKnown && survivedAgeMs === null && recent.length === 0) return;
+    const entry = this.#find(part);
+    if (survivedAgeMs !== null) entry.learnSurvival(now - survivedAgeMs, now);
+    for (const [incarnation, ageMs] of recent) {
+      entry.recordCrash(incarnation, now - ageMs, now);
+    }
+    if (requestedAgeMs !== null) entry.learnRequest(now - requestedAgeMs);
+  }
+
+  /** Whether enough speaks against a part to look at all evidence. */
+  #isNoted(part: string): boolean {
+    const crashes = this.#evidence.get(part)?.crashes.size ?? 0;
+    return crashes >= suspectedCrashes || this.#guilty.has(part);
+  }
+
+  /** Whether a request tells all its parts in quarantine from ones beside them. */
+  #isTrial(
+    blocked: readonly string[],
+    parts: readonly string[],
+    now: number,
+  ): boolean {
+    return blocked.every((part) => {
+      const probedAt = this.#probedAt.get(part) ?? -Infinity;
+      return now - probedAt >= trialIntervalMs &&
+        isTellingApart(part, parts, this.#evidence);
+    });
+  }
+
+  #isSuspected(part: string): boolean {
+    const entry = this.#evidence.get(part);
+    return entry !== undefined && !entry.hasSurvived &&
+      entry.crashes.size >= suspectedCrashes;
+  }
+
+  #find(part: string): PartEvidence {
+    const present = this.#evidence.get(part);
+    if (present !== undefined) return present;
+    if (this.#evidence.size >= maxParts) this.#forgetOldest();
+    const entry = PartEvidence.create(this.#survivals.read(part));
+    this.#evidence.set(part, entry);
+    return entry;
+  }
+
+  /** Time from which a probe of a part in quarantine may be sent. */
+  #computeProbeAt(part: string): number {
+    const entry = this.#evidence.get(part);
+    if (entry === undefined) return -Infinity;
+    const probedAt = this.#probedAt.get(part) ?? -Infinity;
+    return Math.max(entry.lastCrashAt, probedAt) + computeProbeMs(entry);
+  }
+
+  #forgetOld(now: number): void {
+    if (now - this.#forgotAt < forgetIntervalMs) return;
+    this.#forgotAt = now;
+    for (const [part, entry] of this.#evidence) {
+      const { crashes, changedAt, lastCrashAt, requestedAt } = entry;
+      const isOld = crashes.size === 0
+        ? now - changedAt > tellMs
+        : now - Math.max(lastCrashAt, requestedAt) > forgetMs;
+      if (isOld) this.#evidence.delete(part);
+    }
+  }
+
+  /** Forgets the part without news for longest that is not in quarantine. */
+  #forgetOldest(): void {
+    let oldest = this.#evidence.keys().next().value;
+    let oldestAt = Infinity;
+    for (const [part, { changedAt }] of this.#evidence) {
+      if (changedAt >= oldestAt || this.#guilty.has(part)) continue;
+      oldest = part;
+      oldestAt = changedAt;
+    }
+    if (oldest !== undefined) this.#evidence.delete(oldest);
+  }
+
+  #fireChange(kind: QuarantineChange["kind"], part: string): void {
+    const crashes = this.#evidence.get(part)?.crashes.size ?? 0;
+    this.#changed.fire({ kind, part, crashes });
+  }
+}
+
+const free: QuarantineVerdict = { kind: "free" };
--- /dev/null
+++ b/packages/routing/src/quarantine/survival_table.ts
@@ -0,0 +1,31 @@
+/**
+ * Start of the last run that went well on each part of prompts, of bounded size.
+ */
+
+/** Parts kept; the one that was recorded least recently goes first. */
+const maxParts = 8_192;
+
+/** Table of one node. Times are monotonic, in milliseconds. */
+export class SurvivalTable {
+  readonly #startedAt = new Map<string, number>();
+
+  static create(): SurvivalTable {
+    return new SurvivalTable();
+  }
+
+  /** Start of the last run that went well; -Infinity if none is known. */
+  read(part: string): number {
+    return this.#startedAt.get(part) ?? -Infinity;
+  }
+
+  record(part: string, startedAt: number): void {
+    const latest = Math.max(startedAt, this.read(part));
+    this.#startedAt.delete(part);
+    this.#startedAt.set(part, latest);
+    if (this.#startedAt.size <= maxParts) return;
+    for (const oldest of this.#startedAt.keys()) {
+      this.#startedAt.delete(oldest);
+      return;
+    }
+  }
+}
