Refuse requests with a prompt part under which replicas crash

Callers saw 502 after 502, and so did all others whose runs were on the replicas that one kind of request crashed, one after the other: every node sent such requests on, and routes with resuming sent each a second time. A failure counted against the replica alone, never against the request.

Each node now records, for the parts of a prompt but its last, which incarnation broke off a run before or within half a second of its first output, and which runs went on or were whole. Ends by this node, timeouts, declines and answers that end on a sound connection don't count. Reports carry the evidence of parts with news, and all that is in quarantine; the list of members that greets a starting node does too. Nodes of the earlier version ignore the field. A request with a guilty part is refused before it is charged: 503 `quarantined`, with the time to the next probe. Broken runs with a part under suspicion are not repeated. The same code decides for calls and for callers that resume a stream.

--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -16,6 +16,7 @@
 import { UsageCounts } from "../duties/usage_counts.ts";
 import { WorkMeter } from "../duties/work_meter.ts";
 import { FeedState } from "../feed/feed_state.ts";
+import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
 import { Cluster } from "./cluster.ts";
@@ -50,6 +51,7 @@
   readonly limiter = TenantRateLimiter.create(0);
   readonly table = ReplicaTable.create({ drainMs: 1_000 });
   readonly usage: UsageCounts;
+  quarantine = createQuarantine();
   readonly received = Emitter.create<PeerMessage>();
   readonly budget = RetryBudget.create({
     ratio: 0.2,
@@ -121,6 +123,7 @@
       table: node.table,
       usage: node.usage,
       work: WorkMeter.create(),
+      quarantine: node.quarantine,
       isDraining: () => false,
       isStoreUnreachable: () => false,
       readFencingToken: () => node.fencingToken,
@@ -166,6 +169,10 @@
   }
 }
 
+function createQuarantine(): PartQuarantine {
+  return PartQuarantine.create({ isProber: () => false });
+}
+
 function sumCost(nodes: readonly TestNode[], cost: number): number {
   return nodes.length * cost;
 }
@@ -341,6 +348,33 @@
   system.close();
 });
 
+test("a prompt part under which replicas crash is known everywhere, also after a restart", async () => {
+  const system = await TestSystem.open(48, 4);
+  const { nodes, clock } = system;
+  system.loss = 0.1;
+  for (const [at, node] of nodes.slice(10, 14).entries()) {
+    node.quarantine.recordCrash(["bad", `own-${at}`], `r-${at}/1`, clock.now());
+  }
+  await clock.advance(2_000);
+  const checkAll = (): void => {
+    for (const { node, quarantine } of nodes) {
+      const kind = quarantine.check(["bad"], clock.now()).kind;
+      assert.is(kind, "quarantined", node);
+    }
+  };
+  checkAll();
+  await clock.advance(30_000);
+  const [started] = nodes.slice(20);
+  if (started === undefined) throw new Error("no such node");
+  system.kill(started);
+  started.quarantine = createQuarantine();
+  await clock.advance(1_000);
+  await system.start(started, "2");
+  await clock.advance(1_000);
+  checkAll();
+  system.close();
+});
+
 test("bytes sent by a node do not grow with the number of nodes", async () => {
   const means: number[] = [];
   for (const count of [24, 96]) {
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -13,6 +13,8 @@
 import type { FeedKind, FeedState } from "../feed/feed_state.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
+import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
+import { composeAlive } from "./alive_members.ts";
 import { FeedStatuses } from "./feed_statuses.ts";
 import type { Member, MemberTable } from "./member_table.ts";
 import type {
@@ -31,6 +33,7 @@
   readCounters,
 } from "./report_counters.ts";
 import { LoadSums } from "./report_sums.ts";
+import { formatSuspects, parseSuspects } from "./suspect_reports.ts";
 import {
   chooseTickMs,
   chooseTopology,
@@ -61,6 +64,7 @@
   readonly table: ReplicaTable;
   readonly usage: UsageCounts;
   readonly work: WorkMeter;
+  readonly quarantine: PartQuarantine;
   readonly isDraining: () => boolean;
   /** Whether this node currently does not reach the store. */
   readonly isStoreUnreachable: () => boolean;
@@ -164,6 +168,7 @@
       ...lists,
       loads: this.#listOwnLoads(),
       leaving: table.listAnnouncedLeaving(),
+      suspects: this.#listSuspects(),
       usage: usage.listRecent(),
       alive: [],
       members: withMembers ? this.#listMembers() : [],
@@ -178,6 +183,7 @@
       work: [],
       loads: [],
       leaving: [],
+      suspects: this.#listSuspects(),
       usage: [],
       alive: [],
       members: this.#listMembers(),
@@ -198,8 +204,9 @@
       ...composeCounterLists(counters, (name) => this.#levels.get(name) ?? 0),
       loads: loads.list(),
       leaving: table.listAnnouncedLeaving(),
+      suspects: this.#listSuspects(),
       usage: usage.listZoneSums(),
-      alive: this.#composeAlive(neighbours),
+      alive: composeAlive(neighbours, clock.now()),
       members: [],
     };
   }
@@ -215,8 +222,9 @@
       ...composeCounterLists(counters, (name) => this.#levels.get(name) ?? 0),
       loads: loads.list(),
       leaving: table.listAnnouncedLeaving(),
+      suspects: this.#listSuspects(),
       usage: usage.listSystemSums(),
-      alive: this.#composeAlive(members.listAlive(clock.now())),
+      alive: composeAlive(members.listAlive(clock.now()), clock.now()),
       members: withMembers ? this.#listMembers() : [],
     };
   }
@@ -338,7 +346,8 @@
   }
 
   #applyReport(message: PeerMessage, report: PeerReport, now: number): void {
-    const { members, table, limitsClock } = this.#options;
+    const { members, table, quarantine, limitsClock } = this.#options;
+    quarantine.learn(parseSuspects(report.suspects), limitsClock.now());
     for (const member of report.members) members.introduce(member, now);
     this.#applyAlive(report.alive, now);
     for (const key of report.leaving) {
@@ -362,17 +371,9 @@
     }
   }
 
-  #composeAlive(members: readonly Member[]): AliveMember[] {
-    const now = this.#options.clock.now();
-    return members.map((member) => ({
-      node: member.node,
-      ageMs: Math.round(now - member.lastSeenAt),
-      ...(member.isDraining ? { isDraining: true } : {}),
-      ...(member.isStoreUnreachable ? { isStoreUnreachable: true } : {}),
-      ...(member.fencingToken === undefined
-        ? {}
-        : { duty: member.fencingToken }),
-    }));
+  #listSuspects(): PeerReport["suspects"] {
+    const { quarantine, limitsClock } = this.#options;
+    return formatSuspects(quarantine.listTold(limitsClock.now()));
   }
 
   #listMembers(): PeerReport["members"] {
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -15,6 +15,16 @@
 const loads = z.array(
   z.tuple([z.string(), z.number(), z.number(), z.number()]),
 );
+/**
+ * Part of a prompt, ages of its last run that went well and of its last refusal,
+ * and the incarnations that crashed under it with the ages of the crashes.
+ */
+const suspects = z.array(z.tuple([
+  z.string(),
+  z.number().nullable(),
+  z.number().nullable(),
+  z.array(z.tuple([z.string(), z.number()])),
+]));
 const usage = z.array(
   z.tuple([z.number(), z.record(z.string(), z.number())]),
 );
@@ -60,6 +70,8 @@
   loads,
   /** Replicas that announced in an answer that they are leaving. */
   leaving: z.array(z.string()).default([]),
+  /** Parts of prompts under which replicas crash. */
+  suspects: suspects.default([]),
   /** Usage window, then requests by tenant. */
   usage,
   /** Nodes that a relay has heard of lately. Empty in reports of one node. */
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -43,6 +43,10 @@
     (_, index) => [`replica-${index}/1`, index, 0, 9],
   ),
   leaving: ["replica-3/1"],
+  suspects: [
+    ["p", 12, null, [["replica-1/1", 40]]],
+    ["q", null, 3, []],
+  ],
   usage: [[7, { t: 3 }]],
   alive: [{ node: "m", ageMs: 4, isDraining: true }],
   members: [{ node: "m", ip: "127.0.0.2", zone: "z" }],
@@ -55,6 +59,13 @@
   assert.equal(decodePeerMessage(encodePeerMessage(header, undefined)), header);
 });
 
+test("a report of an earlier version, which has fewer lists, is accepted", () => {
+  const { suspects: _, ...earlier } = report;
+  const encoded = encodePeerReport(earlier as PeerReport);
+  const decoded = decodePeerMessage(encodePeerMessage(header, encoded));
+  assert.equal(decoded?.report, { ...earlier, suspects: [] });
+});
+
 test("an encoded report is less than half as long as its JSON", () => {
   const json = JSON.stringify(report).length;
   assert.ok(encodePeerReport(report).length < json / 2);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   configurationKind,
   replicasKind,
 } from "@almondcrank/platform/platform_store.ts";
+import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { GatewayStatus } from "@almondcrank/model/gateway_status.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
 import { Cluster } from "./cluster/cluster.ts";
@@ -60,6 +61,7 @@
   readonly #sender: ReplicaSender;
   readonly #table: ReplicaTable;
   readonly #view: StoreView;
+  readonly #quarantine: PartQuarantine;
   readonly #metrics = Metrics.create();
   #isDraining = false;
   readonly #readers: FeedReader[] = [];
@@ -73,6 +75,7 @@
     this.#sender = parts.services.sender;
     this.#table = parts.services.table;
     this.#view = parts.view;
+    this.#quarantine = parts.services.quarantine;
     this.#metrics = parts.services.metrics;
   }
 
@@ -157,6 +160,7 @@
       isStoreUnreachable: () =>
         this.#readers.some((reader) => reader.isFailing),
       work: services.work,
+      quarantine: services.quarantine,
       readFencingToken: () => this.#lease?.fencingToken,
       pullFeed: (kind, ip) => void clusterRef.cluster?.pullFeed(kind, ip),
     });
@@ -317,5 +321,6 @@
     this.#table.expire(this.#clock.now());
     this.#sender.retain((key) => this.#table.find(key) !== undefined);
     this.#metrics.setGauge("requests_running", this.#server.running);
+    this.#metrics.setGauge("parts_quarantined", this.#quarantine.size);
   }
 }
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -16,11 +16,13 @@
 import { StreamOrigins } from "./choice/stream_origins.ts";
 import { MemberTable } from "./cluster/member_table.ts";
 import { OriginExchange } from "./cluster/origin_exchange.ts";
+import { isProbeOwner } from "./cluster/probe_owner.ts";
 import { WorkMeter } from "./duties/work_meter.ts";
 import { UsageCounts } from "./duties/usage_counts.ts";
 import { type FeedKind, FeedState } from "./feed/feed_state.ts";
 import { StoreView } from "./feed/store_view.ts";
 import { TenantRateLimiter } from "./limits/tenant_rate_limiter.ts";
+import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import { CallerServer } from "./relay/caller_server.ts";
@@ -106,6 +108,16 @@
     table,
     controlPort: findControlPort(settings),
   });
+  const owner = {
+    node: settings.nodeName,
+    hasher,
+    members,
+    clock: suspensionClock,
+  };
+  const quarantine = PartQuarantine.create({
+    isProber: (part) => isProbeOwner(part, owner),
+  });
+  logQuarantine(quarantine, log);
   const services: RelayServices = {
     clock,
     log,
@@ -127,6 +139,7 @@
       windowMs: bounds.retryWindowMs,
       usedShare: usedRetryShare,
     }),
+    quarantine,
     origins,
     runs: usage,
     work: WorkMeter.create(),
@@ -166,6 +179,15 @@
   };
 }
 
+/** Logs which parts of prompts enter and leave the quarantine. */
+function logQuarantine(quarantine: PartQuarantine, parent: Log): void {
+  const log = parent.createChild("relay");
+  quarantine.onChanged(({ kind, part, crashes }) => {
+    if (kind === "left") log.info("a prompt part left quarantine.", { part });
+    else log.warn("a prompt part is in quarantine.", { part, crashes });
+  });
+}
+
 /** Port of the control listeners of all nodes; 0 if there are none. */
 export function findControlPort({ control }: GatewaySettings): number {
   return Number(control?.split(":")[1] ?? 0);
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -20,6 +20,7 @@
   type BufferedResponse,
   sendBufferedResponse,
 } from "./buffered_response.ts";
+import { CrashRecorder } from "./crash_recorder.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readResponseBody, type SendOutcome } from "./replica_request.ts";
 import { computeTimerMs } from "./timer_ms.ts";
@@ -43,6 +44,7 @@
   readonly #services: RelayServices;
   readonly #request: RoutedRequest;
   readonly #callerResponse: ServerResponse;
+  readonly #crashes: CrashRecorder;
   readonly #tried = new Set<string>();
   #sends = 0;
   #connectFailures = 0;
@@ -58,6 +60,7 @@
     this.#services = services;
     this.#request = request;
     this.#callerResponse = callerResponse;
+    this.#crashes = CrashRecorder.create(services, request);
   }
 
   static create(
@@ -86,7 +89,7 @@
       const hasSendsLeft = this.#sends < route.maxAttempts &&
         this.#connectFailures < maxConnectFailures;
       const mayRetry = !this.#mayHaveRun || route.kind === "safe";
-      const isRetried = hasSendsLeft && mayRetry &&
+      const isRetried = hasSendsLeft && mayRetry && this.#crashes.mayRepeat() &&
         (result.kind === "not_sent" || budget.take(service.name, now));
       if (isRetried) {
         this.#countRetry(result.kind === "whole" ? "failed" : result.kind);
@@ -141,7 +144,9 @@
           ? result.response.statusCode
           : undefined,
       });
-      const isTimedOut = result.kind === "lost" && aborter.signal.aborted &&
+      const isOwnEnd = aborter.signal.aborted;
+      if (!isOwnEnd) this.#recordEnd(state, outcome, result);
+      const isTimedOut = result.kind === "lost" && isOwnEnd &&
         !callerSignal.aborted;
       if (isTimedOut) state.failures.record(true, clock.now());
       if (result.kind === "whole") {
@@ -157,6 +162,21 @@
     }
   }
 
+  /** Records for the quarantine how a run ended that this node did not abort. */
+  #recordEnd(
+    state: ReplicaState,
+    outcome: SendOutcome,
+    result: SendResult,
+  ): void {
+    if (result.kind === "whole" && result.response.statusCode === 200) {
+      this.#crashes.recordWhole();
+    }
+    const isBroken = outcome.kind === "answered"
+      ? result.kind === "lost" && !outcome.response.complete
+      : outcome.kind === "lost" && outcome.isReset;
+    if (isBroken) this.#crashes.recordBroken(state);
+  }
+
   /** Timeout of the next send: the remaining time if no retry could follow. */
   #computeAttemptTimeoutMs(now: number): number {
     const { route, deadline } = this.#request;
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -29,6 +29,7 @@
 } from "./request_admission.ts";
 import { composeRequest, computeTimeoutMs } from "./request_composer.ts";
 import { CallRelay } from "./call_relay.ts";
+import { findQuarantine } from "./quarantine_check.ts";
 import {
   composeLocalReply,
   type LocalReply,
@@ -197,6 +198,10 @@
       return this.#refuse({ request, response }, reply, resume.fields);
     }
     const { routed } = resume;
+    const blocked = findQuarantine(request, services);
+    if (blocked !== undefined) {
+      return this.#refuse({ request, response }, blocked.reply, blocked.fields);
+    }
     const charge = this.#charge(request, routed);
     const fields = this.#listAdmissionFields(routed, context, charge.cost);
     if (charge.refusal !== undefined) {
--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -26,6 +26,8 @@
   readonly framing: ResponseFraming;
   /** Size of the event that had begun but was not complete, in bytes. */
   readonly unfinishedBytes: number;
+  /** Whether the connection ended before the response, or ended it. */
+  readonly hasDisconnected: boolean;
 }
 
 /** Source, destination and callbacks of one event relay. */
@@ -59,11 +61,13 @@
     const onCallerClose = (): void => finish("caller_gone");
     const finish = (end: RelayEnd): void => {
       const unfinishedBytes = splitter.remainderBytes;
+      const framing = findFraming(response);
+      const hasDisconnected = !response.complete || framing === "connection";
       callerResponse.off("drain", onDrain);
       callerResponse.off("close", onCallerClose);
       response.removeAllListeners("data");
       if (end !== "complete") response.destroy();
-      resolve({ end, framing: findFraming(response), unfinishedBytes });
+      resolve({ end, framing, unfinishedBytes, hasDisconnected });
     };
     callerResponse.on("drain", onDrain);
     callerResponse.on("close", onCallerClose);
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -20,6 +20,7 @@
   | "over_allowance"
   | "no_replica"
   | "overloaded"
+  | "quarantined"
   | "unknown_origin"
   | "version_gone"
   | "declined"
@@ -52,6 +53,9 @@
     "no replica takes requests now; the request has not run, try again",
   overloaded:
     "the service is overloaded; the request has not run, try again later",
+  quarantined:
+    "replicas have crashed under a part of this prompt; the request has not run, " +
+    "send it without that part or much later",
   unknown_origin:
     "it is not known which software version began this stream, or this route " +
     "no longer has it; send the request again without Last-Event-ID",
--- a/packages/gateway/src/relay/relay_services.ts
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -11,6 +11,7 @@
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { StreamOriginDirectory } from "../choice/stream_origins.ts";
 import type { WorkMeter } from "../duties/work_meter.ts";
+import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { ReplicaSender } from "./replica_sender.ts";
 
@@ -31,6 +32,7 @@
   readonly prefixes: PrefixIndex;
   readonly sender: ReplicaSender;
   readonly budget: RetryBudget;
+  readonly quarantine: PartQuarantine;
   readonly origins: StreamOriginDirectory;
   readonly runs: RunCounter;
   readonly work: WorkMeter;
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -40,7 +40,12 @@
   /** No connection was established, so nothing reached the replica. */
   | { readonly kind: "not_sent"; readonly reason: string }
   /** The request may have run. */
-  | { readonly kind: "lost"; readonly reason: string };
+  | {
+    readonly kind: "lost";
+    readonly reason: string;
+    /** Whether the replica's end closed or reset the connection. */
+    readonly isReset: boolean;
+  };
 
 const misdirectedStatus = 421;
 
@@ -67,7 +72,9 @@
       // as if it were complete, unless the response was destroyed before.
       received?.destroy(error);
       resolve(
-        isConnected ? { kind: "lost", reason } : { kind: "not_sent", reason },
+        isConnected
+          ? { kind: "lost", reason, isReset: isResetError(error) }
+          : { kind: "not_sent", reason },
       );
     });
     outgoing.on("response", (response) => {
@@ -125,6 +132,11 @@
   });
 }
 
+/** Whether the other end closed or reset the connection. */
+function isResetError({ code }: NodeJS.ErrnoException): boolean {
+  return code === "ECONNRESET" || code === "EPIPE";
+}
+
 /** What tells where a response ends. */
 export type ResponseFraming = "length" | "chunks" | "connection";
 
@@ -148,6 +160,7 @@
     return {
       kind: "lost",
       reason: "the response carries the id of another request",
+      isReset: false,
     };
   }
   const status = response.statusCode ?? 0;
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -1,25 +1,35 @@
 /**
- * Records what happens to one stream: engine time, runs, learnt times, and how
- * its segments ended.
+ * Records what happens to one stream: engine time, runs, learnt times, crashes, and
+ * how its segments ended.
  */
 
 import type { Replica } from "@almondcrank/model/replica.ts";
 import type { EngineChoice } from "../choice/engine_choice.ts";
 import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
+import { CrashRecorder } from "./crash_recorder.ts";
 import type { RelayOutcome } from "./event_relay.ts";
+import type { SendOutcome } from "./replica_request.ts";
 import type { RelayServices } from "./relay_services.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { Segment } from "./stream_segment.ts";
 
+/** How the response of a segment ended. */
+export interface SegmentOutcome extends RelayOutcome {
+  /** Whether this node may have ended it. */
+  readonly isOwnEnd: boolean;
+}
+
 /** Recorder of one stream. */
 export class StreamRecorder {
   readonly #services: RelayServices;
   readonly #request: RoutedRequest;
+  readonly #crashes: CrashRecorder;
   #version: string | undefined;
 
   private constructor(services: RelayServices, request: RoutedRequest) {
     this.#services = services;
     this.#request = request;
+    this.#crashes = CrashRecorder.create(services, request);
   }
 
   static create(
@@ -50,6 +60,37 @@
     if (id !== undefined) this.#services.origins.complete(id);
   }
 
+  /** Whether the parts of the prompt allow to send the stream again. */
+  mayRepeat(): boolean {
+    return this.#crashes.mayRepeat();
+  }
+
+  /**
+   * Records how a send ended.
+   *
+   * @param isOwnEnd Whether this node may have ended the segment.
+   */
+  recordSend(
+    { state }: EngineChoice,
+    outcome: SendOutcome,
+    isOwnEnd: boolean,
+  ): void {
+    this.#request.trace.record("send ended.", {
+      replica: state.replica.id,
+      outcome: outcome.kind,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+    });
+    this.#crashes.recordBegin();
+    const isBroken = outcome.kind === "lost" && outcome.isReset && !isOwnEnd;
+    if (isBroken) this.#crashes.recordBroken(state);
+  }
+
+  /** Records that output has arrived, and the engine time that it took. */
+  recordOutput(tokens: number): void {
+    this.#crashes.recordOutput();
+    this.recordWork({ prompt: 0, output: tokens });
+  }
+
   /** Records engine time that the stream takes. */
   recordWork(tokens: EngineTokens): void {
     const { work, clock } = this.#services;
@@ -79,11 +120,16 @@
    */
   recordEnd(
     { state }: EngineChoice,
-    outcome: RelayOutcome,
+    outcome: SegmentOutcome,
     lastId: number | undefined,
   ): void {
-    const { end, framing, unfinishedBytes } = outcome;
+    const { end, framing, unfinishedBytes, hasDisconnected, isOwnEnd } =
+      outcome;
     const { metrics } = this.#services;
+    if (end === "complete") this.#crashes.recordWhole();
+    if (end === "broken" && hasDisconnected && !isOwnEnd) {
+      this.#crashes.recordBroken(state);
+    }
     metrics.count("stream_segments_total", { end, framing });
     if (unfinishedBytes > 0) {
       metrics.count("unfinished_events_total", { end, framing });
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -196,11 +196,7 @@
     const stallDetector = this.#createStallDetector(choice);
     try {
       const outcome = await pendingSend.outcome;
-      this.#request.trace.record("send ended.", {
-        replica: state.replica.id,
-        outcome: outcome.kind,
-        reason: "reason" in outcome ? outcome.reason : undefined,
-      });
+      this.#recorder.recordSend(choice, outcome, this.#isOwnEnd);
       switch (outcome.kind) {
         case "not_sent":
           if (target === undefined) this.#attempts.recordConnectFailure();
@@ -250,10 +246,7 @@
         this.#lastId = lastId;
         this.#version = this.#recorder.recordOrigin(state.replica);
         this.#events += 1;
-        this.#recorder.recordWork({
-          prompt: 0,
-          output: events * tokensPerEvent,
-        });
+        this.#recorder.recordOutput(events * tokensPerEvent);
         segment.stallDetector.recordEvents();
         if (!isFirst) return;
         isFirst = false;
@@ -261,7 +254,8 @@
         this.#recorder.recordStart(choice, segment);
       },
     });
-    this.#recorder.recordEnd(choice, outcome, this.#lastId);
+    const isOwnEnd = this.#isOwnEnd;
+    this.#recorder.recordEnd(choice, { ...outcome, isOwnEnd }, this.#lastId);
     return await this.#endRelay(outcome, choice);
   }
 
@@ -327,6 +321,7 @@
     const { budget, clock, metrics } = this.#services;
     const { service } = this.#request;
     const isAllowed = this.#attempts.isRetryable(reason) &&
+      this.#recorder.mayRepeat() &&
       (reason === "not_sent" || budget.take(service.name, clock.now()));
     if (!isAllowed) {
       return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
@@ -362,6 +357,11 @@
     this.#response.writeHead(200, listStreamHeaders(response));
   }
 
+  /** Whether this node aborted the segment or had its run moved. */
+  get #isOwnEnd(): boolean {
+    return this.#segmentAborter.signal.aborted || this.#move !== undefined;
+  }
+
   #isOver(): boolean {
     return this.#request.callerSignal.aborted ||
       this.#services.clock.now() >= this.#request.deadline;
