Repeat broken requests of which only their own parts are under suspicion

A request that broke on two replicas in a row was not repeated a third time, since its own parts, which no other request has, looked suspicious. With replicas that break off for other reasons, callers would see 502 where the next replica answers. Now a part counts only if it never went well and others broke on it too; the third crash in a row still ends it. When there are too many parts, those with the fewest crashes are forgotten first, so that a storm of broken runs does not push out what is nearly proven.

--- a/packages/gateway/src/relay/crash_recorder.ts
+++ b/packages/gateway/src/relay/crash_recorder.ts
@@ -16,6 +16,8 @@
 export class CrashRecorder {
   readonly #services: RelayServices;
   readonly #parts: readonly string[];
+  /** Incarnations on which runs of this request broke. */
+  readonly #brokenOn = new Set<string>();
   #startedAt: number | undefined;
   #hasSurvived = false;
 
@@ -59,13 +61,14 @@
     const outputMs = now - (this.#startedAt ?? now);
     if (this.#parts.length === 0 || outputMs >= survivedAfterMs) return;
     metrics.count("broken_starts_total", { service: replica.service });
+    this.#brokenOn.add(key);
     quarantine.recordCrash(this.#parts, key, now);
   }
 
   /** Whether the request may be sent again, as far as its parts are concerned. */
   mayRepeat(): boolean {
     const { quarantine, clock } = this.#services;
-    return quarantine.mayRepeat(this.#parts, clock.now());
+    return quarantine.mayRepeat(this.#parts, this.#brokenOn, clock.now());
   }
 
   #recordSurvival(now: number): void {
--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -17,7 +17,7 @@
 import { SurvivalTable } from "./survival_table.ts";
 import { composeToldPart, type ToldPart } from "./told_part.ts";
 
-/** Parts with evidence that are kept; those without news for longest go first. */
+/** Parts with evidence that are kept; those with the fewest crashes go first. */
 const maxParts = 2_048;
 /** Time without crashes and requests after which a part is forgotten. */
 const forgetMs = 600_000;
@@ -25,8 +25,6 @@
 /** Time for which news are repeated to peers, since datagrams are lost. */
 const tellMs = 3_000;
 const maxToldParts = 48;
-/** Crashes from which a broken run with the part is not repeated. */
-const suspectedCrashes = guiltyCrashes - 1;
 const minRetryAfterMs = 1_000;
 /** Time between requests of a node that tell a part from one beside it. */
 const trialIntervalMs = 1_000;
@@ -109,12 +107,20 @@
     return { kind: "quarantined", part, retryAfterMs };
   }
 
-  /** Whether a broken run may be repeated: no part of it is under suspicion. */
-  mayRepeat(parts: readonly string[], now: number): boolean {
-    if (!parts.some((part) => this.#isNoted(part))) return true;
+  /**
+   * Whether a broken request may be repeated: no part of it is guilty, or never went
+   * well and was also in a request of others that broke.
+   *
+   * @param brokenOn Incarnations on which the request itself broke.
+   */
+  mayRepeat(
+    parts: readonly string[],
+    brokenOn: ReadonlySet<string>,
+    now: number,
+  ): boolean {
     this.refresh(now);
     return !parts.some((part) =>
-      this.#guilty.has(part) || this.#isSuspected(part)
+      this.#guilty.has(part) || this.#isSuspected(part, brokenOn)
     );
   }
 
@@ -157,9 +163,7 @@
       .filter(([part, { changedAt }]) =>
         this.#guilty.has(part) || now - changedAt <= tellMs
       )
-      .sort(([, a], [, b]) =>
-        b.crashes.size - a.crashes.size || b.changedAt - a.changedAt
-      )
+      .sort(([, a], [, b]) => compareWeight(b, a))
       .slice(0, maxToldParts)
       .map(([part, entry]) => composeToldPart(part, entry, now));
   }
@@ -205,7 +209,7 @@
   /** Whether enough speaks against a part to look at all evidence. */
   #isNoted(part: string): boolean {
     const crashes = this.#evidence.get(part)?.crashes.size ?? 0;
-    return crashes >= suspectedCrashes || this.#guilty.has(part);
+    return crashes >= guiltyCrashes || this.#guilty.has(part);
   }
 
   /** Whether a request tells all its parts in quarantine from ones beside them. */
@@ -221,16 +225,16 @@
     });
   }
 
-  #isSuspected(part: string): boolean {
+  #isSuspected(part: string, brokenOn: ReadonlySet<string>): boolean {
     const entry = this.#evidence.get(part);
     return entry !== undefined && !entry.hasSurvived &&
-      entry.crashes.size >= suspectedCrashes;
+      [...entry.crashes.keys()].some((key) => !brokenOn.has(key));
   }
 
   #find(part: string): PartEvidence {
     const present = this.#evidence.get(part);
     if (present !== undefined) return present;
-    if (this.#evidence.size >= maxParts) this.#forgetOldest();
+    if (this.#evidence.size >= maxParts) this.#forgetLeast();
     const entry = PartEvidence.create(this.#survivals.read(part));
     this.#evidence.set(part, entry);
     return entry;
@@ -256,16 +260,14 @@
     }
   }
 
-  /** Forgets the part without news for longest that is not in quarantine. */
-  #forgetOldest(): void {
-    let oldest = this.#evidence.keys().next().value;
-    let oldestAt = Infinity;
-    for (const [part, { changedAt }] of this.#evidence) {
-      if (changedAt >= oldestAt || this.#guilty.has(part)) continue;
-      oldest = part;
-      oldestAt = changedAt;
+  /** Forgets the part with the fewest crashes, of several the one without news. */
+  #forgetLeast(): void {
+    let least: [string, PartEvidence] | undefined;
+    for (const [part, entry] of this.#evidence) {
+      const order = least === undefined ? -1 : compareWeight(entry, least[1]);
+      if (order < 0) least = [part, entry];
     }
-    if (oldest !== undefined) this.#evidence.delete(oldest);
+    if (least !== undefined) this.#evidence.delete(least[0]);
   }
 
   #fireChange(kind: QuarantineChange["kind"], part: string): void {
@@ -274,4 +276,9 @@
   }
 }
 
+/** Fewer crashes first; of as many, those without news for longer. */
+function compareWeight(a: PartEvidence, b: PartEvidence): number {
+  return a.crashes.size - b.crashes.size || a.changedAt - b.changedAt;
+}
+
 const free: QuarantineVerdict = { kind: "free" };
--- a/packages/routing/src/testing/quarantine_simulation.ts
+++ b/packages/routing/src/testing/quarantine_simulation.ts
@@ -20,6 +20,7 @@
 const runMs = 1_500;
 const survivedAfterMs = 500;
 const loss = 0.1;
+const maxAttempts = 4;
 /** Time after the fifth crash from which each send with the part counts. */
 const contactMs = 3_000;
 const sharedPart = "shared";
@@ -38,6 +39,8 @@
   readonly durationMs: number;
   readonly soundPerSecond: number;
   readonly badPerSecond: number;
+  /** Time from which the part crashes replicas. */
+  readonly badFromMs?: number;
   /** Replicas that are killed for other reasons. */
   readonly killsPerSecond?: number;
 }
@@ -58,6 +61,8 @@
   readonly parts: readonly string[];
   readonly replica: number;
   readonly sentAt: number;
+  /** Incarnations on which the request broke. */
+  readonly brokenOn: ReadonlySet<string>;
   hasSurvived: boolean;
 }
 
@@ -101,7 +106,7 @@
   /** Runs the load to its end. */
   run(load: SimulationLoad): SimulationResult {
     for (let now = 0; now < load.durationMs; now += stepMs) {
-      this.#endRuns(now);
+      this.#endRuns(load.badFromMs ?? 0, now);
       this.#sendRequests(load, now);
       if (this.#isDrawn(load.killsPerSecond ?? 0)) this.#killOne(now);
       if (now % tickMs === 0) this.#tellPeers(now);
@@ -139,24 +144,25 @@
       if (!isBad) this.#soundRefused += 1;
       return;
     }
-    this.#send(parts, node, now);
+    this.#send({ node, parts, brokenOn: new Set() }, now);
   }
 
-  #send(parts: readonly string[], node: number, now: number): void {
+  #send(request: Pick<Run, "node" | "parts" | "brokenOn">, now: number): void {
     const up = this.#replicas.flatMap((replica, at) =>
       replica.upAt <= now ? [at] : []
     );
     if (up.length === 0) return;
     const isLate = now > this.#fifthCrashAt + contactMs;
-    if (parts.includes(badPart) && isLate) this.#sentLate += 1;
+    if (request.parts.includes(badPart) && isLate) this.#sentLate += 1;
     const replica = this.#random.choose(up);
-    this.#runs.push({ node, parts, replica, sentAt: now, hasSurvived: false });
+    this.#runs.push({ ...request, replica, sentAt: now, hasSurvived: false });
   }
 
-  #endRuns(now: number): void {
+  #endRuns(badFromMs: number, now: number): void {
     for (const run of [...this.#runs]) {
       const runsFor = now - run.sentAt;
-      if (run.parts.includes(badPart) && runsFor >= crashAfterMs) {
+      const isBad = run.parts.includes(badPart) && run.sentAt >= badFromMs;
+      if (isBad && runsFor >= crashAfterMs) {
         this.#crashes += 1;
         if (this.#crashes === 5) this.#fifthCrashAt = now;
         this.#crash(run.replica, now);
@@ -187,11 +193,15 @@
     const incarnation = `${at}/${replica.epoch}`;
     replica.epoch += 1;
     replica.upAt = now + restartMs;
-    for (const { node, parts, hasSurvived } of broken) {
+    for (const { node, parts, hasSurvived, brokenOn: before } of broken) {
       const quarantine = this.#nodes[node];
       if (hasSurvived || quarantine === undefined) continue;
       quarantine.recordCrash(parts, incarnation, now);
-      if (quarantine.mayRepeat(parts, now)) this.#send(parts, node, now);
+      const brokenOn = new Set([...before, incarnation]);
+      if (brokenOn.size >= maxAttempts) continue;
+      if (quarantine.mayRepeat(parts, brokenOn, now)) {
+        this.#send({ node, parts, brokenOn }, now);
+      }
     }
   }
 
