Quarantine: forget parts in groups, judge without copies

With its tables full, each broken run took 337 µs and each run that went well 20 µs, since the least part was looked for one at a time and all parts were copied to judge them.

Run: part_quarantine_test.ts 24 of 24.

--- a/packages/routing/src/quarantine/guilty_parts.ts
+++ b/packages/routing/src/quarantine/guilty_parts.ts
@@ -21,8 +21,7 @@
   evidence: ReadonlyMap<string, PartEvidence>,
   now: number,
 ): ReadonlySet<string> {
-  const candidates = [...evidence]
-    .filter(([, entry]) => isCandidate(entry, now))
+  const candidates = listCandidates(evidence, now)
     .sort(([, a], [, b]) => compareGuilt(a, b));
   const guilty = new Set<string>();
   const explained = new Set<string>();
@@ -58,6 +57,17 @@
   return false;
 }
 
+function listCandidates(
+  evidence: ReadonlyMap<string, PartEvidence>,
+  now: number,
+): [string, PartEvidence][] {
+  const candidates: [string, PartEvidence][] = [];
+  for (const [part, entry] of evidence) {
+    if (isCandidate(entry, now)) candidates.push([part, entry]);
+  }
+  return candidates;
+}
+
 /** Whether there are enough crashes to judge a part now. */
 function isCandidate(entry: PartEvidence, now: number): boolean {
   if (entry.crashes.size < guiltyCrashes) return false;
--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -19,6 +19,8 @@
 
 /** Parts with evidence that are kept; those with the fewest crashes go first. */
 const maxParts = 2_048;
+/** Parts that are forgotten together, so that they are rarely put in order. */
+const forgottenParts = 256;
 /** Time without crashes and requests after which a part is forgotten. */
 const forgetMs = 600_000;
 const forgetIntervalMs = 1_000;
@@ -260,14 +262,12 @@
     }
   }
 
-  /** Forgets the part with the fewest crashes, of several the one without news. */
+  /** Forgets some of the parts with the fewest crashes. */
   #forgetLeast(): void {
-    let least: [string, PartEvidence] | undefined;
-    for (const [part, entry] of this.#evidence) {
-      const order = least === undefined ? -1 : compareWeight(entry, least[1]);
-      if (order < 0) least = [part, entry];
-    }
-    if (least !== undefined) this.#evidence.delete(least[0]);
+    const least = [...this.#evidence]
+      .sort(([, a], [, b]) => compareWeight(a, b))
+      .slice(0, forgottenParts);
+    for (const [part] of least) this.#evidence.delete(part);
   }
 
   #fireChange(kind: QuarantineChange["kind"], part: string): void {
--- a/packages/routing/src/quarantine/survival_table.ts
+++ b/packages/routing/src/quarantine/survival_table.ts
@@ -2,8 +2,10 @@
  * Start of the last run that went well on each part of prompts, of bounded size.
  */
 
-/** Parts kept; the one that was recorded least recently goes first. */
+/** Parts kept; those that were recorded least recently go first. */
 const maxParts = 8_192;
+/** Parts that are forgotten together. */
+const forgottenParts = 1_024;
 
 /** Table of one node. Times are monotonic, in milliseconds. */
 export class SurvivalTable {
@@ -22,10 +24,15 @@
     const latest = Math.max(startedAt, this.read(part));
     this.#startedAt.delete(part);
     this.#startedAt.set(part, latest);
-    if (this.#startedAt.size <= maxParts) return;
-    for (const oldest of this.#startedAt.keys()) {
-      this.#startedAt.delete(oldest);
-      return;
+    if (this.#startedAt.size > maxParts) this.#forgetOldest();
+  }
+
+  #forgetOldest(): void {
+    let left = forgottenParts;
+    for (const part of this.#startedAt.keys()) {
+      if (left === 0) return;
+      this.#startedAt.delete(part);
+      left -= 1;
     }
   }
 }
