Test that shared parts are free within seconds of a start amid crashes

With no run that went well yet, the part that all requests share looks as guilty as the one that crashes replicas.

--- a/packages/routing/src/quarantine/part_quarantine_test.ts
+++ b/packages/routing/src/quarantine/part_quarantine_test.ts
@@ -257,6 +257,16 @@
   });
 }
 
+for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+  test(`after a start in the middle of crashes, shared parts are free within seconds (seed ${seed})`, () => {
+    const result = QuarantineSimulation.create({ nodes: 13, hops: 1, seed })
+      .run({ durationMs: 30_000, soundPerSecond: 30, badPerSecond: 6 });
+    assert.ok(result.sentLate <= 3, `${result.sentLate} sent late`);
+    const at = result.soundRefusedAt;
+    assert.ok(at < 2 * 3_000, `sound request refused at ${at} ms`);
+  });
+}
+
 test("kills of many replicas put no part in quarantine that other runs share", () => {
   const result = QuarantineSimulation.create({ nodes: 7, hops: 1, seed: 5 })
     .run({
--- a/packages/routing/src/testing/quarantine_simulation.ts
+++ b/packages/routing/src/testing/quarantine_simulation.ts
@@ -54,6 +54,8 @@
   readonly sentLate: number;
   readonly soundSent: number;
   readonly soundRefused: number;
+  /** Time of the last refusal of a sound request; -Infinity if there was none. */
+  readonly soundRefusedAt: number;
 }
 
 interface Run {
@@ -85,6 +87,7 @@
   #sentLate = 0;
   #soundSent = 0;
   #soundRefused = 0;
+  #soundRefusedAt = -Infinity;
 
   private constructor(options: SimulationOptions) {
     this.#options = options;
@@ -117,6 +120,7 @@
       sentLate: this.#sentLate,
       soundSent: this.#soundSent,
       soundRefused: this.#soundRefused,
+      soundRefusedAt: this.#soundRefusedAt,
     };
   }
 
@@ -141,12 +145,17 @@
     const verdict = this.#nodes[node]?.check(parts, now);
     if (!isBad) this.#soundSent += 1;
     if (verdict?.kind === "quarantined") {
-      if (!isBad) this.#soundRefused += 1;
+      if (!isBad) this.#recordSoundRefusal(now);
       return;
     }
     this.#send({ node, parts, brokenOn: new Set() }, now);
   }
 
+  #recordSoundRefusal(now: number): void {
+    this.#soundRefused += 1;
+    this.#soundRefusedAt = now;
+  }
+
   #send(request: Pick<Run, "node" | "parts" | "brokenOn">, now: number): void {
     const up = this.#replicas.flatMap((replica, at) =>
       replica.upAt <= now ? [at] : []
