--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -75,8 +75,13 @@
     this.#request = request;
     this.#response = response;
     this.#attempts = StreamAttempts.create(request.route);
-    this.#retries = StreamRetries.create(services, request, this.#attempts);
     this.#recorder = StreamRecorder.create(services, request);
+    this.#retries = StreamRetries.create({
+      services,
+      request,
+      attempts: this.#attempts,
+      recorder: this.#recorder,
+    });
     this.#sends = StreamSends.create({
       services,
       request,
@@ -244,6 +249,7 @@
       state.failures.record(true, now);
       return this.#endSegment("lost");
     }
+    this.#recorder.recordBegin();
     const { tokensPerEvent = 1 } = this.#request.service.engine ?? {};
     let isFirst = true;
     const outcome = await relayEvents({
@@ -255,10 +261,7 @@
         this.#lastId = lastId;
         this.#version = this.#recorder.recordOrigin(state.replica);
         this.#events += 1;
-        this.#recorder.recordWork({
-          prompt: 0,
-          output: events * tokensPerEvent,
-        });
+        this.#recorder.recordOutput(events * tokensPerEvent);
         segment.standby.recordEvents();
         if (!isFirst) return;
         isFirst = false;
@@ -266,7 +269,8 @@
         this.#recorder.recordStart(send);
       },
     });
-    this.#recorder.recordEnd(choice, outcome, this.#lastId);
+    const isOwnEnd = send.aborter.signal.aborted || this.#move !== undefined;
+    this.#recorder.recordEnd(choice, { ...outcome, isOwnEnd }, this.#lastId);
     return await this.#endRelay(outcome, send);
   }
 
