--- a/packages/routing/src/testing/fake_engine.ts
+++ b/packages/routing/src/testing/fake_engine.ts
@@ -38,6 +38,10 @@
   indexOffset: number;
   /** Outcome of `exportCache`. */
   exports: "works" | "fails" | "hangs";
+  /** Text in a prompt that crashes the engine when it begins the answer. */
+  crashesOn: string | undefined;
+  /** Time after which a crashed engine accepts connections again. */
+  restartMs: number;
 }
 
 /** Formats the text of an output token. */
@@ -58,15 +62,21 @@
     ignoresAbort: false,
     indexOffset: 0,
     exports: "works",
+    crashesOn: undefined,
+    restartMs: 3_000,
   };
   readonly requests: GenerateRequest[] = [];
+  /** Those of the requests that a running engine received. */
+  readonly received: GenerateRequest[] = [];
   readonly aborted: string[] = [];
   readonly exported: string[] = [];
   readonly imported: CacheImport[] = [];
   running = 0;
   maxAhead = 0;
+  /** Times at which the engine crashed. */
+  readonly crashes: number[] = [];
   readonly #clock: Clock;
-  readonly #dead = new AbortController();
+  #dead = new AbortController();
   #wake = new AbortController();
 
   private constructor(name: string, clock: Clock) {
@@ -85,6 +95,16 @@
     this.#wake.abort();
   }
 
+  /** Ends all connections, and accepts new ones after `restartMs`. */
+  async crash(): Promise<void> {
+    this.crashes.push(this.#clock.now());
+    this.kill();
+    await this.#clock.sleep(this.behaviour.restartMs);
+    this.#dead = new AbortController();
+    setMaxListeners(0, this.#dead.signal);
+    this.#wake = new AbortController();
+  }
+
   /** Resumes frozen generations. */
   wake(): void {
     this.behaviour.freezeAt = undefined;
@@ -98,6 +118,7 @@
   ): AsyncGenerator<Either<EndpointError, GenerateEvent>, void, void> {
     this.requests.push(request);
     if (this.#dead.signal.aborted) return yield this.#fail("unreachable");
+    this.received.push(request);
     if (this.behaviour.declines) return yield this.#fail("declined");
     const abort = (): void => void this.aborted.push(request.id);
     signal.addEventListener("abort", abort);
@@ -115,20 +136,25 @@
     signal: AbortSignal,
   ): AsyncGenerator<Either<EndpointError, GenerateEvent>, void, void> {
     const { behaviour } = this;
+    const dead = this.#dead.signal;
     const from = request.tokensSoFar.length;
     const to = Math.min(request.maxTokens, behaviour.outputTokens);
     for (let index = from; index <= to; index++) {
       const delayMs = index === from
         ? behaviour.firstTokenMs
         : behaviour.betweenTokensMs;
-      await this.#clock.sleep(delayMs, this.#dead.signal);
+      await this.#clock.sleep(delayMs, dead);
       while (behaviour.freezeAt !== undefined && index >= behaviour.freezeAt) {
         await this.#waitWake();
       }
-      if (this.#dead.signal.aborted || index === behaviour.cutAt) {
+      if (dead.aborted || index === behaviour.cutAt) {
         return yield this.#fail("connection_lost");
       }
       if (signal.aborted && !behaviour.ignoresAbort) return;
+      if (index === from && this.#isCrashing(request)) {
+        void this.crash();
+        return yield this.#fail("connection_lost");
+      }
       if (index === to) break;
       yield Right({
         kind: "token",
@@ -139,6 +165,11 @@
     yield Right(this.#createEnd(request, to));
   }
 
+  #isCrashing({ prompt }: GenerateRequest): boolean {
+    const { crashesOn } = this.behaviour;
+    return crashesOn !== undefined && prompt.includes(crashesOn);
+  }
+
   #createEnd(request: GenerateRequest, outputTokens: number): GenerateEvent {
     const promptTokens = splitTokens(request.prompt).length;
     const input = promptTokens + request.tokensSoFar.length;
