Let stand-in engines crash on a text of a prompt

The fault settings could cut streams, but not end an engine by what a prompt holds. With `crash` an engine that begins to write an answer on such a prompt cuts all its connections, loses its cache and listens again later.

--- a/packages/bench/src/simulated_engine.ts
+++ b/packages/bench/src/simulated_engine.ts
@@ -90,6 +90,7 @@
       }),
       cache: this.cache,
       claimImportedTokens: () => 0,
+      onCrash: () => {},
       onCacheChange: () => {},
       onEnd: () => {},
       onLoadChange: () => {},
--- a/packages/standin/src/engine_scheduler.ts
+++ b/packages/standin/src/engine_scheduler.ts
@@ -42,6 +42,8 @@
   readonly claimImportedTokens: (generation: Generation) => number;
   readonly onCacheChange: (change: CacheChange) => void;
   readonly onEnd: (generation: Generation, outcome: GenerationOutcome) => void;
+  /** Called when a prompt crashes the engine. */
+  readonly onCrash: (downMs: number) => void;
   /** Called before the load changes. */
   readonly onLoadChange: () => void;
 }
@@ -262,6 +264,7 @@
   #addToken(generation: Generation): void {
     if (!generation.isComplete) {
       generation.times.firstTokenAt ??= this.#options.clock.now();
+      if (this.#claimCrash(generation)) return;
       if (this.#claimCut("first_byte", generation)) return;
       if (generation.addToken() !== undefined) {
         this.#addBlocks(generation, generation.blockHashes.length);
@@ -274,6 +277,17 @@
     this.#closeStream(generation, "ended");
   }
 
+  /** Ends all work if the answer that begins crashes the engine. */
+  #claimCrash(generation: Generation): boolean {
+    const { crash } = this.#options.faults.settings;
+    if (crash === null || generation.outputTokens > 0) return false;
+    if (!generation.request.prompt.includes(crash.text)) return false;
+    const lost = [...this.#running, ...this.#queue];
+    for (const other of lost) this.#closeStream(other, "cut");
+    this.#options.onCrash(crash.downMs);
+    return true;
+  }
+
   /** Cuts the stream if the fault settings ask for it at this point. */
   #claimCut(
     at: NonNullable<EngineFaults["cut"]>["at"],
--- a/packages/standin/src/engine_scheduler_test.ts
+++ b/packages/standin/src/engine_scheduler_test.ts
@@ -51,6 +51,7 @@
       cache: this.cache,
       claimImportedTokens: () => 0,
       onCacheChange: () => {},
+      onCrash: () => {},
       onLoadChange: () => {},
       onEnd: (generation, outcome) =>
         this.ends.push({
--- a/packages/standin/src/engine_standin.ts
+++ b/packages/standin/src/engine_standin.ts
@@ -80,6 +80,7 @@
   readonly #scheduler: EngineScheduler;
   readonly #records: GenerateRecords;
   readonly #loadPublisher: LoadPublisher<SchedulerLoad>;
+  #crashes = 0;
   #server!: PartServer;
 
   private constructor(
@@ -113,6 +114,7 @@
         this.#kvExchange.claimImportedTokens(generation),
       onCacheChange: (change) => this.#recordCacheChange(change),
       onEnd: (generation, outcome) => this.#records.add(generation, outcome),
+      onCrash: (downMs) => void this.#crash(downMs),
       onLoadChange: () => this.#loadPublisher.refresh(),
     });
     this.#loadPublisher = LoadPublisher.create({
@@ -161,6 +163,11 @@
     return this.#records.totals;
   }
 
+  /** Number of crashes by a prompt. */
+  get crashes(): number {
+    return this.#crashes;
+  }
+
   get orders(): readonly OrderRecord[] {
     return this.#models.records;
   }
@@ -347,6 +354,15 @@
     return createAnswer(200, { evicted: change.evicted.length });
   }
 
+  /** Loses the cache, and refuses connections for `downMs` milliseconds. */
+  async #crash(downMs: number): Promise<void> {
+    this.#crashes += 1;
+    this.faults.apply({ outage: "refuse" });
+    this.#removeIdleCache();
+    await this.#clock.sleep(downMs);
+    this.faults.apply({ outage: "none" });
+  }
+
   #recordCacheChange(change: CacheChange): void {
     this.#cacheEvents.record(change, this.faults.settings);
   }
--- a/packages/standin/src/engine_standin_test.ts
+++ b/packages/standin/src/engine_standin_test.ts
@@ -162,6 +162,34 @@
     ]);
   }));
 
+test("a text in a prompt crashes the engine, which is back later", () =>
+  runWith(async (engines) => {
+    const engine = await engines.open();
+    engine.faults.apply({ crash: { text: "word7 ", downMs: 3_000 } });
+    const other = engines.callGenerate(engine, {
+      id: "other",
+      prompt: "word1",
+      maxTokens: 200,
+    });
+    await waitUntil(() => engine.load.running === 1);
+    const crashing = await engines.advanceUntilSettled(
+      engines.callGenerate(engine),
+    );
+    assert.equal([crashing.kind, readTokens(crashing)], ["cut", []]);
+    assert.is((await other).kind, "cut");
+    assert.is(engine.crashes, 1);
+    assert.is(engine.load.running + engine.load.cacheUsedTokens, 0);
+    const refused = await engines.callGenerate(engine, { prompt: "word1" });
+    assert.is(refused.kind === "cut" && refused.code, "ECONNREFUSED");
+    await engines.clock.advance(3_000);
+    await waitUntil(() => engine.faults.outage === "none");
+    while ((await callPart(`${engine.address}/load`)).kind === "cut");
+    const whole = await engines.advanceUntilSettled(
+      engines.callGenerate(engine, { prompt: "word1" }),
+    );
+    assert.is(whole.kind, "answered");
+  }));
+
 test("a resumed request finds the tokens of an imported cache cached", () =>
   runWith(async (engines) => {
     const options = { kvBytesPerToken: 1_000, kvBytesPerSecond: 1_000_000 };
--- a/packages/standin/src/fault_settings.ts
+++ b/packages/standin/src/fault_settings.ts
@@ -75,6 +75,13 @@
     tokens: z.number().int().min(1).optional(),
     times: cutTimes,
   }).nullable(),
+  /**
+   * Crashes when it begins to write an answer on a prompt that contains `text`:
+   * its connections are cut, its cache is lost, and it listens again after
+   * `downMs`.
+   */
+  crash: z.strictObject({ text: z.string().min(1), downMs: delayMs })
+    .nullable(),
   /** Age in milliseconds at which cache events become readable. */
   cacheEventLagMs: delayMs,
   /** Share of cache events that are lost and leave a gap. */
@@ -106,6 +113,7 @@
   slowdown: 1,
   loadFactor: 1,
   cut: null,
+  crash: null,
   cacheEventLagMs: 0,
   cacheEventLoss: 0,
 };
