--- a/packages/scenario/src/testing/test_fleet.ts
+++ b/packages/scenario/src/testing/test_fleet.ts
@@ -29,14 +29,16 @@
 export interface TestFleetOptions {
   /** Number of nodes, 1 by default. */
   readonly nodes?: number;
+  /** Number of engines, 1 by default. */
+  readonly engines?: number;
   /** Limits in the nodes' settings that differ from the defaults. */
   readonly limits?: Readonly<Record<string, number>>;
   readonly log?: Log;
-  /** Settings of `engine-1` that differ from the stand-in's defaults. */
+  /** Settings of the engines that differ from the stand-in's defaults. */
   readonly engine?: Readonly<Record<string, number>>;
 }
 
-/** A running fleet: nodes, one engine and one booking service. */
+/** A running fleet: nodes, engines and one booking service. */
 export class TestFleet implements Disposable {
   readonly standins: StandinSet;
   readonly nodes: readonly Node[];
@@ -82,11 +84,16 @@
     return this.#findFirst().addresses.operators;
   }
 
-  /** The fleet's engine. */
+  /** The fleet's first engine. */
   get engine(): EngineStandin {
-    const part = this.standins.findPart("engine-1");
-    if (!(part instanceof EngineStandin)) throw new Error("no engine-1");
-    return part;
+    const [engine] = this.engines;
+    if (engine === undefined) throw new Error("no engine-1");
+    return engine;
+  }
+
+  /** All engines. */
+  get engines(): readonly EngineStandin[] {
+    return this.standins.parts.filter((part) => part instanceof EngineStandin);
   }
 
   /** The fleet's booking service. */
@@ -113,7 +120,10 @@
       headers: { authorization: `Bearer ${operatorKey}` },
       body: JSON.stringify({
         file: "first.jsonc",
-        text: JSON.stringify(createFirstNote(this.standins)),
+        text: JSON.stringify(createFirstNote(
+          this.standins,
+          this.engines.map(({ name }) => name),
+        )),
         writeId: "first-note",
       }),
     });
@@ -134,7 +144,8 @@
       readiness: string;
       endpoints: readonly { running?: number }[];
     };
-    return status.readiness === "ready" && status.endpoints.length === 2 &&
+    return status.readiness === "ready" &&
+      status.endpoints.length === this.engines.length + 1 &&
       status.endpoints.every(({ running }) => running !== undefined);
   }
 }
@@ -150,6 +161,10 @@
   }
 }
 
+function listEngineNames({ engines = 1 }: TestFleetOptions): string[] {
+  return Array.from({ length: engines }, (_, i) => `engine-${i + 1}`);
+}
+
 function createStandinSettings(
   options: TestFleetOptions,
 ): Parameters<typeof StandinSet.open>[0] {
@@ -159,15 +174,15 @@
     hostList: { address: ephemeralAddress },
     cloudApi: { address: ephemeralAddress },
     weightStore: { address: ephemeralAddress },
-    engines: [{
-      name: "engine-1",
+    engines: listEngineNames(options).map((name) => ({
+      name,
       address: ephemeralAddress,
       service: "assistant",
       zone,
       machineClass: "gpu-l",
       models: [{ model: testModel, version: "1", adapters: ["formal"] }],
       ...options.engine,
-    }],
+    })),
     plainServices: [{
       name: "booking-1",
       address: ephemeralAddress,
@@ -204,7 +219,10 @@
   });
 }
 
-function createFirstNote(standins: StandinSet): object {
+function createFirstNote(
+  standins: StandinSet,
+  engines: readonly string[],
+): object {
   const endpoint = (name: string, service: string): object => ({
     name,
     service,
@@ -239,7 +257,7 @@
         },
       ],
       endpoints: [
-        endpoint("engine-1", "assistant"),
+        ...engines.map((name) => endpoint(name, "assistant")),
         endpoint("booking-1", "booking"),
       ],
     },
