Test that idempotent calls that end each endpoint stay within the budget

Requests that crash replica after replica were looked for on plain calls too: a call with an idempotent method is sent again after a lost connection, to at most four endpoints and within the budget of the endpoint that takes the retry. The test of the budget covered declined calls only.

--- a/packages/routing/src/repeats/plain_attempts_test.ts
+++ b/packages/routing/src/repeats/plain_attempts_test.ts
@@ -174,4 +174,10 @@
   assert.ok(setup.metrics.readCounterTotal("retries_denied_total") > 0);
 });
 
+test("idempotent calls that end each endpoint stay within the budget", async () => {
+  const setup = createSetup(Array<Reaction>(400).fill("lost"));
+  for (let i = 0; i < 100; i++) await setup.run("GET");
+  assert.ok(setup.sent.length <= 100 + 6 + 10, `${setup.sent.length} sends`);
+});
+
 test.run();
