Let nodes tell each other of parts that crash replicas

Callers at one node would see engine after engine end although other nodes know the cause already. Cause: no message between nodes carries such a thing.

Change: requests and responses of exchanges have an optional field `parts`, told in both directions. Who learns of a part tells it in turn, so that the number of bytes doesn't grow with the number of nodes. Older nodes neither send the field nor read it.

--- a/packages/membership/src/cluster_membership.ts
+++ b/packages/membership/src/cluster_membership.ts
@@ -41,6 +41,7 @@
   Announcement,
   ExchangeRequest,
   ExchangeResponse,
+  ToldPart,
 } from "./messages.ts";
 import { MessageHandler, type RevisionHint } from "./message_handler.ts";
 import { OriginTable } from "./origin_table.ts";
@@ -100,6 +101,7 @@
   readonly #messages: MessageHandler;
   readonly #loops: ExchangeLoops;
   #revision = 0;
+  #listParts: () => readonly ToldPart[] = () => [];
 
   private constructor(options: ClusterMembershipOptions) {
     const { self, clock, hasher, transport, metrics } = options;
@@ -133,6 +135,7 @@
       clusterState: this.#clusterState,
       announcer: this.#announcer,
       readRevision: () => this.#revision,
+      listParts: () => this.#listParts(),
     });
     this.#disposables.register(this.#messages);
     this.#disposables.register(this.#table);
@@ -169,6 +172,11 @@
     return this.#clusterState.leaving.onAdd;
   }
 
+  /** Fires with what a peer tells of parts of prompts that crash replicas. */
+  get onParts(): Event<readonly ToldPart[]> {
+    return this.#messages.onParts;
+  }
+
   /** Fires when a peer has a newer configuration than this node. */
   get onNewerRevision(): Event<RevisionHint> {
     return this.#messages.onNewerRevision;
@@ -228,6 +236,14 @@
     this.#origins.setOwnDemand(demand);
   }
 
+  /**
+   * Sets what lists the parts of prompts that crash replicas; each exchange tells
+   * them. A peer that learns of one tells it in turn.
+   */
+  setPartList(list: () => readonly ToldPart[]): void {
+    this.#listParts = list;
+  }
+
   /** Sets the configuration revision in force here; ignores a lower one. */
   setRevision(revision: number): void {
     this.#revision = Math.max(this.#revision, revision);
--- a/packages/membership/src/message_handler.ts
+++ b/packages/membership/src/message_handler.ts
@@ -20,6 +20,7 @@
   ExchangeResponse,
   MemberRecord,
   OriginRecord,
+  ToldPart,
 } from "./messages.ts";
 import type { OriginTable } from "./origin_table.ts";
 import type { ExchangeTarget } from "./peer_selector.ts";
@@ -50,6 +51,8 @@
   readonly metrics: Metrics;
   /** Reads the configuration revision in force at this node. */
   readonly readRevision: () => number;
+  /** Lists what this node tells of parts of prompts. */
+  readonly listParts: () => readonly ToldPart[];
 }
 
 interface PeerCursor {
@@ -66,6 +69,7 @@
   readonly #nodeReports = Emitter.create<NodeReport>();
   readonly #aggregates = Emitter.create<ZoneAggregate>();
   readonly #hints = Emitter.create<RevisionHint>();
+  readonly #parts = Emitter.create<readonly ToldPart[]>();
 
   private constructor(options: MessageHandlerOptions) {
     this.#options = options;
@@ -87,6 +91,11 @@
     return this.#hints.event;
   }
 
+  /** Fires with what a peer tells of parts of prompts. */
+  get onParts(): Event<readonly ToldPart[]> {
+    return this.#parts.event;
+  }
+
   /** Removes the cursor of one peer, or of all; exchanges then start anew. */
   removeCursor(node?: string): void {
     if (node === undefined) this.#cursors.clear();
@@ -97,6 +106,7 @@
     this.#nodeReports.dispose();
     this.#aggregates.dispose();
     this.#hints.dispose();
+    this.#parts.dispose();
   }
 
   /** Answers a peer's exchange with what the peer lacks. */
@@ -112,6 +122,8 @@
     });
     this.#checkRevision(node, { revision, relay: false, deltas: [] });
     this.#recordSeen(request);
+    const parts = this.#createParts();
+    if (request.parts !== undefined) this.#parts.fire(request.parts);
     const isUpToDate = request.checksum === this.#options.clusterState.checksum;
     const isWanted = (origin: string): boolean =>
       request.scope === "all" ||
@@ -132,6 +144,7 @@
         isWanted,
         requester: node,
       }),
+      ...parts,
     };
   }
 
@@ -176,6 +189,7 @@
       seen: this.#options.origins.listSeen((node) =>
         this.#options.table.findAgeMs(node)
       ),
+      ...this.#createParts(),
     };
   }
 
@@ -193,9 +207,16 @@
     });
     this.#options.table.recordSuccess(node);
     for (const record of response.origins) this.#applyRecord(record);
+    if (response.parts !== undefined) this.#parts.fire(response.parts);
     this.#checkRevision(node, { revision, relay: false, deltas: [] });
   }
 
+  /** Creates the field of what this node tells of parts; none mostly. */
+  #createParts(): { readonly parts?: readonly ToldPart[] } {
+    const parts = this.#options.listParts();
+    return parts.length === 0 ? {} : { parts };
+  }
+
   #applyChange(change: Change): void {
     switch (change.kind) {
       case "member":
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -101,6 +101,27 @@
 /** Record of one process. */
 export type OriginRecord = z.infer<typeof originRecord>;
 
+const ageMs = z.number().nullable();
+
+/**
+ * What a node tells of one part of prompts under which replicas crash. Ages are in
+ * milliseconds; null if there was no such event.
+ */
+const toldPart = z.object({
+  part: name,
+  /** Age of the start of the last run that went well. */
+  survivedAgeMs: ageMs,
+  /** Age of the last request that came during the quarantine. */
+  requestedAgeMs: ageMs,
+  /** Incarnations that crashed since then, each with the age of its crash. */
+  crashes: z.array(z.tuple([name, z.number()]).readonly()).readonly(),
+}).readonly();
+/** What a node tells of one part of prompts. */
+export type ToldPart = z.infer<typeof toldPart>;
+
+/** Parts that the sender tells of; older nodes neither send nor read them. */
+const toldParts = z.array(toldPart).readonly().optional();
+
 /** Schema of an exchange's request. */
 export const exchangeRequest = z.object({
   node: name,
@@ -119,6 +140,7 @@
   checksum: count,
   /** Version of each node's record that the caller has, by `encodeSeen`. */
   seen: z.record(name, z.string().max(64)).readonly(),
+  parts: toldParts,
 }).readonly();
 /** Request of an exchange. */
 export type ExchangeRequest = z.infer<typeof exchangeRequest>;
@@ -134,6 +156,7 @@
   known: z.boolean(),
   changes: z.array(change).readonly(),
   origins: z.array(originRecord).readonly(),
+  parts: toldParts,
 }).readonly();
 /** Response of an exchange. */
 export type ExchangeResponse = z.infer<typeof exchangeResponse>;
