Refuse requests with a message on which replicas crash

Callers saw, and would see: one message in their chats, which differ in all else, crashes each replica that begins an answer on it. Each such request went to up to six replicas by its retries, and new ones to all the rest, at every node; sound requests found no replica or lost theirs.

Cause: a lost connection spoke against the replica only. Nothing remembered the prompt, and resuming after it takes no retry budget. The hashes of cache blocks can't name the cause, as each covers all blocks before it.

Change: the parts of a prompt are its messages but the last, by hashes of their own text and the model, at most 64. A connection that is lost before the answer has 16 tokens is recorded in PartQuarantine as a crash of the parts, an answer that goes on or ends as a survival. A request with a part in quarantine is refused before the limits and the choice: kind quarantined, 503, not_run, Retry-After, in model_refusals_total. A stream without 16 tokens is sent again, moved, or taken over from a peer only if no part is under suspicion; else it ends as endpoint_failed, a kind that older peers read too, and counts in retries_refused_total as quarantined.

--- a/packages/node/src/error_response.ts
+++ b/packages/node/src/error_response.ts
@@ -25,6 +25,7 @@
       return 429;
     case "overload":
     case "no_endpoint":
+    case "quarantined":
     case "draining":
     case "claims_unavailable":
       return 503;
--- a/packages/node/src/stream_wire.ts
+++ b/packages/node/src/stream_wire.ts
@@ -62,6 +62,7 @@
         "overload",
         "over_limit",
         "no_endpoint",
+        "quarantined",
         "deadline",
         "draining",
         "outcome_unknown",
--- a/packages/routing/src/admission/refusal.ts
+++ b/packages/routing/src/admission/refusal.ts
@@ -13,6 +13,8 @@
   | "over_limit"
   /** No endpoint of the service can take the request. */
   | "no_endpoint"
+  /** A part of the prompt has crashed several replicas. */
+  | "quarantined"
   /** The deadline passed. */
   | "deadline"
   /** The node is leaving. */
--- a/packages/routing/src/keyed_calls/key_peers.ts
+++ b/packages/routing/src/keyed_calls/key_peers.ts
@@ -60,6 +60,7 @@
       "overload",
       "over_limit",
       "no_endpoint",
+      "quarantined",
       "deadline",
       "draining",
       "outcome_unknown",
--- a/packages/routing/src/routers/node_model_router.ts
+++ b/packages/routing/src/routers/node_model_router.ts
@@ -27,6 +27,7 @@
 import type { LoadTable } from "../choice/load_table.ts";
 import type { ModelRequest, ModelRouter, ModelStream } from "./model_router.ts";
 import { PrefixIndex } from "../choice/prefix_index.ts";
+import { PartQuarantine } from "../quarantine/part_quarantine.ts";
 import { Refusal, type RefusalKind } from "../admission/refusal.ts";
 import {
   type ChoicePolicy,
@@ -80,6 +81,8 @@
   readonly chooser?: Chooser;
   readonly limits?: Partial<StreamLimits>;
   readonly prefixes?: PrefixIndex;
+  /** Parts of prompts that crash replicas; one of this node alone by default. */
+  readonly quarantine?: PartQuarantine;
   /** Network round-trip time to a zone, in milliseconds. */
   readonly zoneRoundTripMs?: (zone: string) => number;
 }
@@ -219,7 +222,11 @@
   #admit(request: ModelRequest): Either<Refusal, ModelStream> {
     const input = computeInput(this.#options.hasher, request);
     const cost = input.promptTokens.length + request.maxTokens;
-    return this.#options.limiter.admit(request.team, cost).chain((permit) => {
+    const checked = this.#checkParts(input.parts);
+    const admitted = checked.chain(() =>
+      this.#options.limiter.admit(request.team, cost)
+    );
+    return admitted.chain((permit) => {
       const choice = this.#choose(request, input);
       return choice.ifLeft(() => permit.release()).map((chosen) =>
         this.#start({
@@ -238,6 +245,25 @@
     });
   }
 
+  /** Refuses a request with a part on which replicas crash. */
+  #checkParts(parts: readonly string[]): Either<Refusal, void> {
+    const { clock, metrics } = this.#options;
+    const verdict = this.#services.quarantine.check(parts, clock.now());
+    switch (verdict.kind) {
+      case "free":
+        return Right(undefined);
+      case "probe":
+        metrics.count("quarantine_probes_total");
+        return Right(undefined);
+      case "quarantined":
+        return createRefusal(
+          "quarantined",
+          verdict.retryAfterMs,
+          "a message of the prompt has crashed several replicas",
+        );
+    }
+  }
+
   #choose(
     request: ModelRequest,
     input: StreamInput,
@@ -307,7 +333,9 @@
     policy,
   });
   const limits = { ...defaultStreamLimits, ...options.limits };
-  return { ...options, prefixes, chooser, limits };
+  const quarantine = options.quarantine ??
+    PartQuarantine.create({ isProber: () => true });
+  return { ...options, prefixes, chooser, limits, quarantine };
 }
 
 function createRefusal(
--- /dev/null
+++ b/packages/routing/src/streams/attempt_evidence.ts
@@ -0,0 +1,82 @@
+/**
+ * What one attempt tells of the parts of its prompt.
+ *
+ * A replica that a part crashes ends when it begins to write an answer on it. So a
+ * connection that is lost before the answer has gone on for some tokens speaks
+ * against the parts, and an answer that goes on or ends speaks for them.
+ */
+
+import type { Clock } from "@almondcrank/common/clock.ts";
+import type { PartQuarantine } from "../quarantine/part_quarantine.ts";
+import type { AttemptOutcome } from "./stream_attempt.ts";
+
+/**
+ * Time in which losses at one endpoint are those of one crash. Nodes that lose
+ * streams of the endpoint together have to name the same incarnation, which
+ * endpoints don't tell; it is shorter than a restart.
+ */
+const crashSpanMs = 2_000;
+
+/** Output tokens of an answer from which it shows that its prompt is sound. */
+export const settledTokens = 16;
+
+/** Options of the evidence of an attempt. */
+export interface AttemptEvidenceOptions {
+  readonly quarantine: PartQuarantine;
+  readonly parts: readonly string[];
+  /** Name of the endpoint. */
+  readonly endpoint: string;
+  readonly clock: Clock;
+  /** Incarnations on which the stream broke; one more is added at a crash. */
+  readonly brokenOn: Set<string>;
+}
+
+/** Records the evidence of one attempt. */
+export class AttemptEvidence {
+  readonly #options: AttemptEvidenceOptions;
+  #beganAt: number | undefined;
+  #hasSurvived = false;
+
+  private constructor(options: AttemptEvidenceOptions) {
+    this.#options = options;
+  }
+
+  static create(options: AttemptEvidenceOptions): AttemptEvidence {
+    return new AttemptEvidence(options);
+  }
+
+  recordFirstToken(): void {
+    this.#beganAt = this.#options.clock.now();
+  }
+
+  /** Records that the answer has gone on for some tokens, or has ended. */
+  recordSurvival(): void {
+    if (this.#hasSurvived || this.#beganAt === undefined) return;
+    this.#hasSurvived = true;
+    const { quarantine, parts, clock } = this.#options;
+    quarantine.recordSurvival(parts, this.#beganAt, clock.now());
+  }
+
+  recordOutcome(outcome: AttemptOutcome): void {
+    switch (outcome.kind) {
+      case "ended":
+        return this.recordSurvival();
+      case "failed":
+        if (outcome.error.kind === "connection_lost") this.#recordLoss();
+        return;
+      case "moved":
+      case "cancelled":
+      case "deadline":
+        return;
+    }
+  }
+
+  #recordLoss(): void {
+    if (this.#hasSurvived) return;
+    const { quarantine, parts, endpoint, clock, brokenOn } = this.#options;
+    const span = Math.floor(clock.wallTime() / crashSpanMs);
+    const incarnation = `${endpoint}@${span}`;
+    brokenOn.add(incarnation);
+    quarantine.recordCrash(parts, incarnation, clock.now());
+  }
+}
--- a/packages/routing/src/streams/routed_stream.ts
+++ b/packages/routing/src/streams/routed_stream.ts
@@ -15,6 +15,7 @@
   StreamEvent,
 } from "../routers/model_router.ts";
 import type { ConversationPrefix } from "../choice/replica_chooser.ts";
+import { computePromptParts } from "./prompt_parts.ts";
 import { StreamOutput } from "./stream_output.ts";
 import type { StreamLimits } from "./stream_limits.ts";
 import { UsageCounter } from "./stream_usage.ts";
@@ -40,6 +41,8 @@
   readonly chain: readonly number[];
   /** Hash and full blocks of the prefix that all turns share, if known. */
   readonly conversationPrefix: ConversationPrefix | undefined;
+  /** Parts of the prompt that other requests may share. */
+  readonly parts: readonly string[];
 }
 
 /** Options of a stream. */
@@ -74,7 +77,7 @@
 /** Splits a prompt into tokens and hashes its blocks. */
 export function computeInput(
   hasher: Hasher,
-  request: Pick<ModelRequest, "prompt" | "conversationStart">,
+  request: Pick<ModelRequest, "service" | "prompt" | "conversationStart">,
 ): StreamInput {
   const promptTokens = splitTokens(request.prompt);
   const chain = computeBlockHashes(hasher, promptTokens);
@@ -83,7 +86,9 @@
     request,
     promptTokens,
   );
-  return { promptTokens, chain, conversationPrefix };
+  const { prompt, service: { model } } = request;
+  const parts = computePromptParts(hasher, { model, prompt });
+  return { promptTokens, chain, conversationPrefix, parts };
 }
 
 function computeConversationPrefix(
@@ -113,6 +118,7 @@
   readonly promptTokens: readonly string[];
   readonly chain: readonly number[];
   readonly conversationPrefix: ConversationPrefix | undefined;
+  readonly parts: readonly string[];
   readonly output: StreamOutput;
   readonly usage: UsageCounter;
   readonly #options: RoutedStreamOptions;
@@ -127,6 +133,7 @@
     this.promptTokens = input.promptTokens;
     this.chain = input.chain;
     this.conversationPrefix = input.conversationPrefix;
+    this.parts = input.parts;
     this.output = StreamOutput.create(
       progress.tokens,
       options.limits.maxUnreadTokens,
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -15,7 +15,10 @@
 import type { RefusalKind } from "../admission/refusal.ts";
 import { Refusal } from "../admission/refusal.ts";
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
+import { AttemptEvidence, settledTokens } from "./attempt_evidence.ts";
 import { type AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
+import { takeRetry } from "./retry_rules.ts";
+import { createPause, type Pause } from "./run_pause.ts";
 import { StreamMigration } from "./stream_migration.ts";
 import type { StreamRunServices } from "./stream_run_services.ts";
 import { computeContext, type RoutedStream } from "./routed_stream.ts";
@@ -25,24 +28,13 @@
 /** Timeout between tokens, as a multiple of the service's target. */
 const tokenGapTimeoutFactor = 20;
 
-/** A pause of a run. */
-interface Pause {
-  readonly ended: Promise<void>;
-  readonly end: () => void;
-}
-
-function createPause(): Pause {
-  let end = (): void => {};
-  const ended = new Promise<void>((resolve) => end = resolve);
-  return { ended, end };
-}
-
 /** Runs the attempts of one stream. */
 export class StreamRun {
   readonly stream: RoutedStream;
   readonly #services: StreamRunServices;
   readonly #ended = new AbortController();
   readonly #failedEndpoints = new Set<string>();
+  readonly #brokenOn = new Set<string>();
   #attempt: StreamAttempt | undefined;
   #choice: ReplicaChoice | undefined;
   #importId: string | undefined;
@@ -140,13 +132,19 @@
     const { stream } = this;
     const { endpoint } = choice;
     const chain = this.#computeChain();
-    const input = stream.inputTokens;
     this.#services.retries.recordSend(endpoint.name);
-    loads.recordSend(endpoint.name, Math.max(0, input - choice.cachedTokens));
+    const uncached = stream.inputTokens - choice.cachedTokens;
+    loads.recordSend(endpoint.name, Math.max(0, uncached));
     prefixes.recordSend(chain, endpoint.name);
     stream.usage.recordSend();
     const tokensBefore = stream.output.tokens.length;
-    const attempt = this.#startAttempt(choice);
+    const evidence = AttemptEvidence.create({
+      ...this.#services,
+      parts: stream.parts,
+      endpoint: endpoint.name,
+      brokenOn: this.#brokenOn,
+    });
+    const attempt = this.#startAttempt(choice, evidence);
     this.#attempt = attempt;
     this.#choice = choice;
     const { state } = loads.find(endpoint.name) ?? {};
@@ -160,6 +158,7 @@
     );
     const outcome = await attempt.outcome;
     loads.recordEnd(endpoint.name);
+    evidence.recordOutcome(outcome);
     if (outcome.kind === "ended") {
       const { seenTokens } = choice;
       stream.usage.recordUsage(outcome.usage, { tokensBefore, seenTokens });
@@ -167,7 +166,10 @@
     return outcome;
   }
 
-  #startAttempt(choice: ReplicaChoice): StreamAttempt {
+  #startAttempt(
+    choice: ReplicaChoice,
+    evidence: AttemptEvidence,
+  ): StreamAttempt {
     const { engines, loads, clock, metrics } = this.#services;
     const { request, id, output, usage } = this.stream;
     const importId = this.#importId;
@@ -180,10 +182,14 @@
       observer: {
         recordFirstToken: (waitMs) => {
           usage.recordFirstToken();
+          evidence.recordFirstToken();
           loads.recordFirstToken(name, waitMs - choice.firstTokenMs);
           metrics.recordDuration("engine_first_token_seconds", waitMs);
         },
-        recordTokenGap: (gapMs) => loads.recordTokenGap(name, gapMs),
+        recordTokenGap: (gapMs) => {
+          evidence.recordSurvival();
+          loads.recordTokenGap(name, gapMs);
+        },
       },
       request: {
         id: `${id}.${usage.attempts}`,
@@ -264,7 +270,11 @@
     }
   }
 
-  #handleMove(to: ReplicaChoice, importId: string | undefined): ReplicaChoice {
+  #handleMove(
+    to: ReplicaChoice,
+    importId: string | undefined,
+  ): ReplicaChoice | undefined {
+    if (!this.#checkRepeat()) return undefined;
     this.#importId = importId;
     if (importId === undefined) return to;
     return { ...to, cachedTokens: this.stream.inputTokens };
@@ -274,7 +284,7 @@
     choice: ReplicaChoice,
     error: EndpointError,
   ): Promise<ReplicaChoice | undefined> {
-    const { loads, metrics, limits } = this.#services;
+    const { loads, metrics, limits, retries } = this.#services;
     const { output, request, usage } = this.stream;
     loads.recordFailure(error);
     this.#failedEndpoints.add(choice.endpoint.name);
@@ -284,11 +294,12 @@
       this.#closeComplete("length", choice);
       return undefined;
     }
-    if (usage.attempts >= limits.maxAttempts || !this.#takeRetry(error)) {
+    if (usage.attempts >= limits.maxAttempts || !takeRetry(retries, error)) {
       metrics.count("retries_refused_total", { reason: error.kind });
       this.#closeFailed("endpoint_failed", error.message);
       return undefined;
     }
+    if (!this.#checkRepeat()) return undefined;
     const kind = output.tokens.length > 0
       ? "stream_resumes_total"
       : "stream_retries_total";
@@ -296,21 +307,17 @@
     return await this.#waitForChoice();
   }
 
-  #takeRetry(error: EndpointError): boolean {
-    switch (error.kind) {
-      case "unreachable":
-      case "connection_lost":
-      case "bad_answer":
-      // `#watchProgress` took budget before it stopped the attempt.
-      case "timeout":
-        return true;
-      case "declined":
-      case "stale_fencing":
-        return this.#services.retries.takeRetry(
-          error.detail.endpoint,
-          "declined",
-        );
-    }
+  /** Ends a stream that must not be sent again, as it may crash the replica. */
+  #checkRepeat(): boolean {
+    const { quarantine, clock, metrics } = this.#services;
+    const { output, parts, usage } = this.stream;
+    if (output.tokens.length >= settledTokens) return true;
+    if (quarantine.mayRepeat(parts, this.#brokenOn, clock.now())) return true;
+    metrics.count("retries_refused_total", { reason: "quarantined" });
+    // An attempt that was moved, or one of an earlier owner, may have begun.
+    if (usage.attempts > 0) this.#mayHaveRun = true;
+    this.#closeFailed("endpoint_failed", "replicas crash on the prompt");
+    return false;
   }
 
   /** Chooses the next replica, with backoff while none can take work. */
@@ -319,6 +326,7 @@
     const { request } = this.stream;
     let backoffMs = limits.initialBackoffMs;
     for (let backoff = 0; backoff <= limits.maxBackoffs; backoff++) {
+      if (!this.#checkRepeat()) return undefined;
       const choice = this.#choose(undefined);
       if (choice !== undefined) return choice;
       if (clock.now() + backoffMs >= request.deadline) break;
--- a/packages/routing/src/streams/stream_run_services.ts
+++ b/packages/routing/src/streams/stream_run_services.ts
@@ -9,6 +9,7 @@
 import type { Engine } from "@almondcrank/endpoint/engine.ts";
 import type { LoadTable } from "../choice/load_table.ts";
 import type { PrefixIndex } from "../choice/prefix_index.ts";
+import type { PartQuarantine } from "../quarantine/part_quarantine.ts";
 import type { Chooser } from "../choice/replica_chooser.ts";
 import type { RetryLimiter } from "../limits/request_limits.ts";
 import type { StreamLimits } from "./stream_limits.ts";
@@ -20,6 +21,7 @@
   readonly prefixes: PrefixIndex;
   readonly chooser: Chooser;
   readonly retries: RetryLimiter;
+  readonly quarantine: PartQuarantine;
   readonly clock: Clock;
   readonly hasher: Hasher;
   readonly metrics: Metrics;
--- a/packages/routing/src/testing/model_setup.ts
+++ b/packages/routing/src/testing/model_setup.ts
@@ -18,6 +18,7 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import { LoadTable } from "../choice/load_table.ts";
+import { PartQuarantine } from "../quarantine/part_quarantine.ts";
 import type { ModelRequest, ModelStream } from "../routers/model_router.ts";
 import {
   NodeModelRouter,
@@ -94,6 +95,7 @@
   readonly loads: LoadTable;
   readonly metrics: Metrics;
   readonly router: NodeModelRouter;
+  readonly quarantine: PartQuarantine;
   readonly engines: ReadonlyMap<string, FakeEngine>;
   /** Remaining retries. */
   readonly budget: { retries: number };
@@ -124,6 +126,7 @@
   loads.apply(endpoints);
   const metrics = Metrics.create();
   const budget = { retries: 100 };
+  const quarantine = PartQuarantine.create({ isProber: () => true });
   const router = NodeModelRouter.create({
     nodeName: "n1",
     incarnation: "i1",
@@ -141,9 +144,10 @@
     hasher,
     metrics,
     log: createSilentLog(),
+    quarantine,
     ...options,
   });
-  return { clock, loads, metrics, router, engines, budget };
+  return { clock, loads, metrics, router, quarantine, engines, budget };
 }
 
 /** Finds an engine by name; throws when it does not exist. */
