Connect the quarantine of messages to the peers

Callers at the other nodes would see the crashes go on until each node had seen enough of them by itself.

Change: a node's quarantine lists what it tells in each exchange and learns what peers tell.

--- a/packages/node/src/data_plane.ts
+++ b/packages/node/src/data_plane.ts
@@ -18,6 +18,7 @@
 import type { Cluster } from "./cluster.ts";
 import { EndpointClients } from "./endpoint_clients.ts";
 import { LoadCollector } from "./load_collector.ts";
+import { NodeQuarantine } from "./node_quarantine.ts";
 import type { NodeServices } from "./node_services.ts";
 import { NodeKeyPeers, NodeStreamPeers } from "./request_peers.ts";
 
@@ -67,6 +68,11 @@
       modelLimits: limits.models,
       callLimits: limits.calls,
     }));
+    const { quarantine } = this.#disposables.register(NodeQuarantine.create({
+      ...options,
+      log: options.log.createChild("quarantine"),
+      membership,
+    }));
     this.models = this.#disposables.register(NodeModelRouter.create({
       ...common,
       log: options.log.createChild("models"),
@@ -77,6 +83,7 @@
       limiter: limits.models,
       retries: retryBudget,
       peers: NodeStreamPeers.create(peers),
+      quarantine,
       policy: { kind: settings.policy },
     }));
     const keyPeers = NodeKeyPeers.create(peers);
