Test a request whose last message crashes replicas

The same cause on another path: the last message is no part, so that a caller that repeats one request, or a single stream by its retries, still crashes replica after replica.

--- a/packages/routing/src/streams/crashing_part_test.ts
+++ b/packages/routing/src/streams/crashing_part_test.ts
@@ -193,6 +193,40 @@
   dispose(nodes);
 });
 
+test("a request that its caller repeats stops at every node", async () => {
+  for (let seed = 0; seed < seeds; seed++) {
+    const nodes = await openNodes(seed);
+    const prompt = formatPrompt(`<system> ${common}`, `<user> ${crashing}`);
+    const readings: Reading[] = [];
+    for (let index = 0; index < 100; index++) {
+      await startStream(nodes, index, prompt);
+      const sound = await startStream(nodes, index + 1, formatSound(index));
+      if (index >= 50) readings.push(sound);
+      await advance(nodes, 250);
+    }
+    await advance(nodes, 5_000);
+    const sends = countSends(nodes);
+    assert.ok(sends <= countedCrashes + maxFurtherSends, `${sends} sends`);
+    const whole = readings.filter(({ outcome }) => outcome === "stop").length;
+    assert.is(whole, readings.length, "answers without a fault");
+    dispose(nodes);
+  }
+});
+
+test("one stream doesn't crash replica after replica by its own message", async () => {
+  const nodes = await openNodes();
+  const reading = await startStream(
+    nodes,
+    0,
+    formatPrompt(`<user> ${crashing}`),
+  );
+  await advance(nodes, 30_000);
+  assert.is(reading.outcome, "endpoint_failed/unknown");
+  const sends = countSends(nodes);
+  assert.ok(sends <= countedCrashes, `${sends} replicas received it`);
+  dispose(nodes);
+});
+
 test("sound requests with the other parts are answered meanwhile", async () => {
   for (let seed = 0; seed < seeds; seed++) {
     const nodes = await openNodes(seed);
