Count the last message among those on which replicas crash

Callers would see: a caller that repeats one request, as clients do after a 502 with Retry-After, crashes a replica each time, and one stream six of them; the system message before it may be blamed in its place.

Cause: the last message was no part, as it is its request's own. But a request comes again, from its caller or by the retries of its stream.

Change: all messages are parts.

Run: crashing_part_test 10 of 10 passed, two of them failed before: 55 sends, 6 sends.

--- a/packages/routing/src/streams/prompt_parts.ts
+++ b/packages/routing/src/streams/prompt_parts.ts
@@ -7,10 +7,10 @@
  * can't serve: each covers all blocks before it, so that one message has others in
  * each conversation.
  *
- * The last message is left out, as it belongs to its request alone. Of long
- * conversations the first and the latest messages count, so that the number is
- * bounded. Parts follow from the text alone: a node that takes a stream over finds
- * the same ones.
+ * The last message counts too: it is its request's own, but the request may come
+ * again, from its caller or by the retries of its stream. Of long conversations the
+ * first and the latest messages count, so that the number is bounded. Parts follow
+ * from the text alone: a node that takes a stream over finds the same ones.
  */
 
 import type { Hasher } from "@almondcrank/common/hashing.ts";
@@ -28,10 +28,9 @@
   { model, prompt }: { readonly model: string; readonly prompt: string },
 ): readonly string[] {
   const messages = prompt.replace(answerStart, "").split(messageStart);
-  const shared = messages.slice(0, -1);
-  const kept = shared.length <= 2 * maxPartsPerEnd ? shared : [
-    ...shared.slice(0, maxPartsPerEnd),
-    ...shared.slice(-maxPartsPerEnd),
+  const kept = messages.length <= 2 * maxPartsPerEnd ? messages : [
+    ...messages.slice(0, maxPartsPerEnd),
+    ...messages.slice(-maxPartsPerEnd),
   ];
   const seed = hasher.hash64(model);
   const parts = kept.map((text) => hasher.hash64(text, seed).toString(16));
