Merge: quarantine of messages, product's interface

Both sides changed the run of a stream: one lets a silent or leaving replica keep its attempt beside a replacement and lets begun answers wait, the other records crashes per attempt and checks for suspected messages before each further send.

Conflicts and how they were resolved:

- stream_attempt.ts, attempt_evidence.ts: evidence is taken as each item is read, before a hold delays it, so that a crash counts for attempts that are held or replaced too.
A loss behind a token that a held attempt has not passed on yet is seen only once the attempt goes on.
- A stream ended by the check says that it may have run only if an attempt counted; attempts that were declined or refused a connection do not.

--- a/packages/routing/src/repeats/plain_attempts_test.ts
+++ b/packages/routing/src/repeats/plain_attempts_test.ts
@@ -232,4 +232,10 @@
   assert.is(await readHedgedStatus(["late", "error"], 5_000), 500);
 });
 
+test("idempotent calls that end each endpoint stay within the budget", async () => {
+  const setup = createSetup(Array<Reaction>(400).fill("lost"));
+  for (let i = 0; i < 100; i++) await setup.run("GET");
+  assert.ok(setup.sent.length <= 100 + 6 + 10, `${setup.sent.length} sends`);
+});
+
 test.run();
--- a/packages/routing/src/streams/attempt_sender.ts
+++ b/packages/routing/src/streams/attempt_sender.ts
@@ -11,6 +11,7 @@
   type AttemptOutcome,
   StreamAttempt,
 } from "./stream_attempt.ts";
+import type { StreamCrashes } from "./stream_crashes.ts";
 import type { StreamRunServices } from "./stream_run_services.ts";
 
 /** An attempt that was sent to the replica of `choice`. */
@@ -21,6 +22,19 @@
   readonly ended: Promise<AttemptOutcome>;
 }
 
+/** An attempt, and how it ended. */
+export interface EndedAttempt {
+  readonly sent: SentAttempt;
+  readonly outcome: AttemptOutcome;
+}
+
+/** Dependencies of `AttemptSender`. */
+export interface AttemptSenderOptions {
+  readonly stream: RoutedStream;
+  readonly services: StreamRunServices;
+  readonly crashes: StreamCrashes;
+}
+
 /** Options of one send. */
 export interface SendOptions {
   /** Cache that the replica has imported for this attempt. */
@@ -44,17 +58,16 @@
 export class AttemptSender {
   readonly #stream: RoutedStream;
   readonly #services: StreamRunServices;
+  readonly #crashes: StreamCrashes;
 
-  private constructor(stream: RoutedStream, services: StreamRunServices) {
-    this.#stream = stream;
-    this.#services = services;
+  private constructor(options: AttemptSenderOptions) {
+    this.#stream = options.stream;
+    this.#services = options.services;
+    this.#crashes = options.crashes;
   }
 
-  static create(
-    stream: RoutedStream,
-    services: StreamRunServices,
-  ): AttemptSender {
-    return new AttemptSender(stream, services);
+  static create(options: AttemptSenderOptions): AttemptSender {
+    return new AttemptSender(options);
   }
 
   send(choice: ReplicaChoice, options: SendOptions): SentAttempt {
@@ -108,7 +121,9 @@
     const { loads, metrics } = this.#services;
     const { usage } = this.#stream;
     const { name } = endpoint;
+    const evidence = this.#crashes.createEvidence(name);
     return {
+      recordItem: (item) => evidence.recordItem(item),
       recordFirstToken: (waitMs) => {
         usage.recordFirstToken();
         loads.recordFirstToken(name, waitMs - firstTokenMs);
--- a/packages/routing/src/streams/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -11,6 +11,7 @@
 import type {
   Engine,
   EngineUsage,
+  GenerateEvent,
   GenerateRequest,
 } from "@almondcrank/endpoint/engine.ts";
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
@@ -33,6 +34,8 @@
 
 /** Receives measurements of a running attempt. */
 export interface AttemptObserver {
+  /** Called for each item that the engine sends, before a hold delays it. */
+  recordItem(item: GenerateEvent | EndpointError): void;
   /** @param waitMs Milliseconds from the send to the first token. */
   recordFirstToken(waitMs: number): void;
   /** @param gapMs Mean gap in milliseconds over `tokensPerGapSample` tokens. */
@@ -139,12 +142,14 @@
   }
 
   async #run(): Promise<void> {
-    const { engine, request } = this.#options;
+    const { engine, request, observer } = this.#options;
     try {
       for await (const item of engine.generate(request, this.#abort.signal)) {
-        if (this.#isHeld()) await this.#waitReleased();
         if (this.#isSettled) return;
         const event = item.extract();
+        observer.recordItem(event);
+        if (this.#isHeld()) await this.#waitReleased();
+        if (this.#isSettled) return;
         if (event instanceof Error) {
           return this.#close({ kind: "failed", error: event });
         }
--- a/packages/routing/src/streams/stream_ending.ts
+++ b/packages/routing/src/streams/stream_ending.ts
@@ -50,6 +50,21 @@
     output.close({ kind: "end", reason, usage: total });
   }
 
+  /**
+   * Ends a stream that no attempt finished, unless a peer has it.
+   *
+   * @param reason Why it ends if its deadline has not passed.
+   */
+  failUnfinished(reason: string, mayHaveRun: boolean): void {
+    if (this.#stream.isHandedOver) return;
+    if (this.#services.clock.now() < this.#stream.request.deadline) {
+      const kind = "endpoint_failed";
+      return this.fail({ kind, message: reason, mayHaveRun });
+    }
+    const message = "the deadline passed before the answer ended";
+    this.fail({ kind: "deadline", message, mayHaveRun: true });
+  }
+
   /** Ends the stream as failed, unless it has ended. */
   fail({ kind, message, mayHaveRun }: StreamFailure): void {
     const { output } = this.#stream;
--- a/packages/routing/src/streams/stream_retries.ts
+++ b/packages/routing/src/streams/stream_retries.ts
@@ -80,6 +80,18 @@
     return true;
   }
 
+  /** Counts that the stream is sent again after `error`. */
+  countRetry(error: EndpointError): void {
+    const hasBegun = this.#stream.output.tokens.length > 0;
+    const name = hasBegun ? "stream_resumes_total" : "stream_retries_total";
+    this.#services.metrics.count(name, { reason: error.kind });
+  }
+
+  /** Counts that the stream is not sent again. */
+  countRefusal(reason: string): void {
+    this.#services.metrics.count("retries_refused_total", { reason });
+  }
+
   #takeBudget(error: EndpointError): boolean {
     switch (error.kind) {
       case "unreachable":
