Test that fails: a stream that ended is forgotten before its caller's grace

What callers would see: who comes back within the 15 s of the grace gets stream_lost if the answer ended while they were away.

--- a/packages/routing/src/streams/stream_failures_test.ts
+++ b/packages/routing/src/streams/stream_failures_test.ts
@@ -261,6 +261,24 @@
   setup.router.dispose();
 });
 
+// A stream that ended while its caller was away was forgotten before the grace.
+test("a disconnected caller can read a stream that has ended within the grace period", async () => {
+  const setup = await openModelSetup();
+  const abort = new AbortController();
+  const stream = await open(setup);
+  const before = startReading(stream, 0, abort.signal);
+  await setup.clock.advance(55);
+  abort.abort();
+  await setup.clock.advance(14_900);
+  const { team } = request(setup.clock);
+  const found = (await setup.router.find(stream.id, team)).unsafeCoerce();
+  const after = startReading(found, before.texts.length);
+  await setup.clock.advance(10);
+  assert.equal([...before.texts, ...after.texts], expectTokens(setup, 20));
+  assert.is(after.outcome, "stop");
+  setup.router.dispose();
+});
+
 test("a stream whose caller does not reconnect is cancelled on the engine", async () => {
   const setup = await openModelSetup({ limits: { reconnectGraceMs: 60 } });
   const abort = new AbortController();
