Keep a finished stream for as long as its callers may come back

What callers saw: who came back within the 15 s of the grace got stream_lost if the answer had ended while they were away, more than 10 s before. A running stream waited for them for 15 s.

Cause: two times for the same thing, the shorter one for streams that ended.

Change: a finished stream is kept for the grace at least. The number of streams held stays bounded, and finished ones make way.

--- a/packages/routing/src/streams/stream_limits.ts
+++ b/packages/routing/src/streams/stream_limits.ts
@@ -10,7 +10,10 @@
   readonly maxUnreadTokens: number;
   /** Time for a disconnected caller to reconnect before cancellation. */
   readonly reconnectGraceMs: number;
-  /** Time for which a finished stream can still be read. */
+  /**
+   * Time for which a finished stream can still be read; `reconnectGraceMs` if that
+   * is longer.
+   */
   readonly retainMs: number;
   /**
    * Attempts of one stream, those on earlier owners included; of a begun stream
--- a/packages/routing/src/streams/stream_set.ts
+++ b/packages/routing/src/streams/stream_set.ts
@@ -65,7 +65,10 @@
     );
   }
 
-  /** Holds a run until `retainMs` after `ended` resolves. */
+  /**
+   * Holds a run until it has ended and, after `ended` resolves, its callers have had
+   * their time to come back.
+   */
   async add(run: StreamRun, ended: Promise<void>): Promise<void> {
     const { id } = run.stream;
     this.#removeFinished();
@@ -78,7 +81,8 @@
       this.#runs.delete(id);
       return;
     }
-    const expiresAt = this.#clock.now() + this.#limits.retainMs;
+    const { retainMs, reconnectGraceMs } = this.#limits;
+    const expiresAt = this.#clock.now() + Math.max(retainMs, reconnectGraceMs);
     this.#finished.push({ id, run: new WeakRef(run), expiresAt });
     if (!this.#isSweeping) void this.#runSweep();
   }
