Test that fails: hand-overs use up the attempts of a stream

What callers would see: an answer that was moved off leaving replicas and nodes is cut with endpoint_failed at the first failure of a replica.

--- a/packages/routing/src/streams/stream_exchange_test.ts
+++ b/packages/routing/src/streams/stream_exchange_test.ts
@@ -307,6 +307,21 @@
   second.router.dispose();
 });
 
+test("hand-overs and migrations do not use up the attempts of a stream", async () => {
+  const nodes = await openNodes(100, { maxAttempts: 2 });
+  const { first: { clock, loads, engines } } = nodes;
+  const stream = await open(nodes);
+  const findBusy = () => [...engines.values()].find((e) => e.running > 0);
+  loads.markLeaving(findBusy()?.name ?? "", 300);
+  await clock.advance(300);
+  const { before } = await drainFirst(nodes, stream);
+  findBusy()?.kill();
+  await clock.advance(8_000);
+  assert.equal(before.texts, expectTokens(nodes, 0));
+  assert.is(before.outcome, "length");
+  dispose(nodes);
+});
+
 test("a stream whose hand-over answer is lost runs on one node only", async () => {
   const nodes = await openNodes();
   for (const name of names) nodes.peers.losingAnswers.add(name);
