Hand a stream over with its attempts that do not count

What callers saw: an answer that had been moved off leaving replicas and nodes was cut with endpoint_failed at the first failure of a replica.

Cause: the new owner of a stream knew only how many attempts there had been, and counted those that had been moved, declined or ended by the hand-over itself.

Change: the usage of a stream counts them, and the message to the new owner has the count; a node of an earlier version leaves it out.

--- a/packages/node/src/request_peers_test.ts
+++ b/packages/node/src/request_peers_test.ts
@@ -17,6 +17,7 @@
   tokens: ["a"],
   remainingMs: 1_000,
   attempts: 1,
+  uncountedAttempts: 0,
   recomputedTokens: 0,
 };
 
--- a/packages/node/src/stream_wire.ts
+++ b/packages/node/src/stream_wire.ts
@@ -37,6 +37,8 @@
   tokens: z.array(z.string()),
   remainingMs: z.number(),
   attempts: z.int().min(0),
+  /** Left out by nodes of earlier versions. */
+  uncountedAttempts: z.int().min(0).default(0),
   recomputedTokens: z.int().min(0),
 });
 
--- a/packages/routing/src/streams/routed_stream.ts
+++ b/packages/routing/src/streams/routed_stream.ts
@@ -18,19 +18,18 @@
 import type { ConversationPrefix } from "../choice/replica_chooser.ts";
 import { StreamOutput } from "./stream_output.ts";
 import type { StreamLimits } from "./stream_limits.ts";
-import { UsageCounter } from "./stream_usage.ts";
+import { UsageCounter, type UsageProgress } from "./stream_usage.ts";
 
 /** Progress of a stream before this node took it over from a peer. */
-export interface StreamProgress {
+export interface StreamProgress extends UsageProgress {
   readonly tokens: readonly string[];
-  readonly attempts: number;
-  readonly recomputedTokens: number;
 }
 
 /** Progress of a new request. */
 export const noProgress: StreamProgress = {
   tokens: [],
   attempts: 0,
+  uncountedAttempts: 0,
   recomputedTokens: 0,
 };
 
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -166,8 +166,7 @@
     if (service?.kind !== "model" || team === undefined) {
       return Left(createLostRefusal());
     }
-    const { id, prompt, maxTokens, tokens, attempts, recomputedTokens } =
-      stream;
+    const { id, prompt, maxTokens } = stream;
     const request: ModelRequest = {
       team,
       service,
@@ -177,8 +176,7 @@
       maxTokens,
       deadline: clock.now() + stream.remainingMs,
     };
-    const progress = { tokens, attempts, recomputedTokens };
-    return open({ id, request, progress }).map(() => {
+    return open({ id, request, progress: stream }).map(() => {
       metrics.count("streams_taken_over_total");
     });
   }
@@ -260,7 +258,7 @@
     return PeerStream.create({ id, model, team, node, peers, clock, owners });
   }
 
-  #createHandOver({ stream }: StreamRun): StreamHandOver {
+  #createHandOver({ stream, isGenerating }: StreamRun): StreamHandOver {
     const { request, usage, output } = stream;
     return {
       id: stream.id,
@@ -273,6 +271,8 @@
       tokens: [...output.tokens],
       remainingMs: Math.max(0, request.deadline - this.#options.clock.now()),
       attempts: usage.attempts,
+      // The running attempt ends with the hand-over.
+      uncountedAttempts: usage.uncountedAttempts + (isGenerating ? 1 : 0),
       recomputedTokens: usage.recomputedTokens,
     };
   }
--- a/packages/routing/src/streams/stream_peers.ts
+++ b/packages/routing/src/streams/stream_peers.ts
@@ -52,6 +52,8 @@
   readonly remainingMs: number;
   /** Attempts sent to endpoints so far. */
   readonly attempts: number;
+  /** Of these, attempts that were moved, or did not run. */
+  readonly uncountedAttempts: number;
   readonly recomputedTokens: number;
 }
 
--- a/packages/routing/src/streams/stream_retries.ts
+++ b/packages/routing/src/streams/stream_retries.ts
@@ -18,8 +18,6 @@
 export class StreamRetries {
   readonly #stream: RoutedStream;
   readonly #services: StreamRunServices;
-  /** Attempts that ended without a sign that the request fails its replicas. */
-  #uncounted = 0;
   /** Failure after which the stream has not been sent again. */
   #lastFailure: EndpointError | undefined;
 
@@ -35,14 +33,9 @@
     return new StreamRetries(stream, services);
   }
 
-  /** Attempts that may have failed because of the request. */
-  get countedAttempts(): number {
-    return this.#stream.usage.attempts - this.#uncounted;
-  }
-
   recordFailure(error: EndpointError): void {
     this.#lastFailure = error;
-    if (error.run === "not_run") this.#uncounted++;
+    if (error.run === "not_run") this.#stream.usage.recordUncounted();
   }
 
   /**
@@ -56,17 +49,12 @@
     return true;
   }
 
-  /** Records that the stream was moved off a leaving replica. */
-  recordMove(): void {
-    this.#uncounted++;
-  }
-
   /** Takes a retry after a failure; false if the stream ends with it. */
   async take(error: EndpointError, signal: AbortSignal): Promise<boolean> {
     const { clock, limits, metrics } = this.#services;
     const { output, request, usage } = this.#stream;
     const hasBegun = output.tokens.length > 0;
-    const attempts = hasBegun ? this.countedAttempts : usage.attempts;
+    const attempts = hasBegun ? usage.countedAttempts : usage.attempts;
     if (attempts >= limits.maxAttempts) return false;
     for (let backoffs = 0; !this.#takeBudget(error); backoffs++) {
       const leftMs = request.deadline - clock.now();
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -71,6 +71,11 @@
     return this.#current?.choice.endpoint.name;
   }
 
+  /** Whether an attempt is running. */
+  get isGenerating(): boolean {
+    return this.#current?.attempt.isSettled === false;
+  }
+
   /** Runs the stream to its end, with its first attempt on `choice` if given. */
   async run(choice: ReplicaChoice | undefined): Promise<void> {
     let next = choice ?? await this.#search.wait(this.#ended.signal);
@@ -276,7 +281,7 @@
     await this.#removeFailedReplacement();
     if (!current.attempt.isSettled) return false;
     const { kind } = await current.ended;
-    if (kind === "replaced") this.#retries.recordMove();
+    if (kind === "replaced") this.stream.usage.recordUncounted();
     return kind === "replaced";
   }
 
@@ -293,7 +298,7 @@
     const { limits, loads, metrics, retries } = this.#services;
     const { output } = this.stream;
     // One attempt is kept for a failure of the silent one.
-    if (this.#retries.countedAttempts + 1 >= limits.maxAttempts) {
+    if (this.stream.usage.countedAttempts + 1 >= limits.maxAttempts) {
       return "attempts";
     }
     const { name } = choice.endpoint;
@@ -381,7 +386,7 @@
 
   #closeFailed(kind: RefusalKind, message: string): void {
     const mayHaveRun = this.#mayHaveRun || kind === "deadline" ||
-      this.#current?.attempt.isSettled === false;
+      this.isGenerating;
     this.#ending.fail({ kind, message, mayHaveRun });
   }
 }
--- a/packages/routing/src/streams/stream_usage.ts
+++ b/packages/routing/src/streams/stream_usage.ts
@@ -15,44 +15,61 @@
   readonly wasComputed: boolean;
 }
 
+/** Counts of a stream that another node began. */
+export interface UsageProgress {
+  readonly attempts: number;
+  /** Of these, attempts that were moved or did not run. */
+  readonly uncountedAttempts: number;
+  readonly recomputedTokens: number;
+}
+
 /** Sums the token usage of a stream's attempts. */
 export class UsageCounter {
   readonly #promptTokens: number;
   #attempts: number;
+  /** Attempts that ended without a sign that the request fails its replicas. */
+  #uncounted: number;
   #recomputedTokens: number;
   #cachedTokens = 0;
   #computedTokens = 0;
-  #hasComputedInput = false;
+  #hasComputedInput: boolean;
 
-  private constructor(
-    promptTokens: number,
-    attempts: number,
-    recomputedTokens: number,
-  ) {
+  private constructor(promptTokens: number, progress: UsageProgress) {
     this.#promptTokens = promptTokens;
-    this.#attempts = attempts;
-    this.#recomputedTokens = recomputedTokens;
+    this.#attempts = progress.attempts;
+    this.#uncounted = progress.uncountedAttempts;
+    this.#recomputedTokens = progress.recomputedTokens;
+    this.#hasComputedInput = progress.attempts > 0;
   }
 
   /** @param progress Counts so far of a stream taken over from a peer. */
-  static create(
-    promptTokens: number,
-    progress: { readonly attempts: number; readonly recomputedTokens: number },
-  ): UsageCounter {
-    const { attempts, recomputedTokens } = progress;
-    const counter = new UsageCounter(promptTokens, attempts, recomputedTokens);
-    counter.#hasComputedInput = attempts > 0;
-    return counter;
+  static create(promptTokens: number, progress: UsageProgress): UsageCounter {
+    return new UsageCounter(promptTokens, progress);
   }
 
   get attempts(): number {
     return this.#attempts;
   }
 
+  /** Attempts that ended without a sign that the request fails its replicas. */
+  get uncountedAttempts(): number {
+    return this.#uncounted;
+  }
+
+  /** Attempts that may have failed because of the request. */
+  get countedAttempts(): number {
+    return this.#attempts - this.#uncounted;
+  }
+
   get recomputedTokens(): number {
     return this.#recomputedTokens;
   }
 
+  /** Records that an attempt was moved or did not run. */
+  recordUncounted(): void {
+    this.#uncounted++;
+  }
+
   /**
    * Records that an attempt was sent; returns whether an earlier one had computed
    * the stream's input.
