--- a/packages/routing/src/streams/routed_stream.ts
+++ b/packages/routing/src/streams/routed_stream.ts
@@ -191,11 +191,11 @@
    * `read` ends.
    */
   async readForPeer<T>(from: number, read: () => Promise<T>): Promise<T> {
-    const detach = this.output.attach(from);
+    const unregister = this.output.registerReader(from);
     try {
       return await read();
     } finally {
-      detach();
+      unregister();
       this.#handleDetached();
     }
   }
--- a/packages/routing/src/streams/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -67,7 +67,7 @@
   #gapSumMs = 0;
   #gaps = 0;
   #isBlocked = false;
-  #hold: StreamPause | undefined;
+  #pause: StreamPause | undefined;
 
   private constructor(options: AttemptOptions) {
     this.id = options.request.id;
@@ -103,10 +103,10 @@
 
   /**
    * Milliseconds since the engine last made progress; 0 while backpressure from
-   * a slow reader blocks it, or the attempt or its stream is held.
+   * a slow reader blocks it, or the attempt or its stream is paused.
    */
   computeIdleMs(): number {
-    return this.#isBlocked || this.#hold !== undefined
+    return this.#isBlocked || this.#pause !== undefined
       ? 0
       : this.#options.clock.now() - this.#lastProgressAt;
   }
@@ -125,16 +125,16 @@
     this.#abort.abort();
   }
 
-  /** Keeps the attempt from adding tokens, and from ending, until `release`. */
-  hold(): void {
-    this.#hold ??= createPause();
+  /** Keeps the attempt from adding tokens, and from ending, until `resume`. */
+  pause(): void {
+    this.#pause ??= createPause();
   }
 
-  /** Lets the attempt go on after `hold`. */
-  release(): void {
-    if (this.#hold === undefined) return;
-    this.#hold.end();
-    this.#hold = undefined;
+  /** Lets the attempt go on after `pause`. */
+  resume(): void {
+    if (this.#pause === undefined) return;
+    this.#pause.end();
+    this.#pause = undefined;
     this.#lastProgressAt = this.#options.clock.now();
   }
 
@@ -142,7 +142,7 @@
     const { engine, request } = this.#options;
     try {
       for await (const item of engine.generate(request, this.#abort.signal)) {
-        if (this.#isHeld()) await this.#waitReleased();
+        if (this.#isPaused()) await this.#waitResumed();
         if (this.#isSettled) return;
         const event = item.extract();
         if (event instanceof Error) {
@@ -196,17 +196,17 @@
     this.#gaps = 0;
   }
 
-  #isHeld(): boolean {
-    return this.#hold !== undefined || this.#options.output.isHeld;
+  #isPaused(): boolean {
+    return this.#pause !== undefined || this.#options.output.isPaused;
   }
 
   /** Waits while another replica, or a peer, is to go on from the tokens so far. */
-  async #waitReleased(): Promise<void> {
+  async #waitResumed(): Promise<void> {
     const { output, clock } = this.#options;
     this.#isBlocked = true;
-    while (this.#isHeld() && !this.#isSettled) {
-      await this.#hold?.ended;
-      await output.waitReleased();
+    while (this.#isPaused() && !this.#isSettled) {
+      await this.#pause?.ended;
+      await output.waitResumed();
     }
     this.#isBlocked = false;
     this.#lastProgressAt = clock.now();
@@ -230,7 +230,7 @@
   #close(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    this.release();
+    this.resume();
     this.#resolve(outcome);
     this.#ended.abort("ended");
   }
--- a/packages/routing/src/streams/stream_exchange.ts
+++ b/packages/routing/src/streams/stream_exchange.ts
@@ -206,7 +206,7 @@
   /**
    * Hands one stream to the first peer that accepts it.
    *
-   * The output is held first, so that no token is added after the hand-over message
+   * The output is paused first, so that no token is added after the hand-over message
    * was composed. If no peer accepts, the stream goes on with its attempt until the
    * process ends.
    */
--- a/packages/routing/src/streams/stream_output.ts
+++ b/packages/routing/src/streams/stream_output.ts
@@ -18,7 +18,7 @@
   readonly #maxUnread: number;
   #final: FinalEvent | undefined;
   #isStopped = false;
-  #isHeld = false;
+  #isPaused = false;
   #readerCount = 0;
   #furthestRead = 0;
   #wakeReaders: (() => void) | undefined;
@@ -55,23 +55,23 @@
 
   /** Whether the writer may append without waiting. */
   get isWritable(): boolean {
-    return !this.#isHeld &&
+    return !this.#isPaused &&
       this.#tokens.length - this.#furthestRead < this.#maxUnread;
   }
 
-  /** Whether nothing may be appended until `release`. */
-  get isHeld(): boolean {
-    return this.#isHeld && this.#final === undefined && !this.#isStopped;
+  /** Whether nothing may be appended until `resume`. */
+  get isPaused(): boolean {
+    return this.#isPaused && this.#final === undefined && !this.#isStopped;
   }
 
-  /** Keeps all writers from appending until `release`. */
-  hold(): void {
-    this.#isHeld = true;
+  /** Keeps all writers from appending until `resume`. */
+  pause(): void {
+    this.#isPaused = true;
   }
 
-  /** Lets writers append again after `hold`. */
-  release(): void {
-    this.#isHeld = false;
+  /** Lets writers append again after `pause`. */
+  resume(): void {
+    this.#isPaused = false;
     this.#wakeAllWriters();
   }
 
@@ -123,7 +123,7 @@
   ): AsyncGenerator<StreamEvent, void, void> {
     const wake = (): void => this.wake();
     signal.addEventListener("abort", wake, { once: true });
-    const detach = this.attach(from);
+    const unregister = this.registerReader(from);
     let index = from;
     try {
       while (!signal.aborted) {
@@ -142,7 +142,7 @@
         }
       }
     } finally {
-      detach();
+      unregister();
       signal.removeEventListener("abort", wake);
     }
   }
@@ -151,7 +151,7 @@
    * Attaches a reader that has received all tokens before `from`; the returned
    * function detaches it.
    */
-  attach(from: number): () => void {
+  registerReader(from: number): () => void {
     this.#readerCount++;
     this.#recordRead(Math.min(from, this.#tokens.length));
     return () => {
@@ -165,9 +165,9 @@
     if (this.#writerWakes.length > 0 && this.isWritable) this.#wakeAllWriters();
   }
 
-  /** Resolves when the output is not held, or the stream has ended or stopped. */
-  async waitReleased(): Promise<void> {
-    while (this.isHeld) {
+  /** Resolves when the output is not paused, or the stream has ended or stopped. */
+  async waitResumed(): Promise<void> {
+    while (this.isPaused) {
       await new Promise<void>((resolve) => this.#writerWakes.push(resolve));
     }
   }
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -108,14 +108,14 @@
    */
   pause(): void {
     this.#pause ??= createPause();
-    this.stream.output.hold();
+    this.stream.output.pause();
   }
 
   /** Continues after a pause. */
   resume(): void {
     this.#pause?.end();
     this.#pause = undefined;
-    this.stream.output.release();
+    this.stream.output.resume();
   }
 
   /** Ends this run without ending the stream, which `successor` continues. */
@@ -255,13 +255,13 @@
     const replacement = this.#replacement;
     if (replacement?.attempt.isSettled !== true) return;
     this.#replacement = undefined;
-    this.#current?.attempt.release();
+    this.#current?.attempt.resume();
     const outcome = await replacement.ended;
     if (outcome.kind === "failed") this.#recordFailure(outcome.error);
   }
 
   /**
-   * Sends the stream to `target` and holds the running attempt, which ends at the
+   * Sends the stream to `target` and pauses the running attempt, which ends at the
    * first token of the target; false if the target did not take the stream.
    */
   async #move(
@@ -274,7 +274,7 @@
     const cachedTokens = importId === undefined
       ? target.cachedTokens
       : this.stream.inputTokens;
-    current.attempt.hold();
+    current.attempt.pause();
     const replacement = this.#send({ ...target, cachedTokens }, importId);
     this.#replacement = replacement;
     await Promise.race([replacement.ended, current.ended]);
