--- a/packages/routing/src/streams/attempt_evidence.ts
+++ b/packages/routing/src/streams/attempt_evidence.ts
@@ -48,7 +48,7 @@
   }
 
   /**
-   * Records an item as its engine sends it, even if the attempt is held and the
+   * Records an item as its engine sends it, even if the attempt is paused and the
    * stream never takes the item.
    */
   recordItem(item: GenerateEvent | EndpointError): void {
--- a/packages/routing/src/streams/stream_attempt.ts
+++ b/packages/routing/src/streams/stream_attempt.ts
@@ -34,7 +34,7 @@
 
 /** Receives measurements of a running attempt. */
 export interface AttemptObserver {
-  /** Called for each item that the engine sends, before a hold delays it. */
+  /** Called for each item that the engine sends, before a pause delays it. */
   recordItem(item: GenerateEvent | EndpointError): void;
   /** @param waitMs Milliseconds from the send to the first token. */
   recordFirstToken(waitMs: number): void;
@@ -70,7 +70,7 @@
   #gapSumMs = 0;
   #gaps = 0;
   #isBlocked = false;
-  #hold: StreamPause | undefined;
+  #pause: StreamPause | undefined;
 
   private constructor(options: AttemptOptions) {
     this.id = options.request.id;
@@ -106,10 +106,10 @@
 
   /**
    * Milliseconds since the engine last made progress; 0 while backpressure from
-   * a slow reader blocks it, or the attempt or its stream is held.
+   * a slow reader blocks it, or the attempt or its stream is paused.
    */
   computeIdleMs(): number {
-    return this.#isBlocked || this.#hold !== undefined
+    return this.#isBlocked || this.#pause !== undefined
       ? 0
       : this.#options.clock.now() - this.#lastProgressAt;
   }
@@ -128,16 +128,16 @@
     this.#abort.abort();
   }
 
-  /** Keeps the attempt from adding tokens, and from ending, until `release`. */
-  hold(): void {
-    this.#hold ??= createPause();
+  /** Keeps the attempt from adding tokens, and from ending, until `resume`. */
+  pause(): void {
+    this.#pause ??= createPause();
   }
 
-  /** Lets the attempt go on after `hold`. */
-  release(): void {
-    if (this.#hold === undefined) return;
-    this.#hold.end();
-    this.#hold = undefined;
+  /** Lets the attempt go on after `pause`. */
+  resume(): void {
+    if (this.#pause === undefined) return;
+    this.#pause.end();
+    this.#pause = undefined;
     this.#lastProgressAt = this.#options.clock.now();
   }
 
@@ -148,7 +148,7 @@
         if (this.#isSettled) return;
         const event = item.extract();
         observer.recordItem(event);
-        if (this.#isHeld()) await this.#waitReleased();
+        if (this.#isPaused()) await this.#waitResumed();
         if (this.#isSettled) return;
         if (event instanceof Error) {
           return this.#close({ kind: "failed", error: event });
@@ -201,17 +201,17 @@
     this.#gaps = 0;
   }
 
-  #isHeld(): boolean {
-    return this.#hold !== undefined || this.#options.output.isHeld;
+  #isPaused(): boolean {
+    return this.#pause !== undefined || this.#options.output.isPaused;
   }
 
   /** Waits while another replica, or a peer, is to go on from the tokens so far. */
-  async #waitReleased(): Promise<void> {
+  async #waitResumed(): Promise<void> {
     const { output, clock } = this.#options;
     this.#isBlocked = true;
-    while (this.#isHeld() && !this.#isSettled) {
-      await this.#hold?.ended;
-      await output.waitReleased();
+    while (this.#isPaused() && !this.#isSettled) {
+      await this.#pause?.ended;
+      await output.waitResumed();
     }
     this.#isBlocked = false;
     this.#lastProgressAt = clock.now();
@@ -235,7 +235,7 @@
   #close(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    this.release();
+    this.resume();
     this.#resolve(outcome);
     this.#ended.abort("ended");
   }
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -15,7 +15,6 @@
 
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 import type { ModelStream } from "../routers/model_router.ts";
-import type { RefusalKind } from "../admission/refusal.ts";
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
 import {
   AttemptSender,
@@ -49,7 +48,7 @@
   #current: SentAttempt | undefined;
   /** Second attempt of the stream while the current one is silent. */
   #replacement: SentAttempt | undefined;
-  #mayHaveRun = false;
+  #mayHaveRun: boolean;
   #migration: StreamMigration | undefined;
   #pause: StreamPause | undefined;
 
@@ -61,7 +60,13 @@
     this.#sender = AttemptSender.create({ stream, services, crashes });
     this.#search = ReplicaSearch.create(stream, services);
     this.#retries = StreamRetries.create(stream, services);
-    this.#ending = StreamEnding.create(stream, services);
+    this.#ending = StreamEnding.create({
+      stream,
+      services,
+      mayHaveRun: () => this.#mayHaveRun || this.isGenerating,
+    });
+    // An attempt of an earlier owner may have begun.
+    this.#mayHaveRun = stream.usage.attempts > 0;
   }
 
   static create(stream: RoutedStream, services: StreamRunServices): StreamRun {
@@ -73,6 +78,11 @@
     return this.#current?.choice.endpoint.name;
   }
 
+  /** Whether an attempt is running. */
+  get isGenerating(): boolean {
+    return this.#current?.attempt.isSettled === false;
+  }
+
   /** Runs the stream to its end, with its first attempt on `choice` if given. */
   async run(choice: ReplicaChoice | undefined): Promise<void> {
     let next = choice ?? await this.#waitForChoice();
@@ -87,14 +97,14 @@
       if (this.#isEnded()) break;
       next = await this.#handleOutcome(sent.choice, outcome);
     }
-    this.#closeUnfinished();
+    this.#ending.failUnfinished();
     this.#ended.abort("ended");
   }
 
   /** Cancels the running attempts and ends the stream as failed. */
   cancel(): void {
     this.#stopAttempts();
-    this.#closeFailed("stream_lost", "the request was cancelled");
+    this.#ending.fail("stream_lost", "the request was cancelled");
   }
 
   /**
@@ -103,14 +113,14 @@
    */
   pause(): void {
     this.#pause ??= createPause();
-    this.stream.output.hold();
+    this.stream.output.pause();
   }
 
   /** Continues after a pause. */
   resume(): void {
     this.#pause?.end();
     this.#pause = undefined;
-    this.stream.output.release();
+    this.stream.output.resume();
   }
 
   /** Ends this run without ending the stream, which `successor` continues. */
@@ -238,13 +248,13 @@
     const replacement = this.#replacement;
     if (replacement?.attempt.isSettled !== true) return;
     this.#replacement = undefined;
-    this.#current?.attempt.release();
+    this.#current?.attempt.resume();
     const outcome = await replacement.ended;
     if (outcome.kind === "failed") this.#recordFailure(outcome.error);
   }
 
   /**
-   * Sends the stream to `target` and holds the running attempt, which ends at the
+   * Sends the stream to `target` and pauses the running attempt, which ends at the
    * first token of the target; false if the target did not take the stream.
    */
   async #move(
@@ -258,14 +268,14 @@
     const cachedTokens = importId === undefined
       ? target.cachedTokens
       : this.stream.inputTokens;
-    current.attempt.hold();
+    current.attempt.pause();
     const replacement = this.#send({ ...target, cachedTokens }, importId);
     this.#replacement = replacement;
     await Promise.race([replacement.ended, current.ended]);
     await this.#removeFailedReplacement();
     if (!current.attempt.isSettled) return false;
     const { kind } = await current.ended;
-    if (kind === "replaced") this.#retries.recordMove();
+    if (kind === "replaced") this.stream.usage.recordUncounted();
     return kind === "replaced";
   }
 
@@ -282,7 +292,7 @@
     const { limits, loads, retries } = this.#services;
     if (!this.#crashes.mayRepeat()) return "quarantined";
     // One attempt is kept for a failure of the silent one.
-    if (this.#retries.countedAttempts + 1 >= limits.maxAttempts) {
+    if (this.stream.usage.countedAttempts + 1 >= limits.maxAttempts) {
       return "attempts";
     }
     const { name } = choice.endpoint;
@@ -315,7 +325,7 @@
       case "failed":
         return await this.#handleFailure(choice, outcome.error);
       case "deadline":
-        this.#closeUnfinished();
+        this.#ending.failUnfinished();
         return undefined;
       // `#runAttempts` has gone on with the replacement.
       case "replaced":
@@ -343,7 +353,7 @@
     if (!this.#checkRepeat()) return undefined;
     if (!isTaken) {
       this.#retries.countRefusal(error.kind);
-      this.#closeUnfinished(error.message);
+      this.#ending.failUnfinished(error.message);
       return undefined;
     }
     this.#retries.countRetry(error);
@@ -369,9 +379,7 @@
     if (this.#isEnded()) return false;
     if (this.#crashes.mayRepeat()) return true;
     this.#retries.countRefusal("quarantined");
-    // An attempt of an earlier owner may have begun.
-    if (this.#retries.countedAttempts > 0) this.#mayHaveRun = true;
-    this.#closeFailed("endpoint_failed", "replicas crash on the prompt");
+    this.#ending.fail("endpoint_failed", "replicas crash on the prompt");
     this.#stopAttempts();
     return false;
   }
@@ -382,18 +390,4 @@
     this.#retries.recordFailure(error);
     if (error.run !== "not_run") this.#mayHaveRun = true;
   }
-
-  /** @param reason Why the stream ends if its deadline has not passed. */
-  #closeUnfinished(reason = "no endpoint could finish the request"): void {
-    this.#ending.failUnfinished(reason, this.#mayRun());
-  }
-
-  #closeFailed(kind: RefusalKind, message: string): void {
-    this.#ending.fail({ kind, message, mayHaveRun: this.#mayRun() });
-  }
-
-  /** Whether an endpoint may have begun with the request. */
-  #mayRun(): boolean {
-    return this.#mayHaveRun || this.#current?.attempt.isSettled === false;
-  }
 }
