Stand-in of replicas: requests begin to run while it is silent

A request that arrived while a stand-in was silent began to run only after the silence, so that records of runs did not tell which requests the silence had held. It begins on arrival now; only what the stand-in sends waits, refusals and moves included. Arrivals record the parts of their prompts.

Run: replica_standin_test.ts 5 passed; gateway_calls, gateway_restore, gateway_streams, gateway_nodes and gateway_versions tests, 46 passed.

--- a/packages/standin/src/platform/replica_fault.ts
+++ b/packages/standin/src/platform/replica_fault.ts
@@ -2,6 +2,7 @@
  * Faults that tests inject into a stand-in of a replica.
  */
 
+import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 
 /** Fault injected into a request. */
@@ -65,6 +66,16 @@
   }
 }
 
-function sleep(ms: number): Promise<void> {
+/** Whether a prompt has one of the parts, not counting its last part. */
+export function hasSharedPart(
+  headers: IncomingHttpHeaders,
+  ids: ReadonlySet<string>,
+): boolean {
+  const parts = String(headers["x-prefix-hash"] ?? "").split(",");
+  return parts.slice(0, -1).some((part) => ids.has(part.split(":")[0] ?? ""));
+}
+
+/** Resolves `ms` milliseconds later. */
+export function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -16,7 +16,12 @@
 import type { AddressInfo, Socket } from "node:net";
 import { parseAddress } from "@almondcrank/common/address.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
-import { type ReplicaFault, sendEndlessAnswer } from "./replica_fault.ts";
+import {
+  hasSharedPart,
+  type ReplicaFault,
+  sendEndlessAnswer,
+  sleep,
+} from "./replica_fault.ts";
 import { readBody, sendJson } from "./store_standin.ts";
 
 /** One request that was run. */
@@ -39,6 +44,8 @@
   readonly id: string;
   /** Time on the monotonic clock of this process, in milliseconds. */
   readonly at: number;
+  /** Parts of the prompt as the request has them, empty if it has none. */
+  readonly parts: string;
 }
 
 /** Options of a replica. */
@@ -182,37 +189,35 @@
     this.arrivals.push({
       id: String(request.headers["x-request-id"]),
       at: performance.now(),
+      parts: String(request.headers["x-prefix-hash"] ?? ""),
     });
-    await this.#waitWhilePaused();
-    if (response.destroyed) return;
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
-    if (request.url === "/kv-move") return this.#move(body, response);
+    if (request.url === "/kv-move") return await this.#move(body, response);
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
-      response.setHeader("X-Replica-Id", this.id);
-      return sendJson(response, 421, {});
+      return await this.#refuse(response, 421, { "X-Replica-Id": this.id });
     }
     const fault = this.queuedFaults.shift() ?? this.fault;
-    if (fault.kind === "decline") {
-      response.setHeader("X-Not-Executed", "1");
-      return sendJson(response, 503, {});
-    }
-    if (fault.kind === "pause") {
-      response.setHeader("X-Not-Executed", "1");
-      response.setHeader("Retry-After", String(fault.seconds));
-      return sendJson(response, 503, {});
+    if (fault.kind === "decline" || fault.kind === "pause") {
+      const isPause = fault.kind === "pause";
+      return await this.#refuse(response, 503, {
+        "X-Not-Executed": "1",
+        ...(isPause ? { "Retry-After": String(fault.seconds) } : {}),
+      });
     }
     const run = this.#beginRun(request, body);
     response.on("close", () => {
       run.hasEnded = true;
       run.endedAt ??= performance.now();
     });
+    await this.#waitWhilePaused();
+    if (run.hasEnded) return;
     const answerId = fault.kind === "foreign" ? "another-request" : run.id;
     response.setHeader("X-Request-Id", answerId);
     if (fault.kind !== "unsigned") {
       response.setHeader("X-Server-Seal", `seal-of-${this.id}`);
     }
-    const willCrash = hasPart(request, this.crashingParts);
+    const willCrash = hasSharedPart(request.headers, this.crashingParts);
     if (willCrash) {
       if (this.crashAfterMs === 0) return this.#crash(run);
       setTimeout(() => this.#crash(run), this.crashAfterMs);
@@ -236,6 +241,16 @@
     this.#answerWhole(request, response, { run, fault });
   }
 
+  async #refuse(
+    response: ServerResponse,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<void> {
+    await this.#waitWhilePaused();
+    response.setHeaders(new Map(Object.entries(headers)));
+    sendJson(response, status, {});
+  }
+
   /** Answers before the body arrives; the run records the body read later. */
   async #answerEarly(
     request: IncomingMessage,
@@ -365,7 +380,8 @@
   }
 
   /** Stops a run; answers a handle with which another replica continues it. */
-  #move(body: string, response: ServerResponse): void {
+  async #move(body: string, response: ServerResponse): Promise<void> {
+    await this.#waitWhilePaused();
     const { id } = JSON.parse(body);
     const events = this.#lastEventIds.get(id);
     if (events === undefined) return sendJson(response, 404, {});
@@ -381,16 +397,3 @@
   readonly run: ReplicaRun;
   readonly fault: ReplicaFault;
 }
-
-/** Whether one of the parts stands before the last part of the prompt. */
-function hasPart(
-  { headers }: IncomingMessage,
-  ids: ReadonlySet<string>,
-): boolean {
-  const parts = String(headers["x-prefix-hash"] ?? "").split(",");
-  return parts.slice(0, -1).some((part) => ids.has(part.split(":")[0] ?? ""));
-}
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
