Soak: replicas fall silent for a second and go on

Callers saw streams cut whose replicas were sound and only sent nothing for a second. The soak could not show this: no replica of its own was silent and sound, its faults did not say which node or replica they hit, so that any fault anywhere excused a cut stream, and its nodes had more retries than they could use up.

The fault replica_falls_silent silences one replica or all for a second. It is masked: it excuses no broken answer. Faults record the node or replica that they hit. A new check finds a stream that ran at a silent replica and got no whole answer before its time was over, unless a fault hit its node, a replica that ran it, or all. Faults of single replicas move to a class of their own, kinds are listed as masked and as breaking, and the records of the tests of the checks move to a fixture; no test changes.

--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -7,12 +7,9 @@
 
 import type { Random } from "@almondcrank/common/random.ts";
 
-/** Kinds of faults and planned changes. */
-export const faultKinds = [
-  "node_kill",
-  "node_kill_all",
+/** Faults that the system must mask: they may not break any answer. */
+export const maskedFaultKinds = [
   "node_term",
-  "node_stop",
   "node_hup",
   "store_silent",
   "store_busy",
@@ -28,8 +25,19 @@
   "replica_drains",
   "replica_announces_leaving",
   "replica_pauses",
-  "replica_crashes",
   "replica_starts",
+  "replica_falls_silent",
+  "cloud_silent",
+] as const;
+/** Kind of a fault that the system must mask. */
+export type MaskedFaultKind = (typeof maskedFaultKinds)[number];
+
+/** Faults that excuse broken answers. */
+export const breakingFaultKinds = [
+  "node_kill",
+  "node_kill_all",
+  "node_stop",
+  "replica_crashes",
   "replica_link_cut",
   "replica_link_one_way",
   "replica_link_reset",
@@ -41,10 +49,18 @@
   "replica_ends_within_event",
   "replica_mixes_answers",
   "replica_sends_extra",
-  "cloud_silent",
 ] as const;
-/** Kind of a fault. */
-export type FaultKind = (typeof faultKinds)[number];
+/** Kind of a fault that excuses broken answers. */
+export type BreakingFaultKind = (typeof breakingFaultKinds)[number];
+
+/** Kind of a fault or planned change. */
+export type FaultKind = MaskedFaultKind | BreakingFaultKind;
+
+/** All kinds of faults and planned changes. */
+export const faultKinds: readonly FaultKind[] = [
+  ...maskedFaultKinds,
+  ...breakingFaultKinds,
+];
 
 /** One fault of a plan; `atMs` counts from the start of the soak. */
 export interface PlannedFault {
@@ -55,28 +71,13 @@
   readonly target: number;
 }
 
-/** Faults that the system must mask: they may not break any answer. */
-const maskedFaults: ReadonlySet<FaultKind> = new Set([
-  "node_term",
-  "node_hup",
-  "configuration_changes",
-  "configuration_storm",
-  "key_withdrawn",
-  "replica_drains",
-  "replica_announces_leaving",
-  "replica_pauses",
-  "replica_starts",
-  "store_restored",
-  "store_silent",
-  "store_busy",
-  "store_reset",
-  "store_loses_answers",
-  "store_slow_for_node",
-  "store_cut_off_node",
-  "store_forgets_history",
-  "cloud_silent",
-]);
-
+/** Silences are drawn more often, as retries have to be scarce beside some. */
+const drawnFaultKinds = [
+  ...maskedFaultKinds,
+  ...breakingFaultKinds,
+  ...Array.from({ length: 4 }, () => "replica_falls_silent" as const),
+];
+const maxTarget = 1_000;
 const firstFaultMs = 1_500;
 const meanPauseMs = 900;
 const minDurationMs = 300;
@@ -84,11 +85,6 @@
 /** Time at the end of a soak without faults. */
 export const faultFreeMs = 12_000;
 
-/** Whether the system must mask a fault, so that it breaks no answer. */
-export function isMaskedFault(kind: FaultKind): boolean {
-  return maskedFaults.has(kind);
-}
-
 /**
  * Draws the faults of a soak that takes `lengthMs`, in order of their start.
  */
@@ -103,10 +99,10 @@
     const durationMs = minDurationMs +
       random.next() * (maxDurationMs - minDurationMs);
     faults.push({
-      kind: random.choose(faultKinds),
+      kind: random.choose(drawnFaultKinds),
       atMs,
       durationMs: Math.min(durationMs, endsAt - atMs),
-      target: random.nextInt(1_000),
+      target: random.nextInt(maxTarget),
     });
     atMs += random.nextExponential(meanPauseMs);
   }
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -2,11 +2,17 @@
  * Injects the faults of a plan and records when each began and ended.
  */
 
-import type { ReplicaFault } from "@almondcrank/standin/platform/replica_fault.ts";
+import { sleep } from "@almondcrank/standin/platform/replica_fault.ts";
 import type { StoreFault } from "@almondcrank/standin/platform/store_standin.ts";
-import { isMaskedFault, type PlannedFault } from "./fault_plan.ts";
+import {
+  type BreakingFaultKind,
+  breakingFaultKinds,
+  type MaskedFaultKind,
+  type PlannedFault,
+} from "./fault_plan.ts";
 import type { LinkFault } from "./link_proxy.ts";
 import type { FaultSpan, KeyWithdrawal } from "./records.ts";
+import { registrationTtlMs, ReplicaFaults } from "./replica_faults.ts";
 import {
   secondKey,
   type SoakNode,
@@ -14,14 +20,9 @@
   type SoakSystem,
 } from "./soak_system.ts";
 
-const slowLinkMs = 120;
 const slowStoreMs = 300;
 /** Time for which a draining replica still serves. */
 const drainMs = 1_500;
-/** Time after which the registration of a crashed replica expires. */
-const registrationTtlMs = 1_500;
-/** Replicas that a service keeps, whatever drains or crashes. */
-const minReplicas = 2;
 const changesPerStorm = 15;
 /** Time for which a replica wants nothing from a node that it turned away. */
 const pauseSeconds = 0.8;
@@ -29,11 +30,11 @@
 const maxCopyAgeMs = 2_000;
 /** Time until lost writes of the operator and the replicas are made again. */
 const rewriteMs = 500;
-const noFault: ReplicaFault = { kind: "none" };
 
 /** Injects the faults of one soak. */
 export class FaultRunner {
   readonly #system: SoakSystem;
+  readonly #replicaFaults: ReplicaFaults;
   readonly #spans: FaultSpan[] = [];
   readonly #withdrawals: KeyWithdrawal[] = [];
   /** Nodes that a fault has stopped or paused; other faults skip them. */
@@ -41,6 +42,7 @@
 
   private constructor(system: SoakSystem) {
     this.#system = system;
+    this.#replicaFaults = ReplicaFaults.create(system);
   }
 
   static create(system: SoakSystem): FaultRunner {
@@ -65,28 +67,56 @@
     await Promise.all(plan.map(async (fault) => {
       await sleep(startedAt + fault.atMs - performance.now());
       const from = performance.now();
-      await this.#runFault(fault);
+      const target = await this.#runFault(fault);
       this.#spans.push({
         from,
         to: performance.now(),
         name: fault.kind,
-        isMasked: isMaskedFault(fault.kind),
+        isMasked: !isBreaking(fault.kind),
+        target,
       });
     }));
   }
 
-  async #runFault(fault: PlannedFault): Promise<void> {
-    const { kind, durationMs, target } = fault;
-    const { cloudLink } = this.#system;
+  /** Resolves at the end of a fault, with the only node or replica it hit. */
+  async #runFault(fault: PlannedFault): Promise<string | undefined> {
+    const { kind } = fault;
+    if (isBreaking(kind)) return await this.#runBreakingFault(kind, fault);
+    if (kind === "replica_falls_silent") {
+      return await this.#replicaFaults.pause(fault.target);
+    }
+    await this.#runMaskedFault(kind, fault);
+    return undefined;
+  }
+
+  async #runBreakingFault(
+    kind: BreakingFaultKind,
+    { durationMs, target }: PlannedFault,
+  ): Promise<string | undefined> {
+    const node = this.#pickNode(target);
     switch (kind) {
       case "node_kill":
-        return await this.#killNodes([this.#pickNode(target)], durationMs);
+        await this.#killNodes([node], durationMs);
+        return node.process.place.name;
       case "node_kill_all":
-        return await this.#killNodes(this.#system.nodes, durationMs / 4);
+        await this.#killNodes(this.#system.nodes, durationMs / 4);
+        return undefined;
+      case "node_stop":
+        await this.#pauseNode(node, durationMs);
+        return node.process.place.name;
+      default:
+        return await this.#replicaFaults.run(kind, { target, durationMs });
+    }
+  }
+
+  async #runMaskedFault(
+    kind: Exclude<MaskedFaultKind, "replica_falls_silent">,
+    { durationMs, target }: PlannedFault,
+  ): Promise<void> {
+    const { cloudLink } = this.#system;
+    switch (kind) {
       case "node_term":
         return await this.#restartNode(this.#pickNode(target));
-      case "node_stop":
-        return await this.#pauseNode(this.#pickNode(target), durationMs);
       case "node_hup":
         return this.#pickNode(target).process.signal("SIGHUP");
       case "store_silent":
@@ -123,68 +153,11 @@
         return await this.#announceLeaving(target);
       case "replica_pauses": {
         const pause = { kind: "pause", seconds: pauseSeconds } as const;
-        return await this.#applyReplicaFault(target, pause, durationMs);
+        await this.#replicaFaults.apply(pause, { target, durationMs });
+        return;
       }
-      case "replica_crashes":
-        return await this.#crashReplica(target);
       case "replica_starts":
         return await this.#startReplica(target);
-      case "replica_link_cut":
-        return await this.#applyReplicaLinkFault(
-          target,
-          { kind: "cut" },
-          durationMs,
-        );
-      case "replica_link_one_way": {
-        const oneWay = { kind: "cut_answers" } as const;
-        return await this.#applyReplicaLinkFault(target, oneWay, durationMs);
-      }
-      case "replica_link_reset":
-        return await this.#applyReplicaLinkFault(
-          target,
-          { kind: "reset" },
-          durationMs,
-        );
-      case "replica_link_slow": {
-        const slow = { kind: "delay", ms: slowLinkMs } as const;
-        return await this.#applyReplicaLinkFault(target, slow, durationMs);
-      }
-      case "replica_declines":
-        return await this.#applyReplicaFault(
-          target,
-          { kind: "decline" },
-          durationMs,
-        );
-      case "replica_loses_answers":
-        return await this.#applyReplicaFault(
-          target,
-          { kind: "lose_answer" },
-          durationMs,
-        );
-      case "replica_hangs":
-        return await this.#applyReplicaFault(
-          target,
-          { kind: "hang" },
-          durationMs,
-        );
-      case "replica_breaks_off": {
-        const broken = { kind: "break", events: 7 } as const;
-        return await this.#applyReplicaFault(target, broken, durationMs);
-      }
-      case "replica_ends_within_event":
-        return await this.#endStreamsWithinEvent(target, durationMs);
-      case "replica_mixes_answers":
-        return await this.#applyReplicaFault(
-          target,
-          { kind: "foreign" },
-          durationMs,
-        );
-      case "replica_sends_extra":
-        return await this.#applyReplicaFault(
-          target,
-          { kind: "extra" },
-          durationMs,
-        );
       case "cloud_silent":
         cloudLink.setFault({ kind: "cut" });
         await sleep(durationMs);
@@ -279,20 +252,8 @@
     this.#withdrawals.push({ key: secondKey, at: performance.now() });
   }
 
-  /**
-   * Picks a replica; undefined if its service would keep too few without it.
-   */
-  #pickReplica(target: number): SoakReplica | undefined {
-    const registered = this.#system.listRegisteredReplicas();
-    const replica = pick(registered, target);
-    const remaining = registered.filter(({ service }) =>
-      service === replica.service
-    );
-    return remaining.length > minReplicas ? replica : undefined;
-  }
-
   async #drainReplica(target: number): Promise<void> {
-    const replica = this.#pickReplica(target);
+    const replica = this.#replicaFaults.pickReplica(target);
     if (replica !== undefined) await this.#drain(replica);
   }
 
@@ -308,61 +269,20 @@
 
   /** A replica says in its answers that it leaves, and drains later. */
   async #announceLeaving(target: number): Promise<void> {
-    const replica = this.#pickReplica(target);
+    const replica = this.#replicaFaults.pickReplica(target);
     if (replica === undefined) return;
     replica.standin.isLeaving = true;
     await sleep(drainMs);
     await this.#drain(replica);
   }
 
-  async #crashReplica(target: number): Promise<void> {
-    const replica = this.#pickReplica(target);
-    if (replica === undefined) return;
-    replica.isRegistered = false;
-    replica.standin.close();
-    replica.link.close();
-    await sleep(registrationTtlMs);
-    this.#system.unregister(replica);
-  }
-
   async #startReplica(target: number): Promise<void> {
     await this.#system.addReplica(target % 2 === 0 ? "models" : "booking");
   }
+}
 
-  async #applyReplicaLinkFault(
-    target: number,
-    fault: LinkFault,
-    durationMs: number,
-  ): Promise<void> {
-    const { link } = pick(this.#system.listRegisteredReplicas(), target);
-    link.setFault(fault);
-    await sleep(durationMs);
-    link.setFault({ kind: "none" });
-  }
-
-  async #applyReplicaFault(
-    target: number,
-    fault: ReplicaFault,
-    durationMs: number,
-  ): Promise<void> {
-    const { standin } = pick(this.#system.listRegisteredReplicas(), target);
-    standin.fault = fault;
-    await sleep(durationMs);
-    standin.fault = noFault;
-  }
-
-  /** A replica sends streams without a length and ends them within an event. */
-  async #endStreamsWithinEvent(
-    target: number,
-    durationMs: number,
-  ): Promise<void> {
-    const { standin } = pick(this.#system.listRegisteredReplicas(), target);
-    standin.streamFraming = "connection";
-    standin.fault = { kind: "end_within_event", events: 7 };
-    await sleep(durationMs);
-    standin.fault = noFault;
-    standin.streamFraming = "chunks";
-  }
+function isBreaking(kind: string): kind is BreakingFaultKind {
+  return breakingFaultKinds.some((breaking) => breaking === kind);
 }
 
 function pick<T>(items: readonly T[], target: number): T {
@@ -370,7 +290,3 @@
   if (item === undefined) throw new Error("nothing to pick from");
   return item;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
-}
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -8,26 +8,22 @@
 import type {
   CallerRecord,
   FaultSpan,
+  Finding,
   RequestKind,
   RunRecord,
   SoakRecords,
 } from "./records.ts";
+import {
+  checkReplicaPromises,
+  faultEffectMs,
+  isBrokenAnswer,
+} from "./replica_promises.ts";
 import { tokenTexts } from "./soak_system.ts";
 
-/** A broken promise. */
-export interface Finding {
-  readonly promise: string;
-  /** Id of the request, empty if the finding is not about one. */
-  readonly request: string;
-  readonly detail: string;
-}
-
 /** Statuses that promise that the request has not run and will not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Kinds of requests that must not run more than once. */
 const atMostOnceKinds: ReadonlySet<RequestKind> = new Set(["once", "book"]);
-/** Time after the end of a fault during which answers may still break. */
-const faultEffectMs = 3_500;
 /** Time after a withdrawal from which on no node may accept the key. */
 const withdrawalLimitMs = 5_000;
 /** Time within which a run must end after its caller has left. */
@@ -48,6 +44,7 @@
     ...checkUsage(records),
     ...checkWithdrawals(records),
     ...checkRecovery(records),
+    ...checkReplicaPromises(records),
   ];
 }
 
@@ -140,10 +137,7 @@
   caller: CallerRecord,
   faults: readonly FaultSpan[],
 ): string | undefined {
-  if (caller.leftAt !== undefined) return undefined;
-  const isBroken = caller.status === 0 || !caller.isComplete ||
-    caller.status === 502 || caller.status === 504;
-  if (!isBroken) return undefined;
+  if (caller.leftAt !== undefined || !isBrokenAnswer(caller)) return undefined;
   const isExcused = faults.some((fault) =>
     !fault.isMasked && caller.endedAt >= fault.from &&
     caller.sentAt <= fault.to + faultEffectMs
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -4,61 +4,16 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { checkPromises, formatExpectedBody } from "./promises.ts";
-import type { CallerRecord, RunRecord, SoakRecords } from "./records.ts";
-import { tokenTexts } from "./soak_system.ts";
-
-const events = 4;
-
-const [firstText = "", secondText = ""] = tokenTexts;
-
-function createCaller(change: Partial<CallerRecord>): CallerRecord {
-  const base = { id: "r", kind: "book" as const, ...change };
-  return {
-    path: "/book/slot",
-    body: "b",
-    key: "k",
-    node: "n",
-    sentAt: 100,
-    endedAt: 200,
-    status: 200,
-    seal: "seal-of-booking-1",
-    text: formatExpectedBody(base, events, firstText),
-    isComplete: true,
-    leftAt: undefined,
-    ...base,
-  };
-}
-
-function createRun(change: Partial<RunRecord>): RunRecord {
-  return {
-    replica: "booking-1",
-    service: "booking",
-    id: "r",
-    path: "/book/slot",
-    body: "b",
-    tenant: "garages",
-    hasKey: false,
-    isMoved: false,
-    startedAt: 120,
-    endedAt: 190,
-    ...change,
-  };
-}
-
-function listBrokenPromises(records: Partial<SoakRecords>): readonly string[] {
-  const findings = checkPromises({
-    callers: [createCaller({})],
-    runs: [createRun({})],
-    usage: [],
-    faults: [],
-    withdrawals: [],
-    faultsEndAt: 0,
-    events,
-    ...records,
-  });
-  return [...new Set(findings.map(({ promise }) => promise))];
-}
+import { formatExpectedBody } from "./promises.ts";
+import {
+  createCaller,
+  createRun,
+  events,
+  firstText,
+  listBrokenPromises,
+  secondText,
+} from "./record_fixture.ts";
+import type { CallerRecord, RunRecord } from "./records.ts";
 
 test("a request that ran once and was answered breaks nothing", () => {
   assert.equal(listBrokenPromises({}), []);
@@ -120,7 +75,7 @@
 
 test("an answer may break during a fault, but not during a masked one", () => {
   const broken = createCaller({ status: 0, seal: undefined, text: "" });
-  const span = { from: 50, to: 150, name: "node_kill", isMasked: false };
+  const span = { from: 50, to: 150, name: "node_kill", target: undefined };
   const check = (isMasked: boolean): readonly string[] =>
     listBrokenPromises({
       callers: [{ ...broken, isComplete: false }],
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -7,6 +7,14 @@
 /** Kind of a request, which determines whether it may run more than once. */
 export type RequestKind = "stream" | "once" | "book" | "lookup";
 
+/** A broken promise. */
+export interface Finding {
+  readonly promise: string;
+  /** Id of the request, empty if the finding is not about one. */
+  readonly request: string;
+  readonly detail: string;
+}
+
 /** A request as its caller saw it. */
 export interface CallerRecord {
   readonly id: string;
@@ -64,6 +72,8 @@
    * answer.
    */
   readonly isMasked: boolean;
+  /** Node or replica that the fault hit; undefined if it hit several. */
+  readonly target: string | undefined;
 }
 
 /** A withdrawn key and the time of its withdrawal. */
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -7,11 +7,14 @@
 import { FaultRunner } from "./fault_runner.ts";
 import { FaultyProxy, type PlantedFault } from "./faulty_proxy.ts";
 import { LoadBalancer } from "./load_balancer.ts";
-import { checkPromises, type Finding } from "./promises.ts";
-import type { CallerRecord } from "./records.ts";
+import { checkPromises } from "./promises.ts";
+import type { CallerRecord, Finding } from "./records.ts";
 import { runCallers } from "./soak_callers.ts";
 import { SoakSystem, streamEvents } from "./soak_system.ts";
 
+/** Probability that the nodes of a soak have few retries. */
+const scarceRetriesProbability = 0.5;
+
 /** Options of a soak. */
 export interface SoakOptions {
   readonly seed: number;
@@ -41,7 +44,8 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const random = Random.create(options.seed);
   const plan = createFaultPlan(random, options.lengthMs);
-  const system = await SoakSystem.open(options);
+  const hasScarceRetries = random.next() < scarceRetriesProbability;
+  const system = await SoakSystem.open({ ...options, hasScarceRetries });
   try {
     return await playSoak(options, { system, random, plan });
   } catch (thrown) {
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -29,6 +29,8 @@
 /** Time between two events of a stream. */
 const eventMs = 8;
 const replicasPerService = 3;
+/** Bounds with few retries, which other faults use up as on busy nodes. */
+const scarceRetries = { "retry-budget-ratio": 0.02, "budget-extra": 3 };
 const services = ["models", "booking"] as const;
 /** Software versions of the replicas by turns, and the text of their events. */
 const softwareVersions = [
@@ -60,6 +62,8 @@
   readonly nodes: number;
   /** Arguments of Node.js: program and its arguments. */
   readonly command: readonly string[];
+  /** Whether nodes have few retries. */
+  readonly hasScarceRetries: boolean;
 }
 
 /** A running system; `close` ends everything that it started. */
@@ -238,7 +242,9 @@
     await this.#openNodes(options);
   }
 
-  async #openNodes({ nodes, command }: SoakSystemOptions): Promise<void> {
+  async #openNodes(
+    { nodes, command, hasScarceRetries }: SoakSystemOptions,
+  ): Promise<void> {
     const ports = await findSharedPorts();
     for (let at = 0; at < nodes; at += 1) {
       const storeLink = await LinkProxy.open(this.store.address);
@@ -251,6 +257,7 @@
         place,
         command,
         folder: this.#folder,
+        bounds: hasScarceRetries ? scarceRetries : {},
         onOutput: (text) => this.#logs[at] += text,
       });
       this.nodes.push({ process, storeLink });
--- a/packages/standin/src/platform/replica_standin_test.ts
+++ b/packages/standin/src/platform/replica_standin_test.ts
@@ -52,11 +52,11 @@
   const pausedWhole = await readStream(replica.address);
   const wholeMs = performance.now() - pausedAt;
   replica.close();
-  const eventsOf = ({ text }: RawAnswer): readonly string[] =>
+  const listEventIds = ({ text }: RawAnswer): readonly string[] =>
     text.match(/^id: \d+$/gm) ?? [];
-  assert.equal(eventsOf(sound), ["id: 1", "id: 2", "id: 3"]);
-  assert.equal(eventsOf(paused), eventsOf(sound));
-  assert.equal(eventsOf(pausedWhole), eventsOf(sound));
+  assert.equal(listEventIds(sound), ["id: 1", "id: 2", "id: 3"]);
+  assert.equal(listEventIds(paused), listEventIds(sound));
+  assert.equal(listEventIds(pausedWhole), listEventIds(sound));
   assert.ok(endedAt - startedAt >= pausedMs);
   assert.ok(wholeMs >= pausedMs);
 });
