Stand-in of replicas: crash after a caller in the same process has read

Timers run before reads in a turn of the event loop, and immediates after them, so the crash waits for one.

--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -220,7 +220,11 @@
     const willCrash = hasSharedPart(request.headers, this.crashingParts);
     if (willCrash) {
       if (this.crashAfterMs === 0) return this.#crash(run);
-      setTimeout(() => this.#crash(run), this.crashAfterMs);
+      // A caller in this process reads what was sent before the reset drops it.
+      setTimeout(
+        () => setImmediate(() => this.#crash(run)),
+        this.crashAfterMs,
+      );
     }
     if (fault.kind === "endless_head" || fault.kind === "endless_body") {
       return await sendEndlessAnswer(request.socket, fault.kind, run.id);
