Repeat requests that did not break themselves; name prompt parts in the log

A stream whose replica was silent, or that was declined, was not repeated either if one of its parts had been in a broken request of others. That says nothing of it as long as it did not break itself. And the log's lines about the quarantine named the prompt part in the field `part`, which names the part of the program.

--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -183,8 +183,9 @@
 function logQuarantine(quarantine: PartQuarantine, parent: Log): void {
   const log = parent.createChild("relay");
   quarantine.onChanged(({ kind, part, crashes }) => {
-    if (kind === "left") log.info("a prompt part left quarantine.", { part });
-    else log.warn("a prompt part is in quarantine.", { part, crashes });
+    const fields = { promptPart: part, crashes };
+    if (kind === "left") log.info("a prompt part left quarantine.", fields);
+    else log.warn("a prompt part is in quarantine.", fields);
   });
 }
 
--- a/packages/gateway/src/relay/quarantine_check.ts
+++ b/packages/gateway/src/relay/quarantine_check.ts
@@ -38,7 +38,7 @@
     case "quarantined": {
       const { part, retryAfterMs } = verdict;
       const reply = composeLocalReply(503, "quarantined", retryAfterMs);
-      return { reply, fields: { part } };
+      return { reply, fields: { promptPart: part } };
     }
   }
 }
--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -110,8 +110,8 @@
   }
 
   /**
-   * Whether a broken request may be repeated: no part of it is guilty, or never went
-   * well and was also in a request of others that broke.
+   * Whether a request may be repeated: no part of it is guilty, and if it broke
+   * itself, none that never went well was in a request of others that broke.
    *
    * @param brokenOn Incarnations on which the request itself broke.
    */
@@ -121,8 +121,11 @@
     now: number,
   ): boolean {
     this.refresh(now);
+    // A request that did not break itself says nothing new of its parts.
+    const hasBroken = brokenOn.size > 0;
     return !parts.some((part) =>
-      this.#guilty.has(part) || this.#isSuspected(part, brokenOn)
+      this.#guilty.has(part) ||
+      (hasBroken && this.#isSuspected(part, brokenOn))
     );
   }
 
--- a/packages/routing/src/quarantine/part_quarantine_test.ts
+++ b/packages/routing/src/quarantine/part_quarantine_test.ts
@@ -139,6 +139,7 @@
   other.recordCrash(["bad"], "r/2", 1_100);
   assert.is(other.mayRepeat(["bad"], new Set(["r/2"]), 1_100), false);
   assert.is(other.mayRepeat(["good"], new Set(["r/2"]), 1_100), true);
+  assert.is(other.mayRepeat(["bad"], new Set(), 1_100), true);
 });
 
 test("a part that went well is in quarantine soon after it began to crash replicas", () => {
