Soak: a part of prompts crashes replicas

One part of prompts can crash each replica that begins to answer a request with it; callers then lose replica after replica. No soak had such a part, nor did its streams have prompts. In half of the seeds of 30 s or more one part does so for 15 s; two checks: once a part has crashed five replicas and the contact time has passed, at most three requests with it reach replicas; sound streams beside it are answered at least half as often as before. Nothing is promised for the requests with the part, so they count as no broken answers.

--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -53,15 +53,32 @@
 /** Kind of a fault that excuses broken answers. */
 export type BreakingFaultKind = (typeof breakingFaultKinds)[number];
 
+/** A prompt part crashes replicas; only these crashes excuse broken answers. */
+export const partCrashes = "prompt_part_crashes";
+
 /** Kind of a fault or planned change. */
-export type FaultKind = MaskedFaultKind | BreakingFaultKind;
+export type FaultKind =
+  | MaskedFaultKind
+  | BreakingFaultKind
+  | typeof partCrashes;
 
 /** All kinds of faults and planned changes. */
 export const faultKinds: readonly FaultKind[] = [
   ...maskedFaultKinds,
   ...breakingFaultKinds,
+  partCrashes,
 ];
 
+/** Changes that leave all nodes in contact with each other and the platform. */
+const calmFaultKinds = [
+  "node_hup",
+  "configuration_changes",
+  "configuration_storm",
+  "replica_drains",
+  "replica_starts",
+  "replica_falls_silent",
+] as const satisfies readonly MaskedFaultKind[];
+
 /** One fault of a plan; `atMs` counts from the start of the soak. */
 export interface PlannedFault {
   readonly kind: FaultKind;
@@ -85,8 +102,18 @@
 /** Time at the end of a soak without faults. */
 export const faultFreeMs = 12_000;
 
+/** Probability that a plan in which there is time for it has part crashes. */
+const partCrashesProbability = 0.5;
+/** Start of part crashes: enough requests to compare with come before. */
+const partCrashesAtMs = 3_000;
+/** Time for which they last: long enough to see sound requests served again. */
+const partCrashesMs = 15_000;
+
 /**
  * Draws the faults of a soak that takes `lengthMs`, in order of their start.
+ *
+ * Until part crashes are over, all others are changes that leave the nodes in
+ * contact, so that what the nodes let through is their own fault.
  */
 export function createFaultPlan(
   random: Random,
@@ -94,17 +121,29 @@
 ): readonly PlannedFault[] {
   const faults: PlannedFault[] = [];
   const endsAt = lengthMs - faultFreeMs;
+  const calmUntil = partCrashesAtMs + partCrashesMs;
+  const hasPartCrashes = random.next() < partCrashesProbability &&
+    calmUntil <= endsAt;
+  if (hasPartCrashes) {
+    faults.push({
+      kind: partCrashes,
+      atMs: partCrashesAtMs,
+      durationMs: partCrashesMs,
+      target: random.nextInt(maxTarget),
+    });
+  }
   let atMs = firstFaultMs;
   while (atMs < endsAt) {
+    const isCalm = hasPartCrashes && atMs < calmUntil;
     const durationMs = minDurationMs +
       random.next() * (maxDurationMs - minDurationMs);
     faults.push({
-      kind: random.choose(drawnFaultKinds),
+      kind: random.choose<FaultKind>(isCalm ? calmFaultKinds : drawnFaultKinds),
       atMs,
       durationMs: Math.min(durationMs, endsAt - atMs),
       target: random.nextInt(maxTarget),
     });
     atMs += random.nextExponential(meanPauseMs);
   }
-  return faults;
+  return faults.sort((one, other) => one.atMs - other.atMs);
 }
--- a/packages/soak/src/fault_plan_test.ts
+++ b/packages/soak/src/fault_plan_test.ts
@@ -5,7 +5,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { Random } from "@almondcrank/common/random.ts";
-import { createFaultPlan, faultFreeMs, faultKinds } from "./fault_plan.ts";
+import {
+  createFaultPlan,
+  faultFreeMs,
+  faultKinds,
+  partCrashes,
+} from "./fault_plan.ts";
 
 const lengthMs = 60_000;
 
@@ -35,4 +40,29 @@
   assert.is(drawn.size, faultKinds.length);
 });
 
+test("until part crashes are over, all nodes stay in contact", () => {
+  const plans = [1, 2, 3, 4, 5].map((seed) =>
+    createFaultPlan(Random.create(seed), lengthMs)
+  );
+  const beside = plans.flatMap((plan) => {
+    const crashes = plan.find(({ kind }) => kind === partCrashes);
+    if (crashes === undefined) return [];
+    const endsAt = crashes.atMs + crashes.durationMs;
+    return plan.filter((fault) => fault !== crashes && fault.atMs < endsAt);
+  });
+  assert.ok(beside.length > 0);
+  const interrupting = beside.filter(({ kind }) =>
+    /^store_|^cloud_|^node_(?!hup$)/.test(kind)
+  );
+  assert.equal(interrupting, []);
+});
+
+test("a soak that is too short for part crashes has none", () => {
+  const kinds = [1, 2, 3, 4, 5].flatMap((seed) =>
+    createFaultPlan(Random.create(seed), 29_000).map(({ kind }) => kind)
+  );
+  assert.ok(kinds.length > 0);
+  assert.not.ok(kinds.includes(partCrashes));
+});
+
 test.run();
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -8,10 +8,12 @@
   type BreakingFaultKind,
   breakingFaultKinds,
   type MaskedFaultKind,
+  partCrashes,
   type PlannedFault,
 } from "./fault_plan.ts";
 import type { LinkFault } from "./link_proxy.ts";
-import type { FaultSpan, KeyWithdrawal } from "./records.ts";
+import { PartCrashes } from "./part_crashes.ts";
+import type { CrashRecord, FaultSpan, KeyWithdrawal } from "./records.ts";
 import { registrationTtlMs, ReplicaFaults } from "./replica_faults.ts";
 import {
   secondKey,
@@ -35,6 +37,7 @@
 export class FaultRunner {
   readonly #system: SoakSystem;
   readonly #replicaFaults: ReplicaFaults;
+  readonly #partCrashes: PartCrashes;
   readonly #spans: FaultSpan[] = [];
   readonly #withdrawals: KeyWithdrawal[] = [];
   /** Nodes that a fault has stopped or paused; other faults skip them. */
@@ -43,6 +46,7 @@
   private constructor(system: SoakSystem) {
     this.#system = system;
     this.#replicaFaults = ReplicaFaults.create(system);
+    this.#partCrashes = PartCrashes.create(system);
   }
 
   static create(system: SoakSystem): FaultRunner {
@@ -51,7 +55,12 @@
 
   /** Times of the faults that have ended. */
   get spans(): readonly FaultSpan[] {
-    return this.#spans;
+    return [...this.#spans, ...this.#partCrashes.spans];
+  }
+
+  /** Crashes of replicas that a prompt part has caused. */
+  get crashes(): readonly CrashRecord[] {
+    return this.#partCrashes.crashes;
   }
 
   /** Keys that have been withdrawn. */
@@ -80,7 +89,11 @@
 
   /** Resolves at the end of a fault, with the only node or replica it hit. */
   async #runFault(fault: PlannedFault): Promise<string | undefined> {
-    const { kind } = fault;
+    const { kind, durationMs } = fault;
+    if (kind === partCrashes) {
+      await this.#partCrashes.run(durationMs);
+      return undefined;
+    }
     if (isBreaking(kind)) return await this.#runBreakingFault(kind, fault);
     if (kind === "replica_falls_silent") {
       return await this.#replicaFaults.pause(fault.target);
--- a/packages/soak/src/link_proxy.ts
+++ b/packages/soak/src/link_proxy.ts
@@ -5,9 +5,10 @@
  * TCP retransmits; they arrive when the cut ends.
  */
 
+import { once } from "node:events";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { parseAddress } from "@almondcrank/common/address.ts";
+import { formatAddress, parseAddress } from "@almondcrank/common/address.ts";
 
 /** Fault of a link. */
 export type LinkFault =
@@ -40,19 +41,21 @@
     this.#server = createServer((caller) => this.#open(caller));
   }
 
-  /** Listens on loopback and forwards to `target`. */
-  static async open(target: string): Promise<LinkProxy> {
+  /** Listens at a loopback address and forwards to `target`. */
+  static async open(
+    target: string,
+    listenAddress = "127.0.0.1:0",
+  ): Promise<LinkProxy> {
     const proxy = new LinkProxy(target);
-    await new Promise<void>((resolve) =>
-      proxy.#server.listen(0, "127.0.0.1", resolve)
-    );
+    proxy.#server.listen({ ...parseAddress(listenAddress) });
+    await once(proxy.#server, "listening");
     return proxy;
   }
 
   /** Address at which this link reaches the target. */
   get address(): string {
-    const { port } = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${port}`;
+    const { address, port } = this.#server.address() as AddressInfo;
+    return formatAddress(address, port);
   }
 
   /** Replaces the link's fault; held bytes pass once no fault holds them. */
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -7,8 +7,9 @@
 
 import process from "node:process";
 import { Builtins, Cli, Command, Option } from "clipanion";
+import { partCrashes } from "./fault_plan.ts";
 import { type PlantedFault, plantedFaults } from "./faulty_proxy.ts";
-import { runSoak } from "./soak_run.ts";
+import { runSoak, type SoakResult } from "./soak_run.ts";
 
 const msPerMinute = 60_000;
 const shownFindings = 10;
@@ -66,7 +67,7 @@
     seed: number,
     planted: PlantedFault | undefined,
   ): Promise<boolean> {
-    const { findings, plan, callers, folder } = await runSoak({
+    const result = await runSoak({
       seed,
       lengthMs: Number(this.seconds) * 1_000,
       nodes: Number(this.nodes),
@@ -74,10 +75,8 @@
       command: [this.program],
       ...(planted === undefined ? {} : { planted }),
     });
-    const served = callers.filter(({ status }) => status === 200).length;
-    this.#write(
-      `seed ${seed}: ${plan.length} faults, ${callers.length} requests, ${served} answered 200, ${findings.length} findings`,
-    );
+    const { findings, folder } = result;
+    this.#write(`seed ${seed}: ${formatCounts(result)}`);
     for (const finding of findings.slice(0, shownFindings)) {
       this.#write(
         `  ${finding.promise}: ${finding.request} ${finding.detail}`,
@@ -92,6 +91,20 @@
   }
 }
 
+function formatCounts(
+  { findings, plan, callers, hasScarceRetries }: SoakResult,
+): string {
+  const answered = callers.filter(({ status }) => status === 200);
+  return [
+    `${plan.length} faults`,
+    ...(plan.some(({ kind }) => kind === partCrashes) ? ["part crashes"] : []),
+    ...(hasScarceRetries ? ["few retries"] : []),
+    `${callers.length} requests`,
+    `${answered.length} answered 200`,
+    `${findings.length} findings`,
+  ].join(", ");
+}
+
 const cli = new Cli({ binaryLabel: "soak", binaryName: "soak" });
 cli.register(SoakCommand);
 cli.register(Builtins.HelpCommand);
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -138,6 +138,8 @@
   faults: readonly FaultSpan[],
 ): string | undefined {
   if (caller.leftAt !== undefined || !isBrokenAnswer(caller)) return undefined;
+  // Nothing is promised for requests that crash replicas.
+  if (caller.crashingPart !== undefined) return undefined;
   const isExcused = faults.some((fault) =>
     !fault.isMasked && caller.endedAt >= fault.from &&
     caller.sentAt <= fault.to + faultEffectMs
--- a/packages/soak/src/record_fixture.ts
+++ b/packages/soak/src/record_fixture.ts
@@ -27,6 +27,9 @@
     text: formatExpectedBody(base, events, firstText),
     isComplete: true,
     leftAt: undefined,
+    isReturn: false,
+    promptParts: undefined,
+    crashingPart: undefined,
     ...base,
   };
 }
@@ -58,6 +61,8 @@
     usage: [],
     faults: [],
     withdrawals: [],
+    crashes: [],
+    promptArrivals: [],
     faultsEndAt: 0,
     events,
     ...records,
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -34,6 +34,12 @@
   readonly isComplete: boolean;
   /** Time at which the caller left, undefined if it did not. */
   readonly leftAt: number | undefined;
+  /** Whether the caller came back for the rest of a broken stream. */
+  readonly isReturn: boolean;
+  /** Parts of the prompt as sent, undefined if the request has no prompt. */
+  readonly promptParts: string | undefined;
+  /** The one of them that crashes replicas, undefined if none does. */
+  readonly crashingPart: string | undefined;
 }
 
 /** A request as a replica ran it. */
@@ -62,6 +68,22 @@
   readonly fencingToken: number;
 }
 
+/** Crash of a replica that began to answer a request with a prompt part. */
+export interface CrashRecord {
+  readonly part: string;
+  readonly replica: string;
+  readonly at: number;
+}
+
+/** Arrival at a replica, run or not, of a request with a prompt. */
+export interface PromptArrival {
+  readonly id: string;
+  readonly replica: string;
+  readonly at: number;
+  /** Parts of the prompt as they arrived. */
+  readonly promptParts: string;
+}
+
 /** Start and end of a fault. */
 export interface FaultSpan {
   readonly from: number;
@@ -89,6 +111,8 @@
   readonly usage: readonly UsageRecord[];
   readonly faults: readonly FaultSpan[];
   readonly withdrawals: readonly KeyWithdrawal[];
+  readonly crashes: readonly CrashRecord[];
+  readonly promptArrivals: readonly PromptArrival[];
   /** End of the last fault, or the start of the soak if it had none. */
   readonly faultsEndAt: number;
   /** Number of events in a complete stream. */
--- a/packages/soak/src/replica_promises_test.ts
+++ b/packages/soak/src/replica_promises_test.ts
@@ -1,6 +1,6 @@
 /**
- * The checks beside silent replicas find records that break a promise and accept
- * others.
+ * The checks beside silent replicas and parts that crash replicas find records
+ * that break a promise and accept others.
  */
 
 import { test } from "uvu";
@@ -13,7 +13,13 @@
   firstText,
   listBrokenPromises,
 } from "./record_fixture.ts";
-import type { CallerRecord, FaultSpan, RunRecord } from "./records.ts";
+import type {
+  CallerRecord,
+  CrashRecord,
+  FaultSpan,
+  RunRecord,
+  SoakRecords,
+} from "./records.ts";
 
 /** Path of streams that callers may resume. */
 const streamPath = "/answer/draft/stream";
@@ -44,6 +50,30 @@
   });
 }
 
+/** Streams with their runs; `fails` tells whether the one at an index failed. */
+function createStreams(
+  count: number,
+  { prefix, at, change = {}, fails = () => false }: {
+    readonly prefix: string;
+    readonly at: number;
+    readonly change?: Partial<CallerRecord>;
+    readonly fails?: (index: number) => boolean;
+  },
+): Pick<SoakRecords, "callers" | "runs"> {
+  const refusal = { status: 503, seal: undefined, text: "" };
+  const callers = Array.from({ length: count }, (_, index) =>
+    createStream({
+      id: `${prefix}${index}`,
+      sentAt: at,
+      endedAt: at + 10,
+      ...change,
+      ...(fails(index) ? refusal : {}),
+    }));
+  const runs = callers.filter(({ status }) => status === 200)
+    .map(({ id }) => createStreamRun(id));
+  return { callers, runs };
+}
+
 test("a stream that breaks because its replica is silent is found", () => {
   const silence = {
     from: 150,
@@ -92,4 +122,87 @@
   assert.equal(found, ["answers break only beside faults"]);
 });
 
+/** Crashes under one part, a second apart. */
+function createCrashes(count: number): readonly CrashRecord[] {
+  return Array.from({ length: count }, (_, index) => ({
+    part: "bad0",
+    replica: `models-${index}`,
+    at: 1_000 * (index + 1),
+  }));
+}
+
+test("requests with a part that crashed five replicas are found at others", () => {
+  const check = (
+    arrivals: number,
+    { crashes = 5, at = 8_001, promptParts = "a:1,bad0:2,own:3" } = {},
+  ): readonly string[] =>
+    listBrokenPromises({
+      crashes: createCrashes(crashes),
+      promptArrivals: Array.from({ length: arrivals }, (_, index) => ({
+        id: `r${index}`,
+        replica: "models-9",
+        at,
+        promptParts,
+      })),
+    });
+  const promise = "a part that crashes replicas is held back";
+  assert.equal(check(4), [promise]);
+  assert.equal(check(3), []);
+  assert.equal(check(4, { crashes: 4 }), []);
+  assert.equal(check(4, { at: 8_000 }), []);
+  assert.equal(check(4, { promptParts: "a:1,own:3" }), []);
+});
+
+test("sound requests that fail beside a part that crashes replicas are found", () => {
+  const createCrashing = (at: number): CallerRecord =>
+    createStream({
+      id: `bad${at}`,
+      sentAt: at,
+      endedAt: at + 5,
+      crashingPart: "bad0",
+    });
+  const check = (
+    failed: number,
+    { count = 20, crashes = 5, change = {} }: {
+      readonly count?: number;
+      readonly crashes?: number;
+      readonly change?: Partial<CallerRecord>;
+    } = {},
+  ): readonly string[] => {
+    const before = createStreams(20, { prefix: "a", at: 500 });
+    const beside = createStreams(count, {
+      prefix: "b",
+      at: 11_001,
+      change,
+      fails: (index) => index < failed,
+    });
+    return listBrokenPromises({
+      callers: [
+        ...before.callers,
+        ...beside.callers,
+        createCrashing(900),
+        createCrashing(12_000),
+      ],
+      runs: [
+        ...before.runs,
+        ...beside.runs,
+        createStreamRun("bad900"),
+        createStreamRun("bad12000"),
+      ],
+      crashes: createCrashes(crashes),
+      // The check of recovery is not what is tested.
+      faultsEndAt: 12_000,
+    });
+  };
+  const promise =
+    "sound requests are served beside a part that crashes replicas";
+  assert.equal(check(11), [promise]);
+  assert.equal(check(10), []);
+  assert.equal(check(11, { crashes: 1 }), [promise]);
+  assert.equal(check(11, { crashes: 6 }), [promise]);
+  assert.equal(check(11, { count: 19 }), []);
+  assert.equal(check(20, { change: { sentAt: 11_000 } }), []);
+  assert.equal(check(20, { change: { crashingPart: "bad0" } }), []);
+});
+
 test.run();
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -7,6 +7,7 @@
 import type { Random } from "@almondcrank/common/random.ts";
 import {
   lastEventIdHeader,
+  promptPartsHeader,
   resumedRequestHeader,
   signatureHeader,
 } from "@almondcrank/platform/headers.ts";
@@ -31,6 +32,10 @@
 const abortProbability = 0.04;
 const abortAfterMs = 90;
 const secondKeyProbability = 0.15;
+/** Parts that all prompts share, as `ID:TOKENS`. */
+const sharedParts = ["5c1e07a2:200", "91bd3f06:100"];
+const crashingPartTokens = 50;
+const ownPartTokens = 20;
 /** Probability that the caller of a broken stream comes back for its rest. */
 const returnProbability = 0.7;
 /** Longest time for which `minRequests` extends a soak. */
@@ -42,6 +47,8 @@
   readonly random: Random;
   readonly callers: number;
   readonly lengthMs: number;
+  /** Takes a part that crashes replicas for the next prompt, if one is due. */
+  readonly takeCrashingPart: () => string | undefined;
   /**
    * Number of requests that are sent at least, on a slow machine for longer than
    * `lengthMs`.
@@ -75,9 +82,10 @@
  * as the user documentation says.
  */
 async function runCaller(
-  { balancer, random, minRequests = 0 }: SoakCallersOptions,
+  options: SoakCallersOptions,
   { caller, endsAt, records }: CallerTask,
 ): Promise<void> {
+  const { balancer, random, minRequests = 0 } = options;
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   let node = balancer.choose(caller);
   let number = 0;
@@ -93,9 +101,12 @@
     if (node === undefined) continue;
     number += 1;
     const willAbort = random.next() < abortProbability;
+    const id = `c${caller}-${number}`;
+    const kind = random.choose(kinds);
     const record = await sendRequest(agent, {
-      id: `c${caller}-${number}`,
-      kind: random.choose(kinds),
+      id,
+      kind,
+      ...composePrompt(options, id, kind),
       key: random.next() < secondKeyProbability ? secondKey : tenantKey,
       node,
       abortAfterMs: willAbort ? abortAfterMs : undefined,
@@ -111,13 +122,36 @@
   agent.destroy();
 }
 
-interface SoakRequest {
+interface Prompt {
+  readonly promptParts: string | undefined;
+  readonly crashingPart: string | undefined;
+}
+
+/** Composes the prompt of a request, if its kind has one. */
+function composePrompt(
+  { random, takeCrashingPart }: SoakCallersOptions,
+  id: string,
+  kind: RequestKind,
+): Prompt {
+  const hasPrompt = kind === "stream" || kind === "once";
+  if (!hasPrompt) return { promptParts: undefined, crashingPart: undefined };
+  const parts = [...sharedParts];
+  const crashingPart = takeCrashingPart();
+  if (crashingPart !== undefined) {
+    const at = random.nextInt(parts.length + 1);
+    parts.splice(at, 0, `${crashingPart}:${crashingPartTokens}`);
+  }
+  parts.push(`${Buffer.from(id).toString("hex")}:${ownPartTokens}`);
+  return { promptParts: parts.join(","), crashingPart };
+}
+
+interface SoakRequest extends Prompt {
   readonly id: string;
   readonly kind: RequestKind;
   readonly key: string;
   readonly node: BalancedNode;
   readonly abortAfterMs?: number | undefined;
-  readonly headers?: Readonly<Record<string, string>>;
+  readonly resumeHeaders?: Readonly<Record<string, string>>;
 }
 
 /** A broken stream whose caller comes back. */
@@ -148,7 +182,12 @@
     kind: broken.kind,
     key: broken.key,
     node,
-    headers: { [lastEventIdHeader]: lastId, [resumedRequestHeader]: broken.id },
+    promptParts: broken.promptParts,
+    crashingPart: broken.crashingPart,
+    resumeHeaders: {
+      [lastEventIdHeader]: lastId,
+      [resumedRequestHeader]: broken.id,
+    },
   });
   agent.destroy();
   return rest.status === 200 ? { ...rest, text: text + rest.text } : rest;
@@ -156,8 +195,10 @@
 
 async function sendRequest(
   agent: Agent,
-  { id, kind, key, node, abortAfterMs, headers = {} }: SoakRequest,
+  request: SoakRequest,
 ): Promise<CallerRecord> {
+  const { id, kind, key, node, abortAfterMs, resumeHeaders } = request;
+  const { promptParts, crashingPart } = request;
   const path = paths[kind];
   const body = `question ${id}`;
   const sentAt = performance.now();
@@ -171,7 +212,12 @@
     deadlineMs,
     agent,
     abortAfterMs,
-    headers,
+    headers: {
+      ...(promptParts === undefined
+        ? {}
+        : { [promptPartsHeader]: promptParts }),
+      ...resumeHeaders,
+    },
   });
   const endedAt = performance.now();
   return {
@@ -188,6 +234,9 @@
     text: answer.body,
     isComplete: answer.isComplete,
     leftAt: answer.isAborted ? endedAt : undefined,
+    isReturn: resumeHeaders !== undefined,
+    promptParts,
+    crashingPart,
   };
 }
 
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -36,6 +36,8 @@
   readonly findings: readonly Finding[];
   readonly plan: readonly PlannedFault[];
   readonly callers: readonly CallerRecord[];
+  /** Whether the nodes had few retries. */
+  readonly hasScarceRetries: boolean;
   /** Folder with the nodes' logs, kept only if there are findings. */
   readonly folder: string;
 }
@@ -47,7 +49,8 @@
   const hasScarceRetries = random.next() < scarceRetriesProbability;
   const system = await SoakSystem.open({ ...options, hasScarceRetries });
   try {
-    return await playSoak(options, { system, random, plan });
+    const result = await playSoak(options, { system, random, plan });
+    return { ...result, hasScarceRetries };
   } catch (thrown) {
     await system.close({ keepLogs: true });
     throw thrown;
@@ -63,7 +66,7 @@
 async function playSoak(
   options: SoakOptions,
   { system, random, plan }: SoakContext,
-): Promise<SoakResult> {
+): Promise<Omit<SoakResult, "hasScarceRetries">> {
   const runner = FaultRunner.create(system);
   const nodes = system.nodes.map(({ process: { place } }) => ({
     name: place.name,
@@ -78,7 +81,12 @@
   const balancer = LoadBalancer.create(balancedNodes);
   const startedAt = performance.now();
   const [callers] = await Promise.all([
-    runCallers({ ...options, balancer, random }),
+    runCallers({
+      ...options,
+      balancer,
+      random,
+      takeCrashingPart: () => system.takeCrashingPart(),
+    }),
     runner.run(plan),
   ]);
   const faultsEndAt = Math.max(
@@ -91,6 +99,8 @@
     usage: system.listUsage(),
     faults: runner.spans,
     withdrawals: runner.withdrawals,
+    crashes: runner.crashes,
+    promptArrivals: system.listPromptArrivals(),
     faultsEndAt,
     events: streamEvents,
   });
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -6,6 +6,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 import { tenantHeader } from "@almondcrank/platform/headers.ts";
 import { CloudStandin } from "@almondcrank/standin/platform/cloud_standin.ts";
 import {
@@ -20,7 +21,7 @@
 import { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
 import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
 import { LinkProxy } from "./link_proxy.ts";
-import type { RunRecord, UsageRecord } from "./records.ts";
+import type { PromptArrival, RunRecord, UsageRecord } from "./records.ts";
 
 /** Key that a fault of the soak may withdraw. */
 export const secondKey = "key-of-counters";
@@ -31,6 +32,10 @@
 const replicasPerService = 3;
 /** Bounds with few retries, which other faults use up as on busy nodes. */
 const scarceRetries = { "retry-budget-ratio": 0.02, "budget-extra": 3 };
+/** Time from one request with a part that crashes replicas to the next. */
+const crashingPauseMs = 150;
+/** Replicas' addresses lie apart from those that outgoing connections take. */
+const replicaListenAddress = "127.253.0.1:0";
 const services = ["models", "booking"] as const;
 /** Software versions of the replicas by turns, and the text of their events. */
 const softwareVersions = [
@@ -47,10 +52,15 @@
   readonly standin: ReplicaStandin;
   readonly link: LinkProxy;
   readonly service: string;
-  readonly softwareVersion: string;
+  /** Address at which nodes reach the replica. */
+  readonly address: string;
+  readonly software: Software;
   isRegistered: boolean;
 }
 
+/** Version of a replica's software, and the text of its events. */
+type Software = (typeof softwareVersions)[number];
+
 /** A node and its link to the store. */
 export interface SoakNode {
   readonly process: NodeProcess;
@@ -75,6 +85,12 @@
   readonly replicas: SoakReplica[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "almondcrank-soak-"));
   readonly #logs: string[] = [];
+  readonly #crashed = Emitter.create<SoakReplica>();
+  /** Fires when a prompt part has crashed a replica. */
+  readonly onCrash: Event<SoakReplica> = (listener) =>
+    this.#crashed.event(listener);
+  #crashingPart: string | undefined;
+  #nextCrashingAt = 0;
   #version = 0;
   #keys: readonly string[] = [tenantKey, secondKey];
   #nextReplica = 1;
@@ -113,41 +129,85 @@
     return this.#folder;
   }
 
+  /**
+   * Takes the part of prompts that crashes replicas for a request, if there is
+   * one and the last such request was some time ago.
+   */
+  takeCrashingPart(): string | undefined {
+    const now = performance.now();
+    if (now < this.#nextCrashingAt) return undefined;
+    this.#nextCrashingAt = now + crashingPauseMs;
+    return this.#crashingPart;
+  }
+
+  /** Sets the part of prompts that crashes replicas. */
+  setCrashingPart(part: string | undefined): void {
+    this.#crashingPart = part;
+    for (const { standin } of this.replicas) this.#applyCrashingPart(standin);
+  }
+
   /** Starts and registers a replica. */
   async addReplica(service: string): Promise<SoakReplica> {
-    const id = `${service}-${this.#nextReplica}`;
     const software =
       softwareVersions[this.#nextReplica % softwareVersions.length] ??
         softwareVersions[0];
-    this.#nextReplica += 1;
+    return await this.#openReplica(service, software, replicaListenAddress);
+  }
+
+  /** Starts a replica with a new id at the address of one that has crashed. */
+  async replaceReplica(crashed: SoakReplica): Promise<SoakReplica> {
+    const { service, software, address } = crashed;
+    return await this.#openReplica(service, software, address);
+  }
+
+  async #openReplica(
+    service: string,
+    software: Software,
+    listenAddress: string,
+  ): Promise<SoakReplica> {
     const standin = await ReplicaStandin.open({
-      id,
+      id: `${service}-${this.#nextReplica}`,
       events: streamEvents,
       eventMs,
     });
+    this.#nextReplica += 1;
     standin.tokenText = software.tokenText;
-    const link = await LinkProxy.open(standin.address);
-    const softwareVersion = software.version;
-    const replica = {
+    const link = await LinkProxy.open(standin.address, listenAddress);
+    const replica: SoakReplica = {
       standin,
       link,
+      address: link.address,
       service,
-      softwareVersion,
+      software,
       isRegistered: true,
     };
+    this.#applyCrashingPart(standin);
+    standin.onCrash(() => this.#handleCrash(replica));
     this.replicas.push(replica);
     this.register(replica, "ready");
     return replica;
   }
 
+  #applyCrashingPart(standin: ReplicaStandin): void {
+    const part = this.#crashingPart;
+    standin.crashingParts = new Set(part === undefined ? [] : [part]);
+  }
+
+  #handleCrash(replica: SoakReplica): void {
+    replica.isRegistered = false;
+    replica.link.setFault({ kind: "reset" });
+    replica.link.close();
+    this.#crashed.fire(replica);
+  }
+
   /** Writes a replica's registration to the store. */
   register(replica: SoakReplica, state: "ready" | "draining"): void {
     this.#sequenceNumber += 1;
     this.store.put("servers", replica.standin.id, {
       service: replica.service,
-      address: replica.link.address,
+      address: replica.address,
       zone: "muc-a",
-      version: replica.softwareVersion,
+      version: replica.software.version,
       slots: 8,
       state,
       "seq-no": this.#sequenceNumber,
@@ -197,6 +257,20 @@
     );
   }
 
+  /** Lists the arrivals of requests with a prompt at all replicas. */
+  listPromptArrivals(): readonly PromptArrival[] {
+    return this.replicas.flatMap(({ standin }) =>
+      standin.arrivals
+        .filter(({ parts }) => parts !== "")
+        .map(({ id, at, parts }): PromptArrival => ({
+          id,
+          replica: standin.id,
+          at,
+          promptParts: parts,
+        }))
+    );
+  }
+
   /** Lists the usage reports that the platform has received. */
   listUsage(): readonly UsageRecord[] {
     return this.cloud.listCalls("/usage").map((
--- a/packages/standin/src/platform/node_settings.ts
+++ b/packages/standin/src/platform/node_settings.ts
@@ -83,7 +83,11 @@
   return JSON.stringify(settings);
 }
 
+/** Time after which nodes that reach each other know the same. */
+export const contactMs = 3_000;
+
 const defaultBounds = {
+  "contact-ms": contactMs,
   "config-apply-ms": 2_000,
   "revoke-fail-closed": true,
   "revoke-ms": 5_000,
