--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -95,12 +95,17 @@
   { findings, plan, callers, hasScarceRetries }: SoakResult,
 ): string {
   const answered = callers.filter(({ status }) => status === 200);
+  const resumed = callers.filter(({ isReturn }) => isReturn);
+  const whole = resumed.filter(({ status, isComplete }) =>
+    status === 200 && isComplete
+  );
   return [
     `${plan.length} faults`,
     ...(plan.some(({ kind }) => kind === partCrashes) ? ["part crashes"] : []),
     ...(hasScarceRetries ? ["few retries"] : []),
     `${callers.length} requests`,
     `${answered.length} answered 200`,
+    `${whole.length} of ${resumed.length} resumed streams whole`,
     `${findings.length} findings`,
   ].join(", ");
 }
--- a/packages/soak/src/replica_promises.ts
+++ b/packages/soak/src/replica_promises.ts
@@ -22,8 +22,12 @@
 const maxLaterRequests = 3;
 /** Share at which sound requests must be served, of the share before. */
 const minShareBesideCrashes = 0.5;
+/** Share at which resumed streams must go on, of that at which new ones begin. */
+const minResumedShare = 0.5;
 /** Requests of each sort from which on shares are compared. */
 const minSoundRequests = 20;
+/** The same for resumed streams, of which there are fewer. */
+const minResumedStreams = 10;
 
 /** Checks these promises; returns the broken ones. */
 export function checkReplicaPromises(
@@ -34,6 +38,7 @@
     ...checkSilences(records),
     ...[...parts].flatMap((part) => checkHeldBack(part, records)),
     ...[...parts].flatMap((part) => checkSoundRequests(part, records)),
+    ...checkResumedStreams(records),
   ];
 }
 
@@ -172,6 +177,22 @@
     withdrawals.every((withdrawal) => withdrawal.key !== key);
 }
 
+/** Checks that streams which callers resume go on as often as new ones begin. */
+function checkResumedStreams(records: SoakRecords): readonly Finding[] {
+  const streams = records.callers.filter(({ kind }) => kind === "stream");
+  const begun = streams.filter((caller) => isSound(caller, records));
+  const resumed = streams.filter((caller) =>
+    caller.isReturn && isSound({ ...caller, isReturn: false }, records)
+  );
+  return checkShares({
+    promise: "streams that callers resume go on",
+    minShare: minResumedShare,
+    minCount: minResumedStreams,
+    usual: { all: begun, good: begun.filter(({ status }) => status === 200) },
+    checked: { all: resumed, good: resumed.filter(isServed) },
+  });
+}
+
 /** Requests of one sort, and those of them that went well. */
 interface Sample {
   readonly all: readonly CallerRecord[];
--- a/packages/soak/src/replica_promises_test.ts
+++ b/packages/soak/src/replica_promises_test.ts
@@ -205,4 +205,32 @@
   assert.equal(check(20, { change: { crashingPart: "bad0" } }), []);
 });
 
+test("resumed streams that fail while new ones begin are found", () => {
+  const check = (failed: number, { fresh = 0, count = 20 } = {}) => {
+    const begun = createStreams(20, {
+      prefix: "a",
+      at: 500,
+      fails: (index) => index < fresh,
+    });
+    const resumed = createStreams(count, {
+      prefix: "b",
+      at: 600,
+      change: { isReturn: true },
+      fails: (index) => index < failed,
+    });
+    return listBrokenPromises({
+      callers: [...begun.callers, ...resumed.callers],
+      runs: [...begun.runs, ...resumed.runs],
+      faultsEndAt: 600,
+    });
+  };
+  const promise = "streams that callers resume go on";
+  assert.equal(check(11), [promise]);
+  assert.equal(check(10), []);
+  assert.equal(check(15, { fresh: 10 }), []);
+  assert.equal(check(16, { fresh: 10 }), [promise]);
+  assert.equal(check(6, { count: 10 }), [promise]);
+  assert.equal(check(9, { count: 9 }), []);
+});
+
 test.run();
