Test that fails: a move ends the standby of a silent stream

A caller loses the rest of its answer: the stream's replica is silent and leaves while a standby send at another replica, its last attempt, is on the way. The move that begins near the end aborts the standby, gets no answer from the silent replica, and nothing is left when that one ends.

--- a/packages/scenario/src/gateway_silence_test.ts
+++ b/packages/scenario/src/gateway_silence_test.ts
@@ -6,12 +6,14 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { RouteAnswer } from "@almondcrank/load/route_client.ts";
 import {
   countRuns,
   formatEvents,
   runWithSetup,
 } from "./testing/gateway_helpers.ts";
 import type { ReplicaFault } from "@almondcrank/standin/platform/replica_fault.ts";
+import type { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
 import type { GatewaySetup } from "./testing/gateway_setup.ts";
 
 const silence = { kind: "fall_silent", events: 2, ms: 1_300 } as const;
@@ -64,6 +66,58 @@
   });
 });
 
+/** A stream whose replica is silent for good, and the replicas of its service. */
+interface SilentStream {
+  readonly calling: Promise<RouteAnswer>;
+  readonly runner: ReplicaStandin;
+  readonly other: ReplicaStandin;
+}
+
+/** Begins the stream `id`, whose replica sends two events and nothing more. */
+async function beginSilentStream(
+  setup: GatewaySetup,
+  id: string,
+): Promise<SilentStream> {
+  const replicas = ["model-1", "model-2"].map((name) =>
+    setup.findReplica(name)
+  );
+  for (const replica of replicas) replica.fault = { ...silence, ms: 60_000 };
+  const calling = setup.call({ path: "/answer/stream", id });
+  await setup.waitUntil(() => countRuns(setup, id) === 1);
+  const runner = replicas.find(({ runs }) => runs.some((run) => run.id === id));
+  const other = replicas.find((replica) => replica !== runner);
+  if (runner === undefined || other === undefined) {
+    throw new Error("the stream has no replica");
+  }
+  return { calling, runner, other };
+}
+
+/** Waits until the request `id` has reached a replica. */
+async function waitForArrival(
+  setup: GatewaySetup,
+  { arrivals }: ReplicaStandin,
+  id: string,
+): Promise<void> {
+  await setup.waitUntil(() => arrivals.some((arrival) => arrival.id === id));
+}
+
+test("a stream whose silent replica leaves goes on at the replica that was asked before", async () => {
+  await runWithSetup(1, async (setup) => {
+    const id = "leaves-silently";
+    const { calling, runner, other } = await beginSilentStream(setup, id);
+    other.fault = { ...silence, events: 0 };
+    await waitForArrival(setup, other, id);
+    runner.pauseFor(60_000);
+    setup.registerReplica(runner.id, "models", "draining", {
+      leaves_ms: 1_200,
+    });
+    setTimeout(() => runner.close(), 1_200);
+    const answer = await calling;
+    assert.is(answer.body, formatEvents(1, 5));
+    assert.is(answer.isComplete, true);
+  });
+});
+
 test("a stream goes on elsewhere when its replica stays silent", async () => {
   await runWithSetup(1, async (setup) => {
     const first = setup.findReplica("model-1");
