Leave a silent stream at its replica while a standby is on the way

A caller lost the rest of its answer when the silent replica of its stream left: the move aborted the standby, the stream's last attempt, and got no answer itself. A stream with a standby now counts as about to leave its replica, so the mover asks again later; if the silent replica goes on, the standby ends and the stream may be moved as before.

--- a/packages/gateway/src/relay/stream_registry.ts
+++ b/packages/gateway/src/relay/stream_registry.ts
@@ -20,7 +20,7 @@
   readonly request: RoutedRequest;
   /** Whether its first event has arrived. */
   readonly hasStarted: boolean;
-  /** Whether a move from its current replica is in progress. */
+  /** Whether it is about to leave its current replica, so must not be moved. */
   readonly isMoving: boolean;
   /** Sets the pending move; it resolves to `undefined` if the move fails. */
   setMove(move: Promise<MoveTarget | undefined>): void;
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -103,14 +103,14 @@
     return this.#events > 0;
   }
 
+  /** A standby counts as a move: to abort it would give up what may serve. */
   get isMoving(): boolean {
-    return this.#move !== undefined;
+    return this.#move !== undefined || this.#standby?.isPending === true;
   }
 
   /** Sets the pending move; the relay follows it when the segment ends. */
   setMove(move: Promise<MoveTarget | undefined>): void {
     this.#move = move;
-    this.#standby?.cancel();
     void move.then((target) => {
       // A failed move leaves the run where it is and may be retried.
       if (target === undefined && this.#move === move) this.#move = undefined;
--- a/packages/gateway/src/relay/stream_standby.ts
+++ b/packages/gateway/src/relay/stream_standby.ts
@@ -46,6 +46,11 @@
     this.#stallDetector.recordEvents();
   }
 
+  /** Whether a send is on the way that was not handed over. */
+  get isPending(): boolean {
+    return this.#send !== undefined;
+  }
+
   /** Hands over the send, if there is one. */
   take(): StreamSend | undefined {
     const send = this.#send;
