Read what has arrived before a replica counts as silent

After a pause of a node, each of its streams took a retry, its second attempt and a send elsewhere, and sound replicas counted as failed: the timer fired before the connections were read. The check now follows the next read of them.

--- a/packages/gateway/src/relay/stall_detector.ts
+++ b/packages/gateway/src/relay/stall_detector.ts
@@ -30,6 +30,7 @@
   #timeoutMs: number;
   #lastEventAt: number;
   #timer: NodeJS.Timeout | undefined;
+  #check: NodeJS.Immediate | undefined;
 
   private constructor(options: StallDetectorOptions) {
     this.#options = options;
@@ -52,17 +53,26 @@
   }
 
   dispose(): void {
-    clearTimeout(this.#timer);
-    this.#timer = undefined;
+    this.#cancel();
   }
 
   #schedule(ms: number): void {
-    clearTimeout(this.#timer);
+    this.#cancel();
     if (!Number.isFinite(ms)) return;
-    this.#timer = setTimeout(() => this.#check(), ms);
+    this.#timer = setTimeout(() => {
+      // After a pause of this process, what has arrived is read first.
+      this.#check = setImmediate(() => this.#checkIdle());
+    }, ms);
+  }
+
+  #cancel(): void {
+    clearTimeout(this.#timer);
+    clearImmediate(this.#check);
+    this.#timer = undefined;
+    this.#check = undefined;
   }
 
-  #check(): void {
+  #checkIdle(): void {
     const { clock, state, onStalled } = this.#options;
     const now = clock.now();
     const idleMs = now - this.#lastEventAt;
