Answer calls whose response broke before its body was read

When a response's head and bytes that can't be parsed arrived together, the response had failed before anyone listened for its body, and the call was never ended: its caller got no answer, not even at the deadline, and its place at the replica stayed taken. The body of a response that was destroyed already now counts as truncated, as in event_relay.

--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -172,5 +172,7 @@
     });
     response.on("error", () => resolve(undefined));
     response.on("close", () => resolve(undefined));
+    // It may have broken before anyone listened.
+    if (response.destroyed) resolve(undefined);
   });
 }
