Limit the bodies of responses that are read whole

A body without end was collected until the deadline, so the node's memory grew as fast as the replica sent. A body above 8 MiB is now treated like a truncated one: its connection is closed, the failure is recorded, and the call is retried where that is allowed.

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -21,7 +21,8 @@
   sendBufferedResponse,
 } from "./buffered_response.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
-import { readResponseBody, type SendOutcome } from "./replica_request.ts";
+import type { SendOutcome } from "./replica_request.ts";
+import { readResponseBody } from "./response_body.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -159,20 +159,3 @@
   response.resume();
   return { kind: "declined", status };
 }
-
-/** Reads the whole body; `undefined` if the response is truncated. */
-export function readResponseBody(
-  response: IncomingMessage,
-): Promise<Buffer | undefined> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    response.on("data", (chunk: Buffer) => chunks.push(chunk));
-    response.on("end", () => {
-      resolve(response.complete ? Buffer.concat(chunks) : undefined);
-    });
-    response.on("error", () => resolve(undefined));
-    response.on("close", () => resolve(undefined));
-    // It may have broken before anyone listened.
-    if (response.destroyed) resolve(undefined);
-  });
-}
--- /dev/null
+++ b/packages/gateway/src/relay/response_body.ts
@@ -0,0 +1,38 @@
+/**
+ * Reads the bodies of replicas' responses whole.
+ *
+ * A replica in trouble may send bytes without end, so each body has a limit.
+ */
+
+import type { IncomingMessage } from "node:http";
+
+/**
+ * Largest body that is read whole, in bytes: above any answer, and small enough
+ * that some of them at once fit in the node's memory.
+ */
+const maxBodyBytes = 8 * 1_048_576;
+
+/**
+ * Reads the whole body; `undefined` if the response is truncated or exceeds
+ * 8 MiB. Its connection is closed then.
+ */
+export function readResponseBody(
+  response: IncomingMessage,
+): Promise<Buffer | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    response.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBodyBytes) response.destroy();
+      else chunks.push(chunk);
+    });
+    response.on("end", () => {
+      resolve(response.complete ? Buffer.concat(chunks) : undefined);
+    });
+    response.on("error", () => resolve(undefined));
+    response.on("close", () => resolve(undefined));
+    // It may have broken before anyone listened.
+    if (response.destroyed) resolve(undefined);
+  });
+}
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -17,7 +17,7 @@
 import { sendStreamFailure } from "./stream_failure.ts";
 import { sendBufferedResponse } from "./buffered_response.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
-import { readResponseBody } from "./replica_request.ts";
+import { readResponseBody } from "./response_body.ts";
 import {
   checkStreamAdmission,
   chooseStreamReplica,
