Record failures of replicas whose error response breaks in a stream

A stream whose replica answered with another status than 200 and a body that was truncated, unsigned or too long was sent elsewhere, but the replica's failure was not recorded, so it kept getting streams. It is recorded now, unless the node itself aborted the send.

--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -238,7 +238,7 @@
     const { state } = choice;
     const now = this.#services.clock.now();
     const isSigned = response.headers[signatureHeader] !== undefined;
-    if (response.statusCode !== 200) return await this.#relayFailure(response);
+    if (response.statusCode !== 200) return await this.#relayFailure(segment);
     if (!isSigned) {
       response.destroy();
       state.failures.record(true, now);
@@ -302,10 +302,15 @@
   }
 
   /** Handles a response with a status other than 200. */
-  async #relayFailure(response: IncomingMessage): Promise<SegmentEnd> {
+  async #relayFailure({ response, send }: Segment): Promise<SegmentEnd> {
     const body = await readResponseBody(response);
     const isSigned = response.headers[signatureHeader] !== undefined;
-    if (body === undefined || !isSigned) return this.#endSegment("lost");
+    if (body === undefined || !isSigned) {
+      if (!send.aborter.signal.aborted) {
+        send.choice.state.failures.record(true, this.#services.clock.now());
+      }
+      return this.#endSegment("lost");
+    }
     if (this.#attempts.canResume || this.#response.headersSent) {
       return this.#endSegment("failed");
     }
