Limit the event that a stream's relay waits for

The bytes of an event are kept until it is complete, and each chunk was joined with all before it, so a body without events took the node's memory and processor until the deadline. An event above 256 KiB now ends the response as broken: its connection is closed, its failure recorded, and the stream resumed where that is allowed.

--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -10,6 +10,12 @@
 import { EventSplitter } from "./event_splitter.ts";
 import { findFraming, type ResponseFraming } from "./replica_request.ts";
 
+/**
+ * Largest event that is awaited, in bytes: above any token's event. The bytes of
+ * an event are kept until it is complete.
+ */
+const maxEventBytes = 262_144;
+
 /** How the relay of one response ended. */
 export type RelayEnd =
   /** The replica completed the stream. */
@@ -69,6 +75,7 @@
     callerResponse.on("close", onCallerClose);
     response.on("data", (chunk: Buffer) => {
       const chunkEvents = splitter.add(chunk);
+      if (splitter.remainderBytes > maxEventBytes) return finish("broken");
       if (chunkEvents === undefined) return;
       const { firstId } = chunkEvents;
       const isNext = firstId === undefined || lastId === undefined ||
