Limit the interim responses of a replica

Interim responses (1xx) without end held a caller until its deadline: the limit of a head's size counts each of them anew. A request to which a replica has sent more than 16 of them is now lost: its connection is closed and the failure recorded.

--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -43,6 +43,8 @@
   | { readonly kind: "lost"; readonly reason: string };
 
 const misdirectedStatus = 421;
+/** Interim responses (1xx) accepted before a response; none are expected. */
+const maxInterimResponses = 16;
 
 /** Sends the request and waits for the response headers; never rejects. */
 export function sendToReplica(call: ReplicaRequest): Promise<SendOutcome> {
@@ -61,6 +63,7 @@
       signal: call.signal,
     });
     watchConnect(outgoing, call, () => isConnected = true);
+    watchInterimResponses(outgoing);
     outgoing.on("error", (error) => {
       const reason = error.message;
       // When the connection is reset, Node.js ends a response without a length
@@ -82,6 +85,16 @@
   });
 }
 
+/** Fails a request to which a replica sends only interim responses. */
+function watchInterimResponses(outgoing: ClientRequest): void {
+  let received = 0;
+  outgoing.on("information", () => {
+    received += 1;
+    if (received <= maxInterimResponses) return;
+    outgoing.destroy(new Error("too many interim responses"));
+  });
+}
+
 /**
  * Fails a request whose new connection is not established in time, or that is no
  * longer wanted when a connection is free; nothing has been sent then.
