Limit the bodies of answers that say "not executed"

The body of such an answer is discarded so that its connection can be used again. A body without end kept the connection, one of the few that the replica accepts, and the node's processor busy for good, since no deadline applied. The connection is now closed after 64 KiB or a second.

--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -11,6 +11,7 @@
   requestIdHeader,
 } from "@almondcrank/platform/headers.ts";
 import type { ReplicaAgent } from "./replica_agent.ts";
+import { discardResponseBody } from "./response_body.ts";
 
 /** A request to one replica. */
 export interface ReplicaRequest {
@@ -169,6 +170,6 @@
     (status >= 400 && response.headers[notExecutedHeader] !== undefined);
   if (!isDeclined) return { kind: "answered", response };
   response.on("error", () => outgoing.destroy());
-  response.resume();
+  discardResponseBody(response);
   return { kind: "declined", status };
 }
--- a/packages/gateway/src/relay/response_body.ts
+++ b/packages/gateway/src/relay/response_body.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the bodies of replicas' responses whole.
+ * Reads or discards the bodies of replicas' responses.
  *
  * A replica in trouble may send bytes without end, so each body has a limit.
  */
@@ -11,6 +11,10 @@
  * that some of them at once fit in the node's memory.
  */
 const maxBodyBytes = 8 * 1_048_576;
+/** Largest body that is discarded to keep the connection, in bytes. */
+const maxDiscardedBytes = 65_536;
+/** Time in which a discarded body must end, in milliseconds. */
+const discardMs = 1_000;
 
 /**
  * Reads the whole body; `undefined` if the response is truncated or exceeds
@@ -36,3 +40,17 @@
     if (response.destroyed) resolve(undefined);
   });
 }
+
+/**
+ * Discards the body, so that the connection can be used again; closes the
+ * connection if the body exceeds 64 KiB or takes more than a second.
+ */
+export function discardResponseBody(response: IncomingMessage): void {
+  let bytes = 0;
+  const timer = setTimeout(() => response.destroy(), discardMs);
+  response.on("data", (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > maxDiscardedBytes) response.destroy();
+  });
+  response.on("close", () => clearTimeout(timer));
+}
