Limit the answers of engines that are read whole

A body without end was collected for the whole time of the call: a load report's for 2 s, an error's of a generation until its deadline, over 2 GB in the test. An answer above 16 MiB is now a lost connection, which is closed.

--- /dev/null
+++ b/packages/endpoint/src/answer_limits.ts
@@ -0,0 +1,22 @@
+/**
+ * Limits of answers: an endpoint in trouble may send bytes without end.
+ */
+
+/** Largest body that is read whole, in bytes; cache exports are the largest. */
+const maxBodyBytes = 16 * 1_048_576;
+
+/** Reads a body as text; throws, and closes its connection, above 16 MiB. */
+export async function readBodyText(
+  body: AsyncIterable<Buffer>,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += chunk.length;
+    if (bytes > maxBodyBytes) {
+      throw new Error(`the answer exceeds ${maxBodyBytes} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return new TextDecoder().decode(Buffer.concat(chunks));
+}
--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -34,6 +34,7 @@
   staleFencingSchema,
 } from "./engine_messages.ts";
 import { RunningCalls } from "./running_calls.ts";
+import { readBodyText } from "./answer_limits.ts";
 import { LineSplitter, maxLineBytes } from "./line_splitter.ts";
 
 const defaultCallTimeoutMs = 2_000;
@@ -136,7 +137,10 @@
         bodyTimeout: Math.max(1, request.remainingMs),
       });
       if (statusCode !== 200) {
-        const error = this.#createStatusError(statusCode, await body.text());
+        const error = this.#createStatusError(
+          statusCode,
+          await readBodyText(body),
+        );
         engineEnded = error.run === "not_run";
         yield Left(error);
         return;
@@ -284,7 +288,7 @@
       });
       return Right({
         status: answer.statusCode,
-        text: await answer.body.text(),
+        text: await readBodyText(answer.body),
       });
     } catch (error) {
       return Left(
