--- a/packages/endpoint/src/answer_limits.ts
+++ b/packages/endpoint/src/answer_limits.ts
@@ -2,6 +2,8 @@
  * Limits of answers: an endpoint in trouble may send bytes without end.
  */
 
+/** Interim answers (1xx) accepted before an answer; none are expected. */
+const maxInterimAnswers = 16;
 /** Largest body that is read whole, in bytes; cache exports are the largest. */
 const maxBodyBytes = 16 * 1_048_576;
 
@@ -20,3 +22,13 @@
   }
   return new TextDecoder().decode(Buffer.concat(chunks));
 }
+
+/** Creates an `onInfo` callback that fails a call with too many interim answers. */
+export function createInterimLimit(): () => void {
+  let received = 0;
+  return () => {
+    received += 1;
+    if (received <= maxInterimAnswers) return;
+    throw new Error("too many interim answers");
+  };
+}
--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -34,7 +34,7 @@
   staleFencingSchema,
 } from "./engine_messages.ts";
 import { RunningCalls } from "./running_calls.ts";
-import { readBodyText } from "./answer_limits.ts";
+import { createInterimLimit, readBodyText } from "./answer_limits.ts";
 import { LineSplitter, maxLineBytes } from "./line_splitter.ts";
 
 const defaultCallTimeoutMs = 2_000;
@@ -135,6 +135,7 @@
         signal,
         headersTimeout: Math.max(1, request.remainingMs),
         bodyTimeout: Math.max(1, request.remainingMs),
+        onInfo: createInterimLimit(),
       });
       if (statusCode !== 200) {
         const error = this.#createStatusError(
@@ -285,6 +286,7 @@
         headers: { "content-type": "application/json" },
         body: body === undefined ? null : JSON.stringify(body),
         signal: timeout.signal,
+        onInfo: createInterimLimit(),
       });
       return Right({
         status: answer.statusCode,
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -14,6 +14,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { createInterimLimit } from "./answer_limits.ts";
 import { EndpointError, type EndpointErrorDetail } from "./endpoint_error.ts";
 import { RunningCalls } from "./running_calls.ts";
 import type {
@@ -203,6 +204,7 @@
   readonly #deadline: number;
   readonly #timer = new AbortController();
   readonly #chunks: Buffer[] = [];
+  readonly #countInterim = createInterimLimit();
   #controller: Dispatcher.DispatchController | undefined;
   #size = 0;
   #status = 0;
@@ -248,7 +250,7 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < 200) return;
+    if (status < 200) return this.#countInterim();
     this.#status = status;
     const contentType = headers["content-type"];
     this.#contentType = typeof contentType === "string"
