Limit the empty lines of an engine's answer

Empty lines hold no event and were dropped, so a stream of nothing else held its generation until the deadline. More than 256 KiB without a line that holds something is now a bad answer, as a line of that size is.

--- a/packages/endpoint/src/line_splitter.ts
+++ b/packages/endpoint/src/line_splitter.ts
@@ -13,6 +13,8 @@
 /** Splits one byte stream; empty lines are dropped. */
 export class LineSplitter {
   #incomplete: Buffer | undefined;
+  /** Bytes received since the last line that was not empty. */
+  #idleBytes = 0;
 
   static create(): LineSplitter {
     return new LineSplitter();
@@ -21,9 +23,11 @@
   /**
    * Takes the next chunk and appends the lines that it completes to `lines`.
    *
-   * @returns False when the incomplete line exceeds `maxLineBytes`.
+   * @returns False when the incomplete line, or what came since the last line
+   * that was not empty, exceeds `maxLineBytes`.
    */
   add(chunk: Buffer, lines: string[]): boolean {
+    const linesBefore = lines.length;
     let data = chunk;
     if (this.#incomplete !== undefined) {
       data = Buffer.concat([this.#incomplete, chunk]);
@@ -37,6 +41,8 @@
       end = data.indexOf(newline, start);
     }
     if (start < data.length) this.#incomplete = data.subarray(start);
-    return data.length - start <= maxLineBytes;
+    const hasLine = lines.length > linesBefore;
+    this.#idleBytes = hasLine ? 0 : this.#idleBytes + chunk.length;
+    return Math.max(data.length - start, this.#idleBytes) <= maxLineBytes;
   }
 }
