--- /dev/null
+++ b/packages/endpoint/src/answer_limits.ts
@@ -0,0 +1,34 @@
+/**
+ * Limits of answers: an endpoint in trouble may send bytes without end.
+ */
+
+/** Interim answers (1xx) accepted before an answer; none are expected. */
+const maxInterimAnswers = 16;
+/** Largest body that is read whole, in bytes; cache exports are the largest. */
+const maxBodyBytes = 16 * 1_048_576;
+
+/** Reads a body as text; throws, and closes its connection, above 16 MiB. */
+export async function readBodyText(
+  body: AsyncIterable<Buffer>,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += chunk.length;
+    if (bytes > maxBodyBytes) {
+      throw new Error(`the answer exceeds ${maxBodyBytes} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return new TextDecoder().decode(Buffer.concat(chunks));
+}
+
+/** Creates an `onInfo` callback that fails a call with too many interim answers. */
+export function createInterimLimit(): () => void {
+  let received = 0;
+  return () => {
+    received += 1;
+    if (received <= maxInterimAnswers) return;
+    throw new Error("too many interim answers");
+  };
+}
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -22,7 +22,8 @@
 } from "./buffered_response.ts";
 import { CrashRecorder } from "./crash_recorder.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
-import { readResponseBody, type SendOutcome } from "./replica_request.ts";
+import type { SendOutcome } from "./replica_request.ts";
+import { readResponseBody } from "./response_body.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -17,7 +17,7 @@
 import { sendStreamFailure } from "./stream_failure.ts";
 import { sendBufferedResponse } from "./buffered_response.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
-import { readResponseBody } from "./replica_request.ts";
+import { readResponseBody } from "./response_body.ts";
 import {
   checkStreamAdmission,
   chooseStreamReplica,
@@ -243,7 +243,7 @@
     const { state } = choice;
     const now = this.#services.clock.now();
     const isSigned = response.headers[signatureHeader] !== undefined;
-    if (response.statusCode !== 200) return await this.#relayFailure(response);
+    if (response.statusCode !== 200) return await this.#relayFailure(segment);
     if (!isSigned) {
       response.destroy();
       state.failures.record(true, now);
@@ -306,10 +306,15 @@
   }
 
   /** Handles a response with a status other than 200. */
-  async #relayFailure(response: IncomingMessage): Promise<SegmentEnd> {
+  async #relayFailure({ response, send }: Segment): Promise<SegmentEnd> {
     const body = await readResponseBody(response);
     const isSigned = response.headers[signatureHeader] !== undefined;
-    if (body === undefined || !isSigned) return this.#endSegment("lost");
+    if (body === undefined || !isSigned) {
+      if (!send.aborter.signal.aborted) {
+        send.choice.state.failures.record(true, this.#services.clock.now());
+      }
+      return this.#endSegment("lost");
+    }
     if (this.#attempts.canResume || this.#response.headersSent) {
       return this.#endSegment("failed");
     }
