Let a stream's own last event not count as one of another stream

A silent replica got three times the time when the timer fired a little before the time was over: the stream's own last event then counted as a sign that the replica sends to others. A standby came after 1.8 s in place of 0.6 s, and the caller's answer was cut at its deadline.

--- a/packages/gateway/src/relay/stall_detector.ts
+++ b/packages/gateway/src/relay/stall_detector.ts
@@ -76,7 +76,8 @@
     const { clock, state, onStalled } = this.#options;
     const now = clock.now();
     const idleMs = now - this.#lastEventAt;
-    const isBusyElsewhere = state.lastEventAt > now - this.#timeoutMs;
+    const isBusyElsewhere = state.lastEventAt > this.#lastEventAt &&
+      state.lastEventAt > now - this.#timeoutMs;
     const limitMs = isBusyElsewhere
       ? this.#timeoutMs * busyReplicaFactor
       : this.#timeoutMs;
--- a/packages/gateway/src/relay/stall_detector_test.ts
+++ b/packages/gateway/src/relay/stall_detector_test.ts
@@ -69,4 +69,25 @@
   assert.is(stalls, before);
 });
 
+test("the last event of a stream does not show that its replica sends to others", async () => {
+  const clock = SystemClock.create();
+  let stalls = 0;
+  const detector = StallDetector.create({
+    // Timers may fire a little before the time is over by this clock.
+    clock: {
+      now: () => clock.now() * 0.98,
+      wallTime: () => clock.wallTime(),
+      sleep: (ms) => clock.sleep(ms),
+    },
+    state: ReplicaState.create("r1", createReplica({ id: "r1" })),
+    firstEventTimeoutMs: timeoutMs,
+    nextEventTimeoutMs: timeoutMs,
+    onStalled: () => stalls += 1,
+  });
+  detector.recordEvents();
+  await new Promise((resolve) => setTimeout(resolve, 2 * timeoutMs));
+  detector.dispose();
+  assert.is(stalls, 1);
+});
+
 test.run();
