--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -34,6 +34,7 @@
   staleFencingSchema,
 } from "./engine_messages.ts";
 import { RunningCalls } from "./running_calls.ts";
+import { createInterimLimit, readBodyText } from "./answer_limits.ts";
 import { LineSplitter, maxLineBytes } from "./line_splitter.ts";
 
 const defaultCallTimeoutMs = 2_000;
@@ -134,9 +135,13 @@
         signal,
         headersTimeout: Math.max(1, request.remainingMs),
         bodyTimeout: Math.max(1, request.remainingMs),
+        onInfo: createInterimLimit(),
       });
       if (statusCode !== 200) {
-        const error = this.#createStatusError(statusCode, await body.text());
+        const error = this.#createStatusError(
+          statusCode,
+          await readBodyText(body),
+        );
         engineEnded = error.run === "not_run";
         yield Left(error);
         return;
@@ -281,10 +286,11 @@
         headers: { "content-type": "application/json" },
         body: body === undefined ? null : JSON.stringify(body),
         signal: timeout.signal,
+        onInfo: createInterimLimit(),
       });
       return Right({
         status: answer.statusCode,
-        text: await answer.body.text(),
+        text: await readBodyText(answer.body),
       });
     } catch (error) {
       return Left(
--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -10,6 +10,12 @@
 import { EventSplitter } from "./event_splitter.ts";
 import { findFraming, type ResponseFraming } from "./replica_request.ts";
 
+/**
+ * Largest event that is awaited, in bytes: above any token's event. The bytes of
+ * an event are kept until it is complete.
+ */
+const maxEventBytes = 262_144;
+
 /** How the relay of one response ended. */
 export type RelayEnd =
   /** The replica completed the stream. */
@@ -26,6 +32,8 @@
   readonly framing: ResponseFraming;
   /** Size of the event that had begun but was not complete, in bytes. */
   readonly unfinishedBytes: number;
+  /** Whether the connection ended before the response, or ended it. */
+  readonly hasDisconnected: boolean;
 }
 
 /** Source, destination and callbacks of one event relay. */
@@ -59,16 +67,19 @@
     const onCallerClose = (): void => finish("caller_gone");
     const finish = (end: RelayEnd): void => {
       const unfinishedBytes = splitter.remainderBytes;
+      const framing = findFraming(response);
+      const hasDisconnected = !response.complete || framing === "connection";
       callerResponse.off("drain", onDrain);
       callerResponse.off("close", onCallerClose);
       response.removeAllListeners("data");
       if (end !== "complete") response.destroy();
-      resolve({ end, framing: findFraming(response), unfinishedBytes });
+      resolve({ end, framing, unfinishedBytes, hasDisconnected });
     };
     callerResponse.on("drain", onDrain);
     callerResponse.on("close", onCallerClose);
     response.on("data", (chunk: Buffer) => {
       const chunkEvents = splitter.add(chunk);
+      if (splitter.remainderBytes > maxEventBytes) return finish("broken");
       if (chunkEvents === undefined) return;
       const { firstId } = chunkEvents;
       const isNext = firstId === undefined || lastId === undefined ||
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -11,6 +11,7 @@
   requestIdHeader,
 } from "@almondcrank/platform/headers.ts";
 import type { ReplicaAgent } from "./replica_agent.ts";
+import { discardResponseBody } from "./response_body.ts";
 
 /** A request to one replica. */
 export interface ReplicaRequest {
@@ -40,9 +41,16 @@
   /** No connection was established, so nothing reached the replica. */
   | { readonly kind: "not_sent"; readonly reason: string }
   /** The request may have run. */
-  | { readonly kind: "lost"; readonly reason: string };
+  | {
+    readonly kind: "lost";
+    readonly reason: string;
+    /** Whether the replica's end closed or reset the connection. */
+    readonly isReset: boolean;
+  };
 
 const misdirectedStatus = 421;
+/** Interim responses (1xx) accepted before a response; none are expected. */
+const maxInterimResponses = 16;
 
 /** Sends the request and waits for the response headers; never rejects. */
 export function sendToReplica(call: ReplicaRequest): Promise<SendOutcome> {
@@ -61,13 +69,16 @@
       signal: call.signal,
     });
     watchConnect(outgoing, call, () => isConnected = true);
+    watchInterimResponses(outgoing);
     outgoing.on("error", (error) => {
       const reason = error.message;
       // When the connection is reset, Node.js ends a response without a length
       // as if it were complete, unless the response was destroyed before.
       received?.destroy(error);
       resolve(
-        isConnected ? { kind: "lost", reason } : { kind: "not_sent", reason },
+        isConnected
+          ? { kind: "lost", reason, isReset: isResetError(error) }
+          : { kind: "not_sent", reason },
       );
     });
     outgoing.on("response", (response) => {
@@ -82,6 +93,16 @@
   });
 }
 
+/** Fails a request to which a replica sends only interim responses. */
+function watchInterimResponses(outgoing: ClientRequest): void {
+  let received = 0;
+  outgoing.on("information", () => {
+    received += 1;
+    if (received <= maxInterimResponses) return;
+    outgoing.destroy(new Error("too many interim responses"));
+  });
+}
+
 /**
  * Fails a request whose new connection is not established in time, or that is no
  * longer wanted when a connection is free; nothing has been sent then.
@@ -125,6 +146,11 @@
   });
 }
 
+/** Whether the other end closed or reset the connection. */
+function isResetError({ code }: NodeJS.ErrnoException): boolean {
+  return code === "ECONNRESET" || code === "EPIPE";
+}
+
 /** What tells where a response ends. */
 export type ResponseFraming = "length" | "chunks" | "connection";
 
@@ -148,6 +174,7 @@
     return {
       kind: "lost",
       reason: "the response carries the id of another request",
+      isReset: false,
     };
   }
   const status = response.statusCode ?? 0;
@@ -156,21 +183,6 @@
     (status >= 400 && response.headers[notExecutedHeader] !== undefined);
   if (!isDeclined) return { kind: "answered", response };
   response.on("error", () => outgoing.destroy());
-  response.resume();
+  discardResponseBody(response);
   return { kind: "declined", status };
 }
-
-/** Reads the whole body; `undefined` if the response is truncated. */
-export function readResponseBody(
-  response: IncomingMessage,
-): Promise<Buffer | undefined> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    response.on("data", (chunk: Buffer) => chunks.push(chunk));
-    response.on("end", () => {
-      resolve(response.complete ? Buffer.concat(chunks) : undefined);
-    });
-    response.on("error", () => resolve(undefined));
-    response.on("close", () => resolve(undefined));
-  });
-}
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -17,7 +17,7 @@
 import { sendStreamFailure } from "./stream_failure.ts";
 import { sendBufferedResponse } from "./buffered_response.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
-import { readResponseBody } from "./replica_request.ts";
+import { readResponseBody } from "./response_body.ts";
 import {
   checkStreamAdmission,
   chooseStreamReplica,
@@ -75,8 +75,13 @@
     this.#request = request;
     this.#response = response;
     this.#attempts = StreamAttempts.create(request.route);
-    this.#retries = StreamRetries.create(services, request, this.#attempts);
     this.#recorder = StreamRecorder.create(services, request);
+    this.#retries = StreamRetries.create({
+      services,
+      request,
+      attempts: this.#attempts,
+      recorder: this.#recorder,
+    });
     this.#sends = StreamSends.create({
       services,
       request,
@@ -103,14 +108,14 @@
     return this.#events > 0;
   }
 
+  /** A standby counts as a move: to abort it would give up what may serve. */
   get isMoving(): boolean {
-    return this.#move !== undefined;
+    return this.#move !== undefined || this.#standby?.isPending === true;
   }
 
   /** Sets the pending move; the relay follows it when the segment ends. */
   setMove(move: Promise<MoveTarget | undefined>): void {
     this.#move = move;
-    this.#standby?.cancel();
     void move.then((target) => {
       // A failed move leaves the run where it is and may be retried.
       if (target === undefined && this.#move === move) this.#move = undefined;
@@ -238,12 +243,13 @@
     const { state } = choice;
     const now = this.#services.clock.now();
     const isSigned = response.headers[signatureHeader] !== undefined;
-    if (response.statusCode !== 200) return await this.#relayFailure(response);
+    if (response.statusCode !== 200) return await this.#relayFailure(segment);
     if (!isSigned) {
       response.destroy();
       state.failures.record(true, now);
       return this.#endSegment("lost");
     }
+    this.#recorder.recordBegin();
     const { tokensPerEvent = 1 } = this.#request.service.engine ?? {};
     let isFirst = true;
     const outcome = await relayEvents({
@@ -255,10 +261,7 @@
         this.#lastId = lastId;
         this.#version = this.#recorder.recordOrigin(state.replica);
         this.#events += 1;
-        this.#recorder.recordWork({
-          prompt: 0,
-          output: events * tokensPerEvent,
-        });
+        this.#recorder.recordOutput(events * tokensPerEvent);
         segment.standby.recordEvents();
         if (!isFirst) return;
         isFirst = false;
@@ -266,7 +269,8 @@
         this.#recorder.recordStart(send);
       },
     });
-    this.#recorder.recordEnd(choice, outcome, this.#lastId);
+    const isOwnEnd = send.aborter.signal.aborted || this.#move !== undefined;
+    this.#recorder.recordEnd(choice, { ...outcome, isOwnEnd }, this.#lastId);
     return await this.#endRelay(outcome, send);
   }
 
@@ -302,10 +306,15 @@
   }
 
   /** Handles a response with a status other than 200. */
-  async #relayFailure(response: IncomingMessage): Promise<SegmentEnd> {
+  async #relayFailure({ response, send }: Segment): Promise<SegmentEnd> {
     const body = await readResponseBody(response);
     const isSigned = response.headers[signatureHeader] !== undefined;
-    if (body === undefined || !isSigned) return this.#endSegment("lost");
+    if (body === undefined || !isSigned) {
+      if (!send.aborter.signal.aborted) {
+        send.choice.state.failures.record(true, this.#services.clock.now());
+      }
+      return this.#endSegment("lost");
+    }
     if (this.#attempts.canResume || this.#response.headersSent) {
       return this.#endSegment("failed");
     }
--- a/packages/gateway/src/relay/stream_retries.ts
+++ b/packages/gateway/src/relay/stream_retries.ts
@@ -7,35 +7,34 @@
 import type { RetryReason } from "./retry_reason.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StreamAttempts } from "./stream_attempts.ts";
+import type { StreamRecorder } from "./stream_recorder.ts";
 
 /** Why a retry may not be; also the `reason` label of `retries_refused_total`. */
 export type RetryRefusal =
   /** The route allows no further send. */
   | "attempts"
+  /** A part of the prompt may have crashed the replica. */
+  | "quarantined"
   | "budget";
 
+/** What the retries of one stream depend on. */
+export interface StreamRetriesOptions {
+  readonly services: RelayServices;
+  readonly request: RoutedRequest;
+  readonly attempts: StreamAttempts;
+  readonly recorder: StreamRecorder;
+}
+
 /** Retries of one stream. */
 export class StreamRetries {
-  readonly #services: RelayServices;
-  readonly #request: RoutedRequest;
-  readonly #attempts: StreamAttempts;
+  readonly #options: StreamRetriesOptions;
 
-  private constructor(
-    services: RelayServices,
-    request: RoutedRequest,
-    attempts: StreamAttempts,
-  ) {
-    this.#services = services;
-    this.#request = request;
-    this.#attempts = attempts;
+  private constructor(options: StreamRetriesOptions) {
+    this.#options = options;
   }
 
-  static create(
-    services: RelayServices,
-    request: RoutedRequest,
-    attempts: StreamAttempts,
-  ): StreamRetries {
-    return new StreamRetries(services, request, attempts);
+  static create(options: StreamRetriesOptions): StreamRetries {
+    return new StreamRetries(options);
   }
 
   /**
@@ -44,8 +43,8 @@
    * @param after Id of the last event that the caller has received.
    */
   take(reason: RetryReason, after: number | undefined): boolean {
-    const { metrics } = this.#services;
-    const { trace } = this.#request;
+    const { metrics } = this.#options.services;
+    const { trace } = this.#options.request;
     const refusal = this.#findRefusal(reason);
     if (refusal !== undefined) {
       metrics.count("retries_refused_total", { reason: refusal });
@@ -59,9 +58,11 @@
 
   /** Finds why there may be no retry; takes it out of the budget if it may be. */
   #findRefusal(reason: RetryReason): RetryRefusal | undefined {
-    const { budget, clock } = this.#services;
-    const { name } = this.#request.service;
-    if (!this.#attempts.isRetryable(reason)) return "attempts";
+    const { services, request, attempts, recorder } = this.#options;
+    const { budget, clock } = services;
+    const { name } = request.service;
+    if (!attempts.isRetryable(reason)) return "attempts";
+    if (!recorder.mayRepeat()) return "quarantined";
     const isTaken = reason === "not_sent" || budget.take(name, clock.now());
     return isTaken ? undefined : "budget";
   }
--- a/packages/gateway/src/relay/stream_sends.ts
+++ b/packages/gateway/src/relay/stream_sends.ts
@@ -71,14 +71,11 @@
     return send;
   }
 
-  #recordOutcome(outcome: SendOutcome, { choice, isMoved }: StreamSend): void {
-    const { request, attempts } = this.#options;
+  #recordOutcome(outcome: SendOutcome, send: StreamSend): void {
+    const { attempts, recorder } = this.#options;
+    const { choice, isMoved } = send;
     const { state } = choice;
-    request.trace.record("send ended.", {
-      replica: state.replica.id,
-      outcome: outcome.kind,
-      reason: "reason" in outcome ? outcome.reason : undefined,
-    });
+    recorder.recordSend(send, outcome);
     switch (outcome.kind) {
       case "not_sent":
         if (!isMoved) attempts.recordConnectFailure();
--- a/packages/routing/src/streams/replica_search.ts
+++ b/packages/routing/src/streams/replica_search.ts
@@ -53,12 +53,17 @@
    * Chooses a replica, with backoff while none can take work. A stream without a
    * token gives up after `maxBackoffs`, since its caller can send the request
    * again; one that has begun waits until its deadline.
+   *
+   * @param mayRepeat Whether the stream may be sent at all; the search ends if not.
    */
-  async wait(signal: AbortSignal): Promise<ReplicaChoice | undefined> {
+  async wait(
+    signal: AbortSignal,
+    mayRepeat: () => boolean,
+  ): Promise<ReplicaChoice | undefined> {
     const { clock, limits, metrics } = this.#services;
     const { request, output } = this.#stream;
     this.#resetBackoff();
-    for (let waits = 0;; waits++) {
+    for (let waits = 0; mayRepeat(); waits++) {
       const choice = waits === 0 ? this.chooseUntried([]) : this.choose();
       if (choice !== undefined) return choice;
       const hasBegun = output.tokens.length > 0;
@@ -71,6 +76,7 @@
       await clock.sleep(Math.min(backoffMs, leftMs), signal);
       if (signal.aborted || output.final !== undefined) return undefined;
     }
+    return undefined;
   }
 
   /** Starts with the first backoff again once the stream has gone on. */
--- a/packages/routing/src/streams/routed_stream.ts
+++ b/packages/routing/src/streams/routed_stream.ts
@@ -16,21 +16,21 @@
   type StreamEvent,
 } from "../routers/model_router.ts";
 import type { ConversationPrefix } from "../choice/replica_chooser.ts";
+import { computePromptParts } from "./prompt_parts.ts";
 import { StreamOutput } from "./stream_output.ts";
 import type { StreamLimits } from "./stream_limits.ts";
-import { UsageCounter } from "./stream_usage.ts";
+import { UsageCounter, type UsageProgress } from "./stream_usage.ts";
 
 /** Progress of a stream before this node took it over from a peer. */
-export interface StreamProgress {
+export interface StreamProgress extends UsageProgress {
   readonly tokens: readonly string[];
-  readonly attempts: number;
-  readonly recomputedTokens: number;
 }
 
 /** Progress of a new request. */
 export const noProgress: StreamProgress = {
   tokens: [],
   attempts: 0,
+  uncountedAttempts: 0,
   recomputedTokens: 0,
 };
 
@@ -41,6 +41,8 @@
   readonly chain: readonly number[];
   /** Hash and full blocks of the prefix that all turns share, if known. */
   readonly conversationPrefix: ConversationPrefix | undefined;
+  /** Parts of the prompt that other requests may share. */
+  readonly parts: readonly string[];
 }
 
 /** Options of a stream. */
@@ -75,7 +77,7 @@
 /** Splits a prompt into tokens and hashes its blocks. */
 export function computeInput(
   hasher: Hasher,
-  request: Pick<ModelRequest, "prompt" | "conversationStart">,
+  request: Pick<ModelRequest, "service" | "prompt" | "conversationStart">,
 ): StreamInput {
   const promptTokens = splitTokens(request.prompt);
   const chain = computeBlockHashes(hasher, promptTokens);
@@ -84,7 +86,9 @@
     request,
     promptTokens,
   );
-  return { promptTokens, chain, conversationPrefix };
+  const { prompt, service: { model } } = request;
+  const parts = computePromptParts(hasher, { model, prompt });
+  return { promptTokens, chain, conversationPrefix, parts };
 }
 
 function computeConversationPrefix(
@@ -114,6 +118,7 @@
   readonly promptTokens: readonly string[];
   readonly chain: readonly number[];
   readonly conversationPrefix: ConversationPrefix | undefined;
+  readonly parts: readonly string[];
   readonly output: StreamOutput;
   readonly usage: UsageCounter;
   readonly #options: RoutedStreamOptions;
@@ -130,6 +135,7 @@
     this.promptTokens = input.promptTokens;
     this.chain = input.chain;
     this.conversationPrefix = input.conversationPrefix;
+    this.parts = input.parts;
     this.output = StreamOutput.create(
       progress.tokens,
       options.limits.maxUnreadTokens,
@@ -153,6 +159,11 @@
     return this.promptTokens.length + this.output.tokens.length;
   }
 
+  /** Whether the output has as many tokens as its request allows. */
+  get hasAllTokens(): boolean {
+    return this.output.tokens.length >= this.request.maxTokens;
+  }
+
   /** Whether a peer has taken this stream over. */
   get isHandedOver(): boolean {
     return this.#successor !== undefined;
@@ -192,11 +203,11 @@
    * `read` ends.
    */
   async readForPeer<T>(from: number, read: () => Promise<T>): Promise<T> {
-    const detach = this.output.attach(from);
+    const unregister = this.output.registerReader(from);
     try {
       return await read();
     } finally {
-      detach();
+      unregister();
       this.#handleDetached();
     }
   }
--- a/packages/routing/src/streams/stream_ending.ts
+++ b/packages/routing/src/streams/stream_ending.ts
@@ -11,29 +11,28 @@
 /** Time after which a caller may send a request again that no endpoint finished. */
 const retryAfterMs = 1_000;
 
-/** Why a stream ended without a whole answer. */
-export interface StreamFailure {
-  readonly kind: RefusalKind;
-  readonly message: string;
+/** Dependencies of `StreamEnding`. */
+export interface StreamEndingOptions {
+  readonly stream: RoutedStream;
+  readonly services: StreamRunServices;
   /** Whether an endpoint may have begun with the request. */
-  readonly mayHaveRun: boolean;
+  readonly mayHaveRun: () => boolean;
 }
 
 /** Ends one stream. */
 export class StreamEnding {
   readonly #stream: RoutedStream;
   readonly #services: StreamRunServices;
+  readonly #mayHaveRun: () => boolean;
 
-  private constructor(stream: RoutedStream, services: StreamRunServices) {
-    this.#stream = stream;
-    this.#services = services;
+  private constructor(options: StreamEndingOptions) {
+    this.#stream = options.stream;
+    this.#services = options.services;
+    this.#mayHaveRun = options.mayHaveRun;
   }
 
-  static create(
-    stream: RoutedStream,
-    services: StreamRunServices,
-  ): StreamEnding {
-    return new StreamEnding(stream, services);
+  static create(options: StreamEndingOptions): StreamEnding {
+    return new StreamEnding(options);
   }
 
   /** Ends the stream with its whole answer, whose last part `endpoint` gave. */
@@ -50,12 +49,26 @@
     output.close({ kind: "end", reason, usage: total });
   }
 
+  /**
+   * Ends a stream that no attempt finished, unless a peer has it.
+   *
+   * @param reason Why it ends if its deadline has not passed.
+   */
+  failUnfinished(reason = "no endpoint could finish the request"): void {
+    if (this.#stream.isHandedOver) return;
+    if (this.#services.clock.now() < this.#stream.request.deadline) {
+      return this.fail("endpoint_failed", reason);
+    }
+    this.fail("deadline", "the deadline passed before the answer ended");
+  }
+
   /** Ends the stream as failed, unless it has ended. */
-  fail({ kind, message, mayHaveRun }: StreamFailure): void {
+  fail(kind: RefusalKind, message: string): void {
     const { output } = this.#stream;
     if (output.final !== undefined) return;
     this.#services.metrics.count("streams_failed_total", { reason: kind });
     const ran = output.tokens.length > 0;
+    const mayHaveRun = kind === "deadline" || this.#mayHaveRun();
     const refusal = Refusal.create({
       kind,
       run: ran ? "ran" : mayHaveRun ? "unknown" : "not_run",
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -15,12 +15,16 @@
 
 import { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 import type { ModelStream } from "../routers/model_router.ts";
-import type { RefusalKind } from "../admission/refusal.ts";
 import type { ReplicaChoice } from "../choice/replica_chooser.ts";
-import { AttemptSender, type SentAttempt } from "./attempt_sender.ts";
+import {
+  AttemptSender,
+  type EndedAttempt,
+  type SentAttempt,
+} from "./attempt_sender.ts";
 import { ReplicaSearch } from "./replica_search.ts";
 import { computeSilenceTimeoutMs } from "./silence_timeout.ts";
 import type { AttemptOutcome, StreamAttempt } from "./stream_attempt.ts";
+import { StreamCrashes } from "./stream_crashes.ts";
 import { StreamEnding } from "./stream_ending.ts";
 import { StreamMigration } from "./stream_migration.ts";
 import { StreamRetries } from "./stream_retries.ts";
@@ -28,20 +32,15 @@
 import type { StreamRunServices } from "./stream_run_services.ts";
 import type { RoutedStream } from "./routed_stream.ts";
 
-/** The last of several attempts, and how it ended. */
-interface EndedAttempt {
-  readonly sent: SentAttempt;
-  readonly outcome: AttemptOutcome;
-}
-
 /** Why a silent attempt was not replaced. */
-type ReplaceRefusal = "attempts" | "no_endpoint" | "timeout";
+type ReplaceRefusal = "attempts" | "no_endpoint" | "quarantined" | "timeout";
 
 /** Runs the attempts of one stream. */
 export class StreamRun {
   readonly stream: RoutedStream;
   readonly #services: StreamRunServices;
   readonly #ended = new AbortController();
+  readonly #crashes: StreamCrashes;
   readonly #sender: AttemptSender;
   readonly #search: ReplicaSearch;
   readonly #retries: StreamRetries;
@@ -49,17 +48,25 @@
   #current: SentAttempt | undefined;
   /** Second attempt of the stream while the current one is silent. */
   #replacement: SentAttempt | undefined;
-  #mayHaveRun = false;
+  #mayHaveRun: boolean;
   #migration: StreamMigration | undefined;
   #pause: StreamPause | undefined;
 
   private constructor(stream: RoutedStream, services: StreamRunServices) {
     this.stream = stream;
     this.#services = services;
-    this.#sender = AttemptSender.create(stream, services);
+    const crashes = StreamCrashes.create(stream, services);
+    this.#crashes = crashes;
+    this.#sender = AttemptSender.create({ stream, services, crashes });
     this.#search = ReplicaSearch.create(stream, services);
     this.#retries = StreamRetries.create(stream, services);
-    this.#ending = StreamEnding.create(stream, services);
+    this.#ending = StreamEnding.create({
+      stream,
+      services,
+      mayHaveRun: () => this.#mayHaveRun || this.isGenerating,
+    });
+    // An attempt of an earlier owner may have begun.
+    this.#mayHaveRun = stream.usage.attempts > 0;
   }
 
   static create(stream: RoutedStream, services: StreamRunServices): StreamRun {
@@ -71,30 +78,33 @@
     return this.#current?.choice.endpoint.name;
   }
 
+  /** Whether an attempt is running. */
+  get isGenerating(): boolean {
+    return this.#current?.attempt.isSettled === false;
+  }
+
   /** Runs the stream to its end, with its first attempt on `choice` if given. */
   async run(choice: ReplicaChoice | undefined): Promise<void> {
-    let next = choice ?? await this.#search.wait(this.#ended.signal);
+    let next = choice ?? await this.#waitForChoice();
     while (next !== undefined && !this.#isEnded()) {
-      if (this.#pause !== undefined) {
-        await this.#pause.ended;
-        next = this.#isEnded()
-          ? undefined
-          : await this.#search.wait(this.#ended.signal);
+      const isPaused = this.#pause !== undefined;
+      if (isPaused) {
+        next = await this.#waitForChoice();
         continue;
       }
       const { sent, outcome } = await this.#runAttempts(next);
-      await this.#waitResumed();
+      await this.#pause?.ended;
       if (this.#isEnded()) break;
       next = await this.#handleOutcome(sent.choice, outcome);
     }
-    this.#closeUnfinished();
+    this.#ending.failUnfinished();
     this.#ended.abort("ended");
   }
 
   /** Cancels the running attempts and ends the stream as failed. */
   cancel(): void {
     this.#stopAttempts();
-    this.#closeFailed("stream_lost", "the request was cancelled");
+    this.#ending.fail("stream_lost", "the request was cancelled");
   }
 
   /**
@@ -103,14 +113,14 @@
    */
   pause(): void {
     this.#pause ??= createPause();
-    this.stream.output.hold();
+    this.stream.output.pause();
   }
 
   /** Continues after a pause. */
   resume(): void {
     this.#pause?.end();
     this.#pause = undefined;
-    this.stream.output.release();
+    this.stream.output.resume();
   }
 
   /** Ends this run without ending the stream, which `successor` continues. */
@@ -142,20 +152,10 @@
     void this.#migration.run(remainingMs);
   }
 
-  /** Waits while the stream is offered to a peer. */
-  async #waitResumed(): Promise<void> {
-    await this.#pause?.ended;
-  }
-
   #isEnded(): boolean {
     return this.stream.output.final !== undefined || this.#ended.signal.aborted;
   }
 
-  #hasAllTokens(): boolean {
-    const { output, request } = this.stream;
-    return output.tokens.length >= request.maxTokens;
-  }
-
   #stopAttempts(): void {
     this.#current?.attempt.stop({ kind: "cancelled" });
     this.#replacement?.attempt.stop({ kind: "cancelled" });
@@ -212,7 +212,7 @@
    * progress. When that is not possible, the timeout doubles.
    */
   async #watchProgress({ attempt }: SentAttempt): Promise<void> {
-    const { clock, metrics, limits } = this.#services;
+    const { clock, limits } = this.#services;
     const { service } = this.stream.request;
     let timeoutFactor = 1;
     while (!attempt.isSettled) {
@@ -234,14 +234,12 @@
         await clock.sleep(waitMs, either);
         continue;
       }
-      if (this.#hasAllTokens()) {
+      if (this.stream.hasAllTokens) {
         return attempt.stop({ kind: "failed", error: attempt.createTimeout() });
       }
       const triesAgain = timeoutFactor > 1;
       const refusal = this.#replace(latest, triesAgain);
-      if (refusal !== undefined) {
-        metrics.count("retries_refused_total", { reason: refusal });
-      }
+      if (refusal !== undefined) this.#retries.countRefusal(refusal);
       if (refusal !== undefined || triesAgain) timeoutFactor *= 2;
     }
   }
@@ -250,13 +248,13 @@
     const replacement = this.#replacement;
     if (replacement?.attempt.isSettled !== true) return;
     this.#replacement = undefined;
-    this.#current?.attempt.release();
+    this.#current?.attempt.resume();
     const outcome = await replacement.ended;
     if (outcome.kind === "failed") this.#recordFailure(outcome.error);
   }
 
   /**
-   * Sends the stream to `target` and holds the running attempt, which ends at the
+   * Sends the stream to `target` and pauses the running attempt, which ends at the
    * first token of the target; false if the target did not take the stream.
    */
   async #move(
@@ -264,19 +262,20 @@
     importId: string | undefined,
   ): Promise<boolean> {
     const current = this.#current;
-    if (current === undefined || this.#replacement !== undefined) return false;
-    if (!this.#retries.takeMove()) return false;
+    const isBusy = this.#replacement !== undefined || this.#pause !== undefined;
+    if (current === undefined || isBusy) return false;
+    if (!this.#checkRepeat() || !this.#retries.takeMove()) return false;
     const cachedTokens = importId === undefined
       ? target.cachedTokens
       : this.stream.inputTokens;
-    current.attempt.hold();
+    current.attempt.pause();
     const replacement = this.#send({ ...target, cachedTokens }, importId);
     this.#replacement = replacement;
     await Promise.race([replacement.ended, current.ended]);
     await this.#removeFailedReplacement();
     if (!current.attempt.isSettled) return false;
     const { kind } = await current.ended;
-    if (kind === "replaced") this.#retries.recordMove();
+    if (kind === "replaced") this.stream.usage.recordUncounted();
     return kind === "replaced";
   }
 
@@ -290,10 +289,10 @@
     { attempt, choice }: SentAttempt,
     triesAgain: boolean,
   ): ReplaceRefusal | undefined {
-    const { limits, loads, metrics, retries } = this.#services;
-    const { output } = this.stream;
+    const { limits, loads, retries } = this.#services;
+    if (!this.#crashes.mayRepeat()) return "quarantined";
     // One attempt is kept for a failure of the silent one.
-    if (this.#retries.countedAttempts + 1 >= limits.maxAttempts) {
+    if (this.stream.usage.countedAttempts + 1 >= limits.maxAttempts) {
       return "attempts";
     }
     const { name } = choice.endpoint;
@@ -305,10 +304,7 @@
     if (!retries.takeRetry(name, "timeout")) return "timeout";
     const error = attempt.createTimeout();
     loads.recordFailure(error);
-    const kind = output.tokens.length > 0
-      ? "stream_resumes_total"
-      : "stream_retries_total";
-    metrics.count(kind, { reason: error.kind });
+    this.#retries.countRetry(error);
     this.#mayHaveRun = true;
     if (attempt === this.#replacement?.attempt) {
       attempt.stop({ kind: "replaced" });
@@ -329,7 +325,7 @@
       case "failed":
         return await this.#handleFailure(choice, outcome.error);
       case "deadline":
-        this.#closeUnfinished();
+        this.#ending.failUnfinished();
         return undefined;
       // `#runAttempts` has gone on with the replacement.
       case "replaced":
@@ -342,24 +338,50 @@
     choice: ReplicaChoice,
     error: EndpointError,
   ): Promise<ReplicaChoice | undefined> {
-    const { metrics } = this.#services;
-    const { output } = this.stream;
     this.#recordFailure(error);
     // The replica failed after its last token but before the end event.
-    if (this.#hasAllTokens()) {
+    if (this.stream.hasAllTokens) {
       this.#ending.complete("length", choice.endpoint.name);
       return undefined;
     }
-    if (!await this.#retries.take(error, this.#ended.signal)) {
-      metrics.count("retries_refused_total", { reason: error.kind });
-      this.#closeUnfinished(error.message);
+    if (!this.#checkRepeat()) return undefined;
+    const isTaken = await this.#crashes.waitUnlessGuilty(
+      this.#ended.signal,
+      (signal) => this.#retries.take(error, signal),
+    );
+    await this.#pause?.ended;
+    if (!this.#checkRepeat()) return undefined;
+    if (!isTaken) {
+      this.#retries.countRefusal(error.kind);
+      this.#ending.failUnfinished(error.message);
       return undefined;
     }
-    const kind = output.tokens.length > 0
-      ? "stream_resumes_total"
-      : "stream_retries_total";
-    metrics.count(kind, { reason: error.kind });
-    return await this.#search.wait(this.#ended.signal);
+    this.#retries.countRetry(error);
+    return await this.#waitForChoice();
+  }
+
+  /** Searches for the next replica, unless one may crash on the prompt. */
+  async #waitForChoice(): Promise<ReplicaChoice | undefined> {
+    // A peer may be taking the stream.
+    await this.#pause?.ended;
+    if (this.#isEnded()) return undefined;
+    const choice = await this.#crashes.waitUnlessGuilty(
+      this.#ended.signal,
+      (signal) => this.#search.wait(signal, () => this.#crashes.mayRepeat()),
+    );
+    const isPaused = this.#pause !== undefined;
+    if (isPaused) return await this.#waitForChoice();
+    return this.#checkRepeat() ? choice : undefined;
+  }
+
+  /** Ends a stream that must not be sent again, as it may crash the replica. */
+  #checkRepeat(): boolean {
+    if (this.#isEnded()) return false;
+    if (this.#crashes.mayRepeat()) return true;
+    this.#retries.countRefusal("quarantined");
+    this.#ending.fail("endpoint_failed", "replicas crash on the prompt");
+    this.#stopAttempts();
+    return false;
   }
 
   #recordFailure(error: EndpointError): void {
@@ -368,20 +390,4 @@
     this.#retries.recordFailure(error);
     if (error.run !== "not_run") this.#mayHaveRun = true;
   }
-
-  /** @param reason Why the stream ends if its deadline has not passed. */
-  #closeUnfinished(reason = "no endpoint could finish the request"): void {
-    if (this.stream.isHandedOver) return;
-    if (this.#services.clock.now() < this.stream.request.deadline) {
-      return this.#closeFailed("endpoint_failed", reason);
-    }
-    const message = "the deadline passed before the answer ended";
-    this.#closeFailed("deadline", message);
-  }
-
-  #closeFailed(kind: RefusalKind, message: string): void {
-    const mayHaveRun = this.#mayHaveRun || kind === "deadline" ||
-      this.#current?.attempt.isSettled === false;
-    this.#ending.fail({ kind, message, mayHaveRun });
-  }
 }
