--- a/packages/routing/src/testing/fake_cluster.ts
+++ b/packages/routing/src/testing/fake_cluster.ts
@@ -26,7 +26,6 @@
   PlainCall,
   PlainEndpoint,
 } from "@almondcrank/endpoint/plain_service.ts";
-import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import {
   type ForwardedCall,
   type ForwardedOutcome,
@@ -35,6 +34,7 @@
   type KeyPeers,
 } from "../keyed_calls/key_peers.ts";
 import { FakeObjectStore } from "./fake_object_store.ts";
+import { createGatedStore, Gate } from "./process_gate.ts";
 import type { KeyLimits } from "../keyed_calls/key_records.ts";
 import type { Limiter } from "../limits/limiter.ts";
 import { noLoadReports } from "../choice/plain_chooser.ts";
@@ -76,24 +76,6 @@
 /** Time a call takes under the fault `slow`. */
 const slowMs = 400;
 
-/** Blocks the calls of a process while it is frozen or dead. */
-class Gate {
-  state: "open" | "frozen" | "dead" = "open";
-  #waiting: (() => void)[] = [];
-
-  async waitOpen(): Promise<void> {
-    while (this.state !== "open") {
-      await new Promise<void>((resolve) => this.#waiting.push(resolve));
-    }
-  }
-
-  set(state: "open" | "frozen" | "dead"): void {
-    this.state = state;
-    if (state !== "open") return;
-    for (const resolve of this.#waiting.splice(0)) resolve();
-  }
-}
-
 /** One incarnation of a process. */
 export interface FakeNode {
   readonly identity: KeyOwner;
@@ -190,7 +172,7 @@
   }
 
   #start(name: string, index: number): void {
-    const gate = new Gate();
+    const gate = Gate.create();
     const metrics = Metrics.create();
     const incarnation = `i${this.#incarnations++}`;
     const identity: KeyOwner = { node: name, incarnation };
@@ -369,27 +351,6 @@
   );
 }
 
-/** Wraps the object API so that its calls block while the process is frozen. */
-function createGatedStore(store: ObjectStore, gate: Gate): ObjectStore {
-  const callGated = async <T>(call: () => Promise<T>): Promise<T> => {
-    await gate.waitOpen();
-    const result = await call();
-    await gate.waitOpen();
-    return result;
-  };
-  return {
-    get era() {
-      return store.era;
-    },
-    read: (key) => callGated(() => store.read(key)),
-    list: (prefix) => callGated(() => store.list(prefix)),
-    write: (key, value, condition) =>
-      callGated(() => store.write(key, value, condition)),
-    remove: (key, version) => callGated(() => store.remove(key, version)),
-    watch: (prefix, since, waitMs) => store.watch(prefix, since, waitMs),
-  };
-}
-
 function createConfiguration(): Configuration {
   const endpoints: Endpoint[] = endpointNames.map((name) => ({
     name,
--- a/packages/scenario/src/gateway_endless_answers_test.ts
+++ b/packages/scenario/src/gateway_endless_answers_test.ts
@@ -13,7 +13,10 @@
   formatEvents,
   runWithSetup,
 } from "./testing/gateway_helpers.ts";
-import { type EndlessPart, EndlessServer } from "./testing/endless_server.ts";
+import {
+  type EndlessPart,
+  EndlessServer,
+} from "@almondcrank/standin/platform/endless_server.ts";
 
 /** Deadline of the calls; an answer must come long before. */
 const deadlineMs = 10_000;
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -66,7 +66,6 @@
 
 const defaultEvents = 5;
 const defaultEventMs = 5;
-const anyAddress = "127.0.0.1:0";
 
 interface MovedRun {
   readonly events: number;
@@ -134,7 +133,7 @@
   static async open(options: ReplicaStandinOptions): Promise<ReplicaStandin> {
     const standin = new ReplicaStandin(options);
     const server = standin.#server;
-    server.listen({ ...parseAddress(options.address ?? anyAddress) });
+    server.listen({ ...parseAddress(options.address ?? "127.0.0.1:0") });
     await once(server, "listening");
     return standin;
   }
@@ -221,10 +220,8 @@
     if (willCrash) {
       if (this.crashAfterMs === 0) return this.#crash(run);
       // A caller in this process reads what was sent before the reset drops it.
-      setTimeout(
-        () => setImmediate(() => this.#crash(run)),
-        this.crashAfterMs,
-      );
+      const crash = (): void => this.#crash(run);
+      setTimeout(() => setImmediate(crash), this.crashAfterMs);
     }
     if (fault.kind === "endless_head" || fault.kind === "endless_body") {
       return await sendEndlessAnswer(request.socket, fault.kind, run.id);
