Quarantine: plain terms in place of a court's

Readers met guilty parts and a reprieve; the code and notes now say quarantined and probe. Identifiers, comments and prose only; no decision changes.

--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -2,16 +2,16 @@
  * Quarantine of prompt parts under which replicas crash.
  *
  * A node records the crashes and the runs that went well which it sees, and learns
- * those of its peers. Requests with a guilty part are refused, except for single
+ * those of its peers. Requests with a quarantined part are refused, except for single
  * probes at growing intervals, so that a part that was blocked wrongly comes free.
  */
 
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 import {
-  chooseGuiltyParts,
-  guiltyCrashes,
+  chooseQuarantinedParts,
   isTellingApart,
-} from "./guilty_parts.ts";
+  quarantineCrashes,
+} from "./quarantined_parts.ts";
 import { PartEvidence } from "./part_evidence.ts";
 import { computeProbeMs } from "./probe_interval.ts";
 import { SurvivalTable } from "./survival_table.ts";
@@ -62,7 +62,7 @@
   readonly #options: PartQuarantineOptions;
   readonly #evidence = new Map<string, PartEvidence>();
   readonly #survivals = SurvivalTable.create();
-  #guilty: ReadonlySet<string> = new Set();
+  #quarantined: ReadonlySet<string> = new Set();
   /** Time of the last probe that this node sent of each part. */
   readonly #probedAt = new Map<string, number>();
   #forgotAt = -Infinity;
@@ -81,7 +81,7 @@
 
   /** Number of parts in quarantine. */
   get size(): number {
-    return this.#guilty.size;
+    return this.#quarantined.size;
   }
 
   /**
@@ -92,7 +92,7 @@
   check(parts: readonly string[], now: number): QuarantineVerdict {
     if (!parts.some((part) => this.#isNoted(part))) return free;
     this.refresh(now);
-    const blocked = parts.filter((part) => this.#guilty.has(part));
+    const blocked = parts.filter((part) => this.#quarantined.has(part));
     for (const part of blocked) this.#evidence.get(part)?.recordRequest(now);
     const waits = blocked
       .map((part) => ({ part, waitMs: this.#computeProbeAt(part) - now }))
@@ -110,7 +110,7 @@
   }
 
   /**
-   * Whether a request may be repeated: no part of it is guilty, and if it broke
+   * Whether a request may be repeated: no part of it is quarantined, and if it broke
    * itself, none that never went well was in a request of others that broke.
    *
    * @param brokenOn Incarnations on which the request itself broke.
@@ -124,7 +124,7 @@
     // A request that did not break itself says nothing new of its parts.
     const hasBroken = brokenOn.size > 0;
     return !parts.some((part) =>
-      this.#guilty.has(part) ||
+      this.#quarantined.has(part) ||
       (hasBroken && this.#isSuspected(part, brokenOn))
     );
   }
@@ -158,7 +158,7 @@
       this.#survivals.record(part, startedAt);
       this.#evidence.get(part)?.recordSurvival(startedAt, now);
     }
-    if (parts.some((part) => this.#guilty.has(part))) this.refresh(now);
+    if (parts.some((part) => this.#quarantined.has(part))) this.refresh(now);
   }
 
   /** Lists what peers may not know, and all that is in quarantine. */
@@ -166,7 +166,7 @@
     this.refresh(now);
     return [...this.#evidence]
       .filter(([part, { changedAt }]) =>
-        this.#guilty.has(part) || now - changedAt <= tellMs
+        this.#quarantined.has(part) || now - changedAt <= tellMs
       )
       .sort(([, a], [, b]) => compareWeight(b, a))
       .slice(0, maxToldParts)
@@ -183,14 +183,14 @@
   /** Judges all parts anew, as far as time and evidence went on. */
   refresh(now: number): void {
     this.#forgetOld(now);
-    const previous = this.#guilty;
-    const guilty = chooseGuiltyParts(this.#evidence, now);
-    this.#guilty = guilty;
-    for (const part of guilty) {
+    const previous = this.#quarantined;
+    const quarantined = chooseQuarantinedParts(this.#evidence, now);
+    this.#quarantined = quarantined;
+    for (const part of quarantined) {
       if (!previous.has(part)) this.#fireChange("entered", part);
     }
     for (const part of previous) {
-      if (guilty.has(part)) continue;
+      if (quarantined.has(part)) continue;
       this.#probedAt.delete(part);
       this.#fireChange("left", part);
     }
@@ -214,7 +214,7 @@
   /** Whether enough speaks against a part to look at all evidence. */
   #isNoted(part: string): boolean {
     const crashes = this.#evidence.get(part)?.crashes.size ?? 0;
-    return crashes >= guiltyCrashes || this.#guilty.has(part);
+    return crashes >= quarantineCrashes || this.#quarantined.has(part);
   }
 
   /** Whether a request tells all its parts in quarantine from ones beside them. */
--- a/packages/routing/src/quarantine/part_quarantine_test.ts
+++ b/packages/routing/src/quarantine/part_quarantine_test.ts
@@ -75,7 +75,7 @@
   assert.is(quarantine.check(["shared", "bad"], 20_000).kind, "quarantined");
 });
 
-test("a part that was only beside a guilty one comes free with the next crash", () => {
+test("a part that was only beside a quarantined one comes free with the next crash", () => {
   const quarantine = createQuarantine();
   crashTimes(quarantine, ["beside", "bad"], 3);
   assert.is(quarantine.check(["beside", "bad"], 3_100).kind, "quarantined");
--- a/packages/routing/src/quarantine/probe_interval.ts
+++ b/packages/routing/src/quarantine/probe_interval.ts
@@ -10,8 +10,8 @@
 
 /** Time to the first probe of a part that never went well. */
 const firstProbeMs = 60_000;
-/** The same of a part that went well before, which is rarely guilty. */
-const firstReprieveMs = 10_000;
+/** The same of a part that went well before, which is rarely the cause. */
+const firstProbeOfSurvivorMs = 10_000;
 const intervalFactor = 4;
 const maxProbeMs = 1_800_000;
 /** Share of an interval after which a crash counts as that of a probe. */
@@ -21,7 +21,7 @@
 export function computeProbeMs(
   { crashes, hasSurvived }: Pick<PartEvidence, "crashes" | "hasSurvived">,
 ): number {
-  let intervalMs = hasSurvived ? firstReprieveMs : firstProbeMs;
+  let intervalMs = hasSurvived ? firstProbeOfSurvivorMs : firstProbeMs;
   let previousAt = Infinity;
   for (const at of [...crashes.values()].sort((a, b) => a - b)) {
     const isProbe = at - previousAt >= intervalMs * probeShare;
--- a/packages/routing/src/quarantine/guilty_parts.ts
+++ b/packages/routing/src/quarantine/quarantined_parts.ts
@@ -3,46 +3,46 @@
  *
  * A replica runs many requests at once, so that a crash speaks against the parts of
  * all of them. Parts are judged in the order of their crashes, and a crash that a
- * guilty part explains is not counted against those after it.
+ * quarantined part explains is not counted against those after it.
  */
 
 import type { PartEvidence } from "./part_evidence.ts";
 
-/** Crashes that no other part explains, from which a part is guilty. */
-export const guiltyCrashes = 3;
+/** Crashes that no other part explains, from which a part is quarantined. */
+export const quarantineCrashes = 3;
 /**
  * Time for which a part that has gone well before is not judged after its crashes,
  * so that news of runs that go well elsewhere arrive.
  */
 const settleMs = 1_500;
 
-/** Chooses the guilty parts among those with evidence. */
-export function chooseGuiltyParts(
+/** Chooses the quarantined parts among those with evidence. */
+export function chooseQuarantinedParts(
   evidence: ReadonlyMap<string, PartEvidence>,
   now: number,
 ): ReadonlySet<string> {
   const candidates = listCandidates(evidence, now)
-    .sort(([, a], [, b]) => compareGuilt(a, b));
-  const guilty = new Set<string>();
+    .sort(([, a], [, b]) => compareSuspicion(a, b));
+  const quarantined = new Set<string>();
   const explained = new Set<string>();
   let at = 0;
   while (at < candidates.length) {
     const level = readLevel(candidates, at);
     at += level.length;
     const found = level.filter(([, { crashes }]) =>
-      countUnexplained(crashes, explained) >= guiltyCrashes
+      countUnexplained(crashes, explained) >= quarantineCrashes
     );
     for (const [part, { crashes }] of found) {
-      guilty.add(part);
+      quarantined.add(part);
       for (const incarnation of crashes.keys()) explained.add(incarnation);
     }
   }
-  return guilty;
+  return quarantined;
 }
 
 /**
  * Whether a request tells a part in quarantine from another one that was there at
- * all its crashes: it has the one and lacks the other, which may be the guilty one.
+ * all its crashes: it has the one and lacks the other, which may be their cause.
  */
 export function isTellingApart(
   part: string,
@@ -70,15 +70,15 @@
 
 /** Whether there are enough crashes to judge a part now. */
 function isCandidate(entry: PartEvidence, now: number): boolean {
-  if (entry.crashes.size < guiltyCrashes) return false;
+  if (entry.crashes.size < quarantineCrashes) return false;
   if (!entry.hasSurvived) return true;
   const counted = [...entry.crashes.values()].sort((a, b) => a - b);
-  const decisiveAt = counted[guiltyCrashes - 1] ?? Infinity;
+  const decisiveAt = counted[quarantineCrashes - 1] ?? Infinity;
   return now - decisiveAt >= settleMs;
 }
 
 /** Most crashes first; of equal ones, those that went well longest ago or never. */
-function compareGuilt(a: PartEvidence, b: PartEvidence): number {
+function compareSuspicion(a: PartEvidence, b: PartEvidence): number {
   if (a.crashes.size !== b.crashes.size) return b.crashes.size - a.crashes.size;
   if (a.survivedAt === b.survivedAt) return 0;
   return a.survivedAt < b.survivedAt ? -1 : 1;
@@ -92,7 +92,7 @@
   const [, first] = candidates[start] ?? [];
   if (first === undefined) return [];
   const end = candidates.findIndex(([, entry], at) =>
-    at > start && compareGuilt(first, entry) !== 0
+    at > start && compareSuspicion(first, entry) !== 0
   );
   return candidates.slice(start, end < 0 ? undefined : end);
 }
--- a/packages/routing/src/streams/crashing_stream_test.ts
+++ b/packages/routing/src/streams/crashing_stream_test.ts
@@ -8,7 +8,7 @@
 import { openHasher } from "@almondcrank/common/hashing.ts";
 import { computePromptParts } from "./prompt_parts.ts";
 import { settledTokens } from "./attempt_evidence.ts";
-import { guiltyCrashes } from "../quarantine/guilty_parts.ts";
+import { quarantineCrashes } from "../quarantine/quarantined_parts.ts";
 import type { FakeEngine } from "../testing/fake_engine.ts";
 import {
   createRequest,
@@ -54,9 +54,9 @@
   return { setup, busy, others, reading, parts };
 }
 
-/** Records crashes of other requests, after which the parts are guilty. */
+/** Records crashes of other requests, after which the parts are quarantined. */
 function recordOtherCrashes({ setup, parts }: OpenStream): void {
-  for (let index = 0; index < guiltyCrashes; index++) {
+  for (let index = 0; index < quarantineCrashes; index++) {
     setup.quarantine.recordCrash(parts, `other${index}@1`, setup.clock.now());
   }
 }
--- a/packages/routing/src/streams/stream_crashes.ts
+++ b/packages/routing/src/streams/stream_crashes.ts
@@ -51,7 +51,7 @@
    * Waits with `wait`, whose signal aborts with `signal`, and once a part of the
    * stream enters the quarantine.
    */
-  async waitUnlessGuilty<T>(
+  async waitUnlessQuarantined<T>(
     signal: AbortSignal,
     wait: (signal: AbortSignal) => Promise<T>,
   ): Promise<T> {
--- a/packages/routing/src/streams/stream_run.ts
+++ b/packages/routing/src/streams/stream_run.ts
@@ -345,7 +345,7 @@
       return undefined;
     }
     if (!this.#checkRepeat()) return undefined;
-    const isTaken = await this.#crashes.waitUnlessGuilty(
+    const isTaken = await this.#crashes.waitUnlessQuarantined(
       this.#ended.signal,
       (signal) => this.#retries.take(error, signal),
     );
@@ -365,7 +365,7 @@
     // A peer may be taking the stream.
     await this.#pause?.ended;
     if (this.#isEnded()) return undefined;
-    const choice = await this.#crashes.waitUnlessGuilty(
+    const choice = await this.#crashes.waitUnlessQuarantined(
       this.#ended.signal,
       (signal) => this.#search.wait(signal, () => this.#crashes.mayRepeat()),
     );
