Give up a safe call of a silent replica only with a retry in hand

Callers of safe calls got 502 after the time of one attempt though their replica was only silent for a second: the attempt was ended first, and the spent budget refused the retry afterwards. Now another replica is chosen and the retry taken first; without either the call waits, and asks again after the same time.

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -50,6 +50,8 @@
   #sends = 0;
   #connectFailures = 0;
   #mayHaveRun = false;
+  /** Replica of the next send, whose retry has been taken from the budget. */
+  #reserved: ReplicaState | undefined;
   /** Last 5xx response of a replica, delivered if no retry succeeds. */
   #failure: BufferedResponse | undefined;
 
@@ -77,7 +79,8 @@
     const { clock, budget } = this.#services;
     const { route, service, deadline, callerSignal } = this.#request;
     while (true) {
-      const state = this.#chooseReplica();
+      const state = this.#reserved ?? this.#chooseReplica();
+      this.#reserved = undefined;
       if (state === undefined) return this.#refuse("no_replica");
       const result = await this.#send(state);
       if (callerSignal.aborted) return this.#end(0, "caller_gone");
@@ -91,7 +94,8 @@
         this.#connectFailures < maxConnectFailures;
       const mayRetry = !this.#mayHaveRun || route.kind === "safe";
       const isRetried = hasSendsLeft && mayRetry && this.#crashes.mayRepeat() &&
-        (result.kind === "not_sent" || budget.take(service.name, now));
+        (result.kind === "not_sent" || this.#reserved !== undefined ||
+          budget.take(service.name, now));
       if (isRetried) {
         this.#countRetry(result.kind === "whole" ? "failed" : result.kind);
         continue;
@@ -127,8 +131,11 @@
     // A request that must not run twice is not aborted when its caller leaves.
     if (route.kind === "safe") callerSignal.addEventListener("abort", abort);
     const startedAt = clock.now();
-    const attemptTimeoutMs = this.#computeAttemptTimeoutMs(startedAt);
-    const timer = setTimeout(abort, attemptTimeoutMs);
+    const timer = setTimeout(abort, computeTimerMs(deadline - startedAt));
+    // A silent replica may go on: its run is kept unless another one is left.
+    const silenceTimer = setInterval(() => {
+      if (this.#reserveRetry()) abort();
+    }, computeTimerMs(this.#attemptTimeoutMs));
     const pendingSend = sender.send(this.#request, state, {
       signal: aborter.signal,
       uncachedTokens: 0,
@@ -158,6 +165,7 @@
       return result;
     } finally {
       clearTimeout(timer);
+      clearInterval(silenceTimer);
       callerSignal.removeEventListener("abort", abort);
       pendingSend.end();
     }
@@ -178,18 +186,26 @@
     if (isBroken) this.#crashes.recordBroken(state);
   }
 
-  /** Timeout of the next send: the remaining time if no retry could follow. */
-  #computeAttemptTimeoutMs(now: number): number {
-    const { route, deadline } = this.#request;
-    const remainingMs = computeTimerMs(deadline - now);
-    const mayRetry = route.kind === "safe" &&
-      this.#sends + 1 < route.maxAttempts;
-    if (!mayRetry) return remainingMs;
-    const attemptTimeoutMs = Math.max(
+  /** Time after which a send may be given up for another one, in milliseconds. */
+  get #attemptTimeoutMs(): number {
+    return Math.max(
       minAttemptTimeoutMs,
-      route.objectiveMs * attemptTimeoutFactor,
+      this.#request.route.objectiveMs * attemptTimeoutFactor,
     );
-    return Math.min(remainingMs, attemptTimeoutMs);
+  }
+
+  /** Takes a retry for another replica; false if there may be none or none is left. */
+  #reserveRetry(): boolean {
+    const { budget, clock } = this.#services;
+    const { route, service } = this.#request;
+    const mayRetry = route.kind === "safe" &&
+      this.#sends + 1 < route.maxAttempts && this.#crashes.mayRepeat();
+    if (!mayRetry || this.#reserved !== undefined) return false;
+    const state = this.#chooseReplica();
+    if (state === undefined) return false;
+    if (!budget.take(service.name, clock.now())) return false;
+    this.#reserved = state;
+    return true;
   }
 
   async #readResult(
--- a/packages/scenario/src/gateway_silence_test.ts
+++ b/packages/scenario/src/gateway_silence_test.ts
@@ -153,4 +153,23 @@
   });
 });
 
+test("a safe call whose replica falls silent is answered when no retry is left in the budget", async () => {
+  await runWithSetup(1, async (setup) => {
+    const replicas = ["booking-1", "booking-2"].map((name) =>
+      setup.findReplica(name)
+    );
+    for (const replica of replicas) replica.fault = { kind: "lose_answer" };
+    // A round without a retry shows that the budget is spent.
+    for (let round = 0, retries = 1; retries > 0; round += 1) {
+      const ids = Array.from({ length: 8 }, (_, at) => `spend-${round}-${at}`);
+      await Promise.all(ids.map((id) => setup.call({ path: "/lookup/x", id })));
+      retries = ids.filter((id) => countRuns(setup, id) === 2).length;
+    }
+    for (const replica of replicas) replica.fault = { ...silence, ms: 900 };
+    const answer = await setup.call({ path: "/lookup/x", id: "silent-call" });
+    assert.is(answer.status, 200);
+    assert.is(answer.body, "answer to silent-call");
+  });
+});
+
 test.run();
