Bound the time of one attempt by what is left of the call

A route without an objective has an infinite time for one attempt, and a timer of infinite time fires at once: its safe calls would have been sent a second time after a millisecond.

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -131,11 +131,12 @@
     // A request that must not run twice is not aborted when its caller leaves.
     if (route.kind === "safe") callerSignal.addEventListener("abort", abort);
     const startedAt = clock.now();
-    const timer = setTimeout(abort, computeTimerMs(deadline - startedAt));
+    const remainingMs = deadline - startedAt;
+    const timer = setTimeout(abort, computeTimerMs(remainingMs));
     // A silent replica may go on: its run is kept unless another one is left.
     const silenceTimer = setInterval(() => {
       if (this.#reserveRetry()) abort();
-    }, computeTimerMs(this.#attemptTimeoutMs));
+    }, computeTimerMs(Math.min(remainingMs, this.#attemptTimeoutMs)));
     const pendingSend = sender.send(this.#request, state, {
       signal: aborter.signal,
       uncachedTokens: 0,
--- a/packages/scenario/src/gateway_silence_test.ts
+++ b/packages/scenario/src/gateway_silence_test.ts
@@ -7,6 +7,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { RouteAnswer } from "@almondcrank/load/route_client.ts";
+import { exampleHostname } from "@almondcrank/standin/platform/example_configuration.ts";
 import {
   countRuns,
   formatEvents,
@@ -172,4 +173,29 @@
   });
 });
 
+test("a safe call of a route without an objective is sent once while its replica is silent", async () => {
+  await runWithSetup(1, async (setup) => {
+    setup.configure({
+      routes: [{
+        hostname: exampleHostname,
+        "path-prefix": "/calm/",
+        "route-kind": "safe",
+        service: "booking",
+        "timeout-ms": 3_000,
+        "max-attempts": 2,
+        public: true,
+      }],
+    });
+    await setup.waitUntil(async () =>
+      (await setup.call({ path: "/calm/x" })).status === 200
+    );
+    for (const name of ["booking-1", "booking-2"]) {
+      setup.findReplica(name).fault = { ...silence, ms: 300 };
+    }
+    const answer = await setup.call({ path: "/calm/x", id: "calm" });
+    assert.is(answer.status, 200);
+    assert.is(countRuns(setup, "calm"), 1);
+  });
+});
+
 test.run();
