Log and count the limits that replicas name

Cause: logs and metrics could not tell whether a replica had named a limit of requests a second, nor what was sent to it meanwhile. Change: the header is decoded in platform; a log line and replica_limits_total tell when a limit is named, changes or ends, and limited_sends_total counts runs, moved runs and control calls that reach such a replica. Nothing is decided by it yet.

--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -4,6 +4,7 @@
 
 import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { Replica } from "@almondcrank/model/replica.ts";
+import { RequestLimit } from "@almondcrank/routing/limits/request_limit.ts";
 import { FailureRate } from "./failure_rate.ts";
 
 /** Load that one or more nodes put on a replica. */
@@ -31,6 +32,8 @@
 export class ReplicaState {
   readonly key: string;
   readonly failures = FailureRate.create();
+  /** Requests a second that the replica takes from all nodes together. */
+  readonly limit = RequestLimit.create();
   #replica: Replica;
   #own: NodeLoad = noLoad;
   #peers: NodeLoad = noLoad;
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -130,6 +130,7 @@
     sender: ReplicaSender.create({
       clock,
       metrics,
+      log: log.createChild("relay"),
       table,
       countNodes: () => members.listKnown(suspensionClock.now()).length + 1,
     }),
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -6,10 +6,12 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
+import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { ReplicaCall } from "@almondcrank/platform/kv_move.ts";
 import {
   isLeavingAnswer,
+  parseRequestLimit,
   parseRetryAfter,
 } from "@almondcrank/platform/headers.ts";
 import type { NodeLoad, ReplicaState } from "../choice/replica_state.ts";
@@ -24,10 +26,14 @@
 const minConnectionsPerReplica = 4;
 const unavailableStatus = 503;
 
+/** What is sent; also the `kind` label of `limited_sends_total`. */
+type LimitedSend = "run" | "moved" | "control";
+
 /** Dependencies of a sender. */
 export interface ReplicaSenderOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly log: Log;
   readonly table: ReplicaTable;
   /** Number of nodes that share each replica's connections. */
   readonly countNodes: () => number;
@@ -74,6 +80,7 @@
   ): PendingSend {
     const { clock, metrics } = this.#options;
     const { replica } = state;
+    this.#countLimited(state, options.movedRun === undefined ? "run" : "moved");
     const load = this.#openLoad(state, request, options.uncachedTokens);
     metrics.count("sends_total", { service: replica.service });
     const outcome = sendToReplica({
@@ -93,7 +100,10 @@
       signal: options.signal,
       connectTimeoutMs,
       isWanted: () => !state.isPaused(clock.now()),
-      onAnswer: (response) => this.#recordAnswer(state, response),
+      onAnswer: (response) => {
+        this.#recordAnswer(state, response);
+        this.#recordLimit(state, response);
+      },
     }).then((outcome) => {
       this.#recordOutcome(state, outcome, options.signal);
       return outcome;
@@ -108,6 +118,7 @@
     timeoutMs: number,
   ): Promise<ControlResponse | undefined> {
     const { address } = state.replica;
+    this.#countLimited(state, "control");
     const response = await sendControlCall(call, { address, timeoutMs });
     if (response !== undefined) this.#recordAnswer(state, response);
     return response;
@@ -178,6 +189,27 @@
     metrics.count("replica_pauses_total", { service: state.replica.service });
   }
 
+  /** Records which limit a replica names in an answer to a request, if any. */
+  #recordLimit(
+    state: ReplicaState,
+    { headers }: Pick<IncomingMessage, "headers">,
+  ): void {
+    const { clock, metrics, log } = this.#options;
+    const perSecond = parseRequestLimit(headers);
+    const change = state.limit.recordAnswer(perSecond, clock.now());
+    if (change === undefined) return;
+    const { id: replica, service } = state.replica;
+    metrics.count("replica_limits_total", { service, change });
+    log.info(`the limit of a replica was ${change}.`, { replica, perSecond });
+  }
+
+  /** Counts what reaches a replica that names a limit. */
+  #countLimited({ limit, replica }: ReplicaState, kind: LimitedSend): void {
+    if (limit.perSecond === undefined) return;
+    const { service } = replica;
+    this.#options.metrics.count("limited_sends_total", { service, kind });
+  }
+
   #recordOutcome(
     state: ReplicaState,
     outcome: SendOutcome,
--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -30,6 +30,8 @@
 export const storeEraHeader = "store-era";
 /** Seconds, possibly a fraction, for which the sender wants no more requests. */
 const retryAfterHeader = "retry-after";
+/** Requests a second that a replica in need takes from all nodes together. */
+const requestLimitHeader = "server-limit";
 /** Priority from 0 (highest) to 9. */
 export const priorityHeader = "x-request-priority";
 /** API key of the caller, after `keyScheme`. */
@@ -73,6 +75,17 @@
   return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : undefined;
 }
 
+/**
+ * Parses the requests a second that an answer's replica takes from all nodes
+ * together; `undefined` if it names no limit.
+ */
+export function parseRequestLimit(headers: Headers): number | undefined {
+  const text = headers[requestLimitHeader];
+  if (typeof text !== "string" || text.trim() === "") return undefined;
+  const perSecond = Number(text);
+  return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
+}
+
 /** A part of a prompt, with the id that it has in `promptPartsHeader`. */
 export interface PromptPart {
   readonly id: string;
