--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -84,6 +84,8 @@
   readonly arrivals: ReplicaArrival[] = [];
   /** Whether all answers say that the replica is leaving. */
   isLeaving = false;
+  /** Requests a second that all answers name as a limit; none if undefined. */
+  limitPerSecond: number | undefined;
   readonly #server: Server;
   readonly #events: number;
   readonly #eventMs: number;
@@ -191,6 +193,9 @@
       parts: String(request.headers["x-prefix-hash"] ?? ""),
     });
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
+    if (this.limitPerSecond !== undefined) {
+      response.setHeader("Server-Limit", String(this.limitPerSecond));
+    }
     if (request.url === "/kv-move") return await this.#move(body, response);
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
