Keep to the limits of requests a second that replicas name

Cause: nodes did not read Server-Limit, so none held back on any way to a replica: first sends, retries, standbys, moved runs, control calls. Change: one limit per replica (routing/limits, for both interfaces). It is split among a few nodes chosen by rendezvous hashing, such that each has a share worth using; each holds to a token bucket that begins empty, and a share that is not used passes on. All choices of replicas (calls, streams, standbys, destinations of moves) leave out those that are closed; what may not wait is charged in advance. A service whose replicas are all at their limits refuses with replica_limits and the time to the next place.

--- a/packages/gateway/src/choice/call_choice.ts
+++ b/packages/gateway/src/choice/call_choice.ts
@@ -43,7 +43,7 @@
   for (let index = 0; index < states.length; index += 1) {
     const state = states[(index + offset) % states.length];
     if (state === undefined || request.excluded.has(state.key)) continue;
-    if (state.isPaused(request.now)) continue;
+    if (!state.takesRequests(request.now)) continue;
     const predictedMs = computeAnswerMs(state, leastMs, request.now);
     const cost = predictedMs + computePenaltyMs(state, request);
     if (cost >= bestCost) continue;
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -81,7 +81,7 @@
 ): EngineChoice | undefined {
   const { excluded, now } = request;
   const usable = states.filter((state) =>
-    !excluded.has(state.key) && !state.isPaused(now)
+    !excluded.has(state.key) && state.takesRequests(now)
   );
   const { candidates, preferred } = listCandidates(usable, request, services);
   let best: EngineChoice | undefined;
--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -138,9 +138,15 @@
     return now < this.#pausedUntil;
   }
 
-  /** Monotonic time until which the replica wants nothing from this node. */
-  get pausedUntil(): number {
-    return this.#pausedUntil;
+  /** Whether this node may send it a request: it is not paused nor at its limit. */
+  takesRequests(now: number): boolean {
+    return !this.isPaused(now) && this.limit.isOpen(now);
+  }
+
+  /** Time until this node may send it a request, in milliseconds. */
+  computeWaitMs(now: number): number {
+    const pauseMs = Math.max(0, this.#pausedUntil - now);
+    return Math.max(pauseMs, this.limit.computeWaitMs(now));
   }
 
   /** Records that the replica wants nothing from this node until `until`. */
--- a/packages/gateway/src/choice/replica_table.ts
+++ b/packages/gateway/src/choice/replica_table.ts
@@ -141,11 +141,18 @@
     this.#index();
   }
 
-  /** Computes the time until a paused replica takes requests; 0 if one does. */
+  /** Computes the time until some replica takes requests; 0 if one does. */
   computeResumeMs(service: string, now: number): number {
-    const pausesMs = this.listUsable(service)
-      .map(({ pausedUntil }) => Math.max(0, pausedUntil - now));
-    return pausesMs.length === 0 ? 0 : Math.min(...pausesMs);
+    const waitsMs = this.listUsable(service)
+      .map((state) => state.computeWaitMs(now));
+    return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
+  }
+
+  /** Whether no replica takes requests, some because they are at their limits. */
+  isAtLimits(service: string, now: number): boolean {
+    const states = this.listUsable(service);
+    return states.some(({ limit }) => !limit.isOpen(now)) &&
+      states.every((state) => !state.takesRequests(now));
   }
 
   /** Records that the store came back from an older copy. */
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -16,6 +16,7 @@
 import { UsageCounts } from "../duties/usage_counts.ts";
 import { WorkMeter } from "../duties/work_meter.ts";
 import { FeedState } from "../feed/feed_state.ts";
+import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
@@ -124,6 +125,7 @@
       usage: node.usage,
       work: WorkMeter.create(),
       quarantine: node.quarantine,
+      limitShares: LimitShares.create(node.node, hasher),
       isDraining: () => false,
       isStoreUnreachable: () => false,
       readFencingToken: () => node.fencingToken,
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -12,10 +12,12 @@
 import type { UsageCounts } from "../duties/usage_counts.ts";
 import type { FeedKind, FeedState } from "../feed/feed_state.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
+import type { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { composeAlive } from "./alive_members.ts";
 import { FeedStatuses } from "./feed_statuses.ts";
+import { applyLimits, listLimits } from "./limit_reports.ts";
 import type { Member, MemberTable } from "./member_table.ts";
 import type {
   AliveMember,
@@ -65,6 +67,7 @@
   readonly usage: UsageCounts;
   readonly work: WorkMeter;
   readonly quarantine: PartQuarantine;
+  readonly limitShares: LimitShares;
   readonly isDraining: () => boolean;
   /** Whether this node currently does not reach the store. */
   readonly isStoreUnreachable: () => boolean;
@@ -169,6 +172,7 @@
       loads: this.#listOwnLoads(),
       leaving: table.listAnnouncedLeaving(),
       suspects: this.#listSuspects(),
+      limits: this.#listLimits(),
       usage: usage.listRecent(),
       alive: [],
       members: withMembers ? this.#listMembers() : [],
@@ -184,6 +188,7 @@
       loads: [],
       leaving: [],
       suspects: this.#listSuspects(),
+      limits: this.#listLimits(),
       usage: [],
       alive: [],
       members: this.#listMembers(),
@@ -205,6 +210,7 @@
       loads: loads.list(),
       leaving: table.listAnnouncedLeaving(),
       suspects: this.#listSuspects(),
+      limits: this.#listLimits(),
       usage: usage.listZoneSums(),
       alive: composeAlive(neighbours, clock.now()),
       members: [],
@@ -223,6 +229,7 @@
       loads: loads.list(),
       leaving: table.listAnnouncedLeaving(),
       suspects: this.#listSuspects(),
+      limits: this.#listLimits(),
       usage: usage.listSystemSums(),
       alive: composeAlive(members.listAlive(clock.now()), clock.now()),
       members: withMembers ? this.#listMembers() : [],
@@ -258,7 +265,7 @@
 
   /** Updates the topology, the peers' load of each replica, and the limits. */
   refresh(): ReportTopology {
-    const { members, clock, table, zone, isDraining } = this.#options;
+    const { members, clock, zone, isDraining } = this.#options;
     const now = clock.now();
     const alive = members.listAlive(now);
     const known = members.listKnown(now);
@@ -278,11 +285,22 @@
     // Signs of life pass over relays.
     members.setRoundMs(isMesh ? tickMs : Math.max(minRoundMs, tickMs * 2));
     this.#refreshLimits(alive, known);
+    this.#refreshReplicas(known);
+    return this.#topology;
+  }
+
+  /** Updates the peers' load of each replica, and this node's share of its limit. */
+  #refreshReplicas(known: readonly Member[]): void {
+    const { table, limitsClock, limitShares, node, isDraining } = this.#options;
+    const now = limitsClock.now();
+    const sharers = known.filter((member) => !member.isDraining)
+      .map((member) => member.node);
+    limitShares.setNodes(isDraining() ? sharers : [...sharers, node]);
     const loads = this.#collector.sumLoads();
     for (const state of table.listAll()) {
       state.setPeerLoad(loads.read(state.key));
+      limitShares.apply(state.key, state.limit, now);
     }
-    return this.#topology;
   }
 
   /** Lists the relays from which this node should hear in every tick. */
@@ -350,6 +368,7 @@
     quarantine.learn(parseSuspects(report.suspects), limitsClock.now());
     for (const member of report.members) members.introduce(member, now);
     this.#applyAlive(report.alive, now);
+    applyLimits(table, report.limits, limitsClock.now());
     for (const key of report.leaving) {
       table.recordLeaving(key, limitsClock.now());
     }
@@ -376,6 +395,11 @@
     return formatSuspects(quarantine.listTold(limitsClock.now()));
   }
 
+  #listLimits(): PeerReport["limits"] {
+    const { table, limitsClock } = this.#options;
+    return listLimits(table, limitsClock.now());
+  }
+
   #listMembers(): PeerReport["members"] {
     const { members, clock } = this.#options;
     return members.listKnown(clock.now())
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -25,6 +25,10 @@
   z.number().nullable(),
   z.array(z.tuple([z.string(), z.number()])),
 ]));
+/** Replica, limit of requests a second that it names, and age of its answer. */
+const limits = z.array(
+  z.tuple([z.string(), z.number().nullable(), z.number()]),
+);
 const usage = z.array(
   z.tuple([z.number(), z.record(z.string(), z.number())]),
 );
@@ -72,6 +76,8 @@
   leaving: z.array(z.string()).default([]),
   /** Parts of prompts under which replicas crash. */
   suspects: suspects.default([]),
+  /** Limits that replicas name, or no longer name. */
+  limits: limits.default([]),
   /** Usage window, then requests by tenant. */
   usage,
   /** Nodes that a relay has heard of lately. Empty in reports of one node. */
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -47,6 +47,7 @@
     ["p", 12, null, [["replica-1/1", 40]]],
     ["q", null, 3, []],
   ],
+  limits: [["replica-1/1", 1.5, 20], ["replica-2/1", null, 0]],
   usage: [[7, { t: 3 }]],
   alive: [{ node: "m", ageMs: 4, isDraining: true }],
   members: [{ node: "m", ip: "127.0.0.2", zone: "z" }],
@@ -60,10 +61,10 @@
 });
 
 test("a report of an earlier version, which has fewer lists, is accepted", () => {
-  const { suspects: _, ...earlier } = report;
+  const { suspects: _, limits: __, ...earlier } = report;
   const encoded = encodePeerReport(earlier as PeerReport);
   const decoded = decodePeerMessage(encodePeerMessage(header, encoded));
-  assert.equal(decoded?.report, { ...earlier, suspects: [] });
+  assert.equal(decoded?.report, { ...earlier, suspects: [], limits: [] });
 });
 
 test("an encoded report is less than half as long as its JSON", () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   configurationKind,
   replicasKind,
 } from "@almondcrank/platform/platform_store.ts";
+import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { GatewayStatus } from "@almondcrank/model/gateway_status.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
@@ -161,6 +162,7 @@
         this.#readers.some((reader) => reader.isFailing),
       work: services.work,
       quarantine: services.quarantine,
+      limitShares: LimitShares.create(settings.nodeName, services.hasher),
       readFencingToken: () => this.#lease?.fencingToken,
       pullFeed: (kind, ip) => void clusterRef.cluster?.pullFeed(kind, ip),
     });
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -81,7 +81,7 @@
     while (true) {
       const state = this.#reserved ?? this.#chooseReplica();
       this.#reserved = undefined;
-      if (state === undefined) return this.#refuse("no_replica");
+      if (state === undefined) return this.#refuse(this.#findShortage());
       const result = await this.#send(state);
       if (callerSignal.aborted) return this.#end(0, "caller_gone");
       if (result.kind === "whole") {
@@ -123,6 +123,15 @@
     return state;
   }
 
+  /** Finds why no replica can be chosen. */
+  #findShortage(): FailureReason {
+    const { table, clock } = this.#services;
+    const { name } = this.#request.service;
+    return table.isAtLimits(name, clock.now())
+      ? "replica_limits"
+      : "no_replica";
+  }
+
   async #send(state: ReplicaState): Promise<SendResult> {
     const { sender, clock } = this.#services;
     const { route, deadline, callerSignal } = this.#request;
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -19,6 +19,7 @@
   | "body_timeout"
   | "over_allowance"
   | "no_replica"
+  | "replica_limits"
   | "overloaded"
   | "quarantined"
   | "unknown_origin"
@@ -51,6 +52,9 @@
   over_allowance: "the tenant has exceeded its allowance; try again later",
   no_replica:
     "no replica takes requests now; the request has not run, try again",
+  replica_limits:
+    "the replicas are at the limits of requests that they named; the request has " +
+    "not run, try again later",
   overloaded:
     "the service is overloaded; the request has not run, try again later",
   quarantined:
@@ -82,6 +86,7 @@
 /** Why no replica answered a request. */
 export type FailureReason =
   | "no_replica"
+  | "replica_limits"
   | "overloaded"
   | "version_gone"
   | "declined"
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -80,7 +80,10 @@
   ): PendingSend {
     const { clock, metrics } = this.#options;
     const { replica } = state;
-    this.#countLimited(state, options.movedRun === undefined ? "run" : "moved");
+    const isMoved = options.movedRun !== undefined;
+    this.#countLimited(state, isMoved ? "moved" : "run");
+    // A moved run was charged when its replica was chosen.
+    if (!isMoved) state.limit.charge(clock.now());
     const load = this.#openLoad(state, request, options.uncachedTokens);
     metrics.count("sends_total", { service: replica.service });
     const outcome = sendToReplica({
@@ -119,6 +122,7 @@
   ): Promise<ControlResponse | undefined> {
     const { address } = state.replica;
     this.#countLimited(state, "control");
+    state.limit.charge(this.#options.clock.now());
     const response = await sendControlCall(call, { address, timeoutMs });
     if (response !== undefined) this.#recordAnswer(state, response);
     return response;
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -10,6 +10,7 @@
   type StreamVerdict,
 } from "../choice/stream_admission.ts";
 import { computeEngineMs } from "../duties/work_meter.ts";
+import type { FailureReason } from "./local_reply.ts";
 import type { RelayServices } from "./relay_services.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { MoveTarget } from "./stream_registry.ts";
@@ -73,6 +74,16 @@
   return chooseEngine(states, { ...query, excluded: new Set() }, services);
 }
 
+/** Finds why no replica can be chosen for a stream of a version. */
+export function findShortage(
+  { table, clock }: RelayServices,
+  { service }: RoutedRequest,
+  version: string | undefined,
+): FailureReason {
+  if (table.isAtLimits(service.name, clock.now())) return "replica_limits";
+  return version === undefined ? "no_replica" : "version_gone";
+}
+
 /**
  * Decides whether to admit a stream that has not been sent yet. The objective is
  * that of a first event, which a caller that comes back has had.
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -90,6 +90,7 @@
     if (requestId === undefined || !request.service.engine?.canMove) return;
     const destination = this.#chooseDestination(source, stream);
     if (destination === undefined) return;
+    destination.limit.charge(this.#services.clock.now());
     stream.setMove(this.#runMove({ source, destination, stream }, requestId));
   }
 
@@ -140,6 +141,7 @@
           movedRun: formatMovedRun(source.replica.address, outcome.handle),
         };
       case "stopped":
+        source.limit.charge(this.#services.clock.now());
         return {
           replicaKey: source.key,
           movedRun: formatMovedRun(source.replica.address, outcome.handle),
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -21,6 +21,7 @@
 import {
   checkStreamAdmission,
   chooseStreamReplica,
+  findShortage,
   recordRefusedWork,
   recordStreamChoice,
   type StreamProgress,
@@ -174,7 +175,7 @@
     const choice = this.#choose({ target, mayReuse: true });
     if (choice === undefined) {
       return this.#fail(
-        this.#version === undefined ? "no_replica" : "version_gone",
+        findShortage(this.#services, this.#request, this.#version),
       );
     }
     const refusal = this.#checkAdmission(choice);
--- a/packages/scenario/src/gateway_limits_test.ts
+++ b/packages/scenario/src/gateway_limits_test.ts
@@ -21,6 +21,8 @@
 const loadMs = contactMs + 2 * windowMs;
 const callIntervalMs = 25;
 
+const slow = { events: 5, eventMs: 80 };
+
 /** Requests that may reach a replica in a window: half as many again, and five. */
 function computeAllowed(perSecond: number): number {
   return 1.5 * perSecond * windowMs / 1_000 + 5;
@@ -46,6 +48,21 @@
   assert.ok(busiest <= allowed, `${busiest} arrived, allowed ${allowed}`);
 }
 
+/** Runs a test against nodes that all know the keys of callers. */
+async function runWithReadySetup(
+  run: (setup: GatewaySetup) => Promise<void>,
+): Promise<void> {
+  await runWithSetup(nodeCount, async (setup) => {
+    await setup.waitUntil(async () => {
+      const answers = await Promise.all(
+        setup.nodes.map((_, node) => setup.call({ path: "/book/x", node })),
+      );
+      return answers.every(({ status }) => status === 200);
+    });
+    await run(setup);
+  });
+}
+
 /** Sends requests to all nodes in turn for `ms` milliseconds. */
 async function sendLoad(
   setup: GatewaySetup,
@@ -70,7 +87,7 @@
 
 for (const { path, limited } of services) {
   test(`first sends of all nodes keep to the limit of a replica (${path})`, async () => {
-    await runWithSetup(nodeCount, async (setup) => {
+    await runWithReadySetup(async (setup) => {
       const replica = setup.findReplica(limited);
       replica.limitPerSecond = limitPerSecond;
       const namedAt = performance.now();
@@ -82,7 +99,7 @@
 }
 
 test("a service whose replicas are at their limits refuses at once and says when to return", async () => {
-  await runWithSetup(nodeCount, async (setup) => {
+  await runWithReadySetup(async (setup) => {
     const { path, limited, other } = services[1];
     const replicas = [limited, other].map((id) => setup.findReplica(id));
     for (const replica of replicas) replica.limitPerSecond = limitPerSecond;
@@ -105,9 +122,13 @@
 });
 
 test("a replica that no longer names a limit gets its part of the requests again", async () => {
-  await runWithSetup(nodeCount, async (setup) => {
-    const { path, limited } = services[0];
-    const replica = setup.findReplica(limited);
+  await runWithReadySetup(async (setup) => {
+    const { path } = services[2];
+    // Slow ones, so that no single replica can serve all requests at once.
+    const replica = await setup.addReplica("model-3", "models", slow);
+    await setup.addReplica("model-4", "models", slow);
+    for (const id of ["model-1", "model-2"]) setup.store.remove("servers", id);
+    await sleep(500);
     replica.limitPerSecond = limitPerSecond;
     await sendLoad(setup, path, contactMs);
     replica.limitPerSecond = undefined;
@@ -120,7 +141,7 @@
 });
 
 test("moved streams keep to the limit of their new replica", async () => {
-  await runWithSetup(nodeCount, async (setup) => {
+  await runWithReadySetup(async (setup) => {
     setup.configure({ timeoutMs: 20_000 });
     const leaving = await setup.addReplica("model-3", "models", {
       events: 120,
@@ -155,7 +176,7 @@
 });
 
 test("retries and standbys keep to the limit of the replica that they reach", async () => {
-  await runWithSetup(nodeCount, async (setup) => {
+  await runWithReadySetup(async (setup) => {
     const limited = setup.findReplica("model-1");
     limited.limitPerSecond = limitPerSecond;
     await setup.addReplica("model-3", "models");
