--- a/packages/endpoint/src/engine.ts
+++ b/packages/endpoint/src/engine.ts
@@ -75,6 +75,8 @@
   readonly betweenTokensMs: number;
   readonly cacheUsedTokens: number;
   readonly cacheTokens: number;
+  /** Requests a second that it takes from all nodes; left out without a limit. */
+  readonly requestsPerSecond?: number | undefined;
 }
 
 /** Change of the prefix cache; `blocks` are hashes from `computeBlockHashes`. */
--- a/packages/endpoint/src/engine_messages.ts
+++ b/packages/endpoint/src/engine_messages.ts
@@ -24,6 +24,7 @@
   betweenTokensMs: amount,
   cacheUsedTokens: amount,
   cacheTokens: amount,
+  requestsPerSecond: amount.optional(),
 });
 
 /** Answer of `GET /cache-events`. */
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -35,6 +35,7 @@
   ageMs: z.number(),
   running: z.number(),
   queued: z.number(),
+  requestsPerSecond: z.number().min(0).optional(),
 });
 
 /** Options of an endpoint client. */
--- a/packages/endpoint/src/plain_service.ts
+++ b/packages/endpoint/src/plain_service.ts
@@ -37,6 +37,8 @@
   readonly ageMs: number;
   readonly running: number;
   readonly queued: number;
+  /** Calls a second that it takes from all nodes; left out without a limit. */
+  readonly requestsPerSecond?: number | undefined;
 }
 
 /** Client of one endpoint of a plain service. */
--- a/packages/membership/src/load_columns.ts
+++ b/packages/membership/src/load_columns.ts
@@ -14,6 +14,8 @@
   readonly receivedAt: number;
 }
 
+/** Stands for no limit of requests in a column. */
+const noLimit = -1;
 /** Relative change of a value from which it is sent. */
 const materialChangeShare = 0.1;
 
@@ -25,6 +27,10 @@
   if (last.reachable !== next.reachable || last.slots !== next.slots) {
     return true;
   }
+  // Also an unchanged limit: nodes count the time since it was last stated.
+  if ((last.requestsPerSecond ?? next.requestsPerSecond) !== undefined) {
+    return true;
+  }
   const slotStep = Math.max(1, next.slots * materialChangeShare);
   return Math.abs(last.running - next.running) >= slotStep ||
     isMaterialDifference(last.queued, next.queued) ||
@@ -66,6 +72,10 @@
       Math.round(load.betweenTokensMs * 10) / 10
     ),
     reachable: listValues((load) => (load.reachable ? 1 : 0)),
+    requestsPerSecond:
+      sorted.some(({ load }) => load.requestsPerSecond !== undefined)
+        ? listValues((load) => load.requestsPerSecond ?? noLimit)
+        : [],
   };
 }
 
@@ -90,6 +100,15 @@
       prefillTokensPerSecond: columns.prefillTokensPerSecond[i] ?? 0,
       betweenTokensMs: columns.betweenTokensMs[i] ?? 0,
       reachable: columns.reachable[i] === 1,
+      ...decodeLimit(columns.requestsPerSecond[i]),
     },
   }));
 }
+
+function decodeLimit(
+  value: number | undefined,
+): Pick<EndpointLoad, "requestsPerSecond"> {
+  return value === undefined || value === noLimit
+    ? {}
+    : { requestsPerSecond: value };
+}
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -51,6 +51,8 @@
   readonly betweenTokensMs: number;
   /** False when the poller could not reach the endpoint. */
   readonly reachable: boolean;
+  /** Requests a second for all nodes together; left out if it states no limit. */
+  readonly requestsPerSecond?: number | undefined;
 }
 
 /** New loads and the demand in a gossip record received from a node. */
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -54,6 +54,8 @@
   prefillTokensPerSecond: numbers,
   betweenTokensMs: numbers,
   reachable: numbers,
+  /** Empty if no endpoint states a limit; `noLimit` for one that does not. */
+  requestsPerSecond: numbers.default([]),
 }).readonly();
 /** Loads of endpoints as columns. */
 export type LoadColumns = z.infer<typeof loadColumns>;
--- a/packages/node/src/data_plane.ts
+++ b/packages/node/src/data_plane.ts
@@ -9,6 +9,7 @@
 } from "@almondcrank/common/disposables.ts";
 import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { ClaimCleaner } from "@almondcrank/routing/keyed_calls/claim_cleaner.ts";
+import { EndpointLimits } from "@almondcrank/routing/limits/endpoint_limits.ts";
 import { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
 import { PlainLoads } from "@almondcrank/routing/choice/plain_loads.ts";
 import { EndpointRetries } from "@almondcrank/routing/repeats/endpoint_retries.ts";
@@ -54,9 +55,15 @@
       calls: TeamLimits.create({ ...common, pool: "calls", unit: "requests" }),
     };
     this.endpoints = this.#disposables.register(EndpointClients.create(clock));
-    this.loads = LoadTable.create({ clock });
+    const endpointLimits = EndpointLimits.create({
+      clock,
+      hasher: options.hasher,
+      self: self.node,
+    });
+    this.loads = LoadTable.create({ clock, limits: endpointLimits });
     const plainLoads = PlainLoads.create({
       clock,
+      limits: endpointLimits,
       isLeaving: (endpoint) => membership.isLeaving(endpoint),
     });
     this.loadCollector = this.#disposables.register(LoadCollector.create({
@@ -65,6 +72,7 @@
       endpoints: this.endpoints,
       loads: this.loads,
       plainLoads,
+      endpointLimits,
       modelLimits: limits.models,
       callLimits: limits.calls,
     }));
--- a/packages/node/src/load_collector.ts
+++ b/packages/node/src/load_collector.ts
@@ -10,6 +10,7 @@
   Endpoint,
 } from "@almondcrank/common/configuration.ts";
 import {
+  createDisposable,
   type Disposable,
   DisposableStore,
 } from "@almondcrank/common/disposables.ts";
@@ -24,12 +25,16 @@
   NodeReport,
 } from "@almondcrank/membership/membership.ts";
 import { LimitsUpdater } from "@almondcrank/routing/limits/limits_updater.ts";
+import type { EndpointLimits } from "@almondcrank/routing/limits/endpoint_limits.ts";
 import type { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
 import type { PlainLoads } from "@almondcrank/routing/choice/plain_loads.ts";
 import type { TeamLimits } from "@almondcrank/routing/limits/team_limits.ts";
 import type { EndpointClients } from "./endpoint_clients.ts";
 import type { NodeServices } from "./node_services.ts";
 
+/** Interval at which the shares of endpoints' limits are computed. */
+const endpointLimitsMs = 250;
+
 /** Options of `LoadCollector`. */
 export interface LoadCollectorOptions extends NodeServices {
   readonly membership: ClusterMembership;
@@ -37,6 +42,7 @@
   readonly endpoints: EndpointClients;
   readonly loads: LoadTable;
   readonly plainLoads: PlainLoads;
+  readonly endpointLimits: EndpointLimits;
   /** Limits of model services, counted in tokens. */
   readonly modelLimits: TeamLimits;
   /** Limits of plain services, counted in calls. */
@@ -90,6 +96,11 @@
   start(): void {
     this.#poller.start();
     this.#limits.start();
+    const timer = setInterval(
+      () => this.#refreshEndpointLimits(),
+      endpointLimitsMs,
+    );
+    this.#disposables.register(createDisposable(() => clearInterval(timer)));
   }
 
   dispose(): void {
@@ -109,6 +120,13 @@
     }
   }
 
+  #refreshEndpointLimits(): void {
+    const { membership, endpointLimits } = this.#options;
+    const others = membership.list().filter(({ state }) => state !== "leaving")
+      .map(({ identity }) => identity.node);
+    endpointLimits.refresh([...new Set([...others, membership.self.node])]);
+  }
+
   /** Removes endpoints that are no longer in force. */
   #applyConfiguration({ endpoints }: Configuration): void {
     const names = new Set(endpoints.map(({ name }) => name));
@@ -131,8 +149,9 @@
         return load.isLeft() ? Left(load.extract() as never) : load;
       }
       const load = await clients.findPlain(endpoint).readLoad();
-      return load.chain(({ ageMs, running, queued }) =>
+      return load.chain(({ ageMs, running, queued, requestsPerSecond }) =>
         Right({
+          requestsPerSecond,
           ageMs,
           running,
           queued,
--- a/packages/routing/src/choice/load_table.ts
+++ b/packages/routing/src/choice/load_table.ts
@@ -14,6 +14,7 @@
   EndpointLoad,
   LeavingEndpoint,
 } from "@almondcrank/membership/membership.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
 import { type AssumedLoad, ReplicaLoad } from "./replica_load.ts";
 
 const defaultAssumedLoad: AssumedLoad = {
@@ -33,12 +34,15 @@
   readonly clock: Clock;
   /** Load of replicas that have not reported yet. */
   readonly assumed?: AssumedLoad;
+  /** Limits of requests that endpoints state; none are kept by default. */
+  readonly limits?: EndpointLimits;
 }
 
 /** Loads of all endpoints this node may send to. */
 export class LoadTable {
   readonly #clock: Clock;
   readonly #assumed: AssumedLoad;
+  readonly #limits: EndpointLimits | undefined;
   readonly #replicas = new Map<string, ReplicaLoad>();
   readonly #zones = new Map<string, string>();
   /** Monotonic time of the last reclaim by zone, in milliseconds. */
@@ -49,6 +53,7 @@
   private constructor(options: LoadTableOptions) {
     this.#clock = options.clock;
     this.#assumed = options.assumed ?? defaultAssumedLoad;
+    this.#limits = options.limits;
   }
 
   static create(options: LoadTableOptions): LoadTable {
@@ -90,10 +95,17 @@
     return this.#replicas.get(endpoint);
   }
 
+  /** Whether an endpoint takes a request now: it is usable and below its limit. */
+  takesRequests(endpoint: string): boolean {
+    const isUsable = this.find(endpoint)?.isUsable(this.#clock.now()) ?? false;
+    return isUsable;
+  }
+
   /** Records a load report of a poller. */
   record(load: EndpointLoad): void {
     const replica = this.#replicas.get(load.endpoint);
     if (replica === undefined) return;
+    this.#limits?.record(load);
     const now = this.#clock.now();
     if (load.reachable) replica.record(load, now - load.ageMs);
     else if (replica.isUsable(now)) {
@@ -137,6 +149,7 @@
 
   recordSend(endpoint: string, uncachedTokens: number): void {
     const now = this.#clock.now();
+    this.#limits?.charge(endpoint);
     this.#replicas.get(endpoint)?.recordSend(uncachedTokens, now);
   }
 
--- a/packages/routing/src/choice/plain_chooser.ts
+++ b/packages/routing/src/choice/plain_chooser.ts
@@ -37,14 +37,17 @@
 export interface PlainLoadSource {
   /** Finds the latest report; undefined when there is none. */
   find(endpoint: string): ReportedLoad | undefined;
-  /** Whether the endpoint is leaving and gets no new calls. */
-  isLeaving(endpoint: string): boolean;
+  /** Whether the endpoint takes new calls: it is not leaving nor at its limit. */
+  takesCalls(endpoint: string): boolean;
+  /** Records a call that is sent to an endpoint. */
+  recordSend(endpoint: string): void;
 }
 
 /** Source that has no reports. */
 export const noLoadReports: PlainLoadSource = {
   find: () => undefined,
-  isLeaving: () => false,
+  takesCalls: () => true,
+  recordSend: () => {},
 };
 
 /** How a call ended; decides what it says about the endpoint. */
@@ -99,7 +102,7 @@
     if (endpoints !== this.#configured) this.#removeUnconfigured(endpoints);
     const remaining = endpoints.filter((endpoint) =>
       !tried.has(endpoint.name) &&
-      !this.#options.loads.isLeaving(endpoint.name)
+      this.#options.loads.takesCalls(endpoint.name)
     );
     const healthy = remaining.filter((endpoint) =>
       !this.#isAvoided(endpoint.name)
@@ -110,6 +113,7 @@
   /** Records a call as in flight until it ends. */
   start(endpoint: string): InFlightCall {
     const state = this.#readState(endpoint);
+    this.#options.loads.recordSend(endpoint);
     const id = this.#nextId++;
     const started = this.#options.clock.now();
     state.startTimes.set(id, started);
--- a/packages/routing/src/choice/plain_chooser_test.ts
+++ b/packages/routing/src/choice/plain_chooser_test.ts
@@ -29,7 +29,8 @@
     random: Random.create(5),
     loads: {
       find: (name) => reports.get(name),
-      isLeaving: (name) => leaving.has(name),
+      takesCalls: (name) => !leaving.has(name),
+      recordSend: () => {},
     },
   });
   const endpoints = names.map(createEndpoint);
--- a/packages/routing/src/choice/plain_loads.ts
+++ b/packages/routing/src/choice/plain_loads.ts
@@ -4,6 +4,7 @@
 
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { EndpointLoad } from "@almondcrank/membership/membership.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
 import type { PlainLoadSource, ReportedLoad } from "./plain_chooser.ts";
 
 /** Age beyond which a report is dropped, in milliseconds. */
@@ -14,6 +15,8 @@
   readonly clock: Clock;
   /** Whether an endpoint is about to leave. */
   readonly isLeaving: (endpoint: string) => boolean;
+  /** Limits of calls that endpoints state; none are kept by default. */
+  readonly limits?: EndpointLimits;
 }
 
 interface Entry {
@@ -41,6 +44,7 @@
     const known = this.#entries.get(load.endpoint);
     if (known !== undefined && known.at > at) return;
     this.#entries.set(load.endpoint, { load, at });
+    this.#options.limits?.record(load);
   }
 
   /** Finds the latest report of an endpoint; undefined when it is too old. */
@@ -56,7 +60,11 @@
     return { running, queued, reachable, ageMs };
   }
 
-  isLeaving(endpoint: string): boolean {
-    return this.#options.isLeaving(endpoint);
+  takesCalls(endpoint: string): boolean {
+    return !this.#options.isLeaving(endpoint);
+  }
+
+  recordSend(endpoint: string): void {
+    this.#options.limits?.charge(endpoint);
   }
 }
--- a/packages/routing/src/choice/replica_chooser.ts
+++ b/packages/routing/src/choice/replica_chooser.ts
@@ -277,8 +277,9 @@
   ): Candidate | undefined {
     if (endpoint === undefined) return undefined;
     if (request.excluded?.has(endpoint.name)) return undefined;
-    const load = this.#options.loads.find(endpoint.name);
-    if (load === undefined || !load.isUsable(this.#options.clock.now())) {
+    const { loads } = this.#options;
+    const load = loads.find(endpoint.name);
+    if (load === undefined || !loads.takesRequests(endpoint.name)) {
       return undefined;
     }
     return { endpoint, load, cachedTokens };
--- a/packages/routing/src/streams/stream_migration.ts
+++ b/packages/routing/src/streams/stream_migration.ts
@@ -110,9 +110,8 @@
   }
 
   #isUsable(target: ReplicaChoice): boolean {
-    const { loads, clock } = this.#options.services;
-    const load = loads.find(target.endpoint.name);
-    return load?.isUsable(clock.now()) ?? false;
+    const { loads } = this.#options.services;
+    return loads.takesRequests(target.endpoint.name);
   }
 
   /** Moves the cache; undefined if that fails or exceeds `budgetMs`. */
--- a/packages/standin/src/engine_settings.ts
+++ b/packages/standin/src/engine_settings.ts
@@ -31,6 +31,8 @@
   kvBytesPerSecond: z.number().min(1).default(2_000_000_000),
   /** Interval at which the load is published, in milliseconds. */
   loadPublishMs: z.number().min(0).default(100),
+  /** Limit that the load report states, for all nodes together. */
+  requestsPerSecond: z.number().min(0).optional(),
   cacheEventLagMs: z.number().min(0).default(50),
   /** Whether orders with an outdated fencing token are refused. */
   checksFencing: z.boolean().default(true),
--- a/packages/standin/src/engine_standin.ts
+++ b/packages/standin/src/engine_standin.ts
@@ -290,6 +290,7 @@
       betweenTokensMs: load.betweenTokensMs,
       cacheUsedTokens: load.cacheUsedTokens,
       cacheTokens: this.#settings.cacheTokens,
+      requestsPerSecond: this.#settings.requestsPerSecond,
     };
     return createAnswer(200, report);
   }
--- a/packages/standin/src/plain_standin.ts
+++ b/packages/standin/src/plain_standin.ts
@@ -46,6 +46,8 @@
   queueLimit: z.number().int().min(0).default(64),
   /** Interval at which the load is published, in milliseconds. */
   loadPublishMs: z.number().min(0).default(100),
+  /** Limit that the load report states, for all nodes together. */
+  requestsPerSecond: z.number().min(0).optional(),
 });
 /** Settings with all defaults filled in. */
 export type PlainSettings = z.infer<typeof plainSettings>;
@@ -288,6 +290,7 @@
       ageMs,
       running: Math.round(load.running * loadFactor),
       queued: Math.round(load.queued * loadFactor),
+      requestsPerSecond: this.#settings.requestsPerSecond,
     };
     return createAnswer(200, report);
   }
