Keep to the limits of requests a second that endpoints report

Cause: the own interface chose endpoints by load alone; the number of requests a second that an endpoint takes was not looked at.

--- a/packages/routing/src/choice/load_table.ts
+++ b/packages/routing/src/choice/load_table.ts
@@ -98,7 +98,7 @@
   /** Whether an endpoint takes a request now: it is usable and below its limit. */
   takesRequests(endpoint: string): boolean {
     const isUsable = this.find(endpoint)?.isUsable(this.#clock.now()) ?? false;
-    return isUsable;
+    return isUsable && (this.#limits?.isOpen(endpoint) ?? true);
   }
 
   /** Records a load report of a poller. */
--- a/packages/routing/src/choice/plain_loads.ts
+++ b/packages/routing/src/choice/plain_loads.ts
@@ -61,7 +61,8 @@
   }
 
   takesCalls(endpoint: string): boolean {
-    return !this.#options.isLeaving(endpoint);
+    const { isLeaving, limits } = this.#options;
+    return !isLeaving(endpoint) && (limits?.isOpen(endpoint) ?? true);
   }
 
   recordSend(endpoint: string): void {
