--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -323,6 +323,9 @@
     this.#table.expire(this.#clock.now());
     this.#sender.retain((key) => this.#table.find(key) !== undefined);
     this.#metrics.setGauge("requests_running", this.#server.running);
+    const limited = [...this.#table.listAll()]
+      .filter(({ limit }) => limit.perSecond !== undefined);
+    this.#metrics.setGauge("replicas_limited", limited.length);
     this.#metrics.setGauge("parts_quarantined", this.#quarantine.size);
   }
 }
