Log what two tries of one request have in common; count all broken starts

Cause: logs could not tell that requests with different ids were tries of one, and broken_starts_total left out requests without parts of prompts. Change: the line of an admitted request has a fingerprint of its caller, method, host, path and body; every run that a replica breaks off before or just after its start is counted. Nothing is decided by it yet.

--- a/packages/common/src/hashing.ts
+++ b/packages/common/src/hashing.ts
@@ -14,12 +14,14 @@
   hash32(input: string, seed?: number): number;
   /** 64-bit hash of a string. */
   hash64(input: string, seed?: bigint): bigint;
+  /** 64-bit hash of bytes. */
+  hashBytes64(input: Uint8Array, seed?: bigint): bigint;
 }
 
 /** Compiles the WebAssembly module of the hash functions. */
 export async function openHasher(): Promise<Hasher> {
-  const { h32, h64 } = await xxhash();
-  return { hash32: h32, hash64: h64 };
+  const { h32, h64, h64Raw } = await xxhash();
+  return { hash32: h32, hash64: h64, hashBytes64: h64Raw };
 }
 
 /**
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -29,6 +29,7 @@
 } from "./request_admission.ts";
 import { composeRequest, computeTimeoutMs } from "./request_composer.ts";
 import { CallRelay } from "./call_relay.ts";
+import { computeFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
 import { findQuarantine } from "./quarantine_check.ts";
 import {
   composeLocalReply,
@@ -208,7 +209,14 @@
       return this.#refuse({ request, response }, charge.refusal, fields);
     }
     const trace = RequestTrace.create(services.clock, receivedAt);
-    trace.record("request admitted.", fields);
+    const fingerprint = computeFingerprint(services.hasher, {
+      caller: routed.tenant?.name,
+      method: request.method ?? "",
+      host: request.headers.host ?? "",
+      path: request.url ?? "",
+      body: body.body,
+    });
+    trace.record("request admitted.", { ...fields, fingerprint });
     const admitted = composeRequest(request, routed, {
       trace,
       body: body.body,
--- a/packages/gateway/src/relay/crash_recorder.ts
+++ b/packages/gateway/src/relay/crash_recorder.ts
@@ -59,8 +59,9 @@
     const { quarantine, clock, metrics } = this.#services;
     const now = clock.now();
     const outputMs = now - (this.#startedAt ?? now);
-    if (this.#parts.length === 0 || outputMs >= survivedAfterMs) return;
+    if (outputMs >= survivedAfterMs) return;
     metrics.count("broken_starts_total", { service: replica.service });
+    if (this.#parts.length === 0) return;
     this.#brokenOn.add(key);
     quarantine.recordCrash(this.#parts, key, now);
   }
