--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -106,6 +106,8 @@
    * has one of them before its last part.
    */
   crashingParts: ReadonlySet<string> = new Set();
+  /** Body of requests that crash it in the same way; undefined if none does. */
+  crashingBody: string | undefined;
   /** Time from the begin of such an answer to the crash, in milliseconds. */
   crashAfterMs = 0;
   /** Fires with the run that has crashed the replica. */
@@ -221,7 +223,8 @@
     if (fault.kind !== "unsigned") {
       response.setHeader("X-Server-Seal", `seal-of-${this.id}`);
     }
-    const willCrash = hasSharedPart(request.headers, this.crashingParts);
+    const willCrash = hasSharedPart(request.headers, this.crashingParts) ||
+      body === this.crashingBody;
     if (willCrash) {
       if (this.crashAfterMs === 0) return this.#crash(run);
       // A caller in this process reads what was sent before the reset drops it.
