Quarantine requests that crash replicas, also without parts of prompts

Cause: the quarantine knew a request by the shared parts of its prompt alone; one without parts, or whose own last part is at fault, was new to it each time it came, at each node. Change: the last part and the fingerprint (caller, method, host, path, body) count too. Runs that went well are kept in a table of their own for these, so that they displace no shared part. Of parts with as many crashes, peers are told first of those that never went well.

--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -23,6 +23,7 @@
 import { StoreView } from "./feed/store_view.ts";
 import { TenantRateLimiter } from "./limits/tenant_rate_limiter.ts";
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
+import { isFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import { CallerServer } from "./relay/caller_server.ts";
@@ -180,13 +181,14 @@
   };
 }
 
-/** Logs which parts of prompts enter and leave the quarantine. */
+/** Logs which requests and parts of prompts enter and leave the quarantine. */
 function logQuarantine(quarantine: PartQuarantine, parent: Log): void {
   const log = parent.createChild("relay");
   quarantine.onChanged(({ kind, part, crashes }) => {
+    const subject = isFingerprint(part) ? "request" : "prompt part";
     const fields = { promptPart: part, crashes };
-    if (kind === "left") log.info("a prompt part left quarantine.", fields);
-    else log.warn("a prompt part is in quarantine.", fields);
+    if (kind === "left") log.info(`a ${subject} left quarantine.`, fields);
+    else log.warn(`a ${subject} is in quarantine.`, fields);
   });
 }
 
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -29,8 +29,7 @@
 } from "./request_admission.ts";
 import { composeRequest, computeTimeoutMs } from "./request_composer.ts";
 import { CallRelay } from "./call_relay.ts";
-import { computeFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
-import { findQuarantine } from "./quarantine_check.ts";
+import { findQuarantine, listSuspects } from "./quarantine_check.ts";
 import {
   composeLocalReply,
   type LocalReply,
@@ -199,7 +198,9 @@
       return this.#refuse({ request, response }, reply, resume.fields);
     }
     const { routed } = resume;
-    const blocked = findQuarantine(request, services);
+    const { hasher } = services;
+    const suspects = listSuspects(request, { routed, body: body.body, hasher });
+    const blocked = findQuarantine(suspects, services);
     if (blocked !== undefined) {
       return this.#refuse({ request, response }, blocked.reply, blocked.fields);
     }
@@ -209,16 +210,13 @@
       return this.#refuse({ request, response }, charge.refusal, fields);
     }
     const trace = RequestTrace.create(services.clock, receivedAt);
-    const fingerprint = computeFingerprint(services.hasher, {
-      caller: routed.tenant?.name,
-      method: request.method ?? "",
-      host: request.headers.host ?? "",
-      path: request.url ?? "",
-      body: body.body,
+    trace.record("request admitted.", {
+      ...fields,
+      fingerprint: suspects.own.at(-1),
     });
-    trace.record("request admitted.", { ...fields, fingerprint });
     const admitted = composeRequest(request, routed, {
       trace,
+      suspects,
       body: body.body,
       receivedAt,
       deadline,
--- a/packages/gateway/src/relay/crash_recorder.ts
+++ b/packages/gateway/src/relay/crash_recorder.ts
@@ -1,10 +1,12 @@
 /**
  * Records for the quarantine how the runs of one request went: which replica broke
  * off before or just after its first output, and which run went on or was whole.
- *
- * The last part of a prompt is the request's own and left out.
  */
 
+import {
+  listParts,
+  type SuspectParts,
+} from "@almondcrank/routing/quarantine/suspect_parts.ts";
 import type { ReplicaState } from "../choice/replica_state.ts";
 import type { RelayServices } from "./relay_services.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -15,6 +17,7 @@
 /** Recorder of one request. */
 export class CrashRecorder {
   readonly #services: RelayServices;
+  readonly #suspects: SuspectParts;
   readonly #parts: readonly string[];
   /** Incarnations on which runs of this request broke. */
   readonly #brokenOn = new Set<string>();
@@ -23,10 +26,11 @@
 
   private constructor(
     services: RelayServices,
-    { promptParts }: RoutedRequest,
+    { suspects }: RoutedRequest,
   ) {
     this.#services = services;
-    this.#parts = listSharedParts(promptParts);
+    this.#suspects = suspects;
+    this.#parts = listParts(suspects);
   }
 
   static create(
@@ -61,7 +65,6 @@
     const outputMs = now - (this.#startedAt ?? now);
     if (outputMs >= survivedAfterMs) return;
     metrics.count("broken_starts_total", { service: replica.service });
-    if (this.#parts.length === 0) return;
     this.#brokenOn.add(key);
     quarantine.recordCrash(this.#parts, key, now);
   }
@@ -73,16 +76,12 @@
   }
 
   #recordSurvival(now: number): void {
-    if (this.#hasSurvived || this.#parts.length === 0) return;
+    if (this.#hasSurvived) return;
     this.#hasSurvived = true;
     const startedAt = this.#startedAt ?? now;
-    this.#services.quarantine.recordSurvival(this.#parts, startedAt, now);
+    const { quarantine } = this.#services;
+    const { shared, own } = this.#suspects;
+    quarantine.recordSurvival(shared, startedAt, now);
+    quarantine.recordOwnSurvival(own, startedAt, now);
   }
 }
-
-/** Lists the ids of the parts that other requests may share. */
-export function listSharedParts(
-  parts: RoutedRequest["promptParts"],
-): readonly string[] {
-  return parts.slice(0, -1).map(({ id }) => id);
-}
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -58,8 +58,8 @@
   overloaded:
     "the service is overloaded; the request has not run, try again later",
   quarantined:
-    "replicas have crashed under a part of this prompt; the request has not run, " +
-    "send it without that part or much later",
+    "replicas have crashed under this request or a part of its prompt; it has not " +
+    "run, change it or send it much later",
   unknown_origin:
     "it is not known which software version began this stream, or this route " +
     "no longer has it; send the request again without Last-Event-ID",
--- a/packages/gateway/src/relay/request_composer.ts
+++ b/packages/gateway/src/relay/request_composer.ts
@@ -43,6 +43,7 @@
     | "deadline"
     | "callerSignal"
     | "trace"
+    | "suspects"
     | "resumedVersion"
   >,
 ): RoutedRequest {
--- a/packages/gateway/src/relay/routed_request.ts
+++ b/packages/gateway/src/relay/routed_request.ts
@@ -2,6 +2,7 @@
  * A request of a caller that was routed and admitted.
  */
 
+import type { SuspectParts } from "@almondcrank/routing/quarantine/suspect_parts.ts";
 import type {
   Route,
   Service,
@@ -30,6 +31,8 @@
   readonly deadline: number;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** By what the quarantine knows it. */
+  readonly suspects: SuspectParts;
   /** Id after which the caller wants to resume its stream. */
   readonly resumeAfter: number | undefined;
   /** Id of the request that brought the first event of that stream, if named. */
--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -62,6 +62,8 @@
   readonly #options: PartQuarantineOptions;
   readonly #evidence = new Map<string, PartEvidence>();
   readonly #survivals = SurvivalTable.create();
+  /** The same of what is single requests' own, so that it displaces no shared part. */
+  readonly #ownSurvivals = SurvivalTable.create();
   #quarantined: ReadonlySet<string> = new Set();
   /** Time of the last probe that this node sent of each part. */
   readonly #probedAt = new Map<string, number>();
@@ -87,7 +89,7 @@
   /**
    * Decides whether to send a request. A probe that is granted counts as sent.
    *
-   * @param parts Parts of the prompt that other requests may share.
+   * @param parts Parts by which the request is known.
    */
   check(parts: readonly string[], now: number): QuarantineVerdict {
     if (!parts.some((part) => this.#isNoted(part))) return free;
@@ -154,11 +156,16 @@
     startedAt: number,
     now: number,
   ): void {
-    for (const part of parts) {
-      this.#survivals.record(part, startedAt);
-      this.#evidence.get(part)?.recordSurvival(startedAt, now);
-    }
-    if (parts.some((part) => this.#quarantined.has(part))) this.refresh(now);
+    this.#recordSurvival(this.#survivals, { parts, startedAt, now });
+  }
+
+  /** The same of parts that are a single request's own, such as its fingerprint. */
+  recordOwnSurvival(
+    parts: readonly string[],
+    startedAt: number,
+    now: number,
+  ): void {
+    this.#recordSurvival(this.#ownSurvivals, { parts, startedAt, now });
   }
 
   /** Lists what peers may not know, and all that is in quarantine. */
@@ -196,6 +203,21 @@
     }
   }
 
+  #recordSurvival(
+    table: SurvivalTable,
+    { parts, startedAt, now }: {
+      readonly parts: readonly string[];
+      readonly startedAt: number;
+      readonly now: number;
+    },
+  ): void {
+    for (const part of parts) {
+      table.record(part, startedAt);
+      this.#evidence.get(part)?.recordSurvival(startedAt, now);
+    }
+    if (parts.some((part) => this.#quarantined.has(part))) this.refresh(now);
+  }
+
   #learnPart(
     { part, survivedAgeMs, requestedAgeMs, crashes }: ToldPart,
     now: number,
@@ -240,7 +262,9 @@
     const present = this.#evidence.get(part);
     if (present !== undefined) return present;
     if (this.#evidence.size >= maxParts) this.#forgetLeast();
-    const entry = PartEvidence.create(this.#survivals.read(part));
+    const entry = PartEvidence.create(
+      Math.max(this.#survivals.read(part), this.#ownSurvivals.read(part)),
+    );
     this.#evidence.set(part, entry);
     return entry;
   }
@@ -279,9 +303,11 @@
   }
 }
 
-/** Fewer crashes first; of as many, those without news for longer. */
+/** Fewer crashes first; of as many, those that went well, then those without news. */
 function compareWeight(a: PartEvidence, b: PartEvidence): number {
-  return a.crashes.size - b.crashes.size || a.changedAt - b.changedAt;
+  return a.crashes.size - b.crashes.size ||
+    Number(b.hasSurvived) - Number(a.hasSurvived) ||
+    a.changedAt - b.changedAt;
 }
 
 const free: QuarantineVerdict = { kind: "free" };
