Quarantine plain calls that crash endpoints on the own interface

Cause: the quarantine knew messages of chats only; a plain call was sent to up to four endpoints, and hedged, each time it came. Change: calls have the same fingerprint as the gateway's requests and the node's quarantine. A lost connection speaks against the call, an answer for it; repeats and hedges of a suspected call are left out, and a call in quarantine is refused (quarantined, not_run) with the time to the next probe.

--- a/packages/bench/src/hedging.ts
+++ b/packages/bench/src/hedging.ts
@@ -20,6 +20,7 @@
 import type { PlainRequest } from "@almondcrank/routing/routers/plain_router.ts";
 import { EndpointRetries } from "@almondcrank/routing/repeats/endpoint_retries.ts";
 import { createEndpoint, SimulatedEndpoint } from "./simulated_endpoint.ts";
+import { createCallCrashes } from "@almondcrank/routing/testing/call_setup.ts";
 
 const requests = 6_000;
 const slots = 8;
@@ -131,6 +132,7 @@
       endpoints: endpointNames.map((name) => createEndpoint(name, "status")),
       chooser: this.#choice,
       hedge: this.#hedge,
+      crashes: createCallCrashes(this.#clock),
       signal: new AbortController().signal,
     });
     this.#metrics.recordDuration("call", this.#clock.now() - started);
--- a/packages/node/src/data_plane.ts
+++ b/packages/node/src/data_plane.ts
@@ -113,6 +113,7 @@
       claims: store,
       limiter: limits.calls,
       retryBudget,
+      quarantine,
     });
     this.#disposables.register(configuration.onChange((next) => {
       this.loads.apply(next.endpoints);
--- a/packages/node/src/node_quarantine.ts
+++ b/packages/node/src/node_quarantine.ts
@@ -9,6 +9,7 @@
   DisposableStore,
 } from "@almondcrank/common/disposables.ts";
 import type { ClusterMembership } from "@almondcrank/membership/cluster_membership.ts";
+import { isFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
 import {
   PartQuarantine,
   type QuarantineChange,
@@ -62,13 +63,14 @@
 
   #reportChange({ kind, part, crashes }: QuarantineChange): void {
     const { metrics, log } = this.#options;
+    const subject = isFingerprint(part) ? "call" : "message";
     metrics.count("quarantine_changes_total", { change: kind });
     metrics.setGauge("quarantine_parts", this.quarantine.size);
     if (kind === "entered") {
-      log.warn("replicas crash on a message; requests with it are refused.", {
+      log.warn(`endpoints crash on a ${subject}; it is refused.`, {
         part,
         crashes,
       });
-    } else log.info("a message is out of quarantine.", { part });
+    } else log.info(`a ${subject} is out of quarantine.`, { part });
   }
 }
--- a/packages/routing/src/admission/brown_out_test.ts
+++ b/packages/routing/src/admission/brown_out_test.ts
@@ -10,6 +10,7 @@
 import { PlainAttempts } from "../repeats/plain_attempts.ts";
 import { noLoadReports, PlainChooser } from "../choice/plain_chooser.ts";
 import { EndpointRetries } from "../repeats/endpoint_retries.ts";
+import { createCallCrashes } from "../testing/call_setup.ts";
 
 const names = ["a", "b", "c", "d"];
 const normalServiceMs = 20;
@@ -94,7 +95,14 @@
     };
     const { signal } = new AbortController();
     pending.push(
-      attempts.run({ request, endpoints, chooser, hedge, signal }),
+      attempts.run({
+        request,
+        endpoints,
+        chooser,
+        hedge,
+        crashes: createCallCrashes(clock),
+        signal,
+      }),
     );
   }
   await clock.advance(10 * timeoutMs);
--- a/packages/routing/src/admission/plain_refusals.ts
+++ b/packages/routing/src/admission/plain_refusals.ts
@@ -21,6 +21,17 @@
   });
 }
 
+/** Refusal of a call that crashes endpoints. */
+export function createQuarantinedRefusal(retryAfterMs: number): Refusal {
+  return Refusal.create({
+    kind: "quarantined",
+    run: "not_run",
+    retryAfterMs,
+    message:
+      "this call has crashed several endpoints; change it or send it much later",
+  });
+}
+
 /** Refusal when the deadline passed. */
 export function createDeadlineRefusal(run: RunState): Refusal {
   const state = run === "not_run"
--- a/packages/routing/src/repeats/plain_attempts.ts
+++ b/packages/routing/src/repeats/plain_attempts.ts
@@ -28,9 +28,11 @@
   createEndpointFailedRefusal,
   createNoEndpointRefusal,
   createOutcomeUnknownRefusal,
+  createQuarantinedRefusal,
 } from "../admission/plain_refusals.ts";
 import type { PlainRequest } from "../routers/plain_router.ts";
 import type { Refusal } from "../admission/refusal.ts";
+import type { CallCrashes } from "./call_crashes.ts";
 import type { EndpointRetries } from "./endpoint_retries.ts";
 
 const maxAttempts = 4;
@@ -54,6 +56,7 @@
   readonly chooser: PlainChooser;
   /** Delay before an idempotent call is hedged; undefined disables hedging. */
   readonly hedge: HedgeDelay | undefined;
+  readonly crashes: CallCrashes;
   readonly signal: AbortSignal;
 }
 
@@ -74,6 +77,16 @@
   /** Sends a call; the run state of a refusal covers all attempts. */
   async run(job: PlainJob): Promise<Either<Refusal, PlainAnswer>> {
     const { request } = job;
+    const verdict = job.crashes.check();
+    switch (verdict.kind) {
+      case "free":
+        break;
+      case "probe":
+        this.#options.metrics.count("quarantine_probes_total");
+        break;
+      case "quarantined":
+        return Left(createQuarantinedRefusal(verdict.retryAfterMs));
+    }
     const tried = new Set<string>();
     let run: RunState = "not_run";
     let last: EndpointError | undefined;
@@ -92,7 +105,7 @@
       if (run === "unknown" && !isIdempotent(request)) {
         return Left(createOutcomeUnknownRefusal(last.message));
       }
-      if (job.signal.aborted) break;
+      if (job.signal.aborted || !job.crashes.mayRepeat()) break;
     }
     if (last === undefined) {
       return Left(createNoEndpointRefusal(request.service.name));
@@ -137,12 +150,9 @@
     timer.abort(hedgeAbortReason);
     if (firstResult !== undefined) return firstResult;
     const hedgeEndpoint = job.chooser.choose(job.endpoints, tried);
-    if (
-      hedgeEndpoint === undefined ||
-      !budget.takeRetry(hedgeEndpoint.name, "hedge")
-    ) {
-      return await first;
-    }
+    const mayHedge = hedgeEndpoint !== undefined && job.crashes.mayRepeat() &&
+      budget.takeRetry(hedgeEndpoint.name, "hedge");
+    if (!mayHedge) return await first;
     tried.add(hedgeEndpoint.name);
     const second = this.#send({ ...job, signal }, hedgeEndpoint);
     const result = await waitFirstAnswer(first, second);
@@ -165,11 +175,15 @@
     }, signal);
     if (result.isRight()) {
       job.hedge?.record(this.#options.clock.now() - startedAt);
+      job.crashes.recordAnswer(startedAt);
     }
     sent.end(
       result.isRight() ? "answered" : signal.aborted ? "cancelled" : "failed",
     );
-    result.ifLeft((error) => this.#countFailure(error, signal));
+    result.ifLeft((error) => {
+      if (!signal.aborted) job.crashes.recordFailure(error);
+      this.#countFailure(error, signal);
+    });
     return result;
   }
 
--- a/packages/routing/src/repeats/plain_attempts_test.ts
+++ b/packages/routing/src/repeats/plain_attempts_test.ts
@@ -18,6 +18,7 @@
 import type { PlainRequest } from "../routers/plain_router.ts";
 import { HedgeDelay } from "./hedge_delay.ts";
 import { EndpointRetries } from "./endpoint_retries.ts";
+import { createCallCrashes } from "../testing/call_setup.ts";
 
 const service: PlainService = {
   kind: "plain",
@@ -112,6 +113,7 @@
       endpoints: ["a", "b", "c"].map(createEndpoint),
       chooser,
       hedge,
+      crashes: createCallCrashes(clock),
       signal: new AbortController().signal,
     });
   return { clock, metrics, sent, run };
--- a/packages/routing/src/routers/node_plain_router.ts
+++ b/packages/routing/src/routers/node_plain_router.ts
@@ -49,6 +49,9 @@
 import { encodeOutcome, type KeyedRequest } from "../keyed_calls/key_wire.ts";
 import { KeyedCalls } from "../keyed_calls/keyed_calls.ts";
 import type { Limiter } from "../limits/limiter.ts";
+import { PartQuarantine } from "../quarantine/part_quarantine.ts";
+import { computeFingerprint } from "../quarantine/request_fingerprint.ts";
+import { CallCrashes } from "../repeats/call_crashes.ts";
 import { isIdempotent, PlainAttempts } from "../repeats/plain_attempts.ts";
 import { PlainChooser, type PlainLoadSource } from "../choice/plain_chooser.ts";
 import { createDrainingRefusal } from "../admission/plain_refusals.ts";
@@ -85,6 +88,8 @@
   readonly claimCallsPerSecond?: number;
   /** Whether slow idempotent calls are hedged; true by default. */
   readonly hedging?: boolean;
+  /** Calls that crash endpoints; by default only this process knows them. */
+  readonly quarantine?: PartQuarantine;
 }
 
 /** Chooser and hedge delay of one service. */
@@ -97,6 +102,7 @@
 export class NodePlainRouter implements PlainRouter {
   readonly #options: NodePlainRouterOptions;
   readonly #attempts: PlainAttempts;
+  readonly #quarantine: PartQuarantine;
   readonly #format: KeyFormat;
   readonly #records: KeyRecords;
   readonly #receivedOutcomes: ReceivedOutcomes;
@@ -111,6 +117,8 @@
     const limits = { ...defaultKeyLimits, ...options.keyLimits };
     this.#options = options;
     this.#endpoints = ServiceEndpoints.create(options.configuration);
+    this.#quarantine = options.quarantine ??
+      PartQuarantine.create({ isProber: () => true });
     this.#format = KeyFormat.create(options.sharedKey);
     this.#records = KeyRecords.create({ clock, metrics, limits });
     const { lifetimeMs } = limits;
@@ -270,10 +278,29 @@
       endpoints,
       chooser,
       hedge,
+      crashes: this.#createCrashes(request),
       signal,
     });
   }
 
+  #createCrashes(
+    { team, service, method, path, body }: PlainRequest,
+  ): CallCrashes {
+    const { hasher, clock } = this.#options;
+    const fingerprint = computeFingerprint(hasher, {
+      caller: team.name,
+      host: service.name,
+      method,
+      path,
+      body,
+    });
+    return CallCrashes.create({
+      quarantine: this.#quarantine,
+      clock,
+      fingerprint,
+    });
+  }
+
   #findState(service: string): ServiceState {
     let state = this.#services.get(service);
     if (state === undefined) {
--- a/packages/routing/src/streams/attempt_evidence.ts
+++ b/packages/routing/src/streams/attempt_evidence.ts
@@ -7,17 +7,11 @@
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
+import { formatCrashedIncarnation } from "../quarantine/endpoint_incarnation.ts";
 import type { PartQuarantine } from "../quarantine/part_quarantine.ts";
 import type { GenerateEvent } from "@almondcrank/endpoint/engine.ts";
 import type { EndpointError } from "@almondcrank/endpoint/endpoint_error.ts";
 
-/**
- * Time in which losses at one endpoint are those of one crash. Nodes that lose
- * streams of the endpoint together have to name the same incarnation, which
- * endpoints don't tell; it is shorter than a restart.
- */
-const crashSpanMs = 2_000;
-
 /** Output tokens of an answer from which it shows that its prompt is sound. */
 export const settledTokens = 16;
 
@@ -85,8 +79,7 @@
   #recordLoss(): void {
     if (this.#hasSurvived) return;
     const { quarantine, parts, endpoint, clock, brokenOn } = this.#options;
-    const span = Math.floor(clock.wallTime() / crashSpanMs);
-    const incarnation = `${endpoint}@${span}`;
+    const incarnation = formatCrashedIncarnation(endpoint, clock);
     brokenOn.add(incarnation);
     quarantine.recordCrash(parts, incarnation, clock.now());
   }
