--- a/packages/scenario/src/gateway_crashing_requests_test.ts
+++ b/packages/scenario/src/gateway_crashing_requests_test.ts
@@ -4,6 +4,7 @@
  */
 
 import { test } from "uvu";
+import * as assert from "uvu/assert";
 import {
   assertContained,
   crashNodeCount,
@@ -49,4 +50,31 @@
   });
 });
 
+test("a request stays in quarantine when all nodes restart at once", async () => {
+  await runWithSetup(crashNodeCount, async (setup) => {
+    const path = "/lookup/x";
+    const send = (node: number, body: string) =>
+      setup.call({ path, body, node, id: `${body}-again` });
+    await sendCrashingLoad(setup, {
+      service: "booking",
+      makeCrash: (replica) => replica.crashingBody = badBody,
+      composeBad: () => ({ path, body: badBody }),
+      composeSound: (sent) => ({ path, body: `sound ${sent}` }),
+      decisiveCrashes: 3,
+    });
+    const nodes = setup.nodes.map((_, node) => node);
+    await Promise.all(nodes.map((node) => setup.restart(node)));
+    await setup.waitUntil(async () => {
+      const answers = await Promise.all(
+        nodes.map((node) => send(node, "sound")),
+      );
+      return answers.every(({ status }) => status === 200);
+    });
+    await Promise.all(nodes.map((node) => send(node, badBody)));
+    const sends = [...setup.replicas.values()].flatMap(({ runs }) => runs)
+      .filter(({ id }) => id === `${badBody}-again`).length;
+    assert.is(sends, 0);
+  });
+});
+
 test.run();
