Keep the quarantine in the platform's store

Cause: crashes were known to the memory of nodes alone; after a restart of all nodes a request in quarantine crashed replicas anew. Change: the node that sends a part's probes writes an object when it enters the quarantine and after each probe that crashed a replica, and removes it when the part leaves; a node that starts reads them once. Both interfaces.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
   replicasKind,
 } from "@almondcrank/platform/platform_store.ts";
 import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
+import { QuarantineArchive } from "@almondcrank/routing/quarantine/quarantine_archive.ts";
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { GatewayStatus } from "@almondcrank/model/gateway_status.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
@@ -196,6 +197,16 @@
       }),
     );
     this.#startDuties(parts);
+    this.#lifetime.register(QuarantineArchive.create({
+      store,
+      quarantine: services.quarantine,
+      clock,
+      readWallTime: () =>
+        members.computeWallTime(suspensionClock.now(), clock.wallTime()),
+      isOwner: (part) => parts.isProber(part),
+      hasher: services.hasher,
+      log: services.log.createChild("relay"),
+    }));
     const maintenanceTimer = setInterval(
       () => {
         this.#runMaintenance();
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -63,6 +63,8 @@
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
   readonly view: StoreView;
   readonly server: CallerServer;
+  /** Whether this node sends the probes of a part in quarantine. */
+  readonly isProber: (part: string) => boolean;
 }
 
 /** Creates all parts, without starting them or any outside effect. */
@@ -115,9 +117,8 @@
     members,
     clock: suspensionClock,
   };
-  const quarantine = PartQuarantine.create({
-    isProber: (part) => isProbeOwner(part, owner),
-  });
+  const isProber = (part: string): boolean => isProbeOwner(part, owner);
+  const quarantine = PartQuarantine.create({ isProber });
   logQuarantine(quarantine, log);
   const services: RelayServices = {
     clock,
@@ -178,6 +179,7 @@
     feeds,
     view,
     server,
+    isProber,
   };
 }
 
--- a/packages/node/src/data_plane.ts
+++ b/packages/node/src/data_plane.ts
@@ -10,6 +10,7 @@
 import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { ClaimCleaner } from "@almondcrank/routing/keyed_calls/claim_cleaner.ts";
 import { EndpointLimits } from "@almondcrank/routing/limits/endpoint_limits.ts";
+import { QuarantineArchive } from "@almondcrank/routing/quarantine/quarantine_archive.ts";
 import { LoadTable } from "@almondcrank/routing/choice/load_table.ts";
 import { PlainLoads } from "@almondcrank/routing/choice/plain_loads.ts";
 import { EndpointRetries } from "@almondcrank/routing/repeats/endpoint_retries.ts";
@@ -76,11 +77,20 @@
       modelLimits: limits.models,
       callLimits: limits.calls,
     }));
-    const { quarantine } = this.#disposables.register(NodeQuarantine.create({
+    const quarantineLog = options.log.createChild("quarantine");
+    const nodeQuarantine = this.#disposables.register(NodeQuarantine.create({
       ...options,
-      log: options.log.createChild("quarantine"),
+      log: quarantineLog,
       membership,
     }));
+    const { quarantine } = nodeQuarantine;
+    this.#disposables.register(QuarantineArchive.create({
+      ...options,
+      log: quarantineLog,
+      quarantine,
+      readWallTime: () => clock.wallTime(),
+      isOwner: (part) => nodeQuarantine.isProber(part),
+    }));
     this.models = this.#disposables.register(NodeModelRouter.create({
       ...common,
       log: options.log.createChild("models"),
--- a/packages/node/src/node_quarantine.ts
+++ b/packages/node/src/node_quarantine.ts
@@ -31,7 +31,7 @@
     const { membership, clock } = options;
     this.#options = options;
     this.quarantine = PartQuarantine.create({
-      isProber: (part) => this.#isProber(part),
+      isProber: (part) => this.isProber(part),
     });
     this.#disposables.register(
       this.quarantine.onChanged((change) => this.#reportChange(change)),
@@ -51,7 +51,7 @@
   }
 
   /** Whether this node comes first for a part among those that take work. */
-  #isProber(part: string): boolean {
+  isProber(part: string): boolean {
     const { membership, hasher } = this.#options;
     const [first] = computeRendezvousOrder(
       hasher,
--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -180,6 +180,15 @@
       .map(([part, entry]) => composeToldPart(part, entry, now));
   }
 
+  /** Lists all that is in quarantine. */
+  listQuarantined(now: number): readonly ToldPart[] {
+    this.refresh(now);
+    return [...this.#quarantined].flatMap((part) => {
+      const entry = this.#evidence.get(part);
+      return entry === undefined ? [] : [composeToldPart(part, entry, now)];
+    });
+  }
+
   /** Applies what a peer told. */
   learn(told: readonly ToldPart[], now: number): void {
     if (told.length === 0) return;
