Let a limit end only by an answer to a later request

Cause: an answer without a limit ended it as of its arrival. A node that was suspended takes in answers from before the limit was named, and told all others that it had ended; a failure without the header did the same. Change: an answer without a limit counts as of the time at which its request was sent, and only a success counts.

--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -80,10 +80,11 @@
   ): PendingSend {
     const { clock, metrics } = this.#options;
     const { replica } = state;
+    const sentAt = clock.now();
     const isMoved = options.movedRun !== undefined;
     this.#countLimited(state, isMoved ? "moved" : "run");
     // A moved run was charged when its replica was chosen.
-    if (!isMoved) state.limit.charge(clock.now());
+    if (!isMoved) state.limit.charge(sentAt);
     const load = this.#openLoad(state, request, options.uncachedTokens);
     metrics.count("sends_total", { service: replica.service });
     const outcome = sendToReplica({
@@ -105,7 +106,7 @@
       isWanted: () => !state.isPaused(clock.now()),
       onAnswer: (response) => {
         this.#recordAnswer(state, response);
-        this.#recordLimit(state, response);
+        this.#recordLimit(state, response, sentAt);
       },
     }).then((outcome) => {
       this.#recordOutcome(state, outcome, options.signal);
@@ -196,11 +197,15 @@
   /** Records which limit a replica names in an answer to a request, if any. */
   #recordLimit(
     state: ReplicaState,
-    { headers }: Pick<IncomingMessage, "headers">,
+    { headers, statusCode }: Pick<IncomingMessage, "headers" | "statusCode">,
+    sentAt: number,
   ): void {
     const { clock, metrics, log } = this.#options;
     const perSecond = parseRequestLimit(headers);
-    const change = state.limit.recordAnswer(perSecond, clock.now());
+    // A failure says nothing of what the replica takes.
+    if (perSecond === undefined && statusCode !== 200) return;
+    const times = { sentAt, now: clock.now() };
+    const change = state.limit.recordAnswer(perSecond, times);
     if (change === undefined) return;
     const { id: replica, service } = state.replica;
     metrics.count("replica_limits_total", { service, change });
--- a/packages/routing/src/limits/limit_shares_test.ts
+++ b/packages/routing/src/limits/limit_shares_test.ts
@@ -58,7 +58,7 @@
   for (let now = 0; now < durationMs; now += stepMs) {
     options.onStep?.(nodes, now);
     for (const { node } of answers.filter(({ at }) => at <= now)) {
-      node.limit.recordAnswer(perSecond, now);
+      node.limit.recordAnswer(perSecond, { sentAt: now - answerMs, now });
     }
     answers = answers.filter(({ at }) => at > now);
     if (now % reportMs === 0) exchangeReports(nodes, seen, now);
@@ -145,7 +145,7 @@
   const nodes = Array.from({ length: 5 }, (_, at) => createNode(at));
   const names = nodes.map(({ name }) => name);
   const holders = new Set<string>();
-  for (const { limit } of nodes) limit.recordAnswer(0.6, 0);
+  for (const { limit } of nodes) limit.recordAnswer(0.6, { sentAt: 0, now: 0 });
   for (let now = 0; now <= 60_000; now += reportMs) {
     for (const { limit, shares } of nodes) {
       shares.setNodes(names);
--- a/packages/routing/src/limits/request_limit.ts
+++ b/packages/routing/src/limits/request_limit.ts
@@ -9,6 +9,12 @@
 /** How an answer changed what is known of a replica's limit. */
 export type LimitChange = "named" | "changed" | "ended";
 
+/** When a request was sent, and when its answer arrived. */
+export interface AnswerTimes {
+  readonly sentAt: number;
+  readonly now: number;
+}
+
 /** What a node tells others of a limit. */
 export interface ToldLimit {
   /** Requests a second; undefined if the replica names no limit. */
@@ -64,14 +70,21 @@
   /**
    * Records what an answer of the replica says.
    *
+   * An answer may have been long on its way, so one that names no limit counts as
+   * of the time at which its request was sent.
+   *
    * @param perSecond Limit that it names; undefined if it names none.
    * @returns What changed; undefined if nothing did.
    */
   recordAnswer(
     perSecond: number | undefined,
-    now: number,
+    { sentAt, now }: AnswerTimes,
   ): LimitChange | undefined {
-    return this.#set({ perSecond, statedAt: now }, now);
+    if (perSecond !== undefined) {
+      return this.#set({ perSecond, statedAt: now }, now);
+    }
+    if (sentAt <= this.#statedAt) return undefined;
+    return this.#set({ perSecond, statedAt: sentAt }, now);
   }
 
   /** Learns what a peer tells, unless this node knows as late news. */
