--- a/packages/scenario/src/gateway_limits_test.ts
+++ b/packages/scenario/src/gateway_limits_test.ts
@@ -190,6 +190,28 @@
   });
 });
 
+test("requests that wait for a connection are not sent once a limit is named", async () => {
+  await runWithReadySetup(async (setup) => {
+    const limited = setup.findReplica("booking-1");
+    setup.store.remove("servers", "booking-2");
+    await sleep(500);
+    const before = limited.arrivals.length;
+    limited.limitPerSecond = limitPerSecond;
+    limited.pauseFor(500);
+    const waiting = Array.from(
+      { length: 150 },
+      () => setup.call({ path: "/book/x" }),
+    );
+    const answers = await Promise.all(waiting);
+    const served = answers.filter(({ status }) => status === 200).length;
+    assert.ok(served > 0);
+    const length = limited.arrivals.length - before;
+    // All connections of a node may carry a request before the first answer.
+    const connections = 2 * Math.floor(100 / nodeCount);
+    assert.ok(length <= connections + limitPerSecond * 3, `${length} sent`);
+  });
+});
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
