Send nothing that waited for a connection past a limit named meanwhile

Cause: the limit was looked at when a replica was chosen; a request that then waited for a free connection was sent although an answer had named a limit by then. Change: such a request is looked at again when its connection is free, as for pauses; if the replica is closed it is not sent and another replica is chosen, without counting a failure.

--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -114,7 +114,7 @@
 ): void {
   outgoing.on("socket", (socket) => {
     if (!isWanted()) {
-      outgoing.destroy(new Error("the replica asked for a pause"));
+      outgoing.destroy(new Error("the replica takes no requests at present"));
       return;
     }
     if (!socket.connecting) return onConnect();
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -82,6 +82,7 @@
     const { replica } = state;
     const sentAt = clock.now();
     const isMoved = options.movedRun !== undefined;
+    const wasLimited = state.limit.perSecond !== undefined;
     this.#countLimited(state, isMoved ? "moved" : "run");
     // A moved run was charged when its replica was chosen.
     if (!isMoved) state.limit.charge(sentAt);
@@ -103,7 +104,7 @@
       requestId: request.id,
       signal: options.signal,
       connectTimeoutMs,
-      isWanted: () => !state.isPaused(clock.now()),
+      isWanted: () => this.#isWanted(state, wasLimited || isMoved),
       onAnswer: (response) => {
         this.#recordAnswer(state, response);
         this.#recordLimit(state, response, sentAt);
@@ -179,6 +180,17 @@
     return { markStarted, end };
   }
 
+  /** Whether a replica still wants a request once a connection is free. */
+  #isWanted(state: ReplicaState, isCharged: boolean): boolean {
+    const now = this.#options.clock.now();
+    if (state.isPaused(now)) return false;
+    if (isCharged) return true;
+    // The replica may have named a limit while the request waited.
+    if (!state.limit.isOpen(now)) return false;
+    state.limit.charge(now);
+    return true;
+  }
+
   /** Records what a replica says of itself in the headers of an answer. */
   #recordAnswer(
     state: ReplicaState,
@@ -229,8 +241,9 @@
     metrics.count("send_outcomes_total", { service, outcome: outcome.kind });
     if (outcome.kind === "answered" || signal.aborted) return;
     const now = clock.now();
-    // A replica that asked for a pause works as it should.
-    if (!state.isPaused(now)) state.failures.record(true, now);
+    // A replica that asked for a pause, or is at its limit, works as it should.
+    const isWithheld = outcome.kind === "not_sent" && !state.limit.isOpen(now);
+    if (!state.isPaused(now) && !isWithheld) state.failures.record(true, now);
   }
 
   #findAgent(state: ReplicaState, maxConnections: number): ReplicaAgent {
