Tell a request apart from one beside it at one node only

Cause: a request in quarantine that another one's crashes may explain was tried once a second at each node, so that up to nine of them could reach replicas at once. Change: only the node that sends its probes tries it. Shared parts of prompts are tried at each node as before, since many requests wait for it. Result: part_quarantine_test 33 of 33 (the new one failed before).

--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -14,6 +14,7 @@
 } from "./quarantined_parts.ts";
 import { PartEvidence } from "./part_evidence.ts";
 import { computeProbeMs } from "./probe_interval.ts";
+import { isFingerprint } from "./request_fingerprint.ts";
 import { SurvivalTable } from "./survival_table.ts";
 import { composeToldPart, type ToldPart } from "./told_part.ts";
 
@@ -256,6 +257,8 @@
   ): boolean {
     return blocked.every((part) => {
       const probedAt = this.#probedAt.get(part) ?? -Infinity;
+      // A single request is missed less than a part that many share.
+      if (isFingerprint(part) && !this.#options.isProber(part)) return false;
       return now - probedAt >= trialIntervalMs &&
         isTellingApart(part, parts, this.#evidence);
     });
--- a/packages/routing/src/quarantine/part_quarantine_test.ts
+++ b/packages/routing/src/quarantine/part_quarantine_test.ts
@@ -95,6 +95,15 @@
   assert.is(quarantine.check(["bad"], 3_800).kind, "quarantined");
 });
 
+test("only the node that sends a request's probes tells it from one beside it", () => {
+  for (const isProber of [true, false]) {
+    const quarantine = createQuarantine(isProber);
+    const now = crashTimes(quarantine, ["request:a", "request:b"], 3);
+    const verdict = quarantine.check(["request:a"], now + 500);
+    assert.is(verdict.kind, isProber ? "probe" : "quarantined");
+  }
+});
+
 test("two parts that crash replicas at the same time are both refused", () => {
   const quarantine = createQuarantine();
   for (const at of [1, 2, 3, 4, 5]) {
