Give up a safe call's silent replica only once another one has answered

Cause: a silent send was ended as soon as a retry could be had; if the other replica then was full, the caller got 502 although the first would have answered. Change: the retry is sent beside the silent send, as for streams, and whichever answers first serves the call; the other one is ended. One send with its answer is a module of its own (call_send).

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -6,8 +6,7 @@
  * it certainly did not run or its route is safe to run twice.
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
-import { signatureHeader } from "@almondcrank/platform/headers.ts";
+import type { ServerResponse } from "node:http";
 import { chooseCallReplica } from "../choice/call_choice.ts";
 import type { ReplicaState } from "../choice/replica_state.ts";
 import type { RetryReason } from "./retry_reason.ts";
@@ -22,8 +21,7 @@
 } from "./buffered_response.ts";
 import { CrashRecorder } from "./crash_recorder.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
-import type { SendOutcome } from "./replica_request.ts";
-import { readResponseBody } from "./response_body.ts";
+import { type CallSend, openCallSend, type SendResult } from "./call_send.ts";
 import { computeTimerMs } from "./timer_ms.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
@@ -33,12 +31,6 @@
 /** Failed connection attempts allowed; they do not count as sends. */
 const maxConnectFailures = 4;
 const declinedRetryMs = 150;
-const serverErrorWeight = 0.4;
-
-/** Outcome of one send, including the body of the response. */
-type SendResult =
-  | BufferedResponse & { readonly kind: "whole" }
-  | { readonly kind: "not_sent" | "declined" | "lost" | "silent" };
 
 /** Relays one request, with retries. */
 export class CallRelay {
@@ -50,8 +42,6 @@
   #sends = 0;
   #connectFailures = 0;
   #mayHaveRun = false;
-  /** Replica of the next send, whose retry has been taken from the budget. */
-  #reserved: ReplicaState | undefined;
   /** Last 5xx response of a replica, delivered if no retry succeeds. */
   #failure: BufferedResponse | undefined;
 
@@ -79,23 +69,21 @@
     const { clock, budget } = this.#services;
     const { route, service, deadline, callerSignal } = this.#request;
     while (true) {
-      const state = this.#reserved ?? this.#chooseReplica();
-      this.#reserved = undefined;
+      const state = this.#chooseReplica();
       if (state === undefined) return this.#refuse(this.#findShortage());
       const result = await this.#send(state);
       if (callerSignal.aborted) return this.#end(0, "caller_gone");
-      if (result.kind === "whole") {
-        if (!this.#isRetryable(result)) return this.#deliver(result);
-        this.#failure = result;
+      if (result.kind === "whole" && !this.#isRetryable(result)) {
+        return this.#deliver(result);
       }
+      this.#keepFailure(result);
       const now = clock.now();
       if (now >= deadline) return this.#refuse("out_of_time");
       const hasSendsLeft = this.#sends < route.maxAttempts &&
         this.#connectFailures < maxConnectFailures;
       const mayRetry = !this.#mayHaveRun || route.kind === "safe";
       const isRetried = hasSendsLeft && mayRetry && this.#crashes.mayRepeat() &&
-        (result.kind === "not_sent" || this.#reserved !== undefined ||
-          budget.take(service.name, now));
+        (result.kind === "not_sent" || budget.take(service.name, now));
       if (isRetried) {
         this.#countRetry(result.kind === "whole" ? "failed" : result.kind);
         continue;
@@ -132,68 +120,65 @@
       : "no_replica";
   }
 
+  /**
+   * Sends the request to a replica. If the replica is silent, it is given up only
+   * once another one has answered: it may go on, and the other may be full.
+   */
   async #send(state: ReplicaState): Promise<SendResult> {
-    const { sender, clock } = this.#services;
-    const { route, deadline, callerSignal } = this.#request;
-    const aborter = new AbortController();
-    const abort = (): void => aborter.abort();
-    // A request that must not run twice is not aborted when its caller leaves.
-    if (route.kind === "safe") callerSignal.addEventListener("abort", abort);
-    const startedAt = clock.now();
-    const remainingMs = deadline - startedAt;
-    const timer = setTimeout(abort, computeTimerMs(remainingMs));
-    // A silent replica may go on: its run is kept unless another one is left.
-    const silenceTimer = setInterval(() => {
-      if (this.#reserveRetry()) abort();
-    }, computeTimerMs(Math.min(remainingMs, this.#attemptTimeoutMs)));
-    const pendingSend = sender.send(this.#request, state, {
-      signal: aborter.signal,
-      uncachedTokens: 0,
+    const remainingMs = this.#request.deadline - this.#services.clock.now();
+    const first = this.#open(state);
+    let standby: CallSend | undefined;
+    let watch: NodeJS.Timeout | undefined;
+    const standbyAnswer = new Promise<SendResult>((resolve) => {
+      watch = setInterval(() => {
+        if (standby !== undefined) return;
+        standby = this.#openStandby();
+        void standby?.result.then((result) => {
+          if (this.#isAnswer(result)) return resolve(result);
+          this.#keepFailure(result);
+          standby = undefined;
+        });
+      }, computeTimerMs(Math.min(remainingMs, this.#attemptTimeoutMs)));
     });
-    this.#tried.add(state.key);
     try {
-      const outcome = await pendingSend.outcome;
-      const result = await this.#readResult(state, outcome);
-      this.#request.trace.record("send ended.", {
-        replica: state.replica.id,
-        outcome: result.kind,
-        reason: "reason" in outcome ? outcome.reason : undefined,
-        status: result.kind === "whole"
-          ? result.response.statusCode
-          : undefined,
-      });
-      const isOwnEnd = aborter.signal.aborted;
-      if (!isOwnEnd) this.#recordEnd(state, outcome, result);
-      const isTimedOut = result.kind === "lost" && isOwnEnd &&
-        !callerSignal.aborted;
-      if (isTimedOut) state.failures.record(true, clock.now());
-      if (result.kind === "whole") {
-        const endedAt = clock.now();
-        state.recordServiceTime(endedAt - startedAt, endedAt);
-      }
-      if (isTimedOut && clock.now() < deadline) return { kind: "silent" };
-      return result;
+      const result = await Promise.race([first.result, standbyAnswer]);
+      const other = standby;
+      if (other === undefined || this.#isAnswer(result)) return result;
+      this.#keepFailure(result);
+      return await other.result;
     } finally {
-      clearTimeout(timer);
-      clearInterval(silenceTimer);
-      callerSignal.removeEventListener("abort", abort);
-      pendingSend.end();
+      clearInterval(watch);
+      first.cancel("silent");
+      standby?.cancel("not_needed");
     }
   }
 
-  /** Records for the quarantine how a run ended that this node did not abort. */
-  #recordEnd(
-    state: ReplicaState,
-    outcome: SendOutcome,
-    result: SendResult,
-  ): void {
-    if (result.kind === "whole" && result.response.statusCode === 200) {
-      this.#crashes.recordWhole();
+  #open(state: ReplicaState): CallSend {
+    this.#tried.add(state.key);
+    const send = openCallSend({
+      services: this.#services,
+      request: this.#request,
+      crashes: this.#crashes,
+      state,
+    });
+    void send.result.then(({ kind }) => this.#countSend(kind));
+    return send;
+  }
+
+  #countSend(kind: SendResult["kind"]): void {
+    switch (kind) {
+      case "not_sent":
+        this.#connectFailures += 1;
+        return;
+      case "declined":
+        this.#sends += 1;
+        return;
+      case "lost":
+      case "whole":
+        this.#sends += 1;
+        this.#mayHaveRun = true;
+        return;
     }
-    const isBroken = outcome.kind === "answered"
-      ? result.kind === "lost" && !outcome.response.complete
-      : outcome.kind === "lost" && outcome.isReset;
-    if (isBroken) this.#crashes.recordBroken(state);
   }
 
   /** Time after which a send may be given up for another one, in milliseconds. */
@@ -204,56 +189,29 @@
     );
   }
 
-  /** Takes a retry for another replica; false if there may be none or none is left. */
-  #reserveRetry(): boolean {
+  /** Sends the request to a second replica, if one is left and a retry may be. */
+  #openStandby(): CallSend | undefined {
     const { budget, clock } = this.#services;
-    const { route, service } = this.#request;
-    const mayRetry = route.kind === "safe" &&
-      this.#sends + 1 < route.maxAttempts && this.#crashes.mayRepeat();
-    if (!mayRetry || this.#reserved !== undefined) return false;
+    const { route, service, callerSignal, deadline } = this.#request;
+    const mayRetry = route.kind === "safe" && !callerSignal.aborted &&
+      clock.now() < deadline && this.#sends + 1 < route.maxAttempts &&
+      this.#crashes.mayRepeat();
+    if (!mayRetry) return undefined;
     const state = this.#chooseReplica();
-    if (state === undefined) return false;
-    if (!budget.take(service.name, clock.now())) return false;
-    this.#reserved = state;
-    return true;
+    if (state === undefined) return undefined;
+    if (!budget.take(service.name, clock.now())) return undefined;
+    this.#countRetry("silent");
+    return this.#open(state);
   }
 
-  async #readResult(
-    state: ReplicaState,
-    outcome: SendOutcome,
-  ): Promise<SendResult> {
-    switch (outcome.kind) {
-      case "not_sent":
-        this.#connectFailures += 1;
-        return { kind: "not_sent" };
-      case "declined":
-        this.#sends += 1;
-        return { kind: "declined" };
-      case "lost":
-        this.#sends += 1;
-        this.#mayHaveRun = true;
-        return { kind: "lost" };
-      case "answered":
-        this.#sends += 1;
-        this.#mayHaveRun = true;
-        return await this.#readResponse(state, outcome.response);
-    }
+  /** Keeps a replica's failure for the case that no retry succeeds. */
+  #keepFailure(result: SendResult): void {
+    if (result.kind === "whole") this.#failure = result;
   }
 
-  async #readResponse(
-    state: ReplicaState,
-    response: IncomingMessage,
-  ): Promise<SendResult> {
-    const { clock, runs } = this.#services;
-    runs.recordRun(this.#request.tenant?.name);
-    const body = await readResponseBody(response);
-    const isSigned = response.headers[signatureHeader] !== undefined;
-    const isWhole = body !== undefined && isSigned;
-    const isServerError = (response.statusCode ?? 0) >= 500;
-    const now = clock.now();
-    if (!isWhole) state.failures.record(true, now);
-    else state.failures.record(isServerError, now, serverErrorWeight);
-    return isWhole ? { kind: "whole", response, body } : { kind: "lost" };
+  /** Whether the request needs no further replica. */
+  #isAnswer(result: SendResult): boolean {
+    return result.kind === "whole" && !this.#isRetryable(result);
   }
 
   /** Whether a response is a server error that may be retried elsewhere. */
--- /dev/null
+++ b/packages/gateway/src/relay/call_send.ts
@@ -0,0 +1,125 @@
+/**
+ * One send of a call to one replica, with its whole answer.
+ */
+
+import type { IncomingMessage } from "node:http";
+import { signatureHeader } from "@almondcrank/platform/headers.ts";
+import type { ReplicaState } from "../choice/replica_state.ts";
+import type { BufferedResponse } from "./buffered_response.ts";
+import type { CrashRecorder } from "./crash_recorder.ts";
+import type { RelayServices } from "./relay_services.ts";
+import type { SendOutcome } from "./replica_request.ts";
+import { readResponseBody } from "./response_body.ts";
+import { computeTimerMs } from "./timer_ms.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+
+const serverErrorWeight = 0.4;
+
+/** Outcome of one send, including the body of the response. */
+export type SendResult =
+  | BufferedResponse & { readonly kind: "whole" }
+  | { readonly kind: "not_sent" | "declined" | "lost" };
+
+/** Why a send is ended by this node; only silence speaks against the replica. */
+export type CancelReason = "silent" | "not_needed";
+
+/** A send on its way. */
+export interface CallSend {
+  /** Never rejects. */
+  readonly result: Promise<SendResult>;
+  /** Ends the send, unless it has ended. */
+  cancel(reason: CancelReason): void;
+}
+
+/** What is sent, and where its outcome is recorded. */
+export interface CallSendOptions {
+  readonly services: RelayServices;
+  readonly request: RoutedRequest;
+  readonly crashes: CrashRecorder;
+  readonly state: ReplicaState;
+}
+
+/** Sends a call to a replica. */
+export function openCallSend(options: CallSendOptions): CallSend {
+  const { services, request, state } = options;
+  const { sender, clock } = services;
+  const { route, deadline, callerSignal } = request;
+  const aborter = new AbortController();
+  const abort = (): void => aborter.abort("silent" satisfies CancelReason);
+  const leave = (): void => aborter.abort("not_needed" satisfies CancelReason);
+  // A request that must not run twice is not aborted when its caller leaves.
+  if (route.kind === "safe") callerSignal.addEventListener("abort", leave);
+  const startedAt = clock.now();
+  const timer = setTimeout(abort, computeTimerMs(deadline - startedAt));
+  const pendingSend = sender.send(request, state, {
+    signal: aborter.signal,
+    uncachedTokens: 0,
+  });
+  const result = pendingSend.outcome
+    .then((outcome) => readResult(options, outcome, aborter.signal))
+    .finally(() => {
+      clearTimeout(timer);
+      callerSignal.removeEventListener("abort", leave);
+      pendingSend.end();
+    });
+  void result.then(({ kind }) => {
+    const endedAt = clock.now();
+    if (kind === "whole") {
+      state.recordServiceTime(endedAt - startedAt, endedAt);
+    }
+    if (kind === "lost" && aborter.signal.reason === "silent") {
+      state.failures.record(true, endedAt);
+    }
+  });
+  return { result, cancel: (reason) => aborter.abort(reason) };
+}
+
+async function readResult(
+  options: CallSendOptions,
+  outcome: SendOutcome,
+  signal: AbortSignal,
+): Promise<SendResult> {
+  const result = outcome.kind === "answered"
+    ? await readResponse(options, outcome.response)
+    : { kind: outcome.kind };
+  const { request, state } = options;
+  request.trace.record("send ended.", {
+    replica: state.replica.id,
+    outcome: result.kind,
+    reason: "reason" in outcome ? outcome.reason : undefined,
+    status: result.kind === "whole" ? result.response.statusCode : undefined,
+  });
+  if (!signal.aborted) recordEnd(options, outcome, result);
+  return result;
+}
+
+async function readResponse(
+  { services, request, state }: CallSendOptions,
+  response: IncomingMessage,
+): Promise<SendResult> {
+  const { clock, runs } = services;
+  runs.recordRun(request.tenant?.name);
+  const body = await readResponseBody(response);
+  const isSigned = response.headers[signatureHeader] !== undefined;
+  const isWhole = body !== undefined && isSigned;
+  const isServerError = (response.statusCode ?? 0) >= 500;
+  const now = clock.now();
+  if (!isWhole) state.failures.record(true, now);
+  else state.failures.record(isServerError, now, serverErrorWeight);
+  return isWhole ? { kind: "whole", response, body } : { kind: "lost" };
+}
+
+/** Records for the quarantine how a run ended that this node did not end. */
+function recordEnd(
+  { crashes, state }: CallSendOptions,
+  outcome: SendOutcome,
+  result: SendResult,
+): void {
+  if (result.kind === "whole" && result.response.statusCode === 200) {
+    crashes.recordWhole();
+  }
+  const isBroken = outcome.kind === "answered"
+    ? result.kind === "lost" && !outcome.response.complete
+    : outcome.kind === "lost" && outcome.isReset;
+  if (isBroken) crashes.recordBroken(state);
+}
