Soak: replicas that name a limit of requests

A replica names a limit of one request a second for nine seconds, also while all nodes are in contact; a window of four seconds in which it got more than half as many again, and five, is a finding. All kinds of faults are drawn before one is drawn again, since more kinds now share a soak.

--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -25,6 +25,7 @@
   "replica_drains",
   "replica_announces_leaving",
   "replica_pauses",
+  "replica_names_limit",
   "replica_starts",
   "replica_falls_silent",
   "cloud_silent",
@@ -75,6 +76,7 @@
   "configuration_changes",
   "configuration_storm",
   "replica_drains",
+  "replica_names_limit",
   "replica_starts",
   "replica_falls_silent",
 ] as const satisfies readonly MaskedFaultKind[];
@@ -99,6 +101,8 @@
 const meanPauseMs = 900;
 const minDurationMs = 300;
 const maxDurationMs = 4_000;
+/** Time for which a replica names a limit: some windows of it are to be checked. */
+const limitMs = 9_000;
 /** Time at the end of a soak without faults. */
 export const faultFreeMs = 12_000;
 
@@ -132,13 +136,20 @@
       target: random.nextInt(maxTarget),
     });
   }
+  /** Kinds that are drawn before any of them is drawn again. */
+  const remaining: FaultKind[] = [];
   let atMs = firstFaultMs;
   while (atMs < endsAt) {
     const isCalm = hasPartCrashes && atMs < calmUntil;
-    const durationMs = minDurationMs +
+    const drawnMs = minDurationMs +
       random.next() * (maxDurationMs - minDurationMs);
+    if (remaining.length === 0) remaining.push(...drawnFaultKinds);
+    const kind = isCalm
+      ? random.choose<FaultKind>(calmFaultKinds)
+      : takeKind(random, remaining);
+    const durationMs = kind === "replica_names_limit" ? limitMs : drawnMs;
     faults.push({
-      kind: random.choose<FaultKind>(isCalm ? calmFaultKinds : drawnFaultKinds),
+      kind,
       atMs,
       durationMs: Math.min(durationMs, endsAt - atMs),
       target: random.nextInt(maxTarget),
@@ -147,3 +158,10 @@
   }
   return faults.sort((one, other) => one.atMs - other.atMs);
 }
+
+/** Takes one of the kinds that remain at random. */
+function takeKind(random: Random, remaining: FaultKind[]): FaultKind {
+  const [kind] = remaining.splice(random.nextInt(remaining.length), 1);
+  if (kind === undefined) throw new Error("no kind of fault remains");
+  return kind;
+}
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -13,7 +13,12 @@
 } from "./fault_plan.ts";
 import type { LinkFault } from "./link_proxy.ts";
 import { PartCrashes } from "./part_crashes.ts";
-import type { CrashRecord, FaultSpan, KeyWithdrawal } from "./records.ts";
+import type {
+  CrashRecord,
+  FaultSpan,
+  KeyWithdrawal,
+  LimitRecord,
+} from "./records.ts";
 import { registrationTtlMs, ReplicaFaults } from "./replica_faults.ts";
 import {
   secondKey,
@@ -40,6 +45,7 @@
   readonly #partCrashes: PartCrashes;
   readonly #spans: FaultSpan[] = [];
   readonly #withdrawals: KeyWithdrawal[] = [];
+  readonly #limits: LimitRecord[] = [];
   /** Nodes that a fault has stopped or paused; other faults skip them. */
   readonly #stoppedNodes = new Set<SoakNode>();
 
@@ -63,6 +69,11 @@
     return this.#partCrashes.crashes;
   }
 
+  /** Limits that replicas have named. */
+  get limits(): readonly LimitRecord[] {
+    return this.#limits;
+  }
+
   /** Keys that have been withdrawn. */
   get withdrawals(): readonly KeyWithdrawal[] {
     return this.#withdrawals;
@@ -169,6 +180,11 @@
         await this.#replicaFaults.apply(pause, { target, durationMs });
         return;
       }
+      case "replica_names_limit": {
+        const options = { target, durationMs };
+        this.#limits.push(await this.#replicaFaults.nameLimit(options));
+        return;
+      }
       case "replica_starts":
         return await this.#startReplica(target);
       case "cloud_silent":
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -13,6 +13,7 @@
   RunRecord,
   SoakRecords,
 } from "./records.ts";
+import { checkLimits } from "./limit_promises.ts";
 import {
   checkReplicaPromises,
   faultEffectMs,
@@ -45,6 +46,7 @@
     ...checkWithdrawals(records),
     ...checkRecovery(records),
     ...checkReplicaPromises(records),
+    ...checkLimits(records),
   ];
 }
 
--- a/packages/soak/src/record_fixture.ts
+++ b/packages/soak/src/record_fixture.ts
@@ -62,6 +62,7 @@
     faults: [],
     withdrawals: [],
     crashes: [],
+    limits: [],
     promptArrivals: [],
     faultsEndAt: 0,
     events,
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -75,6 +75,15 @@
   readonly at: number;
 }
 
+/** Limit of requests that a replica named for a time. */
+export interface LimitRecord {
+  readonly replica: string;
+  /** Requests a second from all nodes together. */
+  readonly perSecond: number;
+  readonly from: number;
+  readonly to: number;
+}
+
 /** Arrival at a replica, run or not, of a request with a prompt. */
 export interface PromptArrival {
   readonly id: string;
@@ -112,6 +121,7 @@
   readonly faults: readonly FaultSpan[];
   readonly withdrawals: readonly KeyWithdrawal[];
   readonly crashes: readonly CrashRecord[];
+  readonly limits: readonly LimitRecord[];
   readonly promptArrivals: readonly PromptArrival[];
   /** End of the last fault, or the start of the soak if it had none. */
   readonly faultsEndAt: number;
--- a/packages/soak/src/replica_faults.ts
+++ b/packages/soak/src/replica_faults.ts
@@ -9,9 +9,12 @@
 } from "@almondcrank/standin/platform/replica_fault.ts";
 import type { BreakingFaultKind } from "./fault_plan.ts";
 import type { LinkFault } from "./link_proxy.ts";
+import type { LimitRecord } from "./records.ts";
 import type { SoakReplica, SoakSystem } from "./soak_system.ts";
 
 const slowLinkMs = 120;
+/** Limit that a replica in need names, in requests a second. */
+const limitPerSecond = 1;
 /** Time for which a silent replica sends nothing. */
 const silenceMs = 1_000;
 /** Replicas that a service keeps, whatever drains or crashes. */
@@ -65,6 +68,19 @@
     return isOne ? silent[0]?.standin.id : undefined;
   }
 
+  /** Lets a replica name a limit for a time; returns the limit's record. */
+  async nameLimit(
+    { target, durationMs }: ReplicaFaultOptions,
+  ): Promise<LimitRecord> {
+    const { standin } = this.#pick(target);
+    standin.limitPerSecond = limitPerSecond;
+    const from = performance.now();
+    await sleep(durationMs);
+    standin.limitPerSecond = undefined;
+    const to = performance.now();
+    return { replica: standin.id, perSecond: limitPerSecond, from, to };
+  }
+
   /** Injects a fault that may break answers. */
   async run(
     kind: ReplicaFaultKind,
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -100,6 +100,7 @@
     faults: runner.spans,
     withdrawals: runner.withdrawals,
     crashes: runner.crashes,
+    limits: runner.limits,
     promptArrivals: system.listPromptArrivals(),
     faultsEndAt,
     events: streamEvents,
