Soak: no model replica names a limit until part crashes are over

Traced: both remaining model replicas named a limit of one request a second, and 423 requests were refused as replica_limits, which is what nobody could serve. Limits are drawn at booking replicas until the part crashes of a plan are over; the check stays as it is.

--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -46,6 +46,8 @@
   readonly #spans: FaultSpan[] = [];
   readonly #withdrawals: KeyWithdrawal[] = [];
   readonly #limits: LimitRecord[] = [];
+  /** Whether part crashes are planned that are not over. */
+  #awaitsPartCrashes = false;
   /** Nodes that a fault has stopped or paused; other faults skip them. */
   readonly #stoppedNodes = new Set<SoakNode>();
 
@@ -84,6 +86,7 @@
    */
   async run(plan: readonly PlannedFault[]): Promise<void> {
     const startedAt = performance.now();
+    this.#awaitsPartCrashes = plan.some(({ kind }) => kind === partCrashes);
     await Promise.all(plan.map(async (fault) => {
       await sleep(startedAt + fault.atMs - performance.now());
       const from = performance.now();
@@ -103,6 +106,7 @@
     const { kind, durationMs } = fault;
     if (kind === partCrashes) {
       await this.#partCrashes.run(durationMs);
+      this.#awaitsPartCrashes = false;
       return undefined;
     }
     if (isBreaking(kind)) return await this.#runBreakingFault(kind, fault);
@@ -181,8 +185,10 @@
         return;
       }
       case "replica_names_limit": {
-        const options = { target, durationMs };
-        this.#limits.push(await this.#replicaFaults.nameLimit(options));
+        const sparesModels = this.#awaitsPartCrashes;
+        const options = { target, durationMs, sparesModels };
+        const limit = await this.#replicaFaults.nameLimit(options);
+        if (limit !== undefined) this.#limits.push(limit);
         return;
       }
       case "replica_starts":
--- a/packages/soak/src/replica_faults.ts
+++ b/packages/soak/src/replica_faults.ts
@@ -13,6 +13,7 @@
 import type { SoakReplica, SoakSystem } from "./soak_system.ts";
 
 const slowLinkMs = 120;
+const modelService = "models";
 /** Limit that a replica in need names, in requests a second. */
 const limitPerSecond = 1;
 /** Time for which a silent replica sends nothing. */
@@ -33,6 +34,15 @@
   readonly durationMs: number;
 }
 
+/** Which replica names a limit, and for how long. */
+export interface LimitOptions extends ReplicaFaultOptions {
+  /**
+   * Whether no model replica may: beside crashes the others can't take over what
+   * its limit leaves.
+   */
+  readonly sparesModels: boolean;
+}
+
 /** Injects faults into the replicas of one system. */
 export class ReplicaFaults {
   readonly #system: SoakSystem;
@@ -70,9 +80,13 @@
 
   /** Lets a replica name a limit for a time; returns the limit's record. */
   async nameLimit(
-    { target, durationMs }: ReplicaFaultOptions,
-  ): Promise<LimitRecord> {
-    const { standin } = this.#pick(target);
+    { target, durationMs, sparesModels }: LimitOptions,
+  ): Promise<LimitRecord | undefined> {
+    const candidates = this.#system.listRegisteredReplicas()
+      .filter(({ service }) => !sparesModels || service !== modelService);
+    const replica = candidates[target % candidates.length];
+    if (replica === undefined) return undefined;
+    const { standin } = replica;
     standin.limitPerSecond = limitPerSecond;
     const from = performance.now();
     await sleep(durationMs);
