Setups of gateway nodes wait until keys can be checked

Cause: a setup was open once its nodes answered a public route; a node checks keys some hundred milliseconds later, and refuses until then as stale_configuration. Seen at two of three nodes in gateway_limits_test, which waited for it by itself. Change: each setup waits for a route with keys too. A test that counted bookings from the start counts them from its own begin, as strict.

--- a/packages/scenario/src/gateway_calls_test.ts
+++ b/packages/scenario/src/gateway_calls_test.ts
@@ -198,11 +198,14 @@
     const smuggled = `${head}Content-Length: 4\r\n` +
       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /book/ HTTP/1.1\r\n\r\n";
     const large = `${head}X-Large: ${"x".repeat(20_000)}\r\n\r\n`;
+    const countBookings = (): number =>
+      [...setup.replicas.values()].flatMap(({ runs }) => runs)
+        .filter(({ path }) => path.startsWith("/book/")).length;
+    const before = countBookings();
     assert.match(await setup.sendRaw("no request\r\n\r\n"), /^HTTP\/1.1 400 /);
     assert.match(await setup.sendRaw(smuggled), /^HTTP\/1.1 400 /);
     assert.match(await setup.sendRaw(large), /^HTTP\/1.1 431 /);
-    const runs = [...setup.replicas.values()].flatMap(({ runs }) => runs);
-    assert.is(runs.filter(({ path }) => path.startsWith("/book/")).length, 0);
+    assert.is(countBookings(), before);
     assert.is((await setup.call({ path: "/book/" })).status, 200);
   });
 });
--- a/packages/scenario/src/gateway_limits_test.ts
+++ b/packages/scenario/src/gateway_limits_test.ts
@@ -48,21 +48,6 @@
   assert.ok(busiest <= allowed, `${busiest} arrived, allowed ${allowed}`);
 }
 
-/** Runs a test against nodes that all know the keys of callers. */
-async function runWithReadySetup(
-  run: (setup: GatewaySetup) => Promise<void>,
-): Promise<void> {
-  await runWithSetup(nodeCount, async (setup) => {
-    await setup.waitUntil(async () => {
-      const answers = await Promise.all(
-        setup.nodes.map((_, node) => setup.call({ path: "/book/x", node })),
-      );
-      return answers.every(({ status }) => status === 200);
-    });
-    await run(setup);
-  });
-}
-
 /** Sends requests to all nodes in turn for `ms` milliseconds. */
 async function sendLoad(
   setup: GatewaySetup,
@@ -87,7 +72,7 @@
 
 for (const { path, limited } of services) {
   test(`first sends of all nodes keep to the limit of a replica (${path})`, async () => {
-    await runWithReadySetup(async (setup) => {
+    await runWithSetup(nodeCount, async (setup) => {
       const replica = setup.findReplica(limited);
       replica.limitPerSecond = limitPerSecond;
       const namedAt = performance.now();
@@ -99,7 +84,7 @@
 }
 
 test("a service whose replicas are at their limits refuses at once and says when to return", async () => {
-  await runWithReadySetup(async (setup) => {
+  await runWithSetup(nodeCount, async (setup) => {
     const { path, limited, other } = services[1];
     const replicas = [limited, other].map((id) => setup.findReplica(id));
     for (const replica of replicas) replica.limitPerSecond = limitPerSecond;
@@ -122,7 +107,7 @@
 });
 
 test("a replica that no longer names a limit gets its part of the requests again", async () => {
-  await runWithReadySetup(async (setup) => {
+  await runWithSetup(nodeCount, async (setup) => {
     const { path } = services[2];
     // Slow ones, so that no single replica can serve all requests at once.
     const replica = await setup.addReplica("model-3", "models", slow);
@@ -141,7 +126,7 @@
 });
 
 test("moved streams keep to the limit of their new replica", async () => {
-  await runWithReadySetup(async (setup) => {
+  await runWithSetup(nodeCount, async (setup) => {
     setup.configure({ timeoutMs: 20_000 });
     const leaving = await setup.addReplica("model-3", "models", {
       events: 120,
@@ -176,7 +161,7 @@
 });
 
 test("retries and standbys keep to the limit of the replica that they reach", async () => {
-  await runWithReadySetup(async (setup) => {
+  await runWithSetup(nodeCount, async (setup) => {
     const limited = setup.findReplica("model-1");
     limited.limitPerSecond = limitPerSecond;
     await setup.addReplica("model-3", "models");
@@ -191,7 +176,7 @@
 });
 
 test("requests that wait for a connection are not sent once a limit is named", async () => {
-  await runWithReadySetup(async (setup) => {
+  await runWithSetup(nodeCount, async (setup) => {
     const limited = setup.findReplica("booking-1");
     setup.store.remove("servers", "booking-2");
     await sleep(500);
--- a/packages/scenario/src/gateway_versions_test.ts
+++ b/packages/scenario/src/gateway_versions_test.ts
@@ -174,7 +174,7 @@
         lastId,
         node: 1 + at % 2,
       });
-      assert.is(rest.status, 200);
+      assert.is(rest.status, 200, rest.body);
       assert.is(rest.body, formatVersion(version, lastId + 1, eventCount));
     }
     assert.is(new Set(begun.map(({ version }) => version)).size, 2);
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -106,15 +106,20 @@
     for (let at = 0; at < nodes; at += 1) {
       await setup.#openNode(at, ports);
     }
-    await setup.waitUntil(async () => {
-      const answers = await Promise.all(
-        setup.nodes.map((_, node) => setup.call({ path: "/lookup/x", node })),
-      );
-      return answers.every(({ status }) => status === 200);
-    });
+    await setup.waitUntil(() => setup.#answersAll("/lookup/x"));
+    // Nodes check keys once they know that their configuration is the latest.
+    await setup.waitUntil(() => setup.#answersAll("/book/x"));
     return setup;
   }
 
+  /** Whether all nodes answer a request for a path. */
+  async #answersAll(path: string): Promise<boolean> {
+    const answers = await Promise.all(
+      this.nodes.map((_, node) => this.call({ path, node })),
+    );
+    return answers.every(({ status }) => status === 200);
+  }
+
   /** Starts and registers a replica. */
   async addReplica(
     id: string,
