--- a/packages/routing/src/quarantine/part_quarantine_test.ts
+++ b/packages/routing/src/quarantine/part_quarantine_test.ts
@@ -151,6 +151,17 @@
   assert.is(other.mayRepeat(["bad"], new Set(), 1_100), true);
 });
 
+test("requests that are the same may be repeated until replicas crash under them three times", () => {
+  const quarantine = createQuarantine();
+  const now = crashTimes(quarantine, ["request:a"], 2);
+  assert.is(quarantine.mayRepeat(["request:a"], new Set(["r/1"]), now), true);
+  quarantine.recordCrash(["request:a"], "r/3", 3_000);
+  assert.is(
+    quarantine.mayRepeat(["request:a"], new Set(["r/3"]), 3_000),
+    false,
+  );
+});
+
 test("a part that went well is in quarantine soon after it began to crash replicas", () => {
   const result = QuarantineSimulation.create({ nodes: 7, hops: 1, seed: 7 })
     .run({
