Continue a broken stream although one that is the same broke elsewhere

Cause: a broken request was not repeated if a part that never went well had broken other requests too; with the fingerprint as a part, streams with the same caller, path and body, sent side by side, took each other's broken ends for crashes after two replicas. Parts of prompts as before.

--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -265,6 +265,8 @@
   }
 
   #isSuspected(part: string, brokenOn: ReadonlySet<string>): boolean {
+    // Callers may send the same request side by side, as sound as others.
+    if (isFingerprint(part)) return false;
     const entry = this.#evidence.get(part);
     return entry !== undefined && !entry.hasSurvived &&
       [...entry.crashes.keys()].some((key) => !brokenOn.has(key));
