--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -16,6 +16,7 @@
 import { UsageCounts } from "../duties/usage_counts.ts";
 import { WorkMeter } from "../duties/work_meter.ts";
 import { FeedState } from "../feed/feed_state.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
 import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
@@ -28,6 +29,8 @@
   encodePeerMessage,
   type PeerMessage,
 } from "./peer_messages.ts";
+import { ReportNews } from "./report_news.ts";
+import { ReportTallies, type TallySource } from "./report_tallies.ts";
 
 const hasher = await openHasher();
 const tenant: Tenant = {
@@ -43,6 +46,21 @@
 const delayMs = 5;
 const windowMs = 5_000;
 
+/** Counts events of one name, its own and those of peers. */
+class TestTally implements TallySource {
+  readonly name = "seen";
+  own = 0;
+  others = 0;
+
+  listOwn(): readonly (readonly [string, number])[] {
+    return [["event", this.own]];
+  }
+
+  applyPeer(_name: string, change: number): void {
+    this.others += change;
+  }
+}
+
 /** One node with all parts that reports concern. */
 class TestNode {
   readonly node: string;
@@ -60,6 +78,10 @@
     windowMs: 60_000,
     usedShare: 0.7,
   });
+  readonly tally = new TestTally();
+  /** What this node has to tell as news, and what it was told. */
+  newsOut: unknown;
+  newsIn: unknown;
   cluster: Cluster | undefined;
   bytesSent = 0;
   fencingToken: number | undefined;
@@ -126,6 +148,13 @@
       work: WorkMeter.create(),
       quarantine: node.quarantine,
       limitShares: LimitShares.create(node.node, hasher),
+      tallies: ReportTallies.create([node.tally]),
+      news: ReportNews.create([{
+        name: "test",
+        maxBytes: 100,
+        compose: () => node.newsOut,
+        apply: (told) => node.newsIn = told,
+      }], Metrics.create()),
       isDraining: () => false,
       isStoreUnreachable: () => false,
       readFencingToken: () => node.fencingToken,
@@ -205,6 +234,25 @@
   system.close();
 });
 
+test("events that each node counts are summed on all, once each, and news reach all", async () => {
+  const system = await TestSystem.open(30, 3);
+  const { nodes, clock } = system;
+  for (const node of nodes) node.tally.own += 2;
+  await clock.advance(2_000);
+  for (const { tally, node } of nodes) {
+    assert.is(tally.own + tally.others, 2 * nodes.length, node);
+  }
+  for (const node of nodes) node.newsOut = { step: 3 };
+  await clock.advance(2_000);
+  for (const { newsIn } of nodes) assert.equal(newsIn, { step: 3 });
+  for (const node of nodes) node.newsOut = "x".repeat(200);
+  // Reports that were sent before arrive first.
+  await clock.advance(1_000);
+  for (const node of nodes) node.newsIn = undefined;
+  await clock.advance(2_000);
+  for (const { newsIn } of nodes) assert.is(newsIn, undefined);
+});
+
 test("the load that all others put on a replica reaches every node", async () => {
   const system = await TestSystem.open(32, 4);
   const { nodes, clock } = system;
--- a/packages/gateway/src/cluster/counter_tracker_test.ts
+++ b/packages/gateway/src/cluster/counter_tracker_test.ts
@@ -88,6 +88,7 @@
     allowances: [["t/with/slash", 7, 500]] as [string, number, number][],
     budgets: [["s", 9, 2]] as [string, number, number][],
     work: [["s", 40, 0]] as [string, number, number][],
+    tallies: [["seen/by/all", 3]] as [string, number][],
   };
   const counters = readCounters(report);
   assert.equal(composeCounterLists(counters, () => 7), report);
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -34,7 +34,9 @@
   type Counters,
   readCounters,
 } from "./report_counters.ts";
+import type { ReportNews } from "./report_news.ts";
 import { LoadSums } from "./report_sums.ts";
+import type { ReportTallies } from "./report_tallies.ts";
 import { formatSuspects, parseSuspects } from "./suspect_reports.ts";
 import {
   chooseTickMs,
@@ -68,6 +70,8 @@
   readonly work: WorkMeter;
   readonly quarantine: PartQuarantine;
   readonly limitShares: LimitShares;
+  readonly tallies: ReportTallies;
+  readonly news: ReportNews;
   readonly isDraining: () => boolean;
   /** Whether this node currently does not reach the store. */
   readonly isStoreUnreachable: () => boolean;
@@ -151,7 +155,7 @@
 
   /** Composes the report of this node. */
   composeNodeReport({ withMembers }: ReportOptions): PeerReport {
-    const { limitsClock, rateLimiter, budget, table, usage, work } =
+    const { limitsClock, rateLimiter, budget, table, usage, work, tallies } =
       this.#options;
     const allowances = rateLimiter.reportLevels(limitsClock.now());
     this.#levels = new Map(allowances.map(([name, level]) => [name, level]));
@@ -165,12 +169,13 @@
       work: work.listSums().map((entry): [string, number, number] => [
         ...entry,
       ]),
+      tallies: tallies.listOwn(),
     };
     this.#ownCounters = readCounters(lists);
     return {
       ...lists,
       loads: listOwnLoads(table),
-      ...this.#listReplicaNews(),
+      ...this.#listNews(),
       usage: usage.listRecent(),
       alive: [],
       members: withMembers ? this.#listMembers() : [],
@@ -183,8 +188,9 @@
       allowances: [],
       budgets: [],
       work: [],
+      tallies: [],
       loads: [],
-      ...this.#listReplicaNews(),
+      ...this.#listNews(),
       leaving: [],
       usage: [],
       alive: [],
@@ -205,7 +211,7 @@
     return {
       ...composeCounterLists(counters, (name) => this.#levels.get(name) ?? 0),
       loads: loads.list(),
-      ...this.#listReplicaNews(),
+      ...this.#listNews(),
       usage: usage.listZoneSums(),
       alive: composeAlive(neighbours, clock.now()),
       members: [],
@@ -222,7 +228,7 @@
     return {
       ...composeCounterLists(counters, (name) => this.#levels.get(name) ?? 0),
       loads: loads.list(),
-      ...this.#listReplicaNews(),
+      ...this.#listNews(),
       usage: usage.listSystemSums(),
       alive: composeAlive(members.listAlive(clock.now()), clock.now()),
       members: withMembers ? this.#listMembers() : [],
@@ -356,7 +362,8 @@
   }
 
   #applyReport(message: PeerMessage, report: PeerReport, now: number): void {
-    const { members, table, quarantine, limitsClock } = this.#options;
+    const { members, table, quarantine, news, limitsClock } = this.#options;
+    news.apply(report.news, limitsClock.now());
     quarantine.learn(parseSuspects(report.suspects), limitsClock.now());
     for (const member of report.members) members.introduce(member, now);
     this.#applyAlive(report.alive, now);
@@ -382,14 +389,15 @@
     }
   }
 
-  /** Lists what all reports tell of replicas, whatever their scope. */
-  #listReplicaNews(): Pick<PeerReport, "leaving" | "suspects" | "limits"> {
-    const { table, quarantine, limitsClock } = this.#options;
+  /** Lists what all reports tell, whatever their scope. */
+  #listNews(): Pick<PeerReport, "leaving" | "suspects" | "limits" | "news"> {
+    const { table, quarantine, news, limitsClock } = this.#options;
     const now = limitsClock.now();
     return {
       leaving: table.listAnnouncedLeaving(),
       suspects: formatSuspects(quarantine.listTold(now)),
       limits: listLimits(table, now),
+      news: news.compose(now),
     };
   }
 
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -70,8 +70,12 @@
   budgets: counters,
   /** Service, engine time of its requests in milliseconds, 0. */
   work: counters,
+  /** Name, sum; see `ReportTallies`. */
+  tallies: z.array(z.tuple([z.string(), z.number()])).default([]),
   /** Replica, active requests, pending tokens, active tokens. */
   loads,
+  /** By name; see `ReportNews`. */
+  news: z.record(z.string(), z.unknown()).default({}),
   /** Replicas that announced in an answer that they are leaving. */
   leaving: z.array(z.string()).default([]),
   /** Parts of prompts under which replicas crash. */
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -38,10 +38,12 @@
   allowances: [["t", 1, 2]],
   budgets: [],
   work: [["s", 3, 0]],
+  tallies: [["seen/s", 4]],
   loads: Array.from(
     { length: 40 },
     (_, index) => [`replica-${index}/1`, index, 0, 9],
   ),
+  news: { steps: [{ service: "s" }] },
   leaving: ["replica-3/1"],
   suspects: [
     ["p", 12, null, [["replica-1/1", 40]]],
@@ -61,10 +63,12 @@
 });
 
 test("a report of an earlier version, which has fewer lists, is accepted", () => {
-  const { suspects: _, limits: __, ...earlier } = report;
+  const { suspects: _, limits: __, tallies: ___, news: ____, ...earlier } =
+    report;
   const encoded = encodePeerReport(earlier as PeerReport);
   const decoded = decodePeerMessage(encodePeerMessage(header, encoded));
-  assert.equal(decoded?.report, { ...earlier, suspects: [], limits: [] });
+  const empty = { suspects: [], limits: [], tallies: [], news: {} };
+  assert.equal(decoded?.report, { ...earlier, ...empty });
 });
 
 test("an encoded report is less than half as long as its JSON", () => {
--- a/packages/gateway/src/cluster/report_collector.ts
+++ b/packages/gateway/src/cluster/report_collector.ts
@@ -25,6 +25,7 @@
   subtractCounters,
 } from "./report_counters.ts";
 import { LoadSums, ReportSums } from "./report_sums.ts";
+import type { ReportTallies } from "./report_tallies.ts";
 
 /** Uptime below which a node's first report to a relay counts from its start. */
 const justStartedMs = 1_500;
@@ -54,6 +55,7 @@
   readonly budget: RetryBudget;
   readonly usage: UsageCounts;
   readonly work: WorkMeter;
+  readonly tallies: ReportTallies;
 }
 
 /** Last report of a node that reports to this one directly. */
@@ -257,7 +259,7 @@
   }
 
   #applyChanges(peer: string, zone: string, changes: Counters): void {
-    const { rateLimiter, budget, work, limitsClock } = this.#options;
+    const { rateLimiter, budget, work, tallies, limitsClock } = this.#options;
     const now = limitsClock.now();
     for (const [key, change] of changes) {
       const { kind, name } = parseCounterKey(key);
@@ -277,6 +279,9 @@
         case "work":
           work.applyPeerWork(name, change, now);
           break;
+        case "tally":
+          tallies.applyPeer(name, change, now);
+          break;
       }
     }
     const counted = this.#countedByZone.get(zone) ?? new Map<string, number>();
--- a/packages/gateway/src/cluster/report_counters.ts
+++ b/packages/gateway/src/cluster/report_counters.ts
@@ -8,12 +8,15 @@
 export type Counters = ReadonlyMap<string, number>;
 
 /** Kinds of counters; the first part of a counter's key. */
-export type CounterKind = "cost" | "requests" | "retries" | "work";
+export type CounterKind = "cost" | "requests" | "retries" | "work" | "tally";
 
 /** Level of each tenant's token bucket, for a report that is composed. */
 export type ReadLevel = (tenant: string) => number;
 
-type CounterLists = Pick<PeerReport, "allowances" | "budgets" | "work">;
+type CounterLists = Pick<
+  PeerReport,
+  "allowances" | "budgets" | "work" | "tallies"
+>;
 
 /** Reads the counters of a report. */
 export function readCounters(report: CounterLists): Counters {
@@ -28,6 +31,9 @@
   for (const [service, ms] of report.work) {
     counters.set(`work/${service}`, ms);
   }
+  for (const [name, sum] of report.tallies) {
+    counters.set(`tally/${name}`, sum);
+  }
   return counters;
 }
 
@@ -39,6 +45,7 @@
   const allowances: CounterLists["allowances"] = [];
   const budgets: CounterLists["budgets"] = [];
   const work: CounterLists["work"] = [];
+  const tallies: CounterLists["tallies"] = [];
   for (const [key, value] of counters) {
     const { kind, name } = parseCounterKey(key);
     switch (kind) {
@@ -55,9 +62,12 @@
       case "work":
         work.push([name, Math.round(value), 0]);
         break;
+      case "tally":
+        tallies.push([name, Math.round(value)]);
+        break;
     }
   }
-  return { allowances, budgets, work };
+  return { allowances, budgets, work, tallies };
 }
 
 /** Parses the key of a counter. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,8 @@
 import { NodeDiscovery } from "./cluster/node_discovery.ts";
 import { PeerSocket } from "./cluster/peer_socket.ts";
 import { PeerExchange } from "./cluster/peer_exchange.ts";
+import { ReportNews } from "./cluster/report_news.ts";
+import { ReportTallies } from "./cluster/report_tallies.ts";
 import type { ReportTopology } from "./cluster/report_topology.ts";
 import { DutyLease } from "./duties/duty_lease.ts";
 import { Autoscaler } from "./duties/autoscaler.ts";
@@ -164,6 +166,8 @@
       work: services.work,
       quarantine: services.quarantine,
       limitShares: LimitShares.create(settings.nodeName, services.hasher),
+      tallies: ReportTallies.create(parts.tallySources),
+      news: ReportNews.create(parts.newsSources, services.metrics),
       readFencingToken: () => this.#lease?.fencingToken,
       pullFeed: (kind, ip) => void clusterRef.cluster?.pullFeed(kind, ip),
     });
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -17,6 +17,8 @@
 import { MemberTable } from "./cluster/member_table.ts";
 import { OriginExchange } from "./cluster/origin_exchange.ts";
 import { isProbeOwner } from "./cluster/probe_owner.ts";
+import type { NewsSource } from "./cluster/report_news.ts";
+import type { TallySource } from "./cluster/report_tallies.ts";
 import { WorkMeter } from "./duties/work_meter.ts";
 import { UsageCounts } from "./duties/usage_counts.ts";
 import { type FeedKind, FeedState } from "./feed/feed_state.ts";
@@ -63,6 +65,9 @@
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
   readonly view: StoreView;
   readonly server: CallerServer;
+  /** What this node tells its peers beside the fixed parts of a report. */
+  readonly tallySources: readonly TallySource[];
+  readonly newsSources: readonly NewsSource[];
   /** Whether this node sends the probes of a part in quarantine. */
   readonly isProber: (part: string) => boolean;
 }
@@ -179,6 +184,8 @@
     feeds,
     view,
     server,
+    tallySources: [],
+    newsSources: [],
     isProber,
   };
 }
--- a/packages/model/src/gateway_settings.ts
+++ b/packages/model/src/gateway_settings.ts
@@ -30,6 +30,16 @@
   readonly usageDueMs: number;
 }
 
+/** Bounds on the traffic of a software version that is not trusted yet. */
+export interface ExposureBounds {
+  /** Largest share of a service's requests that the version may get. */
+  readonly share: number;
+  /** Requests beyond that share. */
+  readonly tolerance: number;
+  /** Time after its 50th bad answer from which it may get no request. */
+  readonly rollbackMs: number;
+}
+
 /** Duties for the platform that one node at a time performs. */
 export type DutyName = "usage" | "scaling";
 
@@ -56,4 +66,6 @@
   readonly cloudAddress: string | undefined;
   readonly duties: readonly DutyName[];
   readonly bounds: Bounds;
+  /** Undefined where operators order no rollouts. */
+  readonly exposure: ExposureBounds | undefined;
 }
--- a/packages/platform/src/decode_settings.ts
+++ b/packages/platform/src/decode_settings.ts
@@ -8,6 +8,7 @@
 import type {
   Bounds,
   DutyName,
+  ExposureBounds,
   GatewaySettings,
 } from "@almondcrank/model/gateway_settings.ts";
 import { KindError } from "@almondcrank/common/kind_error.ts";
@@ -102,6 +103,21 @@
     duties: readStrings(cloud["duties"])
       .flatMap((name) => dutyNames[name] ?? []),
     bounds: decodeBounds(readFields(fields["bounds"]) ?? {}),
+    exposure: decodeExposure(fields),
+  };
+}
+
+/** Contract that lets operators order rollouts. */
+const rolloutContract = "rollout";
+
+function decodeExposure(fields: Fields): ExposureBounds | undefined {
+  const contracts = readStrings(fields["contracts"]);
+  if (!contracts.includes(rolloutContract)) return undefined;
+  const bounds = readFields(fields["bounds"]) ?? {};
+  return {
+    share: readNumber(bounds["exposure-share"]) ?? 0,
+    tolerance: readNumber(bounds["exposure-tolerance"]) ?? 0,
+    rollbackMs: readNumber(bounds["rollback-ms"]) ?? 0,
   };
 }
 
--- a/packages/platform/src/decode_test.ts
+++ b/packages/platform/src/decode_test.ts
@@ -78,6 +78,30 @@
   }
 });
 
+test("bounds of exposure are read only under the contract that orders rollouts", () => {
+  const settings = {
+    "node-name": "n",
+    ip: "10.0.0.1",
+    zone: "a",
+    "port-range": [1, 2],
+    platform: { address: "10.0.0.2:1" },
+    bounds: {
+      "exposure-share": 0.1,
+      "exposure-tolerance": 50,
+      "rollback-ms": 5_000,
+    },
+  };
+  const read = (contracts: readonly string[]) =>
+    decodeSettings(JSON.stringify({ ...settings, contracts }))
+      .map(({ exposure }) => exposure).extract();
+  assert.is(read(["base"]), undefined);
+  assert.equal(read(["base", "rollout"]), {
+    share: 0.1,
+    tolerance: 50,
+    rollbackMs: 5_000,
+  });
+});
+
 test("the error for settings names every missing field and its remedy", () => {
   const faults = decodeSettings("{}").swap().unsafeCoerce().detail.faults;
   assert.is(faults.length, 5);
--- /dev/null
+++ b/packages/routing/src/admission/room_verdict.ts
@@ -0,0 +1,26 @@
+/**
+ * Whether there is room for a request, now or in time.
+ */
+
+/** Why there is no room for a request. */
+export type RoomRefusal =
+  /** No place is free before it would be too late. */
+  | "no_place_in_time"
+  /** A more urgent request took its place in the line. */
+  | "displaced"
+  /** Its tenant already has its part of a line that others need. */
+  | "tenant_share"
+  /** The line has reached its bound. */
+  | "line_full";
+
+/** Verdict on one request that has not been sent. */
+export type RoomVerdict =
+  | { readonly kind: "starts" }
+  /** A place is expected at `expectedAt`; monotonic time in milliseconds. */
+  | { readonly kind: "waits"; readonly expectedAt: number }
+  | {
+    readonly kind: "refused";
+    readonly reason: RoomRefusal;
+    /** Time after which a place is kept for it if it returns, in milliseconds. */
+    readonly retryAfterMs: number;
+  };
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -256,6 +256,7 @@
       cloudAddress: this.cloud.address,
       duties: ["usage", "scaling"],
       bounds: testBounds,
+      exposure: undefined,
     };
     this.#settings.push(settings);
     this.nodes.push(await startNode(settings));
