--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -191,6 +191,11 @@
     this.nodes[node] = await startNode({ ...settings, isFirstStart: false });
   }
 
+  /** Returns the address at which a node listens for callers. */
+  findCallersAddress(node: number): string {
+    return this.#settings[node]?.callers ?? "";
+  }
+
   /** Returns the control address of a node. */
   findControlAddress(node: number): string {
     return this.#settings[node]?.control ?? "";
