--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -12,6 +12,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Endpoint } from "@almondcrank/common/configuration.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import type {
   CacheEventBatch,
   CacheExport,
@@ -122,6 +123,7 @@
     request: GenerateRequest,
     signal: AbortSignal,
   ): AsyncGenerator<Either<EndpointError, GenerateEvent>, void, void> {
+    await waitForPoll();
     if (signal.aborted) return;
     this.#calls.start();
     // Whether the engine has no state of this request that a cancel would remove.
--- a/packages/endpoint/src/http_engine_test.ts
+++ b/packages/endpoint/src/http_engine_test.ts
@@ -170,4 +170,21 @@
   server.close();
 });
 
+test("a generation whose caller's end is read after it is not sent", async () => {
+  let received = 0;
+  const server = await openServer((_, response) => {
+    received += 1;
+    response.end();
+  });
+  const engine = createEngine(server);
+  const caller = new AbortController();
+  const events = engine.generate(request, caller.signal);
+  const first = events.next();
+  setImmediate(() => caller.abort());
+  assert.is((await first).done, true);
+  engine.dispose();
+  server.close();
+  assert.is(received, 0);
+});
+
 test.run();
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -14,6 +14,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import { createInterimLimit } from "./answer_limits.ts";
 import { EndpointError, type EndpointErrorDetail } from "./endpoint_error.ts";
 import { RunningCalls } from "./running_calls.ts";
@@ -167,8 +168,10 @@
         finish: (result) =>
           resolve(result.mapLeft((failure) => this.#createError(failure))),
       });
-      if (handler.finished) return;
-      this.#pool.dispatch(exchange.options, handler);
+      // The caller may have left, which ends the handler.
+      void waitForPoll().then(() => {
+        if (!handler.finished) this.#pool.dispatch(exchange.options, handler);
+      });
     });
   }
 
--- a/packages/endpoint/src/http_plain_endpoint_test.ts
+++ b/packages/endpoint/src/http_plain_endpoint_test.ts
@@ -166,4 +166,23 @@
   });
 });
 
+test("a call whose caller's end is read after it is not sent, also on an open connection", async () => {
+  let received = 0;
+  await runWith((socket) => {
+    received += 1;
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }, async (address) => {
+    const endpoint = createEndpoint(address);
+    await endpoint.call(bookingCall, never);
+    const caller = new AbortController();
+    const call = endpoint.call(bookingCall, caller.signal);
+    setImmediate(() => caller.abort());
+    const error = (await call).swap().unsafeCoerce();
+    await endpoint.call(bookingCall, never);
+    endpoint.dispose();
+    assert.is(error.run, "not_run");
+    assert.is(received, 2);
+  });
+});
+
 test.run();
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -14,6 +14,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { abortResponse } from "@almondcrank/common/abort_response.ts";
+import { watchCaller } from "@almondcrank/common/caller_watch.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { LogFields } from "@almondcrank/common/logs.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
@@ -170,7 +171,7 @@
       const reply = composeLocalReply(503, "draining", drainingRetryMs);
       return this.#refuse({ request, response }, reply);
     }
-    const callerSignal = watchCaller(response);
+    const callerSignal = watchCaller(request, response);
     // After a start, configuration and replicas arrive within milliseconds.
     await waitUntilSynced(
       AbortSignal.any([
@@ -350,15 +351,6 @@
   return Number.isFinite(ms) ? Math.round(ms) : undefined;
 }
 
-/** Signal that aborts if the caller disconnects before the response ends. */
-function watchCaller(response: ServerResponse): AbortSignal {
-  const aborter = new AbortController();
-  response.on("close", () => {
-    if (!response.writableFinished) aborter.abort();
-  });
-  return aborter.signal;
-}
-
 function handleClientError(
   error: NodeJS.ErrnoException,
   socket: unknown,
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -6,6 +6,7 @@
  */
 
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import {
   notExecutedHeader,
   requestIdHeader,
@@ -20,13 +21,15 @@
   readonly method: string;
   /** Path and query, unchanged. */
   readonly path: string;
-  /** Alternating names and values, as sent on the wire. */
-  readonly headers: readonly string[];
+  /** Composes alternating names and values, as sent on the wire, at the send. */
+  readonly composeHeaders: () => readonly string[];
   readonly body: Buffer;
   readonly requestId: string | undefined;
   /** Aborts the request and closes its connection. */
   readonly signal: AbortSignal;
   readonly connectTimeoutMs: number;
+  /** Aborted once the caller has left: nothing is sent for it then. */
+  readonly callerSignal: AbortSignal;
   /** Whether the replica still wants the request once a connection is free. */
   readonly isWanted: () => boolean;
   /** Called with each response of the replica to this request. */
@@ -49,11 +52,28 @@
   };
 
 const misdirectedStatus = 421;
+const callerLeftReason = "the caller has left";
 /** Interim responses (1xx) accepted before a response; none are expected. */
 const maxInterimResponses = 16;
 
-/** Sends the request and waits for the response headers; never rejects. */
-export function sendToReplica(call: ReplicaRequest): Promise<SendOutcome> {
+/**
+ * Sends the request and waits for the response headers; never rejects. Whoever
+ * ended the request or left before is noticed first.
+ */
+export async function sendToReplica(
+  call: ReplicaRequest,
+): Promise<SendOutcome> {
+  await waitForPoll();
+  if (call.callerSignal.aborted) {
+    return { kind: "not_sent", reason: callerLeftReason };
+  }
+  if (call.signal.aborted) {
+    return { kind: "not_sent", reason: "the send was ended before it left" };
+  }
+  return await openRequest(call);
+}
+
+function openRequest(call: ReplicaRequest): Promise<SendOutcome> {
   return new Promise((resolve) => {
     let isConnected = false;
     let received: IncomingMessage | undefined;
@@ -64,7 +84,7 @@
       agent: call.agent,
       method: call.method,
       path: call.path,
-      headers: call.headers as string[],
+      headers: call.composeHeaders() as string[],
       setHost: false,
       signal: call.signal,
     });
@@ -109,10 +129,14 @@
  */
 function watchConnect(
   outgoing: ClientRequest,
-  { connectTimeoutMs: timeoutMs, isWanted }: ReplicaRequest,
+  { connectTimeoutMs: timeoutMs, callerSignal, isWanted }: ReplicaRequest,
   onConnect: () => void,
 ): void {
   outgoing.on("socket", (socket) => {
+    if (callerSignal.aborted) {
+      outgoing.destroy(new Error(callerLeftReason));
+      return;
+    }
     if (!isWanted()) {
       outgoing.destroy(new Error("the replica takes no requests at present"));
       return;
@@ -124,7 +148,9 @@
     );
     socket.once("connect", () => {
       clearTimeout(timer);
-      onConnect();
+      // What the request holds is written after this, so nothing has left.
+      if (callerSignal.aborted) outgoing.destroy(new Error(callerLeftReason));
+      else onConnect();
     });
     socket.once("close", () => clearTimeout(timer));
   });
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -93,16 +93,18 @@
       agent: this.#findAgent(state, request.service.maxConnections),
       method: request.method,
       path: request.path,
-      headers: composeRequestHeaders(request.headers, {
-        replicaId: replica.id,
-        remainingMs: Math.max(1, request.deadline - clock.now()),
-        priority: request.priority,
-        tenant: request.tenant?.name,
-        ...options,
-      }),
+      composeHeaders: () =>
+        composeRequestHeaders(request.headers, {
+          replicaId: replica.id,
+          remainingMs: Math.max(1, request.deadline - clock.now()),
+          priority: request.priority,
+          tenant: request.tenant?.name,
+          ...options,
+        }),
       body: request.body,
       requestId: request.id,
       signal: options.signal,
+      callerSignal: request.callerSignal,
       connectTimeoutMs,
       isWanted: () => this.#isWanted(state, wasLimited || isMoved),
       onAnswer: (response) => {
@@ -110,7 +112,9 @@
         this.#recordLimit(state, response, sentAt);
       },
     }).then((outcome) => {
-      this.#recordOutcome(state, outcome, options.signal);
+      const isEnded = options.signal.aborted ||
+        (outcome.kind === "not_sent" && request.callerSignal.aborted);
+      this.#recordOutcome(state, outcome, isEnded);
       return outcome;
     });
     return { outcome, ...load };
@@ -234,12 +238,12 @@
   #recordOutcome(
     state: ReplicaState,
     outcome: SendOutcome,
-    signal: AbortSignal,
+    isEnded: boolean,
   ): void {
     const { clock, metrics } = this.#options;
     const { service } = state.replica;
     metrics.count("send_outcomes_total", { service, outcome: outcome.kind });
-    if (outcome.kind === "answered" || signal.aborted) return;
+    if (outcome.kind === "answered" || isEnded) return;
     const now = clock.now();
     // A replica that asked for a pause, or is at its limit, works as it should.
     const isWithheld = outcome.kind === "not_sent" && !state.limit.isOpen(now);
--- a/packages/node/src/plain_handler.ts
+++ b/packages/node/src/plain_handler.ts
@@ -3,6 +3,7 @@
  * keys.
  */
 
+import { watchCaller } from "@almondcrank/common/caller_watch.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type {
   ConfigurationSource,
@@ -80,14 +81,13 @@
           `idempotency-key is empty or longer than ${maxKeyLength} characters; send a shorter one`,
       });
     }
+    const callerSignal = watchCaller(request, response);
     const deadline = this.#options.clock.now() +
       readTimeout(request, service.timeoutMs);
     const body = await readBody(request, this.#options.maxBodyBytes);
     if (body.isLeft()) {
       return sendBodyError(exchange, body.extract() as BodyError);
     }
-    const gone = new AbortController();
-    response.once("close", () => gone.abort());
     const answer = await this.#options.router.call({
       team,
       service,
@@ -97,7 +97,7 @@
       body: body.extract() as Buffer,
       key: typeof key === "string" ? key : undefined,
       deadline,
-    }, gone.signal);
+    }, callerSignal);
     answer.caseOf({
       Left: (refusal) => sendRefusal(response, refusal),
       Right: (whole) => sendAnswer(exchange, whole),
