--- a/packages/gateway/src/relay/stream_attempts.ts
+++ b/packages/gateway/src/relay/stream_attempts.ts
@@ -15,8 +15,10 @@
 export class StreamAttempts {
   readonly #route: Route;
   #sends = 0;
+  /** Sends whose outcome is not known yet. */
+  #openSends = 0;
   #connectFailures = 0;
-  #mayHaveRun = false;
+  #hasRun = false;
 
   private constructor(route: Route) {
     this.#route = route;
@@ -30,9 +32,9 @@
     return this.#sends;
   }
 
-  /** Whether a replica may have started to run the stream. */
+  /** Whether a replica may have started to run the stream, or may still do so. */
   get mayHaveRun(): boolean {
-    return this.#mayHaveRun;
+    return this.#hasRun || this.#openSends > 0;
   }
 
   /** Whether another replica may resume after the last event. */
@@ -42,21 +44,35 @@
 
   recordSend(): void {
     this.#sends += 1;
+    this.#openSends += 1;
   }
 
   /** Replaces a recorded send by a failed connection attempt. */
   recordConnectFailure(): void {
     this.#sends -= 1;
+    this.#openSends -= 1;
     this.#connectFailures += 1;
   }
 
+  /** Records that the replica of a send did not run the stream. */
+  recordDecline(): void {
+    this.#openSends -= 1;
+  }
+
+  /** Records that the replica of a send may have run the stream. */
   recordRun(): void {
-    this.#mayHaveRun = true;
+    this.#openSends -= 1;
+    this.#hasRun = true;
+  }
+
+  /** Records that a run which was moved went on. */
+  recordMovedRun(): void {
+    this.#hasRun = true;
   }
 
   /** Whether the stream may be retried, apart from the retry budget. */
   isRetryable(reason: RetryReason): boolean {
-    if (this.#mayHaveRun && !this.canResume) return false;
+    if (this.mayHaveRun && !this.canResume) return false;
     return reason === "not_sent"
       ? this.#connectFailures < maxConnectFailures
       : this.#sends < this.#route.maxAttempts;
--- a/packages/gateway/src/relay/stream_sends.ts
+++ b/packages/gateway/src/relay/stream_sends.ts
@@ -82,10 +82,12 @@
         return;
       case "declined":
         if (isMoved) this.#tried.delete(state.key);
+        else attempts.recordDecline();
         return;
       case "lost":
       case "answered":
-        attempts.recordRun();
+        if (isMoved) attempts.recordMovedRun();
+        else attempts.recordRun();
         return;
     }
   }
