--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -30,6 +30,8 @@
 /** Interval, in ticks, at which reports list the other nodes. */
 const membersEveryTicks = 12;
 const minSendIntervalMs = 30;
+/** Lost nodes to which an isolated node sends in one tick. */
+const lostNodesPerTick = 3;
 const pullTimeoutMs = 2_000;
 const snapshotPath = "/peer/copy/";
 const busyStatus = 503;
@@ -238,10 +240,25 @@
     this.#send(started, "none", exchange.composeMemberList());
   }
 
-  /** Sends a first datagram to addresses at which a node may run. */
+  /**
+   * Sends a first datagram to addresses at which a node may run, and, in turn, to
+   * nodes that this one has lost sight of: whoever answers tells the members.
+   */
   #greetUnconfirmed(): void {
     const { members, clock, socket, exchange } = this.#options;
-    for (const ip of members.listUnconfirmed(clock.now())) {
+    const now = clock.now();
+    const ips = [...members.listUnconfirmed(now)];
+    if (members.isIsolated(now)) {
+      const lost = members.listLost(now);
+      const first = this.#tickCount * lostNodesPerTick;
+      for (let at = 0; at < Math.min(lost.length, lostNodesPerTick); at += 1) {
+        ips.push(
+          ...lost.slice((first + at) % lost.length).slice(0, 1)
+            .map(({ ip }) => ip),
+        );
+      }
+    }
+    for (const ip of ips) {
       socket.send(exchange.composeHeader(undefined, "node"), undefined, ip);
     }
   }
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -110,6 +110,8 @@
   readonly random = Random.create(5);
   readonly nodes: TestNode[] = [];
   loss = 0;
+  /** Whether datagrams between two addresses are lost. */
+  isCut: (from: string, to: string) => boolean = () => false;
 
   static async open(count: number, zones: number): Promise<TestSystem> {
     const system = new TestSystem();
@@ -169,6 +171,7 @@
           const bytes = encodePeerMessage(header, report);
           node.bytesSent += bytes.length;
           if (this.random.next() < this.loss) return;
+          if (this.isCut(node.ip, ip)) return;
           void this.#deliver(bytes, ip);
         },
       },
@@ -303,6 +306,31 @@
   system.close();
 });
 
+test("a node that hears only a few others for long knows that it does, and finds all again", async () => {
+  const system = await TestSystem.open(40, 4);
+  const { nodes, clock } = system;
+  const [lost] = nodes;
+  assert.ok(lost);
+  const heard = new Set(nodes.slice(1, 5).map(({ ip }) => ip));
+  system.isCut = (from, to) =>
+    (from === lost.ip && !heard.has(to)) ||
+    (to === lost.ip && !heard.has(from));
+  await clock.advance(3_000);
+  for (let second = 0; second < 20; second += 1) {
+    await clock.advance(1_000);
+    assert.is(lost.members.isIsolated(clock.now()), true, `${second} s`);
+  }
+  system.isCut = () => false;
+  await clock.advance(6_000);
+  assert.is(lost.members.isIsolated(clock.now()), false);
+  assert.is(lost.members.listAlive(clock.now()).length, nodes.length - 1);
+  const window = lost.usage.readWindow();
+  for (const node of nodes) node.usage.recordRun("t");
+  await clock.advance(2_000);
+  assert.is(lost.usage.computeTotals(window)["t"], nodes.length);
+  system.close();
+});
+
 test("usage of each window is known everywhere soon after its end", async () => {
   const system = await TestSystem.open(18, 6);
   const { nodes, clock, random } = system;
--- a/packages/gateway/src/cluster/member_table.ts
+++ b/packages/gateway/src/cluster/member_table.ts
@@ -42,9 +42,15 @@
 const lostRounds = 3;
 /** Time without a sign of life after which a node no longer shares limits. */
 const knownWithinMs = 12_000;
-/** Number of known nodes from which on a node can tell that it is isolated. */
+/**
+ * Time for which nodes are expected that fell silent without draining. It is much
+ * longer than `knownWithinMs`: a node that has lost sight of the others for longer
+ * than that would else take the few it still hears for the whole system.
+ */
+const expectedWithinMs = 60_000;
+/** Number of expected nodes from which on a node can tell that it is isolated. */
 const minNodesToBeIsolated = 13;
-/** Share of the known nodes that are alive for a node that is not isolated. */
+/** Share of the expected nodes that are alive for a node that is not isolated. */
 const isolatedShare = 0.25;
 /** Time for which the median of the clocks is reused. */
 const wallTimeReuseMs = 200;
@@ -79,11 +85,15 @@
     this.#aliveWithinMs = Math.max(minAliveWindowMs, roundMs * lostRounds);
   }
 
-  /** Records a datagram; returns whether the incarnation is new. */
+  /**
+   * Records a datagram; returns whether its sender may not know the others: it is a
+   * new incarnation, or was silent for some time.
+   */
   record(member: Member & { readonly datagram: MemberDatagram }): boolean {
     const previous = this.#members.get(member.node);
     this.#set(member);
-    return previous?.incarnation !== member.incarnation;
+    return previous?.incarnation !== member.incarnation ||
+      member.lastSeenAt - previous.lastSeenAt > knownWithinMs;
   }
 
   /**
@@ -172,9 +182,20 @@
    * nobody than that they all have ended at once.
    */
   isIsolated(now: number): boolean {
-    const known = this.listKnown(now).length;
-    return known >= minNodesToBeIsolated &&
-      this.listAlive(now).length < known * isolatedShare;
+    const expected = this.#listExpected(now).length;
+    return expected >= minNodesToBeIsolated &&
+      this.listAlive(now).length < expected * isolatedShare;
+  }
+
+  /** Members that this node no longer knows to run, although they did not drain. */
+  listLost(now: number): readonly Member[] {
+    return this.#listExpected(now)
+      .filter(({ lastSeenAt }) => now - lastSeenAt > knownWithinMs);
+  }
+
+  #listExpected(now: number): readonly Member[] {
+    return this.#listSeenWithin(expectedWithinMs, now)
+      .filter(({ isDraining }) => !isDraining);
   }
 
   /** Finds the node that claims to hold the duties' lease. */
--- a/packages/gateway/src/cluster/member_table_test.ts
+++ b/packages/gateway/src/cluster/member_table_test.ts
@@ -30,7 +30,26 @@
   assert.is(table.isIsolated(1_000), false);
   assert.is(table.readRank(5_000, false), 0);
   assert.is(table.isIsolated(5_000), true);
+  // A node that no longer knows the others hasn't stopped to be isolated.
+  assert.is(table.listKnown(13_000).length, 0);
+  assert.is(table.isIsolated(13_000), true);
+  assert.is(table.listLost(13_000).length, 100);
   // After a while the others have ended, as far as this node can tell.
+  assert.is(table.isIsolated(61_000), false);
+});
+
+test("nodes that drained before they fell silent are not missed", () => {
+  const table = MemberTable.create("n100");
+  recordNodes(table, [0, 99], 0);
+  for (let at = 0; at < 95; at += 1) {
+    table.recordReported({
+      node: `n${String(at).padStart(3, "0")}`,
+      isDraining: true,
+      isStoreUnreachable: false,
+      lastSeenAt: 1,
+      fencingToken: undefined,
+    });
+  }
   assert.is(table.isIsolated(13_000), false);
 });
 
--- a/packages/gateway/src/duties/usage_counts.ts
+++ b/packages/gateway/src/duties/usage_counts.ts
@@ -14,6 +14,11 @@
 
 /** Number of past windows that are retained and reported to peers. */
 const retainedWindows = 4;
+/**
+ * Name under which each node counts itself once a window, in place of a tenant: its
+ * sum tells how many nodes the other sums include.
+ */
+const nodesKey = "";
 
 /** Requests of one node in one window, by tenant. */
 export interface WindowCounts {
@@ -65,14 +70,18 @@
 
   recordRun(tenant: string | undefined): void {
     if (tenant === undefined) return;
-    const window = this.readWindow();
+    const counts = this.#findOwn(this.readWindow());
+    counts.set(tenant, (counts.get(tenant) ?? 0) + 1);
+  }
+
+  #findOwn(window: number): Map<string, number> {
     let counts = this.#own.get(window);
     if (counts === undefined) {
-      counts = new Map();
+      counts = new Map([[nodesKey, 1]]);
       this.#own.set(window, counts);
       this.#forgetBefore(window - retainedWindows);
     }
-    counts.set(tenant, (counts.get(tenant) ?? 0) + 1);
+    return counts;
   }
 
   /** Applies the counts of a peer; the counts of a source never decrease. */
@@ -117,11 +126,12 @@
   /** Lists the sums of all nodes. */
   listSystemSums(): [number, Record<string, number>][] {
     return this.#listWindows()
-      .map((window) => [window, { ...this.computeTotals(window) }]);
+      .map((window) => [window, { ...this.#computeSums(window) }]);
   }
 
   /** Lists this node's sums of the retained windows, for reports to the peers. */
   listRecent(): [number, Record<string, number>][] {
+    this.#findOwn(this.readWindow());
     return [...this.#own].map(([window, counts]) => [
       window,
       Object.fromEntries(counts),
@@ -130,6 +140,17 @@
 
   /** Computes the sums of all nodes for one window, by tenant. */
   computeTotals(window: number): Readonly<Record<string, number>> {
+    const { [nodesKey]: _, ...totals } = this.#computeSums(window);
+    return totals;
+  }
+
+  /** Computes how many nodes the totals of a window include. */
+  computeNodes(window: number): number {
+    return this.#computeSums(window)[nodesKey] ?? 0;
+  }
+
+  /** The sums of all nodes, with the number of nodes under `nodesKey`. */
+  #computeSums(window: number): Readonly<Record<string, number>> {
     return chooseHigher(
       this.#sum(window, (key) => key !== systemKey),
       this.#sum(window, (key) => key === systemKey),
--- a/packages/gateway/src/duties/usage_reporter.ts
+++ b/packages/gateway/src/duties/usage_reporter.ts
@@ -34,6 +34,12 @@
 const settleRounds = 2;
 /** The same while a node that may be running is silent. */
 const silentNodeSettleMs = 6_000;
+/**
+ * Share of the nodes alive whose counts a report has to include. Some may have
+ * started after the window, but far fewer than this means that the sums of others
+ * do not arrive here, and another holder may have them.
+ */
+const minCountedShare = 0.35;
 /** Number of windows before the oldest due one whose reports stay stored. */
 const extraStoredWindows = 2;
 
@@ -76,6 +82,8 @@
   /** Reports that this node has read or written, by window. */
   readonly #known = new Map<number, UsageReport>();
   #stored: StoredReports | undefined;
+  /** Last window that was held back since it included too few nodes. */
+  #uncounted: number | undefined;
 
   private constructor(options: UsageReporterOptions) {
     this.#options = options;
@@ -148,13 +156,30 @@
       window < this.#computeFirstAfterRestore(wallTime, now);
     if (isUnknown) return this.#find(window) !== undefined;
     // The counts of most nodes would be missing.
-    if (members.isIsolated(now)) return false;
+    if (members.isIsolated(now) || !this.#isCounted(window)) return false;
     const waitMs = silentNodes > 0
       ? silentNodeSettleMs
       : settleMs + members.roundMs * settleRounds;
     return counts.readWindow() > window && wallTime - endMs >= waitMs;
   }
 
+  /** Whether the totals of a window include enough nodes. */
+  #isCounted(window: number): boolean {
+    const { counts, members, clock, log } = this.#options;
+    const nodes = members.listAlive(clock.now()).length + 1;
+    const counted = Math.max(1, counts.computeNodes(window));
+    if (counted >= nodes * minCountedShare) return true;
+    if (this.#uncounted !== window) {
+      log.warn("usage is not reported, most nodes are missing in it.", {
+        window,
+        counted,
+        nodes,
+      });
+    }
+    this.#uncounted = window;
+    return false;
+  }
+
   #find(window: number): UsageReport | undefined {
     return this.#stored?.reports.find((report) => report.window === window);
   }
--- a/packages/gateway/src/duties/usage_reporter_test.ts
+++ b/packages/gateway/src/duties/usage_reporter_test.ts
@@ -166,4 +166,51 @@
   reporter.dispose();
 });
 
+test("a holder that the sums of the others do not reach reports nothing", async () => {
+  const clock = ManualClock.create();
+  const store = MemoryObjectStore.create(clock);
+  const sent: UsageReport[] = [];
+  const { counts, lease, members, reporter } = createNode(clock, store, sent);
+  const recordPeers = (): void => {
+    for (let at = 0; at < 40; at += 1) {
+      members.record({
+        node: `m${at}`,
+        incarnation: "1",
+        ip: `10.0.0.${at}`,
+        zone: "z",
+        isDraining: false,
+        isStoreUnreachable: false,
+        lastSeenAt: clock.now(),
+        fencingToken: undefined,
+        datagram: {
+          receivedAt: clock.now(),
+          sentAt: 0,
+          wallTimeOffset: clock.wallTime() - clock.now(),
+        },
+      });
+    }
+  };
+  lease.fencingToken = 1;
+  const first = counts.readWindow();
+  for (let elapsedSeconds = 0; elapsedSeconds < 5; elapsedSeconds += 1) {
+    recordPeers();
+    counts.recordRun("garages");
+    await clock.advance(1_000);
+  }
+  assert.equal(sent, []);
+  // The sums of the others arrive late: each node counts itself.
+  const heard = [first + 1, first + 2, first + 3];
+  for (const window of heard) {
+    counts.applyPeerCounts({ kind: "system" }, {
+      window,
+      counts: { "": 40, garages: 200 },
+    });
+  }
+  recordPeers();
+  await clock.advance(1_000);
+  reporter.dispose();
+  assert.equal(sent.map(({ window }) => window), heard);
+  for (const report of sent) assert.equal(report.counts, { garages: 201 });
+});
+
 test.run();
