--- a/packages/gateway/src/duties/duty_lease.ts
+++ b/packages/gateway/src/duties/duty_lease.ts
@@ -94,7 +94,11 @@
   readProof(): DutyProof | undefined {
     const fencingToken = this.fencingToken;
     if (fencingToken === undefined || !this.#hasTimeForCall()) return undefined;
-    return { holder: this.#options.node, fencingToken };
+    return {
+      holder: this.#options.node,
+      fencingToken,
+      isValid: () => this.fencingToken === fencingToken,
+    };
   }
 
   /** Stops renewing and releases the lease. */
--- a/packages/gateway/src/duties/usage_reporter_test.ts
+++ b/packages/gateway/src/duties/usage_reporter_test.ts
@@ -10,7 +10,10 @@
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
 import { MemoryObjectStore } from "@almondcrank/infrastructure/memory_object_store.ts";
 import type { Bounds } from "@almondcrank/model/gateway_settings.ts";
-import type { UsageReport } from "@almondcrank/platform/platform_cloud.ts";
+import type {
+  DutyProof,
+  UsageReport,
+} from "@almondcrank/platform/platform_cloud.ts";
 import { MemberTable } from "../cluster/member_table.ts";
 import { UsageCounts } from "./usage_counts.ts";
 import { UsageReporter } from "./usage_reporter.ts";
@@ -30,13 +33,15 @@
   });
   const lease: {
     fencingToken: number | undefined;
-    readProof: () => { holder: string; fencingToken: number } | undefined;
+    readProof: () => DutyProof | undefined;
   } = {
     fencingToken: undefined,
     readProof: () =>
-      lease.fencingToken === undefined
-        ? undefined
-        : { holder: "n", fencingToken: lease.fencingToken },
+      lease.fencingToken === undefined ? undefined : {
+        holder: "n",
+        fencingToken: lease.fencingToken,
+        isValid: () => true,
+      },
   };
   const restoredAt = { value: -Infinity };
   const reporter = UsageReporter.create({
--- a/packages/infrastructure/src/platform_client.ts
+++ b/packages/infrastructure/src/platform_client.ts
@@ -10,7 +10,7 @@
  */
 
 import { type Either, Left, Right } from "purify-ts";
-import { Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
@@ -20,6 +20,7 @@
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import { Breaker } from "./breaker.ts";
+import { ConditionalHandler, WithheldError } from "./conditional_handler.ts";
 import { PlatformError, type PlatformService } from "./platform_error.ts";
 
 /** Counter of calls, labelled `service` and `outcome`. */
@@ -58,6 +59,11 @@
   readonly body?: string;
   /** Time the service may hold the call before it answers, in milliseconds. */
   readonly waitMs?: number;
+  /**
+   * Whether the call may still be sent. It is asked right before the call leaves,
+   * which may be long after it was made if the process was paused meanwhile.
+   */
+  readonly isAllowed?: () => boolean;
 }
 
 /** Answer with a status below 500 other than 429. */
@@ -191,7 +197,7 @@
       if (!finished.signal.aborted) timedOut.abort();
     });
     try {
-      const response = await this.#pool.request({
+      const response = await this.#findDispatcher(call).request({
         method: call.method,
         path: call.path,
         headers: { "content-type": "application/json", ...call.headers },
@@ -218,6 +224,14 @@
     }
   }
 
+  /** Connections that ask the call's condition when they are about to send it. */
+  #findDispatcher({ isAllowed }: PlatformCall): Dispatcher {
+    if (isAllowed === undefined) return this.#pool;
+    return this.#pool.compose((dispatch) => (options, handler) =>
+      dispatch(options, ConditionalHandler.create(handler, isAllowed))
+    );
+  }
+
   #parseResponse(
     call: PlatformCall,
     { statusCode, headers, text }: RawResponse,
@@ -348,7 +362,8 @@
 
 /** Whether a failed request may have reached the service. */
 function isPossiblySent(thrown: unknown): boolean {
-  return !notSentCodes.has(readCode(thrown));
+  return !(thrown instanceof WithheldError) &&
+    !notSentCodes.has(readCode(thrown));
 }
 
 function readCode(thrown: unknown): string {
--- a/packages/platform/src/platform_cloud.ts
+++ b/packages/platform/src/platform_cloud.ts
@@ -15,6 +15,8 @@
 export interface DutyProof {
   readonly holder: string;
   readonly fencingToken: number;
+  /** Whether the lease is still held under that token. */
+  readonly isValid: () => boolean;
 }
 
 /** Number of requests of each tenant that began to run in one window. */
@@ -87,6 +89,7 @@
         "x-fencing-token": String(proof.fencingToken),
       },
       body: JSON.stringify(body),
+      isAllowed: proof.isValid,
     });
   }
 }
