--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -36,6 +36,8 @@
 
 /** Share of the retry budget that is used; the rest covers late reports. */
 const usedRetryShare = 0.7;
+/** Share of each tenant's burst that a node holds if it did not start first. */
+const restartedLevelShare = 0.1;
 const storeDeadlineMs = 900;
 const maxStoreBackoffMs = 500;
 
@@ -153,7 +155,11 @@
     work: WorkMeter.create(),
   };
   const registry = StreamRegistry.create();
-  const rateLimiter = TenantRateLimiter.create(settings.bounds.quotaTolerance);
+  const rateLimiter = TenantRateLimiter.create(bounds.quotaTolerance, {
+    overage: bounds.quotaOverage,
+    windowMs: bounds.quotaWindowMs,
+    startShare: settings.isFirstStart ? 1 : restartedLevelShare,
+  });
   const server = CallerServer.create({
     services,
     registry,
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -7,14 +7,25 @@
  * share depends mostly on their use before the partition, which both sides know
  * from the same reports, so together they stay within the allowance.
  *
- * All nodes see the same few tokens in a nearly empty bucket, so between two
- * reports each spends only its part of them, its credit. A request is admitted
- * while the bucket is above a floor, whatever the request costs. Otherwise large
- * requests would starve, as small ones take each token as soon as it is refilled.
+ * The load that this answers: a tenant that sends many times its usual from one
+ * second to the next, at many nodes that hear of each other's admissions up to one
+ * and a half seconds late. All nodes see the same tokens, so each spends only its
+ * part of them, its credit. What it has admitted and the others may not have heard
+ * of counts against its part, so all parts together never exceed the bucket.
+ *
+ * A request is admitted while the bucket is above a floor, whatever the request
+ * costs. Otherwise large requests would starve, as small ones take each token as
+ * soon as it is refilled.
  */
 
 import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { Tenant } from "@almondcrank/model/configuration.ts";
+import {
+  AllowanceMargins,
+  type AllowanceTerms,
+  plainTerms,
+} from "@almondcrank/routing/limits/allowance_margins.ts";
+import { type Bucket, createBucket, useDecayMs } from "./tenant_bucket.ts";
 
 /** Outcome of the rate limit check of one request. */
 export type RateLimitVerdict =
@@ -44,72 +55,47 @@
   readonly priority: number;
 }
 
-/** Bucket of one tenant. Amounts are in the tenant's unit. */
-interface Bucket {
-  /** Amount left; below 0 when more was admitted. */
-  level: number;
-  /** Refill per second of the whole system. */
-  rate: number;
-  burst: number;
-  updatedAt: number;
-  /** Cost of refused requests that are expected to retry, less the refill. */
-  pendingRetryCost: number;
-  /** Sum of this node's admissions since it started. */
-  admitted: number;
-  /** Part of `admitted` that the peers know. */
-  reported: number;
-  /** Share of the allowance that this node and the peers it hears from may use. */
-  share: number;
-  /** Share of the level that this node may spend between two reports. */
-  creditShare: number;
-  /** Cost that this node may still admit before the next report. */
-  credit: number;
-  /** Recent cost that this node admitted and reported. */
-  readonly ownUse: DecayingValue;
-  /** Recent cost that this node admitted, reported or not. */
-  readonly admittedCost: DecayingValue;
-  /** Recent cost that this node refused. */
-  readonly refusedCost: DecayingValue;
-  /** Recent cost that each peer reported, by the peer's name. */
-  readonly peerUse: Map<string, DecayingValue>;
-}
-
-/** Share of the contract's tolerance by which a bucket may be overdrawn. */
-const overdraftShare = 0.5;
-/** Time in which recent use decays to 1/e. */
-const useDecayMs = 8_000;
 /** Use added to the known use of each node, as a share of the burst. */
 const assumedUseShare = 0.02;
 /** Weight of recent use in a partition's share; the rest is even among the nodes. */
 const useWeight = 0.75;
 /** Longest time over which the retries of refused requests are spread. */
 const maxRetrySpreadMs = 20_000;
-/** Share of the overdraft that is open to requests without preference. */
-const normalOverdraftShare = 0.3;
-/**
- * Ratio of refused to admitted cost above which requests of the highest priority
- * lose their preference, since they would take the whole allowance.
- */
-const contentionRatio = 1;
 /** Share of the burst below which a request counts as small. */
 const smallCostShare = 0.005;
+/**
+ * Share by which a node's part of the level is raised: never do all nodes use
+ * theirs, as requests don't come evenly.
+ */
+const unevenShare = 0.15;
+/** Requests by which the urgent may exceed their node's part. */
+const preferredRequests = 1;
+/** Time for which a restarted node assumes that the whole rate is used. */
+const assumedUseMs = 1_000;
+/** Longest delay of reports over relays. */
+const relayDelayMs = 1_500;
+/** Time without reports beyond which what was heard last says nothing. */
+const maxUnheardMs = 4_000;
 
 /** Token buckets of all tenants. Times are monotonic, in milliseconds. */
 export class TenantRateLimiter {
   readonly #buckets = new Map<string, Bucket>();
-  readonly #overdraft: number;
+  readonly #margins: AllowanceMargins;
+  /** Time of the last charge of any peer. */
+  #heardAt = -Infinity;
   #peers: PeerVisibility = { known: [], heard: [], reportsPerRound: 1 };
   #peersKey = "|";
-  /** Reports since the credits were set. */
-  #reportsInRound = 0;
 
-  private constructor(tolerance: number) {
-    this.#overdraft = tolerance * overdraftShare;
+  private constructor(margins: AllowanceMargins) {
+    this.#margins = margins;
   }
 
   /** @param tolerance Cost by which a tenant may exceed its allowance in a window. */
-  static create(tolerance: number): TenantRateLimiter {
-    return new TenantRateLimiter(tolerance);
+  static create(
+    tolerance: number,
+    terms: AllowanceTerms = plainTerms,
+  ): TenantRateLimiter {
+    return new TenantRateLimiter(AllowanceMargins.create(tolerance, terms));
   }
 
   /**
@@ -120,17 +106,18 @@
    */
   take(tenant: Tenant, charge: Charge, now: number): RateLimitVerdict {
     if (tenant.ratePerSecond <= 0) return { kind: "admitted" };
-    const { cost } = charge;
+    const { cost, priority } = charge;
     const bucket = this.#refill(tenant, now);
+    bucket.unheard.recordRequest(cost);
     const missing = this.#computeMissing(bucket, charge, now);
+    bucket.priorities.record(priority, missing <= 0, now);
     if (missing <= 0) {
       bucket.level -= cost;
       bucket.credit -= cost;
       bucket.admitted += cost;
-      bucket.admittedCost.add(cost, now);
+      bucket.unheard.recordAdmitted(cost);
       return { kind: "admitted" };
     }
-    bucket.refusedCost.add(cost, now);
     const rate = bucket.rate * bucket.share;
     // The retry comes after those of earlier refusals, so that retries are spread.
     const retryAfterMs = (missing + bucket.pendingRetryCost) / rate * 1_000;
@@ -147,24 +134,58 @@
     { cost, priority }: Charge,
     now: number,
   ): number {
-    const minLevel = -this.#overdraft * bucket.share;
+    const minLevel = -this.#margins.computeOverdraft(bucket, now) *
+      bucket.share;
     const cappedCost = Math.min(cost, bucket.burst);
     const missingForCost = Math.max(0, minLevel + cappedCost - bucket.level);
-    if (cost < bucket.burst * smallCostShare) return missingForCost;
-    const isContended = bucket.refusedCost.read(now) >
-      bucket.admittedCost.read(now) * contentionRatio;
-    const isPreferred = priority === 0 && !isContended;
-    const floor = isPreferred ? minLevel : minLevel * normalOverdraftShare;
-    const missingForFloor = bucket.level > floor ? 0 : floor - bucket.level + 1;
+    const isPreferred = priority === 0 &&
+      bucket.priorities.isUrgentPreferred(now);
+    const isSmall = cost < bucket.burst * smallCostShare;
+    const floor = isPreferred || isSmall
+      ? minLevel
+      : -this.#computeNormalOverdraft(bucket, now);
+    const missingForFloor = isSmall || bucket.level > floor
+      ? 0
+      : floor - bucket.level + 1;
     // If each report reaches all peers, they learn of an admission soon, so preferred
-    // requests may spend the part that other nodes leave unused.
+    // and small requests may spend the part that other nodes leave unused.
+    const isMesh = this.#peers.reportsPerRound <= 1;
     const needsCredit = bucket.creditShare < 1 &&
-      !(isPreferred && this.#peers.reportsPerRound <= 1);
-    const isCreditSpent = needsCredit && bucket.credit <= 0;
-    const missingCredit = isCreditSpent ? 1 - bucket.credit : 0;
+      !(isMesh && (isPreferred || isSmall));
+    const minCredit = isPreferred
+      ? -bucket.unheard.meanCost * preferredRequests
+      : 0;
+    const isCreditSpent = needsCredit && bucket.credit <= minCredit &&
+      (isMesh || !this.#hasRoomForAll(bucket, now));
+    const missingCredit = isCreditSpent ? 1 + minCredit - bucket.credit : 0;
     return Math.max(missingForCost, missingForFloor, missingCredit);
   }
 
+  /**
+   * Whether what all nodes may have admitted unheard fits into the bucket, so that
+   * this node may exceed its part. It is estimated from what was heard last, raised
+   * in the proportion in which this node itself exceeds its usual.
+   */
+  #hasRoomForAll(bucket: Bucket, now: number): boolean {
+    const usual = bucket.assumedPerMs * this.#computeUnheardMs(now);
+    const usualHere = usual / (this.#peers.heard.length + 1);
+    const surge = bucket.unheard.computeSurge(usualHere);
+    const overdraft = this.#margins.computeOverdraft(bucket, now);
+    return usual * surge <= bucket.level + overdraft * bucket.share;
+  }
+
+  /** Time of which this node has not heard what the others admitted. */
+  #computeUnheardMs(now: number): number {
+    if (this.#peers.reportsPerRound <= 1) return 0;
+    const sinceMs = Math.max(0, now - this.#heardAt);
+    return Math.min(maxUnheardMs, sinceMs + relayDelayMs);
+  }
+
+  /** Overdraft open to requests without preference. */
+  #computeNormalOverdraft(bucket: Bucket, now: number): number {
+    return this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
+  }
+
   /** Lists the amount left in each tenant's bucket, rounded. */
   listLevels(now: number): readonly (readonly [string, number])[] {
     return [...this.#buckets].map(([name, bucket]) => {
@@ -179,13 +200,28 @@
     return level === undefined ? undefined : Math.round(level);
   }
 
+  /** Lists what decides on a tenant's requests, for the log. */
+  listInputs(
+    tenant: string,
+    now: number,
+  ): Readonly<Record<string, number | undefined>> {
+    const bucket = this.#buckets.get(tenant);
+    const heardMs = now - this.#heardAt;
+    return {
+      allowanceLeft: this.readLevel(tenant),
+      creditLeft: bucket === undefined ? undefined : Math.round(bucket.credit),
+      heardMs: Number.isFinite(heardMs) ? Math.round(heardMs) : undefined,
+    };
+  }
+
   /** Refunds the charge of a request that did not run. */
   refund(tenant: Tenant, cost: number): void {
     const bucket = this.#buckets.get(tenant.name);
     if (bucket === undefined) return;
-    bucket.level = Math.min(bucket.burst, bucket.level + cost);
+    bucket.level += cost;
     bucket.credit += cost;
     bucket.admitted -= cost;
+    bucket.unheard.recordAdmitted(-cost);
   }
 
   /** Charges what a peer admitted since its last report. */
@@ -193,6 +229,7 @@
     { peer, tenant, cost }: PeerCharge,
     now: number,
   ): void {
+    this.#heardAt = now;
     const bucket = this.#buckets.get(tenant);
     if (bucket === undefined) return;
     this.#refillBucket(bucket, now);
@@ -205,10 +242,17 @@
     use.add(cost, now);
   }
 
-  /** Lowers a bucket to the level that a longer-running peer reported. */
+  /**
+   * Adopts the level that a longer-running peer reported: it replaces the guess of a
+   * restarted node, and lowers any other level.
+   */
   adoptLevel(tenant: string, level: number): void {
     const bucket = this.#buckets.get(tenant);
-    if (bucket !== undefined) bucket.level = Math.min(bucket.level, level);
+    if (bucket === undefined) return;
+    bucket.level = bucket.isLevelGuessed
+      ? level
+      : Math.min(bucket.level, level);
+    bucket.isLevelGuessed = false;
   }
 
   /** Sets the peers, and recomputes the shares if they changed. */
@@ -244,28 +288,50 @@
    * compute with the same figures.
    */
   reportLevels(now: number): readonly (readonly [string, number, number])[] {
-    this.#reportsInRound += 1;
-    const isRoundOver = this.#reportsInRound >= this.#peers.reportsPerRound;
-    if (isRoundOver) this.#reportsInRound = 0;
+    const heardUntil = Math.min(now, this.#heardAt) - relayDelayMs;
     return [...this.#buckets].map(([name, bucket]) => {
       this.#refillBucket(bucket, now);
       bucket.ownUse.add(bucket.admitted - bucket.reported, now);
       bucket.reported = bucket.admitted;
-      if (isRoundOver) this.#setCredit(bucket, now);
+      bucket.unheard.recordReport(now, heardUntil);
+      this.#setCredit(bucket, now);
       return [name, Math.round(bucket.level), bucket.admitted];
     });
   }
 
-  /** Sets this node's credit to its part of the level. */
+  /**
+   * Sets this node's credit to its part of the level. What it admitted that its
+   * peers may not have heard of counts against it, over the same time for which it
+   * may not have heard of theirs.
+   */
   #setCredit(bucket: Bucket, now: number): void {
     const { heard } = this.#peers;
     const evenShare = 1 / (heard.length + 1);
     const own = this.#readUse(bucket, bucket.ownUse, now);
     const heardUse = this.#sumUse(bucket, heard, now);
+    const assumedUse = bucket.burst * assumedUseShare * (heard.length + 1);
+    const use = heardUse - assumedUse;
+    bucket.heardPerMs = Math.min(bucket.rate / 1_000, use / useDecayMs);
+    bucket.assumedPerMs = this.#computePerMs(bucket, use, now);
     bucket.creditShare = (own / heardUse + evenShare) / 2;
-    const left = bucket.level +
-      this.#overdraft * bucket.share * normalOverdraftShare;
-    bucket.credit = Math.max(bucket.credit, left * bucket.creditShare);
+    const unheard = this.#peers.reportsPerRound <= 1
+      ? 0
+      : bucket.unheard.readCost();
+    const left = bucket.level + unheard +
+      this.#computeNormalOverdraft(bucket, now);
+    const factor = 1 + unevenShare * this.#margins.computeUpShare(now);
+    bucket.credit = left * bucket.creditShare * factor - unheard;
+  }
+
+  /** Computes the cost a millisecond from recent use; the whole rate at a start. */
+  #computePerMs({ rate }: Bucket, use: number, now: number): number {
+    if (!this.#margins.isRestart) return use / useDecayMs;
+    const perMs = rate / 1_000;
+    const heardMs = Math.max(0, this.#margins.computeUpMs(now) - relayDelayMs);
+    const forgotten = Math.exp(-heardMs / useDecayMs);
+    const assumed = assumedUseMs * forgotten;
+    const observedMs = useDecayMs * (1 - forgotten);
+    return Math.min(perMs, (use + perMs * assumed) / (observedMs + assumed));
   }
 
   #computeShare(bucket: Bucket, now: number): number {
@@ -295,32 +361,21 @@
   }
 
   #refill(tenant: Tenant, now: number): Bucket {
-    const { name, ratePerSecond, burst } = tenant;
+    const { name, burst } = tenant;
+    this.#margins.start(now);
+    const rate = this.#margins.computeRate(tenant.ratePerSecond, now);
     let bucket = this.#buckets.get(name);
     if (bucket === undefined) {
-      bucket = {
-        level: burst,
-        rate: ratePerSecond,
-        burst,
-        updatedAt: now,
-        pendingRetryCost: 0,
-        admitted: 0,
-        reported: 0,
-        share: 1,
-        creditShare: 1,
-        credit: 0,
-        ownUse: DecayingValue.create(useDecayMs),
-        admittedCost: DecayingValue.create(useDecayMs),
-        refusedCost: DecayingValue.create(useDecayMs),
-        peerUse: new Map(),
-      };
+      const { startShare } = this.#margins;
+      bucket = createBucket({ rate, burst, startShare }, now);
       bucket.share = this.#computeShare(bucket, now);
       this.#buckets.set(name, bucket);
     }
+    const isLowered = burst < bucket.burst;
     this.#refillBucket(bucket, now);
-    bucket.rate = ratePerSecond;
+    bucket.rate = rate;
     bucket.burst = burst;
-    bucket.level = Math.min(bucket.level, burst * bucket.share);
+    if (isLowered) bucket.level = Math.min(bucket.level, burst * bucket.share);
     return bucket;
   }
 
@@ -333,7 +388,10 @@
       bucket.pendingRetryCost - refillAmount,
     );
     bucket.credit += refillAmount * bucket.creditShare;
-    bucket.level = Math.min(bucket.burst * bucket.share, refilled);
+    // What the others admitted unheard is still to be taken out of the level.
+    const unheard = bucket.heardPerMs * this.#computeUnheardMs(now);
+    const maxLevel = (bucket.burst + unheard) * bucket.share;
+    bucket.level = Math.min(maxLevel, refilled);
     bucket.updatedAt = now;
   }
 }
--- a/packages/gateway/src/limits/tenant_rate_limiter_test.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter_test.ts
@@ -172,6 +172,17 @@
   assert.ok(admitted > 7_000 && admitted < 9_500, `${admitted}`);
 });
 
+test("a restarted node starts low and takes the level of a peer", () => {
+  const terms = { overage: 0.1, windowMs: 8_000, startShare: 0.2 };
+  const limiter = TenantRateLimiter.create(0, terms);
+  limiter.prepare([createTenant(1_000, 10_000)], 0);
+  assert.is(limiter.readLevel("t"), 2_000);
+  limiter.adoptLevel("t", 9_000);
+  assert.is(limiter.readLevel("t"), 9_000);
+  limiter.adoptLevel("t", 9_500);
+  assert.is(limiter.readLevel("t"), 9_000, "only the guess is raised");
+});
+
 test("nodes with late reports stay within allowance and tolerance", () => {
   const rate = 1_000;
   const burst = 2_000;
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -288,7 +288,10 @@
       tenant: tenant?.name,
       rank: route.priority,
       cost,
-      allowanceLeft: this.#options.rateLimiter.readLevel(tenant?.name ?? ""),
+      ...this.#options.rateLimiter.listInputs(
+        tenant?.name ?? "",
+        this.#options.services.clock.now(),
+      ),
       configuration: context.routes?.configuration.version,
       configurationAgeMs: roundAge(context.configurationAgeMs),
     };
--- a/packages/model/src/gateway_settings.ts
+++ b/packages/model/src/gateway_settings.ts
@@ -23,6 +23,8 @@
   readonly quotaWindowMs: number;
   /** Cost by which a tenant may exceed its allowance in one window. */
   readonly quotaTolerance: number;
+  /** Share of a window's allowance by which a tenant may exceed it besides. */
+  readonly quotaOverage: number;
   /** Duration of the duty lease. */
   readonly leaseMs: number;
   readonly usageWindowMs: number;
--- a/packages/platform/src/decode_settings.ts
+++ b/packages/platform/src/decode_settings.ts
@@ -142,6 +142,7 @@
     retryWindowMs: readSeconds("budget-window-s", 10_000),
     quotaWindowMs: readSeconds("quota-window-s", 8_000),
     quotaTolerance: readNumber(fields["quota-tolerance"]) ?? 0,
+    quotaOverage: readNumber(fields["quota-overage"]) ?? 0,
     leaseMs: readMs("lease-ms", 3_000),
     usageWindowMs: readSeconds("window-s", 5_000),
     usageDueMs: readSeconds("usage-late-s", 10_000),
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -47,6 +47,7 @@
   retryWindowMs: 10_000,
   quotaWindowMs: 8_000,
   quotaTolerance: 0,
+  quotaOverage: 0,
   leaseMs: 1_500,
   usageWindowMs: 1_000,
   usageDueMs: 4_000,
