--- a/packages/gateway/src/limits/tenant_surge_test.ts
+++ b/packages/gateway/src/limits/tenant_surge_test.ts
@@ -5,6 +5,7 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { Random } from "@almondcrank/common/random.ts";
 import type { Tenant } from "@almondcrank/model/configuration.ts";
 import { TenantRateLimiter } from "./tenant_rate_limiter.ts";
 
@@ -66,11 +67,8 @@
     ratePerSecond: rate,
     burst: rate,
   };
-  let state = replay.seed >>> 0;
-  const draw = (): number => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
+  const random = Random.create(replay.seed);
+  const draw = (): number => random.next();
   const names = Array.from({ length: nodes }, (_, at) => `n${at}`);
   const createNode = (name: string, at: number, isFirst: boolean) => {
     const limiter = TenantRateLimiter.create(tolerance, {
