--- a/packages/gateway/src/choice/replica_table.ts
+++ b/packages/gateway/src/choice/replica_table.ts
@@ -96,6 +96,11 @@
     );
   }
 
+  /** Lists the services that have known replicas. */
+  listServices(): Iterable<string> {
+    return this.#versions.keys();
+  }
+
   /**
    * Lists the software versions of a service's known replicas, also of those that
    * left lately.
--- a/packages/gateway/src/choice/stream_origins.ts
+++ b/packages/gateway/src/choice/stream_origins.ts
@@ -25,6 +25,8 @@
    * @param mayAsk Whether to ask peers if this node does not know it.
    */
   find(id: string, mayAsk: boolean): Promise<StreamOrigin | undefined>;
+  /** Whether what nodes wrote down before this node's start has been read. */
+  readonly hasReadStored: boolean;
 }
 
 /** Time for which an origin is remembered, in milliseconds. */
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -58,6 +58,8 @@
   readonly controlPort: number;
   /** Answers a peer that asks for the origin of a stream. */
   readonly answerOrigin: (id: string) => string | undefined;
+  /** What such a peer gets to know if the origin is not known here. */
+  readonly answerUnknownOrigin: () => string;
   /** Further text pages of the control listener, by path. */
   readonly pages: Readonly<Record<string, () => string>>;
 }
@@ -299,7 +301,8 @@
     const text = this.#composeText(url);
     if (text === undefined) {
       response.writeHead(404);
-      response.end();
+      const isQuestion = url.startsWith(originPath);
+      response.end(isQuestion ? this.#options.answerUnknownOrigin() : "");
       return;
     }
     response.setHeader("Content-Type", "text/plain; charset=utf-8");
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -181,6 +181,7 @@
       isLeading: () => node.fencingToken !== undefined,
       controlPort: 0,
       answerOrigin: () => undefined,
+      answerUnknownOrigin: () => "",
       pages: {},
     }, undefined);
   }
--- a/packages/gateway/src/cluster/origin_exchange.ts
+++ b/packages/gateway/src/cluster/origin_exchange.ts
@@ -3,7 +3,11 @@
  *
  * The holders of a stream follow from its id and the member list by rendezvous
  * hashing, so a node that needs a stream's origin knows whom to ask. Nodes that
- * end move the others up in that order, so a holder that is left is found.
+ * end move the others up in that order, so a holder that is left is found. What
+ * no peer knows any more may be in the store, where each node writes down what
+ * began there.
+ *
+ * Streams are known by a short hash of their first request's id.
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
@@ -12,7 +16,7 @@
   computeRendezvousOrder,
   type Hasher,
 } from "@almondcrank/common/hashing.ts";
-import type { ReplicaTable } from "../choice/replica_table.ts";
+import { originKeyLength } from "../choice/origin_ring.ts";
 import type {
   StreamOrigin,
   StreamOriginDirectory,
@@ -23,7 +27,9 @@
   sendControlCall,
 } from "../relay/control_call.ts";
 import type { Member, MemberTable } from "./member_table.ts";
+import type { OriginArchive } from "./origin_archive.ts";
 import { encodeOrigins } from "./origin_messages.ts";
+import type { VersionKnowledge } from "./version_archive.ts";
 
 /** Peers that hold the origin of a stream beside the node that began it. */
 const holderCount = 2;
@@ -46,7 +52,14 @@
   readonly hasher: Hasher;
   readonly origins: StreamOrigins;
   readonly members: MemberTable;
-  readonly table: ReplicaTable;
+  readonly versions: Pick<
+    VersionKnowledge,
+    "isMixed" | "hasMixedService" | "adoptHistory"
+  >;
+  readonly archive: Pick<
+    OriginArchive,
+    "record" | "complete" | "find" | "hasRead"
+  >;
   /** Port of the control listener, the same on all nodes. */
   readonly controlPort: number;
 }
@@ -74,11 +87,15 @@
   /** Fired for each datagram to send. */
   readonly onSend: Event<OriginDatagram> = this.#send.event;
 
+  get hasReadStored(): boolean {
+    return this.#options.archive.hasRead;
+  }
+
   /** Records a stream, and tells its holders soon if versions are mixed. */
   begin(id: string, origin: StreamOrigin): void {
-    const { origins, clock, table } = this.#options;
-    origins.begin(id, origin, clock.now());
-    if (!table.isMixed(origin.service) || this.#isScheduled) return;
+    const { origins, clock, versions } = this.#options;
+    origins.begin(this.#computeKey(id), origin, clock.now());
+    if (!versions.isMixed(origin.service) || this.#isScheduled) return;
     this.#isScheduled = true;
     void clock.sleep(collectMs).then(() => {
       this.#isScheduled = false;
@@ -87,7 +104,9 @@
   }
 
   complete(id: string): void {
-    this.#options.origins.complete(id);
+    const key = this.#computeKey(id);
+    this.#options.origins.complete(key);
+    this.#options.archive.complete(key);
   }
 
   /** Records what a peer told. */
@@ -96,19 +115,20 @@
     for (const [id, origin] of told) origins.learn(id, origin, clock.now());
   }
 
-  /** Tells the holders of all streams that are due. */
+  /** Tells the holders of all streams that are due, and has them written. */
   tellDue(): void {
-    const { origins, table } = this.#options;
-    if (!table.hasMixedService) return;
-    const due = origins.takeDue((service) => table.isMixed(service));
+    const { origins, versions, archive } = this.#options;
+    if (!versions.hasMixedService) return;
+    const due = origins.takeDue((service) => versions.isMixed(service));
     if (due.size === 0) return;
+    archive.record(due);
     const byIp = new Map<string, Map<string, StreamOrigin>>();
     const members = this.#listMembers();
-    for (const [id, origin] of due) {
-      for (const { ip } of this.#choosePeers(id, members, chooseHolders)) {
+    for (const [key, origin] of due) {
+      for (const { ip } of this.#choosePeers(key, members, chooseHolders)) {
         const told = byIp.get(ip);
-        if (told === undefined) byIp.set(ip, new Map([[id, origin]]));
-        else told.set(id, origin);
+        if (told === undefined) byIp.set(ip, new Map([[key, origin]]));
+        else told.set(key, origin);
       }
     }
     for (const [ip, told] of byIp) {
@@ -116,17 +136,19 @@
     }
   }
 
-  /** Finds the origin of a stream, here or, if `mayAsk`, at its holders. */
+  /** Finds the origin of a stream: here, or if `mayAsk` at peers or stored. */
   async find(
     id: string,
     mayAsk: boolean,
   ): Promise<StreamOrigin | undefined> {
-    const { origins, clock } = this.#options;
-    const known = origins.find(id, clock.now());
+    const { origins, clock, archive } = this.#options;
+    const key = this.#computeKey(id);
+    const known = origins.find(key, clock.now());
     if (known !== undefined || !mayAsk) return known;
-    const asked = this.#choosePeers(id, this.#listMembers(), chooseAsked);
+    const asked = this.#choosePeers(key, this.#listMembers(), chooseAsked);
     const answers = asked.map((member) => this.#ask(member, id));
-    return await Promise.any(answers).catch(() => undefined);
+    const stored = archive.find(key).then(requireOrigin);
+    return await Promise.any([...answers, stored]).catch(() => undefined);
   }
 
   /**
@@ -137,10 +159,14 @@
   composeAnswer(encodedId: string): string | undefined {
     const { origins, clock } = this.#options;
     const id = Buffer.from(encodedId, "base64url").toString();
-    const origin = origins.find(id, clock.now());
+    const origin = origins.find(this.#computeKey(id), clock.now());
     return origin === undefined ? undefined : JSON.stringify(origin);
   }
 
+  #computeKey(id: string): string {
+    return computeOriginKey(this.#options.hasher, id);
+  }
+
   /** Asks one peer; rejects if it does not know, or never answers. */
   async #ask(member: Member, id: string): Promise<StreamOrigin> {
     for (let questions = 0; questions < maxQuestions; questions += 1) {
@@ -150,6 +176,7 @@
         ? parseOrigin(answer.text)
         : undefined;
       if (origin !== undefined) return origin;
+      this.#options.versions.adoptHistory(answer.text);
       throw new Error("the peer does not know it");
     }
     throw new Error("the peer does not answer");
@@ -190,6 +217,18 @@
   }
 }
 
+/** Computes the short hash by which a stream is known. */
+export function computeOriginKey(hasher: Hasher, id: string): string {
+  const bytes = Buffer.alloc(8);
+  bytes.writeBigUInt64BE(hasher.hash64(id));
+  return bytes.toString("base64url").slice(0, originKeyLength);
+}
+
+function requireOrigin(origin: StreamOrigin | undefined): StreamOrigin {
+  if (origin === undefined) throw new Error("the origin is not stored");
+  return origin;
+}
+
 /** Chooses the peers that a node tells of a stream that began there. */
 export function chooseHolders(
   hasher: Hasher,
--- a/packages/gateway/src/cluster/origin_messages.ts
+++ b/packages/gateway/src/cluster/origin_messages.ts
@@ -6,8 +6,8 @@
 import type { StreamOrigin } from "../choice/stream_origins.ts";
 
 const messageSchema = z.object({
-  /** Service, software version, ids of the streams' first requests. */
-  origins: z.array(z.tuple([z.string(), z.string(), z.array(z.string())])),
+  /** Service, software version, keys of the streams; the name is short. */
+  o: z.array(z.tuple([z.string(), z.string(), z.array(z.string())])),
 });
 
 /** Largest number of streams in one datagram, so that it is not fragmented. */
@@ -20,7 +20,7 @@
   const entries = [...origins];
   const datagrams: Buffer[] = [];
   for (let at = 0; at < entries.length; at += maxStreams) {
-    const message = { origins: groupIds(entries.slice(at, at + maxStreams)) };
+    const message = { o: groupIds(entries.slice(at, at + maxStreams)) };
     datagrams.push(Buffer.from(JSON.stringify(message)));
   }
   return datagrams;
@@ -36,7 +36,7 @@
     const { data } = messageSchema.safeParse(json);
     if (data === undefined) return undefined;
     return new Map(
-      data.origins.flatMap(([service, version, ids]) =>
+      data.o.flatMap(([service, version, ids]) =>
         ids.map((id) => [id, { service, version }] as const)
       ),
     );
@@ -47,11 +47,11 @@
 }
 
 /** Start of each such datagram; reports begin with other bytes. */
-const prefix = Buffer.from('{"origins":');
+const prefix = Buffer.from('{"o":');
 
 function groupIds(
   entries: readonly (readonly [string, StreamOrigin])[],
-): z.infer<typeof messageSchema>["origins"] {
+): z.infer<typeof messageSchema>["o"] {
   const groups = new Map<string, [string, string, string[]]>();
   for (const [id, { service, version }] of entries) {
     const key = JSON.stringify([service, version]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -183,6 +183,7 @@
         this.#readers.some((reader) => reader.isActiveReader),
       controlPort: findControlPort(settings),
       answerOrigin: (id) => parts.origins.composeAnswer(id),
+      answerUnknownOrigin: () => parts.versions.composeHistory(),
       pages: {
         "/metrics": () => services.metrics.format(),
         "/status": () => JSON.stringify(this.#composeStatus(parts)),
@@ -201,6 +202,10 @@
       }),
     );
     this.#startDuties(parts);
+    for (const archive of [parts.versions, parts.originArchive]) {
+      this.#lifetime.register(archive);
+      archive.start();
+    }
     this.#lifetime.register(QuarantineArchive.create({
       store,
       quarantine: services.quarantine,
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -8,17 +8,22 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
 import type { PlatformClientOptions } from "@almondcrank/infrastructure/platform_client.ts";
-import type { GatewaySettings } from "@almondcrank/model/gateway_settings.ts";
+import type {
+  Bounds,
+  GatewaySettings,
+} from "@almondcrank/model/gateway_settings.ts";
 import { isNewerConfiguration } from "@almondcrank/platform/decode_configuration.ts";
 import { PlatformStore } from "@almondcrank/platform/platform_store.ts";
 import { PrefixIndex } from "./choice/prefix_index.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
 import { StreamOrigins } from "./choice/stream_origins.ts";
 import { MemberTable } from "./cluster/member_table.ts";
+import { OriginArchive } from "./cluster/origin_archive.ts";
 import { OriginExchange } from "./cluster/origin_exchange.ts";
 import { isProbeOwner } from "./cluster/probe_owner.ts";
 import type { NewsSource } from "./cluster/report_news.ts";
 import type { TallySource } from "./cluster/report_tallies.ts";
+import { VersionArchive } from "./cluster/version_archive.ts";
 import { WorkMeter } from "./duties/work_meter.ts";
 import { UsageCounts } from "./duties/usage_counts.ts";
 import { type FeedKind, FeedState } from "./feed/feed_state.ts";
@@ -28,6 +33,7 @@
 import { isFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { LiveSettings } from "./live_settings.ts";
+import type { RouteTable } from "./routes/route_table.ts";
 import { CallerServer } from "./relay/caller_server.ts";
 import type { RelayServices } from "./relay/relay_services.ts";
 import { ReplicaSender } from "./relay/replica_sender.ts";
@@ -62,6 +68,8 @@
   readonly rateLimiter: TenantRateLimiter;
   readonly members: MemberTable;
   readonly origins: OriginExchange;
+  readonly originArchive: OriginArchive;
+  readonly versions: VersionArchive;
   readonly usage: UsageCounts;
   readonly store: PlatformStore;
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
@@ -109,13 +117,40 @@
     table,
   });
   const { bounds } = settings;
+  const store = PlatformStore.create(
+    createClientOptions(settings.storeAddress, { clock, random, metrics, log }),
+  );
+  const incarnation = `${Date.now()}-${random.nextInt(1_000_000)}`;
+  const archiveOptions = {
+    store,
+    clock: suspensionClock,
+    readWallTime: () =>
+      members.computeWallTime(suspensionClock.now(), clock.wallTime()),
+    readHorizonMs: () => computeOriginHorizonMs(view.routes, bounds),
+    log: log.createChild("cluster"),
+  };
+  const versions = VersionArchive.create({
+    ...archiveOptions,
+    table,
+    isSynced: () => view.hasSyncedReplicas,
+    readRank: () => members.readRank(suspensionClock.now(), false),
+    isFirstStart: settings.isFirstStart,
+  });
+  const originArchive = OriginArchive.create({
+    ...archiveOptions,
+    node: settings.nodeName,
+    incarnation,
+    countNodes: () => members.listKnown(suspensionClock.now()).length + 1,
+    metrics,
+  });
   const origins = OriginExchange.create({
     clock,
     membersClock: suspensionClock,
     hasher,
     origins: StreamOrigins.create(),
     members,
-    table,
+    versions,
+    archive: originArchive,
     controlPort: findControlPort(settings),
   });
   const owner = {
@@ -151,6 +186,7 @@
     }),
     quarantine,
     origins,
+    versions,
     runs: usage,
     work: WorkMeter.create(),
   };
@@ -172,12 +208,9 @@
     }),
     waitUntilSynced: (signal) => view.waitUntilSynced(signal),
   });
-  const store = PlatformStore.create(
-    createClientOptions(settings.storeAddress, { clock, random, metrics, log }),
-  );
   return {
     settings,
-    incarnation: `${Date.now()}-${random.nextInt(1_000_000)}`,
+    incarnation,
     clock,
     suspensionClock,
     services,
@@ -185,6 +218,8 @@
     rateLimiter,
     members,
     origins,
+    originArchive,
+    versions,
     usage,
     store,
     feeds,
@@ -196,6 +231,26 @@
   };
 }
 
+/** Shortest time for which streams may be taken up again. */
+const minOriginHorizonMs = 60_000;
+/** Time in which callers come back, with an outage of all nodes. */
+const comeBackMs = 30_000;
+
+/**
+ * Computes the time for which streams may be taken up again: the longest one has
+ * its time limit, its replica the time to leave, its caller time to come back.
+ */
+export function computeOriginHorizonMs(
+  routes: RouteTable | undefined,
+  { drainMs }: Pick<Bounds, "drainMs">,
+): number {
+  const timeoutsMs = (routes?.configuration.routes ?? [])
+    .filter(({ kind, isResumable }) => kind === "stream" && isResumable)
+    .map(({ timeoutMs }) => timeoutMs);
+  const longestMs = Math.max(0, ...timeoutsMs) + drainMs + comeBackMs;
+  return Math.max(minOriginHorizonMs, longestMs);
+}
+
 /** Logs which requests and parts of prompts enter and leave the quarantine. */
 function logQuarantine(quarantine: PartQuarantine, parent: Log): void {
   const log = parent.createChild("relay");
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -195,8 +195,7 @@
     if (body.kind !== "read") return this.#endUnread(request, response, body);
     const resume = await findResume(request, found, services);
     if (resume.kind === "refused") {
-      const reply = composeLocalReply(503, "unknown_origin");
-      return this.#refuse({ request, response }, reply, resume.fields);
+      return this.#refuse({ request, response }, resume.reply, resume.fields);
     }
     const { routed } = resume;
     const { hasher } = services;
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -23,6 +23,7 @@
   | "overloaded"
   | "quarantined"
   | "unknown_origin"
+  | "versions_not_read"
   | "version_gone"
   | "declined"
   | "answer_lost"
@@ -63,6 +64,9 @@
   unknown_origin:
     "it is not known which software version began this stream, or this route " +
     "no longer has it; send the request again without Last-Event-ID",
+  versions_not_read:
+    "this node has just started and the store has not told it yet which software " +
+    "version began this stream; the request has not run, try again",
   version_gone:
     "no replica of the software version that began this stream takes requests; " +
     "send the request again without Last-Event-ID",
--- a/packages/gateway/src/relay/relay_services.ts
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -10,6 +10,7 @@
 import type { PrefixIndex } from "../choice/prefix_index.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { StreamOriginDirectory } from "../choice/stream_origins.ts";
+import type { VersionKnowledge } from "../cluster/version_archive.ts";
 import type { WorkMeter } from "../duties/work_meter.ts";
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
@@ -34,6 +35,7 @@
   readonly budget: RetryBudget;
   readonly quarantine: PartQuarantine;
   readonly origins: StreamOriginDirectory;
+  readonly versions: VersionKnowledge;
   readonly runs: RunCounter;
   readonly work: WorkMeter;
 }
--- a/packages/gateway/src/relay/stream_resume.ts
+++ b/packages/gateway/src/relay/stream_resume.ts
@@ -8,8 +8,9 @@
   lastEventIdHeader,
   resumedRequestHeader,
 } from "@almondcrank/platform/headers.ts";
-import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { StreamOrigin } from "../choice/stream_origins.ts";
+import type { VersionKnowledge } from "../cluster/version_archive.ts";
+import { composeLocalReply, type LocalReply } from "./local_reply.ts";
 import type { RelayServices } from "./relay_services.ts";
 import { readHeader, type Routed } from "./request_admission.ts";
 
@@ -19,32 +20,39 @@
   | { readonly kind: "continues"; readonly origin: StreamOrigin }
   /** No replica of the service is known, so there is nothing to choose. */
   | { readonly kind: "unknown" }
+  /** The store has not told yet what was before this node started. */
+  | { readonly kind: "not_read" }
   | { readonly kind: "refused" };
 
 /** What the decision depends on. */
 export interface ResumeInputs {
-  readonly table: ReplicaTable;
+  readonly versions: Pick<VersionKnowledge, "listVersions" | "isComplete">;
+  /** Whether the stored origins of before this node's start were read. */
+  readonly hasReadStored: boolean;
   /** Service and version that began the stream, if known. */
   readonly origin: StreamOrigin | undefined;
 }
 
 /**
  * Decides where a stream may go on. If it is not known who began it, only the
- * one version that there is can have done so; among several, a guess would join
- * what does not fit together.
+ * one version that serves or served lately can have done so; among several, a
+ * guess would join what does not fit together.
  */
 export function decideResume(
   { route, service }: Pick<Routed, "route" | "service">,
-  { table, origin }: ResumeInputs,
+  { versions, origin, hasReadStored }: ResumeInputs,
 ): ResumeVerdict {
   const isAllowed = route.targets.some((target) =>
     target.service === origin?.service
   );
   if (origin !== undefined && isAllowed) return { kind: "continues", origin };
-  const versions = table.listVersions(service.name);
-  const [version] = versions;
+  const [version, ...others] = versions.listVersions(service.name);
   if (version === undefined) return { kind: "unknown" };
-  if (origin !== undefined || versions.length > 1) return { kind: "refused" };
+  if (origin !== undefined) return { kind: "refused" };
+  if (others.length > 0) {
+    return { kind: hasReadStored ? "refused" : "not_read" };
+  }
+  if (!versions.isComplete) return { kind: "not_read" };
   return { kind: "continues", origin: { service: service.name, version } };
 }
 
@@ -56,7 +64,14 @@
     /** Undefined if the request begins a stream, or is none. */
     readonly version: string | undefined;
   }
-  | { readonly kind: "refused"; readonly fields: LogFields };
+  | {
+    readonly kind: "refused";
+    readonly reply: LocalReply;
+    readonly fields: LogFields;
+  };
+
+/** Time after which the store may have answered a node that started. */
+const notReadRetryMs = 500;
 
 /**
  * Finds where the stream of a request may go on, which may be at another service
@@ -65,22 +80,32 @@
 export async function findResume(
   request: IncomingMessage,
   routed: Routed,
-  { table, origins }: Pick<RelayServices, "table" | "origins">,
+  { versions, origins }: Pick<RelayServices, "versions" | "origins">,
 ): Promise<FoundResume> {
   const isResume = routed.route.kind === "stream" &&
     readHeader(request, lastEventIdHeader) !== undefined;
   if (!isResume) return { kind: "routed", routed, version: undefined };
   const id = readHeader(request, resumedRequestHeader);
-  const mayAsk = routed.route.targets.length > 1 ||
-    table.isMixed(routed.service.name);
+  if (!versions.isComplete) await versions.waitUntilComplete();
+  const mayAsk = routed.route.targets.length > 1 || !versions.isComplete ||
+    versions.isMixed(routed.service.name);
   const origin = id === undefined ? undefined : await origins.find(id, mayAsk);
-  const verdict = decideResume(routed, { table, origin });
+  const { hasReadStored } = origins;
+  const verdict = decideResume(routed, { versions, origin, hasReadStored });
+  const known = versions.listVersions(routed.service.name).join(", ");
+  const fields = { resumes: id, versions: known, began: origin?.version };
   switch (verdict.kind) {
-    case "unknown":
-      return { kind: "routed", routed, version: undefined };
+    case "unknown": {
+      const reply = composeLocalReply(503, "no_replica", notReadRetryMs);
+      return { kind: "refused", reply, fields };
+    }
+    case "not_read": {
+      const reply = composeLocalReply(503, "versions_not_read", notReadRetryMs);
+      return { kind: "refused", reply, fields };
+    }
     case "refused": {
-      const versions = table.listVersions(routed.service.name).join(", ");
-      return { kind: "refused", fields: { resumes: id, versions } };
+      const reply = composeLocalReply(503, "unknown_origin");
+      return { kind: "refused", reply, fields };
     }
     case "continues": {
       const { service: name, version } = verdict.origin;
