--- a/packages/gateway/src/choice/origin_ring.ts
+++ b/packages/gateway/src/choice/origin_ring.ts
@@ -54,7 +54,7 @@
   readonly #incarnation: string;
   readonly #own = new Map<number, OwnSegment>();
   /** Times of the segments of earlier starts of this node, by slot. */
-  readonly #reserved = new Map<number, number>();
+  readonly #kept = new Map<number, number>();
   /** Streams that are in no segment yet. */
   readonly #pending = new Map<string, StreamOrigin>();
   #current: OwnSegment | undefined;
@@ -88,11 +88,11 @@
     this.#pending.delete(key);
   }
 
-  /** Reserves a slot that holds a segment of an earlier start of this node. */
-  reserve(slot: number, at: number): void {
+  /** Keeps a slot that holds a segment of an earlier start of this node. */
+  keepSlot(slot: number, at: number): void {
     const own = this.#own.get(slot);
     this.#own.delete(slot);
-    this.#reserved.set(slot, at);
+    this.#kept.set(slot, at);
     if (own === undefined) return;
     if (own === this.#current) this.#current = undefined;
     this.add(own.origins);
@@ -134,8 +134,8 @@
       this.#own.delete(slot);
       if (segment === this.#current) this.#current = undefined;
     }
-    for (const [slot, at] of this.#reserved) {
-      if (at < before) this.#reserved.delete(slot);
+    for (const [slot, at] of this.#kept) {
+      if (at < before) this.#kept.delete(slot);
     }
   }
 
@@ -154,7 +154,7 @@
 
   #addSegment(): OwnSegment {
     let slot = 0;
-    while (this.#own.has(slot) || this.#reserved.has(slot)) slot += 1;
+    while (this.#own.has(slot) || this.#kept.has(slot)) slot += 1;
     const segment: OwnSegment = { at: 0, origins: new Map(), isDue: false };
     this.#own.set(slot, segment);
     this.#current = segment;
--- a/packages/gateway/src/choice/origin_ring_test.ts
+++ b/packages/gateway/src/choice/origin_ring_test.ts
@@ -92,7 +92,7 @@
 
 test("slots of an earlier start are used once their streams are too old", () => {
   const ring = OriginRing.create("b");
-  ring.reserve(0, 10_000);
+  ring.keepSlot(0, 10_000);
   ring.add(createStreams(0, 1));
   assert.equal(takeAll(ring, 20_000).map(({ slot }) => slot), [1]);
   ring.add(createStreams(1, 256));
@@ -106,7 +106,7 @@
   const ring = OriginRing.create("b");
   ring.add(createStreams(0, 3));
   const [lost] = takeAll(ring, 0);
-  ring.reserve(lost?.slot ?? -1, 0);
+  ring.keepSlot(lost?.slot ?? -1, 0);
   const [moved] = takeAll(ring, 250);
   assert.is(moved?.slot, 1);
   assert.ok(moved !== undefined && listKeys(moved).length === 3);
--- a/packages/gateway/src/choice/version_history.ts
+++ b/packages/gateway/src/choice/version_history.ts
@@ -39,7 +39,7 @@
   }
 
   /** Records the versions that are listed now. */
-  observe(table: ListedVersions, now: number): void {
+  recordListed(table: ListedVersions, now: number): void {
     for (const service of table.listServices()) {
       for (const version of table.listVersions(service)) {
         this.#record(service, version, now);
--- a/packages/gateway/src/choice/version_history_test.ts
+++ b/packages/gateway/src/choice/version_history_test.ts
@@ -22,7 +22,7 @@
   const history = VersionHistory.create();
   const open = { service: "models", version: "v1", endedAt: null };
   history.learn([open], { now: 1_000, wallTime });
-  history.observe(createTable(["v2"]), 2_000);
+  history.recordListed(createTable(["v2"]), 2_000);
   const list = (now: number) =>
     [...history.listVersions("models", { now, horizonMs })].sort();
   assert.equal(list(2_000), ["v1", "v2"]);
@@ -49,7 +49,7 @@
 test("the history is written when a version begins and when it ends, and not between", () => {
   const history = VersionHistory.create();
   const compose = (table: ReplicaTable, now: number) => {
-    history.observe(table, now);
+    history.recordListed(table, now);
     const times = { now, wallTime: wallTime + now, horizonMs };
     return history.compose(table, times);
   };
--- a/packages/gateway/src/cluster/origin_archive.ts
+++ b/packages/gateway/src/cluster/origin_archive.ts
@@ -177,7 +177,7 @@
       for (const [key, origin] of segment?.origins ?? []) {
         found.set(key, origin);
       }
-      if (!this.#hasCopy) this.#reserve(object, segment);
+      if (!this.#hasCopy) this.#keepEarlier(object, segment);
     }
     if (malformed > 0) {
       log.warn("objects with origins of streams are malformed and left out.", {
@@ -188,7 +188,7 @@
   }
 
   /** Keeps a segment of this node's earlier start until it is too old. */
-  #reserve(
+  #keepEarlier(
     { key, version }: StoredObject,
     segment: ParsedSegment | undefined,
   ): void {
@@ -196,7 +196,7 @@
     const slot = Number(key.slice(prefix.length));
     if (!key.startsWith(prefix) || !Number.isSafeInteger(slot)) return;
     this.#versions.set(slot, version);
-    if (segment !== undefined) this.#ring.reserve(slot, segment.at);
+    if (segment !== undefined) this.#ring.keepSlot(slot, segment.at);
   }
 
   async #write(): Promise<void> {
@@ -256,7 +256,7 @@
     const segment = parseSegment(current.value);
     const isForeign = segment !== undefined &&
       segment.incarnation !== incarnation;
-    if (isForeign) this.#ring.reserve(slot, segment.at);
+    if (isForeign) this.#ring.keepSlot(slot, segment.at);
   }
 
   /** Counts each failure and logs the first of several in a row. */
--- a/packages/gateway/src/cluster/version_archive.ts
+++ b/packages/gateway/src/cluster/version_archive.ts
@@ -151,7 +151,7 @@
       this.#options;
     if (!this.isComplete || !isSynced()) return "";
     const now = clock.now();
-    this.#history.observe(table, now);
+    this.#history.recordListed(table, now);
     const versions = this.#history.compose(table, {
       now,
       wallTime: readWallTime(),
@@ -192,7 +192,7 @@
     if (this.#held === undefined && !(await this.#read())) return;
     if (!isSynced()) return;
     const now = clock.now();
-    this.#history.observe(table, now);
+    this.#history.recordListed(table, now);
     const composed = this.#history.compose(table, {
       now,
       wallTime: readWallTime(),
