--- a/packages/gateway/src/cluster/origin_archive.ts
+++ b/packages/gateway/src/cluster/origin_archive.ts
@@ -48,6 +48,8 @@
 /** Dependencies of an archive. */
 export interface OriginArchiveOptions {
   readonly store: ObjectStore;
+  /** Highest era of the store that this node knows, by whatever call. */
+  readonly readEra: () => number;
   readonly clock: Clock;
   /** Time of day on which the nodes agree, in milliseconds. */
   readonly readWallTime: () => number;
@@ -200,10 +202,11 @@
   }
 
   async #write(): Promise<void> {
-    const { store, readWallTime, readHorizonMs } = this.#options;
-    if (store.era !== this.#era) {
+    const { readEra, readWallTime, readHorizonMs } = this.#options;
+    const era = readEra();
+    if (era !== this.#era) {
       if (this.#era !== undefined) this.#ring.markLost();
-      this.#era = store.era;
+      this.#era = era;
     }
     const due = this.#ring.take(readWallTime(), readHorizonMs());
     if (due !== undefined) await this.#writeSegment(due);
--- a/packages/gateway/src/cluster/origin_archive_test.ts
+++ b/packages/gateway/src/cluster/origin_archive_test.ts
@@ -37,6 +37,7 @@
     this.#starts += 1;
     const archive = OriginArchive.create({
       store,
+      readEra: () => store.era,
       clock: this.clock,
       readWallTime: () => this.clock.wallTime(),
       node,
--- a/packages/gateway/src/cluster/version_archive.ts
+++ b/packages/gateway/src/cluster/version_archive.ts
@@ -62,6 +62,8 @@
 /** Dependencies of an archive. */
 export interface VersionArchiveOptions {
   readonly store: ObjectStore;
+  /** Highest era of the store that this node knows, by whatever call. */
+  readonly readEra: () => number;
   /** Monotonic clock that includes time in which the host was suspended. */
   readonly clock: Clock;
   /** Time of day on which the nodes agree, in milliseconds. */
@@ -187,7 +189,7 @@
   }
 
   async #step(): Promise<void> {
-    const { clock, table, isSynced, readHorizonMs, readWallTime, store } =
+    const { clock, table, isSynced, readHorizonMs, readWallTime, readEra } =
       this.#options;
     if (this.#held === undefined && !(await this.#read())) return;
     if (!isSynced()) return;
@@ -201,7 +203,7 @@
     const held = this.#held;
     if (held === undefined) return;
     const isRestored = held.version !== undefined &&
-      readStoreEra(held.version) < store.era;
+      readStoreEra(held.version) < readEra();
     if (!isRestored && !isHistoryDue(held.versions, composed)) {
       this.#dueSince = undefined;
       return;
@@ -216,7 +218,7 @@
 
   /** Reads the history; false if the store did not answer. */
   async #read(): Promise<boolean> {
-    const { store, isFirstStart } = this.#options;
+    const { store, isFirstStart, readEra } = this.#options;
     const read = await store.read(historyKey);
     return read.caseOf({
       Left: (error) => {
@@ -227,7 +229,7 @@
         this.#hasFailed = false;
         if (object !== undefined) this.#learn(object);
         // Without a history a store that lost it and an unused one look alike.
-        else if (isFirstStart || this.#held !== undefined || store.era <= 1) {
+        else if (isFirstStart || this.#held !== undefined || readEra() <= 1) {
           this.#held = { version: undefined, versions: [] };
         } else {
           this.#recordFailure("read", "the store came back without it");
--- a/packages/gateway/src/cluster/version_archive_test.ts
+++ b/packages/gateway/src/cluster/version_archive_test.ts
@@ -37,6 +37,7 @@
     list(versions);
     const archive = VersionArchive.create({
       store,
+      readEra: () => store.era,
       clock,
       readWallTime: () => clock.wallTime(),
       table,
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -121,8 +121,13 @@
     createClientOptions(settings.storeAddress, { clock, random, metrics, log }),
   );
   const incarnation = `${Date.now()}-${random.nextInt(1_000_000)}`;
+  // A client of its own: what the store refuses it must not pause the feeds.
+  const archiveStore = PlatformStore.create(
+    createClientOptions(settings.storeAddress, { clock, random, metrics, log }),
+  );
   const archiveOptions = {
-    store,
+    store: archiveStore,
+    readEra: () => Math.max(store.era, archiveStore.era),
     clock: suspensionClock,
     readWallTime: () =>
       members.computeWallTime(suspensionClock.now(), clock.wallTime()),
