--- a/packages/scenario/src/gateway_rejoined_streams_test.ts
+++ b/packages/scenario/src/gateway_rejoined_streams_test.ts
@@ -10,8 +10,8 @@
 
 const versions = ["v1", "v2"] as const;
 const eventCount = 40;
-/** Time in which nodes write what began to the store. */
-const storedMs = 700;
+/** Characters of a stream's key in the store. */
+const keyLength = 8;
 
 interface BegunStream {
   readonly id: string;
@@ -69,6 +69,24 @@
   );
 }
 
+/** Waits until the store holds the origins of `count` streams. */
+async function waitUntilStored(
+  setup: GatewaySetup,
+  count: number,
+): Promise<void> {
+  await setup.waitUntil(() => countStored(setup) >= count);
+}
+
+function countStored(setup: GatewaySetup): number {
+  const segments = setup.store.copy().kinds.get("stream-origins")?.values();
+  let characters = 0;
+  for (const { spec } of segments ?? []) {
+    const { origins } = spec as { readonly origins: readonly string[][] };
+    for (const [, , keys] of origins) characters += keys?.length ?? 0;
+  }
+  return characters / keyLength;
+}
+
 /** Ends all nodes at once, then starts them again. */
 async function restartAll(
   setup: GatewaySetup,
@@ -158,7 +176,7 @@
   await runWithSetup(3, async (setup) => {
     await mixVersions(setup);
     const begun = await beginStreams(setup, 16);
-    await sleep(storedMs);
+    await waitUntilStored(setup, begun.length);
     await restartAll(setup);
     await checkContinued(setup, begun);
     assert.is(new Set(begun.map(({ version }) => version)).size, 2);
@@ -169,7 +187,7 @@
   await runWithSetup(3, async (setup) => {
     await mixVersions(setup);
     const begun = await beginStreams(setup, 16);
-    await sleep(storedMs);
+    await waitUntilStored(setup, begun.length);
     await restartAll(setup, () => removeVersion(setup, "v1"));
     const findBegun = (version: string) =>
       begun.filter((stream) => stream.version === version);
@@ -193,7 +211,7 @@
     removeVersion(setup, "v1");
     await sleep(300);
     const begun = await beginStreams(setup, 6);
-    await sleep(storedMs);
+    await waitUntilStored(setup, begun.length);
     await restartAll(setup);
     await checkContinued(setup, begun);
   });
@@ -219,7 +237,7 @@
   await runWithSetup(2, async (setup) => {
     await mixVersions(setup);
     const begun = await beginStreams(setup, 8);
-    await sleep(storedMs);
+    await waitUntilStored(setup, begun.length);
     setup.nodes[1]?.dispose();
     setup.store.fault = "silent";
     await setup.restart(1);
@@ -246,9 +264,13 @@
 test("streams continue after the store came back from an older copy beside a restart", async () => {
   await runWithSetup(2, async (setup) => {
     await mixVersions(setup);
+    await setup.waitUntil(() => {
+      const history = setup.store.read("stream-versions", "history");
+      return JSON.stringify(history ?? "").includes('"v2"');
+    });
     const copy = setup.store.copy();
     const begun = await beginStreams(setup, 10);
-    await sleep(storedMs);
+    await waitUntilStored(setup, begun.length);
     await restartAll(setup, () => {
       setup.store.restore(copy);
       removeVersion(setup, "v1");
@@ -265,7 +287,7 @@
   await runWithSetup(2, async (setup) => {
     await mixVersions(setup);
     const begun = await beginStreams(setup, 8);
-    await sleep(storedMs);
+    await waitUntilStored(setup, begun.length);
     await restartAll(setup, () => {
       setup.store.put("stream-origins", "foreign", { origins: "?" });
       setup.store.put("stream-origins", "torn", {
