--- a/packages/gateway/src/cluster/version_archive_test.ts
+++ b/packages/gateway/src/cluster/version_archive_test.ts
@@ -180,4 +180,16 @@
   assert.ok(late.archive.isMixed("models"));
 });
 
+test("a version that came and left unrecorded while all nodes ended is not taken for none", async () => {
+  const setup = new ArchiveSetup();
+  const { list } = setup.openNode(["v1"], { isFirstStart: true });
+  await setup.clock.advance(1_000);
+  // Streams begin at the new version as soon as it is listed.
+  list(["v1", "v2"]);
+  setup.endAll();
+  const { archive } = setup.openNode(["v1"]);
+  await setup.clock.advance(10);
+  assert.ok(archive.isMixed("models") || !archive.isComplete);
+});
+
 test.run();
