--- a/packages/gateway/src/duties/autoscaler.ts
+++ b/packages/gateway/src/duties/autoscaler.ts
@@ -61,6 +61,8 @@
   readonly metrics: Metrics;
   readonly zones: readonly string[];
   readonly readRoutes: () => RouteTable | undefined;
+  /** Whether a service moves to another software version. */
+  readonly isRollingOut: (service: string) => boolean;
 }
 
 /** The last order for one kind of replicas in one zone. */
@@ -127,6 +129,8 @@
   async #orderAll(): Promise<void> {
     const services = this.#options.readRoutes()?.configuration.services ?? [];
     for (const service of services) {
+      // Both versions run during a rollout; the new replicas are not capacity yet.
+      if (this.#options.isRollingOut(service.name)) continue;
       if (service.scaling !== undefined) await this.#orderService(service);
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   configurationKind,
   replicasKind,
 } from "@almondcrank/platform/platform_store.ts";
+import { createRolloutOrders } from "@almondcrank/platform/rollout_orders.ts";
 import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
 import { QuarantineArchive } from "@almondcrank/routing/quarantine/quarantine_archive.ts";
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
@@ -31,6 +32,8 @@
 import { UsageReporter } from "./duties/usage_reporter.ts";
 import { FeedReader } from "./feed/feed_reader.ts";
 import { StoreView } from "./feed/store_view.ts";
+import { RolloutDuty } from "./rollouts/rollout_duty.ts";
+import type { RolloutParts } from "./rollouts/rollout_parts.ts";
 import { composeGatewayStatus } from "./gateway_status.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import { MetricsServer } from "./metrics_server.ts";
@@ -70,6 +73,7 @@
   #isDraining = false;
   readonly #readers: FeedReader[] = [];
   #lease: DutyLease | undefined;
+  readonly #rollouts: RolloutParts | undefined;
 
   private constructor(options: GatewayOptions, parts: GatewayParts) {
     this.#settings = options.settings;
@@ -81,6 +85,7 @@
     this.#view = parts.view;
     this.#quarantine = parts.services.quarantine;
     this.#metrics = parts.services.metrics;
+    this.#rollouts = parts.rollouts;
   }
 
   /**
@@ -260,7 +265,8 @@
   #startDuties(parts: GatewayParts): void {
     const { settings, services, members, store, suspensionClock: clock } =
       parts;
-    if (settings.cloudAddress === undefined) return;
+    const { rollouts } = parts;
+    if (settings.cloudAddress === undefined && rollouts === undefined) return;
     const log = services.log.createChild("duties");
     const lease = DutyLease.create({
       store,
@@ -276,6 +282,20 @@
     });
     this.#lease = lease;
     this.#lifetime.register(lease);
+    if (rollouts !== undefined && settings.exposure !== undefined) {
+      this.#lifetime.register(RolloutDuty.create({
+        ...rollouts,
+        orders: createRolloutOrders(store),
+        lease,
+        table: services.table,
+        limit: settings.exposure,
+        clock,
+        log: services.log.createChild("rollouts"),
+        metrics: services.metrics,
+        readRoutes: () => this.#view.routes,
+      }));
+    }
+    if (settings.cloudAddress === undefined) return;
     const cloud = PlatformCloud.create(
       createClientOptions(settings.cloudAddress, services),
     );
@@ -302,6 +322,7 @@
         metrics: services.metrics,
         zones: settings.zones,
         readRoutes: () => this.#view.routes,
+        isRollingOut: (service) => services.gate.isRollingOut(service),
       }));
     }
   }
@@ -341,6 +362,7 @@
 
   #runMaintenance(): void {
     this.#table.expire(this.#clock.now());
+    this.#rollouts?.gate.check();
     this.#sender.retain((key) => this.#table.find(key) !== undefined);
     this.#metrics.setGauge("requests_running", this.#server.running);
     const limited = [...this.#table.listAll()]
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -32,6 +32,11 @@
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { isFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
+import {
+  createRolloutParts,
+  type RolloutParts,
+} from "./rollouts/rollout_parts.ts";
+import { createOpenGate } from "./rollouts/version_gate.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import type { RouteTable } from "./routes/route_table.ts";
 import { CallerServer } from "./relay/caller_server.ts";
@@ -78,6 +83,8 @@
   /** What this node tells its peers beside the fixed parts of a report. */
   readonly tallySources: readonly TallySource[];
   readonly newsSources: readonly NewsSource[];
+  /** Undefined where operators order no rollouts. */
+  readonly rollouts: RolloutParts | undefined;
   /** Whether this node sends the probes of a part in quarantine. */
   readonly isProber: (part: string) => boolean;
 }
@@ -167,6 +174,15 @@
   const isProber = (part: string): boolean => isProbeOwner(part, owner);
   const quarantine = PartQuarantine.create({ isProber });
   logQuarantine(quarantine, log);
+  const rollouts = settings.exposure === undefined
+    ? undefined
+    : createRolloutParts({
+      clock: suspensionClock,
+      random,
+      metrics,
+      log: log.createChild("rollouts"),
+    });
+  const gate = rollouts?.gate ?? createOpenGate();
   const services: RelayServices = {
     clock,
     log,
@@ -176,7 +192,9 @@
     zone: settings.zone,
     table,
     prefixes: PrefixIndex.create(),
+    gate,
     sender: ReplicaSender.create({
+      gate,
       clock,
       metrics,
       log: log.createChild("relay"),
@@ -230,8 +248,9 @@
     feeds,
     view,
     server,
-    tallySources: [],
-    newsSources: [],
+    tallySources: rollouts === undefined ? [] : [rollouts.counts],
+    newsSources: rollouts === undefined ? [] : [rollouts.news],
+    rollouts,
     isProber,
   };
 }
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -7,7 +7,7 @@
  */
 
 import type { ServerResponse } from "node:http";
-import { chooseCallReplica } from "../choice/call_choice.ts";
+import { type CallChoice, chooseCallReplica } from "../choice/call_choice.ts";
 import type { ReplicaState } from "../choice/replica_state.ts";
 import type { RetryReason } from "./retry_reason.ts";
 import {
@@ -93,13 +93,17 @@
   }
 
   #chooseReplica(): ReplicaState | undefined {
-    const { table, clock, zone, random } = this.#services;
-    const states = table.listUsable(this.#request.service.name);
+    const { table, clock, zone, random, gate } = this.#services;
+    const { name } = this.#request.service;
+    const states = table.listUsable(name);
     const request = { zone, now: clock.now(), draw: random.next() };
-    const choice = chooseCallReplica(states, {
-      ...request,
-      excluded: this.#tried,
-    });
+    let choice: CallChoice | undefined;
+    for (const allowed of gate.narrow(name, states)) {
+      choice ??= chooseCallReplica(allowed, {
+        ...request,
+        excluded: this.#tried,
+      });
+    }
     if (choice === undefined) return undefined;
     const { state, predictedMs } = choice;
     this.#request.trace.record("replica chosen.", {
--- a/packages/gateway/src/relay/call_send.ts
+++ b/packages/gateway/src/relay/call_send.ts
@@ -64,13 +64,26 @@
       callerSignal.removeEventListener("abort", leave);
       pendingSend.end();
     });
-  void result.then(({ kind }) => {
+  void result.then((ended) => {
+    const { kind } = ended;
+    const status = ended.kind === "whole"
+      ? ended.response.statusCode
+      : undefined;
     const endedAt = clock.now();
     if (kind === "whole") {
       state.recordServiceTime(endedAt - startedAt, endedAt);
     }
+    if (status !== undefined) {
+      const hasFailed = status >= 500;
+      recordCallAnswer(
+        options,
+        hasFailed,
+        hasFailed ? undefined : endedAt - startedAt,
+      );
+    }
     if (kind === "lost" && aborter.signal.reason === "silent") {
       state.failures.record(true, endedAt);
+      recordCallAnswer(options, false, endedAt - startedAt);
     }
   });
   const cancel = (reason: CancelReason): void => {
@@ -107,6 +120,11 @@
   const body = await readResponseBody(response);
   const isSigned = response.headers[signatureHeader] !== undefined;
   const isWhole = body !== undefined && isSigned;
+  // An answer without a signature is a failure, one that was cut off is not: the
+  // replica may have crashed.
+  if (body !== undefined && !isSigned) {
+    recordCallAnswer({ services, request, state }, true, undefined);
+  }
   const isServerError = (response.statusCode ?? 0) >= 500;
   const now = clock.now();
   if (!isWhole) state.failures.record(true, now);
@@ -114,6 +132,17 @@
   return isWhole ? { kind: "whole", response, body } : { kind: "lost" };
 }
 
+/** Records an answer, or that none came, for the comparison of versions. */
+function recordCallAnswer(
+  { services, request, state }: Omit<CallSendOptions, "crashes">,
+  hasFailed: boolean,
+  time: number | undefined,
+): void {
+  const route = request.route.name;
+  const answer = { route, measure: "whole", hasFailed, time };
+  services.gate.recordAnswer(state, answer);
+}
+
 /** Records for the quarantine how a run ended that this node did not end. */
 function recordEnd(
   { crashes, state }: CallSendOptions,
--- a/packages/gateway/src/relay/relay_services.ts
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -14,6 +14,7 @@
 import type { WorkMeter } from "../duties/work_meter.ts";
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
+import type { VersionGate } from "../rollouts/version_gate.ts";
 import type { ReplicaSender } from "./replica_sender.ts";
 
 /** Counts requests that replicas began to run, by tenant. */
@@ -31,6 +32,8 @@
   readonly zone: string;
   readonly table: ReplicaTable;
   readonly prefixes: PrefixIndex;
+  /** Which replicas requests may reach while a service changes its version. */
+  readonly gate: VersionGate;
   readonly sender: ReplicaSender;
   readonly budget: RetryBudget;
   readonly quarantine: PartQuarantine;
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -16,6 +16,7 @@
 } from "@almondcrank/platform/headers.ts";
 import type { NodeLoad, ReplicaState } from "../choice/replica_state.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
+import type { VersionGate } from "../rollouts/version_gate.ts";
 import { composeRequestHeaders } from "./message_headers.ts";
 import { ReplicaAgent } from "./replica_agent.ts";
 import { type ControlResponse, sendControlCall } from "./control_call.ts";
@@ -35,6 +36,7 @@
   readonly metrics: Metrics;
   readonly log: Log;
   readonly table: ReplicaTable;
+  readonly gate: VersionGate;
   /** Number of nodes that share each replica's connections. */
   readonly countNodes: () => number;
 }
@@ -88,6 +90,7 @@
     if (!isMoved) state.limit.charge(sentAt);
     const load = this.#openLoad(state, request, options.uncachedTokens);
     metrics.count("sends_total", { service: replica.service });
+    this.#options.gate.recordSend(state);
     const outcome = sendToReplica({
       address: replica.address,
       agent: this.#findAgent(state, request.service.maxConnections),
@@ -188,6 +191,8 @@
   #isWanted(state: ReplicaState, isCharged: boolean): boolean {
     const now = this.#options.clock.now();
     if (state.isPaused(now)) return false;
+    // Its version may have been taken back while the request waited.
+    if (!this.#options.gate.maySend(state)) return false;
     if (isCharged) return true;
     // The replica may have named a limit while the request waited.
     if (!state.limit.isOpen(now)) return false;
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -9,6 +9,7 @@
   checkAdmission,
   type StreamVerdict,
 } from "../choice/stream_admission.ts";
+import type { ReplicaState } from "../choice/replica_state.ts";
 import { computeEngineMs } from "../duties/work_meter.ts";
 import type { FailureReason } from "./local_reply.ts";
 import type { RelayServices } from "./relay_services.ts";
@@ -43,7 +44,7 @@
   { service, promptParts, promptTokens }: RoutedRequest,
   { target, tried, version, mayReuse }: StreamProgress,
 ): EngineChoice | undefined {
-  const { table, clock, zone } = services;
+  const { table, clock, zone, gate } = services;
   const destination = target === undefined
     ? undefined
     : table.find(target.replicaKey);
@@ -62,16 +63,25 @@
     traits: service.engine ?? nonEngineTraits,
     now: clock.now(),
   };
-  const untried = chooseEngine(states, { ...query, excluded: tried }, services);
+  const allowed = gate.narrow(service.name, states, version);
+  const choose = (
+    lists: readonly (readonly ReplicaState[])[],
+    excluded: ReadonlySet<string>,
+  ): EngineChoice | undefined => {
+    let choice: EngineChoice | undefined;
+    for (const list of lists) {
+      choice ??= chooseEngine(list, { ...query, excluded }, services);
+    }
+    return choice;
+  };
+  const untried = choose(allowed, tried);
   if (untried !== undefined || version === undefined) return untried;
-  const draining = chooseEngine(
-    table.listDraining(service.name, { version, now: query.now }),
-    { ...query, excluded: tried },
-    services,
-  );
+  const leaving = table.listDraining(service.name, { version, now: query.now })
+    .filter((state) => gate.maySend(state));
+  const draining = choose([leaving], tried);
   if (draining !== undefined || !mayReuse) return draining;
   // Few replicas of a version may be left: better one that failed than none.
-  return chooseEngine(states, { ...query, excluded: new Set() }, services);
+  return choose(allowed, new Set());
 }
 
 /** Finds why no replica can be chosen for a stream of a version. */
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -98,11 +98,13 @@
     source: ReplicaState,
     { request }: RunningStream,
   ): ReplicaState | undefined {
-    const { table, clock } = this.#services;
+    const { table, clock, gate } = this.#services;
     const { service, promptTokens } = request;
     if (service.engine === undefined) return undefined;
     const { softwareVersion } = source.replica;
-    return chooseEngine(table.listUsable(service.name, softwareVersion), {
+    const states = table.listUsable(service.name, softwareVersion);
+    const [allowed = []] = gate.narrow(service.name, states, softwareVersion);
+    return chooseEngine(allowed, {
       parts: [],
       promptTokens,
       zone: source.replica.zone,
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -13,6 +13,9 @@
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StreamSend } from "./stream_segment.ts";
 
+/** Least time to the first event that one is compared with. */
+const minPredictedMs = 10;
+
 /** How the response of a segment ended. */
 export interface SegmentOutcome extends RelayOutcome {
   /** Whether this node may have ended it. */
@@ -25,6 +28,10 @@
   readonly #request: RoutedRequest;
   readonly #crashes: CrashRecorder;
   #version: string | undefined;
+  /** Time of the first event of the segment. */
+  #startedAt = 0;
+  /** Events of the segment after the first ones. */
+  #timedEvents = 0;
 
   private constructor(services: RelayServices, request: RoutedRequest) {
     this.#services = services;
@@ -86,6 +93,7 @@
   /** Records that output has arrived, and the engine time that it took. */
   recordOutput(tokens: number): void {
     this.#crashes.recordOutput();
+    this.#timedEvents += 1;
     this.recordWork({ prompt: 0, output: tokens });
   }
 
@@ -106,24 +114,75 @@
   recordStart({ choice, sentAt, isMoved }: StreamSend): void {
     const { clock, runs } = this.#services;
     const now = clock.now();
+    this.#startedAt = now;
+    this.#timedEvents = 0;
+    if (!isMoved) {
+      this.#recordAnswer(
+        choice,
+        "first",
+        computeSlowness(now - sentAt, choice),
+      );
+    }
     choice.state.recordFirstEvent(now - sentAt, choice.predictedMs, now);
     if (!isMoved) runs.recordRun(this.#request.tenant?.name);
   }
 
+  /** Records that a replica failed the stream with a whole answer of its own. */
+  recordFailure(choice: EngineChoice): void {
+    this.#recordAnswer(choice, "first", undefined, true);
+  }
+
+  /** Records that a replica has sent nothing for too long. */
+  recordSilence({ choice, sentAt }: StreamSend): void {
+    const silentMs = this.#services.clock.now() - sentAt;
+    this.#recordAnswer(choice, "first", computeSlowness(silentMs, choice));
+  }
+
+  /** Records the pace of a segment's events, if it was whole. */
+  #recordSegment(choice: EngineChoice, end: SegmentOutcome["end"]): void {
+    switch (end) {
+      case "complete": {
+        const paceMs = (this.#services.clock.now() - this.#startedAt) /
+          Math.max(1, this.#timedEvents - 1);
+        const isTimed = this.#timedEvents > 1;
+        if (isTimed) this.#recordAnswer(choice, "pace", paceMs);
+        return;
+      }
+      case "out_of_order":
+        return this.#recordAnswer(choice, "pace", undefined, true);
+      case "broken":
+      case "caller_gone":
+        return;
+    }
+  }
+
+  #recordAnswer(
+    { state }: EngineChoice,
+    measure: string,
+    time: number | undefined,
+    hasFailed = false,
+  ): void {
+    const route = this.#request.route.name;
+    const answer = { route, measure, hasFailed, time };
+    this.#services.gate.recordAnswer(state, answer);
+  }
+
   /**
    * Records how a segment ended.
    *
    * @param lastId Id of the last event that the caller has received.
    */
   recordEnd(
-    { state }: EngineChoice,
+    choice: EngineChoice,
     outcome: SegmentOutcome,
     lastId: number | undefined,
   ): void {
     const { end, framing, unfinishedBytes, hasDisconnected, isOwnEnd } =
       outcome;
     const { metrics } = this.#services;
+    const { state } = choice;
     if (end === "complete") this.#crashes.recordWhole();
+    this.#recordSegment(choice, end);
     if (end === "broken" && hasDisconnected && !isOwnEnd) {
       this.#crashes.recordBroken(state);
     }
@@ -141,3 +200,8 @@
     });
   }
 }
+
+/** Time to the first event, in hundredths of the predicted one. */
+function computeSlowness(ms: number, { predictedMs }: EngineChoice): number {
+  return 100 * ms / Math.max(minPredictedMs, predictedMs);
+}
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -316,6 +316,9 @@
       }
       return this.#endSegment("lost");
     }
+    if ((response.statusCode ?? 0) >= 500) {
+      this.#recorder.recordFailure(send.choice);
+    }
     if (this.#attempts.canResume || this.#response.headersSent) {
       return this.#endSegment("failed");
     }
@@ -348,12 +351,16 @@
     return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
   }
 
-  #createStandby({ choice, aborter }: StreamSend): StreamStandby {
+  #createStandby(send: StreamSend): StreamStandby {
+    const { choice, aborter } = send;
     return StreamStandby.create({
       clock: this.#services.clock,
       state: choice.state,
       ...computeStallTimeouts(this.#request, choice.predictedMs),
-      openSend: () => this.#openStandbySend(),
+      openSend: () => {
+        if (this.#events === 0) this.#recorder.recordSilence(send);
+        return this.#openStandbySend();
+      },
       onReady: () => aborter.abort(),
     });
   }
--- a/packages/infrastructure/src/object_store.ts
+++ b/packages/infrastructure/src/object_store.ts
@@ -38,6 +38,8 @@
   readonly key: string;
   readonly version: number;
   readonly value: unknown;
+  /** What the system has written on the operators' object, if anything. */
+  readonly status?: unknown;
 }
 
 /** All objects with a key prefix, as of `version` of the store. */
--- a/packages/model/src/replica.ts
+++ b/packages/model/src/replica.ts
@@ -20,6 +20,8 @@
   readonly isReclaimable: boolean;
   /** Time until the replica stops, as of this registration; undefined if unknown. */
   readonly leavesInMs: number | undefined;
+  /** Time for which it stays slow after its start, as of this registration. */
+  readonly coldMs?: number;
 }
 
 /** Formats the key of an incarnation; a restarted replica may reuse its id. */
--- a/packages/platform/src/decode_replica.ts
+++ b/packages/platform/src/decode_replica.ts
@@ -23,6 +23,7 @@
     ? ""
     : readString(fields["version"]);
   if (softwareVersion === undefined) return undefined;
+  const coldMs = readNumber(fields["cold-remaining-ms"]) ?? 0;
   return {
     id,
     service,
@@ -34,5 +35,6 @@
     startedAtMs: readNumber(fields["born"]),
     isReclaimable: fields["spot"] === true,
     leavesInMs: readNumber(fields["leaves_ms"]),
+    ...(coldMs > 0 ? { coldMs } : {}),
   };
 }
--- a/packages/platform/src/platform_store.ts
+++ b/packages/platform/src/platform_store.ts
@@ -156,6 +156,28 @@
     );
   }
 
+  /** Replaces the status of an object that still has a version. */
+  async writeStatus(
+    key: string,
+    status: unknown,
+    version: number,
+  ): Promise<Either<PlatformError, WriteOutcome>> {
+    if (readStoreEra(version) < this.era) return await this.#readConflict(key);
+    const reference = parseKey(key);
+    const metadata = {
+      name: reference.name,
+      revision: readStoreRevision(version),
+    };
+    const answer = await this.#client.call({
+      method: "PUT",
+      path: `${formatPath(reference)}/status`,
+      body: JSON.stringify({ metadata, status }),
+    });
+    return answer.chain((answer) =>
+      this.#parseWrite(reference, answer, { kind: "version", version })
+    );
+  }
+
   async remove(
     key: string,
     version: number,
@@ -303,7 +325,13 @@
   const revision = readNumber(metadata?.["revision"]);
   if (name === undefined || revision === undefined) return undefined;
   const version = composeStoreVersion({ era, revision });
-  return { key: `${kind}/${name}`, version, value: fields?.["spec"] };
+  const status = fields?.["status"] ?? undefined;
+  return {
+    key: `${kind}/${name}`,
+    version,
+    value: fields?.["spec"],
+    ...(status === undefined ? {} : { status }),
+  };
 }
 
 function decodeEvent(
--- a/packages/routing/src/rollouts/rollout.ts
+++ b/packages/routing/src/rollouts/rollout.ts
@@ -19,19 +19,38 @@
 
 /** Share of a service's requests that go to the new version, until it expires. */
 export interface RolloutStep {
-  readonly order: number;
-  readonly service: string;
-  readonly to: string;
   /** Increases with each change, also when the duty changes hands. */
   readonly number: number;
   /** Share of new requests for the new version, in [0, 1]. */
   readonly share: number;
-  /** Monotonic time after which the new version gets nothing, in milliseconds. */
-  readonly expiresAt: number;
+  /** Monotonic time at which the holder issued it, in milliseconds. */
+  readonly issuedAt: number;
+  /**
+   * Whether the completion may have been written: if no old replica is left, the
+   * new ones are used.
+   */
+  readonly isFinishing: boolean;
 }
 
-/** Which versions of a service a new request may go to. */
-export type VersionRule =
-  | { readonly kind: "any" }
-  | { readonly kind: "only"; readonly version: string }
-  | { readonly kind: "not"; readonly version: string };
+/** What a node knows of the last order for a service. */
+export interface RolloutRecord {
+  readonly order: RolloutOrder;
+  /** Versions that served before the order. */
+  readonly from: readonly string[];
+  /** Latest monotonic time at which the order was not there, in milliseconds. */
+  readonly startedAt: number;
+  readonly state: RolloutState;
+  readonly step: RolloutStep;
+  /**
+   * Why the new version may get nothing more, though the state is not written
+   * yet; undefined while it may.
+   */
+  readonly stopReason: string | undefined;
+  /** Monotonic time at which this node learnt of the end, in milliseconds. */
+  readonly endedAt?: number;
+}
+
+/** Whether the order has ended for good. */
+export function hasEnded({ state }: RolloutRecord): boolean {
+  return state !== "in_progress";
+}
--- /dev/null
+++ b/packages/routing/src/rollouts/rollout_plan.ts
@@ -0,0 +1,134 @@
+/**
+ * Plans which share of a service's requests the new version gets.
+ *
+ * Until an order ends, the new version is not trusted, whenever it turns bad. So
+ * all that it gets between the order and its end is planned inside the bound on
+ * exposure: a small part early to see failures, some seconds at the load of an old
+ * replica to see faults under load, a small part up to the end, and the last
+ * seconds of all traffic, in which new streams already keep away from the old
+ * replicas. Completion is written just before the end, with time for a slow store.
+ */
+
+/** Bounds on what a version that is not trusted yet may get. */
+export interface ExposureLimit {
+  readonly share: number;
+  readonly tolerance: number;
+}
+
+/** What the plan depends on. */
+export interface PlanInputs {
+  readonly durationMs: number;
+  /** Time since the order. */
+  readonly elapsedMs: number;
+  /** Requests sent since the order, to all versions and to the new one. */
+  readonly sent: { readonly all: number; readonly fresh: number };
+  readonly requestsPerSecond: number;
+  readonly limit: ExposureLimit;
+  readonly oldReplicas: number;
+  readonly freshReplicas: number;
+}
+
+/** What to do now. */
+export type PlanStep =
+  | { readonly kind: "share"; readonly share: number }
+  /** All traffic goes to the new version. */
+  | { readonly kind: "shift" }
+  /** The same, and the completion is due. */
+  | { readonly kind: "complete" }
+  /** The time is over. */
+  | { readonly kind: "late" };
+
+/** Part of the bound that is used; the rest covers late reports and repeats. */
+const usedBound = 0.85;
+/** Least part of the present rate that is expected until the end. */
+const expectedRate = 0.8;
+/** Time before the end at which the completion is written. */
+const writeMarginMs = 900;
+/** Largest part of the duration that the write may take. */
+const writeMarginShare = 0.15;
+/** Longest time before the end at which all traffic shifts. */
+const maxShiftMs = 12_000;
+/** Part of the bound for evidence where there is enough left for the shift. */
+const evidenceShare = 0.4;
+/** The same where the shift would take all of it. */
+const leastEvidenceShare = 0.25;
+/** Place of the time under load within the time for evidence. */
+const loadStart = 0.5;
+/** Part of the evidence's requests that are sent under load. */
+const loadPart = 0.35;
+/** Part of them before the time under load. */
+const earlyPart = 0.35;
+/** Largest share before all traffic shifts. */
+const maxShare = 0.5;
+/** Shortest time over which a remainder is spread. */
+const minSpreadMs = 500;
+
+/** Computes the step. */
+export function computeStep(inputs: PlanInputs): PlanStep {
+  const { durationMs, elapsedMs, sent, requestsPerSecond } = inputs;
+  const leftMs = durationMs - elapsedMs;
+  if (leftMs <= 0) return { kind: "late" };
+  const perMs = requestsPerSecond / 1_000;
+  const marginMs = Math.min(writeMarginMs, durationMs * writeMarginShare);
+  const bound = computeBound(inputs, leftMs);
+  const shiftMs = computeShiftMs(bound - sent.fresh, perMs);
+  if (leftMs <= marginMs) return { kind: "complete" };
+  if (leftMs <= shiftMs) return { kind: "shift" };
+  const reserve = perMs * marginMs;
+  const evidence = Math.max(
+    bound * leastEvidenceShare,
+    Math.min(bound - reserve, bound * evidenceShare),
+  );
+  return {
+    kind: "share",
+    share: computeShare(inputs, {
+      evidence,
+      timeMs: durationMs - marginMs,
+    }),
+  };
+}
+
+/** Number of requests that the new version may get, from what may still come. */
+function computeBound(
+  { sent, requestsPerSecond, limit }: PlanInputs,
+  leftMs: number,
+): number {
+  const coming = requestsPerSecond * leftMs / 1_000 * expectedRate;
+  const share = limit.share * (sent.all + coming);
+  return usedBound * (share + limit.tolerance);
+}
+
+/** Time before the end from which the rest of the bound covers all traffic. */
+function computeShiftMs(left: number, perMs: number): number {
+  if (perMs === 0) return maxShiftMs;
+  return Math.min(maxShiftMs, Math.max(0, left / perMs));
+}
+
+interface EvidencePlan {
+  /** Requests of the new version before all traffic shifts. */
+  readonly evidence: number;
+  readonly timeMs: number;
+}
+
+function computeShare(inputs: PlanInputs, plan: EvidencePlan): number {
+  const { elapsedMs, sent, requestsPerSecond, oldReplicas } = inputs;
+  if (inputs.freshReplicas === 0) return 0;
+  const perMs = Math.max(requestsPerSecond, 1) / 1_000;
+  const { evidence, timeMs } = plan;
+  const loadAt = timeMs * loadStart;
+  const share = (requests: number, until: number): number =>
+    Math.max(0, requests - sent.fresh) /
+    (perMs * Math.max(minSpreadMs, until - elapsedMs));
+  const fairShare = Math.min(maxShare, 1 / Math.max(1, oldReplicas));
+  const evenShare = evidence / (perMs * timeMs);
+  // With enough replicas, some of them have the load of an old one all the time.
+  const needsLoad = evenShare < fairShare;
+  const loadMs = evidence * loadPart / (perMs * fairShare);
+  if (needsLoad && elapsedMs < loadAt) {
+    return Math.min(maxShare, share(evidence * earlyPart, loadAt));
+  }
+  if (needsLoad && elapsedMs < loadAt + loadMs && sent.fresh < evidence * 0.8) {
+    return fairShare;
+  }
+  return Math.min(maxShare, share(evidence, timeMs));
+}
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -15,6 +15,7 @@
 } from "@almondcrank/load/route_client.ts";
 import type {
   Bounds,
+  ExposureBounds,
   GatewaySettings,
 } from "@almondcrank/model/gateway_settings.ts";
 import { CloudStandin } from "@almondcrank/standin/platform/cloud_standin.ts";
@@ -83,6 +84,7 @@
   readonly #settings: GatewaySettings[] = [];
   readonly #softwareVersions = new Map<string, string>();
   #version = 0;
+  #exposure: ExposureBounds | undefined;
 
   private constructor(store: StoreStandin, cloud: CloudStandin) {
     this.store = store;
@@ -93,11 +95,15 @@
    * Starts a system with two replicas of each service; resolves once all nodes
    * answer requests.
    */
-  static async open(nodes = 1): Promise<GatewaySetup> {
+  static async open(
+    nodes = 1,
+    exposure?: ExposureBounds,
+  ): Promise<GatewaySetup> {
     const setup = new GatewaySetup(
       await StoreStandin.open(),
       await CloudStandin.open(),
     );
+    setup.#exposure = exposure;
     await setup.addReplica("model-1", "models");
     await setup.addReplica("model-2", "models");
     await setup.addReplica("booking-1", "booking");
@@ -262,7 +268,7 @@
       cloudAddress: this.cloud.address,
       duties: ["usage", "scaling"],
       bounds: testBounds,
-      exposure: undefined,
+      exposure: this.#exposure,
     };
     this.#settings.push(settings);
     this.nodes.push(await startNode(settings));
--- a/packages/standin/src/platform/replica_fault.ts
+++ b/packages/standin/src/platform/replica_fault.ts
@@ -12,6 +12,10 @@
   | { readonly kind: "decline" }
   /** The same, with a time for which the node should send nothing more. */
   | { readonly kind: "pause"; readonly seconds: number }
+  /** A failure as answer, signed. */
+  | { readonly kind: "fail" }
+  /** Answered `ms` later than usual. */
+  | { readonly kind: "slow"; readonly ms: number }
   /** Run; then the connection is reset without an answer. */
   | { readonly kind: "lose_answer" }
   /** The connection is reset in the middle of the event after `events`. */
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -49,6 +49,13 @@
   readonly parts: string;
 }
 
+/** What a fault may depend on. */
+export interface FaultChoice {
+  readonly path: string;
+  /** Requests that run already. */
+  readonly running: number;
+}
+
 /** Options of a replica. */
 export interface ReplicaStandinOptions {
   readonly id: string;
@@ -122,6 +129,10 @@
   readonly queuedFaults: ReplicaFault[] = [];
   /** Fault of the requests for which `queuedFaults` is empty. */
   fault: ReplicaFault = { kind: "none" };
+  /** Chooses the fault of each request instead, by what runs; undefined if not. */
+  chooseFault: ((run: FaultChoice) => ReplicaFault) | undefined;
+  /** Time that each answer takes, in milliseconds. */
+  workMs = 0;
 
   private constructor(options: ReplicaStandinOptions) {
     this.id = options.id;
@@ -207,7 +218,9 @@
     if (expected !== undefined && expected !== this.id) {
       return await this.#refuse(response, 421, { "X-Replica-Id": this.id });
     }
-    const fault = this.queuedFaults.shift() ?? this.fault;
+    const fault = this.queuedFaults.shift() ??
+      this.chooseFault?.({ path: request.url ?? "", running: this.#running }) ??
+      this.fault;
     if (fault.kind === "decline" || fault.kind === "pause") {
       const isPause = fault.kind === "pause";
       return await this.#refuse(response, 503, {
@@ -251,14 +264,28 @@
     if (fault.kind === "lose_answer") {
       return void request.socket.resetAndDestroy();
     }
-    if (isStream) {
+    if (fault.kind === "slow") await sleep(fault.ms);
+    if (this.workMs > 0) await sleep(this.workMs);
+    if (isStream && fault.kind !== "fail") {
       return await this.#stream(request, response, { run, fault });
     }
     if (willCrash) return response.flushHeaders();
+    if (fault.kind === "fail") return await this.#fail(response, run);
     if (fault.kind === "fall_silent") await sleep(fault.ms);
     this.#answerWhole(request, response, { run, fault });
   }
 
+  async #fail(response: ServerResponse, run: ReplicaRun): Promise<void> {
+    await this.#waitWhilePaused();
+    sendJson(response, 500, {});
+    run.hasEnded = true;
+  }
+
+  /** Requests that run now. */
+  get #running(): number {
+    return this.runs.filter(({ hasEnded }) => !hasEnded).length;
+  }
+
   async #refuse(
     response: ServerResponse,
     status: number,
--- a/packages/standin/src/platform/store_standin.ts
+++ b/packages/standin/src/platform/store_standin.ts
@@ -116,6 +116,11 @@
     return this.#requireObjects(kind).get(name)?.spec;
   }
 
+  /** Reads the status that the system wrote; undefined when there is none. */
+  readStatus(kind: string, name: string): unknown {
+    return this.#requireObjects(kind).get(name)?.status ?? undefined;
+  }
+
   /** Discards the history and wakes watches; older ones expire. */
   compact(): void {
     this.#history = [];
@@ -255,9 +260,33 @@
       this.remove(kind, name);
       return { status: 200, body: existing };
     }
+    if (call.part === "status" && existing !== undefined) {
+      return { status: 200, body: this.#storeStatus(kind, existing, input) };
+    }
     return { status: 200, body: this.#store(kind, name, input.spec, existing) };
   }
 
+  /** Replaces the status; one that stays the same is no change. */
+  #storeStatus(
+    kind: string,
+    existing: StoredEntry,
+    { status }: { readonly status?: unknown },
+  ): StoredEntry {
+    const isUnchanged =
+      JSON.stringify(existing.status) === JSON.stringify(status);
+    if (isUnchanged) return existing;
+    this.#revision += 1;
+    const { metadata, spec } = existing;
+    const object = {
+      metadata: { ...metadata, revision: this.#revision },
+      spec,
+      status,
+    };
+    this.#requireObjects(kind).set(metadata.name, object);
+    this.#addEvent({ kind, revision: this.#revision, deleted: false, object });
+    return object;
+  }
+
   #store(
     kind: string,
     name: string,
@@ -277,7 +306,7 @@
         deleting: false,
       },
       spec,
-      status: null,
+      status: existing?.status ?? null,
     };
     this.#requireObjects(kind).set(name, object);
     this.#addEvent({ kind, revision: this.#revision, deleted: false, object });
