--- a/packages/gateway/src/rollouts/rollout_duty.ts
+++ b/packages/gateway/src/rollouts/rollout_duty.ts
@@ -36,7 +36,7 @@
 /** Pause after a call that failed. */
 const retryMs = 300;
 /** Longest time that a watch takes to tell of a change. */
-const watchDelayMs = 500;
+const watchDelayMs = 150;
 
 /** What became of a write; one that failed may have been done. */
 type WriteOutcome =
@@ -257,6 +257,9 @@
   }
 
   #logEvent({ kind, service, to, reason }: RolloutEvent): void {
+    if (process.env.DBG) {
+      console.error("EV", Math.round(performance.now()), kind, to, reason);
+    }
     const { log, metrics } = this.#options;
     metrics.count("rollout_events_total", { kind });
     const fields = { service, to, reason };
--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -73,6 +73,8 @@
 
 /** Time over which the rate of requests is measured, in milliseconds. */
 const rateWindowMs = 3_000;
+/** Time without which a rate is not known. */
+const minRateWindowMs = 700;
 /** Time after its end for which an order's counts are kept. */
 const keepCountsMs = 10_000;
 
@@ -293,9 +295,8 @@
 function computeRate({ sent }: OrderWatch): number {
   const [first] = sent;
   const last = sent.at(-1);
-  if (first === undefined || last === undefined || last.at === first.at) {
-    return 0;
-  }
+  if (first === undefined || last === undefined) return 0;
+  if (last.at - first.at < minRateWindowMs) return 0;
   return (last.all - first.all) / (last.at - first.at) * 1_000;
 }
 
--- a/packages/routing/src/rollouts/rollout_plan.ts
+++ b/packages/routing/src/rollouts/rollout_plan.ts
@@ -44,10 +44,14 @@
 const expectedRate = 0.8;
 /** Time before the end at which the completion is written. */
 const writeMarginMs = 900;
+/** Part of that time below which a completion would come too late. */
+const leastMargin = 0.4;
 /** Largest part of the duration that the write may take. */
 const writeMarginShare = 0.15;
 /** Longest time before the end at which all traffic shifts. */
 const maxShiftMs = 12_000;
+/** Largest part of the duration in which all traffic goes to the new version. */
+const maxShiftShare = 0.3;
 /** Part of the bound for evidence where there is enough left for the shift. */
 const evidenceShare = 0.4;
 /** The same where the shift would take all of it. */
@@ -71,8 +75,15 @@
   const perMs = requestsPerSecond / 1_000;
   const marginMs = Math.min(writeMarginMs, durationMs * writeMarginShare);
   const bound = computeBound(inputs, leftMs);
-  const shiftMs = computeShiftMs(bound - sent.fresh, perMs);
-  if (leftMs <= marginMs) return { kind: "complete" };
+  const shiftMs = Math.min(
+    maxShiftMs,
+    durationMs * maxShiftShare,
+    perMs === 0 ? Infinity : (bound - sent.fresh) / perMs,
+  );
+  // Completion, too, has to be paid from what is left of the bound.
+  if (leftMs <= Math.min(marginMs, Math.max(shiftMs, marginMs * leastMargin))) {
+    return { kind: "complete" };
+  }
   if (leftMs <= shiftMs) return { kind: "shift" };
   const reserve = perMs * marginMs;
   const evidence = Math.max(
@@ -98,12 +109,6 @@
   return usedBound * (share + limit.tolerance);
 }
 
-/** Time before the end from which the rest of the bound covers all traffic. */
-function computeShiftMs(left: number, perMs: number): number {
-  if (perMs === 0) return maxShiftMs;
-  return Math.min(maxShiftMs, Math.max(0, left / perMs));
-}
-
 interface EvidencePlan {
   /** Requests of the new version before all traffic shifts. */
   readonly evidence: number;
@@ -112,8 +117,9 @@
 
 function computeShare(inputs: PlanInputs, plan: EvidencePlan): number {
   const { elapsedMs, sent, requestsPerSecond, oldReplicas } = inputs;
-  if (inputs.freshReplicas === 0) return 0;
-  const perMs = Math.max(requestsPerSecond, 1) / 1_000;
+  // While the rate is not known, a share could be any number of requests.
+  if (inputs.freshReplicas === 0 || requestsPerSecond === 0) return 0;
+  const perMs = requestsPerSecond / 1_000;
   const { evidence, timeMs } = plan;
   const loadAt = timeMs * loadStart;
   const share = (requests: number, until: number): number =>
