--- a/packages/gateway/src/rollouts/answer_counts.ts
+++ b/packages/gateway/src/rollouts/answer_counts.ts
@@ -23,11 +23,14 @@
   readonly hasFailed: boolean;
   /** Time in milliseconds, or a ratio; undefined if it says nothing. */
   readonly time: number | undefined;
+  /** Whether the time is several times that of the old version. */
+  readonly isSlow: boolean;
 }
 
 const sumNames = [
   "answers",
   "failures",
+  "slow",
   "times",
   "sumTime",
   "sumTimeSquares",
@@ -59,7 +62,7 @@
   }
 
   recordAnswer(order: number, answer: CountedAnswer): void {
-    const { side, route, measure, hasFailed, time } = answer;
+    const { side, route, measure, hasFailed, time, isSlow } = answer;
     const record = (name: string, change: number): void => {
       if (change === 0) return;
       addTo(this.#own, formatName([order, side, route, measure, name]), change);
@@ -69,6 +72,7 @@
     if (time === undefined) return;
     const value = encodeTime(time);
     record("times", 1);
+    record("slow", isSlow ? 1 : 0);
     record("sumTime", value);
     record("sumTimeSquares", value * value);
   }
@@ -89,7 +93,7 @@
       const [id, side, route, measure, sum] = name.split(separator);
       const isSum = sumNames.some((known) => known === sum);
       if (id !== String(order) || sum === undefined || !isSum) continue;
-      const key = `${route} ${measure}`;
+      const key = formatAnswerKind({ route, measure });
       const both = sums.get(key) ?? { fresh: noAnswers, old: noAnswers };
       const isFresh = side === "fresh";
       const before = isFresh ? both.fresh : both.old;
@@ -117,6 +121,16 @@
   }
 }
 
+/** Formats the key of the sums of a route and a measure. */
+export function formatAnswerKind(
+  { route = "", measure = "" }: {
+    readonly route?: string | undefined;
+    readonly measure?: string | undefined;
+  },
+): string {
+  return `${route} ${measure}`;
+}
+
 function formatName(parts: readonly (string | number)[]): string {
   return parts.join(separator);
 }
--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -20,13 +20,21 @@
   type RolloutBook,
   type VersionRule,
 } from "@almondcrank/routing/rollouts/rollout_book.ts";
-import { RolloutEvidence } from "@almondcrank/routing/rollouts/rollout_evidence.ts";
+import {
+  isSlowTime,
+  RolloutEvidence,
+  type VersionSums,
+} from "@almondcrank/routing/rollouts/rollout_evidence.ts";
 import type { OrderCounts } from "@almondcrank/routing/rollouts/rollout_control.ts";
 import type { ReplicaState } from "../choice/replica_state.ts";
-import type { AnswerCounts, CountedAnswer } from "./answer_counts.ts";
+import {
+  type AnswerCounts,
+  type CountedAnswer,
+  formatAnswerKind,
+} from "./answer_counts.ts";
 
 /** One answer of a replica. */
-export type ReplicaAnswer = Omit<CountedAnswer, "side">;
+export type ReplicaAnswer = Omit<CountedAnswer, "side" | "isSlow">;
 
 /** Which replicas requests may reach. */
 export interface VersionGate {
@@ -83,6 +91,8 @@
   readonly evidence: RolloutEvidence;
   /** Requests of all nodes at times of the rate's window. */
   sent: { readonly at: number; readonly all: number }[];
+  /** Sums over all nodes as of the last check. */
+  sums: VersionSums;
 }
 
 /** Gate of a node under a contract that orders rollouts. */
@@ -144,7 +154,10 @@
     const side = readSide(record, state);
     // A replica is slow for a time after its start, whatever its version.
     const time = this.#isWarm(state) ? answer.time : undefined;
-    counts.recordAnswer(record.order.id, { ...answer, side, time });
+    const kind = formatAnswerKind(answer);
+    const reference = this.#watch(record.order.id).sums.get(kind)?.old;
+    const isSlow = time !== undefined && isSlowTime(time, reference);
+    counts.recordAnswer(record.order.id, { ...answer, side, time, isSlow });
     const outcome = answer.hasFailed ? "failed" : "answered";
     metrics.count("rollout_answers_total", { version: side, outcome });
   }
@@ -187,6 +200,7 @@
       kept.add(id);
       const watch = this.#watch(id);
       const sums = counts.readSums(id);
+      watch.sums = sums;
       const all = counts.readSent(id).all;
       watch.sent.push({ at: now, all });
       watch.sent = watch.sent.filter(({ at }) => now - at <= rateWindowMs);
@@ -207,7 +221,11 @@
   #watch(id: number): OrderWatch {
     const known = this.#watches.get(id);
     if (known !== undefined) return known;
-    const watch = { evidence: RolloutEvidence.create(), sent: [] };
+    const watch = {
+      evidence: RolloutEvidence.create(),
+      sent: [],
+      sums: new Map(),
+    };
     this.#watches.set(id, watch);
     return watch;
   }
--- a/packages/routing/src/rollouts/rollout_evidence.ts
+++ b/packages/routing/src/rollouts/rollout_evidence.ts
@@ -19,6 +19,8 @@
 export interface AnswerSums {
   readonly answers: number;
   readonly failures: number;
+  /** Answers that came several times later than the old version's mean. */
+  readonly slow: number;
   readonly times: number;
   readonly sumTime: number;
   readonly sumTimeSquares: number;
@@ -48,25 +50,32 @@
 };
 /** Limits at which it is not completed. */
 const endLimits: Limits = {
-  probability: 1e-4,
-  errors: 3.7,
-  difference: 0.28,
+  probability: 2e-3,
+  errors: 3.3,
+  difference: 0.25,
 };
-/** Failures of a version that say nothing yet. */
-const minFailures = 3;
+/** Bad answers without which a version is not bad. */
+const minBadAnswers = 3;
 /** Times of each version below which they are not compared. */
-const minTimes = 8;
+const minTimes = 10;
 /** Failure rate that a good version may have while the old one has none. */
 const usualFailureRate = 0.01;
-/** Ratio of failure rates that a good version may have. */
-const failureRatio = 1.5;
+/** The same of slow answers, as replicas differ in speed. */
+const usualSlowRate = 0.06;
+/** Ratio of such rates that a good version may have. */
+const rateRatio = 1.5;
 /** Least standard deviation of a logarithm of a time. */
 const minDeviation = 0.15;
 /** Steps of a logarithm of a time, so that sums are integers. */
 const logSteps = 100;
 /** Lengths of the windows that are compared, in milliseconds. */
 const windowsMs: readonly number[] = [3_000, 8_000, Infinity];
-const snapshotMs = 400;
+/** Length of the parts of a window that are compared one by one. */
+const snapshotMs = 1_000;
+/** Largest number of such parts. */
+const maxSnapshots = 64;
+/** Answers at the whole window's rate that are added to each part's. */
+const priorAnswers = 5;
 /** Answers of the new version without which nothing is known of it. */
 const minAnswers = 20;
 /** The same of each route that has a good part of the traffic. */
@@ -77,6 +86,7 @@
 export const noAnswers: AnswerSums = {
   answers: 0,
   failures: 0,
+  slow: 0,
   times: 0,
   sumTime: 0,
   sumTimeSquares: 0,
@@ -98,9 +108,19 @@
   return Math.round(logSteps * Math.log1p(Math.max(0, ms)));
 }
 
+/** Answers that take so many times the mean of the old version's are slow. */
+const slowFactor = 2.5;
+
+/** Whether a time is several times that of the old version. */
+export function isSlowTime(ms: number, old: AnswerSums | undefined): boolean {
+  if (old === undefined || old.times < minTimes) return false;
+  const mean = old.sumTime / old.times / logSteps;
+  return Math.log1p(Math.max(0, ms)) > mean + Math.log(slowFactor);
+}
+
 /** Evidence on one order. Times are monotonic, in milliseconds. */
 export class RolloutEvidence {
-  #snapshots: Snapshot[] = [];
+  #snapshots: Snapshot[] = [{ at: -Infinity, sums: new Map() }];
 
   static create(): RolloutEvidence {
     return new RolloutEvidence();
@@ -111,9 +131,11 @@
     const last = this.#snapshots.at(-1);
     if (last !== undefined && now - last.at < snapshotMs) return;
     this.#snapshots.push({ at: now, sums });
-    const longestMs = Math.max(...windowsMs.filter(Number.isFinite));
-    this.#snapshots = this.#snapshots.filter(({ at }, index) =>
-      index === 0 || now - at <= longestMs + snapshotMs
+    if (this.#snapshots.length <= maxSnapshots) return;
+    // The earlier half of a long order is compared in longer parts.
+    const half = maxSnapshots / 2;
+    this.#snapshots = this.#snapshots.filter((_, index) =>
+      index >= half || index % 2 === 0
     );
   }
 
@@ -130,14 +152,18 @@
 
   #check(sums: VersionSums, now: number, limits: Limits): Verdict {
     for (const windowMs of windowsMs) {
-      const base = this.#findBase(now - windowMs);
-      for (const [route, { fresh, old }] of sums) {
-        const before = base?.get(route);
-        const reason = compareVersions(
-          subtractSums(fresh, before?.fresh ?? noAnswers),
-          subtractSums(old, before?.old ?? noAnswers),
-          limits,
+      const base = this.#snapshots.findLastIndex(({ at }) =>
+        at <= now - windowMs
+      );
+      const parts = [
+        ...this.#snapshots.slice(Math.max(0, base)).map(({ sums }) => sums),
+        sums,
+      ];
+      for (const route of sums.keys()) {
+        const comparison = composeComparison(
+          parts.map((part) => part.get(route) ?? noVersions),
         );
+        const reason = compareVersions(comparison, limits);
         if (reason !== undefined) {
           return { kind: "bad", reason: `${route}: ${reason}` };
         }
@@ -145,11 +171,52 @@
     }
     return { kind: "sound" };
   }
+}
+
+const noVersions = { fresh: noAnswers, old: noAnswers };
 
-  /** Finds the sums at the begin of a window; undefined for all of the time. */
-  #findBase(since: number): VersionSums | undefined {
-    return this.#snapshots.findLast(({ at }) => at <= since)?.sums;
+/** Answers of a window, and what the old version's would be at the same times. */
+interface Comparison {
+  readonly fresh: AnswerSums;
+  readonly old: AnswerSums;
+  /** Expected of the old version, had it got the new one's requests. */
+  readonly expected: {
+    readonly failures: number;
+    readonly slow: number;
+    readonly sumTime: number;
+  };
+}
+
+/**
+ * Compares part by part: trouble that strikes both versions for some seconds counts
+ * for the old one as much as the new one had requests then.
+ */
+function composeComparison(
+  parts: readonly { readonly fresh: AnswerSums; readonly old: AnswerSums }[],
+): Comparison {
+  const first = parts[0] ?? noVersions;
+  const last = parts.at(-1) ?? noVersions;
+  const fresh = subtractSums(last.fresh, first.fresh);
+  const old = subtractSums(last.old, first.old);
+  const failureRate = old.failures / Math.max(1, old.answers);
+  const slowRate = old.slow / Math.max(1, old.times);
+  const meanTime = old.sumTime / Math.max(1, old.times);
+  const expected = { failures: 0, slow: 0, sumTime: 0 };
+  for (let index = 1; index < parts.length; index += 1) {
+    const before = parts[index - 1] ?? noVersions;
+    const after = parts[index] ?? noVersions;
+    const partFresh = subtractSums(after.fresh, before.fresh);
+    const partOld = subtractSums(after.old, before.old);
+    const answers = partOld.answers + priorAnswers;
+    const times = partOld.times + priorAnswers;
+    expected.failures += partFresh.answers / answers *
+      (partOld.failures + priorAnswers * failureRate);
+    expected.slow += partFresh.times / times *
+      (partOld.slow + priorAnswers * slowRate);
+    expected.sumTime += partFresh.times / times *
+      (partOld.sumTime + priorAnswers * meanTime);
   }
+  return { fresh, old, expected };
 }
 
 /** Checks that enough of the new version has been seen. */
@@ -172,38 +239,69 @@
 
 /** Finds why the new version's answers are worse; undefined if they are not. */
 function compareVersions(
-  fresh: AnswerSums,
-  old: AnswerSums,
+  comparison: Comparison,
   limits: Limits,
 ): string | undefined {
-  return compareFailures(fresh, old, limits) ??
-    compareTimes(fresh, old, limits);
+  return compareFailures(comparison, limits) ??
+    compareSlow(comparison, limits) ?? compareTimes(comparison, limits);
 }
 
 function compareFailures(
-  fresh: AnswerSums,
-  old: AnswerSums,
+  { fresh, old, expected }: Comparison,
   { probability }: Limits,
 ): string | undefined {
-  if (fresh.failures < minFailures) return undefined;
-  const oldRate = (old.failures + 1) / (old.answers + 2);
-  const rate = Math.max(usualFailureRate, Math.min(1, oldRate * failureRatio));
-  const tail = computeBinomialTail(fresh.failures, fresh.answers, rate);
-  return tail < probability
+  const isWorse = hasHigherRate(
+    { bad: fresh.failures, answers: fresh.answers },
+    { expected: expected.failures, old: old.answers },
+    { probability, usualRate: usualFailureRate },
+  );
+  return isWorse
     ? `${fresh.failures} of ${fresh.answers} answers failed, of the old version ` +
       `${old.failures} of ${old.answers}`
     : undefined;
 }
 
+function compareSlow(
+  { fresh, old, expected }: Comparison,
+  { probability }: Limits,
+): string | undefined {
+  const isWorse = hasHigherRate(
+    { bad: fresh.slow, answers: fresh.times },
+    { expected: expected.slow, old: old.times },
+    { probability, usualRate: usualSlowRate },
+  );
+  return isWorse
+    ? `${fresh.slow} of ${fresh.times} answers were slow, of the old version ` +
+      `${old.slow} of ${old.times}`
+    : undefined;
+}
+
+/** Whether more answers of the new version are bad than chance would have. */
+function hasHigherRate(
+  { bad, answers }: { readonly bad: number; readonly answers: number },
+  { expected, old }: { readonly expected: number; readonly old: number },
+  { probability, usualRate }: {
+    readonly probability: number;
+    readonly usualRate: number;
+  },
+): boolean {
+  if (bad < minBadAnswers) return false;
+  const oldRate = expected / answers + 1 / (old + 2);
+  const rate = Math.max(usualRate, Math.min(1, oldRate * rateRatio));
+  return computeBinomialTail(bad, answers, rate) < probability;
+}
+
 function compareTimes(
-  fresh: AnswerSums,
-  old: AnswerSums,
+  { fresh, old, expected }: Comparison,
   { errors, difference }: Limits,
 ): string | undefined {
   if (fresh.times < minTimes || old.times < minTimes) return undefined;
-  const by = (fresh.sumTime / fresh.times - old.sumTime / old.times) / logSteps;
+  const by = (fresh.sumTime - expected.sumTime) / fresh.times / logSteps;
+  const oldVariance = computeVariance(old);
+  // Few times may happen to lie close together.
+  const freshVariance = Math.max(oldVariance, computeVariance(fresh));
   const error = Math.sqrt(
-    computeVariance(fresh) / fresh.times + computeVariance(old) / old.times,
+    freshVariance / fresh.times + oldVariance / old.times,
   );
   return by > difference && by > errors * error
     ? `answers are ${Math.exp(by).toFixed(2)} times slower in the mean ` +
@@ -240,6 +338,7 @@
   return {
     answers: sums.answers - base.answers,
     failures: sums.failures - base.failures,
+    slow: sums.slow - base.slow,
     times: sums.times - base.times,
     sumTime: sums.sumTime - base.sumTime,
     sumTimeSquares: sums.sumTimeSquares - base.sumTimeSquares,
--- a/packages/routing/src/rollouts/rollout_plan.ts
+++ b/packages/routing/src/rollouts/rollout_plan.ts
@@ -43,7 +43,7 @@
 /** Least part of the present rate that is expected until the end. */
 const expectedRate = 0.8;
 /** Time before the end at which the completion is written. */
-const writeMarginMs = 900;
+const writeMarginMs = 700;
 /** Part of that time below which a completion would come too late. */
 const leastMargin = 0.4;
 /** Largest part of the duration that the write may take. */
@@ -53,15 +53,15 @@
 /** Largest part of the duration in which all traffic goes to the new version. */
 const maxShiftShare = 0.3;
 /** Part of the bound for evidence where there is enough left for the shift. */
-const evidenceShare = 0.4;
+const evidenceShare = 0.75;
 /** The same where the shift would take all of it. */
-const leastEvidenceShare = 0.25;
-/** Place of the time under load within the time for evidence. */
-const loadStart = 0.5;
-/** Part of the evidence's requests that are sent under load. */
-const loadPart = 0.35;
-/** Part of them before the time under load. */
-const earlyPart = 0.35;
+const leastEvidenceShare = 0.55;
+/** Begins of the times under load within the time for evidence. */
+const loadStarts: readonly number[] = [0.4, 0.75];
+/** Part of the evidence's requests that are sent in each of them. */
+const loadPart = 0.33;
+/** Part of them that is sent before each of them. */
+const evenPart = 0.13;
 /** Largest share before all traffic shifts. */
 const maxShare = 0.5;
 /** Shortest time over which a remainder is spread. */
@@ -121,20 +121,27 @@
   if (inputs.freshReplicas === 0 || requestsPerSecond === 0) return 0;
   const perMs = requestsPerSecond / 1_000;
   const { evidence, timeMs } = plan;
-  const loadAt = timeMs * loadStart;
   const share = (requests: number, until: number): number =>
     Math.max(0, requests - sent.fresh) /
     (perMs * Math.max(minSpreadMs, until - elapsedMs));
   const fairShare = Math.min(maxShare, 1 / Math.max(1, oldReplicas));
   const evenShare = evidence / (perMs * timeMs);
   // With enough replicas, some of them have the load of an old one all the time.
-  const needsLoad = evenShare < fairShare;
-  const loadMs = evidence * loadPart / (perMs * fairShare);
-  if (needsLoad && elapsedMs < loadAt) {
-    return Math.min(maxShare, share(evidence * earlyPart, loadAt));
+  if (evenShare >= fairShare) {
+    return Math.min(maxShare, share(evidence, timeMs));
   }
-  if (needsLoad && elapsedMs < loadAt + loadMs && sent.fresh < evidence * 0.8) {
-    return fairShare;
+  const loadMs = evidence * loadPart / (perMs * fairShare);
+  let until = timeMs;
+  let part = 1;
+  for (const [index, start] of loadStarts.entries()) {
+    const startMs = timeMs * start;
+    if (elapsedMs < startMs) {
+      until = startMs;
+      part = evenPart * (index + 1) + loadPart * index;
+      break;
+    }
+    const isLoaded = elapsedMs < startMs + loadMs;
+    if (isLoaded && sent.fresh < evidence) return fairShare;
   }
-  return Math.min(maxShare, share(evidence, timeMs));
+  return Math.min(maxShare, share(evidence * part, until));
 }
--- a/packages/routing/src/testing/rollout_simulation.ts
+++ b/packages/routing/src/testing/rollout_simulation.ts
@@ -14,6 +14,7 @@
 import {
   type AnswerSums,
   encodeTime,
+  isSlowTime,
   noAnswers,
   RolloutEvidence,
   type VersionSums,
@@ -116,7 +117,7 @@
     this.#groups = Array.from({ length: count }, () => ({
       book: RolloutBook.create(),
       evidence: RolloutEvidence.create(),
-      delayMs: isMesh ? 100 + 200 * random.next() : 500 + 1_100 * random.next(),
+      delayMs: isMesh ? 100 + 200 * random.next() : 300 + 1_000 * random.next(),
     }));
     const isLate = options.fault.endsWith("late");
     this.#turnsBadAt = isLate
@@ -313,9 +314,12 @@
     const both = this.#sums.get(key) ?? { fresh: noAnswers, old: noAnswers };
     const before = isFresh ? both.fresh : both.old;
     const value = hasFailed ? 0 : encodeTime(ms);
+    const view = this.#findAt(this.#now - 600).sums.get(key)?.old;
+    const isSlow = !hasFailed && isSlowTime(ms, view);
     const after: AnswerSums = {
       answers: before.answers + 1,
       failures: before.failures + (hasFailed ? 1 : 0),
+      slow: before.slow + (isSlow ? 1 : 0),
       times: before.times + (hasFailed ? 0 : 1),
       sumTime: before.sumTime + value,
       sumTimeSquares: before.sumTimeSquares + value * value,
