--- a/packages/gateway/src/rollouts/rollout_duty.ts
+++ b/packages/gateway/src/rollouts/rollout_duty.ts
@@ -65,6 +65,8 @@
   #control: RolloutControl;
   /** Version of the store as of the last read; undefined before one. */
   #version: number | undefined;
+  /** Whether this holder has read the entries. */
+  #hasRead = false;
   /** Latest time at which the entries were known. */
   #confirmedAt = -Infinity;
   #isListing = false;
@@ -100,6 +102,7 @@
   #discard(): void {
     this.#control = this.#createControl();
     this.#version = undefined;
+    this.#hasRead = false;
   }
 
   #createControl(): RolloutControl {
@@ -138,7 +141,8 @@
       !book.isChecked(replica.service, replica.softwareVersion)
     );
     if (this.#version === undefined || isUnchecked) void this.#list();
-    if (this.#version === undefined) return;
+    // Steps go on while the store is down: its orders were known.
+    if (!this.#hasRead) return;
     this.#control.step(clock.now(), fencingToken);
     for (const due of this.#control.listDue()) {
       if (!this.#writing.has(due.service)) void this.#write(due);
@@ -206,6 +210,7 @@
     const { entries, era } = listed;
     const absentAt = Math.max(this.#confirmedAt, sentAt - watchDelayMs);
     control.applyAll(entries, { era, absentAt, now });
+    this.#hasRead = true;
     this.#confirmedAt = sentAt;
     this.#version = Math.max(this.#version ?? 0, listed.version);
     for (const { service, softwareVersion } of seen) {
@@ -221,7 +226,9 @@
     const { service, to, state } = due;
     const control = this.#control;
     this.#writing.add(service);
+    const sentAt = clock.now();
     const result = await orders.writeState(due);
+    control.recordWriteTime(clock.now() - sentAt);
     const outcome = result.caseOf<WriteOutcome>({
       Left: ({ message }) => ({ kind: "failed", message }),
       Right: (outcome) => outcome,
--- a/packages/routing/src/rollouts/rollout_control.ts
+++ b/packages/routing/src/rollouts/rollout_control.ts
@@ -98,6 +98,8 @@
   readonly #ignored = new Map<string, string>();
   readonly #lastKinds = new Map<string, PlanStep["kind"]>();
   #steps = 0;
+  /** Time that the last write took. */
+  #writeMs = 0;
 
   private constructor(options: RolloutControlOptions) {
     this.#options = options;
@@ -184,6 +186,11 @@
     if (state !== "in_progress") this.#end(record, state, now);
   }
 
+  /** Records how long a write took, answered or not. */
+  recordWriteTime(ms: number): void {
+    this.#writeMs = ms;
+  }
+
   #findDueState(record: RolloutRecord): RolloutState {
     if (hasEnded(record)) return record.state;
     if (record.stopReason !== undefined) return "reverted";
@@ -307,6 +314,7 @@
       limit,
       oldReplicas,
       freshReplicas,
+      writeMs: this.#writeMs,
     });
     const verdict = plan.kind === "shift" || plan.kind === "complete"
       ? evidence.checkEnd(sums, now)
--- a/packages/routing/src/rollouts/rollout_plan.ts
+++ b/packages/routing/src/rollouts/rollout_plan.ts
@@ -26,6 +26,8 @@
   readonly limit: ExposureLimit;
   readonly oldReplicas: number;
   readonly freshReplicas: number;
+  /** Time that the last write to the store took. */
+  readonly writeMs: number;
 }
 
 /** What to do now. */
@@ -45,7 +47,9 @@
 /** Time before the end at which the completion is written. */
 const writeMarginMs = 700;
 /** Part of that time below which a completion would come too late. */
-const leastMargin = 0.4;
+const leastMargin = 0.8;
+/** Time beyond twice that of the last write, for the interval of steps. */
+const stepSpareMs = 300;
 /** Largest part of the duration that the write may take. */
 const writeMarginShare = 0.15;
 /** Longest time before the end at which all traffic shifts. */
@@ -55,7 +59,11 @@
 /** Part of the bound for evidence where there is enough left for the shift. */
 const evidenceShare = 0.75;
 /** The same where the shift would take all of it. */
-const leastEvidenceShare = 0.55;
+const leastEvidenceShare = 0.6;
+/** Part of the bound that is kept from it for a slow store. */
+const slowStoreShare = 0.2;
+/** Time of a write at which the store is slow. */
+const slowWriteMs = 500;
 /** Begins of the times under load within the time for evidence. */
 const loadStarts: readonly number[] = [0.4, 0.75];
 /** Part of the evidence's requests that are sent in each of them. */
@@ -69,11 +77,14 @@
 
 /** Computes the step. */
 export function computeStep(inputs: PlanInputs): PlanStep {
-  const { durationMs, elapsedMs, sent, requestsPerSecond } = inputs;
+  const { durationMs, elapsedMs, sent, requestsPerSecond, writeMs } = inputs;
   const leftMs = durationMs - elapsedMs;
   if (leftMs <= 0) return { kind: "late" };
   const perMs = requestsPerSecond / 1_000;
-  const marginMs = Math.min(writeMarginMs, durationMs * writeMarginShare);
+  const marginMs = Math.min(
+    Math.max(writeMarginMs, stepSpareMs + 2 * writeMs),
+    durationMs * writeMarginShare,
+  );
   const bound = computeBound(inputs, leftMs);
   const shiftMs = Math.min(
     maxShiftMs,
@@ -81,13 +92,21 @@
     perMs === 0 ? Infinity : (bound - sent.fresh) / perMs,
   );
   // Completion, too, has to be paid from what is left of the bound.
-  if (leftMs <= Math.min(marginMs, Math.max(shiftMs, marginMs * leastMargin))) {
+  if (
+    leftMs <=
+      Math.min(
+        marginMs,
+        Math.max(shiftMs, Math.min(marginMs, writeMarginMs) * leastMargin),
+      )
+  ) {
     return { kind: "complete" };
   }
   if (leftMs <= shiftMs) return { kind: "shift" };
   const reserve = perMs * marginMs;
   const evidence = Math.max(
-    bound * leastEvidenceShare,
+    bound *
+      (leastEvidenceShare -
+        slowStoreShare * Math.min(1, writeMs / slowWriteMs)),
     Math.min(bound - reserve, bound * evidenceShare),
   );
   return {
