--- a/packages/gateway/src/rollouts/rollout_news.ts
+++ b/packages/gateway/src/rollouts/rollout_news.ts
@@ -24,6 +24,7 @@
   state: z.enum(["in_progress", "completed", "reverted"]),
   number: z.number(),
   share: z.number(),
+  most: z.number(),
   issuedAgoMs: z.number(),
   isFinishing: z.boolean(),
   stopReason: z.string().optional(),
@@ -102,6 +103,7 @@
     state,
     number: step.number,
     share: step.share,
+    most: step.most,
     issuedAgoMs: Math.round(now - step.issuedAt),
     isFinishing: step.isFinishing,
     ...(stopReason === undefined
@@ -123,6 +125,7 @@
     step: {
       number: told.number,
       share: told.share,
+      most: told.most,
       issuedAt: now - told.issuedAgoMs,
       isFinishing: told.isFinishing,
     },
--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -86,11 +86,16 @@
 /** Time after its end for which an order's counts are kept. */
 const keepCountsMs = 10_000;
 
+/** Rule by which the new version gets a share. */
+type ShareRule = Extract<VersionRule, { kind: "share" }>;
+
 /** What a node keeps of an order in progress. */
 interface OrderWatch {
   readonly evidence: RolloutEvidence;
   /** Requests of all nodes at times of the rate's window. */
   sent: { readonly at: number; readonly all: number }[];
+  /** Requests of all nodes to the new version as of the last check. */
+  freshSent: number;
   /** Sums over all nodes as of the last check. */
   sums: VersionSums;
 }
@@ -125,7 +130,11 @@
           ),
         ];
       case "share":
-        return this.#listShares(rule, states, version);
+        return this.#listShares(
+          this.#limitShare(service, rule),
+          states,
+          version,
+        );
     }
   }
 
@@ -201,7 +210,8 @@
       const watch = this.#watch(id);
       const sums = counts.readSums(id);
       watch.sums = sums;
-      const all = counts.readSent(id).all;
+      const { all, fresh } = counts.readSent(id);
+      watch.freshSent = fresh;
       watch.sent.push({ at: now, all });
       watch.sent = watch.sent.filter(({ at }) => now - at <= rateWindowMs);
       if (record.stopReason !== undefined) continue;
@@ -224,6 +234,7 @@
     const watch = {
       evidence: RolloutEvidence.create(),
       sent: [],
+      freshSent: 0,
       sums: new Map(),
     };
     this.#watches.set(id, watch);
@@ -243,8 +254,16 @@
     return book.readRule(service, versions, now);
   }
 
+  /** Gives the new version nothing once it has got what its step allows. */
+  #limitShare(service: string, rule: ShareRule): ShareRule {
+    const record = this.#options.book.find(service);
+    if (record === undefined) return rule;
+    const { freshSent } = this.#watch(record.order.id);
+    return freshSent >= record.step.most ? { ...rule, share: 0 } : rule;
+  }
+
   #listShares(
-    { to, share, mayFallBack }: Extract<VersionRule, { kind: "share" }>,
+    { to, share, mayFallBack }: ShareRule,
     states: readonly ReplicaState[],
     version: string | undefined,
   ): readonly (readonly ReplicaState[])[] {
--- a/packages/routing/src/rollouts/rollout.ts
+++ b/packages/routing/src/rollouts/rollout.ts
@@ -23,6 +23,11 @@
   readonly number: number;
   /** Share of new requests for the new version, in [0, 1]. */
   readonly share: number;
+  /**
+   * Requests that the new version may have got from all nodes, by the counts that
+   * a node has: it bounds what a share costs that outlives its holder.
+   */
+  readonly most: number;
   /** Monotonic time at which the holder issued it, in milliseconds. */
   readonly issuedAt: number;
   /**
--- a/packages/routing/src/rollouts/rollout_control.ts
+++ b/packages/routing/src/rollouts/rollout_control.ts
@@ -86,6 +86,8 @@
   readonly onEvent: (event: RolloutEvent) => void;
 }
 
+/** Number of requests that no order reaches. */
+const unlimited = 1e9;
 /** Steps that one holder can number. */
 const stepsPerHolder = 1_000_000;
 /** Time after the end for which the answer to a completion is waited for. */
@@ -278,7 +280,13 @@
       state: state === undefined || state === "in_progress"
         ? (isRunning ? "completed" : "in_progress")
         : state,
-      step: { number: 0, share: 0, issuedAt: now, isFinishing: false },
+      step: {
+        number: 0,
+        share: 0,
+        most: 0,
+        issuedAt: now,
+        isFinishing: false,
+      },
       stopReason: state === "in_progress"
         ? "no node knows how far it had got"
         : undefined,
@@ -332,6 +340,7 @@
       step: {
         number: fencingToken * stepsPerHolder + this.#steps,
         share: readPlannedShare(plan),
+        most: plan.kind === "share" ? Math.round(plan.most) : unlimited,
         issuedAt: now,
         isFinishing: isFinishing || plan.kind === "complete",
       },
--- a/packages/routing/src/rollouts/rollout_plan.ts
+++ b/packages/routing/src/rollouts/rollout_plan.ts
@@ -32,7 +32,12 @@
 
 /** What to do now. */
 export type PlanStep =
-  | { readonly kind: "share"; readonly share: number }
+  | {
+    readonly kind: "share";
+    readonly share: number;
+    /** Requests that the new version may have got before the next step. */
+    readonly most: number;
+  }
   /** All traffic goes to the new version. */
   | { readonly kind: "shift" }
   /** The same, and the completion is due. */
@@ -70,6 +75,10 @@
 const loadPart = 0.33;
 /** Part of them that is sent before each of them. */
 const evenPart = 0.13;
+/** Part of the evidence's requests beyond which no time under load goes on. */
+const loadedPart = 0.85;
+/** Largest share, relative to an even one, outside of times under load. */
+const catchUpFactor = 2;
 /** Largest share before all traffic shifts. */
 const maxShare = 0.5;
 /** Shortest time over which a remainder is spread. */
@@ -92,25 +101,19 @@
     perMs === 0 ? Infinity : (bound - sent.fresh) / perMs,
   );
   // Completion, too, has to be paid from what is left of the bound.
-  if (
-    leftMs <=
-      Math.min(
-        marginMs,
-        Math.max(shiftMs, Math.min(marginMs, writeMarginMs) * leastMargin),
-      )
-  ) {
-    return { kind: "complete" };
-  }
+  const leastMs = Math.min(marginMs, writeMarginMs) * leastMargin;
+  const completeMs = Math.min(marginMs, Math.max(shiftMs, leastMs));
+  if (leftMs <= completeMs) return { kind: "complete" };
   if (leftMs <= shiftMs) return { kind: "shift" };
   const reserve = perMs * marginMs;
+  const slowness = Math.min(1, writeMs / slowWriteMs);
   const evidence = Math.max(
-    bound *
-      (leastEvidenceShare -
-        slowStoreShare * Math.min(1, writeMs / slowWriteMs)),
+    bound * (leastEvidenceShare - slowStoreShare * slowness),
     Math.min(bound - reserve, bound * evidenceShare),
   );
   return {
     kind: "share",
+    most: evidence,
     share: computeShare(inputs, {
       evidence,
       timeMs: durationMs - marginMs,
@@ -145,9 +148,11 @@
     (perMs * Math.max(minSpreadMs, until - elapsedMs));
   const fairShare = Math.min(maxShare, 1 / Math.max(1, oldReplicas));
   const evenShare = evidence / (perMs * timeMs);
+  // What was missed is not made up at once: counts are a second old.
+  const largestShare = Math.min(maxShare, evenShare * catchUpFactor);
   // With enough replicas, some of them have the load of an old one all the time.
   if (evenShare >= fairShare) {
-    return Math.min(maxShare, share(evidence, timeMs));
+    return Math.min(largestShare, share(evidence, timeMs));
   }
   const loadMs = evidence * loadPart / (perMs * fairShare);
   let until = timeMs;
@@ -160,7 +165,7 @@
       break;
     }
     const isLoaded = elapsedMs < startMs + loadMs;
-    if (isLoaded && sent.fresh < evidence) return fairShare;
+    if (isLoaded && sent.fresh < evidence * loadedPart) return fairShare;
   }
-  return Math.min(maxShare, share(evidence * part, until));
+  return Math.min(largestShare, share(evidence * part, until));
 }
