--- a/packages/gateway/src/gateway_status.ts
+++ b/packages/gateway/src/gateway_status.ts
@@ -5,8 +5,11 @@
 import type {
   GatewayStatus,
   ReplicaStatus,
+  RolloutStatus,
 } from "@almondcrank/model/gateway_status.ts";
+import { readShare } from "@almondcrank/routing/rollouts/rollout_book.ts";
 import type { ReplicaState } from "./choice/replica_state.ts";
+import type { RolloutParts } from "./rollouts/rollout_parts.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 
 /** Part of the status that only the running process knows. */
@@ -43,9 +46,36 @@
     peers: listPeers(parts),
     allowances: parts.rateLimiter.listLevels(now)
       .map(([tenant, left]) => ({ tenant, left })),
+    rollouts: parts.rollouts === undefined
+      ? []
+      : listRollouts(parts.rollouts, suspensionClock.now()),
   };
 }
 
+function listRollouts(
+  { book, gate }: RolloutParts,
+  now: number,
+): RolloutStatus[] {
+  return book.list().map((record) => {
+    const { order, state, step, stopReason = null } = record;
+    const { sent, sums } = gate.readCounts(record);
+    const fresh = [...sums.values()].map(({ fresh }) => fresh);
+    return {
+      service: order.service,
+      to: order.to,
+      state,
+      share: roundShare(readShare(record, now)),
+      stepAgeMs: Math.round(now - step.issuedAt),
+      stopReason,
+      sent: sent.all,
+      sentToNew: sent.fresh,
+      answersOfNew: fresh.reduce((sum, { answers }) => sum + answers, 0),
+      badAnswersOfNew: fresh
+        .reduce((sum, { failures, slow }) => sum + failures + slow, 0),
+    };
+  });
+}
+
 function composeReplica(state: ReplicaState, now: number): ReplicaStatus {
   const { replica, totalLoad: load } = state;
   return {
--- a/packages/model/src/gateway_status.ts
+++ b/packages/model/src/gateway_status.ts
@@ -37,6 +37,25 @@
   left: z.number(),
 });
 
+const rolloutStatus = z.object({
+  service: z.string(),
+  /** Software version that the service moves to. */
+  to: z.string(),
+  state: z.enum(["in_progress", "completed", "reverted"]),
+  /** Share of requests for the new version that this node gives it now. */
+  share: z.number(),
+  /** Age of the step in force. */
+  stepAgeMs: z.number(),
+  /** Why the version gets nothing more; null while it may. */
+  stopReason: z.string().nullable(),
+  /** Requests of all nodes since the order, and those to the new version. */
+  sent: z.number(),
+  sentToNew: z.number(),
+  /** Answers of the new version to all nodes, and those that failed or were slow. */
+  answersOfNew: z.number(),
+  badAnswersOfNew: z.number(),
+});
+
 /** Schema of the status on the wire. */
 export const gatewayStatusSchema = z.object({
   node: z.string(),
@@ -51,9 +70,13 @@
   replicas: z.array(replicaStatus),
   peers: z.array(peerStatus),
   allowances: z.array(allowanceStatus),
+  /** Last order of each service, where operators order rollouts. */
+  rollouts: z.array(rolloutStatus).default([]),
 });
 
 /** Status of one node. */
 export type GatewayStatus = z.infer<typeof gatewayStatusSchema>;
+/** Status of an operators' order. */
+export type RolloutStatus = z.infer<typeof rolloutStatus>;
 /** Status of one replica. */
 export type ReplicaStatus = z.infer<typeof replicaStatus>;
--- a/packages/routing/src/rollouts/rollout_evidence.ts
+++ b/packages/routing/src/rollouts/rollout_evidence.ts
@@ -52,7 +52,7 @@
 const endLimits: Limits = {
   probability: 2e-3,
   errors: 3.3,
-  difference: 0.25,
+  difference: 0.3,
 };
 /** Bad answers without which a version is not bad. */
 const minBadAnswers = 3;
