--- a/packages/gateway/src/testing/rollout_nodes.ts
+++ b/packages/gateway/src/testing/rollout_nodes.ts
@@ -193,9 +193,11 @@
           return lease.fencingToken;
         },
         readProof: () =>
-          lease.fencingToken === undefined
-            ? undefined
-            : { holder: name, fencingToken: lease.fencingToken },
+          lease.fencingToken === undefined ? undefined : {
+            holder: name,
+            fencingToken: lease.fencingToken,
+            isValid: () => lease.fencingToken !== undefined,
+          },
       },
       table,
       limit: rolloutLimit,
--- a/packages/routing/src/testing/rollout_simulation.ts
+++ b/packages/routing/src/testing/rollout_simulation.ts
@@ -58,8 +58,14 @@
 const stepMs = 200;
 const routes = [0.6, 0.25, 0.15];
 const service = "models";
-/** Most nodes exchange reports directly; more of them use relays. */
+/** Up to so many nodes exchange reports directly; more of them use relays. */
 const meshNodes = 13;
+/** Number of nodes from which on they report in the long interval. */
+const longTickNodes = 130;
+/** Largest number of groups of nodes that are told apart. */
+const largestGroups = 24;
+/** Time that a datagram takes, with the work at both ends. */
+const hopMs = 20;
 
 interface Group {
   readonly book: RolloutBook;
@@ -112,12 +118,11 @@
     this.#options = options;
     const random = Random.create(options.seed);
     this.#random = random;
-    const count = Math.min(options.nodes, 12);
-    const isMesh = options.nodes <= meshNodes;
+    const count = Math.min(options.nodes, largestGroups);
     this.#groups = Array.from({ length: count }, () => ({
       book: RolloutBook.create(),
       evidence: RolloutEvidence.create(),
-      delayMs: isMesh ? 100 + 200 * random.next() : 300 + 1_000 * random.next(),
+      delayMs: drawDelay(options.nodes, random),
     }));
     const isLate = options.fault.endsWith("late");
     this.#turnsBadAt = isLate
@@ -352,6 +357,17 @@
   }
 }
 
+/** Time until a report has reached a node: one hop, or three over relays. */
+function drawDelay(nodes: number, random: Random): number {
+  const hops = nodes <= meshNodes ? 1 : 3;
+  const reportMs = nodes >= longTickNodes ? 400 : 200;
+  let delayMs = 0;
+  for (let hop = 0; hop < hops; hop += 1) {
+    delayMs += hopMs + reportMs * random.next();
+  }
+  return delayMs;
+}
+
 function readCurrentShare(record: RolloutRecord, now: number): number {
   switch (record.state) {
     case "completed":
