--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -127,8 +127,9 @@
     if (!isMoved) runs.recordRun(this.#request.tenant?.name);
   }
 
-  /** Records that a replica failed the stream with a whole answer of its own. */
-  recordFailure(choice: EngineChoice): void {
+  /** Records that a replica gave a whole answer that is no stream. */
+  recordFailure(choice: EngineChoice, status = 0): void {
+    if (status < 500) return;
     this.#recordAnswer(choice, "first", undefined, true);
   }
 
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -215,8 +215,7 @@
     const { choice, pendingSend } = send;
     this.#send = send;
     this.#move = undefined;
-    const standby = this.#createStandby(send);
-    this.#standby = standby;
+    const standby = this.#standby = this.#createStandby(send);
     const registration = this.#registry.add(choice.state.key, this);
     try {
       const outcome = await pendingSend.outcome;
@@ -316,9 +315,7 @@
       }
       return this.#endSegment("lost");
     }
-    if ((response.statusCode ?? 0) >= 500) {
-      this.#recorder.recordFailure(send.choice);
-    }
+    this.#recorder.recordFailure(send.choice, response.statusCode);
     if (this.#attempts.canResume || this.#response.headersSent) {
       return this.#endSegment("failed");
     }
@@ -352,21 +349,18 @@
   }
 
   #createStandby(send: StreamSend): StreamStandby {
-    const { choice, aborter } = send;
     return StreamStandby.create({
       clock: this.#services.clock,
-      state: choice.state,
-      ...computeStallTimeouts(this.#request, choice.predictedMs),
-      openSend: () => {
-        if (this.#events === 0) this.#recorder.recordSilence(send);
-        return this.#openStandbySend();
-      },
-      onReady: () => aborter.abort(),
+      state: send.choice.state,
+      ...computeStallTimeouts(this.#request, send.choice.predictedMs),
+      openSend: () => this.#openStandbySend(send),
+      onReady: () => send.aborter.abort(),
     });
   }
 
   /** Sends the stream to a second replica, if one is left and a retry may be. */
-  #openStandbySend(): StreamSend | undefined {
+  #openStandbySend(silent: StreamSend): StreamSend | undefined {
+    if (this.#events === 0) this.#recorder.recordSilence(silent);
     if (!this.#attempts.canResume || this.#move !== undefined) return undefined;
     const choice = this.#choose({ target: undefined, mayReuse: false });
     if (choice === undefined) return undefined;
--- a/packages/gateway/src/rollouts/rollout_duty.ts
+++ b/packages/gateway/src/rollouts/rollout_duty.ts
@@ -46,7 +46,7 @@
 /** Dependencies of the duty. */
 export interface RolloutDutyOptions {
   readonly orders: RolloutOrders;
-  readonly lease: Pick<DutyLease, "fencingToken" | "readProof">;
+  readonly lease: Pick<DutyLease, "fencingToken">;
   readonly book: RolloutBook;
   readonly gate: RolloutGate;
   readonly table: ReplicaTable;
@@ -222,7 +222,8 @@
 
   async #write(due: DueState): Promise<void> {
     const { clock, orders, lease, log, metrics } = this.#options;
-    if (lease.readProof() === undefined) return;
+    // The condition on the version keeps a holder that is late from undoing an end.
+    if (lease.fencingToken === undefined) return;
     const { service, to, state } = due;
     const control = this.#control;
     this.#writing.add(service);
--- a/packages/gateway/src/testing/rollout_nodes.ts
+++ b/packages/gateway/src/testing/rollout_nodes.ts
@@ -192,12 +192,6 @@
         get fencingToken() {
           return lease.fencingToken;
         },
-        readProof: () =>
-          lease.fencingToken === undefined ? undefined : {
-            holder: name,
-            fencingToken: lease.fencingToken,
-            isValid: () => lease.fencingToken !== undefined,
-          },
       },
       table,
       limit: rolloutLimit,
--- a/packages/standin/src/platform/replica_fault.ts
+++ b/packages/standin/src/platform/replica_fault.ts
@@ -49,6 +49,13 @@
   /** Answered before the body is read; the body is read `afterMs` later. */
   | { readonly kind: "early"; readonly afterMs: number };
 
+/** What a fault may depend on. */
+export interface FaultChoice {
+  readonly path: string;
+  /** Requests that run already. */
+  readonly running: number;
+}
+
 /** Pause between two writes of endless bytes, in milliseconds. */
 const endlessPauseMs = 1;
 const endlessHeadLine = `X-Filler: ${"f".repeat(1_000)}\r\n`;
