--- a/packages/routing/src/rollouts/rollout_evidence.ts
+++ b/packages/routing/src/rollouts/rollout_evidence.ts
@@ -159,15 +159,22 @@
         ...this.#snapshots.slice(Math.max(0, base)).map(({ sums }) => sums),
         sums,
       ];
+      const comparisons: Comparison[] = [];
       for (const route of sums.keys()) {
         const comparison = composeComparison(
           parts.map((part) => part.get(route) ?? noVersions),
         );
+        comparisons.push(comparison);
         const reason = compareVersions(comparison, limits);
         if (reason !== undefined) {
           return { kind: "bad", reason: `${route}: ${reason}` };
         }
       }
+      // A small part of bad answers shows earlier in all routes together.
+      const reason = compareRates(addComparisons(comparisons), limits);
+      if (reason !== undefined) {
+        return { kind: "bad", reason: `all routes: ${reason}` };
+      }
     }
     return { kind: "sound" };
   }
@@ -242,8 +249,35 @@
   comparison: Comparison,
   limits: Limits,
 ): string | undefined {
-  return compareFailures(comparison, limits) ??
-    compareSlow(comparison, limits) ?? compareTimes(comparison, limits);
+  return compareRates(comparison, limits) ?? compareTimes(comparison, limits);
+}
+
+function compareRates(
+  comparison: Comparison,
+  limits: Limits,
+): string | undefined {
+  return compareFailures(comparison, limits) ?? compareSlow(comparison, limits);
+}
+
+/** Adds the answers of several routes, and what was expected of each. */
+function addComparisons(comparisons: readonly Comparison[]): Comparison {
+  let total: Comparison = {
+    fresh: noAnswers,
+    old: noAnswers,
+    expected: { failures: 0, slow: 0, sumTime: 0 },
+  };
+  for (const { fresh, old, expected } of comparisons) {
+    total = {
+      fresh: addSums(total.fresh, fresh),
+      old: addSums(total.old, old),
+      expected: {
+        failures: total.expected.failures + expected.failures,
+        slow: total.expected.slow + expected.slow,
+        sumTime: total.expected.sumTime + expected.sumTime,
+      },
+    };
+  }
+  return total;
 }
 
 function compareFailures(
@@ -334,6 +368,10 @@
   return Math.max(0, 1 - below);
 }
 
+function addSums(sums: AnswerSums, more: AnswerSums): AnswerSums {
+  return subtractSums(sums, subtractSums(noAnswers, more));
+}
+
 function subtractSums(sums: AnswerSums, base: AnswerSums): AnswerSums {
   return {
     answers: sums.answers - base.answers,
