--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -98,7 +98,7 @@
     const states = table.listUsable(name);
     const request = { zone, now: clock.now(), draw: random.next() };
     let choice: CallChoice | undefined;
-    for (const allowed of gate.narrow(name, states)) {
+    for (const allowed of gate.listAllowed(name, states)) {
       choice ??= chooseCallReplica(allowed, {
         ...request,
         excluded: this.#tried,
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -63,7 +63,7 @@
     traits: service.engine ?? nonEngineTraits,
     now: clock.now(),
   };
-  const allowed = gate.narrow(service.name, states, version);
+  const allowed = gate.listAllowed(service.name, states, version);
   const choose = (
     lists: readonly (readonly ReplicaState[])[],
     excluded: ReadonlySet<string>,
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -103,7 +103,11 @@
     if (service.engine === undefined) return undefined;
     const { softwareVersion } = source.replica;
     const states = table.listUsable(service.name, softwareVersion);
-    const [allowed = []] = gate.narrow(service.name, states, softwareVersion);
+    const [allowed = []] = gate.listAllowed(
+      service.name,
+      states,
+      softwareVersion,
+    );
     return chooseEngine(allowed, {
       parts: [],
       promptTokens,
--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -44,7 +44,7 @@
    *
    * @param version Software version that a stream has to continue at.
    */
-  narrow(
+  listAllowed(
     service: string,
     states: readonly ReplicaState[],
     version?: string,
@@ -60,7 +60,7 @@
 /** Creates a gate that lets all requests pass. */
 export function createOpenGate(): VersionGate {
   return {
-    narrow: (_, states) => [states],
+    listAllowed: (_, states) => [states],
     maySend: () => true,
     recordSend: () => {},
     recordAnswer: () => {},
@@ -114,7 +114,7 @@
     return new RolloutGate(options);
   }
 
-  narrow(
+  listAllowed(
     service: string,
     states: readonly ReplicaState[],
     version?: string,
--- a/packages/gateway/src/testing/rollout_nodes.ts
+++ b/packages/gateway/src/testing/rollout_nodes.ts
@@ -273,7 +273,7 @@
     this.#count += 1;
     const { table, parts: { gate }, name } = node;
     const states = table.listUsable(rolloutService);
-    const [state] = gate.narrow(rolloutService, states)
+    const [state] = gate.listAllowed(rolloutService, states)
       .filter((list) => list.length > 0)
       .map((list) => list[Math.floor(this.random.next() * list.length)]);
     if (state === undefined) {
