--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -215,8 +215,7 @@
     const { choice, pendingSend } = send;
     this.#send = send;
     this.#move = undefined;
-    const standby = this.#createStandby(send);
-    this.#standby = standby;
+    const standby = this.#standby = this.#createStandby(send);
     const registration = this.#registry.add(choice.state.key, this);
     try {
       const outcome = await pendingSend.outcome;
@@ -316,6 +315,7 @@
       }
       return this.#endSegment("lost");
     }
+    this.#recorder.recordFailure(send.choice, response.statusCode);
     if (this.#attempts.canResume || this.#response.headersSent) {
       return this.#endSegment("failed");
     }
@@ -348,18 +348,19 @@
     return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
   }
 
-  #createStandby({ choice, aborter }: StreamSend): StreamStandby {
+  #createStandby(send: StreamSend): StreamStandby {
     return StreamStandby.create({
       clock: this.#services.clock,
-      state: choice.state,
-      ...computeStallTimeouts(this.#request, choice.predictedMs),
-      openSend: () => this.#openStandbySend(),
-      onReady: () => aborter.abort(),
+      state: send.choice.state,
+      ...computeStallTimeouts(this.#request, send.choice.predictedMs),
+      openSend: () => this.#openStandbySend(send),
+      onReady: () => send.aborter.abort(),
     });
   }
 
   /** Sends the stream to a second replica, if one is left and a retry may be. */
-  #openStandbySend(): StreamSend | undefined {
+  #openStandbySend(silent: StreamSend): StreamSend | undefined {
+    if (this.#events === 0) this.#recorder.recordSilence(silent);
     if (!this.#attempts.canResume || this.#move !== undefined) return undefined;
     const choice = this.#choose({ target: undefined, mayReuse: false });
     if (choice === undefined) return undefined;
--- a/packages/standin/src/platform/replica_fault.ts
+++ b/packages/standin/src/platform/replica_fault.ts
@@ -12,6 +12,10 @@
   | { readonly kind: "decline" }
   /** The same, with a time for which the node should send nothing more. */
   | { readonly kind: "pause"; readonly seconds: number }
+  /** A failure as answer, signed. */
+  | { readonly kind: "fail" }
+  /** Answered `ms` later than usual. */
+  | { readonly kind: "slow"; readonly ms: number }
   /** Run; then the connection is reset without an answer. */
   | { readonly kind: "lose_answer" }
   /** The connection is reset in the middle of the event after `events`. */
@@ -45,6 +49,13 @@
   /** Answered before the body is read; the body is read `afterMs` later. */
   | { readonly kind: "early"; readonly afterMs: number };
 
+/** What a fault may depend on. */
+export interface FaultChoice {
+  readonly path: string;
+  /** Requests that run already. */
+  readonly running: number;
+}
+
 /** Pause between two writes of endless bytes, in milliseconds. */
 const endlessPauseMs = 1;
 const endlessHeadLine = `X-Filler: ${"f".repeat(1_000)}\r\n`;
