--- a/packages/gateway/src/rollouts/rollout_duty.ts
+++ b/packages/gateway/src/rollouts/rollout_duty.ts
@@ -265,9 +265,6 @@
   }
 
   #logEvent({ kind, service, to, reason }: RolloutEvent): void {
-    if (process.env.DBG) {
-      console.error("EV", Math.round(performance.now()), kind, to, reason);
-    }
     const { log, metrics } = this.#options;
     metrics.count("rollout_events_total", { kind });
     const fields = { service, to, reason };
