--- /dev/null
+++ b/packages/common/src/http_server_test.ts
@@ -0,0 +1,77 @@
+/**
+ * Planned stop of a server under load: what has arrived is answered, and answers
+ * that are being sent are sent to their end.
+ */
+
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { HttpServer } from "./http_server.ts";
+
+const largeBytes = 33_554_432;
+const request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/** Keeps the event loop from running. */
+function block(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
+
+async function openClient(address: string): Promise<Socket> {
+  const [host, port] = address.split(":");
+  const socket = connect({ host: host ?? "", port: Number(port) });
+  socket.on("error", () => {});
+  await once(socket, "connect");
+  return socket;
+}
+
+/** Reads until the connection ends; returns the number of bytes. */
+async function countBytes(socket: Socket): Promise<number> {
+  let bytes = 0;
+  socket.on("data", (chunk: Buffer) => bytes += chunk.length);
+  await new Promise((resolve) => socket.once("close", resolve));
+  return bytes;
+}
+
+test("a request that arrived before the stop is answered on an open connection", async () => {
+  const server = await HttpServer.open({
+    address: "127.0.0.1:0",
+    routes: [{
+      method: "GET",
+      path: "/",
+      handle: ({ response }) => void response.end("whole"),
+    }],
+  });
+  const socket = await openClient(server.address);
+  socket.write(request);
+  await once(socket, "data");
+  // The next request arrives while the loop of the server stands still.
+  socket.write(request);
+  block(20);
+  const closed = server.close();
+  const bytes = await countBytes(socket);
+  await closed;
+  assert.ok(bytes > 0);
+});
+
+test("an answer that is being sent at the stop is sent to its end", async () => {
+  const server = await HttpServer.open({
+    address: "127.0.0.1:0",
+    routes: [{
+      method: "GET",
+      path: "/",
+      handle: ({ response }) => void response.end(Buffer.alloc(largeBytes)),
+    }],
+  });
+  const socket = await openClient(server.address);
+  socket.write(request);
+  await once(socket, "readable");
+  const closed = server.close();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const bytes = await countBytes(socket);
+  await closed;
+  assert.ok(bytes > largeBytes, `${bytes}`);
+});
+
+test.run();
--- a/packages/endpoint/src/http_plain_endpoint_test.ts
+++ b/packages/endpoint/src/http_plain_endpoint_test.ts
@@ -98,6 +98,17 @@
   });
 });
 
+test("an answer that only the end of its connection delimits may be a part", async () => {
+  for (const end of ["end", "resetAndDestroy"] as const) {
+    await runWith((socket) => {
+      const head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+      socket.write(`${head}part`, () => socket[end]());
+    }, async (address) => {
+      assert.equal(await readFailure(address), ["connection_lost", "unknown"]);
+    });
+  }
+});
+
 test("a declined call did not run, an ordinary 503 is an answer", async () => {
   let declineHeader = "x-run: not_run\r\n";
   await runWith((socket) => {
--- a/packages/fleet/src/order_sender_test.ts
+++ b/packages/fleet/src/order_sender_test.ts
@@ -1,9 +1,11 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { Left, Right } from "purify-ts";
 import type { Either } from "purify-ts";
 import fc from "fast-check";
 import * as assert from "uvu/assert";
 import { test } from "uvu";
-import type { Clock } from "@almondcrank/common/clock.ts";
+import { type Clock, SystemClock } from "@almondcrank/common/clock.ts";
 import { type Hasher, openHasher } from "@almondcrank/common/hashing.ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
@@ -15,6 +17,7 @@
   EngineState,
   Order,
 } from "@almondcrank/endpoint/engine.ts";
+import { HttpEngine } from "@almondcrank/endpoint/http_engine.ts";
 import { MemoryObjectStore } from "@almondcrank/infrastructure/memory_object_store.ts";
 import type { ObjectStore } from "@almondcrank/infrastructure/object_store.ts";
 import { Lease } from "./lease.ts";
@@ -286,6 +289,52 @@
   assert.is(recorder.effects.length, 2);
 });
 
+test("an order whose lease lapses while its connection is made is not sent", async () => {
+  const clock = ManualClock.create();
+  let pauseMs = 0;
+  // Time goes on without firing timers, as in a process that was paused.
+  const paused: Clock = {
+    now: () => clock.now() + pauseMs,
+    wallTime: () => clock.wallTime(),
+    sleep: (ms, signal) => clock.sleep(ms, signal),
+  };
+  const lease = Lease.create({
+    store: MemoryObjectStore.create(clock),
+    clock: paused,
+    shard: "muc-1",
+    holder: "a",
+    durationMs: 60_000,
+  });
+  await lease.acquire();
+  let received = 0;
+  const server = createServer((_, response) => {
+    received += 1;
+    response.end();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  const engine = HttpEngine.create({
+    endpoint: { name: "e", address },
+    clock: SystemClock.create(),
+  });
+  const metrics = Metrics.create();
+  const sender = OrderSender.create({
+    lease,
+    clock: paused,
+    metrics,
+    holder: "a",
+  });
+  const endpoint = createEndpoint("e");
+  const sent = sender.send({ engine, endpoint }, { role: "serve", models: [] });
+  pauseMs = 60_000;
+  const error = (await sent).swap().unsafeCoerce();
+  engine.dispose();
+  server.close();
+  assert.is(received, 0);
+  assert.is(error.kind, "endpoint");
+});
+
 test("an order refused for a newer fencing token gives up the lease", async () => {
   const clock = ManualClock.create();
   const lease = Lease.create({
