--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -6,7 +6,7 @@
  * connection existed, the engine may have read the request.
  */
 
-import { Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import { type Either, Left, Right } from "purify-ts";
 import type { z } from "zod";
 import type { Clock } from "@almondcrank/common/clock.ts";
@@ -24,6 +24,7 @@
   LoadReport,
   Order,
 } from "./engine.ts";
+import { createCallIds } from "./call_id.ts";
 import { EndpointError } from "./endpoint_error.ts";
 import {
   cacheEventBatchSchema,
@@ -90,6 +91,7 @@
   readonly #clock: Clock;
   readonly #callTimeoutMs: number;
   readonly #pool: Pool;
+  readonly #dispatcher: Dispatcher;
   readonly #calls = RunningCalls.create();
 
   private constructor(options: HttpEngineOptions) {
@@ -102,6 +104,7 @@
       keepAliveTimeout: keepAliveTimeoutMs,
       pipelining: 1,
     });
+    this.#dispatcher = this.#pool.compose(createCallIds());
   }
 
   static create(options: HttpEngineOptions): HttpEngine {
@@ -129,7 +132,7 @@
     // Whether the engine has no state of this request that a cancel would remove.
     let engineEnded = false;
     try {
-      const { statusCode, body } = await this.#pool.request({
+      const { statusCode, body } = await this.#dispatcher.request({
         method: "POST",
         path: "/generate",
         headers: { "content-type": "application/json" },
@@ -282,7 +285,7 @@
       if (!finished.signal.aborted) timeout.abort();
     });
     try {
-      const answer = await this.#pool.request({
+      const answer = await this.#dispatcher.request({
         method,
         path,
         headers: { "content-type": "application/json" },
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -16,6 +16,7 @@
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import { createInterimLimit } from "./answer_limits.ts";
+import { createCallIds } from "./call_id.ts";
 import { EndpointError, type EndpointErrorDetail } from "./endpoint_error.ts";
 import { RunningCalls } from "./running_calls.ts";
 import type {
@@ -69,6 +70,7 @@
   readonly name: string;
   readonly #clock: Clock;
   readonly #pool: Pool;
+  readonly #dispatcher: Dispatcher;
   readonly #maxAnswerBytes: number;
   readonly #calls = RunningCalls.create();
 
@@ -84,6 +86,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    this.#dispatcher = this.#pool.compose(createCallIds());
   }
 
   static create(options: HttpPlainEndpointOptions): HttpPlainEndpoint {
@@ -170,7 +173,8 @@
       });
       // The caller may have left, which ends the handler.
       void waitForPoll().then(() => {
-        if (!handler.finished) this.#pool.dispatch(exchange.options, handler);
+        if (handler.finished) return;
+        this.#dispatcher.dispatch(exchange.options, handler);
       });
     });
   }
--- a/packages/endpoint/src/plain_service.ts
+++ b/packages/endpoint/src/plain_service.ts
@@ -5,7 +5,8 @@
  * endpoint receives the remaining time and the priority in `x-remaining-ms` and
  * `x-priority`, and the idempotency key, if any, in `idempotency-key`. It may
  * decline before running the call with 503 and `x-run: not_run`. `GET /load`
- * answers `PlainLoad`.
+ * answers `PlainLoad`. An endpoint that echoes the `x-call-id` of a call is
+ * protected from a late copy of an earlier answer (`call_id.ts`).
  */
 
 import type { Either } from "purify-ts";
--- a/packages/standin/src/part_server.ts
+++ b/packages/standin/src/part_server.ts
@@ -25,6 +25,7 @@
   sendJson,
 } from "@almondcrank/common/http_server.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
+import { callIdHeader } from "@almondcrank/endpoint/call_id.ts";
 import type { CommonFaults } from "./fault_settings.ts";
 import type { FaultInjector } from "./fault_injector.ts";
 
@@ -217,6 +218,8 @@
   async #handle(route: PartRoute, exchange: HttpExchange): Promise<void> {
     const { faults, clock } = this.#options;
     const { request, response } = exchange;
+    const callId = request.headers[callIdHeader];
+    if (callId !== undefined) response.setHeader(callIdHeader, callId);
     const outage = faults.outage;
     switch (outage) {
       case "none":
