--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -199,6 +199,19 @@
   return headers;
 }
 
+/**
+ * Whether an answer states where it ends. Without that, a broken connection
+ * looks like the end of the answer: undici takes even a reset for it.
+ */
+function isDelimited(
+  status: number,
+  headers: Record<string, string | string[] | undefined>,
+): boolean {
+  return status === 204 || status === 304 ||
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 interface AnswerHandlerOptions {
   readonly clock: Clock;
   readonly exchange: Exchange;
@@ -265,6 +278,10 @@
       ? contentType
       : undefined;
     this.#declined = status === 503 && headers["x-run"] === "not_run";
+    if (!this.#declined && !isDelimited(status, headers)) {
+      const reason = "only the end of the connection delimits the answer";
+      this.#setFailure({ kind: "connection_lost", reason });
+    }
   }
 
   onResponseData(
