--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -4,6 +4,7 @@
  * Only complete events are forwarded. Ids must be consecutive: a resumed stream
  * must continue with the id after its last event. Backpressure of a slow caller
  * pauses the replica, so that events do not pile up in this node's memory.
+ * Comments are forwarded too, but a replica that sends nothing else is silent.
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -45,7 +46,7 @@
   readonly lastId: number | undefined;
   /** Writes the response headers unless written; called before each write. */
   readonly writeHead: () => void;
-  /** Called after each group of events is forwarded. */
+  /** Called after each group of events is forwarded, comments left out. */
   readonly onEvents: (lastId: number | undefined, eventCount: number) => void;
 }
 
@@ -81,15 +82,15 @@
       const chunkEvents = splitter.add(chunk);
       if (splitter.remainderBytes > maxEventBytes) return finish("broken");
       if (chunkEvents === undefined) return;
-      const { firstId } = chunkEvents;
+      const { firstId, hasFields } = chunkEvents;
       const isNext = firstId === undefined || lastId === undefined ||
         firstId === lastId + 1;
       if (!isNext) return finish("out_of_order");
       lastId = chunkEvents.lastId ?? lastId;
-      hasEvents = true;
+      hasEvents ||= hasFields;
       writeHead();
       if (!callerResponse.write(chunkEvents.bytes)) response.pause();
-      onEvents(lastId, chunkEvents.eventCount);
+      if (hasFields) onEvents(lastId, chunkEvents.eventCount);
     });
     response.on("end", () => {
       if (!isWhole()) return finish("broken");
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -18,9 +18,13 @@
   readonly firstId: number | undefined;
   /** Number of events with an id. */
   readonly eventCount: number;
+  /** Whether any event has a field; comments alone only keep a stream open. */
+  readonly hasFields: boolean;
 }
 
 const idPattern = /^id: ?(\d+)\r?$/gm;
+/** A line that is neither empty nor a comment. */
+const fieldPattern = /^[^:\r\n]/m;
 
 /** Splitter of one stream. */
 export class EventSplitter {
@@ -65,11 +69,13 @@
   let firstId: number | undefined;
   let lastId: number | undefined;
   let eventCount = 0;
-  for (const match of bytes.toString("latin1").matchAll(idPattern)) {
+  const text = bytes.toString("latin1");
+  for (const match of text.matchAll(idPattern)) {
     const id = Number(match[1]);
     firstId ??= id;
     lastId = id;
     eventCount += 1;
   }
-  return { bytes, firstId, lastId, eventCount };
+  const hasFields = eventCount > 0 || fieldPattern.test(text);
+  return { bytes, firstId, lastId, eventCount, hasFields };
 }
