--- a/packages/gateway/src/relay/event_relay_test.ts
+++ b/packages/gateway/src/relay/event_relay_test.ts
@@ -7,7 +7,11 @@
 import { Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { SystemClock } from "@almondcrank/common/clock.ts";
+import { ReplicaState } from "../choice/replica_state.ts";
+import { createReplica } from "../testing/create_replica.ts";
 import { relayEvents, type RelayOutcome } from "./event_relay.ts";
+import { StallDetector } from "./stall_detector.ts";
 
 /** A relay without a network, and what it reported. */
 interface Relayed {
@@ -79,4 +83,34 @@
   assert.is((await outcome).end, "broken");
 });
 
+test("a replica that waits for a slow caller is not silent", async () => {
+  const timeoutMs = 40;
+  const response = new IncomingMessage(new Socket());
+  const callerResponse = new ServerResponse(
+    new IncomingMessage(new Socket()),
+  );
+  let stalls = 0;
+  const detector = StallDetector.create({
+    clock: SystemClock.create(),
+    state: ReplicaState.create("r1", createReplica({ id: "r1" })),
+    firstEventTimeoutMs: timeoutMs,
+    nextEventTimeoutMs: timeoutMs,
+    onStalled: () => stalls += 1,
+  });
+  void relayEvents({
+    response,
+    callerResponse,
+    lastId: undefined,
+    writeHead: () => {},
+    onEvents: () => detector.recordEvents(),
+  });
+  // Without a connection to the caller, what is written waits.
+  const text = "a".repeat(callerResponse.writableHighWaterMark);
+  await deliver(response, `id: 1\ndata: ${text}\n\n`);
+  assert.is(callerResponse.writableNeedDrain, true);
+  await new Promise((resolve) => setTimeout(resolve, 3 * timeoutMs));
+  assert.is(stalls, 0);
+  detector.dispose();
+});
+
 test.run();
