--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -9,6 +9,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EventSplitter } from "./event_splitter.ts";
+import type { ProgressWatch } from "./stall_detector.ts";
 import { findFraming, type ResponseFraming } from "./replica_request.ts";
 
 /**
@@ -44,6 +45,8 @@
   readonly callerResponse: ServerResponse;
   /** Id of the last event that the caller received. */
   readonly lastId: number | undefined;
+  /** Learns of events, and of the time in which the response is not read. */
+  readonly watch: ProgressWatch;
   /** Writes the response headers unless written; called before each write. */
   readonly writeHead: () => void;
   /** Called after each group of events is forwarded, comments left out. */
@@ -54,7 +57,7 @@
 export function relayEvents(
   options: EventRelayOptions,
 ): Promise<RelayOutcome> {
-  const { response, callerResponse, writeHead, onEvents } = options;
+  const { response, callerResponse, watch, writeHead, onEvents } = options;
   const splitter = EventSplitter.create();
   const isResumed = options.lastId !== undefined;
   let lastId = options.lastId;
@@ -64,7 +67,10 @@
     const isWhole = (): boolean =>
       response.complete && splitter.remainderBytes === 0 &&
       (hasEvents || isResumed || findFraming(response) !== "connection");
-    const onDrain = (): void => void response.resume();
+    const onDrain = (): void => {
+      response.resume();
+      watch.resume();
+    };
     const onCallerClose = (): void => finish("caller_gone");
     const finish = (end: RelayEnd): void => {
       const unfinishedBytes = splitter.remainderBytes;
@@ -89,8 +95,14 @@
       lastId = chunkEvents.lastId ?? lastId;
       hasEvents ||= hasFields;
       writeHead();
-      if (!callerResponse.write(chunkEvents.bytes)) response.pause();
-      if (hasFields) onEvents(lastId, chunkEvents.eventCount);
+      const isCallerReady = callerResponse.write(chunkEvents.bytes);
+      if (hasFields) {
+        watch.recordEvents();
+        onEvents(lastId, chunkEvents.eventCount);
+      }
+      if (isCallerReady) return;
+      response.pause();
+      watch.pause();
     });
     response.on("end", () => {
       if (!isWhole()) return finish("broken");
--- a/packages/gateway/src/relay/event_relay_test.ts
+++ b/packages/gateway/src/relay/event_relay_test.ts
@@ -31,6 +31,7 @@
     response,
     callerResponse: new ServerResponse(callerRequest),
     lastId: undefined,
+    watch: { recordEvents: () => {}, pause: () => {}, resume: () => {} },
     writeHead: () => {},
     onEvents: (lastId) => progress.push(lastId),
   });
@@ -102,7 +103,8 @@
     callerResponse,
     lastId: undefined,
     writeHead: () => {},
-    onEvents: () => detector.recordEvents(),
+    watch: detector,
+    onEvents: () => {},
   });
   // Without a connection to the caller, what is written waits.
   const text = "a".repeat(callerResponse.writableHighWaterMark);
@@ -110,7 +112,10 @@
   assert.is(callerResponse.writableNeedDrain, true);
   await new Promise((resolve) => setTimeout(resolve, 3 * timeoutMs));
   assert.is(stalls, 0);
+  callerResponse.emit("drain");
+  await new Promise((resolve) => setTimeout(resolve, 2 * timeoutMs));
   detector.dispose();
+  assert.ok(stalls > 0, "it is watched again once the caller reads");
 });
 
 test.run();
--- a/packages/gateway/src/relay/stall_detector.ts
+++ b/packages/gateway/src/relay/stall_detector.ts
@@ -3,7 +3,8 @@
  *
  * A replica that is busy processing prompts may pause a stream for long.
  * Therefore the timeout is three times as long while the replica sends events of
- * other streams.
+ * other streams. While a slow caller holds the response back, the replica is not
+ * watched: nothing of what it sends is read.
  */
 
 import type { Clock } from "@almondcrank/common/clock.ts";
@@ -24,8 +25,18 @@
   readonly onStalled: () => void;
 }
 
+/** What learns of the progress of a response. */
+export interface ProgressWatch {
+  /** Restarts the timeout after events of this stream arrived. */
+  recordEvents(): void;
+  /** Stops the timeout while the response is not read. */
+  pause(): void;
+  /** Restarts the timeout when the response is read again. */
+  resume(): void;
+}
+
 /** Detector for one segment of a stream. */
-export class StallDetector implements Disposable {
+export class StallDetector implements ProgressWatch, Disposable {
   readonly #options: StallDetectorOptions;
   #timeoutMs: number;
   #lastEventAt: number;
@@ -43,7 +54,6 @@
     return new StallDetector(options);
   }
 
-  /** Restarts the timeout after events of this stream arrived. */
   recordEvents(): void {
     const { clock, state, nextEventTimeoutMs } = this.#options;
     this.#lastEventAt = clock.now();
@@ -52,6 +62,15 @@
     this.#schedule(nextEventTimeoutMs);
   }
 
+  pause(): void {
+    this.#cancel();
+  }
+
+  resume(): void {
+    this.#lastEventAt = this.#options.clock.now();
+    this.#schedule(this.#timeoutMs);
+  }
+
   dispose(): void {
     this.#cancel();
   }
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -257,13 +257,13 @@
       response,
       callerResponse: this.#response,
       lastId: this.#lastId,
+      watch: segment.standby,
       writeHead: () => this.#writeHead(response),
       onEvents: (lastId, events) => {
         this.#lastId = lastId;
         this.#version = this.#recorder.recordOrigin(state.replica);
         this.#events += 1;
         this.#recorder.recordOutput(events * tokensPerEvent);
-        segment.standby.recordEvents();
         if (!isFirst) return;
         isFirst = false;
         pendingSend.markStarted();
--- a/packages/gateway/src/relay/stream_standby.ts
+++ b/packages/gateway/src/relay/stream_standby.ts
@@ -10,7 +10,11 @@
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { signatureHeader } from "@almondcrank/platform/headers.ts";
 import type { SendOutcome } from "./replica_request.ts";
-import { StallDetector, type StallDetectorOptions } from "./stall_detector.ts";
+import {
+  type ProgressWatch,
+  StallDetector,
+  type StallDetectorOptions,
+} from "./stall_detector.ts";
 import type { StreamSend } from "./stream_segment.ts";
 
 /** Replica to watch, and callbacks of a standby. */
@@ -23,7 +27,7 @@
 }
 
 /** Standby of one segment. */
-export class StreamStandby implements Disposable {
+export class StreamStandby implements ProgressWatch, Disposable {
   readonly #options: StreamStandbyOptions;
   readonly #stallDetector: StallDetector;
   #send: StreamSend | undefined;
@@ -40,12 +44,19 @@
     return new StreamStandby(options);
   }
 
-  /** Records that the watched replica has sent events. */
   recordEvents(): void {
     this.cancel();
     this.#stallDetector.recordEvents();
   }
 
+  pause(): void {
+    this.#stallDetector.pause();
+  }
+
+  resume(): void {
+    this.#stallDetector.resume();
+  }
+
   /** Whether a send is on the way that was not handed over. */
   get isPending(): boolean {
     return this.#send !== undefined;
