--- a/packages/common/src/http_server.ts
+++ b/packages/common/src/http_server.ts
@@ -4,9 +4,7 @@
  */
 
 import {
-  createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
   STATUS_CODES,
 } from "node:http";
@@ -15,6 +13,7 @@
 import createRouter, { type HTTPVersion, type Instance } from "find-my-way";
 import { type Either, Left, Right } from "purify-ts";
 import { type Address, formatAddress, parseAddress } from "./address.ts";
+import { DrainableServer } from "./drainable_server.ts";
 import { formatThrown, KindError } from "./kind_error.ts";
 import {
   createClientError,
@@ -115,12 +114,12 @@
 
 /** An HTTP server that listens on one address. */
 export class HttpServer {
-  readonly #server: Server;
+  readonly #server: DrainableServer;
   readonly #sockets = new Set<Socket>();
   /** Connections over the limit, which are answered with 503 and closed. */
   readonly #refused = new Set<Socket>();
 
-  private constructor(server: Server, maxConnections: number) {
+  private constructor(server: DrainableServer, maxConnections: number) {
     this.#server = server;
     server.on("connection", (socket) => {
       const served = this.#sockets.size - this.#refused.size;
@@ -144,7 +143,7 @@
         `address "${options.address}" is not an IP address with a port; write it like 127.0.0.1:8080`,
       );
     }
-    const server = createServer({
+    const server = DrainableServer.create({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: Math.min(
         limits.headersTimeoutMs,
@@ -187,14 +186,11 @@
   }
 
   /**
-   * Stops accepting connections and closes idle ones; resolves when the others
-   * have ended.
+   * Stops accepting connections and closes each one once it is idle; resolves
+   * when all have ended.
    */
   close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
-    });
+    return this.#server.drain();
   }
 
   /** Stops listening and destroys every connection. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -109,10 +109,10 @@
     this.#server.drain();
     void this.#lease?.release();
     await this.#clock.sleep(acceptDuringDrainMs);
-    this.#server.close();
-    while (this.#server.running > 0 && this.#clock.now() < deadline) {
+    await this.#server.close();
+    while (this.#server.isBusy && this.#clock.now() < deadline) {
       await this.#clock.sleep(drainPollMs);
-      this.#server.close();
+      await this.#server.close();
     }
     this.#log.info("drained.", { cut: this.#server.running });
     this.#lifetime.dispose();
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -6,17 +6,14 @@
  * retried and a replica never receives a truncated one.
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import { watchCaller } from "@almondcrank/common/caller_watch.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { DrainableServer } from "@almondcrank/common/drainable_server.ts";
 import type { LogFields } from "@almondcrank/common/logs.ts";
+import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
 import { requestIdHeader } from "@almondcrank/platform/headers.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
@@ -66,7 +63,7 @@
 export class CallerServer implements Disposable {
   readonly #options: CallerServerOptions;
   readonly #log: RequestLog;
-  readonly #server: Server;
+  readonly #server: DrainableServer;
   #isClosing = false;
   #isClosed = false;
   #running = 0;
@@ -75,8 +72,12 @@
     this.#options = options;
     const { clock, log } = options.services;
     this.#log = RequestLog.create(clock, log);
-    this.#server = createServer(
-      { connectionsCheckingInterval: connectionsCheckMs, noDelay: true },
+    this.#server = DrainableServer.create({
+      connectionsCheckingInterval: connectionsCheckMs,
+      noDelay: true,
+    });
+    this.#server.on(
+      "request",
       (request, response) => void this.#handle(request, response),
     );
     this.#server.requestTimeout = 0;
@@ -92,6 +93,11 @@
     return this.#running;
   }
 
+  /** Whether a request runs, or an answer has not left completely. */
+  get isBusy(): boolean {
+    return this.#running > 0 || this.#server.isSending;
+  }
+
   /** Listens on an address; rejects when it cannot be bound. */
   open(address: string): Promise<void> {
     const [host, port] = address.split(":");
@@ -114,7 +120,7 @@
 
   /** Applies the limits of a configuration to new connections. */
   applyLimits({ limits }: Configuration): void {
-    const server = this.#server as Server & { maxHeaderSize?: number };
+    const server = this.#server as DrainableServer & { maxHeaderSize?: number };
     server.maxHeaderSize = limits.maxHeaderBytes;
     server.headersTimeout = limits.headerTimeoutMs;
     server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -127,18 +133,21 @@
 
   /**
    * Stops accepting connections, refuses new requests on open ones, and closes
-   * idle ones. Call it again while requests finish, to close the connections
-   * that become idle.
+   * idle ones. Requests that have arrived before are served. Call it again while
+   * requests finish, to close the connections that become idle.
    */
-  close(): void {
+  async close(): Promise<void> {
     this.#isClosing = true;
+    await waitForPoll();
     this.#isClosed = true;
     if (this.#server.listening) this.#server.close();
     this.#server.closeIdleConnections();
   }
 
   dispose(): void {
-    this.close();
+    this.#isClosing = true;
+    this.#isClosed = true;
+    if (this.#server.listening) this.#server.close();
     this.#server.closeAllConnections();
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -286,7 +286,11 @@
     await this.#dataPlane.calls.close();
     const idle = await this.#requests.waitIdle(drainMs);
     if (!idle) log.warn("drain timed out with requests in progress.");
-    await this.#listeners?.callers.close();
+    // A caller that does not read its answer must not hold the node.
+    await Promise.race([
+      this.#listeners?.callers.close(),
+      this.#services.clock.sleep(drainMs),
+    ]);
     log.info("node has drained.");
     this.dispose();
   }
