--- a/packages/endpoint/src/endpoint_error.ts
+++ b/packages/endpoint/src/endpoint_error.ts
@@ -33,6 +33,8 @@
     readonly endpoint: string;
     readonly reason: string;
   }
+  /** It was no longer allowed when it was about to be sent; nothing was. */
+  | { readonly kind: "withheld"; readonly endpoint: string }
   /** An order carried a fencing token older than one the endpoint accepted. */
   | {
     readonly kind: "stale_fencing";
@@ -63,6 +65,7 @@
   switch (detail.kind) {
     case "unreachable":
     case "declined":
+    case "withheld":
     case "stale_fencing":
       return "not_run";
     case "connection_lost":
@@ -85,6 +88,8 @@
       } ms; resume elsewhere if the request is idempotent`;
     case "declined":
       return `endpoint ${endpoint} declined the request (${detail.reason}); use another`;
+    case "withheld":
+      return `the call to endpoint ${endpoint} was withheld, since its lease lapsed; renew the lease`;
     case "stale_fencing":
       return `endpoint ${endpoint} knows fencing token ${detail.known}, newer than ${detail.sent}; renew the lease`;
     case "bad_answer":
--- a/packages/endpoint/src/engine.ts
+++ b/packages/endpoint/src/engine.ts
@@ -153,6 +153,10 @@
   ): Promise<Either<EndpointError, CacheEventBatch>>;
   exportCache(id: string): Promise<Either<EndpointError, CacheExport>>;
   importCache(cacheImport: CacheImport): Promise<Either<EndpointError, number>>;
-  sendOrder(order: Order): Promise<Either<EndpointError, EngineState>>;
+  /** Sends an order unless `isAllowed` is false when it is about to leave. */
+  sendOrder(
+    order: Order,
+    isAllowed: () => boolean,
+  ): Promise<Either<EndpointError, EngineState>>;
   readState(): Promise<Either<EndpointError, EngineState>>;
 }
--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -13,6 +13,7 @@
 import type { Endpoint } from "@almondcrank/common/configuration.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
+import { ConditionalHandler } from "@almondcrank/infrastructure/conditional_handler.ts";
 import type {
   CacheEventBatch,
   CacheExport,
@@ -24,6 +25,7 @@
   LoadReport,
   Order,
 } from "./engine.ts";
+import { findFailureKind } from "./call_failure.ts";
 import { createCallIds } from "./call_id.ts";
 import { EndpointError } from "./endpoint_error.ts";
 import {
@@ -45,22 +47,6 @@
 /** Time for which an idle connection is kept. */
 const keepAliveTimeoutMs = 10_000;
 
-/** Codes of errors that occur before a connection exists. */
-const connectErrorCodes: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "EHOSTDOWN",
-  "EADDRNOTAVAIL",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-/** Codes of undici's timeouts. */
-const timeoutCodes: ReadonlySet<string> = new Set([
-  "UND_ERR_HEADERS_TIMEOUT",
-  "UND_ERR_BODY_TIMEOUT",
-]);
-
 /** Options of an engine client. */
 export interface HttpEngineOptions {
   readonly endpoint: Pick<Endpoint, "name" | "address">;
@@ -170,7 +156,11 @@
 
   /** Cancels a generation on the engine; idempotent. */
   async cancel(id: string): Promise<Either<EndpointError, void>> {
-    const answer = await this.#send("POST", "/cancel", { id });
+    const answer = await this.#send({
+      method: "POST",
+      path: "/cancel",
+      body: { id },
+    });
     return answer.chain(({ status, text }) =>
       status === 200
         ? Right(undefined)
@@ -217,8 +207,16 @@
     return answer.map(({ tokens }) => tokens);
   }
 
-  async sendOrder(order: Order): Promise<Either<EndpointError, EngineState>> {
-    const answer = await this.#send("POST", "/orders", order);
+  async sendOrder(
+    order: Order,
+    isAllowed: () => boolean,
+  ): Promise<Either<EndpointError, EngineState>> {
+    const dispatcher = this.#dispatcher.compose(
+      (dispatch) => (options, handler) =>
+        dispatch(options, ConditionalHandler.create(handler, isAllowed)),
+    );
+    const call = { method: "POST", path: "/orders", body: order } as const;
+    const answer = await this.#send(call, dispatcher);
     return answer.chain(({ status, text }) => {
       if (status !== 412) {
         return this.#parseAnswer({ status, text }, engineStateSchema);
@@ -267,15 +265,14 @@
   }
 
   async #call<T>(call: Call<T>): Promise<Either<EndpointError, T>> {
-    const answer = await this.#send(call.method, call.path, call.body);
+    const answer = await this.#send(call);
     return answer.chain((whole) => this.#parseAnswer(whole, call.schema));
   }
 
   /** Sends one request and reads its complete answer within the call timeout. */
   async #send(
-    method: "GET" | "POST",
-    path: string,
-    body?: unknown,
+    { method, path, body }: Omit<Call<unknown>, "schema">,
+    dispatcher: Dispatcher = this.#dispatcher,
   ): Promise<Either<EndpointError, CompleteAnswer>> {
     this.#calls.start();
     const timeout = new AbortController();
@@ -285,7 +282,7 @@
       if (!finished.signal.aborted) timeout.abort();
     });
     try {
-      const answer = await this.#dispatcher.request({
+      const answer = await dispatcher.request({
         method,
         path,
         headers: { "content-type": "application/json" },
@@ -345,16 +342,19 @@
   }
 
   #createError(error: unknown, timeoutMs: number): EndpointError {
-    const code = findCode(error);
-    if (timeoutCodes.has(code)) return this.#createTimeout(timeoutMs);
-    if (!connectErrorCodes.has(code)) {
-      return this.#createLost(formatThrown(error));
+    const endpoint = this.name;
+    const kind = findFailureKind(error);
+    switch (kind) {
+      case "withheld":
+        return EndpointError.create({ kind, endpoint });
+      case "timeout":
+        return this.#createTimeout(timeoutMs);
+      case "unreachable":
+      case "connection_lost": {
+        const reason = formatThrown(error);
+        return EndpointError.create({ kind, endpoint, reason });
+      }
     }
-    return EndpointError.create({
-      kind: "unreachable",
-      endpoint: this.name,
-      reason: formatThrown(error),
-    });
   }
 
   #createTimeout(timeoutMs: number): EndpointError {
@@ -382,11 +382,6 @@
   }
 }
 
-function findCode(error: unknown): string {
-  const { code } = error as { code?: unknown };
-  return typeof code === "string" ? code : "";
-}
-
 function parseReason(text: string): string {
   try {
     const { reason } = JSON.parse(text) as { reason?: unknown };
--- a/packages/endpoint/src/http_engine_test.ts
+++ b/packages/endpoint/src/http_engine_test.ts
@@ -157,7 +157,7 @@
     holder: "n1",
     role: "serve",
     models: [],
-  });
+  }, () => true);
   const error = answer.swap().extract() as { detail: unknown };
   assert.equal(error.detail, {
     kind: "stale_fencing",
--- a/packages/fleet/src/order_sender.ts
+++ b/packages/fleet/src/order_sender.ts
@@ -2,8 +2,8 @@
  * Sends orders to engines under a lease.
  *
  * An order is the whole desired state, so repeating it is safe. The lease is
- * checked in the same turn of the event loop that passes the order to the
- * engine's client. An engine that checks fencing tokens refuses late orders of
+ * checked when the order is passed to the engine's client and again right before
+ * it leaves: the process may be paused while a connection is made. An engine that checks fencing tokens refuses late orders of
  * earlier holders. For an engine that does not, a new holder first waits until
  * no order of an earlier holder can still arrive, then reads the engine's state
  * and sends an order only if the state differs.
@@ -145,12 +145,19 @@
       Left: (error) => Promise.resolve(Left(error)),
       Right: (fencing) => {
         const { role, models } = desired;
-        const answer = engine.sendOrder({ fencing, holder, role, models });
+        const answer = engine.sendOrder(
+          { fencing, holder, role, models },
+          () => this.#isStillHeld(fencing),
+        );
         return this.#waitAnswer(endpoint, answer);
       },
     });
   }
 
+  #isStillHeld(fencing: number): boolean {
+    return this.#options.lease.checkValid().toMaybe().extract() === fencing;
+  }
+
   #checkMaySend(endpoint: Endpoint): Either<OrderError, number> {
     const { lease, clock } = this.#options;
     return lease.checkValid()
--- a/packages/routing/src/choice/load_table.ts
+++ b/packages/routing/src/choice/load_table.ts
@@ -186,6 +186,7 @@
       case "bad_answer":
         return replica?.recordFailure("suspect", now);
       case "declined":
+      case "withheld":
       case "stale_fencing":
         return;
     }
--- a/packages/routing/src/repeats/plain_attempts.ts
+++ b/packages/routing/src/repeats/plain_attempts.ts
@@ -122,7 +122,8 @@
       budget.recordSend(endpoint.name);
       return true;
     }
-    return last.kind !== "stale_fencing" &&
+    // Only orders are withheld or refused for their fencing token.
+    return last.kind !== "stale_fencing" && last.kind !== "withheld" &&
       budget.takeRetry(endpoint.name, last.kind);
   }
 
--- a/packages/routing/src/streams/attempt_evidence.ts
+++ b/packages/routing/src/streams/attempt_evidence.ts
@@ -58,6 +58,7 @@
       case "timeout":
       case "bad_answer":
       case "declined":
+      case "withheld":
       case "stale_fencing":
         return;
     }
--- a/packages/routing/src/streams/stream_retries.ts
+++ b/packages/routing/src/streams/stream_retries.ts
@@ -89,6 +89,7 @@
       case "timeout":
         return true;
       case "declined":
+      case "withheld":
       case "stale_fencing":
         return this.#services.retries.takeRetry(
           error.detail.endpoint,
--- a/packages/standin/src/wire_test.ts
+++ b/packages/standin/src/wire_test.ts
@@ -224,8 +224,12 @@
 test("the engine's client reports a refused order and declined work", async () => {
   const client = createEngineClient("e1");
   const order = { fencing: 2, holder: "n1", role: "drain", models } as const;
-  assert.is(requireRight(await client.sendOrder(order)).role, "drain");
-  const old = await client.sendOrder({ ...order, fencing: 1 });
+  const isAllowed = (): boolean => true;
+  assert.is(
+    requireRight(await client.sendOrder(order, isAllowed)).role,
+    "drain",
+  );
+  const old = await client.sendOrder({ ...order, fencing: 1 }, isAllowed);
   old.ifRight(() => assert.unreachable());
   old.ifLeft((error) => assert.is(error.kind, "stale_fencing"));
   assert.is(requireRight(await client.readState()).fencing, 2);
