--- a/packages/endpoint/src/call_failure.ts
+++ b/packages/endpoint/src/call_failure.ts
@@ -2,7 +2,7 @@
  * Kinds of failures of calls that undici reports.
  */
 
-import { WithheldError } from "@almondcrank/infrastructure/conditional_handler.ts";
+import { WithheldError } from "@almondcrank/common/conditional_handler.ts";
 
 /** Codes of errors that occur before a connection exists. */
 const connectErrorCodes: ReadonlySet<string> = new Set([
--- a/packages/endpoint/src/http_engine.ts
+++ b/packages/endpoint/src/http_engine.ts
@@ -13,7 +13,7 @@
 import type { Endpoint } from "@almondcrank/common/configuration.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
-import { ConditionalHandler } from "@almondcrank/infrastructure/conditional_handler.ts";
+import { ConditionalHandler } from "@almondcrank/common/conditional_handler.ts";
 import type {
   CacheEventBatch,
   CacheExport,
--- a/packages/infrastructure/src/platform_client.ts
+++ b/packages/infrastructure/src/platform_client.ts
@@ -14,13 +14,16 @@
 import type { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
+import {
+  ConditionalHandler,
+  WithheldError,
+} from "@almondcrank/common/conditional_handler.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
 import { Breaker } from "./breaker.ts";
-import { ConditionalHandler, WithheldError } from "./conditional_handler.ts";
 import { PlatformError, type PlatformService } from "./platform_error.ts";
 
 /** Counter of calls, labelled `service` and `outcome`. */
