--- a/packages/fleet/src/autoscaler.ts
+++ b/packages/fleet/src/autoscaler.ts
@@ -292,8 +292,10 @@
   }
 
   async #request(request: InstanceRequest): Promise<void> {
-    if (this.#options.lease.checkValid().isLeft()) return;
-    const outcome = await this.#options.cloud.requestInstance(request);
+    const { cloud, lease } = this.#options;
+    const isAllowed = (): boolean => lease.checkValid().isRight();
+    if (!isAllowed()) return;
+    const outcome = await cloud.requestInstance(request, isAllowed);
     outcome.caseOf({
       Left: (error) => {
         this.#count("rent", error.kind);
@@ -333,9 +335,10 @@
 
   async #returnDrained(): Promise<void> {
     const { cloud, clock, lease } = this.#options;
+    const isAllowed = (): boolean => lease.checkValid().isRight();
     for (const [host, returnAt] of [...this.#returnAt]) {
-      if (returnAt > clock.now() || lease.checkValid().isLeft()) continue;
-      const outcome = await cloud.returnInstance(host);
+      if (returnAt > clock.now() || !isAllowed()) continue;
+      const outcome = await cloud.returnInstance(host, isAllowed);
       this.#count("return", outcome.isRight() ? "done" : "failed");
     }
   }
--- a/packages/infrastructure/src/cloud_api.ts
+++ b/packages/infrastructure/src/cloud_api.ts
@@ -74,12 +74,16 @@
 
 /** Client of the cloud API. Failed calls resolve to `Left`. */
 export interface CloudApi {
-  /** Rents a host. */
+  /** Rents a host, unless `isAllowed` is false when the call is about to leave. */
   requestInstance(
     request: InstanceRequest,
+    isAllowed?: () => boolean,
   ): Promise<Either<PlatformError, InstanceOutcome>>;
-  /** Gives a host back. */
-  returnInstance(host: string): Promise<Either<PlatformError, void>>;
+  /** Gives a host back, under the same condition as `requestInstance`. */
+  returnInstance(
+    host: string,
+    isAllowed?: () => boolean,
+  ): Promise<Either<PlatformError, void>>;
   listInstances(): Promise<Either<PlatformError, readonly Instance[]>>;
   /** Waits up to `waitMs` for notices with a sequence number above `since`. */
   waitNotices(
--- a/packages/infrastructure/src/http_cloud_api.ts
+++ b/packages/infrastructure/src/http_cloud_api.ts
@@ -49,6 +49,10 @@
   })),
 });
 
+function isAlwaysAllowed(): boolean {
+  return true;
+}
+
 /** Client of the cloud API at one address. */
 export class HttpCloudApi implements CloudApi, Disposable {
   readonly #client: PlatformClient;
@@ -63,11 +67,13 @@
 
   async requestInstance(
     request: InstanceRequest,
+    isAllowed: () => boolean = isAlwaysAllowed,
   ): Promise<Either<PlatformError, InstanceOutcome>> {
     const response = await this.#client.call({
       method: "POST",
       path: "/instances",
       body: JSON.stringify(request),
+      isAllowed,
     });
     return response.chain((response): Either<PlatformError, InstanceOutcome> =>
       response.status === 409
@@ -79,10 +85,14 @@
   }
 
   /** Gives a host back; succeeds also for a host that no longer exists. */
-  async returnInstance(host: string): Promise<Either<PlatformError, void>> {
+  async returnInstance(
+    host: string,
+    isAllowed: () => boolean = isAlwaysAllowed,
+  ): Promise<Either<PlatformError, void>> {
     const response = await this.#client.call({
       method: "DELETE",
       path: `/instances/${encodeURIComponent(host)}`,
+      isAllowed,
     });
     return response.chain((response) =>
       response.status === 404
--- a/packages/infrastructure/src/platform_client_test.ts
+++ b/packages/infrastructure/src/platform_client_test.ts
@@ -192,6 +192,29 @@
   platform.server.dispose();
 });
 
+test("no host is rented or returned once its caller may no longer do so", async () => {
+  let received = 0;
+  const platform = await openFakePlatform((_, response) => {
+    received += 1;
+    sendJson(response, 404, {});
+  });
+  const cloud = HttpCloudApi.create(platform.options);
+  const request = {
+    token: "t",
+    service: "s",
+    zone: "z",
+    machineClass: "c",
+    market: "reclaimable",
+  } as const;
+  const rented = await cloud.requestInstance(request, () => false);
+  const returned = await cloud.returnInstance("h", () => false);
+  cloud.dispose();
+  platform.server.dispose();
+  assert.is(received, 0);
+  assert.is(rented.isLeft(), true);
+  assert.is(returned.isLeft(), true);
+});
+
 test("an open breaker passes one probe per pause, with growing pauses", async () => {
   const clock = ManualClock.create();
   const breaker = Breaker.create(clock, Random.create(1));
