--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -59,6 +59,12 @@
   readonly waitUntilSynced: (signal: AbortSignal) => Promise<void>;
 }
 
+/** A request and the response to it. */
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 /** Server for the callers of one node. */
 export class CallerServer implements Disposable {
   readonly #options: CallerServerOptions;
@@ -188,20 +194,24 @@
         AbortSignal.timeout(initialSyncTimeoutMs),
       ]),
     );
-    const context = readContext();
-    const found = chooseRoute(request, context);
-    if (found.kind === "refused") {
-      return this.#refuse({ request, response }, found.reply, {
-        configuration: context.routes?.configuration.version,
-        configurationAgeMs: roundAge(context.configurationAgeMs),
-      });
+    const early = chooseRoute(request, readContext());
+    if (early.kind === "refused") {
+      return this.#refuseRoute({ request, response }, early.reply);
     }
-    const deadline = receivedAt + computeTimeoutMs(request, found);
+    const deadline = receivedAt + computeTimeoutMs(request, early);
     const body = await readRequestBody(request, {
-      maxBytes: found.routes.configuration.limits.maxBodyBytes,
+      maxBytes: early.routes.configuration.limits.maxBodyBytes,
       timeoutMs: Math.max(1, deadline - receivedAt),
     });
     if (body.kind !== "read") return this.#endUnread(request, response, body);
+    // The body may take long: the key may have been withdrawn meanwhile.
+    const context = readContext();
+    const isUnchanged = context.routes === early.routes &&
+      context.hasFreshConfiguration;
+    const found = isUnchanged ? early : chooseRoute(request, context);
+    if (found.kind === "refused") {
+      return this.#refuseRoute({ request, response }, found.reply);
+    }
     const resume = await findResume(request, found, services);
     if (resume.kind === "refused") {
       return this.#refuse({ request, response }, resume.reply, resume.fields);
@@ -241,6 +251,18 @@
     this.#recordEnd(admitted, result);
   }
 
+  /** Refuses a request with what is known of the configuration. */
+  #refuseRoute(
+    exchange: Exchange,
+    reply: LocalReply,
+  ): void {
+    const { routes, configurationAgeMs } = this.#options.readContext();
+    this.#refuse(exchange, reply, {
+      configuration: routes?.configuration.version,
+      configurationAgeMs: roundAge(configurationAgeMs),
+    });
+  }
+
   #recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
     if (resumeAfter === undefined) return;
     const isNamed = resumedRequest !== undefined;
@@ -331,10 +353,7 @@
   }
 
   #refuse(
-    { request, response }: {
-      readonly request: IncomingMessage;
-      readonly response: ServerResponse;
-    },
+    { request, response }: Exchange,
     reply: LocalReply,
     fields: LogFields = {},
   ): void {
--- a/packages/gateway/src/relay/caller_server_test.ts
+++ b/packages/gateway/src/relay/caller_server_test.ts
@@ -1,6 +1,8 @@
 /**
- * Planned stop of a node under load: a request that has arrived is answered, also
- * when the loop stood still as the server closed.
+ * Requests whose node stops, or whose key is withdrawn, while they arrive.
+ *
+ * A request that has arrived before a planned stop is answered, also when the loop
+ * stood still as the server closed.
  */
 
 import { once } from "node:events";
@@ -10,8 +12,11 @@
 import { SystemClock } from "@almondcrank/common/clock.ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
+import { decodeConfiguration } from "@almondcrank/platform/decode_configuration.ts";
 import { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
+import { RouteTable } from "../routes/route_table.ts";
 import { CallerServer } from "./caller_server.ts";
+import type { AdmissionContext } from "./request_admission.ts";
 import type { RelayServices } from "./relay_services.ts";
 import { StreamRegistry } from "./stream_registry.ts";
 
@@ -32,8 +37,39 @@
   return port;
 }
 
-/** Creates a server that refuses all requests for want of a configuration. */
-function createCallerServer(): CallerServer {
+const noConfiguration: AdmissionContext = {
+  routes: undefined,
+  hasFreshConfiguration: false,
+  configurationAgeMs: Infinity,
+  draw: 0,
+};
+
+/** Composes the context of a configuration in force with one key. */
+function composeContext(key: string): AdmissionContext {
+  const configuration = decodeConfiguration({
+    version: 1,
+    routes: [{
+      hostname: "a",
+      "path-prefix": "/",
+      "route-kind": "unsafe",
+      service: "s",
+    }],
+    services: [{ name: "s" }],
+    tenants: [{ name: "t", "api-keys": [key] }],
+  });
+  if (configuration === undefined) throw new Error("not decoded");
+  return {
+    routes: RouteTable.create(configuration),
+    hasFreshConfiguration: true,
+    configurationAgeMs: 0,
+    draw: 0,
+  };
+}
+
+/** Creates a server that can admit or refuse, but not relay. */
+function createCallerServer(
+  readContext: () => AdmissionContext,
+): CallerServer {
   const services: Partial<RelayServices> = {
     clock: SystemClock.create(),
     log: createSilentLog(),
@@ -43,18 +79,13 @@
     services: services as RelayServices,
     registry: StreamRegistry.create(),
     rateLimiter: TenantRateLimiter.create(0),
-    readContext: () => ({
-      routes: undefined,
-      hasFreshConfiguration: false,
-      configurationAgeMs: Infinity,
-      draw: 0,
-    }),
+    readContext,
     waitUntilSynced: () => Promise.resolve(),
   });
 }
 
 test("a request that arrived before the stop is answered on an open connection", async () => {
-  const server = createCallerServer();
+  const server = createCallerServer(() => noConfiguration);
   const port = await findFreePort();
   await server.open(`127.0.0.1:${port}`);
   const socket = connect(port, "127.0.0.1");
@@ -73,4 +104,38 @@
   assert.match(received, /connection: close/i);
 });
 
+for (
+  const { name, later, status } of [
+    { name: "is withdrawn", later: composeContext("other"), status: 401 },
+    {
+      name: "can no longer be checked",
+      later: { ...composeContext("key"), hasFreshConfiguration: false },
+      status: 503,
+    },
+  ]
+) {
+  test(`a request whose key ${name} while its body arrives is refused`, async () => {
+    let context = composeContext("key");
+    let reads = 0;
+    const server = createCallerServer(() => {
+      reads += 1;
+      return context;
+    });
+    const port = await findFreePort();
+    await server.open(`127.0.0.1:${port}`);
+    const socket = connect(port, "127.0.0.1");
+    socket.write(
+      "POST / HTTP/1.1\r\nhost: a\r\nauthorization: Bearer key\r\n" +
+        "content-length: 2\r\n\r\na",
+    );
+    while (reads === 0) await new Promise((resolve) => setImmediate(resolve));
+    context = later;
+    socket.write("b");
+    const [data] = await once(socket, "data");
+    socket.destroy();
+    server.dispose();
+    assert.match(`${data}`, `HTTP/1.1 ${status} `);
+  });
+}
+
 test.run();
