--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -39,6 +39,7 @@
 import { findResume } from "./stream_resume.ts";
 import { RequestTrace } from "./request_trace.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { computeTimerMs } from "./timer_ms.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { StreamRegistry } from "./stream_registry.ts";
 
@@ -201,7 +202,7 @@
     const deadline = receivedAt + computeTimeoutMs(request, early);
     const body = await readRequestBody(request, {
       maxBytes: early.routes.configuration.limits.maxBodyBytes,
-      timeoutMs: Math.max(1, deadline - receivedAt),
+      timeoutMs: computeTimerMs(deadline - receivedAt),
     });
     if (body.kind !== "read") return this.#endUnread(request, response, body);
     // The body may take long: the key may have been withdrawn meanwhile.
--- a/packages/gateway/src/relay/request_composer.ts
+++ b/packages/gateway/src/relay/request_composer.ts
@@ -16,6 +16,7 @@
 import { listForwardedHeaders } from "./message_headers.ts";
 import { readHeader, type Routed } from "./request_admission.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { maxTimerMs } from "./timer_ms.ts";
 
 const lowestPriority = 9;
 
@@ -28,7 +29,6 @@
   const callerMs = Number.isFinite(headerMs) && headerMs > 0
     ? headerMs
     : Infinity;
-  const maxTimerMs = 2_147_483_647;
   return Math.min(callerMs, route.timeoutMs, maxTimerMs);
 }
 
--- a/packages/gateway/src/relay/timer_ms_test.ts
+++ b/packages/gateway/src/relay/timer_ms_test.ts
@@ -18,4 +18,11 @@
   assert.is(computeTimerMs(-5), 1);
 });
 
+test("a request without a timeout does not end at once", () => {
+  // Node.js fires a timer of a longer duration after 1 ms.
+  const maxTimerMs = 2_147_483_647;
+  assert.is(computeTimerMs(maxTimerMs), maxTimerMs);
+  assert.is(computeTimerMs(maxTimerMs + 2e-7), maxTimerMs);
+});
+
 test.run();
