--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -204,11 +204,9 @@
  * looks like the end of the answer: undici takes even a reset for it.
  */
 function isDelimited(
-  status: number,
   headers: Record<string, string | string[] | undefined>,
 ): boolean {
-  return status === 204 || status === 304 ||
-    headers["content-length"] !== undefined ||
+  return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
 }
 
@@ -278,7 +276,9 @@
       ? contentType
       : undefined;
     this.#declined = status === 503 && headers["x-run"] === "not_run";
-    if (!this.#declined && !isDelimited(status, headers)) {
+    const isBodyless = this.#options.exchange.options.method === "HEAD" ||
+      status === 204 || status === 304;
+    if (!this.#declined && !isBodyless && !isDelimited(headers)) {
       const reason = "only the end of the connection delimits the answer";
       this.#setFailure({ kind: "connection_lost", reason });
     }
--- a/packages/endpoint/src/http_plain_endpoint_test.ts
+++ b/packages/endpoint/src/http_plain_endpoint_test.ts
@@ -109,6 +109,21 @@
   }
 });
 
+test("an answer that has no body needs no length", async () => {
+  const statuses = [["HEAD", 200], ["GET", 204], ["GET", 304]] as const;
+  for (const [method, status] of statuses) {
+    await runWith((socket) => {
+      socket.end(`HTTP/1.1 ${status} Fine\r\nconnection: close\r\n\r\n`);
+    }, async (address) => {
+      const endpoint = createEndpoint(address);
+      const call = { ...bookingCall, method, body: Buffer.alloc(0) };
+      const answer = await endpoint.call(call, never);
+      endpoint.dispose();
+      assert.is(answer.map((whole) => whole.status).extract(), status);
+    });
+  }
+});
+
 test("a declined call did not run, an ordinary 503 is an answer", async () => {
   let declineHeader = "x-run: not_run\r\n";
   await runWith((socket) => {
