--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -7,7 +7,6 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import { watchCaller } from "@almondcrank/common/caller_watch.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
@@ -26,6 +25,7 @@
   type Routed,
 } from "./request_admission.ts";
 import { composeRequest, computeTimeoutMs } from "./request_composer.ts";
+import { handleClientError } from "./client_error.ts";
 import { CallRelay } from "./call_relay.ts";
 import { findQuarantine, listSuspects } from "./quarantine_check.ts";
 import {
@@ -381,22 +381,3 @@
 function roundAge(ms: number): number | undefined {
   return Number.isFinite(ms) ? Math.round(ms) : undefined;
 }
-
-function handleClientError(
-  error: NodeJS.ErrnoException,
-  socket: unknown,
-): void {
-  const connection = socket as Socket;
-  if (!connection.writable || error.code === "ECONNRESET") {
-    connection.destroy();
-    return;
-  }
-  const status = error.code === "HPE_HEADER_OVERFLOW"
-    ? "431 Request Header Fields Too Large"
-    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
-    ? "408 Request Timeout"
-    : "400 Bad Request";
-  connection.end(
-    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-  );
-}
