--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -16,6 +16,7 @@
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import { createInterimLimit } from "./answer_limits.ts";
+import { createCallIds } from "./call_id.ts";
 import { EndpointError, type EndpointErrorDetail } from "./endpoint_error.ts";
 import { RunningCalls } from "./running_calls.ts";
 import type {
@@ -69,6 +70,7 @@
   readonly name: string;
   readonly #clock: Clock;
   readonly #pool: Pool;
+  readonly #dispatcher: Dispatcher;
   readonly #maxAnswerBytes: number;
   readonly #calls = RunningCalls.create();
 
@@ -84,6 +86,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    this.#dispatcher = this.#pool.compose(createCallIds());
   }
 
   static create(options: HttpPlainEndpointOptions): HttpPlainEndpoint {
@@ -170,7 +173,8 @@
       });
       // The caller may have left, which ends the handler.
       void waitForPoll().then(() => {
-        if (!handler.finished) this.#pool.dispatch(exchange.options, handler);
+        if (handler.finished) return;
+        this.#dispatcher.dispatch(exchange.options, handler);
       });
     });
   }
@@ -195,6 +199,17 @@
   return headers;
 }
 
+/**
+ * Whether an answer states where it ends. Without that, a broken connection
+ * looks like the end of the answer: undici takes even a reset for it.
+ */
+function isDelimited(
+  headers: Record<string, string | string[] | undefined>,
+): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 interface AnswerHandlerOptions {
   readonly clock: Clock;
   readonly exchange: Exchange;
@@ -261,6 +276,12 @@
       ? contentType
       : undefined;
     this.#declined = status === 503 && headers["x-run"] === "not_run";
+    const isBodyless = this.#options.exchange.options.method === "HEAD" ||
+      status === 204 || status === 304;
+    if (!this.#declined && !isBodyless && !isDelimited(headers)) {
+      const reason = "only the end of the connection delimits the answer";
+      this.#setFailure({ kind: "connection_lost", reason });
+    }
   }
 
   onResponseData(
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -6,17 +6,13 @@
  * retried and a replica never receives a truncated one.
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import type { Socket } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { abortResponse } from "@almondcrank/common/abort_response.ts";
 import { watchCaller } from "@almondcrank/common/caller_watch.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { DrainableServer } from "@almondcrank/common/drainable_server.ts";
 import type { LogFields } from "@almondcrank/common/logs.ts";
+import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
 import { requestIdHeader } from "@almondcrank/platform/headers.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
@@ -29,6 +25,7 @@
   type Routed,
 } from "./request_admission.ts";
 import { composeRequest, computeTimeoutMs } from "./request_composer.ts";
+import { handleClientError } from "./client_error.ts";
 import { CallRelay } from "./call_relay.ts";
 import { findQuarantine, listSuspects } from "./quarantine_check.ts";
 import {
@@ -42,6 +39,7 @@
 import { findResume } from "./stream_resume.ts";
 import { RequestTrace } from "./request_trace.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { computeTimerMs } from "./timer_ms.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { StreamRegistry } from "./stream_registry.ts";
 
@@ -62,11 +60,17 @@
   readonly waitUntilSynced: (signal: AbortSignal) => Promise<void>;
 }
 
+/** A request and the response to it. */
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 /** Server for the callers of one node. */
 export class CallerServer implements Disposable {
   readonly #options: CallerServerOptions;
   readonly #log: RequestLog;
-  readonly #server: Server;
+  readonly #server: DrainableServer;
   #isClosing = false;
   #isClosed = false;
   #running = 0;
@@ -75,8 +79,12 @@
     this.#options = options;
     const { clock, log } = options.services;
     this.#log = RequestLog.create(clock, log);
-    this.#server = createServer(
-      { connectionsCheckingInterval: connectionsCheckMs, noDelay: true },
+    this.#server = DrainableServer.create({
+      connectionsCheckingInterval: connectionsCheckMs,
+      noDelay: true,
+    });
+    this.#server.on(
+      "request",
       (request, response) => void this.#handle(request, response),
     );
     this.#server.requestTimeout = 0;
@@ -92,6 +100,11 @@
     return this.#running;
   }
 
+  /** Whether a request runs, or an answer has not left completely. */
+  get isBusy(): boolean {
+    return this.#running > 0 || this.#server.isSending;
+  }
+
   /** Listens on an address; rejects when it cannot be bound. */
   open(address: string): Promise<void> {
     const [host, port] = address.split(":");
@@ -114,7 +127,7 @@
 
   /** Applies the limits of a configuration to new connections. */
   applyLimits({ limits }: Configuration): void {
-    const server = this.#server as Server & { maxHeaderSize?: number };
+    const server = this.#server as DrainableServer & { maxHeaderSize?: number };
     server.maxHeaderSize = limits.maxHeaderBytes;
     server.headersTimeout = limits.headerTimeoutMs;
     server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -127,18 +140,21 @@
 
   /**
    * Stops accepting connections, refuses new requests on open ones, and closes
-   * idle ones. Call it again while requests finish, to close the connections
-   * that become idle.
+   * idle ones. Requests that have arrived before are served. Call it again while
+   * requests finish, to close the connections that become idle.
    */
-  close(): void {
+  async close(): Promise<void> {
     this.#isClosing = true;
+    await waitForPoll();
     this.#isClosed = true;
     if (this.#server.listening) this.#server.close();
     this.#server.closeIdleConnections();
   }
 
   dispose(): void {
-    this.close();
+    this.#isClosing = true;
+    this.#isClosed = true;
+    if (this.#server.listening) this.#server.close();
     this.#server.closeAllConnections();
   }
 
@@ -179,20 +195,24 @@
         AbortSignal.timeout(initialSyncTimeoutMs),
       ]),
     );
-    const context = readContext();
-    const found = chooseRoute(request, context);
-    if (found.kind === "refused") {
-      return this.#refuse({ request, response }, found.reply, {
-        configuration: context.routes?.configuration.version,
-        configurationAgeMs: roundAge(context.configurationAgeMs),
-      });
+    const early = chooseRoute(request, readContext());
+    if (early.kind === "refused") {
+      return this.#refuseRoute({ request, response }, early.reply);
     }
-    const deadline = receivedAt + computeTimeoutMs(request, found);
+    const deadline = receivedAt + computeTimeoutMs(request, early);
     const body = await readRequestBody(request, {
-      maxBytes: found.routes.configuration.limits.maxBodyBytes,
-      timeoutMs: Math.max(1, deadline - receivedAt),
+      maxBytes: early.routes.configuration.limits.maxBodyBytes,
+      timeoutMs: computeTimerMs(deadline - receivedAt),
     });
     if (body.kind !== "read") return this.#endUnread(request, response, body);
+    // The body may take long: the key may have been withdrawn meanwhile.
+    const context = readContext();
+    const isUnchanged = context.routes === early.routes &&
+      context.hasFreshConfiguration;
+    const found = isUnchanged ? early : chooseRoute(request, context);
+    if (found.kind === "refused") {
+      return this.#refuseRoute({ request, response }, found.reply);
+    }
     const resume = await findResume(request, found, services);
     if (resume.kind === "refused") {
       return this.#refuse({ request, response }, resume.reply, resume.fields);
@@ -232,6 +252,18 @@
     this.#recordEnd(admitted, result);
   }
 
+  /** Refuses a request with what is known of the configuration. */
+  #refuseRoute(
+    exchange: Exchange,
+    reply: LocalReply,
+  ): void {
+    const { routes, configurationAgeMs } = this.#options.readContext();
+    this.#refuse(exchange, reply, {
+      configuration: routes?.configuration.version,
+      configurationAgeMs: roundAge(configurationAgeMs),
+    });
+  }
+
   #recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
     if (resumeAfter === undefined) return;
     const isNamed = resumedRequest !== undefined;
@@ -322,10 +354,7 @@
   }
 
   #refuse(
-    { request, response }: {
-      readonly request: IncomingMessage;
-      readonly response: ServerResponse;
-    },
+    { request, response }: Exchange,
     reply: LocalReply,
     fields: LogFields = {},
   ): void {
@@ -352,22 +381,3 @@
 function roundAge(ms: number): number | undefined {
   return Number.isFinite(ms) ? Math.round(ms) : undefined;
 }
-
-function handleClientError(
-  error: NodeJS.ErrnoException,
-  socket: unknown,
-): void {
-  const connection = socket as Socket;
-  if (!connection.writable || error.code === "ECONNRESET") {
-    connection.destroy();
-    return;
-  }
-  const status = error.code === "HPE_HEADER_OVERFLOW"
-    ? "431 Request Header Fields Too Large"
-    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
-    ? "408 Request Timeout"
-    : "400 Bad Request";
-  connection.end(
-    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-  );
-}
--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -4,10 +4,12 @@
  * Only complete events are forwarded. Ids must be consecutive: a resumed stream
  * must continue with the id after its last event. Backpressure of a slow caller
  * pauses the replica, so that events do not pile up in this node's memory.
+ * Comments are forwarded too, but a replica that sends nothing else is silent.
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EventSplitter } from "./event_splitter.ts";
+import type { ProgressWatch } from "./stall_detector.ts";
 import { findFraming, type ResponseFraming } from "./replica_request.ts";
 
 /**
@@ -43,9 +45,11 @@
   readonly callerResponse: ServerResponse;
   /** Id of the last event that the caller received. */
   readonly lastId: number | undefined;
+  /** Learns of events, and of the time in which the response is not read. */
+  readonly watch: ProgressWatch;
   /** Writes the response headers unless written; called before each write. */
   readonly writeHead: () => void;
-  /** Called after each group of events is forwarded. */
+  /** Called after each group of events is forwarded, comments left out. */
   readonly onEvents: (lastId: number | undefined, eventCount: number) => void;
 }
 
@@ -53,7 +57,7 @@
 export function relayEvents(
   options: EventRelayOptions,
 ): Promise<RelayOutcome> {
-  const { response, callerResponse, writeHead, onEvents } = options;
+  const { response, callerResponse, watch, writeHead, onEvents } = options;
   const splitter = EventSplitter.create();
   const isResumed = options.lastId !== undefined;
   let lastId = options.lastId;
@@ -63,7 +67,10 @@
     const isWhole = (): boolean =>
       response.complete && splitter.remainderBytes === 0 &&
       (hasEvents || isResumed || findFraming(response) !== "connection");
-    const onDrain = (): void => void response.resume();
+    const onDrain = (): void => {
+      response.resume();
+      watch.resume();
+    };
     const onCallerClose = (): void => finish("caller_gone");
     const finish = (end: RelayEnd): void => {
       const unfinishedBytes = splitter.remainderBytes;
@@ -81,15 +88,21 @@
       const chunkEvents = splitter.add(chunk);
       if (splitter.remainderBytes > maxEventBytes) return finish("broken");
       if (chunkEvents === undefined) return;
-      const { firstId } = chunkEvents;
+      const { firstId, hasFields } = chunkEvents;
       const isNext = firstId === undefined || lastId === undefined ||
         firstId === lastId + 1;
       if (!isNext) return finish("out_of_order");
       lastId = chunkEvents.lastId ?? lastId;
-      hasEvents = true;
+      hasEvents ||= hasFields;
       writeHead();
-      if (!callerResponse.write(chunkEvents.bytes)) response.pause();
-      onEvents(lastId, chunkEvents.eventCount);
+      const isCallerReady = callerResponse.write(chunkEvents.bytes);
+      if (hasFields) {
+        watch.recordEvents();
+        onEvents(lastId, chunkEvents.eventCount);
+      }
+      if (isCallerReady) return;
+      response.pause();
+      watch.pause();
     });
     response.on("end", () => {
       if (!isWhole()) return finish("broken");
