--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -156,6 +156,19 @@
     return this.#held?.acquiredAt;
   }
 
+  /**
+   * Fencing token while this process holds the lease and it has not lapsed.
+   *
+   * It is read for each datagram to a peer, and creates no error.
+   */
+  get validFencing(): number | undefined {
+    const held = this.#held;
+    if (held === undefined) return undefined;
+    return this.#options.clock.now() < held.validUntil
+      ? held.fencing
+      : undefined;
+  }
+
   /**
    * Checks that this process holds the lease and that it has not lapsed.
    *
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -71,6 +72,76 @@
   assert.equal(decoded?.report, { ...earlier, ...empty });
 });
 
+test("a short report is one stored block, which other versions inflate", () => {
+  const short: PeerReport = { ...report, loads: [["replica-1/1", 1, 0, 9]] };
+  const encoded = encodePeerReport(short);
+  const json = inflateRawSync(encoded).toString("utf8");
+  assert.equal(JSON.parse(json), short);
+  const datagram = encodePeerMessage(header, encoded);
+  assert.equal(decodePeerMessage(datagram)?.report, short);
+  const compressed = deflateRawSync(json);
+  assert.equal(
+    decodePeerMessage(encodePeerMessage(header, compressed))?.report,
+    short,
+  );
+  const truncated = datagram.subarray(0, datagram.length - 1);
+  assert.is(decodePeerMessage(truncated), undefined);
+});
+
+/** Values of which no field of a datagram accepts any but its own type. */
+const otherValues: readonly unknown[] = ["text", 7, true, [[]], [7], { a: 1 }];
+/** Fields of a datagram that accept one of these values. */
+const acceptedValues: Readonly<Record<string, unknown>> = {
+  node: "text",
+  incarnation: "text",
+  ip: "text",
+  zone: "text",
+  upMs: 7,
+  sentAt: 7,
+  wallTime: 7,
+  medianTime: 7,
+  duty: 7,
+  isDraining: true,
+  isStoreUnreachable: true,
+};
+
+test("a header with a field of another type is dropped", () => {
+  for (const key of Object.keys(header)) {
+    for (const value of otherValues) {
+      if (acceptedValues[key] === value) continue;
+      const wrong = { ...header, [key]: value } as unknown as PeerHeader;
+      const decoded = decodePeerMessage(encodePeerMessage(wrong, undefined));
+      assert.is(decoded, undefined, `${key}: ${JSON.stringify(value)}`);
+    }
+  }
+  for (const key of ["configuration", "replicas"] as const) {
+    for (const field of Object.keys(status)) {
+      const wrong = { ...header, [key]: { ...status, [field]: "text" } };
+      const bytes = encodePeerMessage(wrong as PeerHeader, undefined);
+      assert.is(decodePeerMessage(bytes), undefined, `${key}.${field}`);
+    }
+  }
+});
+
+test("a report with a field or an entry of another type is dropped", () => {
+  for (const key of Object.keys(report) as (keyof PeerReport)[]) {
+    const entries: readonly unknown[] = key === "news" ? [] : report[key];
+    const longer = entries.map((entry) =>
+      Array.isArray(entry) ? [...entry, 1] : { ...Object(entry), node: 1 }
+    );
+    const values = [...otherValues, ...(entries.length > 0 ? [longer] : [])];
+    for (const value of values) {
+      const isNews = key === "news" && !Array.isArray(value) &&
+        typeof value === "object";
+      if (isNews) continue;
+      const wrong = { ...report, [key]: value } as unknown as PeerReport;
+      const bytes = encodePeerMessage(header, encodePeerReport(wrong));
+      const name = `${key}: ${JSON.stringify(value)}`;
+      assert.is(decodePeerMessage(bytes), undefined, name);
+    }
+  }
+});
+
 test("an encoded report is less than half as long as its JSON", () => {
   const json = JSON.stringify(report).length;
   assert.ok(encodePeerReport(report).length < json / 2);
--- a/packages/gateway/src/cluster/replica_reports.ts
+++ b/packages/gateway/src/cluster/replica_reports.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ReplicaTable } from "../choice/replica_table.ts";
-import type { PeerReport } from "./peer_messages.ts";
+import type { LoadEntry, PeerReport } from "./peer_messages.ts";
 
 /** Limits told in one report; those with the latest answers. */
 const maxToldLimits = 64;
@@ -15,7 +15,7 @@
 
 /** Lists the load that this node puts on each replica. */
 export function listOwnLoads(table: ReplicaTable): PeerReport["loads"] {
-  const loads: PeerReport["loads"] = [];
+  const loads: LoadEntry[] = [];
   for (const { key, ownLoad: own } of table.listAll()) {
     if (own.active === 0) continue;
     loads.push([key, own.active, own.pendingTokens, own.activeTokens]);
--- a/packages/gateway/src/cluster/report_counters.ts
+++ b/packages/gateway/src/cluster/report_counters.ts
@@ -2,7 +2,7 @@
  * Counters of a report in one map, so that they can be added and subtracted.
  */
 
-import type { PeerReport } from "./peer_messages.ts";
+import type { CounterEntry, PeerReport } from "./peer_messages.ts";
 
 /** Cumulative counters or changes of them, by kind and name. */
 export type Counters = ReadonlyMap<string, number>;
@@ -42,10 +42,10 @@
   counters: Counters,
   readLevel: ReadLevel,
 ): CounterLists {
-  const allowances: CounterLists["allowances"] = [];
-  const budgets: CounterLists["budgets"] = [];
-  const work: CounterLists["work"] = [];
-  const tallies: CounterLists["tallies"] = [];
+  const allowances: CounterEntry[] = [];
+  const budgets: CounterEntry[] = [];
+  const work: CounterEntry[] = [];
+  const tallies: [string, number][] = [];
   for (const [key, value] of counters) {
     const { kind, name } = parseCounterKey(key);
     switch (kind) {
--- a/packages/gateway/src/duties/duty_lease.ts
+++ b/packages/gateway/src/duties/duty_lease.ts
@@ -84,10 +84,7 @@
 
   /** Fencing token while the lease is held. */
   get fencingToken(): number | undefined {
-    return this.#lease.checkValid().caseOf<number | undefined>({
-      Left: () => undefined,
-      Right: (fencingToken) => fencingToken,
-    });
+    return this.#lease.validFencing;
   }
 
   /** Reads the proof for a call that is sent now; undefined if none may be sent. */
--- a/packages/standin/src/platform/node_process.ts
+++ b/packages/standin/src/platform/node_process.ts
@@ -41,6 +41,11 @@
     return new NodeProcess(options);
   }
 
+  /** Process id; undefined while the process does not run. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** Whether the process exists, even if suspended by SIGSTOP. */
   get isRunning(): boolean {
     return this.#child !== undefined;
