--- a/packages/common/src/logs.ts
+++ b/packages/common/src/logs.ts
@@ -6,7 +6,7 @@
  */
 
 import process from "node:process";
-import { Logger } from "tslog";
+import { type ILogObjMeta, Logger } from "tslog";
 
 /** Severities in ascending order. */
 export const logLevels = ["debug", "info", "warn", "error"] as const;
@@ -69,27 +69,39 @@
 export class TslogLog implements Log {
   readonly #logger: Logger<LogLine>;
   readonly #prefix: string;
-
-  private constructor(logger: Logger<LogLine>, prefix: string) {
+  /** Lines of a lower level are dropped before anything is made of them. */
+  readonly #minLevelId: number;
+
+  private constructor(
+    logger: Logger<LogLine>,
+    prefix: string,
+    minLevelId: number,
+  ) {
     this.#logger = logger;
     this.#prefix = prefix;
+    this.#minLevelId = minLevelId;
   }
 
   static create(prefix: string, options: LogOptions): TslogLog {
     const write = options.write ??
       ((line: string): void => void process.stderr.write(line + "\n"));
     const format = options.format === "json" ? formatJson : formatText;
+    const minLevelId = computeLevelId(options.level);
     const logger = new Logger<LogLine>({
       type: "hidden",
       // The code position is not used, and finding it takes most of a line's
       // time.
       hideLogPositionForProduction: true,
-      minLevel: computeLevelId(options.level),
-    });
-    logger.attachTransport((record) => {
-      write(format(record as unknown as LogLine, new Date()));
+      minLevel: minLevelId,
+      // A line is only read, so it passes through without a copy of its fields.
+      overwrite: {
+        mask: (args) => args,
+        toLogObj: ([line]) => line as LogLine,
+        addMeta: (line) => line as LogLine & ILogObjMeta,
+      },
     });
-    return new TslogLog(logger, prefix);
+    logger.attachTransport((line) => write(format(line, new Date())));
+    return new TslogLog(logger, prefix, minLevelId);
   }
 
   debug(sentence: string, fields: LogFields = {}): void {
@@ -109,12 +121,14 @@
   }
 
   createChild(prefix: string): Log {
-    return new TslogLog(this.#logger, prefix);
+    return new TslogLog(this.#logger, prefix, this.#minLevelId);
   }
 
   #write(level: LogLevel, sentence: string, fields: LogFields): void {
+    const levelId = computeLevelId(level);
+    if (levelId < this.#minLevelId) return;
     const line: LogLine = { level, prefix: this.#prefix, sentence, fields };
-    this.#logger.log(computeLevelId(level), level.toUpperCase(), line);
+    this.#logger.log(levelId, level, line);
   }
 }
 
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -4,6 +4,7 @@
 
 import { readFileSync } from "node:fs";
 import process from "node:process";
+import { LineBuffer } from "@almondcrank/common/line_buffer.ts";
 import { type Log, TslogLog } from "@almondcrank/common/logs.ts";
 import {
   decodeSettings,
@@ -30,10 +31,12 @@
       `${settingsVariable} is not set; give the path of the settings file`,
     );
   }
+  const lines = LineBuffer.create((text) => void process.stdout.write(text));
+  process.on("exit", () => lines.flush());
   const log = TslogLog.create("gateway", {
     level: "info",
     format: "json",
-    write: (line) => void process.stdout.write(line + "\n"),
+    write: (line) => lines.add(line),
   });
   const settings = LiveSettings.create({
     log,
