--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -8,6 +8,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EventSplitter } from "./event_splitter.ts";
+import { writeEvents } from "./event_writer.ts";
 import { findFraming, type ResponseFraming } from "./replica_request.ts";
 
 /**
@@ -88,7 +89,7 @@
       lastId = chunkEvents.lastId ?? lastId;
       hasEvents = true;
       writeHead();
-      if (!callerResponse.write(chunkEvents.bytes)) response.pause();
+      if (!writeEvents(callerResponse, chunkEvents.bytes)) response.pause();
       onEvents(lastId, chunkEvents.eventCount);
     });
     response.on("end", () => {
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -65,7 +65,14 @@
   let firstId: number | undefined;
   let lastId: number | undefined;
   let eventCount = 0;
-  for (const match of bytes.toString("latin1").matchAll(idPattern)) {
+  const text = bytes.toString("latin1");
+  // Unlike `matchAll`, this does not copy the pattern.
+  idPattern.lastIndex = 0;
+  for (
+    let match = idPattern.exec(text);
+    match !== null;
+    match = idPattern.exec(text)
+  ) {
     const id = Number(match[1]);
     firstId ??= id;
     lastId = id;
