--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -211,6 +211,7 @@
       configurationAgeMs: view.configurationAgeMs,
       draw: random.next(),
     }),
+    isSynced: () => view.isSynced,
     waitUntilSynced: (signal) => view.waitUntilSynced(signal),
   });
   return {
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -58,6 +58,8 @@
   readonly rateLimiter: TenantRateLimiter;
   /** Reads the current state for admission; called once per request. */
   readonly readContext: () => AdmissionContext;
+  /** Whether the first configuration and replicas have arrived. */
+  readonly isSynced: () => boolean;
   /** Waits for the first configuration and replicas. */
   readonly waitUntilSynced: (signal: AbortSignal) => Promise<void>;
 }
@@ -165,20 +167,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { services, readContext, waitUntilSynced } = this.#options;
+    const { services, readContext } = this.#options;
     const receivedAt = services.clock.now();
     if (this.#isClosed) {
       const reply = composeLocalReply(503, "draining", drainingRetryMs);
       return this.#refuse({ request, response }, reply);
     }
     const callerSignal = watchCaller(request, response);
-    // After a start, configuration and replicas arrive within milliseconds.
-    await waitUntilSynced(
-      AbortSignal.any([
-        callerSignal,
-        AbortSignal.timeout(initialSyncTimeoutMs),
-      ]),
-    );
+    await this.#waitUntilSynced(callerSignal);
     const context = readContext();
     const found = chooseRoute(request, context);
     if (found.kind === "refused") {
@@ -232,6 +228,19 @@
     this.#recordEnd(admitted, result);
   }
 
+  /** After a start, configuration and replicas arrive within milliseconds. */
+  async #waitUntilSynced(callerSignal: AbortSignal): Promise<void> {
+    const { isSynced, waitUntilSynced } = this.#options;
+    // Each signal ends with an exception, which later requests need not make.
+    if (isSynced()) return;
+    await waitUntilSynced(
+      AbortSignal.any([
+        callerSignal,
+        AbortSignal.timeout(initialSyncTimeoutMs),
+      ]),
+    );
+  }
+
   #recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
     if (resumeAfter === undefined) return;
     const isNamed = resumedRequest !== undefined;
--- a/packages/infrastructure/src/platform_client.ts
+++ b/packages/infrastructure/src/platform_client.ts
@@ -220,7 +220,8 @@
         isConnectionClosed: closedCodes.has(readCode(thrown)),
       };
     } finally {
-      finished.abort();
+      // A reason of its own spares the exception that is made without one.
+      finished.abort("finished");
     }
   }
 
