--- a/packages/bench/src/node_cost.ts
+++ b/packages/bench/src/node_cost.ts
@@ -167,7 +167,7 @@
   agent.destroy();
 }
 
-function print(name: string, value: number, unit: string): void {
+function writeFigure(name: string, value: number, unit: string): void {
   process.stdout.write(`  ${name.padEnd(34)} ${value.toFixed(2)} ${unit}\n`);
 }
 
@@ -176,19 +176,19 @@
   const fleet = await openFleet(program, { nodeCount: meshNodes, events: 3 });
   try {
     const { nodes } = fleet;
-    print("start", sumCpuMs(nodes) / meshNodes, "ms");
+    writeFigure("start", sumCpuMs(nodes) / meshNodes, "ms");
     await sleep(settleMs);
-    print("start and first 1.5 s", sumCpuMs(nodes) / meshNodes, "ms");
+    writeFigure("start and first 1.5 s", sumCpuMs(nodes) / meshNodes, "ms");
     const before = sumCpuMs(nodes);
     await sleep(idleMs);
     const usedMs = (sumCpuMs(nodes) - before) / meshNodes;
-    print(
+    writeFigure(
       `without requests, ${meshNodes} nodes`,
       usedMs / idleMs * 1_000,
       "ms/s",
     );
     const peak = Math.max(...nodes.map(readPeakMb));
-    print("peak memory", peak, "MB");
+    writeFigure("peak memory", peak, "MB");
   } finally {
     await fleet.close();
   }
@@ -207,7 +207,11 @@
   const measure = async (name: string, count: number): Promise<void> => {
     const before = readCpuMs(node);
     await sendRequests(node, kind, count);
-    print(`${kind.name}, ${name}`, (readCpuMs(node) - before) / count, "ms");
+    writeFigure(
+      `${kind.name}, ${name}`,
+      (readCpuMs(node) - before) / count,
+      "ms",
+    );
   };
   try {
     await sleep(settleMs);
--- a/packages/common/src/line_buffer.ts
+++ b/packages/common/src/line_buffer.ts
@@ -21,11 +21,11 @@
 
   /** Adds a line without its line feed. */
   add(line: string): void {
-    if (this.#lines.push(line) === 1) setImmediate(() => this.flush());
+    if (this.#lines.push(line) === 1) setImmediate(() => this.writeAll());
   }
 
   /** Writes what was added; needed before the process exits. */
-  flush(): void {
+  writeAll(): void {
     if (this.#lines.length === 0) return;
     const text = this.#lines.join("\n") + "\n";
     this.#lines = [];
--- a/packages/common/src/line_buffer_test.ts
+++ b/packages/common/src/line_buffer_test.ts
@@ -22,8 +22,8 @@
   const written: string[] = [];
   const buffer = LineBuffer.create((text) => written.push(text));
   buffer.add("a");
-  buffer.flush();
-  buffer.flush();
+  buffer.writeAll();
+  buffer.writeAll();
   assert.equal(written, ["a\n"]);
 });
 
@@ -33,7 +33,7 @@
     const program = `
       import { LineBuffer } from ${JSON.stringify(module)};
       const buffer = LineBuffer.create((text) => process.stdout.write(text));
-      process.on("exit", () => buffer.flush());
+      process.on("exit", () => buffer.writeAll());
       buffer.add("last line");
       ${end}`;
     const { stdout } = spawnSync(process.execPath, [
--- a/packages/gateway/src/gateway_program.ts
+++ b/packages/gateway/src/gateway_program.ts
@@ -32,7 +32,7 @@
     );
   }
   const lines = LineBuffer.create((text) => void process.stdout.write(text));
-  process.on("exit", () => lines.flush());
+  process.on("exit", () => lines.writeAll());
   const log = TslogLog.create("gateway", {
     level: "info",
     format: "json",
--- a/packages/gateway/src/relay/event_writer.ts
+++ b/packages/gateway/src/relay/event_writer.ts
@@ -21,14 +21,14 @@
   // Only this write is framed here: an end of the response is not.
   response.chunkedEncoding = false;
   try {
-    return response.write(frameChunk(bytes));
+    return response.write(encodeChunk(bytes));
   } finally {
     response.chunkedEncoding = true;
   }
 }
 
-/** Frames bytes as one chunk of a chunked body. */
-function frameChunk(bytes: Buffer): Buffer {
+/** Encodes bytes as one chunk of a chunked body. */
+function encodeChunk(bytes: Buffer): Buffer {
   const head = bytes.length.toString(hexRadix) + lineEnd;
   const frame = Buffer.allocUnsafe(
     head.length + bytes.length + lineEnd.length,
