--- a/packages/bench/src/node_cost.ts
+++ b/packages/bench/src/node_cost.ts
@@ -5,7 +5,8 @@
  * Usage: node --import tsx packages/bench/src/node_cost.ts [PROGRAM...]
  *
  * Each program is a built `gateway.cjs`; `target/gateway.cjs` by default. Several
- * programs are measured one after the other, for ratios on the same machine.
+ * programs are measured at the same time, one column each, so that whatever else
+ * the machine does slows them alike.
  * Processor time is that of all threads, read from the kernel in units of 10 ms.
  */
 
@@ -167,57 +168,71 @@
   agent.destroy();
 }
 
-function writeFigure(name: string, value: number, unit: string): void {
-  process.stdout.write(`  ${name.padEnd(34)} ${value.toFixed(2)} ${unit}\n`);
+/** A measured value. */
+interface Figure {
+  readonly name: string;
+  readonly value: number;
+}
+
+/** Writes the same figures of all programs in one row each. */
+function writeFigures(columns: readonly (readonly Figure[])[]): void {
+  for (const [row, { name }] of (columns[0] ?? []).entries()) {
+    const values = columns.map((figures) =>
+      (figures[row]?.value ?? NaN).toFixed(2).padStart(9)
+    );
+    process.stdout.write(`${name.padEnd(36)}${values.join("")}\n`);
+  }
 }
 
 /** Measures starts and a mesh without requests. */
-async function measureIdle(program: string): Promise<void> {
+async function measureIdle(program: string): Promise<readonly Figure[]> {
   const fleet = await openFleet(program, { nodeCount: meshNodes, events: 3 });
   try {
     const { nodes } = fleet;
-    writeFigure("start", sumCpuMs(nodes) / meshNodes, "ms");
+    const startMs = sumCpuMs(nodes) / meshNodes;
     await sleep(settleMs);
-    writeFigure("start and first 1.5 s", sumCpuMs(nodes) / meshNodes, "ms");
-    const before = sumCpuMs(nodes);
+    const settledMs = sumCpuMs(nodes) / meshNodes;
     await sleep(idleMs);
-    const usedMs = (sumCpuMs(nodes) - before) / meshNodes;
-    writeFigure(
-      `without requests, ${meshNodes} nodes`,
-      usedMs / idleMs * 1_000,
-      "ms/s",
-    );
-    const peak = Math.max(...nodes.map(readPeakMb));
-    writeFigure("peak memory", peak, "MB");
+    const usedMs = sumCpuMs(nodes) / meshNodes - settledMs;
+    return [
+      { name: "start, ms", value: startMs },
+      { name: "start and first 1.5 s, ms", value: settledMs },
+      {
+        name: `without requests, ${meshNodes} nodes, ms/s`,
+        value: usedMs / idleMs * 1_000,
+      },
+      {
+        name: "peak memory, MB",
+        value: Math.max(...nodes.map(readPeakMb)),
+      },
+    ];
   } finally {
     await fleet.close();
   }
 }
 
+/** Measures requests of one kind on a node that has just started. */
 async function measureRequests(
   program: string,
   kind: RequestKind,
-): Promise<void> {
+): Promise<readonly Figure[]> {
   const fleet = await openFleet(program, {
     nodeCount: 1,
     events: Math.max(1, kind.events),
   });
   const [node] = fleet.nodes;
-  if (node === undefined) return;
-  const measure = async (name: string, count: number): Promise<void> => {
+  const measure = async (name: string, count: number): Promise<Figure> => {
+    if (node === undefined) return { name, value: NaN };
     const before = readCpuMs(node);
     await sendRequests(node, kind, count);
-    writeFigure(
-      `${kind.name}, ${name}`,
-      (readCpuMs(node) - before) / count,
-      "ms",
-    );
+    const value = (readCpuMs(node) - before) / count;
+    return { name: `${kind.name}, ${name}, ms`, value };
   };
   try {
     await sleep(settleMs);
-    await measure("cold", coldRequests);
-    await sendRequests(node, kind, warmUpRequests);
-    await measure("warm", warmRequests);
+    const cold = await measure("cold", coldRequests);
+    await measure("warm-up", warmUpRequests);
+    return [cold, await measure("warm", warmRequests)];
   } finally {
     await fleet.close();
   }
@@ -225,8 +240,11 @@
 
 const given = process.argv.slice(2);
 const programs = given.length === 0 ? ["target/gateway.cjs"] : given;
-for (const program of programs) {
-  process.stdout.write(`${program}\n`);
-  await measureIdle(program);
-  for (const kind of kinds) await measureRequests(program, kind);
+writeFigures(await Promise.all(programs.map(measureIdle)));
+for (const kind of kinds) {
+  writeFigures(
+    await Promise.all(
+      programs.map((program) => measureRequests(program, kind)),
+    ),
+  );
 }
