--- a/packages/gateway/src/relay/caller_server_test.ts
+++ b/packages/gateway/src/relay/caller_server_test.ts
@@ -80,6 +80,7 @@
     registry: StreamRegistry.create(),
     rateLimiter: TenantRateLimiter.create(0),
     readContext,
+    isSynced: () => true,
     waitUntilSynced: () => Promise.resolve(),
   });
 }
--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -9,6 +9,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EventSplitter } from "./event_splitter.ts";
+import { writeEvents } from "./event_writer.ts";
 import type { ProgressWatch } from "./stall_detector.ts";
 import { findFraming, type ResponseFraming } from "./replica_request.ts";
 
@@ -95,7 +96,7 @@
       lastId = chunkEvents.lastId ?? lastId;
       hasEvents ||= hasFields;
       writeHead();
-      const isCallerReady = callerResponse.write(chunkEvents.bytes);
+      const isCallerReady = writeEvents(callerResponse, chunkEvents.bytes);
       if (hasFields) {
         watch.recordEvents();
         onEvents(lastId, chunkEvents.eventCount);
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -70,7 +70,13 @@
   let lastId: number | undefined;
   let eventCount = 0;
   const text = bytes.toString("latin1");
-  for (const match of text.matchAll(idPattern)) {
+  // Unlike `matchAll`, this does not copy the pattern.
+  idPattern.lastIndex = 0;
+  for (
+    let match = idPattern.exec(text);
+    match !== null;
+    match = idPattern.exec(text)
+  ) {
     const id = Number(match[1]);
     firstId ??= id;
     lastId = id;
