--- a/packages/gateway/src/choice/call_choice.ts
+++ b/packages/gateway/src/choice/call_choice.ts
@@ -1,8 +1,10 @@
 /**
  * Chooses the replica of a plain service for one call.
  *
- * The cost of a replica is its average answer time, plus the wait for a slot, plus
- * the expected cost of a failure at its recent failure rate.
+ * The cost of a replica is its average answer time at its present slowness, plus the
+ * wait for a slot by the work that it has left, plus the expected cost of a failure
+ * at its recent failure rate. Among replicas that are equally good as far as this
+ * node can tell, chance decides.
  */
 
 import type { ReplicaState } from "./replica_state.ts";
@@ -13,6 +15,11 @@
 const failureCostMs = 600;
 /** Cost of a replica in another zone. */
 const otherZoneCostMs = 2;
+/** Cost of a connection that has to be opened first. */
+const newConnectionCostMs = 3;
+/** Difference of cost that this node can't tell: in time, and as a share. */
+const uncertainMs = 1;
+const uncertainShare = 0.05;
 
 /** Properties of the call that the choice depends on. */
 export interface CallRequest {
@@ -21,8 +28,10 @@
   readonly now: number;
   /** Keys of incarnations that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
-  /** Random number in [0, 1); breaks ties between replicas of equal cost. */
+  /** Random number in [0, 1); decides between replicas that are equally good. */
   readonly draw: number;
+  /** Whether a connection to the replica is open and not in use. */
+  readonly hasIdleConnection: (state: ReplicaState) => boolean;
 }
 
 /** A chosen replica and its predicted answer time. */
@@ -36,21 +45,20 @@
   states: readonly ReplicaState[],
   request: CallRequest,
 ): CallChoice | undefined {
-  let best: CallChoice | undefined;
-  let bestCost = Infinity;
   const leastMs = computeLeastServiceMs(states);
-  const offset = Math.floor(request.draw * states.length);
-  for (let index = 0; index < states.length; index += 1) {
-    const state = states[(index + offset) % states.length];
-    if (state === undefined || request.excluded.has(state.key)) continue;
+  const scored: (CallChoice & { readonly cost: number })[] = [];
+  let leastCost = Infinity;
+  for (const state of states) {
+    if (request.excluded.has(state.key)) continue;
     if (!state.takesRequests(request.now)) continue;
     const predictedMs = computeAnswerMs(state, leastMs, request.now);
     const cost = predictedMs + computePenaltyMs(state, request);
-    if (cost >= bestCost) continue;
-    bestCost = cost;
-    best = { state, predictedMs };
+    scored.push({ state, predictedMs, cost });
+    leastCost = Math.min(leastCost, cost);
   }
-  return best;
+  const limit = leastCost * (1 + uncertainShare) + uncertainMs;
+  const equal = scored.filter(({ cost }) => cost <= limit);
+  return equal[Math.floor(request.draw * equal.length)];
 }
 
 /** Least average answer time; replicas that nothing is known of may match it. */
@@ -69,17 +77,20 @@
 ): number {
   const serviceMs = state.readServiceMs(now, leastMs);
   const { slots } = state.replica;
-  const { active } = state.totalLoad;
+  const { active } = state.work.estimate(now, serviceMs);
   const waiting = Math.max(0, active + 1 - slots);
   // A replica that is nearly full answers somewhat slower than an idle one.
   const loadFactor = 1 + 0.3 * Math.min(1, active / slots);
-  return serviceMs * loadFactor + waiting * serviceMs / slots;
+  const momentMs = serviceMs * state.speed.readStatedFactor(now);
+  return momentMs * loadFactor + waiting * serviceMs / slots;
 }
 
 function computePenaltyMs(
   state: ReplicaState,
-  { zone, now }: CallRequest,
+  { zone, now, hasIdleConnection }: CallRequest,
 ): number {
   const failureMs = state.failures.read(now) * failureCostMs;
-  return failureMs + (state.replica.zone === zone ? 0 : otherZoneCostMs);
+  const connectMs = hasIdleConnection(state) ? 0 : newConnectionCostMs;
+  const zoneMs = state.replica.zone === zone ? 0 : otherZoneCostMs;
+  return failureMs + zoneMs + connectMs;
 }
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -1,45 +1,46 @@
 /**
  * Chooses the replica of a model service for one stream.
  *
- * The cost of a replica is mainly the predicted time to the first event: prefill
- * of the prompts queued there and of the request's own uncached tokens, plus the
- * wait for a slot or for KV cache memory when the replica is full. The replica
- * that rendezvous hashing ranks first for the prompt's shared prefix is assumed to
- * have that prefix cached. It wins unless it is busier than the others, so prompts
- * with one prefix stay together and a popular prefix cannot overload a replica.
+ * The cost of a replica is the harm that is expected of the choice: the predicted
+ * time to the first event, which is learnt, from the work that the replica has left
+ * and its speed, the wait for a slot or for KV cache memory when it is full, and the
+ * delay that the prompt causes to the streams there. The replica that rendezvous
+ * hashing ranks first for the prompt's shared prefix is assumed to have that prefix
+ * cached. It wins unless it is busier than the others, so prompts with one prefix
+ * stay together and a popular prefix gets a second replica before the first is full.
+ *
+ * Among replicas that are equally good as far as this node can tell, chance decides,
+ * so that nodes that decide at the same time do not all choose the same one.
  */
 
 import type { EngineTraits } from "@almondcrank/model/configuration.ts";
 import type { PromptPart } from "@almondcrank/platform/headers.ts";
-import {
-  computeRendezvousOrder,
-  type Hasher,
-} from "@almondcrank/common/hashing.ts";
+import type { Hasher } from "@almondcrank/common/hashing.ts";
+import type { CostModel } from "@almondcrank/routing/placement/cost_model.ts";
+import type { FirstEventWork } from "@almondcrank/routing/placement/first_event_model.ts";
+import type { CandidateOrder } from "./candidate_order.ts";
 import type { PrefixIndex } from "./prefix_index.ts";
 import type { ReplicaState } from "./replica_state.ts";
 
-/** Prompt tokens that a replica of normal speed prefills in a millisecond. */
-export const prefillTokensPerMs = 50;
-/** Time to the first event of an idle replica, without prefill. */
-const baseFirstEventMs = 25;
-/** Delay that each running request adds to the prefill of another one. */
-const msPerActiveRequest = 1;
-/** Assumed duration of one stream, for the wait when all slots are taken. */
-const typicalStreamMs = 2_000;
 /** Cost of a request that fails and has to be sent again. */
 const failureCostMs = 1_500;
 /** Cost of a replica in another zone. */
 const otherZoneCostMs = 4;
+/** Cost of a connection that has to be opened first. */
+const newConnectionCostMs = 3;
 /**
  * Share of the shared prefix that the first replica in rendezvous order is
  * assumed to have cached.
  */
 const rendezvousCachedShare = 0.9;
 /**
- * Cost of prefilling 1,000 uncached tokens beyond the time that it takes: it
- * delays the prefill of other prompts on the replica.
+ * Cost of the time that a replica prefills, beyond that time itself: it delays the
+ * prefill of other prompts and the events of the streams there.
  */
-const prefillCostMsPerThousand = 60;
+const prefillHarm = 3;
+/** Difference of cost that this node can't tell: in time, and as a share. */
+const uncertainMs = 2;
+const uncertainShare = 0.03;
 
 /** Largest pool of which every replica is a candidate. */
 const smallPoolSize = 24;
@@ -48,6 +49,7 @@
 
 /** Properties of the request that the choice depends on. */
 export interface EngineRequest {
+  readonly service: string;
   readonly parts: readonly PromptPart[];
   readonly promptTokens: number;
   readonly zone: string;
@@ -56,12 +58,19 @@
   readonly now: number;
   /** Keys of incarnations that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
+  /** Random number in [0, 1); decides between replicas that are equally good. */
+  readonly draw: number;
 }
 
 /** Dependencies of the choice. */
 export interface EngineChoiceServices {
   readonly hasher: Hasher;
   readonly prefixes: PrefixIndex;
+  readonly costs: CostModel;
+  readonly order: CandidateOrder;
+  readonly sender: {
+    readonly hasIdleConnection: (state: ReplicaState) => boolean;
+  };
 }
 
 /** A chosen replica and the predictions for it. */
@@ -69,8 +78,18 @@
   readonly state: ReplicaState;
   /** Predicted time to the first event. */
   readonly predictedMs: number;
+  /** The same on a replica of usual speed that is not full. */
+  readonly usualMs: number;
   /** Prompt tokens that the replica has to prefill. */
   readonly uncachedTokens: number;
+  /** What is ahead of the first event there, this request included. */
+  readonly work: FirstEventWork;
+  /** Whether it is expected to wait for a slot or for memory. */
+  readonly isQueued: boolean;
+}
+
+interface ScoredChoice extends EngineChoice {
+  readonly cost: number;
 }
 
 /** Chooses the replica with the lowest cost; `undefined` if there is none left. */
@@ -79,34 +98,27 @@
   request: EngineRequest,
   services: EngineChoiceServices,
 ): EngineChoice | undefined {
-  const { excluded, now } = request;
-  const usable = states.filter((state) =>
-    !excluded.has(state.key) && state.takesRequests(now)
-  );
-  const { candidates, preferred } = listCandidates(usable, request, services);
-  let best: EngineChoice | undefined;
-  let bestCost = Infinity;
+  const { candidates, preferred } = listCandidates(states, request, services);
+  const scored: ScoredChoice[] = [];
+  let best: ScoredChoice | undefined;
   for (const state of candidates) {
-    const uncachedTokens = computeUncachedTokens(
-      state,
-      request,
-      services.prefixes,
-      state.key === preferred,
-    );
-    const predictedMs = computeFirstEventMs(state, request, uncachedTokens);
-    const prefillCostMs = uncachedTokens / 1_000 * prefillCostMsPerThousand;
-    const cost = predictedMs + prefillCostMs + computePenaltyMs(state, request);
-    if (cost >= bestCost) continue;
-    bestCost = cost;
-    best = { state, predictedMs, uncachedTokens };
+    const choice = scoreReplica(state, request, {
+      services,
+      isPreferred: state === preferred,
+    });
+    scored.push(choice);
+    if (best === undefined || choice.cost < best.cost) best = choice;
   }
-  return best;
+  if (best === undefined) return undefined;
+  const limit = best.cost + uncertainMs + best.predictedMs * uncertainShare;
+  const equal = scored.filter(({ cost }) => cost <= limit);
+  return equal[Math.floor(request.draw * equal.length)] ?? best;
 }
 
 interface Candidates {
   readonly candidates: readonly ReplicaState[];
-  /** Key of the first replica in rendezvous order of the shared prefix. */
-  readonly preferred: string | undefined;
+  /** First replica in rendezvous order of the shared prefix. */
+  readonly preferred: ReplicaState | undefined;
 }
 
 /**
@@ -115,22 +127,70 @@
  * nodes from all choosing the replica that the last reports showed as idle.
  */
 function listCandidates(
-  usable: readonly ReplicaState[],
-  { parts }: EngineRequest,
-  { hasher }: EngineChoiceServices,
+  states: readonly ReplicaState[],
+  { parts, excluded, now }: EngineRequest,
+  { order }: EngineChoiceServices,
 ): Candidates {
+  const isUsable = (state: ReplicaState): boolean =>
+    !excluded.has(state.key) && state.takesRequests(now);
   // The last part is unique to the request; the one before ends its shared prefix.
   const sharedPart = parts.at(-2) ?? parts.at(-1);
   if (sharedPart === undefined) {
-    return { candidates: usable, preferred: undefined };
+    return { candidates: states.filter(isUsable), preferred: undefined };
   }
-  const keys = usable.map((state) => state.key);
-  const order = computeRendezvousOrder(hasher, sharedPart.id, keys);
-  const [preferred] = order;
-  if (usable.length <= smallPoolSize) return { candidates: usable, preferred };
-  const candidateKeys = new Set(order.slice(0, largePoolCandidates));
-  const candidates = usable.filter((state) => candidateKeys.has(state.key));
-  return { candidates, preferred };
+  const isSmall = states.length <= smallPoolSize;
+  const most = isSmall ? 1 : largePoolCandidates;
+  const first = order.listFirst(states, sharedPart.id, { isUsable, most });
+  const candidates = isSmall ? states.filter(isUsable) : first;
+  return { candidates, preferred: first[0] };
+}
+
+interface ScoreOptions {
+  readonly services: EngineChoiceServices;
+  readonly isPreferred: boolean;
+}
+
+function scoreReplica(
+  state: ReplicaState,
+  request: EngineRequest,
+  { services, isPreferred }: ScoreOptions,
+): ScoredChoice {
+  const { costs, prefixes, sender } = services;
+  const { now, traits, promptTokens } = request;
+  const uncachedTokens = computeUncachedTokens(
+    state,
+    request,
+    prefixes,
+    isPreferred,
+  );
+  const { softwareVersion } = state.replica;
+  const key = { service: request.service, softwareVersion };
+  const runMs = costs.outputs.predictRunMs(request.service);
+  const load = state.work.estimate(now, runMs);
+  const work = {
+    tokens: uncachedTokens + load.pendingTokens,
+    active: load.active,
+  };
+  const usualMs = costs.predictFirstEventMs(key, work, now);
+  const queuedMs = computeQueuedMs(
+    { active: load.active, cacheTokens: load.activeTokens + promptTokens },
+    traits,
+    runMs,
+  );
+  const predictedMs = usualMs * state.readSlowness(now) + queuedMs;
+  const tokensPerMs = costs.firstEvents.computeTokensPerMs(key, now);
+  const harmMs = uncachedTokens / tokensPerMs * prefillHarm;
+  const connectMs = sender.hasIdleConnection(state) ? 0 : newConnectionCostMs;
+  const penaltyMs = computePenaltyMs(state, request) + connectMs;
+  return {
+    state,
+    predictedMs,
+    usualMs,
+    uncachedTokens,
+    work,
+    isQueued: queuedMs > 0,
+    cost: predictedMs + harmMs + penaltyMs,
+  };
 }
 
 function computeUncachedTokens(
@@ -147,22 +207,21 @@
   return Math.max(0, promptTokens - expectedCached);
 }
 
-function computeFirstEventMs(
-  state: ReplicaState,
-  { traits, promptTokens, now }: EngineRequest,
-  uncachedTokens: number,
+/** Computes the wait for a slot and for memory on a replica that is full. */
+function computeQueuedMs(
+  { active, cacheTokens }: {
+    readonly active: number;
+    /** Tokens of the requests there and of this one. */
+    readonly cacheTokens: number;
+  },
+  traits: EngineTraits,
+  runMs: number,
 ): number {
-  const { active, pendingTokens, activeTokens } = state.totalLoad;
-  const prefillMs = (uncachedTokens + pendingTokens) / prefillTokensPerMs;
   const missingSlots = Math.max(0, active + 1 - traits.slots);
-  const missingCacheTokens = Math.max(
-    0,
-    activeTokens + promptTokens - traits.cacheTokens * 0.9,
-  );
-  const slotWaitMs = missingSlots * typicalStreamMs / traits.slots;
-  const cacheWaitMs = missingCacheTokens / traits.cacheTokens * typicalStreamMs;
-  const unqueuedMs = baseFirstEventMs + prefillMs + active * msPerActiveRequest;
-  return unqueuedMs * state.readSlowness(now) + slotWaitMs + cacheWaitMs;
+  const missingTokens = Math.max(0, cacheTokens - traits.cacheTokens * 0.9);
+  const slotWaitMs = missingSlots * runMs / traits.slots;
+  const cacheWaitMs = missingTokens / traits.cacheTokens * runMs;
+  return slotWaitMs + cacheWaitMs;
 }
 
 function computePenaltyMs(
--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -2,31 +2,20 @@
  * Load, speed and health of one incarnation of a replica, as this node knows them.
  */
 
-import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { Replica } from "@almondcrank/model/replica.ts";
 import { RequestLimit } from "@almondcrank/routing/limits/request_limit.ts";
+import type { LoadStatement } from "@almondcrank/routing/placement/load_statement.ts";
+import { ReplicaSpeed } from "@almondcrank/routing/placement/replica_speed.ts";
+import {
+  type NodeLoad,
+  WorkLeft,
+} from "@almondcrank/routing/placement/work_left.ts";
 import { FailureRate } from "./failure_rate.ts";
 
-/** Load that one or more nodes put on a replica. */
-export interface NodeLoad {
-  /** Requests that were sent and have not ended. */
-  readonly active: number;
-  /** Prompt tokens of requests without a first event. */
-  readonly pendingTokens: number;
-  /** Prompt tokens of all active requests. */
-  readonly activeTokens: number;
-}
-
-const noLoad: NodeLoad = { active: 0, pendingTokens: 0, activeTokens: 0 };
 /** Weight of the latest observation in averages of times. */
 const observationWeight = 0.2;
 /** Time in which an average nears the usual value to 1/e without observations. */
 const forgetMs = 4_000;
-/** Slowness of a replica about which nothing is known. */
-const usualSlowness = 1;
-/** Bounds of the slowness of one observation. */
-const maxSlowness = 12;
-const minSlowness = 0.5;
 
 /** State of one incarnation. Times are monotonic, in milliseconds. */
 export class ReplicaState {
@@ -35,9 +24,9 @@
   /** Requests a second that the replica takes from all nodes together. */
   readonly limit = RequestLimit.create();
   #replica: Replica;
-  #own: NodeLoad = noLoad;
-  #peers: NodeLoad = noLoad;
-  readonly #extraSlowness = DecayingValue.create(forgetMs);
+  /** What it still has to do. */
+  readonly work = WorkLeft.create();
+  readonly speed = ReplicaSpeed.create();
   #serviceMs: number | undefined;
   #serviceMsAt = 0;
   #leavesAt: number | undefined;
@@ -78,25 +67,21 @@
 
   /** Load that this node put on the replica. */
   get ownLoad(): NodeLoad {
-    return this.#own;
+    return this.work.own;
   }
 
-  /** Load of this node and its peers. */
+  /** Load of this node and its peers, as last told. */
   get totalLoad(): NodeLoad {
-    return {
-      active: this.#own.active + this.#peers.active,
-      pendingTokens: this.#own.pendingTokens + this.#peers.pendingTokens,
-      activeTokens: this.#own.activeTokens + this.#peers.activeTokens,
-    };
+    return this.work.told;
   }
 
   /**
-   * Average ratio of observed to predicted time to the first event. It nears 1
-   * while nothing is observed: a replica that seems slow gets no streams, so
-   * observations alone would never correct it.
+   * Expected ratio of observed to usual time of work. It nears 1 while nothing is
+   * observed: a replica that seems slow gets no streams, so observations alone would
+   * never correct it.
    */
   readSlowness(now: number): number {
-    return usualSlowness + this.#extraSlowness.read(now);
+    return this.speed.readSlowness(now);
   }
 
   /**
@@ -166,17 +151,20 @@
     this.#leavingSince = undefined;
   }
 
-  setPeerLoad(load: NodeLoad): void {
-    this.#peers = load;
+  setPeerLoad(load: NodeLoad, now: number): void {
+    this.work.setPeers(load, now);
   }
 
   /** Adds a change, which may be negative, to the load of this node. */
-  addOwnLoad(change: NodeLoad): void {
-    this.#own = {
-      active: this.#own.active + change.active,
-      pendingTokens: this.#own.pendingTokens + change.pendingTokens,
-      activeTokens: this.#own.activeTokens + change.activeTokens,
-    };
+  addOwnLoad(change: NodeLoad, now: number): void {
+    this.work.addOwn(change, now);
+  }
+
+  /** Records what the replica states of its load in an answer. */
+  recordStatement(statement: LoadStatement, now: number): void {
+    this.work.recordStatement(statement, now);
+    const { slowness } = statement;
+    if (slowness !== undefined) this.speed.recordStated(slowness, now);
   }
 
   /** Monotonic time of the last event that this node received on any stream. */
@@ -189,13 +177,12 @@
     this.#lastEventAt = now;
   }
 
-  /** Updates the slowness with an observed and a predicted time to the first event. */
-  recordFirstEvent(observedMs: number, predictedMs: number, now: number): void {
-    const ratio = observedMs / Math.max(10, predictedMs);
-    const bounded = Math.min(maxSlowness, Math.max(minSlowness, ratio));
-    const previous = this.readSlowness(now);
-    const slowness = previous + observationWeight * (bounded - previous);
-    this.#extraSlowness.write(slowness - usualSlowness, now);
+  /**
+   * Updates the slowness with a time to the first event, and the time that it takes
+   * a replica of usual speed.
+   */
+  recordFirstEvent(observedMs: number, usualMs: number, now: number): void {
+    this.speed.recordWork(observedMs / Math.max(10, usualMs), now);
   }
 
   /** Updates the average time of a whole answer. */
--- a/packages/gateway/src/choice/replica_state_test.ts
+++ b/packages/gateway/src/choice/replica_state_test.ts
@@ -9,7 +9,13 @@
 }
 
 function choose(states: readonly ReplicaState[], now: number) {
-  const request = { zone: "a", now, excluded: new Set<string>(), draw: 0 };
+  const request = {
+    zone: "a",
+    now,
+    excluded: new Set<string>(),
+    draw: 0,
+    hasIdleConnection: () => false,
+  };
   return chooseCallReplica(states, request)?.state.replica.id;
 }
 
@@ -38,11 +44,11 @@
   let tries = 0;
   for (let now = 100; now < 30_000; now += 100) {
     // Another request runs at the replica that seems faster.
-    other.addOwnLoad({ active: 1, pendingTokens: 0, activeTokens: 0 });
+    other.addOwnLoad({ active: 1, pendingTokens: 0, activeTokens: 0 }, now);
     const isTry = choose([slow, other], now) === "slow";
     if (isTry) tries += 1;
     (isTry ? slow : other).recordServiceTime(40, now);
-    other.addOwnLoad({ active: -1, pendingTokens: 0, activeTokens: 0 });
+    other.addOwnLoad({ active: -1, pendingTokens: 0, activeTokens: 0 }, now);
   }
   assert.ok(tries > 0, "the slow replica is never tried again");
 });
@@ -50,7 +56,7 @@
 test("a new replica counts as fast as the others", () => {
   const [known, fresh] = [createState("known"), createState("fresh")];
   known.recordServiceTime(2, 0);
-  known.addOwnLoad({ active: 1, pendingTokens: 0, activeTokens: 0 });
+  known.addOwnLoad({ active: 1, pendingTokens: 0, activeTokens: 0 }, 0);
   assert.is(choose([known, fresh], 10), "fresh");
 });
 
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -262,7 +262,7 @@
   const { nodes, clock } = system;
   for (const node of nodes) {
     node.table.find(replicaKey)
-      ?.addOwnLoad({ active: 2, pendingTokens: 10, activeTokens: 20 });
+      ?.addOwnLoad({ active: 2, pendingTokens: 10, activeTokens: 20 }, 0);
   }
   await clock.advance(1_500);
   for (const { node, table } of nodes) {
@@ -275,7 +275,7 @@
   }
   for (const node of nodes) {
     node.table.find(replicaKey)
-      ?.addOwnLoad({ active: -2, pendingTokens: -10, activeTokens: -20 });
+      ?.addOwnLoad({ active: -2, pendingTokens: -10, activeTokens: -20 }, 0);
   }
   await clock.advance(1_500);
   for (const { table } of nodes) {
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -296,7 +296,7 @@
     limitShares.setNodes(isDraining() ? sharers : [...sharers, node]);
     const loads = this.#collector.sumLoads();
     for (const state of table.listAll()) {
-      state.setPeerLoad(loads.read(state.key));
+      state.setPeerLoad(loads.read(state.key), now);
       limitShares.apply(state.key, state.limit, now);
     }
   }
--- a/packages/gateway/src/cluster/report_sums.ts
+++ b/packages/gateway/src/cluster/report_sums.ts
@@ -3,7 +3,7 @@
  * follows them.
  */
 
-import type { NodeLoad } from "../choice/replica_state.ts";
+import type { NodeLoad } from "@almondcrank/routing/placement/work_left.ts";
 import { CounterTracker } from "./counter_tracker.ts";
 import type { PeerReport } from "./peer_messages.ts";
 import type { Counters } from "./report_counters.ts";
--- a/packages/gateway/src/duties/replica_plan_test.ts
+++ b/packages/gateway/src/duties/replica_plan_test.ts
@@ -173,10 +173,10 @@
 
 test("an output token takes more time of an engine with fewer slots", () => {
   const output = { prompt: 0, output: 1_000 };
-  const large = computeEngineMs(output, 64);
-  const small = computeEngineMs(output, 12);
+  const large = computeEngineMs(output, { slots: 64 });
+  const small = computeEngineMs(output, { slots: 12 });
   assert.ok(small > large * 1.4 && small < large * 2, `${small}, ${large}`);
-  assert.is(computeEngineMs({ prompt: 5_000, output: 0 }, 12), 100);
+  assert.is(computeEngineMs({ prompt: 5_000, output: 0 }, { slots: 12 }), 100);
 });
 
 test.run();
--- a/packages/gateway/src/duties/work_meter.ts
+++ b/packages/gateway/src/duties/work_meter.ts
@@ -10,7 +10,7 @@
  * would hide the demand for which replicas are missing, and go on.
  */
 
-import { prefillTokensPerMs } from "../choice/engine_choice.ts";
+import { assumedTokensPerMs } from "@almondcrank/routing/placement/first_event_model.ts";
 import { SlidingWindowCounter } from "@almondcrank/routing/limits/sliding_window_counter.ts";
 
 /** Time of one decoding step: a fixed part, and a part per request in the batch. */
@@ -27,27 +27,45 @@
 /** Shortest span over which work is averaged after a service's first request. */
 const minSpanMs = 1_000;
 
+/**
+ * Bounds of the prefill speed that work is computed with. Prompts that wait for each
+ * other in an overload seem to be computed slowly, which must not order many times
+ * the replicas.
+ */
+const minTokensPerMs = assumedTokensPerMs / 2;
+const maxTokensPerMs = assumedTokensPerMs * 3;
+
 /** Numbers of prompt tokens to prefill and of output tokens generated. */
 export interface EngineTokens {
   readonly prompt: number;
   readonly output: number;
 }
 
+/** Properties of the engines that compute the tokens. */
+export interface EngineSpeed {
+  /** Requests that an engine of the service runs at once. */
+  readonly slots: number;
+  /** Prompt tokens computed in a millisecond; assumed if left out. */
+  readonly tokensPerMs?: number;
+}
+
 /**
  * Computes the engine time of some tokens, in milliseconds.
  *
  * A step generates one token for each request in the batch, so a token takes more
  * engine time the smaller the batch.
- *
- * @param slots Requests that an engine of the service runs at once.
  */
 export function computeEngineMs(
   { prompt, output }: EngineTokens,
-  slots: number,
+  { slots, tokensPerMs = assumedTokensPerMs }: EngineSpeed,
 ): number {
+  const boundedSpeed = Math.min(
+    maxTokensPerMs,
+    Math.max(minTokensPerMs, tokensPerMs),
+  );
   const batch = Math.max(1, Math.min(moderateBatch, slots * moderateSlotShare));
   const outputMs = (stepMs + stepMsPerRequest * batch) / batch;
-  return prompt / prefillTokensPerMs + output * outputMs;
+  return prompt / boundedSpeed + output * outputMs;
 }
 
 interface ServiceWork {
--- a/packages/gateway/src/duties/work_meter_test.ts
+++ b/packages/gateway/src/duties/work_meter_test.ts
@@ -12,7 +12,7 @@
  */
 function runOverload(demand: number, replicas: number): WorkMeter {
   const meter = WorkMeter.create();
-  const requestMs = computeEngineMs(prompt, slots);
+  const requestMs = computeEngineMs(prompt, { slots });
   const intervalMs = requestMs / demand;
   let admittedMs = 0;
   for (let now = 0; now < 10_000; now += intervalMs) {
@@ -43,4 +43,11 @@
   assert.ok(required <= 19, `${required} replicas`);
 });
 
+test("work is computed with the learnt prefill speed, within bounds", () => {
+  const tokens = { prompt: 5_000, output: 0 };
+  assert.is(computeEngineMs(tokens, { slots }), 100);
+  assert.is(computeEngineMs(tokens, { slots, tokensPerMs: 100 }), 50);
+  assert.is(computeEngineMs(tokens, { slots, tokensPerMs: 1 }), 200);
+});
+
 test.run();
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -14,6 +14,7 @@
 } from "@almondcrank/model/gateway_settings.ts";
 import { isNewerConfiguration } from "@almondcrank/platform/decode_configuration.ts";
 import { PlatformStore } from "@almondcrank/platform/platform_store.ts";
+import { CandidateOrder } from "./choice/candidate_order.ts";
 import { PrefixIndex } from "./choice/prefix_index.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
 import { StreamOrigins } from "./choice/stream_origins.ts";
@@ -31,6 +32,7 @@
 import { TenantRateLimiter } from "./limits/tenant_rate_limiter.ts";
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { isFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
+import { CostModel } from "@almondcrank/routing/placement/cost_model.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import type { RouteTable } from "./routes/route_table.ts";
@@ -176,6 +178,8 @@
     zone: settings.zone,
     table,
     prefixes: PrefixIndex.create(),
+    order: CandidateOrder.create(hasher),
+    costs: CostModel.create(),
     sender: ReplicaSender.create({
       clock,
       metrics,
@@ -230,7 +234,7 @@
     feeds,
     view,
     server,
-    tallySources: [],
+    tallySources: [services.costs.firstEvents],
     newsSources: [],
     isProber,
   };
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -93,19 +93,25 @@
   }
 
   #chooseReplica(): ReplicaState | undefined {
-    const { table, clock, zone, random } = this.#services;
+    const { table, clock, zone, random, sender } = this.#services;
     const states = table.listUsable(this.#request.service.name);
     const request = { zone, now: clock.now(), draw: random.next() };
     const choice = chooseCallReplica(states, {
       ...request,
       excluded: this.#tried,
+      hasIdleConnection: (state) => sender.hasIdleConnection(state),
     });
     if (choice === undefined) return undefined;
     const { state, predictedMs } = choice;
+    const stated = state.speed.readStated(clock.now());
     this.#request.trace.record("replica chosen.", {
       replica: state.replica.id,
       predictedMs: Math.round(predictedMs),
       active: state.totalLoad.active,
+      statedSlowness: stated?.slowness,
+      statementAgeMs: stated === undefined
+        ? undefined
+        : Math.round(stated.ageMs),
       usable: states.length,
     });
     return state;
--- a/packages/gateway/src/relay/relay_services.ts
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -7,12 +7,14 @@
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Random } from "@almondcrank/common/random.ts";
+import type { CandidateOrder } from "../choice/candidate_order.ts";
 import type { PrefixIndex } from "../choice/prefix_index.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { StreamOriginDirectory } from "../choice/stream_origins.ts";
 import type { VersionKnowledge } from "../cluster/version_archive.ts";
 import type { WorkMeter } from "../duties/work_meter.ts";
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
+import type { CostModel } from "@almondcrank/routing/placement/cost_model.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { ReplicaSender } from "./replica_sender.ts";
 
@@ -31,6 +33,9 @@
   readonly zone: string;
   readonly table: ReplicaTable;
   readonly prefixes: PrefixIndex;
+  readonly order: CandidateOrder;
+  /** What requests cost, as learnt. */
+  readonly costs: CostModel;
   readonly sender: ReplicaSender;
   readonly budget: RetryBudget;
   readonly quarantine: PartQuarantine;
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -11,10 +11,12 @@
 import type { ReplicaCall } from "@almondcrank/platform/kv_move.ts";
 import {
   isLeavingAnswer,
+  parseReplicaLoad,
   parseRequestLimit,
   parseRetryAfter,
 } from "@almondcrank/platform/headers.ts";
-import type { NodeLoad, ReplicaState } from "../choice/replica_state.ts";
+import type { NodeLoad } from "@almondcrank/routing/placement/work_left.ts";
+import type { ReplicaState } from "../choice/replica_state.ts";
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import { composeRequestHeaders } from "./message_headers.ts";
 import { ReplicaAgent } from "./replica_agent.ts";
@@ -110,6 +112,7 @@
       onAnswer: (response) => {
         this.#recordAnswer(state, response);
         this.#recordLimit(state, response, sentAt);
+        this.#recordLoad(state, response);
       },
     }).then((outcome) => {
       const isEnded = options.signal.aborted ||
@@ -134,6 +137,13 @@
     return response;
   }
 
+  /** Whether a connection to the replica is open and not in use. */
+  hasIdleConnection({ key }: ReplicaState): boolean {
+    const agent = this.#agents.get(key);
+    if (agent === undefined) return false;
+    return Object.keys(agent.freeSockets).length > 0;
+  }
+
   /** Closes the connections to incarnations that are no longer known. */
   retain(isKnown: (key: string) => boolean): void {
     for (const [key, agent] of this.#agents) {
@@ -160,7 +170,7 @@
     };
     let waitingTokens = pendingTokens;
     let hasEnded = false;
-    state.addOwnLoad(load);
+    state.addOwnLoad(load, this.#options.clock.now());
     const markStarted = (): void => {
       const delta = {
         active: 0,
@@ -168,7 +178,7 @@
         activeTokens: 0,
       };
       waitingTokens = 0;
-      state.addOwnLoad(delta);
+      state.addOwnLoad(delta, this.#options.clock.now());
     };
     const end = (): void => {
       if (hasEnded) return;
@@ -179,7 +189,7 @@
         pendingTokens: 0,
         activeTokens: -request.promptTokens,
       };
-      state.addOwnLoad(delta);
+      state.addOwnLoad(delta, this.#options.clock.now());
     };
     return { markStarted, end };
   }
@@ -228,6 +238,21 @@
     log.info(`the limit of a replica was ${change}.`, { replica, perSecond });
   }
 
+  /**
+   * Records the load that a replica states. An answer of another incarnation at its
+   * address never comes here: it is a misdirected one.
+   */
+  #recordLoad(
+    state: ReplicaState,
+    { headers }: Pick<IncomingMessage, "headers">,
+  ): void {
+    const statement = parseReplicaLoad(headers);
+    if (statement === undefined) return;
+    state.recordStatement(statement, this.#options.clock.now());
+    const { service } = state.replica;
+    this.#options.metrics.count("load_statements_total", { service });
+  }
+
   /** Counts what reaches a replica that names a limit. */
   #countLimited({ limit, replica }: ReplicaState, kind: LimitedSend): void {
     if (limit.perSecond === undefined) return;
--- a/packages/gateway/src/relay/request_composer.ts
+++ b/packages/gateway/src/relay/request_composer.ts
@@ -5,6 +5,8 @@
 import type { IncomingMessage } from "node:http";
 import {
   lastEventIdHeader,
+  lengthHintHeader,
+  parseLengthHint,
   parsePromptParts,
   parseTokenCount,
   promptPartsHeader,
@@ -64,6 +66,8 @@
     promptParts,
     promptTokens: count?.prompt ??
       promptParts.reduce((sum, part) => sum + part.tokens, 0),
+    maxOutputTokens: count?.maxOutput,
+    hintedOutputTokens: parseLengthHint(readHeader(request, lengthHintHeader)),
     resumeAfter: Number.isInteger(resumeAfter) ? resumeAfter : undefined,
     resumedRequest: readHeader(request, resumedRequestHeader),
   };
--- a/packages/gateway/src/relay/routed_request.ts
+++ b/packages/gateway/src/relay/routed_request.ts
@@ -31,6 +31,10 @@
   readonly deadline: number;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** Largest number of output tokens; undefined if not stated. */
+  readonly maxOutputTokens: number | undefined;
+  /** Output tokens that the caller expects; undefined if not stated. */
+  readonly hintedOutputTokens: number | undefined;
   /** By what the quarantine knows it. */
   readonly suspects: SuspectParts;
   /** Id after which the caller wants to resume its stream. */
--- a/packages/gateway/src/relay/stall_timeouts.ts
+++ b/packages/gateway/src/relay/stall_timeouts.ts
@@ -2,7 +2,7 @@
  * Computes how long a stream may send nothing before it counts as stalled.
  */
 
-import { prefillTokensPerMs } from "../choice/engine_choice.ts";
+import { assumedTokensPerMs } from "@almondcrank/routing/placement/first_event_model.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StallDetectorOptions } from "./stall_detector.ts";
 
@@ -20,7 +20,7 @@
   if (!route.isResumable) {
     return { firstEventTimeoutMs: Infinity, nextEventTimeoutMs: Infinity };
   }
-  const readMs = promptTokens / prefillTokensPerMs;
+  const readMs = promptTokens / assumedTokensPerMs;
   return {
     firstEventTimeoutMs: Math.max(
       minFirstEventTimeoutMs,
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -43,7 +43,7 @@
   { service, promptParts, promptTokens }: RoutedRequest,
   { target, tried, version, mayReuse }: StreamProgress,
 ): EngineChoice | undefined {
-  const { table, clock, zone } = services;
+  const { table, clock, zone, random } = services;
   const destination = target === undefined
     ? undefined
     : table.find(target.replicaKey);
@@ -51,16 +51,21 @@
     return {
       state: destination,
       predictedMs: movedFirstEventMs,
+      usualMs: movedFirstEventMs,
       uncachedTokens: 0,
+      work: { tokens: 0, active: destination.totalLoad.active },
+      isQueued: false,
     };
   }
   const states = table.listUsable(service.name, version);
   const query = {
+    service: service.name,
     parts: promptParts,
     promptTokens,
     zone,
     traits: service.engine ?? nonEngineTraits,
     now: clock.now(),
+    draw: random.next(),
   };
   const untried = chooseEngine(states, { ...query, excluded: tried }, services);
   if (untried !== undefined || version === undefined) return untried;
@@ -103,19 +108,24 @@
 
 /** Records the engine time that a refused stream would have taken. */
 export function recordRefusedWork(
-  { work, clock }: RelayServices,
+  { work, clock, costs }: RelayServices,
   { service }: RoutedRequest,
-  { uncachedTokens }: EngineChoice,
+  { state, uncachedTokens }: EngineChoice,
 ): void {
   const tokens = { prompt: uncachedTokens, output: 0 };
-  const ms = computeEngineMs(tokens, service.engine?.slots ?? Infinity);
+  const { softwareVersion } = state.replica;
+  const key = { service: service.name, softwareVersion };
+  const ms = computeEngineMs(tokens, {
+    slots: service.engine?.slots ?? Infinity,
+    tokensPerMs: costs.firstEvents.computeTokensPerMs(key, clock.now()),
+  });
   work.recordRefused(service.name, ms, clock.now());
 }
 
 /** Records a choice and its inputs in the trace of the request. */
 export function recordStreamChoice(
   { trace }: RoutedRequest,
-  { state, predictedMs, uncachedTokens }: EngineChoice,
+  { state, predictedMs, usualMs, uncachedTokens, work }: EngineChoice,
   { after, now }: {
     /** Id of the last event that the caller has received. */
     readonly after: number | undefined;
@@ -123,14 +133,27 @@
   },
 ): void {
   const { active, pendingTokens } = state.totalLoad;
+  const statementAgeMs = state.work.computeStatementAgeMs(now);
   trace.record("replica chosen.", {
     replica: state.replica.id,
     version: state.replica.softwareVersion,
     predictedMs: Math.round(predictedMs),
+    usualMs: Math.round(usualMs),
     uncachedTokens: Math.round(uncachedTokens),
     active,
     pendingTokens: Math.round(pendingTokens),
-    slowness: Math.round(state.readSlowness(now) * 100) / 100,
+    expectedActive: Math.round(work.active * 10) / 10,
+    expectedTokens: Math.round(work.tokens),
+    slowness: roundShare(state.readSlowness(now)),
+    lastingSlowness: roundShare(state.speed.readLasting(now)),
+    statedSlowness: state.speed.readStated(now)?.slowness,
+    statementAgeMs: statementAgeMs === undefined
+      ? undefined
+      : Math.round(statementAgeMs),
     after,
   });
 }
+
+function roundShare(share: number): number {
+  return Math.round(share * 100) / 100;
+}
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -98,17 +98,19 @@
     source: ReplicaState,
     { request }: RunningStream,
   ): ReplicaState | undefined {
-    const { table, clock } = this.#services;
+    const { table, clock, random } = this.#services;
     const { service, promptTokens } = request;
     if (service.engine === undefined) return undefined;
     const { softwareVersion } = source.replica;
     return chooseEngine(table.listUsable(service.name, softwareVersion), {
+      service: service.name,
       parts: [],
       promptTokens,
       zone: source.replica.zone,
       traits: service.engine,
       now: clock.now(),
       excluded: new Set([source.key]),
+      draw: random.next(),
     }, this.#services)?.state;
   }
 
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -5,11 +5,12 @@
 
 import type { Replica } from "@almondcrank/model/replica.ts";
 import type { EngineChoice } from "../choice/engine_choice.ts";
-import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
+import { computeEngineMs } from "../duties/work_meter.ts";
 import { CrashRecorder } from "./crash_recorder.ts";
 import type { RelayOutcome } from "./event_relay.ts";
 import type { SendOutcome } from "./replica_request.ts";
 import type { RelayServices } from "./relay_services.ts";
+import { composeShape } from "./request_shape.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StreamSend } from "./stream_segment.ts";
 
@@ -25,6 +26,10 @@
   readonly #request: RoutedRequest;
   readonly #crashes: CrashRecorder;
   #version: string | undefined;
+  /** Output tokens that have arrived. */
+  #outputTokens = 0;
+  /** Time of the first event, which is when it began to run. */
+  #startedAt: number | undefined;
 
   private constructor(services: RelayServices, request: RoutedRequest) {
     this.#services = services;
@@ -58,6 +63,28 @@
   recordComplete(): void {
     const id = this.#originId;
     if (id !== undefined) this.#services.origins.complete(id);
+    this.#recordLength();
+  }
+
+  /** Records what a stream brought that began and ended here. */
+  #recordLength(): void {
+    const { costs, clock, metrics } = this.#services;
+    const isWhole = this.#request.resumeAfter === undefined;
+    if (!isWhole || this.#startedAt === undefined) return;
+    const softwareVersion = this.#version ?? "";
+    const shape = composeShape(this.#request, {
+      softwareVersion,
+      uncachedTokens: 0,
+    });
+    const now = clock.now();
+    const labels = { service: shape.service, route: shape.route };
+    const predicted = costs.outputs.predict(shape).tokens;
+    metrics.count("output_tokens_predicted_total", labels, predicted);
+    metrics.count("output_tokens_total", labels, this.#outputTokens);
+    costs.outputs.record(shape, {
+      tokens: this.#outputTokens,
+      runMs: now - this.#startedAt,
+    }, now);
   }
 
   /** Whether the parts of the prompt allow to send the stream again. */
@@ -86,17 +113,27 @@
   /** Records that output has arrived, and the engine time that it took. */
   recordOutput(tokens: number): void {
     this.#crashes.recordOutput();
-    this.recordWork({ prompt: 0, output: tokens });
-  }
-
-  /** Records engine time that the stream takes. */
-  recordWork(tokens: EngineTokens): void {
+    this.#outputTokens += tokens;
     const { work, clock } = this.#services;
     const { name, engine } = this.#request.service;
-    const ms = computeEngineMs(tokens, engine?.slots ?? Infinity);
+    const output = { prompt: 0, output: tokens };
+    const ms = computeEngineMs(output, { slots: engine?.slots ?? Infinity });
     work.record(name, ms, clock.now());
   }
 
+  /** Records the engine time of a prompt's tokens that a replica computes. */
+  recordPrompt(tokens: number, { softwareVersion }: Replica): void {
+    const { work, clock, costs } = this.#services;
+    const { name, engine } = this.#request.service;
+    const key = { service: name, softwareVersion };
+    const now = clock.now();
+    const ms = computeEngineMs({ prompt: tokens, output: 0 }, {
+      slots: engine?.slots ?? Infinity,
+      tokensPerMs: costs.firstEvents.computeTokensPerMs(key, now),
+    });
+    work.record(name, ms, now);
+  }
+
   /** Id under which a caller that comes back names the stream. */
   get #originId(): string | undefined {
     return this.#request.resumedRequest ?? this.#request.id;
@@ -104,10 +141,45 @@
 
   /** Records the first event of a segment. */
   recordStart({ choice, sentAt, isMoved }: StreamSend): void {
-    const { clock, runs } = this.#services;
+    const { clock, runs, metrics, costs } = this.#services;
     const now = clock.now();
-    choice.state.recordFirstEvent(now - sentAt, choice.predictedMs, now);
-    if (!isMoved) runs.recordRun(this.#request.tenant?.name);
+    const observedMs = now - sentAt;
+    this.#startedAt ??= now;
+    if (isMoved) {
+      choice.state.recordFirstEvent(observedMs, choice.predictedMs, now);
+      return;
+    }
+    runs.recordRun(this.#request.tenant?.name);
+    const { service, softwareVersion } = choice.state.replica;
+    const labels = { service, route: this.#request.route.name };
+    metrics.recordDuration("first_event_seconds", observedMs, labels);
+    metrics.recordDuration(
+      "first_event_predicted_seconds",
+      choice.predictedMs,
+      labels,
+    );
+    this.#recordFirstEvent(choice, observedMs, now);
+    const { work } = choice;
+    // A wait for a slot says nothing of what the tokens take.
+    if (choice.isQueued || this.#request.resumeAfter !== undefined) return;
+    const key = { service, softwareVersion };
+    costs.firstEvents.record(key, { work, observedMs }, now);
+  }
+
+  /** Records how fast the replica was, and the prediction for the log. */
+  #recordFirstEvent(
+    { state, predictedMs, usualMs, isQueued }: EngineChoice,
+    observedMs: number,
+    now: number,
+  ): void {
+    state.recordFirstEvent(observedMs, isQueued ? predictedMs : usualMs, now);
+    this.#request.trace.record("stream started.", {
+      replica: state.replica.id,
+      observedMs: Math.round(observedMs),
+      predictedMs: Math.round(predictedMs),
+      usualMs: Math.round(usualMs),
+      statedSlowness: state.speed.readStated(now)?.slowness,
+    });
   }
 
   /**
--- a/packages/gateway/src/relay/stream_sends.ts
+++ b/packages/gateway/src/relay/stream_sends.ts
@@ -62,7 +62,7 @@
       ...(after === undefined ? {} : { resumeAfter: after }),
       ...(target === undefined ? {} : { movedRun: target.movedRun }),
     });
-    recorder.recordWork({ prompt: uncachedTokens, output: 0 });
+    recorder.recordPrompt(uncachedTokens, state.replica);
     if (!isMoved) attempts.recordSend();
     const send = { choice, pendingSend, aborter, sentAt, isMoved };
     void pendingSend.outcome.then((outcome) =>
--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -4,6 +4,8 @@
  * Names are in lower case, as Node.js provides them.
  */
 
+import type { LoadStatement } from "@almondcrank/routing/placement/load_statement.ts";
+
 /** Identifier that the caller gives a request. */
 export const requestIdHeader = "x-request-id";
 /** Time in milliseconds that the sender of a request waits for its answer. */
@@ -32,6 +34,10 @@
 const retryAfterHeader = "retry-after";
 /** Requests a second that a replica in need takes from all nodes together. */
 const requestLimitHeader = "server-limit";
+/** Load of the replica: running, waiting, slots and slowness of its host. */
+const replicaLoadHeader = "x-replica-load";
+/** Number of output tokens that the caller expects. */
+export const lengthHintHeader = "x-length-hint";
 /** Priority from 0 (highest) to 9. */
 export const priorityHeader = "x-request-priority";
 /** API key of the caller, after `keyScheme`. */
@@ -86,6 +92,53 @@
   return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
 }
 
+/** Largest number of requests or slots that a replica can plausibly state. */
+const maxStatedRequests = 100_000;
+/** Figure of a host on which work takes as long as usual. */
+const usualSlownessFigure = 100;
+/** Bounds within which a stated slowness is believed. */
+const minStatedSlowness = 0.1;
+const maxStatedSlowness = 20;
+
+/**
+ * Parses the load that an answer's replica states of itself; `undefined` if it is
+ * absent or can't be true.
+ */
+export function parseReplicaLoad(headers: Headers): LoadStatement | undefined {
+  const text = headers[replicaLoadHeader];
+  if (typeof text !== "string") return undefined;
+  const figures = text.split(",").map(parseFigure);
+  const [running, waiting, slots, slowness] = figures;
+  const counts = [running, waiting, slots];
+  if (figures.length > 4 || !counts.every(isPlausibleCount)) return undefined;
+  if (slots === undefined || slots < 1) return undefined;
+  return {
+    running: running ?? 0,
+    waiting: waiting ?? 0,
+    slots,
+    slowness: slowness === undefined || !(slowness > 0) ? undefined : Math.min(
+      maxStatedSlowness,
+      Math.max(minStatedSlowness, slowness / usualSlownessFigure),
+    ),
+  };
+}
+
+function parseFigure(text: string): number | undefined {
+  const figure = Number(text);
+  return text.trim() === "" || !Number.isFinite(figure) ? undefined : figure;
+}
+
+function isPlausibleCount(count: number | undefined): boolean {
+  return count !== undefined && Number.isInteger(count) && count >= 0 &&
+    count <= maxStatedRequests;
+}
+
+/** Parses the output tokens that the caller expects; `undefined` if not stated. */
+export function parseLengthHint(text: string | undefined): number | undefined {
+  const tokens = parseFigure(text ?? "");
+  return tokens !== undefined && tokens > 0 ? tokens : undefined;
+}
+
 /** A part of a prompt, with the id that it has in `promptPartsHeader`. */
 export interface PromptPart {
   readonly id: string;
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -89,6 +89,8 @@
   isLeaving = false;
   /** Requests a second that all answers name as a limit; none if undefined. */
   limitPerSecond: number | undefined;
+  /** What all answers state of the load; nothing if undefined. */
+  statedLoad: string | undefined;
   readonly #server: Server;
   readonly #events: number;
   readonly #eventMs: number;
@@ -202,6 +204,9 @@
     if (this.limitPerSecond !== undefined) {
       response.setHeader("Server-Limit", String(this.limitPerSecond));
     }
+    if (this.statedLoad !== undefined) {
+      response.setHeader("X-Replica-Load", this.statedLoad);
+    }
     if (request.url === "/kv-move") return await this.#move(body, response);
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
