--- a/packages/gateway/src/choice/call_choice.ts
+++ b/packages/gateway/src/choice/call_choice.ts
@@ -17,9 +17,8 @@
 const otherZoneCostMs = 2;
 /** Cost of a connection that has to be opened first. */
 const newConnectionCostMs = 3;
-/** Difference of cost that this node can't tell: in time, and as a share. */
-const uncertainMs = 1;
-const uncertainShare = 0.05;
+/** Share of the predicted time by which a difference can't be told. */
+const uncertainShare = 0.02;
 
 /** Properties of the call that the choice depends on. */
 export interface CallRequest {
@@ -47,16 +46,15 @@
 ): CallChoice | undefined {
   const leastMs = computeLeastServiceMs(states);
   const scored: (CallChoice & { readonly cost: number })[] = [];
-  let leastCost = Infinity;
+  let limit = Infinity;
   for (const state of states) {
     if (request.excluded.has(state.key)) continue;
     if (!state.takesRequests(request.now)) continue;
     const predictedMs = computeAnswerMs(state, leastMs, request.now);
     const cost = predictedMs + computePenaltyMs(state, request);
     scored.push({ state, predictedMs, cost });
-    leastCost = Math.min(leastCost, cost);
+    limit = Math.min(limit, cost + predictedMs * uncertainShare);
   }
-  const limit = leastCost * (1 + uncertainShare) + uncertainMs;
   const equal = scored.filter(({ cost }) => cost <= limit);
   return equal[Math.floor(request.draw * equal.length)];
 }
--- a/packages/routing/src/placement/replica_speed.ts
+++ b/packages/routing/src/placement/replica_speed.ts
@@ -108,7 +108,7 @@
   }
 
   #recordLasting(rest: number, now: number): void {
-    const elapsedMs = now - (this.#recordedAt ?? now - lastingWindowMs);
+    const elapsedMs = now - (this.#recordedAt ?? now);
     this.#recordedAt = now;
     this.#observations = Math.min(maxObservations, this.#observations + 1);
     const factor = Math.min(maxFactor, Math.max(1 / maxFactor, rest));
