--- /dev/null
+++ b/packages/bench/src/placement_policies.ts
@@ -0,0 +1,129 @@
+/**
+ * Policies that the placement comparison measures.
+ */
+
+import {
+  chooseEngine,
+  type EngineChoice,
+  type EngineChoiceServices,
+  type EngineRequest,
+} from "@almondcrank/gateway/choice/engine_choice.ts";
+import type { ReplicaState } from "@almondcrank/gateway/choice/replica_state.ts";
+import { computeRendezvousOrder } from "@almondcrank/common/hashing.ts";
+
+/** Policies by name. */
+export type PlacementPolicy =
+  | "constants"
+  | "round_robin"
+  | "least_stated"
+  | "two_choices"
+  | "learned"
+  | "all_seeing";
+
+export const placementPolicies: readonly PlacementPolicy[] = [
+  "constants",
+  "round_robin",
+  "least_stated",
+  "two_choices",
+  "learned",
+  "all_seeing",
+];
+
+/** What one node knows when it chooses. */
+export interface PolicyInput {
+  readonly states: readonly ReplicaState[];
+  readonly request: EngineRequest;
+  readonly services: EngineChoiceServices;
+  /** Number of requests that the node has placed before. */
+  readonly placed: number;
+  /** Second random number in [0, 1). */
+  readonly secondDraw: number;
+  /** Requests that each replica stated last, by key. */
+  readonly stated: ReadonlyMap<string, number>;
+  /** True time of the first event, for the all-seeing plan. */
+  readonly computeFirstAt: (state: ReplicaState) => number;
+}
+
+/** Chooses a replica. */
+export function choosePlacement(
+  policy: PlacementPolicy,
+  input: PolicyInput,
+): ReplicaState {
+  const { states, request, services, placed, secondDraw, stated } = input;
+  const at = (index: number): ReplicaState =>
+    states[index % states.length] as ReplicaState;
+  switch (policy) {
+    case "round_robin":
+      return at(placed + Math.floor(request.draw * 2));
+    case "least_stated":
+      return chooseLeast(
+        rotate(states, request.draw),
+        ({ key }) => stated.get(key) ?? 0,
+      );
+    case "two_choices": {
+      const pair = [
+        at(Math.floor(request.draw * states.length)),
+        at(Math.floor(secondDraw * states.length)),
+      ];
+      return chooseLeast(pair, ({ work }) => {
+        const { active, pendingTokens } = work.estimate(request.now, 2_000);
+        return pendingTokens / 50 + active;
+      });
+    }
+    case "learned":
+      return (chooseEngine(states, request, services) as EngineChoice).state;
+    case "all_seeing":
+      return chooseLeast(states, input.computeFirstAt);
+    case "constants":
+      return chooseByConstants(states, request, services);
+  }
+}
+
+/** The choice before costs were learnt: 50 tokens/ms, streams of 2 s. */
+function chooseByConstants(
+  states: readonly ReplicaState[],
+  { parts, promptTokens, traits, now }: EngineRequest,
+  { hasher, prefixes }: EngineChoiceServices,
+): ReplicaState {
+  const shared = parts[0];
+  const order = computeRendezvousOrder(
+    hasher,
+    shared?.id ?? "",
+    states.map(({ key }) => key),
+  );
+  const first = new Set(states.length <= 24 ? order : order.slice(0, 6));
+  const candidates = states.filter(({ key }) => first.has(key));
+  return chooseLeast(candidates, (state) => {
+    const cached = prefixes.computeCachedTokens(parts, state.key);
+    const assumed = state.key === order[0] ? (shared?.tokens ?? 0) * 0.9 : 0;
+    const uncached = promptTokens - Math.max(cached, assumed);
+    const { active, pendingTokens } = state.totalLoad;
+    const slotMs = Math.max(0, active + 1 - traits.slots) * 2_000 /
+      traits.slots;
+    const firstMs = 25 + (uncached + pendingTokens) / 50 + active;
+    return firstMs * state.readSlowness(now) + slotMs + uncached * 0.06;
+  });
+}
+
+function rotate(
+  states: readonly ReplicaState[],
+  draw: number,
+): readonly ReplicaState[] {
+  const offset = Math.floor(draw * states.length);
+  return [...states.slice(offset), ...states.slice(0, offset)];
+}
+
+function chooseLeast(
+  states: readonly ReplicaState[],
+  readCost: (state: ReplicaState) => number,
+): ReplicaState {
+  let best = states[0] as ReplicaState;
+  let least = Infinity;
+  for (const state of states) {
+    const cost = readCost(state);
+    if (cost >= least) continue;
+    least = cost;
+    best = state;
+  }
+  return best;
+}
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -38,9 +38,8 @@
  * prefill of other prompts and the events of the streams there.
  */
 const prefillHarm = 3;
-/** Difference of cost that this node can't tell: in time, and as a share. */
+/** Difference of cost that this node can't tell, however fresh its knowledge. */
 const uncertainMs = 2;
-const uncertainShare = 0.03;
 
 /** Largest pool of which every replica is a candidate. */
 const smallPoolSize = 24;
@@ -90,6 +89,8 @@
 
 interface ScoredChoice extends EngineChoice {
   readonly cost: number;
+  /** Difference of cost that this node can't tell. */
+  readonly uncertainMs: number;
 }
 
 /** Chooses the replica with the lowest cost; `undefined` if there is none left. */
@@ -110,9 +111,27 @@
     if (best === undefined || choice.cost < best.cost) best = choice;
   }
   if (best === undefined) return undefined;
-  const limit = best.cost + uncertainMs + best.predictedMs * uncertainShare;
-  const equal = scored.filter(({ cost }) => cost <= limit);
-  return equal[Math.floor(request.draw * equal.length)] ?? best;
+  return drawChoice(scored, best, request.draw);
+}
+
+/**
+ * Draws among choices, the better ones with more weight, and one that is better by
+ * more than is uncertain nearly always.
+ */
+function drawChoice(
+  choices: readonly ScoredChoice[],
+  best: ScoredChoice,
+  draw: number,
+): EngineChoice {
+  const weights = choices.map(({ cost }) =>
+    Math.exp((best.cost - cost) / best.uncertainMs)
+  );
+  let left = draw * weights.reduce((sum, weight) => sum + weight, 0);
+  for (const [index, choice] of choices.entries()) {
+    left -= weights[index] ?? 0;
+    if (left < 0) return choice;
+  }
+  return best;
 }
 
 interface Candidates {
@@ -190,6 +209,7 @@
     work,
     isQueued: queuedMs > 0,
     cost: predictedMs + harmMs + penaltyMs,
+    uncertainMs: uncertainMs + load.uncertainTokens / tokensPerMs,
   };
 }
 
--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -8,6 +8,7 @@
 import { ReplicaSpeed } from "@almondcrank/routing/placement/replica_speed.ts";
 import {
   type NodeLoad,
+  type ReportTime,
   WorkLeft,
 } from "@almondcrank/routing/placement/work_left.ts";
 import { FailureRate } from "./failure_rate.ts";
@@ -151,8 +152,8 @@
     this.#leavingSince = undefined;
   }
 
-  setPeerLoad(load: NodeLoad, now: number): void {
-    this.work.setPeers(load, now);
+  setPeerLoad(load: NodeLoad, time: ReportTime): void {
+    this.work.setPeers(load, time);
   }
 
   /** Adds a change, which may be negative, to the load of this node. */
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -289,14 +289,17 @@
 
   /** Updates the peers' load of each replica, and this node's share of its limit. */
   #refreshReplicas(known: readonly Member[]): void {
-    const { table, limitsClock, limitShares, node, isDraining } = this.#options;
+    const { table, limitsClock, limitShares, node, members, isDraining } =
+      this.#options;
     const now = limitsClock.now();
+    // On average a load is told half a round after it was measured.
+    const ageMs = members.roundMs / 2;
     const sharers = known.filter((member) => !member.isDraining)
       .map((member) => member.node);
     limitShares.setNodes(isDraining() ? sharers : [...sharers, node]);
     const loads = this.#collector.sumLoads();
     for (const state of table.listAll()) {
-      state.setPeerLoad(loads.read(state.key), now);
+      state.setPeerLoad(loads.read(state.key), { now, ageMs });
       limitShares.apply(state.key, state.limit, now);
     }
   }
--- a/packages/routing/src/placement/work_left.ts
+++ b/packages/routing/src/placement/work_left.ts
@@ -24,16 +24,34 @@
   readonly activeTokens: number;
 }
 
+/** Load of a replica as this node expects it. */
+export interface EstimatedLoad extends NodeLoad {
+  /** Pending tokens that are only known as an average. */
+  readonly uncertainTokens: number;
+}
+
 const noLoad: NodeLoad = { active: 0, pendingTokens: 0, activeTokens: 0 };
 /** Weight of a report in the average of what peers told. */
-const reportWeight = 0.2;
+const reportWeight = 0.05;
 /** Time in which pending prompts of a report are replaced by others to 1/e. */
 const pendingWorthMs = 300;
+/**
+ * Longest time in which running requests of a report lose their worth to 1/e: the
+ * other nodes send where it showed few.
+ */
+const activeWorthMs = 400;
 /** Time before a statement in which this node's sends had not arrived. */
 const unseenSendMs = 5;
 /** Share of the reported requests below which no statement is believed. */
 const leastStatedShare = 0.5;
 
+/** When peers told of their load. */
+export interface ReportTime {
+  readonly now: number;
+  /** Age of what they told, when it arrived. */
+  readonly ageMs: number;
+}
+
 /** Work of one replica. Times are monotonic, in milliseconds. */
 export class WorkLeft {
   #own: NodeLoad = noLoad;
@@ -64,9 +82,10 @@
     if (change.active > 0) this.#lastSendAt = now;
   }
 
-  setPeers(load: NodeLoad, now: number): void {
+  /** Sets what peers told, of which the latest is `ageMs` old. */
+  setPeers(load: NodeLoad, { now, ageMs }: ReportTime): void {
     // Reports repeat a load until they tell another one.
-    if (!isSame(load, this.#peers)) this.#peersAt = now;
+    if (!isSame(load, this.#peers)) this.#peersAt = now - ageMs;
     this.#peers = load;
     this.#peersAverage = mix(this.#peersAverage ?? load, load, reportWeight);
   }
@@ -91,20 +110,19 @@
    *
    * @param runMs Time that a request of the service runs.
    */
-  estimate(now: number, runMs: number): NodeLoad {
+  estimate(now: number, runMs: number): EstimatedLoad {
     const average = this.#peersAverage ?? noLoad;
     const ageMs = Math.max(0, now - this.#peersAt);
-    const active = mix(average, this.#peers, Math.exp(-ageMs / runMs));
-    const pending = mix(
-      average,
-      this.#peers,
-      Math.exp(-ageMs / pendingWorthMs),
-    );
+    const worthMs = Math.min(runMs, activeWorthMs);
+    const active = mix(average, this.#peers, Math.exp(-ageMs / worthMs));
+    const pendingWorth = Math.exp(-ageMs / pendingWorthMs);
+    const pending = mix(average, this.#peers, pendingWorth);
     const reported = this.#own.active + active.active;
     return {
       active: this.#applyStatement(reported, now, runMs),
       pendingTokens: this.#own.pendingTokens + pending.pendingTokens,
       activeTokens: this.#own.activeTokens + active.activeTokens,
+      uncertainTokens: average.pendingTokens * (1 - pendingWorth),
     };
   }
 
