--- a/packages/bench/src/placement_bench.ts
+++ b/packages/bench/src/placement_bench.ts
@@ -16,10 +16,18 @@
 
 for (const isUneven of [true, false]) {
   for (const nodes of (process.env.N ?? "9,73,390").split(",").map(Number)) {
-    for (const reportAgeMs of (process.env.A ?? "100,1000,4000").split(",").map(Number)) {
+    for (
+      const reportAgeMs of (process.env.A ?? "100,1000,4000").split(",").map(
+        Number,
+      )
+    ) {
       const load = isUneven ? "uneven" : "even";
       console.log(`${load}, ${nodes} nodes, reports ${reportAgeMs} ms old`);
-      for (const policy of (process.env.P?.split(",") as typeof placementPolicies ?? placementPolicies)) {
+      for (
+        const policy
+          of (process.env.P?.split(",") as typeof placementPolicies ??
+            placementPolicies)
+      ) {
         const records = PlacementSimulation.run({
           policy,
           seed,
--- a/packages/bench/src/placement_replica.ts
+++ b/packages/bench/src/placement_replica.ts
@@ -128,7 +128,10 @@
 function computeNoise(index: number, span: number): number {
   let sum = 0;
   for (let draw = 0; draw < 12; draw += 1) {
-    const mixed = Math.imul(index * 7919 + span * 104_729 + draw, 2_654_435_761);
+    const mixed = Math.imul(
+      index * 7919 + span * 104_729 + draw,
+      2_654_435_761,
+    );
     const hashed = Math.imul(mixed ^ (mixed >>> 15), 2_246_822_519);
     sum += ((hashed ^ (hashed >>> 13)) >>> 0) / 0x1_0000_0000;
   }
--- a/packages/bench/src/placement_simulation.ts
+++ b/packages/bench/src/placement_simulation.ts
@@ -18,10 +18,7 @@
 import { ReplicaState } from "@almondcrank/gateway/choice/replica_state.ts";
 import { createReplica } from "@almondcrank/gateway/testing/create_replica.ts";
 import { CostModel } from "@almondcrank/routing/placement/cost_model.ts";
-import {
-  choosePlacement,
-  type PlacementPolicy,
-} from "./placement_policies.ts";
+import { choosePlacement, type PlacementPolicy } from "./placement_policies.ts";
 import { type PlacedRequest, SimulatedReplica } from "./placement_replica.ts";
 
 const reportIntervalMs = 250;
@@ -79,16 +76,21 @@
     this.#options = options;
     this.#random = Random.create(options.seed);
     const { replicas, isUneven } = options;
-    this.#replicas = Array.from({ length: replicas }, (_, index) =>
-      SimulatedReplica.create({
-        index,
-        slots,
-        tokensPerMs: 90,
-        slowness: isUneven ? 0.7 + this.#random.next() : 1,
-        isNoisy: isUneven,
-      }));
-    this.#nodes = Array.from({ length: options.nodes }, () =>
-      createNode(options));
+    this.#replicas = Array.from(
+      { length: replicas },
+      (_, index) =>
+        SimulatedReplica.create({
+          index,
+          slots,
+          tokensPerMs: 90,
+          slowness: isUneven ? 0.7 + this.#random.next() : 1,
+          isNoisy: isUneven,
+        }),
+    );
+    this.#nodes = Array.from(
+      { length: options.nodes },
+      () => createNode(options),
+    );
   }
 
   /** Runs, and returns what became of the requests of the later half. */
@@ -303,11 +305,14 @@
 function createNode(
   { replicas, hasher }: PlacementOptions,
 ): SimulatedNode {
-  const states = Array.from({ length: replicas }, (_, index) =>
-    ReplicaState.create(
-      `${index}`,
-      createReplica({ id: `${index}`, service: "s", slots }),
-    ));
+  const states = Array.from(
+    { length: replicas },
+    (_, index) =>
+      ReplicaState.create(
+        `${index}`,
+        createReplica({ id: `${index}`, service: "s", slots }),
+      ),
+  );
   return {
     states,
     services: {
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -40,11 +40,13 @@
 const prefillHarm = 3;
 /** Difference of cost that this node can't tell, however fresh its knowledge. */
 const uncertainMs = 2;
+/** Spread of pending prompts that are only known as an average, by that average. */
+const uncertainFactor = 3;
 
 /** Largest pool of which every replica is a candidate. */
 const smallPoolSize = 24;
 /** Number of candidates from a larger pool. */
-const largePoolCandidates = 6;
+const largePoolCandidates = 8;
 
 /** Properties of the request that the choice depends on. */
 export interface EngineRequest {
@@ -209,7 +211,8 @@
     work,
     isQueued: queuedMs > 0,
     cost: predictedMs + harmMs + penaltyMs,
-    uncertainMs: uncertainMs + load.uncertainTokens / tokensPerMs,
+    uncertainMs: uncertainMs +
+      uncertainFactor * load.uncertainTokens / tokensPerMs,
   };
 }
 
--- a/packages/routing/src/placement/work_left.ts
+++ b/packages/routing/src/placement/work_left.ts
@@ -32,7 +32,7 @@
 
 const noLoad: NodeLoad = { active: 0, pendingTokens: 0, activeTokens: 0 };
 /** Weight of a report in the average of what peers told. */
-const reportWeight = 0.05;
+const reportWeight = 0.07;
 /** Time in which pending prompts of a report are replaced by others to 1/e. */
 const pendingWorthMs = 300;
 /**
