--- a/packages/bench/src/placement_replica.ts
+++ b/packages/bench/src/placement_replica.ts
@@ -90,10 +90,10 @@
   /** Composes what the replica states of its load. */
   composeStatement(now: number): LoadStatement {
     const requests = this.#countRunning(now);
-    const { slots, slowness } = this.#options;
+    const { slots } = this.#options;
     const running = Math.min(slots, requests);
-    const moment = this.#readSlowness(now) / slowness;
-    return { running, waiting: requests - running, slots, slowness: moment };
+    const slowness = this.#readSlowness(now);
+    return { running, waiting: requests - running, slots, slowness };
   }
 
   #countRunning(now: number): number {
--- a/packages/bench/src/placement_simulation.ts
+++ b/packages/bench/src/placement_simulation.ts
@@ -199,7 +199,11 @@
         now,
       );
       state.recordFirstEvent(observedMs, usualMs, now);
-      costs.firstEvents.record(key, { work, observedMs }, now);
+      const slowness = state.speed.readStatedSlowness(now);
+      costs.firstEvents.record(key, {
+        work,
+        observedMs: observedMs / slowness,
+      }, now);
     });
     this.#schedule(placement.endAt, () => {
       state.addOwnLoad(
--- a/packages/gateway/src/choice/call_choice.ts
+++ b/packages/gateway/src/choice/call_choice.ts
@@ -79,7 +79,7 @@
   const waiting = Math.max(0, active + 1 - slots);
   // A replica that is nearly full answers somewhat slower than an idle one.
   const loadFactor = 1 + 0.3 * Math.min(1, active / slots);
-  const momentMs = serviceMs * state.speed.readStatedFactor(now);
+  const momentMs = serviceMs * state.speed.readMoment(now);
   return momentMs * loadFactor + waiting * serviceMs / slots;
 }
 
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -38,10 +38,12 @@
  * prefill of other prompts and the events of the streams there.
  */
 const prefillHarm = 3;
+/** Share of its slots in use from which on a replica counts as crowded. */
+const crowdedShare = 0.75;
 /** Difference of cost that this node can't tell, however fresh its knowledge. */
 const uncertainMs = 2;
 /** Spread of pending prompts that are only known as an average, by that average. */
-const uncertainFactor = 3;
+const uncertainFactor = 1.5;
 
 /** Largest pool of which every replica is a candidate. */
 const smallPoolSize = 24;
@@ -200,7 +202,9 @@
   );
   const predictedMs = usualMs * state.readSlowness(now) + queuedMs;
   const tokensPerMs = costs.firstEvents.computeTokensPerMs(key, now);
-  const harmMs = uncachedTokens / tokensPerMs * prefillHarm;
+  const prefillMs = uncachedTokens / tokensPerMs;
+  const crowdMs = computeCrowdMs(load.active, traits, runMs);
+  const harmMs = prefillMs * prefillHarm + crowdMs;
   const connectMs = sender.hasIdleConnection(state) ? 0 : newConnectionCostMs;
   const penaltyMs = computePenaltyMs(state, request) + connectMs;
   return {
@@ -230,6 +234,18 @@
   return Math.max(0, promptTokens - expectedCached);
 }
 
+/**
+ * Computes the wait that a request causes to those that come after it, by taking one
+ * of the last slots.
+ */
+function computeCrowdMs(
+  active: number,
+  { slots }: EngineTraits,
+  runMs: number,
+): number {
+  return Math.max(0, active + 1 - slots * crowdedShare) * runMs / slots;
+}
+
 /** Computes the wait for a slot and for memory on a replica that is full. */
 function computeQueuedMs(
   { active, cacheTokens }: {
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -115,11 +115,13 @@
   const tokens = { prompt: uncachedTokens, output: 0 };
   const { softwareVersion } = state.replica;
   const key = { service: service.name, softwareVersion };
+  const now = clock.now();
+  const usual = costs.firstEvents.computeTokensPerMs(key, now);
   const ms = computeEngineMs(tokens, {
     slots: service.engine?.slots ?? Infinity,
-    tokensPerMs: costs.firstEvents.computeTokensPerMs(key, clock.now()),
+    tokensPerMs: usual / state.speed.readLasting(now),
   });
-  work.recordRefused(service.name, ms, clock.now());
+  work.recordRefused(service.name, ms, now);
 }
 
 /** Records a choice and its inputs in the trace of the request. */
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Replica } from "@almondcrank/model/replica.ts";
+import type { ReplicaState } from "../choice/replica_state.ts";
 import type { EngineChoice } from "../choice/engine_choice.ts";
 import { computeEngineMs } from "../duties/work_meter.ts";
 import { CrashRecorder } from "./crash_recorder.ts";
@@ -122,14 +123,16 @@
   }
 
   /** Records the engine time of a prompt's tokens that a replica computes. */
-  recordPrompt(tokens: number, { softwareVersion }: Replica): void {
+  recordPrompt(tokens: number, { replica, speed }: ReplicaState): void {
     const { work, clock, costs } = this.#services;
     const { name, engine } = this.#request.service;
+    const { softwareVersion } = replica;
     const key = { service: name, softwareVersion };
     const now = clock.now();
+    const usual = costs.firstEvents.computeTokensPerMs(key, now);
     const ms = computeEngineMs({ prompt: tokens, output: 0 }, {
       slots: engine?.slots ?? Infinity,
-      tokensPerMs: costs.firstEvents.computeTokensPerMs(key, now),
+      tokensPerMs: usual / speed.readLasting(now),
     });
     work.record(name, ms, now);
   }
@@ -163,7 +166,11 @@
     // A wait for a slot says nothing of what the tokens take.
     if (choice.isQueued || this.#request.resumeAfter !== undefined) return;
     const key = { service, softwareVersion };
-    costs.firstEvents.record(key, { work, observedMs }, now);
+    const slowness = choice.state.speed.readStatedSlowness(now);
+    costs.firstEvents.record(key, {
+      work,
+      observedMs: observedMs / slowness,
+    }, now);
   }
 
   /** Records how fast the replica was, and the prediction for the log. */
--- a/packages/gateway/src/relay/stream_sends.ts
+++ b/packages/gateway/src/relay/stream_sends.ts
@@ -62,7 +62,7 @@
       ...(after === undefined ? {} : { resumeAfter: after }),
       ...(target === undefined ? {} : { movedRun: target.movedRun }),
     });
-    recorder.recordPrompt(uncachedTokens, state.replica);
+    recorder.recordPrompt(uncachedTokens, state);
     if (!isMoved) attempts.recordSend();
     const send = { choice, pendingSend, aborter, sentAt, isMoved };
     void pendingSend.outcome.then((outcome) =>
--- a/packages/routing/src/placement/replica_speed.ts
+++ b/packages/routing/src/placement/replica_speed.ts
@@ -1,11 +1,12 @@
 /**
  * Speed of one incarnation of a replica, in two parts.
  *
- * What the replica is, relative to others of its service, is learnt slowly and kept
- * for a minute without observations. What its host suffers now is known from its
- * own statement and worth nothing after some hundred milliseconds; where replicas
- * state nothing, it is a short average of what their first events took. Neither may
- * grow so large that the replica is never tried again.
+ * What the replica is, for good, is learnt slowly: the geometric mean of the slowness
+ * that it states, and what its first events took beyond that, which is forgotten in
+ * some minutes without observations. What its host suffers now is its last statement
+ * relative to that mean, and worth nothing after some hundred milliseconds; where
+ * replicas state nothing, a short average of first events takes its place. Neither
+ * may grow so large that the replica is never tried again.
  *
  * Answers a load of replicas that differ by a factor of two for good, and by more for
  * moments: a choice that takes moments for speed sends everything to the replicas
@@ -19,7 +20,7 @@
 /** Time in which the short average nears the usual value to 1/e. */
 const forgetMs = 4_000;
 /** Time in which a lasting difference is forgotten to 1/e without observations. */
-const lastingForgetMs = 60_000;
+const lastingForgetMs = 300_000;
 /** Time in which a stated slowness loses its worth to 1/e. */
 const statementWorthMs = 250;
 /** Observations at which the lasting speed is half believed. */
@@ -28,7 +29,7 @@
 const maxObservations = 60;
 /** Largest factor by which one observation can differ from what is known. */
 const maxFactor = 2.5;
-/** Bounds of the lasting slowness. */
+/** Bounds of the lasting slowness that statements do not tell of. */
 const minLasting = 0.4;
 const maxLasting = 2.5;
 /** Bounds of the slowness of one observation. */
@@ -36,8 +37,10 @@
 const minSlowness = 0.5;
 /** Time over which observations count as one for the lasting speed. */
 const lastingWindowMs = 10_000;
-/** Weight of one statement in the average of stated slowness. */
-const statedWeight = 0.1;
+/** Least weight of one statement in the average of stated slowness. */
+const statedWeight = 0.03;
+/** Largest factor by which one statement can differ from the average. */
+const maxStatedFactor = 2;
 
 /** Speed of one replica. Times are monotonic, in milliseconds. */
 export class ReplicaSpeed {
@@ -46,26 +49,32 @@
   #observations = 0;
   #recordedAt: number | undefined;
   #stated: { readonly slowness: number; readonly at: number } | undefined;
-  /** Average of what the replica states. */
+  /** Geometric mean of what the replica states; 1 if it states nothing. */
   #meanStated = 1;
+  #statements = 0;
 
   static create(): ReplicaSpeed {
     return new ReplicaSpeed();
   }
 
-  /** Slowness of the replica itself relative to others; 1 is usual. */
+  /** Slowness of the replica itself, without its host's moments; 1 is usual. */
   readLasting(now: number): number {
-    const log = this.#logLasting.read(now);
-    return Math.min(maxLasting, Math.max(minLasting, Math.exp(log)));
+    return this.#meanStated * this.#readUnstated(now);
   }
 
   /** Expected slowness of work that begins now; 1 is usual. */
   readSlowness(now: number): number {
-    return this.readLasting(now) * this.#readMoment(now);
+    const extra = 1 + this.#extraSlowness.read(now);
+    return this.readLasting(now) * extra * this.readMoment(now);
+  }
+
+  /** Slowness now by what the replica states; 1 is usual. */
+  readStatedSlowness(now: number): number {
+    return this.#meanStated * this.readMoment(now);
   }
 
-  /** Stated slowness relative to its average, as far as it still counts. */
-  readStatedFactor(now: number): number {
+  /** Last statement relative to their mean, as far as it still counts. */
+  readMoment(now: number): number {
     if (this.#stated === undefined) return 1;
     const { slowness, at } = this.#stated;
     const worth = Math.exp((at - now) / statementWorthMs);
@@ -84,7 +93,13 @@
   /** Records the slowness that the replica states of its host. */
   recordStated(slowness: number, now: number): void {
     this.#stated = { slowness, at: now };
-    this.#meanStated += (slowness - this.#meanStated) * statedWeight;
+    this.#statements += 1;
+    const weight = Math.max(statedWeight, 1 / this.#statements);
+    const factor = Math.min(
+      maxStatedFactor,
+      Math.max(1 / maxStatedFactor, slowness / this.#meanStated),
+    );
+    this.#meanStated *= Math.exp(Math.log(factor) * weight);
   }
 
   /**
@@ -95,7 +110,7 @@
   recordWork(ratio: number, now: number): void {
     const lasting = this.readLasting(now);
     // A slow moment that the replica stated explains as much of it.
-    const rest = ratio / lasting / Math.max(1, this.readStatedFactor(now));
+    const rest = ratio / lasting / Math.max(1, this.readMoment(now));
     this.#recordMoment(rest, now);
     this.#recordLasting(rest, now);
   }
@@ -121,7 +136,9 @@
     this.#logLasting.write(previous + Math.log(factor) * step, now);
   }
 
-  #readMoment(now: number): number {
-    return (1 + this.#extraSlowness.read(now)) * this.readStatedFactor(now);
+  /** Lasting slowness that the replica's statements do not tell of. */
+  #readUnstated(now: number): number {
+    const log = this.#logLasting.read(now);
+    return Math.min(maxLasting, Math.max(minLasting, Math.exp(log)));
   }
 }
