--- a/packages/bench/src/placement_bench.ts
+++ b/packages/bench/src/placement_bench.ts
@@ -7,27 +7,27 @@
 import process from "node:process";
 import { openHasher } from "@almondcrank/common/hashing.ts";
 import { computePercentile } from "./percentiles.ts";
-import { placementPolicies } from "./placement_policies.ts";
-import { PlacementSimulation } from "./placement_simulation.ts";
+import {
+  placementPolicies,
+  type PlacementPolicy,
+} from "./placement_policies.ts";
+import {
+  type PlacementRecord,
+  PlacementSimulation,
+} from "./placement_simulation.ts";
 
+const nodeCounts = [9, 73, 390];
+const reportAgesMs = [100, 1_000, 4_000];
+const lateMs = 500;
 const seed = Number(process.argv[2] ?? 1);
 const hasher = await openHasher();
-const lateMs = 500;
 
 for (const isUneven of [true, false]) {
-  for (const nodes of (process.env.N ?? "9,73,390").split(",").map(Number)) {
-    for (
-      const reportAgeMs of (process.env.A ?? "100,1000,4000").split(",").map(
-        Number,
-      )
-    ) {
+  for (const nodes of nodeCounts) {
+    for (const reportAgeMs of reportAgesMs) {
       const load = isUneven ? "uneven" : "even";
       console.log(`${load}, ${nodes} nodes, reports ${reportAgeMs} ms old`);
-      for (
-        const policy
-          of (process.env.P?.split(",") as typeof placementPolicies ??
-            placementPolicies)
-      ) {
+      for (const policy of placementPolicies) {
         const records = PlacementSimulation.run({
           policy,
           seed,
@@ -39,18 +39,31 @@
           durationMs: 20_000,
           isUneven,
         });
-        const times = records.map(({ firstMs }) => firstMs);
-        const mean = times.reduce((sum, ms) => sum + ms, 0) / times.length;
-        const late = times.filter((ms) => ms > lateMs).length / times.length;
-        const reread = records.reduce((sum, r) => sum + r.rereadTokens, 0) /
-          records.length;
-        console.log([
-          `  ${policy.padEnd(13)}mean ${mean.toFixed(0).padStart(6)} ms`,
-          `p99 ${computePercentile(times, 99).toFixed(0).padStart(6)} ms`,
-          `late ${(late * 100).toFixed(1).padStart(5)} %`,
-          `shared tokens read ${reread.toFixed(0).padStart(5)}`,
-        ].join("  "));
+        console.log(formatRow(policy, records));
       }
     }
   }
 }
+
+function formatRow(
+  policy: PlacementPolicy,
+  records: readonly PlacementRecord[],
+): string {
+  const times = records.map(({ firstMs }) => firstMs);
+  const late = times.filter((ms) => ms > lateMs).length / times.length;
+  const reread = records.map(({ rereadTokens }) => rereadTokens);
+  return [
+    `  ${policy.padEnd(13)}mean ${formatNumber(computeMean(times))} ms`,
+    `p99 ${formatNumber(computePercentile(times, 99))} ms`,
+    `late ${(late * 100).toFixed(1).padStart(5)} %`,
+    `shared tokens read ${formatNumber(computeMean(reread))}`,
+  ].join("  ");
+}
+
+function formatNumber(value: number): string {
+  return value.toFixed(0).padStart(6);
+}
+
+function computeMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
