--- a/packages/bench/src/placement_policies.ts
+++ b/packages/bench/src/placement_policies.ts
@@ -58,7 +58,7 @@
     case "least_stated":
       return chooseLeast(
         rotate(states, request.draw),
-        ({ key }) => stated.get(key) ?? 0,
+        ({ key, ownLoad }) => (stated.get(key) ?? 0) + ownLoad.active,
       );
     case "two_choices": {
       const pair = [
