--- a/packages/routing/src/placement/work_left.ts
+++ b/packages/routing/src/placement/work_left.ts
@@ -31,8 +31,13 @@
 }
 
 const noLoad: NodeLoad = { active: 0, pendingTokens: 0, activeTokens: 0 };
-/** Weight of a report in the average of what peers told. */
-const reportWeight = 0.07;
+/** Time over which what peers told is averaged, at least. */
+const minAverageMs = 3_500;
+/**
+ * The same as a multiple of the age of reports: a shorter average would follow what
+ * nodes did because of the last one, and swing.
+ */
+const averageAges = 3;
 /** Time in which pending prompts of a report are replaced by others to 1/e. */
 const pendingWorthMs = 300;
 /**
@@ -58,6 +63,7 @@
   #peers: NodeLoad = noLoad;
   /** Average of what peers told. */
   #peersAverage: NodeLoad | undefined;
+  #averagedAt = -Infinity;
   #peersAt = -Infinity;
   #lastSendAt = -Infinity;
   #stated: StatedRequests | undefined;
@@ -87,7 +93,10 @@
     // Reports repeat a load until they tell another one.
     if (!isSame(load, this.#peers)) this.#peersAt = now - ageMs;
     this.#peers = load;
-    this.#peersAverage = mix(this.#peersAverage ?? load, load, reportWeight);
+    const averageMs = Math.max(minAverageMs, ageMs * averageAges);
+    const weight = 1 - Math.exp((this.#averagedAt - now) / averageMs);
+    this.#averagedAt = now;
+    this.#peersAverage = mix(this.#peersAverage ?? load, load, weight);
   }
 
   /** Records what the replica states in an answer. */
