--- a/packages/gateway/src/choice/call_choice.ts
+++ b/packages/gateway/src/choice/call_choice.ts
@@ -7,6 +7,7 @@
  * node can tell, chance decides.
  */
 
+import { drawByCost } from "@almondcrank/routing/placement/draw_by_cost.ts";
 import type { ReplicaState } from "./replica_state.ts";
 
 /** Assumed answer time while no replica of the service has answered yet. */
@@ -16,9 +17,9 @@
 /** Cost of a replica in another zone. */
 const otherZoneCostMs = 2;
 /** Cost of a connection that has to be opened first. */
-const newConnectionCostMs = 3;
-/** Share of the predicted time by which a difference can't be told. */
-const uncertainShare = 0.02;
+const newConnectionCostMs = 1;
+/** Difference of cost that this node can't tell. */
+const uncertainMs = 2;
 
 /** Properties of the call that the choice depends on. */
 export interface CallRequest {
@@ -39,24 +40,25 @@
   readonly predictedMs: number;
 }
 
-/** Chooses the replica with the lowest cost; `undefined` if there is none left. */
+/**
+ * Chooses a replica by its cost, by chance among those whose difference can't be
+ * told; `undefined` if there is none left.
+ */
 export function chooseCallReplica(
   states: readonly ReplicaState[],
   request: CallRequest,
 ): CallChoice | undefined {
   const leastMs = computeLeastServiceMs(states);
-  const scored: (CallChoice & { readonly cost: number })[] = [];
-  let limit = Infinity;
-  for (const state of states) {
-    if (request.excluded.has(state.key)) continue;
-    if (!state.takesRequests(request.now)) continue;
-    const predictedMs = computeAnswerMs(state, leastMs, request.now);
-    const cost = predictedMs + computePenaltyMs(state, request);
-    scored.push({ state, predictedMs, cost });
-    limit = Math.min(limit, cost + predictedMs * uncertainShare);
-  }
-  const equal = scored.filter(({ cost }) => cost <= limit);
-  return equal[Math.floor(request.draw * equal.length)];
+  const scored = states
+    .filter((state) =>
+      !request.excluded.has(state.key) && state.takesRequests(request.now)
+    )
+    .map((state) => {
+      const predictedMs = computeAnswerMs(state, leastMs, request.now);
+      const cost = predictedMs + computePenaltyMs(state, request);
+      return { state, predictedMs, cost, uncertainty: uncertainMs };
+    });
+  return drawByCost(scored, request.draw);
 }
 
 /** Least average answer time; replicas that nothing is known of may match it. */
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -16,6 +16,10 @@
 import type { EngineTraits } from "@almondcrank/model/configuration.ts";
 import type { PromptPart } from "@almondcrank/platform/headers.ts";
 import type { Hasher } from "@almondcrank/common/hashing.ts";
+import {
+  type CostedChoice,
+  drawByCost,
+} from "@almondcrank/routing/placement/draw_by_cost.ts";
 import type { CostModel } from "@almondcrank/routing/placement/cost_model.ts";
 import type { FirstEventWork } from "@almondcrank/routing/placement/first_event_model.ts";
 import type { CandidateOrder } from "./candidate_order.ts";
@@ -91,51 +95,22 @@
   readonly isQueued: boolean;
 }
 
-interface ScoredChoice extends EngineChoice {
-  readonly cost: number;
-  /** Difference of cost that this node can't tell. */
-  readonly uncertainMs: number;
-}
+interface ScoredChoice extends EngineChoice, CostedChoice {}
 
-/** Chooses the replica with the lowest cost; `undefined` if there is none left. */
+/**
+ * Chooses a replica by its cost, by chance among those whose difference can't be
+ * told; `undefined` if there is none left.
+ */
 export function chooseEngine(
   states: readonly ReplicaState[],
   request: EngineRequest,
   services: EngineChoiceServices,
 ): EngineChoice | undefined {
   const { candidates, preferred } = listCandidates(states, request, services);
-  const scored: ScoredChoice[] = [];
-  let best: ScoredChoice | undefined;
-  for (const state of candidates) {
-    const choice = scoreReplica(state, request, {
-      services,
-      isPreferred: state === preferred,
-    });
-    scored.push(choice);
-    if (best === undefined || choice.cost < best.cost) best = choice;
-  }
-  if (best === undefined) return undefined;
-  return drawChoice(scored, best, request.draw);
-}
-
-/**
- * Draws among choices, the better ones with more weight, and one that is better by
- * more than is uncertain nearly always.
- */
-function drawChoice(
-  choices: readonly ScoredChoice[],
-  best: ScoredChoice,
-  draw: number,
-): EngineChoice {
-  const weights = choices.map(({ cost }) =>
-    Math.exp((best.cost - cost) / best.uncertainMs)
+  const scored = candidates.map((state) =>
+    scoreReplica(state, request, { services, isPreferred: state === preferred })
   );
-  let left = draw * weights.reduce((sum, weight) => sum + weight, 0);
-  for (const [index, choice] of choices.entries()) {
-    left -= weights[index] ?? 0;
-    if (left < 0) return choice;
-  }
-  return best;
+  return drawByCost(scored, request.draw);
 }
 
 interface Candidates {
@@ -215,7 +190,7 @@
     work,
     isQueued: queuedMs > 0,
     cost: predictedMs + harmMs + penaltyMs,
-    uncertainMs: uncertainMs +
+    uncertainty: uncertainMs +
       uncertainFactor * load.uncertainTokens / tokensPerMs,
   };
 }
