--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -137,6 +137,11 @@
     return response;
   }
 
+  /** Whether no other node sends to the same replicas. */
+  get isAlone(): boolean {
+    return this.#options.countNodes() <= 1;
+  }
+
   /** Whether a connection to the replica is open and not in use. */
   hasIdleConnection({ key }: ReplicaState): boolean {
     const agent = this.#agents.get(key);
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -43,7 +43,7 @@
   { service, promptParts, promptTokens }: RoutedRequest,
   { target, tried, version, mayReuse }: StreamProgress,
 ): EngineChoice | undefined {
-  const { table, clock, zone, random } = services;
+  const { table, clock, zone, random, sender } = services;
   const destination = target === undefined
     ? undefined
     : table.find(target.replicaKey);
@@ -65,7 +65,8 @@
     zone,
     traits: service.engine ?? nonEngineTraits,
     now: clock.now(),
-    draw: random.next(),
+    // Chance keeps nodes apart that decide at the same time.
+    draw: sender.isAlone ? 0 : random.next(),
   };
   const untried = chooseEngine(states, { ...query, excluded: tried }, services);
   if (untried !== undefined || version === undefined) return untried;
