--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -14,6 +14,7 @@
 } from "@almondcrank/model/gateway_settings.ts";
 import { isNewerConfiguration } from "@almondcrank/platform/decode_configuration.ts";
 import { PlatformStore } from "@almondcrank/platform/platform_store.ts";
+import { CandidateOrder } from "./choice/candidate_order.ts";
 import { PrefixIndex } from "./choice/prefix_index.ts";
 import { ReplicaTable } from "./choice/replica_table.ts";
 import { StreamOrigins } from "./choice/stream_origins.ts";
@@ -31,6 +32,7 @@
 import { TenantRateLimiter } from "./limits/tenant_rate_limiter.ts";
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { isFingerprint } from "@almondcrank/routing/quarantine/request_fingerprint.ts";
+import { CostModel } from "@almondcrank/routing/placement/cost_model.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import {
   createRolloutParts,
@@ -190,9 +192,12 @@
     random,
     hasher,
     zone: settings.zone,
+    isSoleNode: settings.seedIps.every((ip) => ip === settings.ip),
     table,
     prefixes: PrefixIndex.create(),
     gate,
+    order: CandidateOrder.create(hasher),
+    costs: CostModel.create(),
     sender: ReplicaSender.create({
       gate,
       clock,
@@ -249,7 +254,10 @@
     feeds,
     view,
     server,
-    tallySources: rollouts === undefined ? [] : [rollouts.counts],
+    tallySources: [
+      services.costs.firstEvents,
+      ...(rollouts === undefined ? [] : [rollouts.counts]),
+    ],
     newsSources: rollouts === undefined ? [] : [rollouts.news],
     rollouts,
     isProber,
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -93,7 +93,7 @@
   }
 
   #chooseReplica(): ReplicaState | undefined {
-    const { table, clock, zone, random, gate } = this.#services;
+    const { table, clock, zone, random, gate, sender } = this.#services;
     const { name } = this.#request.service;
     const states = table.listUsable(name);
     const request = { zone, now: clock.now(), draw: random.next() };
@@ -102,14 +102,20 @@
       choice ??= chooseCallReplica(allowed, {
         ...request,
         excluded: this.#tried,
+        hasIdleConnection: (state) => sender.hasIdleConnection(state),
       });
     }
     if (choice === undefined) return undefined;
     const { state, predictedMs } = choice;
+    const stated = state.speed.readStated(clock.now());
     this.#request.trace.record("replica chosen.", {
       replica: state.replica.id,
       predictedMs: Math.round(predictedMs),
       active: state.totalLoad.active,
+      statedSlowness: stated?.slowness,
+      statementAgeMs: stated === undefined
+        ? undefined
+        : Math.round(stated.ageMs),
       usable: states.length,
     });
     return state;
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -98,7 +98,7 @@
     source: ReplicaState,
     { request }: RunningStream,
   ): ReplicaState | undefined {
-    const { table, clock, gate } = this.#services;
+    const { table, clock, random, gate } = this.#services;
     const { service, promptTokens } = request;
     if (service.engine === undefined) return undefined;
     const { softwareVersion } = source.replica;
@@ -109,12 +109,14 @@
       softwareVersion,
     );
     return chooseEngine(allowed, {
+      service: service.name,
       parts: [],
       promptTokens,
       zone: source.replica.zone,
       traits: service.engine,
       now: clock.now(),
       excluded: new Set([source.key]),
+      draw: random.next(),
     }, this.#services)?.state;
   }
 
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -3,18 +3,24 @@
  * how its segments ended.
  */
 
+import { assumedTokensPerMs } from "@almondcrank/routing/placement/first_event_model.ts";
 import type { Replica } from "@almondcrank/model/replica.ts";
+import type { ReplicaState } from "../choice/replica_state.ts";
 import type { EngineChoice } from "../choice/engine_choice.ts";
-import { computeEngineMs, type EngineTokens } from "../duties/work_meter.ts";
+import { computeEngineMs } from "../duties/work_meter.ts";
 import { CrashRecorder } from "./crash_recorder.ts";
 import type { RelayOutcome } from "./event_relay.ts";
 import type { SendOutcome } from "./replica_request.ts";
 import type { RelayServices } from "./relay_services.ts";
+import { composeShape } from "./request_shape.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StreamSend } from "./stream_segment.ts";
 
 /** Least time to the first event that one is compared with. */
-const minPredictedMs = 10;
+const minExpectedMs = 10;
+/** Bounds of the stated slowness of a replica from which costs are learnt. */
+const leastLearntSlowness = 0.4;
+const mostLearntSlowness = 4;
 
 /** How the response of a segment ended. */
 export interface SegmentOutcome extends RelayOutcome {
@@ -28,8 +34,12 @@
   readonly #request: RoutedRequest;
   readonly #crashes: CrashRecorder;
   #version: string | undefined;
+  /** Output tokens that have arrived. */
+  #outputTokens = 0;
+  /** Time of the first event, which is when it began to run. */
+  #startedAt: number | undefined;
   /** Time of the first event of the segment. */
-  #startedAt = 0;
+  #segmentStartedAt = 0;
   /** Events of the segment after the first ones. */
   #timedEvents = 0;
 
@@ -65,6 +75,28 @@
   recordComplete(): void {
     const id = this.#originId;
     if (id !== undefined) this.#services.origins.complete(id);
+    this.#recordLength();
+  }
+
+  /** Records what a stream brought that began and ended here. */
+  #recordLength(): void {
+    const { costs, clock, metrics } = this.#services;
+    const isWhole = this.#request.resumeAfter === undefined;
+    if (!isWhole || this.#startedAt === undefined) return;
+    const softwareVersion = this.#version ?? "";
+    const shape = composeShape(this.#request, {
+      softwareVersion,
+      uncachedTokens: 0,
+    });
+    const now = clock.now();
+    const labels = { service: shape.service, route: shape.route };
+    const predicted = costs.outputs.predict(shape).tokens;
+    metrics.count("output_tokens_predicted_total", labels, predicted);
+    metrics.count("output_tokens_total", labels, this.#outputTokens);
+    costs.outputs.record(shape, {
+      tokens: this.#outputTokens,
+      runMs: now - this.#startedAt,
+    }, now);
   }
 
   /** Whether the parts of the prompt allow to send the stream again. */
@@ -94,17 +126,29 @@
   recordOutput(tokens: number): void {
     this.#crashes.recordOutput();
     this.#timedEvents += 1;
-    this.recordWork({ prompt: 0, output: tokens });
-  }
-
-  /** Records engine time that the stream takes. */
-  recordWork(tokens: EngineTokens): void {
+    this.#outputTokens += tokens;
     const { work, clock } = this.#services;
     const { name, engine } = this.#request.service;
-    const ms = computeEngineMs(tokens, engine?.slots ?? Infinity);
+    const output = { prompt: 0, output: tokens };
+    const ms = computeEngineMs(output, { slots: engine?.slots ?? Infinity });
     work.record(name, ms, clock.now());
   }
 
+  /** Records the engine time of a prompt's tokens that a replica computes. */
+  recordPrompt(tokens: number, { replica, speed }: ReplicaState): void {
+    const { work, clock, costs } = this.#services;
+    const { name, engine } = this.#request.service;
+    const { softwareVersion } = replica;
+    const key = { service: name, softwareVersion };
+    const now = clock.now();
+    const usual = costs.firstEvents.computeTokensPerMs(key, now);
+    const ms = computeEngineMs({ prompt: tokens, output: 0 }, {
+      slots: engine?.slots ?? Infinity,
+      tokensPerMs: usual / speed.readLasting(now),
+    });
+    work.record(name, ms, now);
+  }
+
   /** Id under which a caller that comes back names the stream. */
   get #originId(): string | undefined {
     return this.#request.resumedRequest ?? this.#request.id;
@@ -112,19 +156,55 @@
 
   /** Records the first event of a segment. */
   recordStart({ choice, sentAt, isMoved }: StreamSend): void {
-    const { clock, runs } = this.#services;
+    const { clock, runs, metrics, costs } = this.#services;
     const now = clock.now();
-    this.#startedAt = now;
+    const observedMs = now - sentAt;
+    this.#startedAt ??= now;
+    this.#segmentStartedAt = now;
     this.#timedEvents = 0;
-    if (!isMoved) {
-      this.#recordAnswer(
-        choice,
-        "first",
-        computeSlowness(now - sentAt, choice),
-      );
+    if (isMoved) {
+      choice.state.recordFirstEvent(observedMs, choice.predictedMs, now);
+      return;
     }
-    choice.state.recordFirstEvent(now - sentAt, choice.predictedMs, now);
-    if (!isMoved) runs.recordRun(this.#request.tenant?.name);
+    runs.recordRun(this.#request.tenant?.name);
+    this.#recordAnswer(choice, "first", computeSlowness(observedMs, choice));
+    const { service, softwareVersion } = choice.state.replica;
+    const labels = { service, route: this.#request.route.name };
+    metrics.recordDuration("first_event_seconds", observedMs, labels);
+    metrics.recordDuration(
+      "first_event_predicted_seconds",
+      choice.predictedMs,
+      labels,
+    );
+    this.#recordFirstEvent(choice, observedMs, now);
+    const { work } = choice;
+    // A wait for a slot says nothing of what the tokens take.
+    if (choice.isQueued || this.#request.resumeAfter !== undefined) return;
+    const key = { service, softwareVersion };
+    const slowness = choice.state.speed.readStatedSlowness(now);
+    // What the version costs on all nodes must not hang on one replica's word.
+    if (slowness < leastLearntSlowness || slowness > mostLearntSlowness) return;
+    costs.firstEvents.record(key, {
+      work,
+      observedMs: observedMs / slowness,
+    }, now);
+  }
+
+  /** Records how fast the replica was, and the prediction for the log. */
+  #recordFirstEvent(
+    { state, predictedMs, usualMs, isQueued }: EngineChoice,
+    observedMs: number,
+    now: number,
+  ): void {
+    if (isQueued) state.recordQueued(observedMs, predictedMs, now);
+    else state.recordFirstEvent(observedMs, usualMs, now);
+    this.#request.trace.record("stream started.", {
+      replica: state.replica.id,
+      observedMs: Math.round(observedMs),
+      predictedMs: Math.round(predictedMs),
+      usualMs: Math.round(usualMs),
+      statedSlowness: state.speed.readStated(now)?.slowness,
+    });
   }
 
   /** Records that a replica gave a whole answer that is no stream. */
@@ -143,7 +223,7 @@
   #recordSegment(choice: EngineChoice, end: SegmentOutcome["end"]): void {
     switch (end) {
       case "complete": {
-        const paceMs = (this.#services.clock.now() - this.#startedAt) /
+        const paceMs = (this.#services.clock.now() - this.#segmentStartedAt) /
           Math.max(1, this.#timedEvents - 1);
         const isTimed = this.#timedEvents > 1;
         if (isTimed) this.#recordAnswer(choice, "pace", paceMs);
@@ -202,7 +282,11 @@
   }
 }
 
-/** Time to the first event, in hundredths of the predicted one. */
-function computeSlowness(ms: number, { predictedMs }: EngineChoice): number {
-  return 100 * ms / Math.max(minPredictedMs, predictedMs);
+/**
+ * Time to the first event, in hundredths of what its tokens take by assumption. What
+ * is learnt of a version, or of a replica, would hide that a new version is slow.
+ */
+function computeSlowness(ms: number, { work }: EngineChoice): number {
+  const expectedMs = work.tokens / assumedTokensPerMs;
+  return 100 * ms / (minExpectedMs + expectedMs);
 }
