--- a/packages/routing/src/rollouts/rollout_evidence.ts
+++ b/packages/routing/src/rollouts/rollout_evidence.ts
@@ -50,8 +50,8 @@
 };
 /** Limits at which it is not completed. */
 const endLimits: Limits = {
-  probability: 2e-3,
-  errors: 3.3,
+  probability: 6e-3,
+  errors: 3,
   difference: 0.3,
 };
 /** Bad answers without which a version is not bad. */
