--- a/packages/gateway/src/choice/stream_admission.ts
+++ b/packages/gateway/src/choice/stream_admission.ts
@@ -30,24 +30,31 @@
 /** Outcome of the admission check of one stream. */
 export type StreamVerdict =
   | { readonly kind: "admitted" }
-  | { readonly kind: "refused"; readonly retryAfterMs: number };
+  | {
+    readonly kind: "refused";
+    readonly retryAfterMs: number;
+    /** Time by which the predicted time is too long. */
+    readonly excessMs: number;
+  };
+
+/** Longest predicted time of a priority, relative to the objective. */
+export function computeObjectiveShare(priority: number): number {
+  const lowest = objectiveShares.length - 1;
+  const rank = Math.max(0, Math.min(lowest, Math.round(priority)));
+  return objectiveShares[rank] ?? 1;
+}
 
 /** Admits a stream, or refuses it with the time after which to retry. */
 export function checkAdmission(input: AdmissionInput): StreamVerdict {
   const { predictedMs, timeLeftMs, objectiveMs } = input;
-  const lowestPriority = objectiveShares.length - 1;
-  const priority = Math.max(
-    0,
-    Math.min(lowestPriority, Math.round(input.priority)),
-  );
-  const share = objectiveShares[priority] ?? objectiveShares[lowestPriority] ??
-    1;
+  const share = computeObjectiveShare(input.priority);
   const limitMs = Math.min(timeLeftMs * timeLeftShare, objectiveMs * share);
   if (predictedMs <= limitMs) return { kind: "admitted" };
   const excessMs = predictedMs - limitMs;
   const maxRetryMs = Math.max(minRetryMs, timeLeftMs * retryShare);
   return {
     kind: "refused",
+    excessMs,
     retryAfterMs: Math.min(maxRetryMs, Math.max(minRetryMs, excessMs)),
   };
 }
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -42,6 +42,7 @@
 import { CallerServer } from "./relay/caller_server.ts";
 import type { RelayServices } from "./relay/relay_services.ts";
 import { ReplicaSender } from "./relay/replica_sender.ts";
+import { StreamLines } from "./relay/stream_lines.ts";
 import { StreamRegistry } from "./relay/stream_registry.ts";
 import { SuspensionClock } from "./suspension_clock.ts";
 
@@ -212,6 +213,7 @@
     versions,
     runs: usage,
     work: WorkMeter.create(),
+    lines: StreamLines.create({ clock, metrics }),
   };
   const registry = StreamRegistry.create();
   const rateLimiter = TenantRateLimiter.create(bounds.quotaTolerance, {
--- a/packages/gateway/src/relay/relay_services.ts
+++ b/packages/gateway/src/relay/relay_services.ts
@@ -15,6 +15,7 @@
 import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { VersionGate } from "../rollouts/version_gate.ts";
+import type { StreamLines } from "./stream_lines.ts";
 import type { ReplicaSender } from "./replica_sender.ts";
 
 /** Counts requests that replicas began to run, by tenant. */
@@ -41,6 +42,8 @@
   readonly versions: VersionKnowledge;
   readonly runs: RunCounter;
   readonly work: WorkMeter;
+  /** Lines of streams that wait for a place. */
+  readonly lines: StreamLines;
 }
 
 /** How a request ended, for its log lines, its metrics and its allowance. */
--- a/packages/gateway/src/relay/stream_failure.ts
+++ b/packages/gateway/src/relay/stream_failure.ts
@@ -21,22 +21,26 @@
   readonly mayHaveRun: boolean;
   /** Time after which to come back unless all replicas asked for a pause. */
   readonly retryMs?: number | undefined;
+  /** Whether that time is the caller's own, so that it is not spread further. */
+  readonly isAppointment?: boolean;
 }
 
 /** Ends the stream; returns the status sent, or 0 if the answer was cut. */
 export function sendStreamFailure(
   { table, clock, random }: RelayServices,
   { request, response }: StreamExchange,
-  { reason, mayHaveRun, retryMs = defaultRetryMs }: StreamFailure,
+  { reason, mayHaveRun, retryMs = defaultRetryMs, isAppointment = false }:
+    StreamFailure,
 ): number {
   if (response.headersSent) {
     abortResponse(response);
     return 0;
   }
   const resumeMs = table.computeResumeMs(request.service.name, clock.now());
+  const spread = isAppointment ? 1 : 0.75 + random.next() / 2;
   const reply = composeFailureReply(reason, {
     mayHaveRun,
-    retryAfterMs: resumeMs + retryMs * (0.75 + random.next() / 2),
+    retryAfterMs: resumeMs + retryMs * spread,
   });
   sendLocalReply(response, reply);
   return reply.status;
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -13,19 +13,16 @@
 import type { RetryReason } from "./retry_reason.ts";
 import { relayEvents, type RelayOutcome } from "./event_relay.ts";
 import { listStreamHeaders } from "./message_headers.ts";
-import type { FailureReason } from "./local_reply.ts";
-import { sendStreamFailure } from "./stream_failure.ts";
 import { sendBufferedResponse } from "./buffered_response.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readResponseBody } from "./response_body.ts";
 import {
-  checkStreamAdmission,
   chooseStreamReplica,
-  findShortage,
-  recordRefusedWork,
   recordStreamChoice,
   type StreamProgress,
 } from "./stream_choice.ts";
+import { StreamEnding } from "./stream_ending.ts";
+import { enterStream } from "./stream_entry.ts";
 import { StreamAttempts } from "./stream_attempts.ts";
 import { StreamRetries } from "./stream_retries.ts";
 import { StreamRecorder } from "./stream_recorder.ts";
@@ -57,6 +54,7 @@
   readonly #retries: StreamRetries;
   readonly #recorder: StreamRecorder;
   readonly #sends: StreamSends;
+  readonly #ending: StreamEnding;
   /** The send whose response is relayed. */
   #send: StreamSend | undefined;
   #standby: StreamStandby | undefined;
@@ -76,6 +74,11 @@
     this.#request = request;
     this.#response = response;
     this.#attempts = StreamAttempts.create(request.route);
+    this.#ending = StreamEnding.create({
+      services,
+      exchange: { request, response },
+      attempts: this.#attempts,
+    });
     this.#recorder = StreamRecorder.create(services, request);
     this.#retries = StreamRetries.create({
       services,
@@ -147,7 +150,7 @@
     let target: MoveTarget | undefined;
     let taken: StreamSend | undefined;
     while (true) {
-      const next = taken ?? this.#sendNext(target);
+      const next = taken ?? await this.#sendNext(target);
       if ("status" in next) return next;
       const segment = await this.#runSegment(next);
       target = undefined;
@@ -171,44 +174,54 @@
   }
 
   /** Sends the stream to the replica chosen next; returns the result if it ends. */
-  #sendNext(target: MoveTarget | undefined): StreamSend | RelayResult {
-    const choice = this.#choose({ target, mayReuse: true });
-    if (choice === undefined) {
-      return this.#fail(
-        findShortage(this.#services, this.#request, this.#version),
-      );
+  async #sendNext(
+    target: MoveTarget | undefined,
+  ): Promise<StreamSend | RelayResult> {
+    if (target === undefined && this.#attempts.sends === 0) {
+      return await this.#sendFirst();
     }
-    const refusal = this.#checkAdmission(choice);
-    if (refusal !== undefined) return refusal;
-    if (this.#isOver()) return this.#endEarly();
+    const choice = this.#choose({ target, mayReuse: true });
+    if (choice === undefined) return this.#ending.failShort(this.#version);
+    if (this.#isOver()) return this.#ending.endEarly();
+    this.#recordChoice(choice);
     return this.#sends.open(choice, { after: this.#lastId, target });
   }
 
+  /** Sends the stream the first time, when there is room for it. */
+  async #sendFirst(): Promise<StreamSend | RelayResult> {
+    if (this.#isOver()) return this.#ending.endEarly();
+    const entry = await enterStream(this.#services, this.#request, {
+      choose: () => this.#choose({ target: undefined, mayReuse: true }),
+      send: (choice) => {
+        this.#recordChoice(choice);
+        return this.#sends.open(choice, { after: this.#lastId });
+      },
+    });
+    switch (entry.kind) {
+      case "sent":
+        return entry.send;
+      case "no_replica":
+        return this.#ending.failShort(this.#version);
+      case "over":
+        return this.#ending.endEarly();
+      case "refused":
+        return this.#ending.fail(entry.reason, entry);
+    }
+  }
+
+  #recordChoice(choice: EngineChoice): void {
+    const now = this.#services.clock.now();
+    recordStreamChoice(this.#request, choice, { after: this.#lastId, now });
+  }
+
   #choose(
     options: Pick<StreamProgress, "target" | "mayReuse">,
   ): EngineChoice | undefined {
-    const choice = chooseStreamReplica(this.#services, this.#request, {
+    return chooseStreamReplica(this.#services, this.#request, {
       ...options,
       tried: this.#sends.tried,
       version: this.#version,
     });
-    if (choice === undefined) return undefined;
-    const now = this.#services.clock.now();
-    recordStreamChoice(this.#request, choice, { after: this.#lastId, now });
-    return choice;
-  }
-
-  /** Refuses a stream that has not been sent and would start too late. */
-  #checkAdmission(choice: EngineChoice): RelayResult | undefined {
-    if (this.#attempts.sends > 0) return undefined;
-    const verdict = checkStreamAdmission(this.#services, this.#request, choice);
-    switch (verdict.kind) {
-      case "admitted":
-        return undefined;
-      case "refused":
-        recordRefusedWork(this.#services, this.#request, choice);
-        return this.#fail("overloaded", verdict.retryAfterMs);
-    }
   }
 
   async #runSegment(send: StreamSend): Promise<SegmentEnd> {
@@ -288,11 +301,11 @@
         if (target !== undefined) return { kind: "moved", target };
         this.#response.end();
         this.#recorder.recordComplete();
-        return { kind: "done", result: this.#end(200, "answered") };
+        return { kind: "done", result: this.#ending.end(200, "answered") };
       }
       case "caller_gone":
         aborter.abort();
-        return { kind: "done", result: this.#end(0, "caller_gone") };
+        return { kind: "done", result: this.#ending.end(0, "caller_gone") };
       case "broken":
         if (this.#move === undefined && !aborter.signal.aborted) {
           state.failures.record(true, now);
@@ -320,7 +333,7 @@
       return this.#endSegment("failed");
     }
     const status = sendBufferedResponse(this.#response, { response, body });
-    return { kind: "done", result: this.#end(status, "answered") };
+    return { kind: "done", result: this.#ending.end(status, "answered") };
   }
 
   /** Follows a move that ended the segment; otherwise retries the stream. */
@@ -335,7 +348,9 @@
 
   /** Goes on with the standby if there is one; otherwise retries the stream. */
   #endSegment(reason: RetryReason): SegmentEnd {
-    if (this.#isOver()) return { kind: "done", result: this.#endEarly() };
+    if (this.#isOver()) {
+      return { kind: "done", result: this.#ending.endEarly() };
+    }
     const send = this.#standby?.take();
     return send === undefined
       ? { kind: "retry", reason }
@@ -345,7 +360,9 @@
   /** Checks whether to retry; returns the final result if not. */
   #checkRetry(reason: RetryReason): RelayResult | undefined {
     if (this.#retries.take(reason, this.#lastId)) return undefined;
-    return this.#fail(this.#attempts.mayHaveRun ? "answer_lost" : "declined");
+    return this.#ending.fail(
+      this.#attempts.mayHaveRun ? "answer_lost" : "declined",
+    );
   }
 
   #createStandby(send: StreamSend): StreamStandby {
@@ -365,6 +382,7 @@
     const choice = this.#choose({ target: undefined, mayReuse: false });
     if (choice === undefined) return undefined;
     if (!this.#retries.take("silent", this.#lastId)) return undefined;
+    this.#recordChoice(choice);
     return this.#sends.open(choice, { after: this.#lastId });
   }
 
@@ -377,25 +395,4 @@
     return this.#request.callerSignal.aborted ||
       this.#services.clock.now() >= this.#request.deadline;
   }
-
-  #endEarly(): RelayResult {
-    if (this.#request.callerSignal.aborted) return this.#end(0, "caller_gone");
-    return this.#fail("out_of_time");
-  }
-
-  #fail(reason: FailureReason, retryMs?: number): RelayResult {
-    const exchange = { request: this.#request, response: this.#response };
-    const failure = { reason, mayHaveRun: this.#attempts.mayHaveRun, retryMs };
-    const status = sendStreamFailure(this.#services, exchange, failure);
-    return this.#end(status, reason);
-  }
-
-  #end(status: number, reason: string): RelayResult {
-    return {
-      status,
-      reason,
-      sends: this.#attempts.sends,
-      mayHaveRun: this.#attempts.mayHaveRun,
-    };
-  }
 }
