--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -353,6 +353,7 @@
       known: listNames(known),
       heard: listNames(alive),
       reportsPerRound,
+      reportMs: chooseTickMs(this.#topology),
     }, now);
     budget.refresh({
       known: known.length + 1,
--- a/packages/gateway/src/cluster/report_collector.ts
+++ b/packages/gateway/src/cluster/report_collector.ts
@@ -66,6 +66,8 @@
   /** Changes of its counters that this node has counted. */
   readonly counted: ReadonlyMap<string, number>;
   readonly loads: PeerReport["loads"];
+  /** Whether it was received in another role than the present one. */
+  readonly isOfOtherRole: boolean;
   /** Monotonic time at which it arrived, in milliseconds. */
   readonly at: number;
 }
@@ -79,7 +81,7 @@
   /** Sums of other zones, for a relay. */
   readonly #zones = new Map<string, ReportSums>();
   /** Sums of the whole system, for a listener. */
-  readonly #system = ReportSums.create();
+  #system = ReportSums.create();
   /** Changes counted so far, by zone of the nodes they come from. */
   readonly #countedByZone = new Map<string, Map<string, number>>();
 
@@ -92,8 +94,18 @@
     return new ReportCollector(options);
   }
 
+  /**
+   * Sets whose reports count. What was told to another role since then was counted
+   * there, so reports of the new role count from their next ones on.
+   */
   setRole(role: CollectorRole): void {
+    if (role === this.#role) return;
     this.#role = role;
+    this.#zones.clear();
+    this.#system = ReportSums.create();
+    for (const [node, report] of this.#nodes) {
+      this.#nodes.set(node, { ...report, isOfOtherRole: true });
+    }
     if (role !== "mesh") this.#forgetOtherZones();
   }
 
@@ -196,13 +208,14 @@
     const previous = this.#nodes.get(node);
     const isSameIncarnation = previous?.incarnation === incarnation;
     const counters = readCounters(report);
-    const isBaseline = !isSameIncarnation && this.#isLongRunning(message, now);
-    if (isBaseline) this.#adoptLevels(report);
-    const base = isBaseline ? counters : new Map<string, number>();
-    const changes = subtractCounters(
-      counters,
-      isSameIncarnation ? previous.counters : base,
-    );
+    const isBaseline = isSameIncarnation
+      ? previous.isOfOtherRole
+      : this.#isLongRunning(message, now);
+    if (isBaseline && !isSameIncarnation) this.#adoptLevels(report);
+    const earlier = isSameIncarnation
+      ? previous.counters
+      : new Map<string, number>();
+    const changes = subtractCounters(counters, isBaseline ? counters : earlier);
     this.#applyChanges(node, zone, changes);
     const counted = new Map(previous?.counted ?? []);
     addCounters(counted, changes);
@@ -213,6 +226,7 @@
       counters,
       counted,
       loads,
+      isOfOtherRole: false,
       at: now,
     });
     this.#applyUsage({ kind: "node", node, incarnation }, report.usage);
