--- a/packages/gateway/src/limits/tenant_bucket.ts
+++ b/packages/gateway/src/limits/tenant_bucket.ts
@@ -13,8 +13,8 @@
 export interface Bucket {
   /** Amount left; below 0 when more was admitted. */
   level: number;
-  /** Whether the level is a guess of a restarted node. */
-  isLevelGuessed: boolean;
+  /** Whether the level of a longer-running peer was adopted. */
+  isLevelAdopted: boolean;
   /** Refill per second of the whole system. */
   rate: number;
   burst: number;
@@ -54,7 +54,7 @@
 ): Bucket {
   return {
     level: burst * startShare,
-    isLevelGuessed: startShare < 1,
+    isLevelAdopted: false,
     rate,
     burst,
     updatedAt: now,
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -38,6 +38,8 @@
   readonly heard: readonly string[];
   /** Number of reports that this node sends until every peer has received one. */
   readonly reportsPerRound: number;
+  /** Interval between the reports of a node, in milliseconds. */
+  readonly reportMs?: number;
 }
 
 /** Cost that a peer admitted for a tenant since its last report. */
@@ -72,8 +74,10 @@
 const preferredRequests = 1;
 /** Time for which a restarted node assumes that the whole rate is used. */
 const assumedUseMs = 1_000;
-/** Longest delay of reports over relays. */
-const relayDelayMs = 1_500;
+/** Interval between the reports of a node in a large zone. */
+const longReportMs = 400;
+/** Time that the reports of a round take beyond their intervals. */
+const roundSlackMs = 300;
 /** Time without reports beyond which what was heard last says nothing. */
 const maxUnheardMs = 4_000;
 
@@ -144,9 +148,8 @@
     const floor = isPreferred || isSmall
       ? minLevel
       : -this.#computeNormalOverdraft(bucket, now);
-    const missingForFloor = isSmall || bucket.level > floor
-      ? 0
-      : floor - bucket.level + 1;
+    const isAboveFloor = isSmall || bucket.level > floor;
+    const missingForFloor = isAboveFloor ? 0 : floor - bucket.level + 1;
     // If each report reaches all peers, they learn of an admission soon, so preferred
     // and small requests may spend the part that other nodes leave unused.
     const isMesh = this.#peers.reportsPerRound <= 1;
@@ -174,11 +177,17 @@
     return usual * surge <= bucket.level + overdraft * bucket.share;
   }
 
+  /** Longest time in which a report reaches all nodes. */
+  get #roundMs(): number {
+    const { reportsPerRound, reportMs = longReportMs } = this.#peers;
+    return reportsPerRound * reportMs + roundSlackMs;
+  }
+
   /** Time of which this node has not heard what the others admitted. */
   #computeUnheardMs(now: number): number {
     if (this.#peers.reportsPerRound <= 1) return 0;
     const sinceMs = Math.max(0, now - this.#heardAt);
-    return Math.min(maxUnheardMs, sinceMs + relayDelayMs);
+    return Math.min(maxUnheardMs, sinceMs + this.#roundMs);
   }
 
   /** Overdraft open to requests without preference. */
@@ -196,8 +205,8 @@
 
   /** Reads a bucket's amount at its last update; undefined if it does not exist. */
   readLevel(tenant: string): number | undefined {
-    const level = this.#buckets.get(tenant)?.level;
-    return level === undefined ? undefined : Math.round(level);
+    const bucket = this.#buckets.get(tenant);
+    return bucket && Math.round(bucket.level);
   }
 
   /** Lists what decides on a tenant's requests, for the log. */
@@ -209,7 +218,7 @@
     const heardMs = now - this.#heardAt;
     return {
       allowanceLeft: this.readLevel(tenant),
-      creditLeft: bucket === undefined ? undefined : Math.round(bucket.credit),
+      creditLeft: bucket && Math.round(bucket.credit),
       heardMs: Number.isFinite(heardMs) ? Math.round(heardMs) : undefined,
     };
   }
@@ -225,40 +234,35 @@
   }
 
   /** Charges what a peer admitted since its last report. */
-  applyPeerCharge(
-    { peer, tenant, cost }: PeerCharge,
-    now: number,
-  ): void {
+  applyPeerCharge({ peer, tenant, cost }: PeerCharge, now: number): void {
     this.#heardAt = now;
     const bucket = this.#buckets.get(tenant);
     if (bucket === undefined) return;
     this.#refillBucket(bucket, now);
     bucket.level -= cost;
-    let use = bucket.peerUse.get(peer);
-    if (use === undefined) {
-      use = DecayingValue.create(useDecayMs);
-      bucket.peerUse.set(peer, use);
-    }
+    const use = bucket.peerUse.get(peer) ?? DecayingValue.create(useDecayMs);
+    bucket.peerUse.set(peer, use);
     use.add(cost, now);
   }
 
   /**
-   * Adopts the level that a longer-running peer reported: it replaces the guess of a
-   * restarted node, and lowers any other level.
+   * Adopts the level that a longer-running peer reported first: it replaces the
+   * guess of a restarted node, and lowers that of a node that has just joined. Later
+   * levels contain charges that this node counts itself.
    */
   adoptLevel(tenant: string, level: number): void {
     const bucket = this.#buckets.get(tenant);
-    if (bucket === undefined) return;
-    bucket.level = bucket.isLevelGuessed
-      ? level
-      : Math.min(bucket.level, level);
-    bucket.isLevelGuessed = false;
+    if (bucket === undefined || bucket.isLevelAdopted) return;
+    const isGuess = this.#margins.isRestart;
+    bucket.level = isGuess ? level : Math.min(bucket.level, level);
+    bucket.isLevelAdopted = true;
   }
 
   /** Sets the peers, and recomputes the shares if they changed. */
   setPeers(peers: PeerVisibility, now: number): void {
     const peersKey =
-      `${peers.known.join()}|${peers.heard.join()}|${peers.reportsPerRound}`;
+      `${peers.known.join()}|${peers.heard.join()}|${peers.reportsPerRound}` +
+      `|${peers.reportMs}`;
     if (peersKey === this.#peersKey) return;
     this.#peersKey = peersKey;
     this.#peers = peers;
@@ -288,7 +292,7 @@
    * compute with the same figures.
    */
   reportLevels(now: number): readonly (readonly [string, number, number])[] {
-    const heardUntil = Math.min(now, this.#heardAt) - relayDelayMs;
+    const heardUntil = Math.min(now, this.#heardAt) - this.#roundMs;
     return [...this.#buckets].map(([name, bucket]) => {
       this.#refillBucket(bucket, now);
       bucket.ownUse.add(bucket.admitted - bucket.reported, now);
@@ -327,7 +331,7 @@
   #computePerMs({ rate }: Bucket, use: number, now: number): number {
     if (!this.#margins.isRestart) return use / useDecayMs;
     const perMs = rate / 1_000;
-    const heardMs = Math.max(0, this.#margins.computeUpMs(now) - relayDelayMs);
+    const heardMs = Math.max(0, this.#margins.computeUpMs(now) - this.#roundMs);
     const forgotten = Math.exp(-heardMs / useDecayMs);
     const assumed = assumedUseMs * forgotten;
     const observedMs = useDecayMs * (1 - forgotten);
@@ -383,10 +387,8 @@
     const elapsedSeconds = Math.max(0, now - bucket.updatedAt) / 1_000;
     const refillAmount = elapsedSeconds * bucket.rate * bucket.share;
     const refilled = bucket.level + refillAmount;
-    bucket.pendingRetryCost = Math.max(
-      0,
-      bucket.pendingRetryCost - refillAmount,
-    );
+    const { pendingRetryCost } = bucket;
+    bucket.pendingRetryCost = Math.max(0, pendingRetryCost - refillAmount);
     bucket.credit += refillAmount * bucket.creditShare;
     // What the others admitted unheard is still to be taken out of the level.
     const unheard = bucket.heardPerMs * this.#computeUnheardMs(now);
--- a/packages/gateway/src/limits/tenant_rate_limiter_test.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter_test.ts
@@ -180,7 +180,7 @@
   limiter.adoptLevel("t", 9_000);
   assert.is(limiter.readLevel("t"), 9_000);
   limiter.adoptLevel("t", 9_500);
-  assert.is(limiter.readLevel("t"), 9_000, "only the guess is raised");
+  assert.is(limiter.readLevel("t"), 9_000, "only the first one counts");
 });
 
 test("nodes with late reports stay within allowance and tolerance", () => {
--- a/packages/gateway/src/relay/stream_entry.ts
+++ b/packages/gateway/src/relay/stream_entry.ts
@@ -19,6 +19,9 @@
 /** Longest wait as a share of the time left. */
 const maxTimeLeftShare = 0.25;
 
+/** Shortest wait that is logged. */
+const leastWaitMs = 1;
+
 /** How a stream chooses a replica and is sent to it. */
 export interface StreamStart {
   readonly choose: () => EngineChoice | undefined;
@@ -163,7 +166,7 @@
   { isReturning, enteredAt, latestStartAt }: Waiter,
   end: LineEnd<StreamSend>,
 ): void {
-  if (end.kind === "none" || end.waitedMs <= 0) return;
+  if (end.kind === "none" || end.waitedMs < leastWaitMs) return;
   trace.record("waited for a place.", {
     end: end.kind,
     waitedMs: Math.round(end.waitedMs),
