--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -159,7 +159,7 @@
       ? -bucket.unheard.meanCost * preferredRequests
       : 0;
     const isCreditSpent = needsCredit && bucket.credit <= minCredit &&
-      (isMesh || !this.#hasRoomForAll(bucket, now));
+      !this.#hasRoomForAll(bucket, now);
     const missingCredit = isCreditSpent ? 1 + minCredit - bucket.credit : 0;
     return Math.max(missingForCost, missingForFloor, missingCredit);
   }
@@ -185,7 +185,6 @@
 
   /** Time of which this node has not heard what the others admitted. */
   #computeUnheardMs(now: number): number {
-    if (this.#peers.reportsPerRound <= 1) return 0;
     const sinceMs = Math.max(0, now - this.#heardAt);
     return Math.min(maxUnheardMs, sinceMs + this.#roundMs);
   }
@@ -391,7 +390,9 @@
     bucket.pendingRetryCost = Math.max(0, pendingRetryCost - refillAmount);
     bucket.credit += refillAmount * bucket.creditShare;
     // What the others admitted unheard is still to be taken out of the level.
-    const unheard = bucket.heardPerMs * this.#computeUnheardMs(now);
+    const unheard = this.#peers.reportsPerRound <= 1
+      ? 0
+      : bucket.heardPerMs * this.#computeUnheardMs(now);
     const maxLevel = (bucket.burst + unheard) * bucket.share;
     bucket.level = Math.min(maxLevel, refilled);
     bucket.updatedAt = now;
--- a/packages/gateway/src/limits/tenant_surge_test.ts
+++ b/packages/gateway/src/limits/tenant_surge_test.ts
@@ -14,7 +14,8 @@
 const tolerance = 140_000;
 const tickMs = 200;
 const stepMs = 20;
-const reportsPerRound = 3;
+/** Nodes above which reports pass over relays. */
+const maxMeshNodes = 13;
 
 interface Kind {
   readonly share: number;
@@ -78,6 +79,7 @@
     });
     limiter.prepare([tenant], at);
     const known = [...names.filter((other) => other !== name), "summed"];
+    const reportsPerRound = nodes > maxMeshNodes ? 3 : 1;
     limiter.setPeers({ known, heard: known, reportsPerRound }, at);
     return {
       limiter,
@@ -197,6 +199,9 @@
   seed: 1,
 } as const;
 
+/** A system so small that each node reports to all others. */
+const mesh = { nodes: 9, delayMs: [10, 300] } as const;
+
 for (const seed of [1, 2, 3]) {
   test(`a surge at 66 nodes stays within the allowance, seed ${seed}`, () => {
     const { worst, admitted, owed } = runReplay({ ...surge, seed });
@@ -213,6 +218,18 @@
   }
 });
 
+test("a surge at nine nodes that report to all stays within the allowance", () => {
+  for (const rate of [36_000, 400_000]) {
+    const { worst, admitted, owed } = runReplay({
+      ...surge,
+      ...mesh,
+      rate,
+    });
+    assert.ok(worst <= 1, `${worst} of what is allowed, rate ${rate}`);
+    assert.ok(admitted >= owed * 0.98, `${admitted} of ${owed}`);
+  }
+});
+
 test("ten times the usual at 390 nodes stays within the allowance", () => {
   const { worst, admitted, owed } = runReplay({
     ...surge,
@@ -226,9 +243,15 @@
 });
 
 test("a tenant below its rate is practically never refused", () => {
-  for (const rate of [36_000, 120_000, 400_000, 1_347_000]) {
+  const rates = [36_000, 120_000, 400_000, 1_347_000];
+  const cases = [...rates, ...rates].map((rate, at) => ({
+    ...surge,
+    ...(at < rates.length ? mesh : {}),
+    rate,
+  }));
+  for (const { rate, ...rest } of cases) {
     const { refusedByKind, offeredByKind } = runReplay({
-      ...surge,
+      ...rest,
       rate,
       demand: () => 0.6,
       durationMs: 60_000,
@@ -242,6 +265,37 @@
   }
 });
 
+test("a small tenant within the contract's tolerance is practically never refused", () => {
+  const { refusedByKind, offeredByKind } = runReplay({
+    ...surge,
+    ...mesh,
+    rate: 36_000,
+    demand: () => 1.1,
+    durationMs: 60_000,
+  });
+  const refused = refusedByKind.reduce((sum, count) => sum + count, 0);
+  const sent = offeredByKind.reduce((sum, count) => sum + count, 0);
+  assert.ok(refused <= sent * 0.01, `${refused} of ${sent} refused`);
+});
+
+test("clumps below the rate are practically never refused", () => {
+  for (const rate of [36_000, 120_000, 400_000]) {
+    const { refusedByKind, offeredByKind } = runReplay({
+      ...surge,
+      ...mesh,
+      rate,
+      demand: (at) => Math.floor(at / 500) % 4 === 0 ? 1.5 : 0.3,
+      durationMs: 60_000,
+    });
+    const refused = refusedByKind.reduce((sum, count) => sum + count, 0);
+    const sent = offeredByKind.reduce((sum, count) => sum + count, 0);
+    assert.ok(
+      refused <= sent * 0.005,
+      `${refused} of ${sent} refused at a rate of ${rate}`,
+    );
+  }
+});
+
 test("nodes that all start anew within a surge keep the allowance", () => {
   for (const restartsAt of [[11_000], [13_000], [17_000], [11_000, 14_000]]) {
     const { worst } = runReplay({ ...surge, restartsAt });
--- a/packages/routing/src/limits/allowance_margins.ts
+++ b/packages/routing/src/limits/allowance_margins.ts
@@ -39,11 +39,13 @@
 /** Part of it that is open to requests without preference. */
 const normalToleranceShare = 0.3;
 /** Share of the contract's overage by which a bucket may be overdrawn. */
-const overageShare = 0.4;
+const overageShare = 0.3;
 /** Part of it that is open to requests without preference. */
 const normalOverageShare = 0.8;
 /** Share of the overage by which the refill is raised. */
 const overageRateShare = 0.6;
+/** Share of the tolerance by which a window's refill is raised. */
+const toleranceRateShare = 0.3;
 
 /** Margins of one node. Times are monotonic, in milliseconds. */
 export class AllowanceMargins {
@@ -87,10 +89,13 @@
     return Math.min(1, this.computeUpMs(now) / this.#terms.windowMs);
   }
 
-  /** Refill per second: the rate and a part of the overage. */
+  /** Refill per second: the rate, a part of the overage and of the tolerance. */
   computeRate(ratePerSecond: number, now: number): number {
-    const share = overageRateShare * this.computeUpShare(now);
-    return ratePerSecond * (1 + this.#terms.overage * share);
+    const { overage, windowMs } = this.#terms;
+    if (overage === 0) return ratePerSecond;
+    const extra = ratePerSecond * overage * overageRateShare +
+      this.#tolerance * toleranceRateShare / (windowMs / 1_000);
+    return ratePerSecond + extra * this.computeUpShare(now);
   }
 
   /** Cost by which the bucket of the whole system may be overdrawn. */
