--- a/packages/gateway/src/relay/request_composer.ts
+++ b/packages/gateway/src/relay/request_composer.ts
@@ -13,13 +13,12 @@
   resumedRequestHeader,
   tokenCountHeader,
 } from "@almondcrank/platform/headers.ts";
+import { computeEnginePriority } from "@almondcrank/routing/admission/engine_priority.ts";
 import { listForwardedHeaders } from "./message_headers.ts";
 import { readHeader, type Routed } from "./request_admission.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { maxTimerMs } from "./timer_ms.ts";
 
-const lowestPriority = 9;
-
 /** Time limit of a request: the caller's, at most the route's timeout. */
 export function computeTimeoutMs(
   request: IncomingMessage,
@@ -50,14 +49,17 @@
   const count = parseTokenCount(readHeader(request, tokenCountHeader));
   const promptParts = parsePromptParts(readHeader(request, promptPartsHeader));
   const resumeAfter = Number(readHeader(request, lastEventIdHeader));
-  const priority = tenant?.priority ?? route.priority;
+  const priority = computeEnginePriority({
+    tenantPriority: tenant?.priority,
+    routePriority: route.priority,
+  });
   return {
     ...rest,
     id: readHeader(request, requestIdHeader),
     route,
     service,
     tenant,
-    priority: Math.max(0, Math.min(lowestPriority, priority)),
+    priority,
     method: request.method ?? "GET",
     path: request.url ?? "/",
     headers: listForwardedHeaders(request, rest.body.length),
