--- a/packages/gateway/src/cluster/report_collector.ts
+++ b/packages/gateway/src/cluster/report_collector.ts
@@ -211,7 +211,7 @@
     const isBaseline = isSameIncarnation
       ? previous.isOfOtherRole
       : this.#isLongRunning(message, now);
-    if (isBaseline && !isSameIncarnation) this.#adoptLevels(report);
+    if (isBaseline && !isSameIncarnation) this.#adoptLevels(message, report);
     const earlier = isSameIncarnation
       ? previous.counters
       : new Map<string, number>();
@@ -256,7 +256,9 @@
   #applySystem(message: PeerMessage, report: PeerReport, now: number): void {
     const { included } = message;
     if (included === null) return;
-    if (message.upMs > now - this.#startedAt) this.#adoptLevels(report);
+    if (message.upMs > now - this.#startedAt) {
+      this.#adoptLevels(message, report);
+    }
     const counters = subtractCounters(
       readCounters(report),
       new Map(included.counters),
@@ -303,7 +305,8 @@
     this.#countedByZone.set(zone, counted);
   }
 
-  #adoptLevels({ allowances }: PeerReport): void {
+  #adoptLevels({ upMs }: PeerMessage, { allowances }: PeerReport): void {
+    this.#options.rateLimiter.recordTold(upMs);
     for (const [tenant, level] of allowances) {
       this.#options.rateLimiter.adoptLevel(tenant, level);
     }
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -70,8 +70,6 @@
  * theirs, as requests don't come evenly.
  */
 const unevenShare = 0.15;
-/** Requests by which the urgent may exceed their node's part. */
-const preferredRequests = 1;
 /** Time for which a restarted node assumes that the whole rate is used. */
 const assumedUseMs = 1_000;
 /** Interval between the reports of a node in a large zone. */
@@ -147,21 +145,23 @@
     const isSmall = cost < bucket.burst * smallCostShare;
     const floor = isPreferred || isSmall
       ? minLevel
-      : -this.#computeNormalOverdraft(bucket, now);
+      : -this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
     const isAboveFloor = isSmall || bucket.level > floor;
-    const missingForFloor = isAboveFloor ? 0 : floor - bucket.level + 1;
-    // If each report reaches all peers, they learn of an admission soon, so preferred
-    // and small requests may spend the part that other nodes leave unused.
+    // Where all peers hear of it at once, these may spend what others leave unused.
     const isMesh = this.#peers.reportsPerRound <= 1;
     const needsCredit = bucket.creditShare < 1 &&
       !(isMesh && (isPreferred || isSmall));
-    const minCredit = isPreferred
-      ? -bucket.unheard.meanCost * preferredRequests
-      : 0;
+    // After a restart of all nodes even one request a node would be too much.
+    const upShare = this.#margins.computeUpShare(now);
+    const preferredCost = isPreferred ? bucket.unheard.meanCost : 0;
+    const minCredit = cost * (1 - upShare) - preferredCost * upShare;
     const isCreditSpent = needsCredit && bucket.credit <= minCredit &&
       !this.#hasRoomForAll(bucket, now);
-    const missingCredit = isCreditSpent ? 1 + minCredit - bucket.credit : 0;
-    return Math.max(missingForCost, missingForFloor, missingCredit);
+    return Math.max(
+      missingForCost,
+      isAboveFloor ? 0 : floor - bucket.level + 1,
+      isCreditSpent ? 1 + minCredit - bucket.credit : 0,
+    );
   }
 
   /**
@@ -173,8 +173,9 @@
     const usual = bucket.assumedPerMs * this.#computeUnheardMs(now);
     const usualHere = usual / (this.#peers.heard.length + 1);
     const surge = bucket.unheard.computeSurge(usualHere);
-    const overdraft = this.#margins.computeOverdraft(bucket, now);
-    return usual * surge <= bucket.level + overdraft * bucket.share;
+    const overdraft = this.#margins.computeOverdraft(bucket, now) *
+      bucket.share;
+    return usual * surge <= bucket.level + overdraft;
   }
 
   /** Longest time in which a report reaches all nodes. */
@@ -189,11 +190,6 @@
     return Math.min(maxUnheardMs, sinceMs + this.#roundMs);
   }
 
-  /** Overdraft open to requests without preference. */
-  #computeNormalOverdraft(bucket: Bucket, now: number): number {
-    return this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
-  }
-
   /** Lists the amount left in each tenant's bucket, rounded. */
   listLevels(now: number): readonly (readonly [string, number])[] {
     return [...this.#buckets].map(([name, bucket]) => {
@@ -252,16 +248,20 @@
   adoptLevel(tenant: string, level: number): void {
     const bucket = this.#buckets.get(tenant);
     if (bucket === undefined || bucket.isLevelAdopted) return;
-    const isGuess = this.#margins.isRestart;
-    bucket.level = isGuess ? level : Math.min(bucket.level, level);
     bucket.isLevelAdopted = true;
+    const isGuess = this.#margins.startShare < 1;
+    if (isGuess || level < bucket.level) bucket.level = level;
+  }
+
+  /** Records how long a peer has run that tells its levels. */
+  recordTold(peerUpMs: number): void {
+    this.#margins.recordTold(peerUpMs);
   }
 
   /** Sets the peers, and recomputes the shares if they changed. */
   setPeers(peers: PeerVisibility, now: number): void {
-    const peersKey =
-      `${peers.known.join()}|${peers.heard.join()}|${peers.reportsPerRound}` +
-      `|${peers.reportMs}`;
+    const { known, heard, reportsPerRound, reportMs } = peers;
+    const peersKey = [known, heard, reportsPerRound, reportMs].join("|");
     if (peersKey === this.#peersKey) return;
     this.#peersKey = peersKey;
     this.#peers = peers;
@@ -321,7 +321,7 @@
       ? 0
       : bucket.unheard.readCost();
     const left = bucket.level + unheard +
-      this.#computeNormalOverdraft(bucket, now);
+      this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
     const factor = 1 + unevenShare * this.#margins.computeUpShare(now);
     bucket.credit = left * bucket.creditShare * factor - unheard;
   }
--- a/packages/gateway/src/limits/tenant_surge_test.ts
+++ b/packages/gateway/src/limits/tenant_surge_test.ts
@@ -298,8 +298,12 @@
 
 test("nodes that all start anew within a surge keep the allowance", () => {
   for (const restartsAt of [[11_000], [13_000], [17_000], [11_000, 14_000]]) {
-    const { worst } = runReplay({ ...surge, restartsAt });
-    assert.ok(worst <= 1, `${worst} of what is allowed, at ${restartsAt}`);
+    for (const rate of [36_000, 120_000, 400_000, surge.rate]) {
+      const { worst } = runReplay({ ...surge, rate, restartsAt });
+      const what =
+        `${worst} of what is allowed, rate ${rate}, at ${restartsAt}`;
+      assert.ok(worst <= 1, what);
+    }
   }
 });
 
--- a/packages/routing/src/limits/allowance_margins.ts
+++ b/packages/routing/src/limits/allowance_margins.ts
@@ -47,15 +47,20 @@
 /** Share of the tolerance by which a window's refill is raised. */
 const toleranceRateShare = 0.3;
 
+/** Windows after a restart until the whole excess is used again. */
+const restartWindows = 2;
+
 /** Margins of one node. Times are monotonic, in milliseconds. */
 export class AllowanceMargins {
   readonly #tolerance: number;
   readonly #terms: AllowanceTerms;
   #startedAt: number | undefined;
+  #isRestart: boolean;
 
   private constructor(tolerance: number, terms: AllowanceTerms) {
     this.#tolerance = tolerance;
     this.#terms = terms;
+    this.#isRestart = terms.startShare < 1;
   }
 
   /** @param tolerance Cost by which a tenant may exceed its allowance in a window. */
@@ -68,9 +73,14 @@
     return this.#terms.startShare;
   }
 
-  /** Whether the system may have run before this node started. */
+  /** Whether nothing tells yet what was used before this node started. */
   get isRestart(): boolean {
-    return this.#terms.startShare < 1;
+    return this.#isRestart;
+  }
+
+  /** Records that a peer that ran for a time told what is left. */
+  recordTold(peerUpMs: number): void {
+    if (peerUpMs >= this.#terms.windowMs) this.#isRestart = false;
   }
 
   /** Starts the first window, unless it has started. */
@@ -83,10 +93,11 @@
     return now - (this.#startedAt ?? now);
   }
 
-  /** Share of a window since a restart, at most 1; 1 without a restart. */
+  /** Share of the excess to use, which grows after a restart; else 1. */
   computeUpShare(now: number): number {
     if (!this.isRestart) return 1;
-    return Math.min(1, this.computeUpMs(now) / this.#terms.windowMs);
+    const growMs = this.#terms.windowMs * restartWindows;
+    return Math.min(1, this.computeUpMs(now) / growMs);
   }
 
   /** Refill per second: the rate, a part of the overage and of the tolerance. */
@@ -100,19 +111,20 @@
 
   /** Cost by which the bucket of the whole system may be overdrawn. */
   computeOverdraft(allowance: Allowance, now: number): number {
-    return this.#tolerance * toleranceShare +
-      this.#computeOverage(allowance, now);
+    const overdraft = this.#tolerance * toleranceShare +
+      this.#computeOverage(allowance);
+    return overdraft * this.computeUpShare(now);
   }
 
   /** The same for requests without preference. */
   computeNormalOverdraft(allowance: Allowance, now: number): number {
-    return this.#tolerance * toleranceShare * normalToleranceShare +
-      this.#computeOverage(allowance, now) * normalOverageShare;
+    const overdraft = this.#tolerance * toleranceShare * normalToleranceShare +
+      this.#computeOverage(allowance) * normalOverageShare;
+    return overdraft * this.computeUpShare(now);
   }
 
-  #computeOverage({ rate, burst }: Allowance, now: number): number {
+  #computeOverage({ rate, burst }: Allowance): number {
     const { overage, windowMs } = this.#terms;
-    const allowance = rate * windowMs / 1_000 + burst;
-    return allowance * overage * overageShare * this.computeUpShare(now);
+    return (rate * windowMs / 1_000 + burst) * overage * overageShare;
   }
 }
