--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -38,6 +38,8 @@
   readonly heard: readonly string[];
   /** Number of reports that this node sends until every peer has received one. */
   readonly reportsPerRound: number;
+  /** Interval between the reports of a node, in milliseconds. */
+  readonly reportMs?: number;
 }
 
 /** Cost that a peer admitted for a tenant since its last report. */
@@ -68,12 +70,12 @@
  * theirs, as requests don't come evenly.
  */
 const unevenShare = 0.15;
-/** Requests by which the urgent may exceed their node's part. */
-const preferredRequests = 1;
 /** Time for which a restarted node assumes that the whole rate is used. */
 const assumedUseMs = 1_000;
-/** Longest delay of reports over relays. */
-const relayDelayMs = 1_500;
+/** Interval between the reports of a node in a large zone. */
+const longReportMs = 400;
+/** Time that the reports of a round take beyond their intervals. */
+const roundSlackMs = 300;
 /** Time without reports beyond which what was heard last says nothing. */
 const maxUnheardMs = 4_000;
 
@@ -143,22 +145,23 @@
     const isSmall = cost < bucket.burst * smallCostShare;
     const floor = isPreferred || isSmall
       ? minLevel
-      : -this.#computeNormalOverdraft(bucket, now);
-    const missingForFloor = isSmall || bucket.level > floor
-      ? 0
-      : floor - bucket.level + 1;
-    // If each report reaches all peers, they learn of an admission soon, so preferred
-    // and small requests may spend the part that other nodes leave unused.
+      : -this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
+    const isAboveFloor = isSmall || bucket.level > floor;
+    // Where all peers hear of it at once, these may spend what others leave unused.
     const isMesh = this.#peers.reportsPerRound <= 1;
     const needsCredit = bucket.creditShare < 1 &&
       !(isMesh && (isPreferred || isSmall));
-    const minCredit = isPreferred
-      ? -bucket.unheard.meanCost * preferredRequests
-      : 0;
+    // After a restart of all nodes even one request a node would be too much.
+    const upShare = this.#margins.computeUpShare(now);
+    const preferredCost = isPreferred ? bucket.unheard.meanCost : 0;
+    const minCredit = cost * (1 - upShare) - preferredCost * upShare;
     const isCreditSpent = needsCredit && bucket.credit <= minCredit &&
-      (isMesh || !this.#hasRoomForAll(bucket, now));
-    const missingCredit = isCreditSpent ? 1 + minCredit - bucket.credit : 0;
-    return Math.max(missingForCost, missingForFloor, missingCredit);
+      !this.#hasRoomForAll(bucket, now);
+    return Math.max(
+      missingForCost,
+      isAboveFloor ? 0 : floor - bucket.level + 1,
+      isCreditSpent ? 1 + minCredit - bucket.credit : 0,
+    );
   }
 
   /**
@@ -170,20 +173,21 @@
     const usual = bucket.assumedPerMs * this.#computeUnheardMs(now);
     const usualHere = usual / (this.#peers.heard.length + 1);
     const surge = bucket.unheard.computeSurge(usualHere);
-    const overdraft = this.#margins.computeOverdraft(bucket, now);
-    return usual * surge <= bucket.level + overdraft * bucket.share;
+    const overdraft = this.#margins.computeOverdraft(bucket, now) *
+      bucket.share;
+    return usual * surge <= bucket.level + overdraft;
+  }
+
+  /** Longest time in which a report reaches all nodes. */
+  get #roundMs(): number {
+    const { reportsPerRound, reportMs = longReportMs } = this.#peers;
+    return reportsPerRound * reportMs + roundSlackMs;
   }
 
   /** Time of which this node has not heard what the others admitted. */
   #computeUnheardMs(now: number): number {
-    if (this.#peers.reportsPerRound <= 1) return 0;
     const sinceMs = Math.max(0, now - this.#heardAt);
-    return Math.min(maxUnheardMs, sinceMs + relayDelayMs);
-  }
-
-  /** Overdraft open to requests without preference. */
-  #computeNormalOverdraft(bucket: Bucket, now: number): number {
-    return this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
+    return Math.min(maxUnheardMs, sinceMs + this.#roundMs);
   }
 
   /** Lists the amount left in each tenant's bucket, rounded. */
@@ -196,8 +200,8 @@
 
   /** Reads a bucket's amount at its last update; undefined if it does not exist. */
   readLevel(tenant: string): number | undefined {
-    const level = this.#buckets.get(tenant)?.level;
-    return level === undefined ? undefined : Math.round(level);
+    const bucket = this.#buckets.get(tenant);
+    return bucket && Math.round(bucket.level);
   }
 
   /** Lists what decides on a tenant's requests, for the log. */
@@ -209,7 +213,7 @@
     const heardMs = now - this.#heardAt;
     return {
       allowanceLeft: this.readLevel(tenant),
-      creditLeft: bucket === undefined ? undefined : Math.round(bucket.credit),
+      creditLeft: bucket && Math.round(bucket.credit),
       heardMs: Number.isFinite(heardMs) ? Math.round(heardMs) : undefined,
     };
   }
@@ -225,40 +229,39 @@
   }
 
   /** Charges what a peer admitted since its last report. */
-  applyPeerCharge(
-    { peer, tenant, cost }: PeerCharge,
-    now: number,
-  ): void {
+  applyPeerCharge({ peer, tenant, cost }: PeerCharge, now: number): void {
     this.#heardAt = now;
     const bucket = this.#buckets.get(tenant);
     if (bucket === undefined) return;
     this.#refillBucket(bucket, now);
     bucket.level -= cost;
-    let use = bucket.peerUse.get(peer);
-    if (use === undefined) {
-      use = DecayingValue.create(useDecayMs);
-      bucket.peerUse.set(peer, use);
-    }
+    const use = bucket.peerUse.get(peer) ?? DecayingValue.create(useDecayMs);
+    bucket.peerUse.set(peer, use);
     use.add(cost, now);
   }
 
   /**
-   * Adopts the level that a longer-running peer reported: it replaces the guess of a
-   * restarted node, and lowers any other level.
+   * Adopts the level that a longer-running peer reported first: it replaces the
+   * guess of a restarted node, and lowers that of a node that has just joined. Later
+   * levels contain charges that this node counts itself.
    */
   adoptLevel(tenant: string, level: number): void {
     const bucket = this.#buckets.get(tenant);
-    if (bucket === undefined) return;
-    bucket.level = bucket.isLevelGuessed
-      ? level
-      : Math.min(bucket.level, level);
-    bucket.isLevelGuessed = false;
+    if (bucket === undefined || bucket.isLevelAdopted) return;
+    bucket.isLevelAdopted = true;
+    const isGuess = this.#margins.startShare < 1;
+    if (isGuess || level < bucket.level) bucket.level = level;
+  }
+
+  /** Records how long a peer has run that tells its levels. */
+  recordTold(peerUpMs: number): void {
+    this.#margins.recordTold(peerUpMs);
   }
 
   /** Sets the peers, and recomputes the shares if they changed. */
   setPeers(peers: PeerVisibility, now: number): void {
-    const peersKey =
-      `${peers.known.join()}|${peers.heard.join()}|${peers.reportsPerRound}`;
+    const { known, heard, reportsPerRound, reportMs } = peers;
+    const peersKey = [known, heard, reportsPerRound, reportMs].join("|");
     if (peersKey === this.#peersKey) return;
     this.#peersKey = peersKey;
     this.#peers = peers;
@@ -288,7 +291,7 @@
    * compute with the same figures.
    */
   reportLevels(now: number): readonly (readonly [string, number, number])[] {
-    const heardUntil = Math.min(now, this.#heardAt) - relayDelayMs;
+    const heardUntil = Math.min(now, this.#heardAt) - this.#roundMs;
     return [...this.#buckets].map(([name, bucket]) => {
       this.#refillBucket(bucket, now);
       bucket.ownUse.add(bucket.admitted - bucket.reported, now);
@@ -318,7 +321,7 @@
       ? 0
       : bucket.unheard.readCost();
     const left = bucket.level + unheard +
-      this.#computeNormalOverdraft(bucket, now);
+      this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
     const factor = 1 + unevenShare * this.#margins.computeUpShare(now);
     bucket.credit = left * bucket.creditShare * factor - unheard;
   }
@@ -327,7 +330,7 @@
   #computePerMs({ rate }: Bucket, use: number, now: number): number {
     if (!this.#margins.isRestart) return use / useDecayMs;
     const perMs = rate / 1_000;
-    const heardMs = Math.max(0, this.#margins.computeUpMs(now) - relayDelayMs);
+    const heardMs = Math.max(0, this.#margins.computeUpMs(now) - this.#roundMs);
     const forgotten = Math.exp(-heardMs / useDecayMs);
     const assumed = assumedUseMs * forgotten;
     const observedMs = useDecayMs * (1 - forgotten);
@@ -383,13 +386,13 @@
     const elapsedSeconds = Math.max(0, now - bucket.updatedAt) / 1_000;
     const refillAmount = elapsedSeconds * bucket.rate * bucket.share;
     const refilled = bucket.level + refillAmount;
-    bucket.pendingRetryCost = Math.max(
-      0,
-      bucket.pendingRetryCost - refillAmount,
-    );
+    const { pendingRetryCost } = bucket;
+    bucket.pendingRetryCost = Math.max(0, pendingRetryCost - refillAmount);
     bucket.credit += refillAmount * bucket.creditShare;
     // What the others admitted unheard is still to be taken out of the level.
-    const unheard = bucket.heardPerMs * this.#computeUnheardMs(now);
+    const unheard = this.#peers.reportsPerRound <= 1
+      ? 0
+      : bucket.heardPerMs * this.#computeUnheardMs(now);
     const maxLevel = (bucket.burst + unheard) * bucket.share;
     bucket.level = Math.min(maxLevel, refilled);
     bucket.updatedAt = now;
