--- a/packages/gateway/src/choice/call_choice.ts
+++ b/packages/gateway/src/choice/call_choice.ts
@@ -18,7 +18,7 @@
 const otherZoneCostMs = 2;
 /** Cost of a connection that has to be opened first. */
 const newConnectionCostMs = 1;
-/** Difference of cost that this node can't tell. */
+/** Difference of predicted cost below which replicas count as equal. */
 const uncertainMs = 2;
 
 /** Properties of the call that the choice depends on. */
--- a/packages/gateway/src/choice/engine_choice.ts
+++ b/packages/gateway/src/choice/engine_choice.ts
@@ -1,8 +1,7 @@
 /**
  * Chooses the replica of a model service for one stream.
  *
- * The cost of a replica is the harm that is expected of the choice: the predicted
- * time to the first event, which is learnt, from the work that the replica has left
+ * The cost of a replica is the predicted time to the first event, which is learnt, from the work that the replica has left
  * and its speed, the wait for a slot or for KV cache memory when it is full, and the
  * delay that the prompt causes to the streams there. The replica that rendezvous
  * hashing ranks first for the prompt's shared prefix is assumed to have that prefix
@@ -41,10 +40,12 @@
  * Cost of the time that a replica prefills, beyond that time itself: it delays the
  * prefill of other prompts and the events of the streams there.
  */
-const prefillHarm = 3;
+const prefillCostFactor = 3;
+/** Share of the KV cache memory that requests can fill. */
+const usableCacheShare = 0.9;
 /** Share of its slots in use from which on a replica counts as crowded. */
 const crowdedShare = 0.75;
-/** Difference of cost that this node can't tell, however fresh its knowledge. */
+/** Difference of predicted cost below which replicas count as equal. */
 const uncertainMs = 2;
 /** Spread of pending prompts that are only known as an average, by that average. */
 const uncertainFactor = 1.5;
@@ -179,7 +180,7 @@
   const tokensPerMs = costs.firstEvents.computeTokensPerMs(key, now);
   const prefillMs = uncachedTokens / tokensPerMs;
   const crowdMs = computeCrowdMs(load.active, traits, runMs);
-  const harmMs = prefillMs * prefillHarm + crowdMs;
+  const delayMs = prefillMs * prefillCostFactor + crowdMs;
   const connectMs = sender.hasIdleConnection(state) ? 0 : newConnectionCostMs;
   const penaltyMs = computePenaltyMs(state, request) + connectMs;
   return {
@@ -189,7 +190,7 @@
     uncachedTokens,
     work,
     isQueued: queuedMs > 0,
-    cost: predictedMs + harmMs + penaltyMs,
+    cost: predictedMs + delayMs + penaltyMs,
     uncertainty: uncertainMs +
       uncertainFactor * load.uncertainTokens / tokensPerMs,
   };
@@ -232,7 +233,10 @@
   runMs: number,
 ): number {
   const missingSlots = Math.max(0, active + 1 - traits.slots);
-  const missingTokens = Math.max(0, cacheTokens - traits.cacheTokens * 0.9);
+  const missingTokens = Math.max(
+    0,
+    cacheTokens - traits.cacheTokens * usableCacheShare,
+  );
   const slotWaitMs = missingSlots * runMs / traits.slots;
   const cacheWaitMs = missingTokens / traits.cacheTokens * runMs;
   return slotWaitMs + cacheWaitMs;
--- a/packages/gateway/src/choice/origin_ring.ts
+++ b/packages/gateway/src/choice/origin_ring.ts
@@ -1,8 +1,8 @@
 /**
  * Decides in which objects a node writes down the origins of its streams.
  *
- * While versions are mixed up to 24,000 streams a second begin on 390 nodes, and
- * each may be needed until its caller has come back. A node fills one small
+ * While versions are mixed, every stream that begins on any node may be needed
+ * until its caller has come back. A node fills one small
  * segment at a time and rewrites only that; a full one is left as it is until its
  * streams are too old to be taken up, and then its slot is used again. So neither
  * the writes nor the number of objects grow with time.
--- a/packages/gateway/src/choice/version_history.ts
+++ b/packages/gateway/src/choice/version_history.ts
@@ -47,14 +47,22 @@
     }
   }
 
-  /** Records the versions of a stored history. */
+  /**
+   * Records the versions of a stored history.
+   *
+   * @param openUntil Monotonic time until which versions without an end may have
+   * served; now, unless this node has seen the listed ones itself since.
+   */
   learn(
     stored: readonly StoredVersion[],
     { now, wallTime }: Pick<HistoryTimes, "now" | "wallTime">,
+    openUntil = now,
   ): void {
     for (const { service, version, endedAt } of stored) {
-      const ageMs = endedAt === null ? 0 : Math.max(0, wallTime - endedAt);
-      this.#record(service, version, now - ageMs);
+      const lastServed = endedAt === null
+        ? openUntil
+        : now - Math.max(0, wallTime - endedAt);
+      this.#record(service, version, lastServed);
     }
   }
 
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -248,23 +248,23 @@
    */
   #greetUnconfirmed(): void {
     const { members, clock, socket, exchange } = this.#options;
-    const now = clock.now();
-    const ips = [...members.listUnconfirmed(now)];
-    if (members.isIsolated(now)) {
-      const lost = members.listLost(now);
-      const first = this.#tickCount * lostNodesPerTick;
-      for (let at = 0; at < Math.min(lost.length, lostNodesPerTick); at += 1) {
-        ips.push(
-          ...lost.slice((first + at) % lost.length).slice(0, 1)
-            .map(({ ip }) => ip),
-        );
-      }
-    }
-    for (const ip of ips) {
+    const unconfirmed = members.listUnconfirmed(clock.now());
+    for (const ip of [...unconfirmed, ...this.#listLostInTurn()]) {
       socket.send(exchange.composeHeader(undefined, "node"), undefined, ip);
     }
   }
 
+  /** Lists a few nodes that this one has lost sight of, if it is isolated. */
+  #listLostInTurn(): readonly string[] {
+    const { members, clock } = this.#options;
+    const now = clock.now();
+    if (!members.isIsolated(now)) return [];
+    const lost = members.listLost(now);
+    const first = this.#tickCount * lostNodesPerTick % Math.max(1, lost.length);
+    return [...lost.slice(first), ...lost.slice(0, first)]
+      .slice(0, lostNodesPerTick).map(({ ip }) => ip);
+  }
+
   #send(
     receivers: readonly Member[],
     scope: ReportScope,
--- a/packages/gateway/src/cluster/cluster_test.ts
+++ b/packages/gateway/src/cluster/cluster_test.ts
@@ -150,7 +150,7 @@
       work: WorkMeter.create(),
       quarantine: node.quarantine,
       limitShares: LimitShares.create(node.node, hasher),
-      tallies: ReportTallies.create([node.tally]),
+      tallies: ReportTallies.create([node.tally], Metrics.create()),
       news: ReportNews.create([{
         name: "test",
         maxBytes: 100,
--- a/packages/gateway/src/cluster/report_collector_test.ts
+++ b/packages/gateway/src/cluster/report_collector_test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { ManualClock } from "@almondcrank/common/manual_clock.ts";
+import { Metrics } from "@almondcrank/common/metrics.ts";
 import type { Tenant } from "@almondcrank/model/configuration.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import { UsageCounts } from "../duties/usage_counts.ts";
@@ -42,7 +43,7 @@
       readWallTime: () => clock.wallTime(),
     }),
     work: WorkMeter.create(),
-    tallies: ReportTallies.create([]),
+    tallies: ReportTallies.create([], Metrics.create()),
   });
   const apply = (
     node: string,
--- a/packages/gateway/src/cluster/version_archive.ts
+++ b/packages/gateway/src/cluster/version_archive.ts
@@ -249,10 +249,12 @@
     const versions = parsed.data?.versions ?? [];
     const isFirst = this.#held === undefined;
     this.#held = { version, versions };
-    this.#history.learn(versions, {
-      now: isFirst ? clock.now() : this.#startedAt,
-      wallTime: readWallTime(),
-    });
+    const now = clock.now();
+    this.#history.learn(
+      versions,
+      { now, wallTime: readWallTime() },
+      isFirst ? now : this.#startedAt,
+    );
     if (!isFirst) return;
     log.info("history of versions read.", {
       versions: formatVersions(versions),
--- a/packages/gateway/src/duties/usage_reporter.ts
+++ b/packages/gateway/src/duties/usage_reporter.ts
@@ -156,7 +156,7 @@
       window < this.#computeFirstAfterRestore(wallTime, now);
     if (isUnknown) return this.#find(window) !== undefined;
     // The counts of most nodes would be missing.
-    if (members.isIsolated(now) || !this.#isCounted(window)) return false;
+    if (members.isIsolated(now) || !this.#checkCounted(window)) return false;
     const waitMs = silentNodes > 0
       ? silentNodeSettleMs
       : settleMs + members.roundMs * settleRounds;
@@ -164,7 +164,7 @@
   }
 
   /** Whether the totals of a window include enough nodes. */
-  #isCounted(window: number): boolean {
+  #checkCounted(window: number): boolean {
     const { counts, members, clock, log } = this.#options;
     const nodes = members.listAlive(clock.now()).length + 1;
     const counted = Math.max(1, counts.computeNodes(window));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -171,7 +171,7 @@
       work: services.work,
       quarantine: services.quarantine,
       limitShares: LimitShares.create(settings.nodeName, services.hasher),
-      tallies: ReportTallies.create(parts.tallySources),
+      tallies: ReportTallies.create(parts.tallySources, services.metrics),
       news: ReportNews.create(parts.newsSources, services.metrics),
       readFencingToken: () => this.#lease?.fencingToken,
       pullFeed: (kind, ip) => void clusterRef.cluster?.pullFeed(kind, ip),
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -8,8 +8,7 @@
  * from the same reports, so together they stay within the allowance.
  *
  * The load that this answers: a tenant that sends many times its usual from one
- * second to the next, at many nodes that hear of each other's admissions up to one
- * and a half seconds late. All nodes see the same tokens, so each spends only its
+ * second to the next, at many nodes that hear of each other's admissions late. All nodes see the same tokens, so each spends only its
  * part of them, its credit. What it has admitted and the others may not have heard
  * of counts against its part, so all parts together never exceed the bucket.
  *
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -54,7 +54,7 @@
   readonly services: RelayServices;
   readonly registry: StreamRegistry;
   readonly rateLimiter: TenantRateLimiter;
-  /** Reads the current state for admission; called once per request. */
+  /** Reads the current state for admission. */
   readonly readContext: () => AdmissionContext;
   /** Whether the first configuration and replicas have arrived. */
   readonly isSynced: () => boolean;
@@ -238,6 +238,7 @@
       deadline,
       callerSignal,
       resumedVersion: resume.version,
+      versionDraw: services.random.next(),
     });
     this.#recordResume(admitted);
     services.budget.recordRequest(routed.service.name, receivedAt);
@@ -260,10 +261,10 @@
     });
   }
 
-  /** After a start, configuration and replicas arrive within milliseconds. */
+  /** Waits until configuration and replicas have arrived, for a bounded time. */
   async #waitUntilSynced(callerSignal: AbortSignal): Promise<void> {
     const { isSynced, waitUntilSynced } = this.#options;
-    // Each signal ends with an exception, which later requests need not make.
+    // No signals are made for requests that need not wait.
     if (isSynced()) return;
     await waitUntilSynced(
       AbortSignal.any([
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -21,7 +21,7 @@
   readonly method: string;
   /** Path and query, unchanged. */
   readonly path: string;
-  /** Composes alternating names and values, as sent on the wire, at the send. */
+  /** Composes names and values in turn; called when the request is sent. */
   readonly composeHeaders: () => readonly string[];
   readonly body: Buffer;
   readonly requestId: string | undefined;
@@ -57,8 +57,8 @@
 const maxInterimResponses = 16;
 
 /**
- * Sends the request and waits for the response headers; never rejects. Whoever
- * ended the request or left before is noticed first.
+ * Sends the request and waits for the response headers; never rejects. Nothing is
+ * sent if the caller has left or the send was ended before.
  */
 export async function sendToReplica(
   call: ReplicaRequest,
--- a/packages/gateway/src/relay/request_composer.ts
+++ b/packages/gateway/src/relay/request_composer.ts
@@ -46,6 +46,7 @@
     | "trace"
     | "suspects"
     | "resumedVersion"
+    | "versionDraw"
   >,
 ): RoutedRequest {
   const count = parseTokenCount(readHeader(request, tokenCountHeader));
--- a/packages/gateway/src/relay/routed_request.ts
+++ b/packages/gateway/src/relay/routed_request.ts
@@ -43,6 +43,8 @@
   readonly resumedRequest: string | undefined;
   /** Software version that began that stream; undefined if it does not matter. */
   readonly resumedVersion: string | undefined;
+  /** Random number in [0, 1) that decides on the share of a new version. */
+  readonly versionDraw: number;
   /** Aborts when the caller disconnects. */
   readonly callerSignal: AbortSignal;
   /** Decisions on the request, for the log. */
--- a/packages/gateway/src/relay/stream_recorder.ts
+++ b/packages/gateway/src/relay/stream_recorder.ts
@@ -42,6 +42,8 @@
   #segmentStartedAt = 0;
   /** Events of the segment after the first ones. */
   #timedEvents = 0;
+  /** Sends whose first event, or its absence, has been compared. */
+  readonly #compared = new WeakSet<EngineChoice>();
 
   private constructor(services: RelayServices, request: RoutedRequest) {
     this.#services = services;
@@ -167,7 +169,7 @@
       return;
     }
     runs.recordRun(this.#request.tenant?.name);
-    this.#recordAnswer(choice, "first", computeSlowness(observedMs, choice));
+    this.#recordFirst(choice, observedMs);
     const { service, softwareVersion } = choice.state.replica;
     const labels = { service, route: this.#request.route.name };
     metrics.recordDuration("first_event_seconds", observedMs, labels);
@@ -215,8 +217,14 @@
 
   /** Records that a replica has sent nothing for too long. */
   recordSilence({ choice, sentAt }: StreamSend): void {
-    const silentMs = this.#services.clock.now() - sentAt;
-    this.#recordAnswer(choice, "first", computeSlowness(silentMs, choice));
+    this.#recordFirst(choice, this.#services.clock.now() - sentAt);
+  }
+
+  /** Records the time of a send's first event, or its silence, once. */
+  #recordFirst(choice: EngineChoice, ms: number): void {
+    if (this.#compared.has(choice)) return;
+    this.#compared.add(choice);
+    this.#recordAnswer(choice, "first", computeSlowness(ms, choice));
   }
 
   /** Records the pace of a segment's events, if it was whole. */
--- a/packages/gateway/src/rollouts/rollout_duty.ts
+++ b/packages/gateway/src/rollouts/rollout_duty.ts
@@ -175,7 +175,8 @@
           this.#version = Math.max(this.#version, outcome.version);
           break;
         case "changed":
-          this.#version = Math.max(this.#version, outcome.version);
+          // Until the entries are read, each step asks for them again.
+          this.#version = undefined;
           await this.#list();
           break;
         case "expired":
