--- a/packages/routing/src/rollouts/rollout_evidence.ts
+++ b/packages/routing/src/rollouts/rollout_evidence.ts
@@ -353,17 +353,19 @@
 }
 
 /** Probability of at least `least` successes among `count` of rate `rate`. */
-function computeBinomialTail(
+export function computeBinomialTail(
   least: number,
   count: number,
   rate: number,
 ): number {
   if (rate >= 1) return 1;
-  let term = Math.exp(count * Math.log1p(-rate));
+  // The first terms are too small for a number if there are many answers.
+  let logTerm = count * Math.log1p(-rate);
   let below = 0;
   for (let successes = 0; successes < least; successes += 1) {
-    below += term;
-    term *= (count - successes) / (successes + 1) * rate / (1 - rate);
+    below += Math.exp(logTerm);
+    const ratio = (count - successes) / (successes + 1) * rate / (1 - rate);
+    logTerm += Math.log(ratio);
   }
   return Math.max(0, 1 - below);
 }
