--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -124,15 +124,11 @@
       case "any":
         return [states];
       case "not":
-        return [
-          states.filter(({ replica }) =>
-            !rule.versions.includes(replica.softwareVersion)
-          ),
-        ];
+        return [excludeVersions(states, rule.versions)];
       case "share":
         return this.#listShares(
           this.#limitShare(service, rule),
-          states,
+          excludeVersions(states, rule.excluded),
           version,
         );
     }
@@ -310,6 +306,15 @@
   }
 }
 
+function excludeVersions(
+  states: readonly ReplicaState[],
+  versions: readonly string[],
+): readonly ReplicaState[] {
+  return states.filter(({ replica }) =>
+    !versions.includes(replica.softwareVersion)
+  );
+}
+
 function readSide(
   { order }: RolloutRecord,
   { replica }: ReplicaState,
--- a/packages/routing/src/rollouts/rollout_book.ts
+++ b/packages/routing/src/rollouts/rollout_book.ts
@@ -37,6 +37,8 @@
     readonly kind: "share";
     readonly to: string;
     readonly share: number;
+    /** Versions that are neither the new one nor trusted. */
+    readonly excluded: readonly string[];
     /** Whether the new version is used if no old one is left. */
     readonly mayFallBack: boolean;
   }
@@ -149,7 +151,8 @@
         }
         const mayFallBack = record.step.isFinishing &&
           record.stopReason === undefined;
-        return { kind: "share", to: order.to, share, mayFallBack };
+        const excluded = held.filter((version) => version !== order.to);
+        return { kind: "share", to: order.to, share, excluded, mayFallBack };
       }
     }
   }
--- a/packages/routing/src/rollouts/rollout_book_test.ts
+++ b/packages/routing/src/rollouts/rollout_book_test.ts
@@ -79,6 +79,21 @@
   assert.is(book.readRule("s", ["v1", "v2"], 20).kind, "any");
 });
 
+test("a version that nobody looked up waits while the new one has a share", () => {
+  const book = createBook(record);
+  for (const share of [0.1, 0]) {
+    book.learn(withStep({ number: share === 0 ? 9e6 : 8e6, share }), 0);
+    const rule = book.readRule("s", ["v1", "v2", "v9"], 100);
+    const excluded = rule.kind === "share"
+      ? rule.excluded
+      : rule.kind === "not"
+      ? rule.versions
+      : [];
+    assert.ok(excluded.includes("v9"), JSON.stringify(rule));
+    assert.not.ok(excluded.includes("v1"), JSON.stringify(rule));
+  }
+});
+
 test("a version that nobody could look up is used after a time", () => {
   const book = RolloutBook.create();
   book.readRule("s", ["v1", "v2"], 0);
