--- a/packages/gateway/src/rollouts/rollout_duty.ts
+++ b/packages/gateway/src/rollouts/rollout_duty.ts
@@ -114,7 +114,9 @@
         const states = table.listUsable(service);
         const configured = readRoutes()?.configuration.services ?? [];
         const fresh = gate.countWarm(states, to);
-        const isOld = (version: string): boolean => version !== to;
+        const { barred = [] } = book.find(service) ?? {};
+        const isOld = (version: string): boolean =>
+          version !== to && !barred.includes(version);
         return {
           versions: [
             ...new Set(states.map(({ replica }) => replica.softwareVersion)),
--- a/packages/gateway/src/rollouts/rollout_news.ts
+++ b/packages/gateway/src/rollouts/rollout_news.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import {
   hasEnded,
+  maxBarredVersions,
   type RolloutRecord,
 } from "@almondcrank/routing/rollouts/rollout.ts";
 import type { RolloutBook } from "@almondcrank/routing/rollouts/rollout_book.ts";
@@ -20,6 +21,8 @@
   to: z.string(),
   durationMs: z.number(),
   from: z.array(z.string()),
+  // Nodes of an earlier release tell none.
+  barred: z.array(z.string()).max(maxBarredVersions).default([]),
   startedAgoMs: z.number(),
   state: z.enum(["in_progress", "completed", "reverted"]),
   number: z.number(),
@@ -89,7 +92,7 @@
 }
 
 function composeRecord(
-  { order, from, startedAt, state, step, stopReason }: RolloutRecord,
+  { order, from, barred, startedAt, state, step, stopReason }: RolloutRecord,
   now: number,
 ): z.infer<typeof toldRecord> {
   const { id, service, to, durationMs } = order;
@@ -99,6 +102,7 @@
     to,
     durationMs,
     from: [...from],
+    barred: [...barred],
     startedAgoMs: Math.round(now - startedAt),
     state,
     number: step.number,
@@ -116,10 +120,11 @@
   told: z.infer<typeof toldRecord>,
   now: number,
 ): RolloutRecord {
-  const { id, service, to, durationMs, from, state, stopReason } = told;
+  const { id, service, to, durationMs, from, barred, state, stopReason } = told;
   return {
     order: { id, service, to, durationMs },
     from,
+    barred,
     startedAt: now - told.startedAgoMs,
     state,
     step: {
--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -137,10 +137,11 @@
   maySend({ replica }: ReplicaState): boolean {
     const record = this.#options.book.find(replica.service);
     if (record === undefined) return true;
-    const { to } = record.order;
-    const isBarred = record.state === "reverted" ||
+    const { softwareVersion: version } = replica;
+    if (record.barred.includes(version)) return false;
+    const isStopped = record.state === "reverted" ||
       record.state === "in_progress" && record.stopReason !== undefined;
-    return !isBarred || replica.softwareVersion !== to;
+    return !isStopped || version !== record.order.to;
   }
 
   recordSend(state: ReplicaState): void {
@@ -302,7 +303,9 @@
 
   #findCounted({ replica }: ReplicaState): RolloutRecord | undefined {
     const record = this.#options.book.find(replica.service);
-    return record === undefined || hasEnded(record) ? undefined : record;
+    if (record === undefined || hasEnded(record)) return undefined;
+    // A barred version is on neither side.
+    return record.barred.includes(replica.softwareVersion) ? undefined : record;
   }
 }
 
--- a/packages/routing/src/rollouts/rollout.ts
+++ b/packages/routing/src/rollouts/rollout.ts
@@ -42,6 +42,8 @@
   readonly order: RolloutOrder;
   /** Versions that served before the order. */
   readonly from: readonly string[];
+  /** Versions of earlier orders that were not completed; they get nothing. */
+  readonly barred: readonly string[];
   /** Latest monotonic time at which the order was not there, in milliseconds. */
   readonly startedAt: number;
   readonly state: RolloutState;
@@ -55,6 +57,25 @@
   readonly endedAt?: number;
 }
 
+/** Largest number of barred versions of a service; the earliest are forgotten. */
+export const maxBarredVersions = 4;
+
+/** Lists the versions that an order for `to` bars, from the order before it. */
+export function listBarred(
+  before: RolloutRecord | undefined,
+  to: string,
+): readonly string[] {
+  if (before === undefined) return [];
+  const { order, barred, state, step, stopReason } = before;
+  // One whose completion may have been written may be all that still runs.
+  const mayBeTrusted = state === "completed" ||
+    state === "in_progress" && step.isFinishing && stopReason === undefined;
+  const earlier = barred.filter((version) => version !== order.to);
+  return (mayBeTrusted ? earlier : [...earlier, order.to])
+    .filter((version) => version !== to)
+    .slice(-maxBarredVersions);
+}
+
 /** Whether the order has ended for good. */
 export function hasEnded({ state }: RolloutRecord): boolean {
   return state !== "in_progress";
--- a/packages/routing/src/rollouts/rollout_book.ts
+++ b/packages/routing/src/rollouts/rollout_book.ts
@@ -13,7 +13,7 @@
  * held back until a holder of the duty has looked for an order for it.
  */
 
-import { hasEnded, type RolloutRecord } from "./rollout.ts";
+import { hasEnded, maxBarredVersions, type RolloutRecord } from "./rollout.ts";
 
 /** Time from its issue for which a step is in force, in milliseconds. */
 export const stepTtlMs = 2_500;
@@ -132,11 +132,12 @@
     now: number,
   ): VersionRule {
     const record = this.find(service);
-    const held = this.#listHeld(service, versions, now);
+    const unchecked = this.#listHeld(service, versions, now);
     if (record === undefined) {
-      return excludeVersions(held);
+      return excludeVersions(unchecked);
     }
-    const { order, from, state } = record;
+    const { order, from, barred, state } = record;
+    const held = [...barred, ...unchecked];
     switch (state) {
       case "completed": {
         const hasStopped = now - (record.endedAt ?? now) < stoppedReplicasMs;
@@ -207,9 +208,12 @@
   const isNewer = told.step.number > known.step.number;
   const step = isNewer ? told.step : known.step;
   const stopReason = known.stopReason ?? told.stopReason;
+  // Two holders may have known different earlier orders.
+  const barred = [...new Set([...known.barred, ...told.barred])]
+    .slice(0, maxBarredVersions);
   const isSame = state === known.state && step === known.step &&
-    stopReason === known.stopReason;
+    stopReason === known.stopReason && barred.length === known.barred.length;
   if (isSame) return known;
   const startedAt = Math.min(known.startedAt, told.startedAt);
-  return { ...known, state, step, stopReason, startedAt };
+  return { ...known, barred, state, step, stopReason, startedAt };
 }
--- a/packages/routing/src/rollouts/rollout_book_test.ts
+++ b/packages/routing/src/rollouts/rollout_book_test.ts
@@ -4,12 +4,13 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { RolloutRecord } from "./rollout.ts";
+import { listBarred, type RolloutRecord } from "./rollout.ts";
 import { readShare, RolloutBook, stepTtlMs } from "./rollout_book.ts";
 
 const record: RolloutRecord = {
   order: { id: 7, service: "s", to: "v2", durationMs: 12_000 },
   from: ["v1"],
+  barred: [],
   startedAt: 0,
   state: "in_progress",
   step: {
@@ -79,6 +80,40 @@
   assert.is(book.readRule("s", ["v1", "v2"], 20).kind, "any");
 });
 
+test("barred versions are excluded in each state, and those of two holders add up", () => {
+  const states = ["in_progress", "completed", "reverted"] as const;
+  for (const state of states) {
+    const book = createBook(
+      { ...record, state, barred: ["v0"] },
+      { ...record, state, barred: ["v5"] },
+    );
+    const rule = book.readRule("s", ["v1", "v2", "v0", "v5"], 100);
+    const excluded = rule.kind === "share"
+      ? rule.excluded
+      : rule.kind === "not"
+      ? rule.versions
+      : [];
+    assert.ok(excluded.includes("v0"), JSON.stringify(rule));
+    assert.ok(excluded.includes("v5"), JSON.stringify(rule));
+  }
+});
+
+test("an order bars what the one before did not complete", () => {
+  const list = (before: RolloutRecord, to = "v3") => listBarred(before, to);
+  assert.equal(list(record), ["v2"]);
+  assert.equal(list({ ...record, state: "reverted" }), ["v2"]);
+  assert.equal(list({ ...record, state: "completed" }), []);
+  assert.equal(list({ ...record, barred: ["v0"] }), ["v0", "v2"]);
+  assert.equal(list({ ...record, barred: ["v0"] }, "v0"), ["v2"]);
+  assert.equal(list(record, "v2"), []);
+  // Its completion may have been written, and the old replicas be gone.
+  const finishing = withStep({ isFinishing: true });
+  assert.equal(list(finishing), []);
+  assert.equal(list({ ...finishing, stopReason: "it fails" }), ["v2"]);
+  const many = ["a", "b", "c", "d"];
+  assert.equal(list({ ...record, barred: many }), ["b", "c", "d", "v2"]);
+});
+
 test("a version that nobody looked up waits while the new one has a share", () => {
   const book = createBook(record);
   for (const share of [0.1, 0]) {
--- a/packages/routing/src/rollouts/rollout_control.ts
+++ b/packages/routing/src/rollouts/rollout_control.ts
@@ -14,7 +14,12 @@
   readStoreEra,
   readStoreRevision,
 } from "@almondcrank/infrastructure/store_version.ts";
-import { hasEnded, type RolloutRecord, type RolloutState } from "./rollout.ts";
+import {
+  hasEnded,
+  listBarred,
+  type RolloutRecord,
+  type RolloutState,
+} from "./rollout.ts";
 import type { RolloutBook } from "./rollout_book.ts";
 import type { RolloutEvidence, VersionSums } from "./rollout_evidence.ts";
 import {
@@ -269,13 +274,19 @@
     const { versions, isConfigured } = readView(service, to);
     if (!isConfigured) return this.#ignore(entry, "the service is not known");
     this.#ignored.delete(service);
-    const from = versions.filter((other) => other !== to);
+    const before = book.find(service);
+    const barred = listBarred(before, to);
+    const others = versions.filter((other) => other !== to);
+    const from = others.filter((other) => !barred.includes(other));
+    // Beside versions that were taken back, the one before them runs already.
     const isRunning = state === undefined && from.length === 0 &&
-      versions.length > 0;
+      versions.includes(to) &&
+      (others.length === 0 || before?.from.includes(to) === true);
     const record: RolloutRecord = {
       order: { id: version, service, to, durationMs },
       // The replicas that an earlier completion stopped are gone.
       from: state === "completed" ? [] : from,
+      barred,
       startedAt: absentAt,
       state: state === undefined || state === "in_progress"
         ? (isRunning ? "completed" : "in_progress")
