--- a/packages/routing/src/rollouts/rollout_control.ts
+++ b/packages/routing/src/rollouts/rollout_control.ts
@@ -26,6 +26,7 @@
   computeStep,
   type ExposureLimit,
   type PlanStep,
+  readPlannedShare,
 } from "./rollout_plan.ts";
 
 /** An operators' entry as the store has it. */
@@ -190,7 +191,9 @@
     }
     const record = this.#options.book.find(service);
     if (record === undefined || record.order.to !== to) return;
-    if (state !== "in_progress") this.#end(record, state, now);
+    if (state === "in_progress") return;
+    const reason = record.stopReason ?? "no fault was seen";
+    this.#end(record, { state, reason, now });
   }
 
   /** Records how long a write took, answered or not. */
@@ -207,12 +210,18 @@
       : "in_progress";
   }
 
-  #end(record: RolloutRecord, state: RolloutState, now: number): void {
+  #end(
+    record: RolloutRecord,
+    { state, reason, now }: {
+      readonly state: RolloutState;
+      readonly reason: string;
+      readonly now: number;
+    },
+  ): void {
     if (hasEnded(record)) return;
     const { book, onEvent } = this.#options;
     book.set({ ...record, state, endedAt: now });
     this.#lastKinds.delete(record.order.service);
-    const reason = record.stopReason ?? "no fault was seen";
     const { service, to } = record.order;
     onEvent({ kind: "ended", service, to, reason: `${state}: ${reason}` });
   }
@@ -241,7 +250,8 @@
   ): void {
     if (!hasEnded(known)) {
       if (entry.state === "completed" || entry.state === "reverted") {
-        this.#end(known, entry.state, times.now);
+        const reason = "the store has this end";
+        this.#end(known, { state: entry.state, reason, now: times.now });
       }
       return;
     }
@@ -378,15 +388,3 @@
     this.#options.onEvent({ kind: "step", service, to, reason });
   }
 }
-
-function readPlannedShare(plan: PlanStep): number {
-  switch (plan.kind) {
-    case "share":
-      return plan.share;
-    case "shift":
-    case "complete":
-      return 1;
-    case "late":
-      return 0;
-  }
-}
--- a/packages/routing/src/rollouts/rollout_plan.ts
+++ b/packages/routing/src/rollouts/rollout_plan.ts
@@ -121,6 +121,19 @@
   };
 }
 
+/** Reads the share that the new version gets by a step. */
+export function readPlannedShare(plan: PlanStep): number {
+  switch (plan.kind) {
+    case "share":
+      return plan.share;
+    case "shift":
+    case "complete":
+      return 1;
+    case "late":
+      return 0;
+  }
+}
+
 /** Number of requests that the new version may get, from what may still come. */
 function computeBound(
   { sent, requestsPerSecond, limit }: PlanInputs,
