--- a/packages/routing/src/rollouts/rollout_control.ts
+++ b/packages/routing/src/rollouts/rollout_control.ts
@@ -3,9 +3,9 @@
  *
  * It runs on the holder of the duty, from the entries as the store has them and
  * from the evidence of all nodes, and decides which states are due to be written.
- * Nothing here is kept only by the holder: a successor goes on from the records
- * that all nodes have. Where none is left, nobody knows how much an order in
- * progress has used of its bound, so it is taken back. So is one on which the
+ * What a successor needs is in the records that all nodes have; it reads the
+ * entries and plans anew. Where no record is left, nobody knows how much an order
+ * in progress has used of its bound, so it is taken back. So is one on which the
  * evidence is thin at its end: that costs operators a second order, while a bad
  * version that takes over costs callers their answers.
  */
@@ -104,6 +104,7 @@
   readonly #options: RolloutControlOptions;
   readonly #entries = new Map<string, RolloutEntry>();
   readonly #ignored = new Map<string, string>();
+  /** Kind of the last planned step, by service. */
   readonly #lastKinds = new Map<string, PlanStep["kind"]>();
   #steps = 0;
   /** Time that the last write took. */
@@ -354,7 +355,8 @@
       const isUnknown = isFinishing && elapsedMs < durationMs + unknownEndMs;
       if (!isUnknown) return this.#stop(record, "it was not completed in time");
     }
-    this.#logStep(record, plan, sent);
+    this.#reportStep(record, plan, sent);
+    this.#lastKinds.set(service, plan.kind);
     this.#steps += 1;
     book.set({
       ...record,
@@ -373,7 +375,8 @@
     this.#options.onEvent({ kind: "stopped", service, to, reason });
   }
 
-  #logStep(
+  /** Reports a step that differs in kind, or clearly in its share. */
+  #reportStep(
     { order: { service, to }, step }: RolloutRecord,
     plan: PlanStep,
     { all, fresh }: OrderCounts["sent"],
@@ -381,7 +384,6 @@
     const share = readPlannedShare(plan);
     const isSame = this.#lastKinds.get(service) === plan.kind &&
       Math.abs(share - step.share) < 0.5 * Math.max(share, step.share);
-    this.#lastKinds.set(service, plan.kind);
     if (isSame) return;
     const reason = `${plan.kind}, share ${share.toFixed(3)}, sent ${fresh} ` +
       `of ${all} requests`;
