--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -219,6 +219,7 @@
       book.stop(service, reason);
       log.warn("a new version gets no more requests.", { service, to, reason });
     }
+    book.forgetUnseen(now);
     counts.retain(kept);
     for (const id of this.#watches.keys()) {
       if (!kept.has(id)) this.#watches.delete(id);
@@ -248,6 +249,7 @@
     );
     const now = clock.now();
     const versions = isMixed ? listByStart(states) : [version];
+    book.recordSeen(service, versions, now);
     return book.readRule(service, versions, now);
   }
 
--- a/packages/routing/src/rollouts/rollout_book.ts
+++ b/packages/routing/src/rollouts/rollout_book.ts
@@ -24,6 +24,8 @@
  * ones of their version are the operators' wish.
  */
 const stoppedReplicasMs = 15_000;
+/** Time after which a version that is not seen any more is forgotten. */
+const forgetSeenMs = 60_000;
 /** Largest number of versions of a service that are kept as checked. */
 const maxCheckedVersions = 8;
 /** Largest number of services whose records are kept. */
@@ -44,13 +46,18 @@
   }
   | { readonly kind: "not"; readonly versions: readonly string[] };
 
+interface SeenTimes {
+  readonly first: number;
+  last: number;
+}
+
 /** Orders that one node knows of. Times are monotonic, in milliseconds. */
 export class RolloutBook {
   readonly #records = new Map<string, RolloutRecord>();
   /** Versions for which a holder found no order, by service. */
   readonly #checked = new Map<string, Set<string>>();
-  /** Time at which this node first saw a version of a service. */
-  readonly #seenAt = new Map<string, Map<string, number>>();
+  /** Times at which this node first and last saw a version of a service. */
+  readonly #seen = new Map<string, Map<string, SeenTimes>>();
 
   static create(): RolloutBook {
     return new RolloutBook();
@@ -121,6 +128,32 @@
       (record.order.to === version || record.from.includes(version));
   }
 
+  /** Records versions of a service's usable replicas. */
+  recordSeen(service: string, versions: readonly string[], now: number): void {
+    const seen = this.#seen.get(service) ?? new Map<string, SeenTimes>();
+    this.#seen.set(service, seen);
+    for (const version of versions) {
+      const times = seen.get(version);
+      if (times === undefined) seen.set(version, { first: now, last: now });
+      else times.last = now;
+    }
+  }
+
+  /** Forgets versions that have not been seen for a time. */
+  forgetUnseen(now: number): void {
+    for (const [service, seen] of this.#seen) {
+      for (const [version, { last }] of seen) {
+        if (now - last > forgetSeenMs) seen.delete(version);
+      }
+      if (seen.size === 0) this.#seen.delete(service);
+    }
+  }
+
+  /** Counts the versions whose times are kept. */
+  countSeen(): number {
+    return [...this.#seen.values()].reduce((sum, { size }) => sum + size, 0);
+  }
+
   /**
    * Reads which of the versions of a service's usable replicas may get a request.
    *
@@ -164,15 +197,11 @@
     versions: readonly string[],
     now: number,
   ): readonly string[] {
-    const seen = this.#seenAt.get(service) ?? new Map<string, number>();
-    this.#seenAt.set(service, seen);
-    for (const version of versions) {
-      if (!seen.has(version)) seen.set(version, now);
-    }
     if (versions.length < 2) return [];
+    const seen = this.#seen.get(service);
     const isKnown = (version: string): boolean =>
       this.isChecked(service, version) ||
-      now - (seen.get(version) ?? now) > uncheckedMs;
+      now - (seen?.get(version)?.first ?? now) > uncheckedMs;
     // If none was checked, the one that started first served before.
     const [first] = versions;
     const hasChecked = versions.some(isKnown);
--- a/packages/routing/src/rollouts/rollout_book_test.ts
+++ b/packages/routing/src/rollouts/rollout_book_test.ts
@@ -131,8 +131,37 @@
 
 test("a version that nobody could look up is used after a time", () => {
   const book = RolloutBook.create();
-  book.readRule("s", ["v1", "v2"], 0);
+  book.recordSeen("s", ["v1", "v2"], 0);
+  assert.is(book.readRule("s", ["v1", "v2"], 9_999).kind, "not");
   assert.is(book.readRule("s", ["v1", "v2"], 10_001).kind, "any");
 });
 
+test("reading a rule does not count as seeing a version", () => {
+  const book = RolloutBook.create();
+  book.readRule("s", ["v1", "v2"], 0);
+  const rule = book.readRule("s", ["v1", "v2"], 10_001);
+  assert.equal(rule, { kind: "not", versions: ["v2"] });
+});
+
+test("versions that are no longer seen are forgotten, but not at once", () => {
+  const book = RolloutBook.create();
+  const versions = ["v1", "v2"];
+  book.recordSeen("s", versions, 0);
+  // Requests that are bound to one version see only that one.
+  book.recordSeen("s", ["v1"], 8_000);
+  book.forgetUnseen(8_000);
+  assert.is(book.readRule("s", versions, 10_001).kind, "any");
+  book.recordSeen("s", versions, 20_000);
+  book.recordSeen("s", ["v1"], 90_000);
+  book.forgetUnseen(90_000);
+  book.recordSeen("s", versions, 91_000);
+  const rule = book.readRule("s", versions, 91_000);
+  assert.equal(rule, { kind: "not", versions: ["v2"] });
+  for (let at = 0; at < 500; at += 1) {
+    book.recordSeen(`s${at}`, [`v${at}`], at * 1_000);
+    book.forgetUnseen(at * 1_000);
+  }
+  assert.ok(book.countSeen() <= 70, `${book.countSeen()}`);
+});
+
 test.run();
