--- a/packages/routing/src/rollouts/rollout_evidence.ts
+++ b/packages/routing/src/rollouts/rollout_evidence.ts
@@ -15,7 +15,7 @@
  * the first one is exceeded by chance in fewer than 1 of 1,000 good rollouts.
  */
 
-/** Sums of one kind of answers; times are sums of `formatTime`'s values. */
+/** Sums of one kind of answers; times are sums of `encodeTime`'s values. */
 export interface AnswerSums {
   readonly answers: number;
   readonly failures: number;
@@ -60,7 +60,7 @@
 const minTimes = 10;
 /** Failure rate that a good version may have while the old one has none. */
 const usualFailureRate = 0.01;
-/** The same of slow answers, as replicas differ in speed. */
+/** Rate of slow answers that a good version may have, as replicas differ in speed. */
 const usualSlowRate = 0.06;
 /** Ratio of such rates that a good version may have. */
 const rateRatio = 1.5;
--- a/packages/routing/src/rollouts/rollout_evidence_test.ts
+++ b/packages/routing/src/rollouts/rollout_evidence_test.ts
@@ -50,4 +50,17 @@
   assert.is(evidence.checkStop(good, 0).kind, "sound");
 });
 
+test("a version whose answers all crash is thin at the end, also of one measure", () => {
+  const evidence = RolloutEvidence.create();
+  const old: AnswerSums = { ...noAnswers, answers: 500, times: 500 };
+  const fresh: AnswerSums = { ...noAnswers, answers: 50, times: 50 };
+  const none = new Map([["r whole", { fresh: noAnswers, old }]]);
+  assert.is(evidence.checkEnd(none, 0).kind, "thin");
+  const started = new Map([
+    ["r first", { fresh, old }],
+    ["r pace", { fresh: noAnswers, old }],
+  ]);
+  assert.is(evidence.checkEnd(started, 0).kind, "thin");
+});
+
 test.run();
--- a/packages/routing/src/rollouts/rollout_plan.ts
+++ b/packages/routing/src/rollouts/rollout_plan.ts
@@ -40,7 +40,7 @@
   }
   /** All traffic goes to the new version. */
   | { readonly kind: "shift" }
-  /** The same, and the completion is due. */
+  /** All traffic goes to the new version, and the completion is due. */
   | { readonly kind: "complete" }
   /** The time is over. */
   | { readonly kind: "late" };
@@ -63,7 +63,7 @@
 const maxShiftShare = 0.3;
 /** Part of the bound for evidence where there is enough left for the shift. */
 const evidenceShare = 0.75;
-/** The same where the shift would take all of it. */
+/** Part of the bound for evidence where the shift would take all of it. */
 const leastEvidenceShare = 0.6;
 /** Part of the bound that is kept from it for a slow store. */
 const slowStoreShare = 0.2;
