--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -124,15 +124,11 @@
       case "any":
         return [states];
       case "not":
-        return [
-          states.filter(({ replica }) =>
-            !rule.versions.includes(replica.softwareVersion)
-          ),
-        ];
+        return [excludeVersions(states, rule.versions)];
       case "share":
         return this.#listShares(
           this.#limitShare(service, rule),
-          states,
+          excludeVersions(states, rule.excluded),
           version,
         );
     }
@@ -141,10 +137,11 @@
   maySend({ replica }: ReplicaState): boolean {
     const record = this.#options.book.find(replica.service);
     if (record === undefined) return true;
-    const { to } = record.order;
-    const isBarred = record.state === "reverted" ||
+    const { softwareVersion: version } = replica;
+    if (record.barred.includes(version)) return false;
+    const isStopped = record.state === "reverted" ||
       record.state === "in_progress" && record.stopReason !== undefined;
-    return !isBarred || replica.softwareVersion !== to;
+    return !isStopped || version !== record.order.to;
   }
 
   recordSend(state: ReplicaState): void {
@@ -222,6 +219,7 @@
       book.stop(service, reason);
       log.warn("a new version gets no more requests.", { service, to, reason });
     }
+    book.forgetUnseen(now);
     counts.retain(kept);
     for (const id of this.#watches.keys()) {
       if (!kept.has(id)) this.#watches.delete(id);
@@ -251,6 +249,7 @@
     );
     const now = clock.now();
     const versions = isMixed ? listByStart(states) : [version];
+    book.recordSeen(service, versions, now);
     return book.readRule(service, versions, now);
   }
 
@@ -306,10 +305,21 @@
 
   #findCounted({ replica }: ReplicaState): RolloutRecord | undefined {
     const record = this.#options.book.find(replica.service);
-    return record === undefined || hasEnded(record) ? undefined : record;
+    if (record === undefined || hasEnded(record)) return undefined;
+    // A barred version is on neither side.
+    return record.barred.includes(replica.softwareVersion) ? undefined : record;
   }
 }
 
+function excludeVersions(
+  states: readonly ReplicaState[],
+  versions: readonly string[],
+): readonly ReplicaState[] {
+  return states.filter(({ replica }) =>
+    !versions.includes(replica.softwareVersion)
+  );
+}
+
 function readSide(
   { order }: RolloutRecord,
   { replica }: ReplicaState,
--- a/packages/routing/src/rollouts/rollout_book.ts
+++ b/packages/routing/src/rollouts/rollout_book.ts
@@ -13,7 +13,7 @@
  * held back until a holder of the duty has looked for an order for it.
  */
 
-import { hasEnded, type RolloutRecord } from "./rollout.ts";
+import { hasEnded, maxBarredVersions, type RolloutRecord } from "./rollout.ts";
 
 /** Time from its issue for which a step is in force, in milliseconds. */
 export const stepTtlMs = 2_500;
@@ -24,6 +24,8 @@
  * ones of their version are the operators' wish.
  */
 const stoppedReplicasMs = 15_000;
+/** Time after which a version that is not seen any more is forgotten. */
+const forgetSeenMs = 60_000;
 /** Largest number of versions of a service that are kept as checked. */
 const maxCheckedVersions = 8;
 /** Largest number of services whose records are kept. */
@@ -37,18 +39,25 @@
     readonly kind: "share";
     readonly to: string;
     readonly share: number;
+    /** Versions that are neither the new one nor trusted. */
+    readonly excluded: readonly string[];
     /** Whether the new version is used if no old one is left. */
     readonly mayFallBack: boolean;
   }
   | { readonly kind: "not"; readonly versions: readonly string[] };
 
+interface SeenTimes {
+  readonly first: number;
+  last: number;
+}
+
 /** Orders that one node knows of. Times are monotonic, in milliseconds. */
 export class RolloutBook {
   readonly #records = new Map<string, RolloutRecord>();
   /** Versions for which a holder found no order, by service. */
   readonly #checked = new Map<string, Set<string>>();
-  /** Time at which this node first saw a version of a service. */
-  readonly #seenAt = new Map<string, Map<string, number>>();
+  /** Times at which this node first and last saw a version of a service. */
+  readonly #seen = new Map<string, Map<string, SeenTimes>>();
 
   static create(): RolloutBook {
     return new RolloutBook();
@@ -119,6 +128,32 @@
       (record.order.to === version || record.from.includes(version));
   }
 
+  /** Records versions of a service's usable replicas. */
+  recordSeen(service: string, versions: readonly string[], now: number): void {
+    const seen = this.#seen.get(service) ?? new Map<string, SeenTimes>();
+    this.#seen.set(service, seen);
+    for (const version of versions) {
+      const times = seen.get(version);
+      if (times === undefined) seen.set(version, { first: now, last: now });
+      else times.last = now;
+    }
+  }
+
+  /** Forgets versions that have not been seen for a time. */
+  forgetUnseen(now: number): void {
+    for (const [service, seen] of this.#seen) {
+      for (const [version, { last }] of seen) {
+        if (now - last > forgetSeenMs) seen.delete(version);
+      }
+      if (seen.size === 0) this.#seen.delete(service);
+    }
+  }
+
+  /** Counts the versions whose times are kept. */
+  countSeen(): number {
+    return [...this.#seen.values()].reduce((sum, { size }) => sum + size, 0);
+  }
+
   /**
    * Reads which of the versions of a service's usable replicas may get a request.
    *
@@ -130,11 +165,12 @@
     now: number,
   ): VersionRule {
     const record = this.find(service);
-    const held = this.#listHeld(service, versions, now);
+    const unchecked = this.#listHeld(service, versions, now);
     if (record === undefined) {
-      return excludeVersions(held);
+      return excludeVersions(unchecked);
     }
-    const { order, from, state } = record;
+    const { order, from, barred, state } = record;
+    const held = [...barred, ...unchecked];
     switch (state) {
       case "completed": {
         const hasStopped = now - (record.endedAt ?? now) < stoppedReplicasMs;
@@ -149,7 +185,8 @@
         }
         const mayFallBack = record.step.isFinishing &&
           record.stopReason === undefined;
-        return { kind: "share", to: order.to, share, mayFallBack };
+        const excluded = held.filter((version) => version !== order.to);
+        return { kind: "share", to: order.to, share, excluded, mayFallBack };
       }
     }
   }
@@ -160,15 +197,11 @@
     versions: readonly string[],
     now: number,
   ): readonly string[] {
-    const seen = this.#seenAt.get(service) ?? new Map<string, number>();
-    this.#seenAt.set(service, seen);
-    for (const version of versions) {
-      if (!seen.has(version)) seen.set(version, now);
-    }
     if (versions.length < 2) return [];
+    const seen = this.#seen.get(service);
     const isKnown = (version: string): boolean =>
       this.isChecked(service, version) ||
-      now - (seen.get(version) ?? now) > uncheckedMs;
+      now - (seen?.get(version)?.first ?? now) > uncheckedMs;
     // If none was checked, the one that started first served before.
     const [first] = versions;
     const hasChecked = versions.some(isKnown);
@@ -204,9 +237,12 @@
   const isNewer = told.step.number > known.step.number;
   const step = isNewer ? told.step : known.step;
   const stopReason = known.stopReason ?? told.stopReason;
+  // Two holders may have known different earlier orders.
+  const barred = [...new Set([...known.barred, ...told.barred])]
+    .slice(0, maxBarredVersions);
   const isSame = state === known.state && step === known.step &&
-    stopReason === known.stopReason;
+    stopReason === known.stopReason && barred.length === known.barred.length;
   if (isSame) return known;
   const startedAt = Math.min(known.startedAt, told.startedAt);
-  return { ...known, state, step, stopReason, startedAt };
+  return { ...known, barred, state, step, stopReason, startedAt };
 }
--- a/packages/routing/src/rollouts/rollout_control.ts
+++ b/packages/routing/src/rollouts/rollout_control.ts
@@ -3,9 +3,9 @@
  *
  * It runs on the holder of the duty, from the entries as the store has them and
  * from the evidence of all nodes, and decides which states are due to be written.
- * Nothing here is kept only by the holder: a successor goes on from the records
- * that all nodes have. Where none is left, nobody knows how much an order in
- * progress has used of its bound, so it is taken back. So is one on which the
+ * What a successor needs is in the records that all nodes have; it reads the
+ * entries and plans anew. Where no record is left, nobody knows how much an order
+ * in progress has used of its bound, so it is taken back. So is one on which the
  * evidence is thin at its end: that costs operators a second order, while a bad
  * version that takes over costs callers their answers.
  */
@@ -14,13 +14,19 @@
   readStoreEra,
   readStoreRevision,
 } from "@almondcrank/infrastructure/store_version.ts";
-import { hasEnded, type RolloutRecord, type RolloutState } from "./rollout.ts";
+import {
+  hasEnded,
+  listBarred,
+  type RolloutRecord,
+  type RolloutState,
+} from "./rollout.ts";
 import type { RolloutBook } from "./rollout_book.ts";
 import type { RolloutEvidence, VersionSums } from "./rollout_evidence.ts";
 import {
   computeStep,
   type ExposureLimit,
   type PlanStep,
+  readPlannedShare,
 } from "./rollout_plan.ts";
 
 /** An operators' entry as the store has it. */
@@ -98,6 +104,7 @@
   readonly #options: RolloutControlOptions;
   readonly #entries = new Map<string, RolloutEntry>();
   readonly #ignored = new Map<string, string>();
+  /** Kind of the last planned step, by service. */
   readonly #lastKinds = new Map<string, PlanStep["kind"]>();
   #steps = 0;
   /** Time that the last write took. */
@@ -185,7 +192,9 @@
     }
     const record = this.#options.book.find(service);
     if (record === undefined || record.order.to !== to) return;
-    if (state !== "in_progress") this.#end(record, state, now);
+    if (state === "in_progress") return;
+    const reason = record.stopReason ?? "no fault was seen";
+    this.#end(record, { state, reason, now });
   }
 
   /** Records how long a write took, answered or not. */
@@ -202,12 +211,18 @@
       : "in_progress";
   }
 
-  #end(record: RolloutRecord, state: RolloutState, now: number): void {
+  #end(
+    record: RolloutRecord,
+    { state, reason, now }: {
+      readonly state: RolloutState;
+      readonly reason: string;
+      readonly now: number;
+    },
+  ): void {
     if (hasEnded(record)) return;
     const { book, onEvent } = this.#options;
     book.set({ ...record, state, endedAt: now });
     this.#lastKinds.delete(record.order.service);
-    const reason = record.stopReason ?? "no fault was seen";
     const { service, to } = record.order;
     onEvent({ kind: "ended", service, to, reason: `${state}: ${reason}` });
   }
@@ -236,7 +251,8 @@
   ): void {
     if (!hasEnded(known)) {
       if (entry.state === "completed" || entry.state === "reverted") {
-        this.#end(known, entry.state, times.now);
+        const reason = "the store has this end";
+        this.#end(known, { state: entry.state, reason, now: times.now });
       }
       return;
     }
@@ -269,13 +285,19 @@
     const { versions, isConfigured } = readView(service, to);
     if (!isConfigured) return this.#ignore(entry, "the service is not known");
     this.#ignored.delete(service);
-    const from = versions.filter((other) => other !== to);
+    const before = book.find(service);
+    const barred = listBarred(before, to);
+    const others = versions.filter((other) => other !== to);
+    const from = others.filter((other) => !barred.includes(other));
+    // Beside versions that were taken back, the one before them runs already.
     const isRunning = state === undefined && from.length === 0 &&
-      versions.length > 0;
+      versions.includes(to) &&
+      (others.length === 0 || before?.from.includes(to) === true);
     const record: RolloutRecord = {
       order: { id: version, service, to, durationMs },
       // The replicas that an earlier completion stopped are gone.
       from: state === "completed" ? [] : from,
+      barred,
       startedAt: absentAt,
       state: state === undefined || state === "in_progress"
         ? (isRunning ? "completed" : "in_progress")
@@ -333,7 +355,8 @@
       const isUnknown = isFinishing && elapsedMs < durationMs + unknownEndMs;
       if (!isUnknown) return this.#stop(record, "it was not completed in time");
     }
-    this.#logStep(record, plan, sent);
+    this.#reportStep(record, plan, sent);
+    this.#lastKinds.set(service, plan.kind);
     this.#steps += 1;
     book.set({
       ...record,
@@ -352,7 +375,8 @@
     this.#options.onEvent({ kind: "stopped", service, to, reason });
   }
 
-  #logStep(
+  /** Reports a step that differs in kind, or clearly in its share. */
+  #reportStep(
     { order: { service, to }, step }: RolloutRecord,
     plan: PlanStep,
     { all, fresh }: OrderCounts["sent"],
@@ -360,22 +384,9 @@
     const share = readPlannedShare(plan);
     const isSame = this.#lastKinds.get(service) === plan.kind &&
       Math.abs(share - step.share) < 0.5 * Math.max(share, step.share);
-    this.#lastKinds.set(service, plan.kind);
     if (isSame) return;
     const reason = `${plan.kind}, share ${share.toFixed(3)}, sent ${fresh} ` +
       `of ${all} requests`;
     this.#options.onEvent({ kind: "step", service, to, reason });
   }
 }
-
-function readPlannedShare(plan: PlanStep): number {
-  switch (plan.kind) {
-    case "share":
-      return plan.share;
-    case "shift":
-    case "complete":
-      return 1;
-    case "late":
-      return 0;
-  }
-}
