--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -133,10 +133,18 @@
     count <= maxStatedRequests;
 }
 
-/** Parses the output tokens that the caller expects; `undefined` if not stated. */
+/** Largest number of output tokens that a caller can plausibly expect. */
+const maxStatedTokens = 1_000_000;
+
+/**
+ * Parses the output tokens that the caller expects; `undefined` if they are not
+ * stated or can't be true.
+ */
 export function parseLengthHint(text: string | undefined): number | undefined {
   const tokens = parseFigure(text ?? "");
-  return tokens !== undefined && tokens > 0 ? tokens : undefined;
+  const isPlausible = tokens !== undefined && tokens > 0 &&
+    tokens <= maxStatedTokens;
+  return isPlausible ? tokens : undefined;
 }
 
 /** A part of a prompt, with the id that it has in `promptPartsHeader`. */
--- a/packages/platform/src/headers_test.ts
+++ b/packages/platform/src/headers_test.ts
@@ -47,7 +47,8 @@
 
 test("a length hint is a positive number of tokens", () => {
   assert.is(parseLengthHint("40"), 40);
-  for (const text of [undefined, "", "-3", "0", "many"]) {
+  assert.is(parseLengthHint("1000000"), 1_000_000);
+  for (const text of [undefined, "", "-3", "0", "many", "1000001", "1e300"]) {
     assert.is(parseLengthHint(text), undefined, text);
   }
 });
