--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -76,9 +76,8 @@
 /** Parses the time of `Retry-After`, in milliseconds; `undefined` if there is none. */
 export function parseRetryAfter(headers: Headers): number | undefined {
   const text = headers[retryAfterHeader];
-  if (typeof text !== "string" || text.trim() === "") return undefined;
-  const seconds = Number(text);
-  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : undefined;
+  const seconds = typeof text === "string" ? parseFigure(text) : undefined;
+  return seconds !== undefined && seconds >= 0 ? seconds * 1_000 : undefined;
 }
 
 /**
@@ -87,9 +86,8 @@
  */
 export function parseRequestLimit(headers: Headers): number | undefined {
   const text = headers[requestLimitHeader];
-  if (typeof text !== "string" || text.trim() === "") return undefined;
-  const perSecond = Number(text);
-  return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
+  const perSecond = typeof text === "string" ? parseFigure(text) : undefined;
+  return perSecond !== undefined && perSecond >= 0 ? perSecond : undefined;
 }
 
 /** Largest number of requests or slots that a replica can plausibly state. */
--- a/packages/routing/src/placement/cost_model.ts
+++ b/packages/routing/src/placement/cost_model.ts
@@ -2,13 +2,9 @@
  * Predicts what a request costs a replica, from what such requests took before.
  */
 
-import {
-  FirstEventModel,
-  type FirstEventWork,
-  type SoftwareKey,
-} from "./first_event_model.ts";
+import { FirstEventModel, type FirstEventWork } from "./first_event_model.ts";
 import { OutputModel } from "./output_model.ts";
-import type { RequestCost, RequestShape } from "./request_cost.ts";
+import type { RequestCost, RequestShape, SoftwareKey } from "./request_cost.ts";
 
 /** Costs of all services, as this node knows them. */
 export class CostModel {
--- a/packages/routing/src/placement/first_event_model.ts
+++ b/packages/routing/src/placement/first_event_model.ts
@@ -13,13 +13,7 @@
  */
 
 import { type CoefficientPrior, ProductSums } from "./least_squares.ts";
-
-/** Software of a service, whose replicas have one cost. */
-export interface SoftwareKey {
-  readonly service: string;
-  /** Empty where replicas register no version. */
-  readonly softwareVersion: string;
-}
+import { formatSoftwareKey, type SoftwareKey } from "./request_cost.ts";
 
 /** What is ahead of the first event on a replica. */
 export interface FirstEventWork {
@@ -110,7 +104,7 @@
     );
     const weight = (weightAtMs / Math.max(leastWeightedMs, expectedMs)) ** 2;
     const features = [1, work.tokens / tokensPerUnit, work.active];
-    const fit = this.#find(formatKey(key), now);
+    const fit = this.#find(formatSoftwareKey(key), now);
     forgetOld(fit, now);
     fit.recent.add(features, boundedMs, weight);
     fit.own.add(features, boundedMs, weight);
@@ -138,7 +132,7 @@
   }
 
   #readFit(key: SoftwareKey, now: number): readonly number[] {
-    const fit = this.#fits.get(formatKey(key));
+    const fit = this.#fits.get(formatSoftwareKey(key));
     if (fit === undefined) {
       return this.#listPriors(key.service).map(({ value }) => value);
     }
@@ -199,10 +193,6 @@
   return Number.isInteger(index) && index >= 0 && index < sums;
 }
 
-function formatKey({ service, softwareVersion }: SoftwareKey): string {
-  return `${service} ${softwareVersion}`;
-}
-
 function forgetOld(fit: Fit, now: number): void {
   const elapsedMs = now - fit.decayedAt;
   if (elapsedMs <= 0) return;
--- a/packages/routing/src/placement/first_event_model_test.ts
+++ b/packages/routing/src/placement/first_event_model_test.ts
@@ -1,7 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { Random } from "@almondcrank/common/random.ts";
-import { FirstEventModel, type SoftwareKey } from "./first_event_model.ts";
+import { FirstEventModel } from "./first_event_model.ts";
+import type { SoftwareKey } from "./request_cost.ts";
 
 const v1: SoftwareKey = { service: "s", softwareVersion: "v1" };
 const v2: SoftwareKey = { service: "s", softwareVersion: "v2" };
--- a/packages/routing/src/placement/output_model.ts
+++ b/packages/routing/src/placement/output_model.ts
@@ -9,7 +9,7 @@
  */
 
 import { build, type Histogram } from "hdr-histogram-js";
-import type { RequestShape } from "./request_cost.ts";
+import { formatSoftwareKey, type RequestShape } from "./request_cost.ts";
 
 /** Length of a window; requests of the last one to two windows count. */
 const windowMs = 30_000;
@@ -56,7 +56,7 @@
     const own = this.#kinds.get(formatKind(shape));
     const kind = own !== undefined && own.count >= minRequests
       ? own
-      : this.#kinds.get(formatService(shape));
+      : this.#kinds.get(formatSoftwareKey(shape));
     const learnt = kind?.predict(hintedOutputTokens) ?? assume(shape);
     return {
       tokens: Math.min(maxOutputTokens, learnt.tokens),
@@ -76,7 +76,7 @@
     { tokens, runMs }: { readonly tokens: number; readonly runMs: number },
     now: number,
   ): void {
-    for (const key of [formatKind(shape), formatService(shape)]) {
+    for (const key of [formatKind(shape), formatSoftwareKey(shape)]) {
       this.#find(key, now).record(tokens, shape.hintedOutputTokens, now);
     }
     const previousMs = this.predictRunMs(shape.service);
@@ -206,9 +206,5 @@
 }
 
 function formatKind(shape: RequestShape): string {
-  return `${formatService(shape)} ${shape.route}`;
-}
-
-function formatService({ service, softwareVersion }: RequestShape): string {
-  return `${service} ${softwareVersion}`;
+  return `${formatSoftwareKey(shape)} ${shape.route}`;
 }
--- a/packages/routing/src/placement/request_cost.ts
+++ b/packages/routing/src/placement/request_cost.ts
@@ -5,11 +5,22 @@
  * expectation with a spread, learnt from what such requests took before.
  */
 
-/** Properties of a request from which its cost is predicted. */
-export interface RequestShape {
+/** Software of a service, whose replicas have one cost. */
+export interface SoftwareKey {
   readonly service: string;
   /** Empty where replicas register no version. */
   readonly softwareVersion: string;
+}
+
+/** Formats the software as a key of tables. */
+export function formatSoftwareKey(
+  { service, softwareVersion }: SoftwareKey,
+): string {
+  return `${service} ${softwareVersion}`;
+}
+
+/** Properties of a request from which its cost is predicted. */
+export interface RequestShape extends SoftwareKey {
   readonly route: string;
   /** Prompt tokens that the replica does not have cached. */
   readonly uncachedTokens: number;
