--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -22,6 +22,7 @@
   ReleaseWriter,
 } from "@almondcrank/fleet/release_writer.ts";
 import { ConfigurationReader } from "@almondcrank/infrastructure/configuration_reader.ts";
+import { drainCallers } from "./caller_drain.ts";
 import type { Readiness } from "./callers_routes.ts";
 import { Cluster } from "./cluster.ts";
 import { HttpListeners } from "./http_listeners.ts";
@@ -133,7 +134,8 @@
    * Refuses new requests, finishes or hands over those in progress, and stops.
    *
    * `drainMs` of the settings bounds the time for streams and, after it, the
-   * time for the remaining requests. Repeated calls share one drain.
+   * time for the remaining requests and for callers to read their answers.
+   * Repeated calls share one drain.
    */
   drain(): Promise<void> {
     this.#draining ??= this.#runDrain();
@@ -276,7 +278,7 @@
   }
 
   async #runDrain(): Promise<void> {
-    const { settings, log } = this.#services;
+    const { settings, clock, log } = this.#services;
     const { drainMs } = settings;
     log.info("node is draining.", { drainMs });
     await this.#cluster.membership.leave();
@@ -284,13 +286,13 @@
     await this.#control?.stop();
     await this.#dataPlane.models.drain(drainMs);
     await this.#dataPlane.calls.close();
-    const idle = await this.#requests.waitIdle(drainMs);
-    if (!idle) log.warn("drain timed out with requests in progress.");
-    // A caller that does not read its answer must not hold the node.
-    await Promise.race([
-      this.#listeners?.callers.close(),
-      this.#services.clock.sleep(drainMs),
-    ]);
+    await drainCallers({
+      clock,
+      log,
+      requests: this.#requests,
+      drainMs,
+      close: () => this.#listeners?.callers.close() ?? Promise.resolve(),
+    });
     log.info("node has drained.");
     this.dispose();
   }
