--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -178,10 +178,11 @@
    * `lapsed` error.
    */
   checkValid(): Either<LeaseError, number> {
-    const { clock, shard } = this.#options;
+    const fencing = this.validFencing;
+    if (fencing !== undefined) return Right(fencing);
     if (this.#held === undefined) return Left(this.#createNotHeldError());
+    const { clock, shard } = this.#options;
     const lapsedMs = clock.now() - this.#held.validUntil;
-    if (lapsedMs < 0) return Right(this.#held.fencing);
     return Left(LeaseError.create({ kind: "lapsed", shard, lapsedMs }));
   }
 
--- a/packages/fleet/src/lease_test.ts
+++ b/packages/fleet/src/lease_test.ts
@@ -11,6 +11,7 @@
   MemoryObjectStore,
 } from "@almondcrank/infrastructure/memory_object_store.ts";
 import { Lease, leasePrefix } from "./lease.ts";
+import type { LeaseError } from "./lease_error.ts";
 import { LeaseRenewer } from "./lease_renewer.ts";
 
 const durationMs = 10_000;
@@ -75,6 +76,28 @@
   assert.is(readFencing(a), 1);
 });
 
+test("a lease is valid until the end of its time, and not after a release", async () => {
+  const { clock, store } = setUp();
+  const a = createLease("a", store, { clock });
+  assert.is(a.validFencing, undefined);
+  await a.acquire();
+  // The allowance for clock drift is a hundredth.
+  const validMs = durationMs * 0.99;
+  await clock.advance(validMs - 1);
+  assert.is(a.validFencing, 1);
+  assert.is(readFencing(a), 1);
+  await clock.advance(1);
+  assert.is(a.validFencing, undefined);
+  const lapsed = a.checkValid().swap().extract() as LeaseError;
+  assert.equal(lapsed.detail, { kind: "lapsed", shard: "muc-1", lapsedMs: 0 });
+  await a.renew();
+  assert.is(a.validFencing, 1);
+  await a.release();
+  assert.is(a.validFencing, undefined);
+  const released = a.checkValid().swap().extract() as LeaseError;
+  assert.is(released.detail.kind, "not_held");
+});
+
 test("validity counts from before the renewal was sent", async () => {
   const { clock, store } = setUp();
   const a = createLease("a", store, {
