--- a/packages/common/src/conditional_handler.ts
+++ b/packages/common/src/conditional_handler.ts
@@ -7,26 +7,26 @@
  */
 
 import type { Dispatcher } from "undici";
+import { ForwardingHandler } from "./forwarding_handler.ts";
 
 /** The condition of a request did not hold any more; nothing has left. */
 export class WithheldError extends Error {
   static create(): WithheldError {
     return new WithheldError(
-      "the call was no longer allowed when it was about to leave",
+      "the call was no longer allowed when it was about to leave; check the lease and call again",
     );
   }
 }
 
 /** Handler of one request that asks its condition right before it is written. */
-export class ConditionalHandler implements Dispatcher.DispatchHandler {
-  readonly #handler: Dispatcher.DispatchHandler;
+export class ConditionalHandler extends ForwardingHandler {
   readonly #isAllowed: () => boolean;
 
   private constructor(
     handler: Dispatcher.DispatchHandler,
     isAllowed: () => boolean,
   ) {
-    this.#handler = handler;
+    super(handler);
     this.#isAllowed = isAllowed;
   }
 
@@ -37,46 +37,11 @@
     return new ConditionalHandler(handler, isAllowed);
   }
 
-  onRequestStart(
+  override onRequestStart(
     controller: Dispatcher.DispatchController,
     context: unknown,
   ): void {
     if (!this.#isAllowed()) controller.abort(WithheldError.create());
-    else this.#handler.onRequestStart?.(controller, context);
-  }
-
-  onResponseStart(
-    controller: Dispatcher.DispatchController,
-    statusCode: number,
-    headers: Record<string, string | string[]>,
-    statusMessage?: string,
-  ): void {
-    this.#handler.onResponseStart?.(
-      controller,
-      statusCode,
-      headers,
-      statusMessage,
-    );
-  }
-
-  onResponseData(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
-    this.#handler.onResponseData?.(controller, chunk);
-  }
-
-  onResponseEnd(
-    controller: Dispatcher.DispatchController,
-    trailers: Record<string, string | string[]>,
-  ): void {
-    this.#handler.onResponseEnd?.(controller, trailers);
-  }
-
-  onResponseError(
-    controller: Dispatcher.DispatchController,
-    error: Error,
-  ): void {
-    this.#handler.onResponseError?.(controller, error);
+    else super.onRequestStart(controller, context);
   }
 }
--- a/packages/endpoint/src/call_id.ts
+++ b/packages/endpoint/src/call_id.ts
@@ -10,6 +10,7 @@
 
 import { randomUUID } from "node:crypto";
 import type { Dispatcher } from "undici";
+import { ForwardingHandler } from "@almondcrank/common/forwarding_handler.ts";
 
 /** Header that a call carries and its answer echoes. */
 export const callIdHeader = "x-call-id";
@@ -17,7 +18,9 @@
 /** The answer on a connection belongs to another call. */
 export class ForeignAnswerError extends Error {
   static create(): ForeignAnswerError {
-    return new ForeignAnswerError("the answer carries the id of another call");
+    return new ForeignAnswerError(
+      "the answer carries the id of another call; the connection is closed, repeat the call if it may run twice",
+    );
   }
 }
 
@@ -32,12 +35,11 @@
 }
 
 /** Handler of one call that refuses the answer of another one. */
-class CallIdHandler implements Dispatcher.DispatchHandler {
-  readonly #handler: Dispatcher.DispatchHandler;
+class CallIdHandler extends ForwardingHandler {
   readonly #id: string;
 
   private constructor(handler: Dispatcher.DispatchHandler, id: string) {
-    this.#handler = handler;
+    super(handler);
     this.#id = id;
   }
 
@@ -48,50 +50,17 @@
     return new CallIdHandler(handler, id);
   }
 
-  onRequestStart(
-    controller: Dispatcher.DispatchController,
-    context: unknown,
-  ): void {
-    this.#handler.onRequestStart?.(controller, context);
-  }
-
-  onResponseStart(
+  override onResponseStart(
     controller: Dispatcher.DispatchController,
     statusCode: number,
     headers: Record<string, string | string[]>,
     statusMessage?: string,
   ): void {
     const echoed = headers[callIdHeader];
-    if (echoed !== undefined && echoed !== this.#id) {
-      controller.abort(ForeignAnswerError.create());
+    if (echoed === undefined || echoed === this.#id) {
+      super.onResponseStart(controller, statusCode, headers, statusMessage);
       return;
     }
-    this.#handler.onResponseStart?.(
-      controller,
-      statusCode,
-      headers,
-      statusMessage,
-    );
-  }
-
-  onResponseData(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
-    this.#handler.onResponseData?.(controller, chunk);
-  }
-
-  onResponseEnd(
-    controller: Dispatcher.DispatchController,
-    trailers: Record<string, string | string[]>,
-  ): void {
-    this.#handler.onResponseEnd?.(controller, trailers);
-  }
-
-  onResponseError(
-    controller: Dispatcher.DispatchController,
-    error: Error,
-  ): void {
-    this.#handler.onResponseError?.(controller, error);
+    controller.abort(ForeignAnswerError.create());
   }
 }
