--- a/packages/routing/src/admission/room_verdict.ts
+++ b/packages/routing/src/admission/room_verdict.ts
@@ -1,5 +1,5 @@
 /**
- * Whether there is room for a request, now or in time.
+ * Reasons for which there is no room for a request, now or in time.
  */
 
 /** Why there is no room for a request. */
@@ -12,15 +12,3 @@
   | "tenant_share"
   /** The line has reached its bound. */
   | "line_full";
-
-/** Verdict on one request that has not been sent. */
-export type RoomVerdict =
-  | { readonly kind: "starts" }
-  /** A place is expected at `expectedAt`; monotonic time in milliseconds. */
-  | { readonly kind: "waits"; readonly expectedAt: number }
-  | {
-    readonly kind: "refused";
-    readonly reason: RoomRefusal;
-    /** Time after which a place is kept for it if it returns, in milliseconds. */
-    readonly retryAfterMs: number;
-  };
