--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -76,9 +76,8 @@
 /** Parses the time of `Retry-After`, in milliseconds; `undefined` if there is none. */
 export function parseRetryAfter(headers: Headers): number | undefined {
   const text = headers[retryAfterHeader];
-  if (typeof text !== "string" || text.trim() === "") return undefined;
-  const seconds = Number(text);
-  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : undefined;
+  const seconds = typeof text === "string" ? parseFigure(text) : undefined;
+  return seconds !== undefined && seconds >= 0 ? seconds * 1_000 : undefined;
 }
 
 /**
@@ -87,9 +86,8 @@
  */
 export function parseRequestLimit(headers: Headers): number | undefined {
   const text = headers[requestLimitHeader];
-  if (typeof text !== "string" || text.trim() === "") return undefined;
-  const perSecond = Number(text);
-  return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
+  const perSecond = typeof text === "string" ? parseFigure(text) : undefined;
+  return perSecond !== undefined && perSecond >= 0 ? perSecond : undefined;
 }
 
 /** Largest number of requests or slots that a replica can plausibly state. */
@@ -133,10 +131,18 @@
     count <= maxStatedRequests;
 }
 
-/** Parses the output tokens that the caller expects; `undefined` if not stated. */
+/** Largest number of output tokens that a caller can plausibly expect. */
+const maxStatedTokens = 1_000_000;
+
+/**
+ * Parses the output tokens that the caller expects; `undefined` if they are not
+ * stated or can't be true.
+ */
 export function parseLengthHint(text: string | undefined): number | undefined {
   const tokens = parseFigure(text ?? "");
-  return tokens !== undefined && tokens > 0 ? tokens : undefined;
+  const isPlausible = tokens !== undefined && tokens > 0 &&
+    tokens <= maxStatedTokens;
+  return isPlausible ? tokens : undefined;
 }
 
 /** A part of a prompt, with the id that it has in `promptPartsHeader`. */
