--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -181,7 +181,6 @@
     ? undefined
     : createRolloutParts({
       clock: suspensionClock,
-      random,
       metrics,
       log: log.createChild("rollouts"),
     });
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -98,7 +98,11 @@
     const states = table.listUsable(name);
     const request = { zone, now: clock.now(), draw: random.next() };
     let choice: CallChoice | undefined;
-    for (const allowed of gate.listAllowed(name, states)) {
+    for (
+      const allowed of gate.listAllowed(name, states, {
+        draw: this.#request.versionDraw,
+      })
+    ) {
       choice ??= chooseCallReplica(allowed, {
         ...request,
         excluded: this.#tried,
--- a/packages/gateway/src/relay/stream_choice.ts
+++ b/packages/gateway/src/relay/stream_choice.ts
@@ -41,7 +41,7 @@
 /** Chooses the next replica; `undefined` if none is usable. */
 export function chooseStreamReplica(
   services: RelayServices,
-  { service, promptParts, promptTokens }: RoutedRequest,
+  { service, promptParts, promptTokens, versionDraw }: RoutedRequest,
   { target, tried, version, mayReuse }: StreamProgress,
 ): EngineChoice | undefined {
   const { table, clock, zone, gate, random } = services;
@@ -69,7 +69,10 @@
     // Chance keeps nodes apart that decide at the same time.
     draw: services.isSoleNode ? 0 : random.next(),
   };
-  const allowed = gate.listAllowed(service.name, states, version);
+  const allowed = gate.listAllowed(service.name, states, {
+    version,
+    draw: versionDraw,
+  });
   const choose = (
     lists: readonly (readonly ReplicaState[])[],
     excluded: ReadonlySet<string>,
--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -103,11 +103,10 @@
     if (service.engine === undefined) return undefined;
     const { softwareVersion } = source.replica;
     const states = table.listUsable(service.name, softwareVersion);
-    const [allowed = []] = gate.listAllowed(
-      service.name,
-      states,
-      softwareVersion,
-    );
+    const [allowed = []] = gate.listAllowed(service.name, states, {
+      version: softwareVersion,
+      draw: request.versionDraw,
+    });
     return chooseEngine(allowed, {
       service: service.name,
       parts: [],
--- a/packages/gateway/src/rollouts/rollout_parts.ts
+++ b/packages/gateway/src/rollouts/rollout_parts.ts
@@ -6,7 +6,6 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
-import type { Random } from "@almondcrank/common/random.ts";
 import { RolloutBook } from "@almondcrank/routing/rollouts/rollout_book.ts";
 import type { NewsSource } from "../cluster/report_news.ts";
 import { AnswerCounts } from "./answer_counts.ts";
@@ -25,7 +24,6 @@
 export interface RolloutPartsOptions {
   /** Clock that includes time in which the host was suspended. */
   readonly clock: Clock;
-  readonly random: Random;
   readonly metrics: Metrics;
   readonly log: Log;
 }
--- a/packages/gateway/src/rollouts/version_gate.ts
+++ b/packages/gateway/src/rollouts/version_gate.ts
@@ -10,7 +10,6 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
-import type { Random } from "@almondcrank/common/random.ts";
 import {
   hasEnded,
   type RolloutRecord,
@@ -36,18 +35,27 @@
 /** One answer of a replica. */
 export type ReplicaAnswer = Omit<CountedAnswer, "side" | "isSlow">;
 
+/** What decides on the version that a request may reach. */
+export interface GateRequest {
+  /** Software version that a stream has to continue at. */
+  readonly version?: string | undefined;
+  /**
+   * Random number in [0, 1), the same each time that the request is chosen for: one
+   * that waits must not get to the new version by asking often.
+   */
+  readonly draw: number;
+}
+
 /** Which replicas requests may reach. */
 export interface VersionGate {
   /**
    * Lists the replicas that a request may be sent to, in the order of preference;
    * the second list counts if the first has no replica for the request.
-   *
-   * @param version Software version that a stream has to continue at.
    */
   listAllowed(
     service: string,
     states: readonly ReplicaState[],
-    version?: string,
+    request: GateRequest,
   ): readonly (readonly ReplicaState[])[];
   /** Whether a request that was to be sent to a replica may still be. */
   maySend(state: ReplicaState): boolean;
@@ -74,7 +82,6 @@
   readonly counts: AnswerCounts;
   /** Clock that includes time in which the host was suspended. */
   readonly clock: Clock;
-  readonly random: Random;
   readonly metrics: Metrics;
   readonly log: Log;
 }
@@ -117,7 +124,7 @@
   listAllowed(
     service: string,
     states: readonly ReplicaState[],
-    version?: string,
+    request: GateRequest,
   ): readonly (readonly ReplicaState[])[] {
     const rule = this.#readRule(service, states);
     switch (rule.kind) {
@@ -129,7 +136,7 @@
         return this.#listShares(
           this.#limitShare(service, rule),
           excludeVersions(states, rule.excluded),
-          version,
+          request,
         );
     }
   }
@@ -264,7 +271,7 @@
   #listShares(
     { to, share, mayFallBack }: ShareRule,
     states: readonly ReplicaState[],
-    version: string | undefined,
+    { version, draw }: GateRequest,
   ): readonly (readonly ReplicaState[])[] {
     const fresh = states.filter(({ replica }) =>
       replica.softwareVersion === to
@@ -275,14 +282,15 @@
       return [version === to ? (share > 0 ? chosen : []) : old];
     }
     // A stream that can't go to its share's side still goes to the old version.
-    if (this.#options.random.next() < share) return [chosen, old];
+    if (draw < share) return [chosen, old];
     const isLastResort = mayFallBack && old.length === 0;
     return isLastResort ? [fresh] : [old];
   }
 
   /**
-   * Chooses as many of the new replicas as the share is worth, the same on all
-   * nodes: each gets as much as an old one, or no fault under load would show.
+   * Chooses as many of the new replicas as the share is worth, in the order of their
+   * keys, so that nodes choose mostly the same: each gets as much as an old one, or
+   * no fault under load would show.
    */
   #chooseFresh(
     fresh: readonly ReplicaState[],
--- a/packages/gateway/src/testing/rollout_nodes.ts
+++ b/packages/gateway/src/testing/rollout_nodes.ts
@@ -179,10 +179,10 @@
   }
 
   addNode(name: string): RolloutNode {
-    const { clock, random } = this;
+    const { clock } = this;
     const log = createSilentLog();
     const metrics = Metrics.create();
-    const parts = createRolloutParts({ clock, random, metrics, log });
+    const parts = createRolloutParts({ clock, metrics, log });
     const table = ReplicaTable.create({ drainMs: 2_000 });
     const lease: RolloutNode["lease"] = { fencingToken: undefined };
     const duty = RolloutDuty.create({
@@ -273,7 +273,8 @@
     this.#count += 1;
     const { table, parts: { gate }, name } = node;
     const states = table.listUsable(rolloutService);
-    const [state] = gate.listAllowed(rolloutService, states)
+    const draw = this.random.next();
+    const [state] = gate.listAllowed(rolloutService, states, { draw })
       .filter((list) => list.length > 0)
       .map((list) => list[Math.floor(this.random.next() * list.length)]);
     if (state === undefined) {
