--- a/packages/bench/src/placement_policies.ts
+++ b/packages/bench/src/placement_policies.ts
@@ -10,6 +10,22 @@
 } from "@almondcrank/gateway/choice/engine_choice.ts";
 import type { ReplicaState } from "@almondcrank/gateway/choice/replica_state.ts";
 import { computeRendezvousOrder } from "@almondcrank/common/hashing.ts";
+import { assumedTokensPerMs } from "@almondcrank/routing/placement/first_event_model.ts";
+
+/** Time that a stream is assumed to run. */
+const assumedRunMs = 2_000;
+/** Time that a first event is assumed to take without prompt and load. */
+const assumedBaseMs = 25;
+/** Time that each running request is assumed to add to a first event. */
+const assumedMsPerActive = 1;
+/** Cost of the delay of others, in milliseconds per prompt token to compute. */
+const assumedHarmMsPerToken = 0.06;
+/** Share of a shared part that its first replica is assumed to have cached. */
+const assumedCachedShare = 0.9;
+/** Number of replicas up to which all are candidates. */
+const smallPoolReplicas = 24;
+/** Number of candidates in a larger pool. */
+const largePoolCandidates = 6;
 
 /** Policies by name. */
 export type PlacementPolicy =
@@ -66,8 +82,11 @@
         at(Math.floor(secondDraw * states.length)),
       ];
       return chooseLeast(pair, ({ work }) => {
-        const { active, pendingTokens } = work.estimate(request.now, 2_000);
-        return pendingTokens / 50 + active;
+        const { active, pendingTokens } = work.estimate(
+          request.now,
+          assumedRunMs,
+        );
+        return pendingTokens / assumedTokensPerMs + active * assumedMsPerActive;
       });
     }
     case "learned":
@@ -79,7 +98,7 @@
   }
 }
 
-/** The choice before costs were learnt: 50 tokens/ms, streams of 2 s. */
+/** The choice before costs were learnt, which takes each cost as a constant. */
 function chooseByConstants(
   states: readonly ReplicaState[],
   { parts, promptTokens, traits, now }: EngineRequest,
@@ -91,17 +110,26 @@
     shared?.id ?? "",
     states.map(({ key }) => key),
   );
-  const first = new Set(states.length <= 24 ? order : order.slice(0, 6));
+  const first = new Set(
+    states.length <= smallPoolReplicas
+      ? order
+      : order.slice(0, largePoolCandidates),
+  );
   const candidates = states.filter(({ key }) => first.has(key));
   return chooseLeast(candidates, (state) => {
     const cached = prefixes.computeCachedTokens(parts, state.key);
-    const assumed = state.key === order[0] ? (shared?.tokens ?? 0) * 0.9 : 0;
+    const assumed = state.key === order[0]
+      ? (shared?.tokens ?? 0) * assumedCachedShare
+      : 0;
     const uncached = promptTokens - Math.max(cached, assumed);
     const { active, pendingTokens } = state.totalLoad;
-    const slotMs = Math.max(0, active + 1 - traits.slots) * 2_000 /
+    const slotMs = Math.max(0, active + 1 - traits.slots) * assumedRunMs /
       traits.slots;
-    const firstMs = 25 + (uncached + pendingTokens) / 50 + active;
-    return firstMs * state.readSlowness(now) + slotMs + uncached * 0.06;
+    const firstMs = assumedBaseMs +
+      (uncached + pendingTokens) / assumedTokensPerMs +
+      active * assumedMsPerActive;
+    return firstMs * state.readSlowness(now) + slotMs +
+      uncached * assumedHarmMsPerToken;
   });
 }
 
--- a/packages/routing/src/limits/allowance_margins.ts
+++ b/packages/routing/src/limits/allowance_margins.ts
@@ -36,11 +36,11 @@
 
 /** Share of the contract's tolerance by which a bucket may be overdrawn. */
 const toleranceShare = 0.5;
-/** Part of it that is open to requests without preference. */
+/** Part of the tolerance's overdraft that is open to requests without preference. */
 const normalToleranceShare = 0.3;
 /** Share of the contract's overage by which a bucket may be overdrawn. */
 const overageShare = 0.3;
-/** Part of it that is open to requests without preference. */
+/** Part of the overage's overdraft that is open to requests without preference. */
 const normalOverageShare = 0.8;
 /** Share of the overage by which the refill is raised. */
 const overageRateShare = 0.6;
@@ -116,7 +116,7 @@
     return overdraft * this.computeUpShare(now);
   }
 
-  /** The same for requests without preference. */
+  /** Cost by which requests without preference may overdraw the system's bucket. */
   computeNormalOverdraft(allowance: Allowance, now: number): number {
     const overdraft = this.#tolerance * toleranceShare * normalToleranceShare +
       this.#computeOverage(allowance) * normalOverageShare;
--- a/packages/routing/src/placement/work_left.ts
+++ b/packages/routing/src/placement/work_left.ts
@@ -31,14 +31,14 @@
 }
 
 const noLoad: NodeLoad = { active: 0, pendingTokens: 0, activeTokens: 0 };
-/** Time over which what peers told is averaged, at least. */
+/** Shortest time over which what peers told is averaged. */
 const minAverageMs = 3_500;
 /**
- * The same as a multiple of the age of reports: a shorter average would follow what
- * nodes did because of the last one, and swing.
+ * Shortest time over which what peers told is averaged, in ages of their reports: a
+ * shorter average would follow what nodes did because of the last report, and swing.
  */
 const averageAges = 3;
-/** Time in which pending prompts of a report are replaced by others to 1/e. */
+/** Time in which the pending prompts of a report are replaced by others to 1/e. */
 const pendingWorthMs = 300;
 /**
  * Longest time in which running requests of a report lose their worth to 1/e: the
@@ -53,7 +53,7 @@
 /** When peers told of their load. */
 export interface ReportTime {
   readonly now: number;
-  /** Age of what they told, when it arrived. */
+  /** Age that the peers' latest report had when it arrived, in milliseconds. */
   readonly ageMs: number;
 }
 
@@ -157,7 +157,7 @@
 
 interface StatedRequests {
   readonly requests: number;
-  /** Requests of this node at that time. */
+  /** Requests of this node when the replica stated its load. */
   readonly ownActive: number;
   readonly at: number;
 }
--- a/packages/routing/src/testing/rollout_simulation.ts
+++ b/packages/routing/src/testing/rollout_simulation.ts
@@ -90,7 +90,7 @@
 
 /** Plays one order. */
 export function playRollout(options: RolloutPlayOptions): RolloutPlayResult {
-  return new RolloutPlay(options).run();
+  return RolloutPlay.create(options).run();
 }
 
 class RolloutPlay {
@@ -114,7 +114,7 @@
   #isWriting = false;
   #reason: string | undefined;
 
-  constructor(options: RolloutPlayOptions) {
+  private constructor(options: RolloutPlayOptions) {
     this.#options = options;
     const random = Random.create(options.seed);
     this.#random = random;
@@ -162,6 +162,10 @@
     });
   }
 
+  static create(options: RolloutPlayOptions): RolloutPlay {
+    return new RolloutPlay(options);
+  }
+
   run(): RolloutPlayResult {
     const { durationMs } = this.#options;
     this.#history.push({ at: 0, sums: new Map(), sent: this.#sent });
