--- a/packages/scenario/src/gateway_limits_test.ts
+++ b/packages/scenario/src/gateway_limits_test.ts
@@ -145,8 +145,7 @@
           deadlineMs: 12_000,
         }),
     );
-    await sleep(300);
-    assert.is(leaving.runs.length, 24);
+    await setup.waitUntil(() => leaving.runs.length === 24);
     for (const id of ["model-1", "model-2"]) {
       setup.registerReplica(id, "models", "ready");
     }
