--- a/packages/common/src/manual_clock.ts
+++ b/packages/common/src/manual_clock.ts
@@ -15,7 +15,8 @@
 /** Clock whose time moves only by `advance`. */
 export class ManualClock implements Clock {
   #now = 0;
-  #sleepers: Sleeper[] = [];
+  /** In the order in which they end. */
+  readonly #sleepers: Sleeper[] = [];
   readonly #wallOrigin: number;
 
   private constructor(wallOrigin: number) {
@@ -38,12 +39,12 @@
     return new Promise((resolve) => {
       if (signal?.aborted) return resolve();
       const finish = (): void => {
-        this.#sleepers = this.#sleepers.filter((other) => other !== sleeper);
+        this.#remove(sleeper);
         signal?.removeEventListener("abort", finish);
         resolve();
       };
       const sleeper: Sleeper = { due: this.#now + ms, wake: finish };
-      this.#sleepers.push(sleeper);
+      this.#sleepers.splice(this.#findPlace(sleeper.due), 0, sleeper);
       signal?.addEventListener("abort", finish);
     });
   }
@@ -53,9 +54,8 @@
     const end = this.#now + ms;
     await this.#runPending();
     for (;;) {
-      const next = this.#findNext(end);
-      if (next === undefined) break;
-      this.#sleepers = this.#sleepers.filter((other) => other !== next);
+      const [next] = this.#sleepers;
+      if (next === undefined || next.due > end) break;
       this.#now = Math.max(this.#now, next.due);
       next.wake();
       await this.#runPending();
@@ -63,13 +63,22 @@
     this.#now = end;
   }
 
-  #findNext(end: number): Sleeper | undefined {
-    let first: Sleeper | undefined;
-    for (const sleeper of this.#sleepers) {
-      if (sleeper.due > end) continue;
-      if (first === undefined || sleeper.due < first.due) first = sleeper;
+  /** Place after all that are due at that time or before. */
+  #findPlace(due: number): number {
+    let low = 0;
+    let high = this.#sleepers.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this.#sleepers[middle]?.due ?? Infinity) <= due) low = middle + 1;
+      else high = middle;
     }
-    return first;
+    return low;
+  }
+
+  #remove(sleeper: Sleeper): void {
+    if (this.#sleepers[0] === sleeper) return void this.#sleepers.shift();
+    const at = this.#sleepers.indexOf(sleeper);
+    if (at >= 0) this.#sleepers.splice(at, 1);
   }
 
   #runPending(): Promise<void> {
