BUDGET: reports of a tick are spread over it instead of sent at one moment

Callers saw requests that crash replicas sent on at nodes that had not been told of them. Cause: a relay sent 22 reports of 6 to 7.5 KB in one moment, two or three times a second, over a link of 10 Mbit/s, always in the same order; what did not fit into the link's queue was lost, so the same nodes heard nothing for seconds. Everything that the reports carry was late at these nodes: what is in quarantine, allowances, loads, usage.

A tick's datagrams now follow each other at half of the link's speed, within the tick, and each tick begins with another receiver. A change of a feed is announced to each node once; relays announced it twice to the nodes of their zone.

Test: nodes that do not know the part 2 s after its fifth crash, at 9, 66 and 390 nodes: 0, 20 and 266 before, 0 now (cluster_links_test, failed first).

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -26,6 +26,7 @@
 } from "./peer_messages.ts";
 import type { PeerExchange } from "./peer_exchange.ts";
 import { chooseTickMs, type ReportTopology } from "./report_topology.ts";
+import { SpreadSends, type WaitingSend } from "./spread_sends.ts";
 
 /** Interval, in ticks, at which reports list the other nodes. */
 const membersEveryTicks = 12;
@@ -36,6 +37,9 @@
 const snapshotPath = "/peer/copy/";
 const busyStatus = 503;
 
+/** Approximate size of a header without counters of its receiver, in bytes. */
+const headerBytes = 1_000;
+
 /** Socket for datagrams between nodes. */
 export interface DatagramSocket {
   /** Fired for each datagram that can be decoded. */
@@ -54,6 +58,8 @@
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
   /** Whether this node currently reads the store or does duties for the others. */
   readonly isLeading: () => boolean;
+  /** Speed of this node's link; undefined if it is not known. */
+  readonly linkBytesPerMs: number | undefined;
   /** Port of the control listener, the same on all nodes. */
   readonly controlPort: number;
   /** Answers a peer that asks for the origin of a stream. */
@@ -70,6 +76,7 @@
   readonly #server: Server;
   readonly #snapshots: FeedSnapshots;
   readonly #stopped = new AbortController();
+  readonly #spreadSends: SpreadSends;
   readonly #pulling = new Set<FeedKind>();
   readonly #subscriptions: Disposable[] = [];
   #tickCount = 0;
@@ -81,6 +88,11 @@
   private constructor(options: ClusterOptions) {
     this.#options = options;
     this.#snapshots = FeedSnapshots.create(options.feeds);
+    this.#spreadSends = SpreadSends.create({
+      clock: options.clock,
+      linkBytesPerMs: options.linkBytesPerMs,
+      signal: this.#stopped.signal,
+    });
     this.#server = createServer((request, response) =>
       void this.#answer(request.url ?? "/", response)
     );
@@ -159,44 +171,50 @@
     while (!signal.aborted) {
       const topology = exchange.refresh();
       this.#tickCount += 1;
-      this.#sendReports(topology);
-      await clock.sleep(chooseTickMs(topology), signal);
+      const tickMs = chooseTickMs(topology);
+      void this.#spreadSends.run(this.#listReports(topology), tickMs);
+      await clock.sleep(tickMs, signal);
     }
   }
 
-  /** Sends the reports of a tick to those that the topology names. */
-  #sendReports(topology: ReportTopology): void {
+  /** Lists the reports of a tick to those that the topology names. */
+  #listReports(topology: ReportTopology): readonly WaitingSend[] {
     const { exchange, members, clock } = this.#options;
     const withMembers = this.#takeMembersDue();
     const report = exchange.composeNodeReport({ withMembers });
     this.#greetUnconfirmed();
     switch (topology.kind) {
       case "mesh":
-        this.#send(members.listKnown(clock.now()), "node", report);
-        return;
-      case "zones":
-        this.#send(topology.ownRelays, "node", report);
-        if (topology.isRelay) this.#sendSums(withMembers);
-        else if (this.#options.isLeading()) this.#announce(topology);
-        return;
+        return this.#listSends(members.listKnown(clock.now()), "node", report);
+      case "zones": {
+        const sends = this.#listSends(topology.ownRelays, "node", report);
+        if (topology.isRelay) return [...sends, ...this.#listSums(withMembers)];
+        if (this.#options.isLeading()) this.#announce(topology);
+        return sends;
+      }
     }
   }
 
-  /** Sends the sums of this relay's zone and of the system. */
-  #sendSums(withMembers: boolean): void {
+  /** Lists the sums of this relay's zone and of the system. */
+  #listSums(withMembers: boolean): readonly WaitingSend[] {
     const { exchange } = this.#options;
     const receivers = exchange.listZoneReceivers();
-    this.#send(receivers, "zone", exchange.composeZoneReport());
     const reporters = exchange.listReporters();
     const sums = exchange.composeSystemReport({ withMembers });
-    this.#send(reporters, "system", sums);
+    return [
+      ...this.#listSends(receivers, "zone", exchange.composeZoneReport()),
+      ...this.#listSends(reporters, "system", sums),
+    ];
   }
 
   /** Sends the state of this node to all relays and its zone. */
   #announce(
     { otherRelays, neighbours }: Extract<ReportTopology, { kind: "zones" }>,
   ): void {
-    this.#send([...otherRelays, ...neighbours], "node");
+    const reporters = this.#options.exchange.listReporters();
+    const receivers = [...otherRelays, ...neighbours, ...reporters];
+    const byNode = new Map(receivers.map((member) => [member.node, member]));
+    this.#send([...byNode.values()], "node");
   }
 
   /** Sends after a change, or to nodes that have just started. */
@@ -217,7 +235,6 @@
       }
       case "zones":
         this.#greetNewMembers();
-        if (topology.isRelay) this.#send(exchange.listReporters(), "node");
         if (topology.isRelay || this.#options.isLeading()) {
           this.#announce(topology);
         }
@@ -250,7 +267,11 @@
     const { members, clock, socket, exchange } = this.#options;
     const unconfirmed = members.listUnconfirmed(clock.now());
     for (const ip of [...unconfirmed, ...this.#listLostInTurn()]) {
-      socket.send(exchange.composeHeader(undefined, "node"), undefined, ip);
+      socket.send(
+        exchange.composeHeader(undefined, { scope: "node" }),
+        undefined,
+        ip,
+      );
     }
   }
 
@@ -270,13 +291,31 @@
     scope: ReportScope,
     report?: PeerReport,
   ): void {
-    if (receivers.length === 0) return;
+    for (const { send } of this.#listSends(receivers, scope, report)) send();
+  }
+
+  /** Encodes a report once and lists its sends; each has the header of its time. */
+  #listSends(
+    receivers: readonly Member[],
+    scope: ReportScope,
+    report?: PeerReport,
+  ): readonly WaitingSend[] {
+    if (receivers.length === 0) return [];
     const { socket, exchange } = this.#options;
     const encoded = report === undefined ? undefined : encodePeerReport(report);
-    for (const receiver of receivers) {
-      const header = exchange.composeHeader(receiver, scope);
-      socket.send(header, encoded, receiver.ip);
-    }
+    return receivers.map((receiver) => {
+      // What the report counts of its receiver has to be of the same moment.
+      const included = scope === "system"
+        ? exchange.composeIncluded(receiver)
+        : null;
+      return {
+        bytes: headerBytes + (encoded?.length ?? 0),
+        send: () => {
+          const header = exchange.composeHeader(receiver, { scope, included });
+          socket.send(header, encoded, receiver.ip);
+        },
+      };
+    });
   }
 
   #listen(address: string): Promise<void> {
--- a/packages/gateway/src/cluster/cluster_links_test.ts
+++ b/packages/gateway/src/cluster/cluster_links_test.ts
@@ -21,7 +21,7 @@
 
 /** Opens nodes that put load on all replicas. */
 async function openLoaded(count: number, zones: number): Promise<TestSystem> {
-  const system = await TestSystem.openKnown(count, zones);
+  const system = await TestSystem.openKnown(count, zones, narrowLink);
   const now = system.clock.now();
   for (const [at, { table }] of system.nodes.entries()) {
     table.apply(replicas, { now, mayHaveExpired: false });
@@ -34,7 +34,6 @@
       );
     }
   }
-  system.link = narrowLink;
   return system;
 }
 
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -20,6 +20,7 @@
 import type { Member, MemberTable } from "./member_table.ts";
 import type {
   AliveMember,
+  IncludedReport,
   PeerHeader,
   PeerMessage,
   PeerReport,
@@ -81,6 +82,13 @@
   readonly pullFeed: (kind: FeedKind, ip: string) => void;
 }
 
+/** What a header says of the report behind it. */
+export interface HeaderOptions {
+  readonly scope: ReportScope;
+  /** Part of the report that comes from its receiver. */
+  readonly included?: IncludedReport | null;
+}
+
 /** Options of a report. */
 export interface ReportOptions {
   /** Whether to list the other nodes, for receivers that lack some. */
@@ -123,7 +131,10 @@
   }
 
   /** Composes the header of a datagram for one receiver. */
-  composeHeader(receiver: Member | undefined, scope: ReportScope): PeerHeader {
+  composeHeader(
+    receiver: Member | undefined,
+    { scope, included = null }: HeaderOptions,
+  ): PeerHeader {
     const { clock, members } = this.#options;
     const now = clock.now();
     const datagram = receiver?.datagram;
@@ -147,12 +158,15 @@
         : { sentAt: datagram.sentAt, heldMs: now - datagram.receivedAt },
       ...this.#statuses.compose(now),
       duty: this.#options.readFencingToken() ?? null,
-      included: scope === "system" && receiver !== undefined
-        ? this.#collector.composeIncluded(receiver)
-        : null,
+      included,
     };
   }
 
+  /** Composes what the sums of the system have of one receiver at this moment. */
+  composeIncluded(receiver: Member): IncludedReport {
+    return this.#collector.composeIncluded(receiver);
+  }
+
   /** Composes the report of this node. */
   composeNodeReport({ withMembers }: ReportOptions): PeerReport {
     const { limitsClock, rateLimiter, budget, table, usage, work, tallies } =
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -186,6 +186,7 @@
       isLeading: () =>
         this.#lease?.fencingToken !== undefined ||
         this.#readers.some((reader) => reader.isActiveReader),
+      linkBytesPerMs: settings.linkBytesPerMs,
       controlPort: findControlPort(settings),
       answerOrigin: (id) => parts.origins.composeAnswer(id),
       answerUnknownOrigin: () => parts.versions.composeHistory(),
--- a/packages/gateway/src/testing/test_system.ts
+++ b/packages/gateway/src/testing/test_system.ts
@@ -134,8 +134,13 @@
   }
 
   /** The same of nodes that know each other, without the greetings of a start. */
-  static async openKnown(count: number, zones: number): Promise<TestSystem> {
+  static async openKnown(
+    count: number,
+    zones: number,
+    link: TestLink,
+  ): Promise<TestSystem> {
     const system = new TestSystem();
+    system.link = link;
     for (let index = 0; index < count; index += 1) {
       const node = new TestNode(system, index, zones);
       system.nodes.push(node);
@@ -206,6 +211,7 @@
       exchange,
       feeds,
       isLeading: () => node.fencingToken !== undefined,
+      linkBytesPerMs: this.link?.bytesPerMs,
       controlPort: 0,
       answerOrigin: () => undefined,
       answerUnknownOrigin: () => "",
--- a/packages/model/src/gateway_settings.ts
+++ b/packages/model/src/gateway_settings.ts
@@ -64,6 +64,8 @@
   readonly memoryMb: number;
   /** Limit on open file descriptors. */
   readonly maxDescriptors: number;
+  /** Speed of the host's link; undefined if it is not known. */
+  readonly linkBytesPerMs: number | undefined;
   readonly storeAddress: string;
   readonly cloudAddress: string | undefined;
   readonly duties: readonly DutyName[];
--- a/packages/platform/src/decode_settings.ts
+++ b/packages/platform/src/decode_settings.ts
@@ -98,6 +98,7 @@
     isFirstStart: fields["bootstrap"] === true,
     memoryMb: readNumber(limits["memory-mb"]) ?? 256,
     maxDescriptors: readNumber(limits["fd-limit"]) ?? 1_024,
+    linkBytesPerMs: decodeLinkSpeed(readNumber(limits["link-mbps"])),
     storeAddress: String(platform["address"]),
     cloudAddress: readString(cloud["address"]),
     duties: readStrings(cloud["duties"])
@@ -148,3 +149,8 @@
     usageDueMs: readSeconds("usage-late-s", 10_000),
   };
 }
+
+/** Bytes per millisecond of a speed in Mbit/s; undefined if it says nothing. */
+function decodeLinkSpeed(mbps: number | undefined): number | undefined {
+  return mbps === undefined || mbps <= 0 ? undefined : mbps * 125;
+}
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -264,6 +264,7 @@
       isFirstStart: true,
       memoryMb: 350,
       maxDescriptors: 1_024,
+      linkBytesPerMs: undefined,
       storeAddress: this.store.address,
       cloudAddress: this.cloud.address,
       duties: ["usage", "scaling"],
