BUDGET: requests that tell a crashing part from others are bounded over all nodes

Callers could see a crashing part sent once a second at each node: a request that has one of two parts which were at all crashes tells them apart, and only fingerprints were held to the node that sends the probes. At 87 nodes that is 87 sends a second, where three in all are allowed.

Every node may do so in the two seconds after the third crash, as before, since most parts of a crashed replica's runs are sound. Later only the part's prober does, after 1 s, then 8 s, then eight times longer each.

--- a/packages/routing/src/quarantine/part_evidence.ts
+++ b/packages/routing/src/quarantine/part_evidence.ts
@@ -8,6 +8,8 @@
  * taking all crashes and the latest run, in any order and any number of times.
  */
 
+/** Crashes that no other part explains, from which a part is quarantined. */
+export const quarantineCrashes = 3;
 /** Crashes kept of one part; the oldest ones are dropped. */
 const maxCrashes = 64;
 /** Error of times that peers tell, from the way of their datagrams. */
@@ -49,6 +51,12 @@
     return Math.max(-Infinity, ...this.#crashes.values());
   }
 
+  /** Time of the crash that put it in quarantine; infinite before. */
+  get decisiveCrashAt(): number {
+    const counted = [...this.#crashes.values()].sort((a, b) => a - b);
+    return counted[quarantineCrashes - 1] ?? Infinity;
+  }
+
   /** Last request with the part while it was in quarantine; -Infinity if none. */
   get requestedAt(): number {
     return this.#requestedAt;
--- a/packages/routing/src/quarantine/part_quarantine.ts
+++ b/packages/routing/src/quarantine/part_quarantine.ts
@@ -7,12 +7,8 @@
  */
 
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
-import {
-  chooseQuarantinedParts,
-  isTellingApart,
-  quarantineCrashes,
-} from "./quarantined_parts.ts";
-import { PartEvidence } from "./part_evidence.ts";
+import { chooseQuarantinedParts, isTellingApart } from "./quarantined_parts.ts";
+import { PartEvidence, quarantineCrashes } from "./part_evidence.ts";
 import { computeProbeMs } from "./probe_interval.ts";
 import { isFingerprint } from "./request_fingerprint.ts";
 import { SurvivalTable } from "./survival_table.ts";
@@ -29,8 +25,12 @@
 const tellMs = 3_000;
 const maxToldParts = 48;
 const minRetryAfterMs = 1_000;
-/** Time between requests of a node that tell a part from one beside it. */
+/** Time to the next request that tells a part from one beside it. */
 const trialIntervalMs = 1_000;
+/** Factor by which each such request of the part's prober makes that time longer. */
+const trialIntervalFactor = 8;
+/** Time after the third crash in which every node may tell a part from others. */
+const openTrialMs = 2_000;
 
 /** Dependencies of a quarantine. */
 export interface PartQuarantineOptions {
@@ -68,6 +68,8 @@
   #quarantined: ReadonlySet<string> = new Set();
   /** Time of the last probe that this node sent of each part. */
   readonly #probedAt = new Map<string, number>();
+  /** Requests that this node has sent to tell each part from one beside it. */
+  readonly #trials = new Map<string, number>();
   #forgotAt = -Infinity;
   readonly #changed = Emitter.create<QuarantineChange>();
 
@@ -104,8 +106,9 @@
     if (longest === undefined) return free;
     const { part, waitMs } = longest;
     const isProbe = waitMs <= 0 && this.#options.isProber(part);
-    if (isProbe || this.#isTrial(blocked, parts, now)) {
-      for (const probed of blocked) this.#probedAt.set(probed, now);
+    const isTrial = !isProbe && this.#isTrial(blocked, parts, now);
+    if (isProbe || isTrial) {
+      for (const probed of blocked) this.#recordProbe(probed, { isTrial, now });
       return { kind: "probe", part };
     }
     const retryAfterMs = Math.max(minRetryAfterMs, waitMs);
@@ -209,6 +212,7 @@
     for (const part of previous) {
       if (quarantined.has(part)) continue;
       this.#probedAt.delete(part);
+      this.#trials.delete(part);
       this.#fireChange("left", part);
     }
   }
@@ -249,19 +253,41 @@
     return crashes >= quarantineCrashes || this.#quarantined.has(part);
   }
 
-  /** Whether a request tells all its parts in quarantine from ones beside them. */
+  /**
+   * Whether a request tells all its parts in quarantine from ones beside them. Every
+   * node may try it just after the crashes, as most parts of a crashed replica's
+   * runs are sound. Later only the node that sends a part's probes tries it, so that
+   * all nodes together crash few replicas if the part is the cause.
+   */
   #isTrial(
     blocked: readonly string[],
     parts: readonly string[],
     now: number,
   ): boolean {
-    return blocked.every((part) => {
-      const probedAt = this.#probedAt.get(part) ?? -Infinity;
-      // A single request is missed less than a part that many share.
-      if (isFingerprint(part) && !this.#options.isProber(part)) return false;
-      return now - probedAt >= trialIntervalMs &&
-        isTellingApart(part, parts, this.#evidence);
-    });
+    return blocked.every((part) =>
+      this.#mayTry(part, now) && isTellingApart(part, parts, this.#evidence)
+    );
+  }
+
+  #mayTry(part: string, now: number): boolean {
+    const probedAt = this.#probedAt.get(part) ?? -Infinity;
+    if (this.#options.isProber(part)) {
+      const trials = this.#trials.get(part) ?? 0;
+      const growth = trialIntervalFactor ** Math.max(0, trials - 1);
+      return now - probedAt >= trialIntervalMs * growth;
+    }
+    // A single request is missed less than a part that many share.
+    if (isFingerprint(part)) return false;
+    const crashedAt = this.#evidence.get(part)?.decisiveCrashAt ?? -Infinity;
+    return now - crashedAt < openTrialMs && now - probedAt >= trialIntervalMs;
+  }
+
+  #recordProbe(
+    part: string,
+    { isTrial, now }: { readonly isTrial: boolean; readonly now: number },
+  ): void {
+    this.#probedAt.set(part, now);
+    if (isTrial) this.#trials.set(part, (this.#trials.get(part) ?? 0) + 1);
   }
 
   #isSuspected(part: string, brokenOn: ReadonlySet<string>): boolean {
--- a/packages/routing/src/quarantine/quarantined_parts.ts
+++ b/packages/routing/src/quarantine/quarantined_parts.ts
@@ -6,10 +6,8 @@
  * quarantined part explains is not counted against those after it.
  */
 
-import type { PartEvidence } from "./part_evidence.ts";
+import { type PartEvidence, quarantineCrashes } from "./part_evidence.ts";
 
-/** Crashes that no other part explains, from which a part is quarantined. */
-export const quarantineCrashes = 3;
 /**
  * Time for which a part that has gone well before is not judged after its crashes,
  * so that news of runs that go well elsewhere arrive.
@@ -72,9 +70,7 @@
 function isCandidate(entry: PartEvidence, now: number): boolean {
   if (entry.crashes.size < quarantineCrashes) return false;
   if (!entry.hasSurvived) return true;
-  const counted = [...entry.crashes.values()].sort((a, b) => a - b);
-  const decisiveAt = counted[quarantineCrashes - 1] ?? Infinity;
-  return now - decisiveAt >= settleMs;
+  return now - entry.decisiveCrashAt >= settleMs;
 }
 
 /** Most crashes first; of equal ones, those that went well longest ago or never. */
--- a/packages/routing/src/streams/crashing_stream_test.ts
+++ b/packages/routing/src/streams/crashing_stream_test.ts
@@ -8,7 +8,7 @@
 import { openHasher } from "@almondcrank/common/hashing.ts";
 import { computePromptParts } from "./prompt_parts.ts";
 import { settledTokens } from "./attempt_evidence.ts";
-import { quarantineCrashes } from "../quarantine/quarantined_parts.ts";
+import { quarantineCrashes } from "../quarantine/part_evidence.ts";
 import type { FakeEngine } from "../testing/fake_engine.ts";
 import {
   createRequest,
