--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -43,6 +43,7 @@
 import type { RouteTable } from "./routes/route_table.ts";
 import { CallerServer } from "./relay/caller_server.ts";
 import type { RelayServices } from "./relay/relay_services.ts";
+import type { OpenConnection } from "./relay/replica_agent.ts";
 import { ReplicaSender } from "./relay/replica_sender.ts";
 import { StreamLines } from "./relay/stream_lines.ts";
 import { StreamRegistry } from "./relay/stream_registry.ts";
@@ -61,6 +62,8 @@
   readonly log: Log;
   /** Port of the metrics server; without it none is started. */
   readonly metricsPort?: number;
+  /** Opens connections to replicas; without one, Node.js does. */
+  readonly openConnection?: OpenConnection | undefined;
 }
 
 /** Parts of one process. */
@@ -94,7 +97,7 @@
 
 /** Creates all parts, without starting them or any outside effect. */
 export async function createParts(
-  { settings: live, log }: GatewayOptions,
+  { settings: live, log, openConnection }: GatewayOptions,
 ): Promise<GatewayParts> {
   const settings = live.current;
   const clock = SystemClock.create();
@@ -205,6 +208,7 @@
       log: log.createChild("relay"),
       table,
       countNodes: () => members.listKnown(suspensionClock.now()).length + 1,
+      openConnection,
     }),
     budget: RetryBudget.create({
       ratio: bounds.retryRatio,
--- a/packages/gateway/src/relay/replica_agent.ts
+++ b/packages/gateway/src/relay/replica_agent.ts
@@ -20,6 +20,11 @@
 
 type Listener = () => void;
 
+/** Opens a connection to a replica; without one, Node.js does. */
+export type OpenConnection = (
+  target: { readonly host: string; readonly port: number },
+) => Socket;
+
 /** HTTP agent of one replica. */
 export class ReplicaAgent extends Agent {
   /** Listeners that close an idle connection on data or timeout. */
@@ -35,8 +40,18 @@
     });
   }
 
-  static create(maxConnections: number): ReplicaAgent {
-    return new ReplicaAgent(maxConnections);
+  static create(
+    maxConnections: number,
+    openConnection?: OpenConnection,
+  ): ReplicaAgent {
+    const agent = new ReplicaAgent(maxConnections);
+    if (openConnection !== undefined) {
+      const createConnection = (
+        { host, port }: { readonly host: string; readonly port: string },
+      ): Socket => openConnection({ host, port: Number(port) });
+      Object.assign(agent, { createConnection });
+    }
+    return agent;
   }
 
   /** Records the idle timeout that a `Keep-Alive` header announces. */
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -20,7 +20,7 @@
 import type { ReplicaTable } from "../choice/replica_table.ts";
 import type { VersionGate } from "../rollouts/version_gate.ts";
 import { composeRequestHeaders } from "./message_headers.ts";
-import { ReplicaAgent } from "./replica_agent.ts";
+import { type OpenConnection, ReplicaAgent } from "./replica_agent.ts";
 import { type ControlResponse, sendControlCall } from "./control_call.ts";
 import { type SendOutcome, sendToReplica } from "./replica_request.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -41,6 +41,7 @@
   readonly gate: VersionGate;
   /** Number of nodes that share each replica's connections. */
   readonly countNodes: () => number;
+  readonly openConnection?: OpenConnection | undefined;
 }
 
 /** Options of one send of a request. */
@@ -283,7 +284,10 @@
   #findAgent(state: ReplicaState, maxConnections: number): ReplicaAgent {
     let agent = this.#agents.get(state.key);
     if (agent === undefined) {
-      agent = ReplicaAgent.create(maxConnections);
+      agent = ReplicaAgent.create(
+        maxConnections,
+        this.#options.openConnection,
+      );
       this.#agents.set(state.key, agent);
     }
     const share = maxConnections / Math.max(1, this.#options.countNodes());
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -36,6 +36,8 @@
 } from "@almondcrank/standin/platform/replica_standin.ts";
 import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
 
+import { ReplicaLinks } from "./replica_links.ts";
+
 /** Bounds of the nodes of each setup. */
 export const testBounds: Bounds = {
   configurationMs: 2_000,
@@ -81,6 +83,8 @@
   readonly cloud: CloudStandin;
   readonly nodes: Gateway[] = [];
   readonly replicas = new Map<string, ReplicaStandin>();
+  /** Links of each node to all replicas. */
+  readonly links: ReplicaLinks[] = [];
   readonly #settings: GatewaySettings[] = [];
   readonly #softwareVersions = new Map<string, string>();
   #version = 0;
@@ -136,6 +140,7 @@
     const replica = await ReplicaStandin.open({ id, ...options });
     this.#softwareVersions.set(id, softwareVersion);
     this.replicas.set(id, replica);
+    for (const links of this.links) await links.add(replica.address);
     this.registerReplica(id, service, "ready");
     return replica;
   }
@@ -195,7 +200,10 @@
     this.nodes[node]?.dispose();
     const settings = this.#settings[node];
     if (settings === undefined) throw new Error(`there is no node ${node}`);
-    this.nodes[node] = await startNode({ ...settings, isFirstStart: false });
+    this.nodes[node] = await startNode(
+      { ...settings, isFirstStart: false },
+      this.links[node],
+    );
   }
 
   /** Returns the address at which a node listens for callers. */
@@ -241,6 +249,7 @@
     this.store.fault = "none";
     for (const node of this.nodes) node.dispose();
     for (const replica of this.replicas.values()) replica.close();
+    for (const links of this.links) links.close();
     this.store.close();
     this.cloud.close();
     await Promise.resolve();
@@ -272,16 +281,28 @@
       exposure: this.#exposure,
     };
     this.#settings.push(settings);
-    this.nodes.push(await startNode(settings));
+    const links = ReplicaLinks.create();
+    for (const { address } of this.replicas.values()) await links.add(address);
+    this.links.push(links);
+    this.nodes.push(await startNode(settings, links));
   }
 }
 
-function startNode(settings: GatewaySettings): Promise<Gateway> {
+function startNode(
+  settings: GatewaySettings,
+  links: ReplicaLinks | undefined,
+): Promise<Gateway> {
   const log = createSilentLog();
   const live = LiveSettings.create({
     log,
     readText: () => "",
     decode: () => Right(settings),
   }).unsafeCoerce();
-  return Gateway.open({ settings: live, log });
+  return Gateway.open({
+    settings: live,
+    log,
+    openConnection: links === undefined
+      ? undefined
+      : (target) => links.openConnection(target),
+  });
 }
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -11,7 +11,7 @@
   partCrashes,
   type PlannedFault,
 } from "./fault_plan.ts";
-import type { LinkFault } from "./link_proxy.ts";
+import type { LinkFault } from "@almondcrank/standin/link_proxy.ts";
 import { PartCrashes } from "./part_crashes.ts";
 import type {
   CrashRecord,
--- a/packages/soak/src/replica_faults.ts
+++ b/packages/soak/src/replica_faults.ts
@@ -8,7 +8,7 @@
   sleep,
 } from "@almondcrank/standin/platform/replica_fault.ts";
 import type { BreakingFaultKind } from "./fault_plan.ts";
-import type { LinkFault } from "./link_proxy.ts";
+import type { LinkFault } from "@almondcrank/standin/link_proxy.ts";
 import type { LimitRecord } from "./records.ts";
 import type { SoakReplica, SoakSystem } from "./soak_system.ts";
 
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -20,7 +20,7 @@
 } from "@almondcrank/standin/platform/node_settings.ts";
 import { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
 import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
-import { LinkProxy } from "./link_proxy.ts";
+import { LinkProxy } from "@almondcrank/standin/link_proxy.ts";
 import type { PromptArrival, RunRecord, UsageRecord } from "./records.ts";
 
 /** Key that a fault of the soak may withdraw. */
