One odd registration no longer ends the nodes that read the list

As other operators reported, an entry of another writer could end nodes: one that is nested 100,000 levels deep is parsed, but writing it again for a peer throws in a handler that nobody waits for, and the process ends, at each copy anew. An address with a port out of range threw in each request that chose it; slots of 1e300 were taken for room without end.

Objects nested deeper than 64 levels have no value when they are decoded; an address has to be an IP address with a port from 1 to 65,535, slots a whole number up to a million.

--- a/packages/platform/src/decode_replica.ts
+++ b/packages/platform/src/decode_replica.ts
@@ -2,10 +2,12 @@
  * Decodes the registration of a replica.
  */
 
+import { parseAddress } from "@almondcrank/common/address.ts";
 import type { Replica } from "@almondcrank/model/replica.ts";
 import { readFields, readNumber, readString } from "./fields.ts";
 
-const addressPattern = /^\d+\.\d+\.\d+\.\d+:\d+$/;
+/** Most requests that a replica may say it runs at once. */
+const maxSlots = 1_000_000;
 
 /** Decodes a registration; `undefined` when a required field is missing or invalid. */
 export function decodeReplica(id: string, value: unknown): Replica | undefined {
@@ -14,11 +16,11 @@
   const address = readString(fields?.["address"]);
   const state = readString(fields?.["state"]);
   if (fields === undefined || service === undefined) return undefined;
-  if (address === undefined || !addressPattern.test(address)) return undefined;
+  if (address === undefined || !isReachable(address)) return undefined;
   if (state !== "ready" && state !== "draining") return undefined;
   const zone = readString(fields["zone"]);
   const slots = readNumber(fields["slots"]);
-  if (zone === undefined || slots === undefined || slots < 1) return undefined;
+  if (zone === undefined || !isSlotCount(slots)) return undefined;
   const softwareVersion = fields["version"] === undefined
     ? ""
     : readString(fields["version"]);
@@ -38,3 +40,13 @@
     ...(coldMs > 0 ? { coldMs } : {}),
   };
 }
+
+function isReachable(address: string): boolean {
+  const parts = parseAddress(address);
+  return parts !== undefined && parts.port > 0;
+}
+
+function isSlotCount(slots: number | undefined): slots is number {
+  return slots !== undefined && Number.isInteger(slots) && slots >= 1 &&
+    slots <= maxSlots;
+}
--- a/packages/platform/src/fields.ts
+++ b/packages/platform/src/fields.ts
@@ -5,6 +5,9 @@
  * type is read as `undefined` and never throws.
  */
 
+/** Levels of lists and objects within each other that a value may have. */
+const maxDepth = 64;
+
 /** Fields of a JSON object. */
 export type Fields = Readonly<Record<string, unknown>>;
 
@@ -45,3 +48,11 @@
 export function readStrings(value: unknown): readonly string[] {
   return readList(value).flatMap((item) => readString(item) ?? []);
 }
+
+/** Whether a value has more levels than any that is read has. */
+export function isNestedTooDeeply(value: unknown, levels = maxDepth): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  if (levels === 0) return true;
+  return Object.values(value)
+    .some((inner) => isNestedTooDeeply(inner, levels - 1));
+}
--- a/packages/platform/src/platform_store.ts
+++ b/packages/platform/src/platform_store.ts
@@ -32,7 +32,12 @@
   readStoreRevision,
 } from "@almondcrank/infrastructure/store_version.ts";
 import { storeEraHeader } from "./headers.ts";
-import { readFields, readNumber, readString } from "./fields.ts";
+import {
+  isNestedTooDeeply,
+  readFields,
+  readNumber,
+  readString,
+} from "./fields.ts";
 
 /** Kind of the replica registrations. */
 export const replicasKind = "servers";
@@ -325,11 +330,15 @@
   const revision = readNumber(metadata?.["revision"]);
   if (name === undefined || revision === undefined) return undefined;
   const version = composeStoreVersion({ era, revision });
-  const status = fields?.["status"] ?? undefined;
+  // Nested too deeply, an object could be read but not be written again for peers.
+  const spec = isNestedTooDeeply(fields?.["spec"]) ? null : fields?.["spec"];
+  const status = isNestedTooDeeply(fields?.["status"])
+    ? undefined
+    : fields?.["status"] ?? undefined;
   return {
     key: `${kind}/${name}`,
     version,
-    value: fields?.["spec"],
+    value: spec,
     ...(status === undefined ? {} : { status }),
   };
 }
