--- a/packages/infrastructure/src/http_host_list.ts
+++ b/packages/infrastructure/src/http_host_list.ts
@@ -12,15 +12,19 @@
 } from "./platform_client.ts";
 import type { PlatformError } from "./platform_error.ts";
 
+const listedHost = z.object({
+  host: z.string(),
+  zone: z.string(),
+  machineClass: z.string(),
+  market: z.enum(["reclaimable", "on_demand"]),
+  state: z.enum(["live", "leaving"]),
+});
+/** An entry of another form names no host, and does not hide the others. */
 const hostListing: z.ZodType<HostListing> = z.object({
   asOf: z.number(),
-  hosts: z.array(z.object({
-    host: z.string(),
-    zone: z.string(),
-    machineClass: z.string(),
-    market: z.enum(["reclaimable", "on_demand"]),
-    state: z.enum(["live", "leaving"]),
-  })),
+  hosts: z.array(z.unknown()).transform((entries) =>
+    entries.flatMap((entry) => listedHost.safeParse(entry).data ?? [])
+  ),
 });
 
 /** Client of the host list at one address. */
