A refusal that a faulty replica writes once more refuses no later request

As other operators reported: a replica wrote an earlier refusal again on a kept connection. One without an id, or with the id of a request that is sent to the replica again, counted as the refusal of the request that it was running: its caller was told that it has not run, or it ran at a second replica.

A refusal without an id counts on a new connection only, and one with an id once on each connection; any other one leaves open whether the request ran, and closes the connection. The stand-in's refusals echo the id, as the protocol says. The own interface gives each call an id of its own already (foreign_answers_test).

--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -6,6 +6,7 @@
  */
 
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import {
   notExecutedHeader,
@@ -207,6 +208,28 @@
   return "connection";
 }
 
+/** Ids of the requests that were refused on each open connection. */
+const refusedIds = new WeakMap<Socket, Set<string>>();
+
+/**
+ * Whether a refusal is certainly that of this request: a faulty replica may write
+ * an earlier one once more on a connection that is in use again.
+ */
+function isOwnRefusal(
+  { requestId }: ReplicaRequest,
+  outgoing: ClientRequest,
+  { headers, socket }: IncomingMessage,
+): boolean {
+  if (requestId === undefined) return !outgoing.reusedSocket;
+  if (headers[requestIdHeader] === undefined && outgoing.reusedSocket) {
+    return false;
+  }
+  const refused = refusedIds.get(socket) ?? new Set<string>();
+  if (refused.has(requestId)) return false;
+  refusedIds.set(socket, refused.add(requestId));
+  return true;
+}
+
 function readOutcome(
   call: ReplicaRequest,
   outgoing: ClientRequest,
@@ -228,6 +251,14 @@
   const isDeclined = status === misdirectedStatus ||
     (status >= 400 && response.headers[notExecutedHeader] !== undefined);
   if (!isDeclined) return { kind: "answered", response };
+  if (!isOwnRefusal(call, outgoing, response)) {
+    outgoing.destroy();
+    return {
+      kind: "lost",
+      reason: "the refusal may be that of an earlier request",
+      isReset: false,
+    };
+  }
   response.on("error", () => outgoing.destroy());
   discardResponseBody(response);
   return { kind: "declined", status };
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -274,6 +274,8 @@
     headers: Readonly<Record<string, string>>,
   ): Promise<void> {
     await this.#waitWhilePaused();
+    const { "x-request-id": id } = response.req.headers;
+    if (id !== undefined) response.setHeader("X-Request-Id", id);
     response.setHeaders(new Map(Object.entries(headers)));
     sendJson(response, status, {});
   }
