Replicas that bear few refusals get only what they have room for

RefusalGuard: while a replica says so, a node sends it no more than its share of the places, and nothing while its places are taken as far as the reports tell; after a refusal it waits as long as keeps all nodes below N if each is refused as often. The stand-in plays such replicas.

--- a/packages/gateway/src/choice/replica_state.ts
+++ b/packages/gateway/src/choice/replica_state.ts
@@ -3,6 +3,7 @@
  */
 
 import type { Replica } from "@almondcrank/model/replica.ts";
+import { RefusalGuard } from "@almondcrank/routing/limits/refusal_guard.ts";
 import { RequestLimit } from "@almondcrank/routing/limits/request_limit.ts";
 import type { LoadStatement } from "@almondcrank/routing/placement/load_statement.ts";
 import { ReplicaSpeed } from "@almondcrank/routing/placement/replica_speed.ts";
@@ -24,6 +25,10 @@
   readonly failures = FailureRate.create();
   /** Requests a second that the replica takes from all nodes together. */
   readonly limit = RequestLimit.create();
+  /** Number of nodes that may send to it. */
+  nodes = 1;
+  /** Keeps its refusals below what it bears, if it says that it bears few. */
+  readonly refusals = RefusalGuard.create();
   #replica: Replica;
   /** What it still has to do. */
   readonly work = WorkLeft.create();
@@ -124,15 +129,28 @@
     return now < this.#pausedUntil;
   }
 
-  /** Whether this node may send it a request: it is not paused nor at its limit. */
+  /**
+   * Whether this node may send it a request: it is not paused nor at its limit, and
+   * has room if it can't bear to refuse many.
+   */
   takesRequests(now: number): boolean {
-    return !this.isPaused(now) && this.limit.isOpen(now);
+    return !this.isPaused(now) && this.limit.isOpen(now) &&
+      this.refusals.isOpen({
+        active: this.totalLoad.active,
+        own: this.ownLoad.active,
+        nodes: this.nodes,
+        slots: this.#replica.slots,
+      }, now);
   }
 
   /** Time until this node may send it a request, in milliseconds. */
   computeWaitMs(now: number): number {
     const pauseMs = Math.max(0, this.#pausedUntil - now);
-    return Math.max(pauseMs, this.limit.computeWaitMs(now));
+    return Math.max(
+      pauseMs,
+      this.limit.computeWaitMs(now),
+      this.refusals.computeWaitMs(now),
+    );
   }
 
   /** Records that the replica wants nothing from this node until `until`. */
--- a/packages/gateway/src/relay/replica_sender.ts
+++ b/packages/gateway/src/relay/replica_sender.ts
@@ -11,6 +11,7 @@
 import type { ReplicaCall } from "@almondcrank/platform/kv_move.ts";
 import {
   isLeavingAnswer,
+  parseBearableRefusals,
   parseReplicaLoad,
   parseRequestLimit,
   parseRetryAfter,
@@ -124,6 +125,7 @@
         this.#recordAnswer(state, response);
         this.#recordLimit(state, response, sentAt);
         this.#recordLoad(state, response);
+        this.#recordRefusals(state, response);
       },
     }).then((outcome) => {
       endWait();
@@ -282,6 +284,25 @@
     this.#options.metrics.count("load_statements_total", { service });
   }
 
+  /** Records how many refusals a replica bears, and that of this request. */
+  #recordRefusals(
+    state: ReplicaState,
+    { headers, statusCode }: Pick<IncomingMessage, "headers" | "statusCode">,
+  ): void {
+    const { clock, metrics, countNodes } = this.#options;
+    const { refusals, replica } = state;
+    const now = clock.now();
+    state.nodes = countNodes();
+    const { service } = replica;
+    if (refusals.readPerSecond(now) === undefined) {
+      const isStated = parseBearableRefusals(headers) !== undefined;
+      if (isStated) metrics.count("brittle_statements_total", { service });
+    }
+    refusals.recordStatement(parseBearableRefusals(headers), now);
+    if (statusCode !== unavailableStatus) return;
+    refusals.recordRefusal(state.nodes, now);
+  }
+
   /** Counts what reaches a replica that names a limit. */
   #countLimited({ limit, replica }: ReplicaState, kind: LimitedSend): void {
     if (limit.perSecond === undefined) return;
--- a/packages/platform/src/headers.ts
+++ b/packages/platform/src/headers.ts
@@ -34,6 +34,7 @@
 const retryAfterHeader = "retry-after";
 /** Requests a second that a replica in need takes from all nodes together. */
 const requestLimitHeader = "server-limit";
+const brittleHeader = "server-brittle";
 /** Load of the replica: running, waiting, slots and slowness of its host. */
 const replicaLoadHeader = "x-replica-load";
 /** Number of output tokens that the caller expects. */
@@ -90,6 +91,16 @@
   return perSecond !== undefined && perSecond >= 0 ? perSecond : undefined;
 }
 
+/**
+ * Parses how many requests a second an answer's replica may turn away before it
+ * falls over; `undefined` if it says nothing of it.
+ */
+export function parseBearableRefusals(headers: Headers): number | undefined {
+  const text = headers[brittleHeader];
+  const perSecond = typeof text === "string" ? parseFigure(text) : undefined;
+  return perSecond !== undefined && perSecond >= 0 ? perSecond : undefined;
+}
+
 /** Largest number of requests or slots that a replica can plausibly state. */
 const maxStatedRequests = 100_000;
 /** Figure of a host on which work takes as long as usual. */
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -55,6 +55,12 @@
   readonly address?: string;
 }
 
+/** A replica that falls over when it has to refuse too many requests. */
+export interface BrittleOptions {
+  readonly refusalsPerSecond: number;
+  readonly slots: number;
+}
+
 const defaultEvents = 5;
 const defaultEventMs = 5;
 
@@ -79,6 +85,11 @@
   isLeaving = false;
   /** Requests a second that all answers name as a limit; none if undefined. */
   limitPerSecond: number | undefined;
+  /** Requests that it runs at once, if it says that it bears few refusals. */
+  brittle: BrittleOptions | undefined;
+  /** Times at which it fell over, as it had to refuse too many requests. */
+  readonly fallTimes: number[] = [];
+  readonly #refusedAt: number[] = [];
   /** What all answers state of the load; nothing if undefined. */
   statedLoad: string | undefined;
   readonly #server: Server;
@@ -201,6 +212,11 @@
     if (this.statedLoad !== undefined) {
       response.setHeader("X-Replica-Load", this.statedLoad);
     }
+    if (this.brittle !== undefined) {
+      const { refusalsPerSecond, slots } = this.brittle;
+      response.setHeader("Server-Brittle", String(refusalsPerSecond));
+      if (this.#running >= slots) return await this.#refuseBrittle(response);
+    }
     if (request.url === "/kv-move") return await this.#move(body, response);
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
@@ -280,6 +296,20 @@
     sendJson(response, status, {});
   }
 
+  /** Refuses a request for want of room; falls over if they are too many. */
+  async #refuseBrittle(response: ServerResponse): Promise<void> {
+    const now = performance.now();
+    this.#refusedAt.push(now);
+    const refused = this.#refusedAt.filter((at) => now - at < 1_000).length;
+    if (refused > (this.brittle?.refusalsPerSecond ?? Infinity)) {
+      this.fallTimes.push(now);
+      this.#refusedAt.length = 0;
+      for (const socket of this.#connections) socket.resetAndDestroy();
+      return;
+    }
+    return await this.#refuse(response, 503, { "X-Not-Executed": "1" });
+  }
+
   /** Answers before the body arrives; the run records the body read later. */
   async #answerEarly(
     request: IncomingMessage,
