Soak: odd entries among the registrations

Six kinds of entries that name no replica come and go while the real programs run: ports and addresses out of range, too many slots, an unknown state, lists nested 200 levels deep (the stand-in's own store can't write deeper ones).

--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -28,6 +28,7 @@
   "replica_names_limit",
   "replica_starts",
   "replica_falls_silent",
+  "odd_registrations",
   "cloud_silent",
 ] as const;
 /** Kind of a fault that the system must mask. */
@@ -79,6 +80,7 @@
   "replica_names_limit",
   "replica_starts",
   "replica_falls_silent",
+  "odd_registrations",
 ] as const satisfies readonly MaskedFaultKind[];
 
 /** One fault of a plan; `atMs` counts from the start of the soak. */
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -38,6 +38,34 @@
 /** Time until lost writes of the operator and the replicas are made again. */
 const rewriteMs = 500;
 
+const nestedLevels = 200;
+
+/** A list that is nested in itself. */
+function createNested(): unknown {
+  let value: unknown = [];
+  for (let level = 0; level < nestedLevels; level += 1) value = [value];
+  return value;
+}
+
+const soundEntry = {
+  service: "models",
+  address: "127.0.0.1:1",
+  zone: "muc-a",
+  version: "v1",
+  slots: 8,
+  state: "ready",
+  "seq-no": 1,
+};
+/** Entries of another writer, which a node must neither use nor end by. */
+const oddRegistrations: readonly Readonly<Record<string, unknown>>[] = [
+  { ...soundEntry, address: "127.0.0.1:99999" },
+  { ...soundEntry, address: "999.0.0.1:80" },
+  { ...soundEntry, slots: 1e300 },
+  { ...soundEntry, state: "resting" },
+  { ...soundEntry, more: createNested() },
+  { service: 7 },
+];
+
 /** Injects the faults of one soak. */
 export class FaultRunner {
   readonly #system: SoakSystem;
@@ -193,6 +221,8 @@
       }
       case "replica_starts":
         return await this.#startReplica(target);
+      case "odd_registrations":
+        return await this.#writeOddRegistrations(target, durationMs);
       case "cloud_silent":
         cloudLink.setFault({ kind: "cut" });
         await sleep(durationMs);
@@ -200,6 +230,20 @@
     }
   }
 
+  /** Writes entries among the replicas' that name none. */
+  async #writeOddRegistrations(
+    target: number,
+    durationMs: number,
+  ): Promise<void> {
+    const { store } = this.#system;
+    const names = oddRegistrations.map((_, at) => `odd-${target}-${at}`);
+    for (const [at, entry] of oddRegistrations.entries()) {
+      store.put("servers", names[at] ?? "", entry);
+    }
+    await sleep(durationMs);
+    for (const name of names) store.remove("servers", name);
+  }
+
   #pickNode(target: number): SoakNode {
     return pick(this.#system.nodes, target);
   }
