BUDGET: reports that wait to be sent say for how long

A report that is spread over its tick is up to 0.32 s older than the ages in it. A run that went well, told again and again, grew younger by more than the 0.3 s that are allowed for the way, and would have cleared a part of its crashes. The header tells the wait and the receiver counts ages from the time of composing. The news of one tick's reports are listed once.

Test: with a link that the reports fill, ages stay right after 15 s of telling (failed before).

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -317,7 +317,8 @@
     report?: PeerReport,
   ): readonly WaitingSend[] {
     if (receivers.length === 0) return [];
-    const { socket, exchange } = this.#options;
+    const { socket, exchange, clock } = this.#options;
+    const composedAt = clock.now();
     const encoded = report === undefined ? undefined : encodePeerReport(report);
     return receivers.map((receiver) => {
       // What the report counts of its receiver has to be of the same moment.
@@ -327,7 +328,12 @@
       return {
         bytes: headerBytes + (encoded?.length ?? 0),
         send: () => {
-          const header = exchange.composeHeader(receiver, { scope, included });
+          const heldMs = clock.now() - composedAt;
+          const header = exchange.composeHeader(receiver, {
+            scope,
+            included,
+            heldMs,
+          });
           socket.send(header, encoded, receiver.ip);
         },
       };
--- a/packages/gateway/src/cluster/cluster_links_test.ts
+++ b/packages/gateway/src/cluster/cluster_links_test.ts
@@ -10,6 +10,8 @@
 
 /** A link of 10 Mbit/s whose queue holds some tens of milliseconds. */
 const narrowLink = { bytesPerMs: 1_250, queueBytes: 65_536 };
+/** A link on which the reports of a tick take most of it. */
+const slowLink = { bytesPerMs: 300, queueBytes: 65_536 };
 const replicas = Array.from(
   { length: 144 },
   (_, at) => createReplica({ id: `i-${hash(at)}` }),
@@ -20,8 +22,12 @@
 }
 
 /** Opens nodes that put load on all replicas. */
-async function openLoaded(count: number, zones: number): Promise<TestSystem> {
-  const system = await TestSystem.openKnown(count, zones, narrowLink);
+async function openLoaded(
+  count: number,
+  zones: number,
+  link = narrowLink,
+): Promise<TestSystem> {
+  const system = await TestSystem.openKnown(count, zones, link);
   const now = system.clock.now();
   for (const [at, { table }] of system.nodes.entries()) {
     table.apply(replicas, { now, mayHaveExpired: false });
@@ -73,4 +79,25 @@
   });
 }
 
+test("what reports tell while they are spread over a tick does not grow younger", async () => {
+  const system = await openLoaded(66, 3, slowLink);
+  const { nodes, clock } = system;
+  const [first] = nodes;
+  first?.quarantine.recordSurvival(["bad"], clock.now(), clock.now());
+  const survivedAt = clock.now();
+  for (const crash of [1, 2, 3]) {
+    await clock.advance(1_000);
+    first?.quarantine.recordCrash(["bad"], `r/${crash}`, clock.now());
+  }
+  await clock.advance(12_000);
+  for (const { node, quarantine } of nodes) {
+    const told = quarantine.listTold(clock.now())
+      .find(({ part }) => part === "bad");
+    assert.is(told?.crashes.length, 3, node);
+    const ageMs = clock.now() - survivedAt;
+    assert.ok(Math.abs((told?.survivedAgeMs ?? 0) - ageMs) < 400, node);
+  }
+  system.close();
+});
+
 test.run();
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -47,6 +47,8 @@
 
 /** Reports on the way from a node over two relays to another node. */
 const reportsToCrossZones = 3;
+/** Time in which the reports of one tick are composed. */
+const sameTickMs = 20;
 /** Shortest time assumed for reports over relays, in case one is lost. */
 const minRoundMs = 600;
 /** Time for which a node that sent the sums of its zone gets those of this one. */
@@ -82,11 +84,16 @@
   readonly pullFeed: (kind: FeedKind, ip: string) => void;
 }
 
+/** What all reports tell, whatever their scope. */
+type ToldNews = Pick<PeerReport, "leaving" | "suspects" | "limits" | "news">;
+
 /** What a header says of the report behind it. */
 export interface HeaderOptions {
   readonly scope: ReportScope;
   /** Part of the report that comes from its receiver. */
   readonly included?: IncludedReport | null;
+  /** Time since the report was composed, in milliseconds. */
+  readonly heldMs?: number;
 }
 
 /** Options of a report. */
@@ -105,6 +112,9 @@
   #ownCounters: Counters = new Map();
   #levels: ReadonlyMap<string, number> = new Map();
   #topology: ReportTopology = { kind: "mesh" };
+  /** News of the last reports, and the time at which they were listed. */
+  #told: ToldNews | undefined;
+  #toldAt = -Infinity;
   readonly #relays = RelayWatch.create();
   /** Time of the last sums of its zone that each relay sent to this one. */
   readonly #zoneSenders = new Map<string, number>();
@@ -133,7 +143,7 @@
   /** Composes the header of a datagram for one receiver. */
   composeHeader(
     receiver: Member | undefined,
-    { scope, included = null }: HeaderOptions,
+    { scope, included = null, heldMs = 0 }: HeaderOptions,
   ): PeerHeader {
     const { clock, members } = this.#options;
     const now = clock.now();
@@ -148,6 +158,7 @@
       isDraining: this.#options.isDraining(),
       isStoreUnreachable: this.#options.isStoreUnreachable(),
       sentAt: now,
+      heldMs,
       wallTime: clock.wallTime(),
       // The receivers of a relay hear few clocks themselves.
       medianTime: this.#isRelay
@@ -381,11 +392,13 @@
 
   #applyReport(message: PeerMessage, report: PeerReport, now: number): void {
     const { members, table, quarantine, news, limitsClock } = this.#options;
-    news.apply(report.news, limitsClock.now());
-    quarantine.learn(parseSuspects(report.suspects), limitsClock.now());
+    // Ages count from the time at which the report was composed.
+    const composedAt = limitsClock.now() - message.heldMs;
+    news.apply(report.news, composedAt);
+    quarantine.learn(parseSuspects(report.suspects), composedAt);
     for (const member of report.members) members.introduce(member, now);
-    this.#applyAlive(report.alive, now);
-    applyLimits(table, report.limits, limitsClock.now());
+    this.#applyAlive(report.alive, now - message.heldMs);
+    applyLimits(table, report.limits, composedAt);
     for (const key of report.leaving) {
       table.recordLeaving(key, limitsClock.now());
     }
@@ -407,11 +420,15 @@
     }
   }
 
-  /** Lists what all reports tell, whatever their scope. */
-  #listNews(): Pick<PeerReport, "leaving" | "suspects" | "limits" | "news"> {
+  /** Lists what all reports tell, whatever their scope; the same in one tick. */
+  #listNews(): ToldNews {
     const { table, quarantine, news, limitsClock } = this.#options;
     const now = limitsClock.now();
-    return {
+    if (this.#told !== undefined && now - this.#toldAt < sameTickMs) {
+      return this.#told;
+    }
+    this.#toldAt = now;
+    return this.#told = {
       leaving: table.listAnnouncedLeaving(),
       suspects: formatSuspects(quarantine.listTold(now)),
       limits: listLimits(table, now),
--- a/packages/gateway/src/cluster/peer_message_checks.ts
+++ b/packages/gateway/src/cluster/peer_message_checks.ts
@@ -30,11 +30,13 @@
   if (!isObject(json)) return undefined;
   const { zone = "", scope = "node", medianTime = null, included = null } =
     json;
+  const { heldMs = 0 } = json;
   const isValid = isString(json["node"]) && isString(json["incarnation"]) &&
     isString(json["ip"]) && isString(zone) && scopes.has(scope) &&
     isNumber(json["upMs"]) && isBoolean(json["isDraining"]) &&
     isBoolean(json["isStoreUnreachable"]) && isNumber(json["sentAt"]) &&
-    isNumber(json["wallTime"]) && isNumberOrNull(medianTime) &&
+    isNumber(heldMs) && isNumber(json["wallTime"]) &&
+    isNumberOrNull(medianTime) &&
     isEcho(json["echo"]) && isNumberOrNull(json["duty"]) &&
     (included === null || isIncluded(included));
   const configuration = decodeFeedStatus(json["configuration"]);
@@ -52,6 +54,7 @@
     isDraining: json["isDraining"] as boolean,
     isStoreUnreachable: json["isStoreUnreachable"] as boolean,
     sentAt: json["sentAt"] as number,
+    heldMs: heldMs as number,
     wallTime: json["wallTime"] as number,
     medianTime: medianTime as number | null,
     echo: json["echo"] as PeerHeader["echo"],
--- a/packages/gateway/src/cluster/peer_messages.ts
+++ b/packages/gateway/src/cluster/peer_messages.ts
@@ -113,6 +113,8 @@
   readonly isStoreUnreachable: boolean;
   /** Monotonic time of the sender, in milliseconds. */
   readonly sentAt: number;
+  /** Time for which the report waited to be sent; its ages don't include it. */
+  readonly heldMs: number;
   /** Time of day of the sender, in milliseconds. */
   readonly wallTime: number;
   /**
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -27,6 +27,7 @@
   isDraining: false,
   isStoreUnreachable: true,
   sentAt: 1,
+  heldMs: 7,
   wallTime: 2,
   medianTime: 3,
   echo: { sentAt: 3, heldMs: 4 },
