--- a/packages/gateway/src/cluster/peer_message_checks_test.ts
+++ b/packages/gateway/src/cluster/peer_message_checks_test.ts
@@ -113,6 +113,7 @@
   isStoreUnreachable: z.boolean(),
   /** Monotonic time of the sender, in milliseconds. */
   sentAt: z.number(),
+  heldMs: z.number().default(0),
   /** Time of day of the sender, in milliseconds. */
   wallTime: z.number(),
   /**
@@ -150,6 +151,7 @@
   isDraining: false,
   isStoreUnreachable: true,
   sentAt: 1,
+  heldMs: 8,
   wallTime: 2,
   medianTime: 3,
   echo: { sentAt: 3, heldMs: 4 },
--- a/packages/gateway/src/cluster/peer_messages_test.ts
+++ b/packages/gateway/src/cluster/peer_messages_test.ts
@@ -99,6 +99,7 @@
   zone: "text",
   upMs: 7,
   sentAt: 7,
+  heldMs: 7,
   wallTime: 7,
   medianTime: 7,
   duty: 7,
