--- a/packages/scenario/src/testing/gateway_helpers.ts
+++ b/packages/scenario/src/testing/gateway_helpers.ts
@@ -2,7 +2,7 @@
  * Helpers for tests of gateway nodes.
  */
 
-import { GatewaySetup } from "./gateway_setup.ts";
+import { GatewaySetup, type GatewaySetupOptions } from "./gateway_setup.ts";
 
 /**
  * Formats the events with ids `from` to `to` as the replicas' stand-in sends
@@ -22,8 +22,9 @@
 export async function runWithSetup(
   nodes: number,
   run: (setup: GatewaySetup) => Promise<void>,
+  options: GatewaySetupOptions = {},
 ): Promise<void> {
-  const setup = await GatewaySetup.open(nodes);
+  const setup = await GatewaySetup.open(nodes, options);
   try {
     await run(setup);
   } finally {
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -64,6 +64,13 @@
   readonly node?: number;
 }
 
+/** Options of a setup. */
+export interface GatewaySetupOptions {
+  readonly exposure?: ExposureBounds | undefined;
+  /** Whether each node has links to the replicas that the test can cut. */
+  readonly hasLinks?: boolean;
+}
+
 /** Options of a replica, and the version that it registers. */
 export interface AddedReplicaOptions extends Omit<ReplicaStandinOptions, "id"> {
   readonly softwareVersion?: string;
@@ -83,12 +90,13 @@
   readonly cloud: CloudStandin;
   readonly nodes: Gateway[] = [];
   readonly replicas = new Map<string, ReplicaStandin>();
-  /** Links of each node to all replicas. */
+  /** Links of each node to all replicas; none unless the setup has them. */
   readonly links: ReplicaLinks[] = [];
   readonly #settings: GatewaySettings[] = [];
   readonly #softwareVersions = new Map<string, string>();
   #version = 0;
   #exposure: ExposureBounds | undefined;
+  #hasLinks = false;
 
   private constructor(store: StoreStandin, cloud: CloudStandin) {
     this.store = store;
@@ -101,13 +109,14 @@
    */
   static async open(
     nodes = 1,
-    exposure?: ExposureBounds,
+    { exposure, hasLinks = false }: GatewaySetupOptions = {},
   ): Promise<GatewaySetup> {
     const setup = new GatewaySetup(
       await StoreStandin.open(),
       await CloudStandin.open(),
     );
     setup.#exposure = exposure;
+    setup.#hasLinks = hasLinks;
     await setup.addReplica("model-1", "models");
     await setup.addReplica("model-2", "models");
     await setup.addReplica("booking-1", "booking");
@@ -281,10 +290,15 @@
       exposure: this.#exposure,
     };
     this.#settings.push(settings);
+    const links = this.#hasLinks ? await this.#openLinks() : undefined;
+    this.nodes.push(await startNode(settings, links));
+  }
+
+  async #openLinks(): Promise<ReplicaLinks> {
     const links = ReplicaLinks.create();
     for (const { address } of this.replicas.values()) await links.add(address);
     this.links.push(links);
-    this.nodes.push(await startNode(settings, links));
+    return links;
   }
 }
 
