LOST: a spoiled head fails the request that it came to, not the node

Cause: the parser of Node.js takes such a name, its writer throws, and the head of a stream is written in the "data" listener of the replica's response, where nobody catches it; the process ended.

Change: an answer whose head can't be written is lost, for all kinds of requests, and what a listener of the relay throws fails its request alone.

--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -54,7 +54,10 @@
   readonly onEvents: (lastId: number | undefined, eventCount: number) => void;
 }
 
-/** Relays events until the response or the caller's connection ends. */
+/**
+ * Relays events until the response or the caller's connection ends; rejects if one
+ * of the callbacks throws.
+ */
 export function relayEvents(
   options: EventRelayOptions,
 ): Promise<RelayOutcome> {
@@ -63,7 +66,17 @@
   const isResumed = options.lastId !== undefined;
   let lastId = options.lastId;
   let hasEvents = false;
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
+    // Nobody catches what a listener throws, so it would end the process.
+    const guard = (handle: () => void): void => {
+      try {
+        handle();
+      } catch (thrown) {
+        removeListeners();
+        response.destroy();
+        reject(thrown);
+      }
+    };
     // A regular end of the response does not show that the stream is whole.
     const isWhole = (): boolean =>
       response.complete && splitter.remainderBytes === 0 &&
@@ -77,15 +90,16 @@
       const unfinishedBytes = splitter.remainderBytes;
       const framing = findFraming(response);
       const hasDisconnected = !response.complete || framing === "connection";
+      removeListeners();
+      if (end !== "complete") response.destroy();
+      resolve({ end, framing, unfinishedBytes, hasDisconnected });
+    };
+    const removeListeners = (): void => {
       callerResponse.off("drain", onDrain);
       callerResponse.off("close", onCallerClose);
       response.removeAllListeners("data");
-      if (end !== "complete") response.destroy();
-      resolve({ end, framing, unfinishedBytes, hasDisconnected });
     };
-    callerResponse.on("drain", onDrain);
-    callerResponse.on("close", onCallerClose);
-    response.on("data", (chunk: Buffer) => {
+    const onData = (chunk: Buffer): void => {
       const chunkEvents = splitter.add(chunk);
       if (splitter.remainderBytes > maxEventBytes) return finish("broken");
       if (chunkEvents === undefined) return;
@@ -104,12 +118,16 @@
       if (isCallerReady) return;
       response.pause();
       watch.pause();
-    });
-    response.on("end", () => {
+    };
+    const onEnd = (): void => {
       if (!isWhole()) return finish("broken");
       writeHead();
       finish("complete");
-    });
+    };
+    callerResponse.on("drain", onDrain);
+    callerResponse.on("close", onCallerClose);
+    response.on("data", (chunk: Buffer) => guard(() => onData(chunk)));
+    response.on("end", () => guard(onEnd));
     response.on("error", () => finish("broken"));
     response.on("close", () => finish("broken"));
     // It may have broken before anyone listened.
--- a/packages/gateway/src/relay/message_headers.ts
+++ b/packages/gateway/src/relay/message_headers.ts
@@ -5,7 +5,11 @@
  * system may set. All others pass unchanged and in order.
  */
 
-import type { IncomingMessage } from "node:http";
+import {
+  type IncomingMessage,
+  validateHeaderName,
+  validateHeaderValue,
+} from "node:http";
 import {
   expectedReplicaHeader,
   lastEventIdHeader,
@@ -31,6 +35,23 @@
 /** What a node that hands a request on states anew. */
 const handedAnewHeaders: ReadonlySet<string> = new Set([remainingTimeHeader]);
 
+/**
+ * Whether headers, as alternating names and values, may be sent on. The parser of
+ * Node.js takes names that its writer rejects, for example ones with a space.
+ */
+export function isWritable(rawHeaders: readonly string[]): boolean {
+  try {
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+      const name = rawHeaders[index] as string;
+      validateHeaderName(name);
+      validateHeaderValue(name, rawHeaders[index + 1] as string);
+    }
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /** Values of the headers that the gateway sets on a request. */
 export interface SystemHeaders {
   readonly replicaId: string;
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -13,6 +13,7 @@
   requestIdHeader,
 } from "@almondcrank/platform/headers.ts";
 import type { ReplicaAgent } from "./replica_agent.ts";
+import { isWritable } from "./message_headers.ts";
 import { discardResponseBody } from "./response_body.ts";
 
 /** A request to one replica. */
@@ -63,6 +64,8 @@
 class WithheldError extends Error {}
 
 const misdirectedStatus = 421;
+/** Smallest status of a response that is not an interim one. */
+const minFinalStatus = 200;
 const callerLeftReason = "the caller has left";
 /** Interim responses (1xx) accepted before a response; none are expected. */
 const maxInterimResponses = 16;
@@ -230,6 +233,14 @@
   return true;
 }
 
+/**
+ * Whether a head is one that may be sent on. Where one byte is spoiled, others may
+ * be, too, among them those that tell where the body ends.
+ */
+function isSoundHead({ statusCode = 0, rawHeaders }: IncomingMessage): boolean {
+  return statusCode >= minFinalStatus && isWritable(rawHeaders);
+}
+
 function readOutcome(
   call: ReplicaRequest,
   outgoing: ClientRequest,
@@ -250,7 +261,15 @@
   if (status !== misdirectedStatus) call.onAnswer(response);
   const isDeclined = status === misdirectedStatus ||
     (status >= 400 && response.headers[notExecutedHeader] !== undefined);
-  if (!isDeclined) return { kind: "answered", response };
+  if (!isDeclined) {
+    if (isSoundHead(response)) return { kind: "answered", response };
+    outgoing.destroy();
+    return {
+      kind: "lost",
+      reason: "the head of the response is not HTTP",
+      isReset: false,
+    };
+  }
   if (!isOwnRefusal(call, outgoing, response)) {
     outgoing.destroy();
     return {
--- a/packages/standin/src/platform/replica_fault.ts
+++ b/packages/standin/src/platform/replica_fault.ts
@@ -40,6 +40,12 @@
   | { readonly kind: "reset_unframed"; readonly afterMs: number }
   /** The answer has no length and ends when the connection closes. */
   | { readonly kind: "unframed" }
+  /** The answer's head has another status line or a further line, as written. */
+  | {
+    readonly kind: "spoil_head";
+    readonly statusLine?: string;
+    readonly line?: string;
+  }
   /** The answer's head goes on until the caller closes. */
   | { readonly kind: "endless_head" }
   /** A body without length or events goes on until the caller closes. */
@@ -77,6 +83,26 @@
   }
 }
 
+/** Writes a signed answer with one event, whose head is spoiled as `fault` says. */
+export function sendSpoiledHead(
+  socket: Socket,
+  { statusLine = "HTTP/1.1 200 OK", line }: Extract<
+    ReplicaFault,
+    { kind: "spoil_head" }
+  >,
+  requestId: string,
+): void {
+  const body = "id: 1\ndata: token 1\n\n";
+  const lines = [
+    statusLine,
+    `X-Request-Id: ${requestId}`,
+    "X-Server-Seal: s",
+    ...(line === undefined ? [] : [line]),
+    `Content-Length: ${body.length}`,
+  ];
+  socket.write(`${lines.join("\r\n")}\r\n\r\n${body}`);
+}
+
 /** Whether a prompt has one of the parts, not counting its last part. */
 export function hasSharedPart(
   headers: IncomingHttpHeaders,
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -28,6 +28,7 @@
   hasSharedPart,
   type ReplicaFault,
   sendEndlessAnswer,
+  sendSpoiledHead,
   sendUnframedAnswer,
   sleep,
 } from "./replica_fault.ts";
@@ -255,6 +256,9 @@
     if (fault.kind === "endless_head" || fault.kind === "endless_body") {
       return await sendEndlessAnswer(request.socket, fault.kind, run.id);
     }
+    if (fault.kind === "spoil_head") {
+      return sendSpoiledHead(request.socket, fault, run.id);
+    }
     if (fault.kind === "unframed" || fault.kind === "reset_unframed") {
       await sendUnframedAnswer(request.socket, fault, {
         requestId: run.id,
