LOST: odd entries and requests end no node

Cause: Node.js throws for a header, path or port that it can't write, within the executor of a promise that "never rejects" and whose followers have no handler. The same by a caller's path with a tab, a header's name with a space, an IPv6 address, a handle of a move; and the loop that reads the store threw for a page that ends with a lone surrogate.

Change: sends and control calls never reject; entries need a writable id and all fields that each replica states; such a request is refused with 400; one function parses addresses. Fixtures of tests that left required fields out have them now, and decode_test checks that each one is required.

--- a/packages/bench/src/node_cost.ts
+++ b/packages/bench/src/node_cost.ts
@@ -84,6 +84,7 @@
         version: "v1",
         slots: 8,
         state: "ready",
+        "cold-remaining-ms": 0,
         "seq-no": replicas.length,
       });
     }
--- a/packages/cli/src/gateway_fleet.ts
+++ b/packages/cli/src/gateway_fleet.ts
@@ -81,6 +81,7 @@
       zone: "muc-a",
       slots: 8,
       state,
+      "cold-remaining-ms": 0,
       "seq-no": 1,
     });
   }
--- a/packages/common/src/address.ts
+++ b/packages/common/src/address.ts
@@ -22,6 +22,15 @@
   return isIP(host) === 0 || port > 65_535 ? undefined : { host, port };
 }
 
+/** Parses an address that is known to be one; throws if it is not. */
+export function requireAddress(text: string): AddressParts {
+  const parts = parseAddress(text);
+  if (parts !== undefined) return parts;
+  throw new Error(
+    `address "${text}" is not an IP address with a port; write it like 127.0.0.1:8080`,
+  );
+}
+
 /** Formats an address; an IPv6 address is put in brackets. */
 export function formatAddress(host: string, port: number): Address {
   return isIP(host) === 6 ? `[${host}]:${port}` : `${host}:${port}`;
--- a/packages/common/src/http_server.ts
+++ b/packages/common/src/http_server.ts
@@ -12,7 +12,7 @@
 import type { Duplex } from "node:stream";
 import createRouter, { type HTTPVersion, type Instance } from "find-my-way";
 import { type Either, Left, Right } from "purify-ts";
-import { type Address, formatAddress, parseAddress } from "./address.ts";
+import { type Address, formatAddress, requireAddress } from "./address.ts";
 import { DrainableServer } from "./drainable_server.ts";
 import { formatThrown, KindError } from "./kind_error.ts";
 import {
@@ -137,12 +137,7 @@
    */
   static async open(options: HttpServerOptions): Promise<HttpServer> {
     const limits = { ...defaultHttpLimits, ...options.limits };
-    const parts = parseAddress(options.address);
-    if (parts === undefined) {
-      throw new Error(
-        `address "${options.address}" is not an IP address with a port; write it like 127.0.0.1:8080`,
-      );
-    }
+    const parts = requireAddress(options.address);
     const server = DrainableServer.create({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: Math.min(
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Clock } from "@almondcrank/common/clock.ts";
+import { requireAddress } from "@almondcrank/common/address.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { Event } from "@almondcrank/common/emitter.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
@@ -341,10 +342,9 @@
   }
 
   #listen(address: string): Promise<void> {
-    const [host, port] = address.split(":");
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(Number(port), host, () => {
+      this.#server.listen({ ...requireAddress(address) }, () => {
         this.#server.off("error", reject);
         this.#server.on("error", (error) => {
           this.#options.log.warn("the control listener failed.", {
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -2,6 +2,7 @@
  * Creates the parts of a gateway process and connects them.
  */
 
+import { parseAddress } from "@almondcrank/common/address.ts";
 import { type Clock, SystemClock } from "@almondcrank/common/clock.ts";
 import { openHasher } from "@almondcrank/common/hashing.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
@@ -333,7 +334,7 @@
 
 /** Port of the control listeners of all nodes; 0 if there are none. */
 export function findControlPort({ control }: GatewaySettings): number {
-  return Number(control?.split(":")[1] ?? 0);
+  return parseAddress(control ?? "")?.port ?? 0;
 }
 
 /** Creates the options of a platform client, with deadline and backoff. */
--- a/packages/gateway/src/readiness_server.ts
+++ b/packages/gateway/src/readiness_server.ts
@@ -3,6 +3,7 @@
  */
 
 import { createServer, type Server } from "node:http";
+import { requireAddress } from "@almondcrank/common/address.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 
 /** Readiness server of one node. */
@@ -22,10 +23,9 @@
 
   /** Listens on an address; rejects when it cannot be bound. */
   open(address: string): Promise<void> {
-    const [host, port] = address.split(":");
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(Number(port), host, resolve);
+      this.#server.listen({ ...requireAddress(address) }, resolve);
     });
   }
 
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -8,6 +8,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { abortResponse } from "@almondcrank/common/abort_response.ts";
+import { requireAddress } from "@almondcrank/common/address.ts";
 import { watchCaller } from "@almondcrank/common/caller_watch.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { DrainableServer } from "@almondcrank/common/drainable_server.ts";
@@ -35,6 +36,7 @@
 } from "./local_reply.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { type BodyResult, readRequestBody } from "./request_body.ts";
+import { isForwardable } from "./message_headers.ts";
 import { RequestLog } from "./request_log.ts";
 import { findResume } from "./stream_resume.ts";
 import { RequestTrace } from "./request_trace.ts";
@@ -109,11 +111,10 @@
 
   /** Listens on an address; rejects when it cannot be bound. */
   open(address: string): Promise<void> {
-    const [host, port] = address.split(":");
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen(
-        { host: host ?? "0.0.0.0", port: Number(port), backlog: listenBacklog },
+        { ...requireAddress(address), backlog: listenBacklog },
         () => {
           this.#server.off("error", reject);
           this.#server.on("error", (error) => {
@@ -195,6 +196,10 @@
       const reply = composeLocalReply(503, "draining", drainingRetryMs);
       return this.#refuse({ request, response }, reply);
     }
+    if (!isForwardable(request)) {
+      const reply = composeLocalReply(400, "malformed_request");
+      return this.#refuse({ request, response }, reply);
+    }
     const callerSignal = watchCaller(request, response);
     await this.#waitUntilSynced(callerSignal);
     const early = chooseRoute(request, readContext());
--- a/packages/gateway/src/relay/control_call.ts
+++ b/packages/gateway/src/relay/control_call.ts
@@ -3,7 +3,12 @@
  * requests between nodes.
  */
 
-import { type IncomingHttpHeaders, request } from "node:http";
+import {
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  request,
+} from "node:http";
+import { requireAddress } from "@almondcrank/common/address.ts";
 import type { ReplicaCall } from "@almondcrank/platform/kv_move.ts";
 
 const maxResponseBytes = 16 * 1_048_576;
@@ -30,22 +35,17 @@
  */
 export function sendControlCall(
   call: ReplicaCall,
-  { address, timeoutMs, headers }: ControlCallOptions,
+  options: ControlCallOptions,
 ): Promise<ControlResponse | undefined> {
-  const [host, port] = address.split(":");
+  let outgoing: ClientRequest;
+  try {
+    outgoing = createCall(call, options);
+  } catch {
+    // Its path, a header or its address can't be used.
+    return Promise.resolve(undefined);
+  }
+  const { timeoutMs } = options;
   return new Promise((resolve) => {
-    const outgoing = request({
-      host,
-      port,
-      method: call.method,
-      path: call.path,
-      agent: false,
-      headers: {
-        "Content-Type": "application/json",
-        "Content-Length": String(Buffer.byteLength(call.body)),
-        ...headers,
-      },
-    });
     const timer = setTimeout(() => outgoing.destroy(), timeoutMs);
     const finish = (response: ControlResponse | undefined): void => {
       clearTimeout(timer);
@@ -74,3 +74,20 @@
     outgoing.end(call.body);
   });
 }
+
+function createCall(
+  { method, path, body }: ReplicaCall,
+  { address, headers }: ControlCallOptions,
+): ClientRequest {
+  return request({
+    ...requireAddress(address),
+    method,
+    path,
+    agent: false,
+    headers: {
+      "Content-Type": "application/json",
+      "Content-Length": String(Buffer.byteLength(body)),
+      ...headers,
+    },
+  });
+}
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -12,6 +12,7 @@
   | "no_configuration"
   | "stale_configuration"
   | "draining"
+  | "malformed_request"
   | "no_route"
   | "unknown_key"
   | "no_service"
@@ -31,7 +32,7 @@
 
 /** A response that the gateway generates itself. */
 export interface LocalReply {
-  readonly status: 401 | 404 | 408 | 413 | 429 | 502 | 503 | 504;
+  readonly status: 400 | 401 | 404 | 408 | 413 | 429 | 502 | 503 | 504;
   readonly reason: LocalReplyReason;
   /** States what happened and what the caller can do. */
   readonly message: string;
@@ -44,6 +45,8 @@
   stale_configuration:
     "this node cannot check keys at present; try another node",
   draining: "this node is shutting down; try another one",
+  malformed_request:
+    "the path or a header of the request is not HTTP; correct it",
   no_route: "no route matches this host and path; correct the address",
   unknown_key: "unknown key; use a key of a configured tenant",
   no_service: "the service of this route is not configured; try again",
--- a/packages/gateway/src/relay/message_headers.ts
+++ b/packages/gateway/src/relay/message_headers.ts
@@ -52,6 +52,16 @@
   }
 }
 
+/** Characters that no path of a request line has. */
+const unwritablePathPattern = /[^\u0021-\u00ff]/;
+
+/** Whether a request can be sent on as it came: path and names of headers. */
+export function isForwardable(
+  { url = "/", rawHeaders }: Pick<IncomingMessage, "url" | "rawHeaders">,
+): boolean {
+  return !unwritablePathPattern.test(url) && isWritable(rawHeaders);
+}
+
 /** Values of the headers that the gateway sets on a request. */
 export interface SystemHeaders {
   readonly replicaId: string;
--- a/packages/gateway/src/relay/replica_agent.ts
+++ b/packages/gateway/src/relay/replica_agent.ts
@@ -47,8 +47,8 @@
     const agent = new ReplicaAgent(maxConnections);
     if (openConnection !== undefined) {
       const createConnection = (
-        { host, port }: { readonly host: string; readonly port: string },
-      ): Socket => openConnection({ host, port: Number(port) });
+        { host, port }: { readonly host: string; readonly port: number },
+      ): Socket => openConnection({ host, port });
       Object.assign(agent, { createConnection });
     }
     return agent;
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -7,6 +7,8 @@
 
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
+import { requireAddress } from "@almondcrank/common/address.ts";
+import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import {
   notExecutedHeader,
@@ -88,21 +90,30 @@
   return await openRequest(call);
 }
 
+/** Creates a request; throws if its path, a header or its address can't be used. */
+function createRequest(call: ReplicaRequest): ClientRequest {
+  return request({
+    ...requireAddress(call.address),
+    agent: call.agent,
+    method: call.method,
+    path: call.path,
+    headers: call.composeHeaders() as string[],
+    setHost: false,
+    signal: call.signal,
+  });
+}
+
 function openRequest(call: ReplicaRequest): Promise<SendOutcome> {
+  let outgoing: ClientRequest;
+  try {
+    outgoing = createRequest(call);
+  } catch (thrown) {
+    const reason = `the request can't be written: ${formatThrown(thrown)}`;
+    return Promise.resolve({ kind: "not_sent", reason, isUnreached: false });
+  }
   return new Promise((resolve) => {
     let isConnected = false;
     let received: IncomingMessage | undefined;
-    const [host, port] = call.address.split(":");
-    const outgoing = request({
-      host,
-      port,
-      agent: call.agent,
-      method: call.method,
-      path: call.path,
-      headers: call.composeHeaders() as string[],
-      setHost: false,
-      signal: call.signal,
-    });
     watchConnect(outgoing, call, () => isConnected = true);
     watchInterimResponses(outgoing);
     outgoing.on("error", (error) => {
--- a/packages/platform/src/decode_replica.ts
+++ b/packages/platform/src/decode_replica.ts
@@ -9,8 +9,15 @@
 /** Most requests that a replica may say it runs at once. */
 const maxSlots = 1_000_000;
 
-/** Decodes a registration; `undefined` when a required field is missing or invalid. */
+/** Ids go into a header of each request, so they have only visible characters. */
+const idPattern = /^[\x21-\x7e]+$/;
+
+/**
+ * Decodes a registration; `undefined` when a field that each replica states of
+ * itself is missing or invalid, or the id can't be named to a replica.
+ */
 export function decodeReplica(id: string, value: unknown): Replica | undefined {
+  if (!idPattern.test(id)) return undefined;
   const fields = readFields(value);
   const service = readString(fields?.["service"]);
   const address = readString(fields?.["address"]);
@@ -21,11 +28,11 @@
   const zone = readString(fields["zone"]);
   const slots = readNumber(fields["slots"]);
   if (zone === undefined || !isSlotCount(slots)) return undefined;
-  const softwareVersion = fields["version"] === undefined
-    ? ""
-    : readString(fields["version"]);
+  const softwareVersion = readString(fields["version"]);
   if (softwareVersion === undefined) return undefined;
-  const coldMs = readNumber(fields["cold-remaining-ms"]) ?? 0;
+  const coldMs = readNumber(fields["cold-remaining-ms"]);
+  const sequenceNumber = readNumber(fields["seq-no"]);
+  if (coldMs === undefined || sequenceNumber === undefined) return undefined;
   return {
     id,
     service,
--- a/packages/platform/src/decode_settings.ts
+++ b/packages/platform/src/decode_settings.ts
@@ -11,6 +11,7 @@
   ExposureBounds,
   GatewaySettings,
 } from "@almondcrank/model/gateway_settings.ts";
+import { parseAddress } from "@almondcrank/common/address.ts";
 import { KindError } from "@almondcrank/common/kind_error.ts";
 import {
   type Fields,
@@ -77,6 +78,12 @@
   if (readString(platform?.["address"]) === undefined) {
     faults.push(`"platform.address" is missing; give the store's IP:PORT`);
   }
+  const listen = readFields(fields["listen"]) ?? {};
+  for (const key of ["frontend", "ready", "control-plane"]) {
+    const address = readString(listen[key]);
+    if (address === undefined || parseAddress(address) !== undefined) continue;
+    faults.push(`"listen.${key}" is no address; give it as IP:PORT`);
+  }
   return faults;
 }
 
--- a/packages/platform/src/decode_test.ts
+++ b/packages/platform/src/decode_test.ts
@@ -59,8 +59,11 @@
     service: "s",
     address: "10.0.0.1:80",
     zone: "a",
+    version: "v1",
     slots: 4,
     state: "ready",
+    "cold-remaining-ms": 0,
+    "seq-no": 1,
   };
   assert.ok(decodeReplica("id", valid));
   for (
@@ -71,6 +74,10 @@
       { state: "unknown" },
       { slots: "4" },
       { version: 5 },
+      { version: undefined },
+      { "cold-remaining-ms": undefined },
+      { "cold-remaining-ms": "0" },
+      { "seq-no": undefined },
       { zone: null },
     ]
   ) {
@@ -123,6 +130,9 @@
     parseMove(status, JSON.stringify(body)).kind;
   assert.is(kind(200, { "kv-handle": "h", created: 3 }), "moved");
   assert.is(kind(200, {}), "failed");
+  // It goes into a header of the next send.
+  assert.is(kind(200, { "kv-handle": "h\n", created: 3 }), "failed");
+  assert.is(kind(503, { "kv-handle": "\ufffd" }), "failed");
   assert.is(kind(503, { "kv-handle": "h" }), "stopped");
   assert.is(kind(503, {}), "failed");
   assert.is(kind(404, {}), "not_running");
--- a/packages/platform/src/kv_move.ts
+++ b/packages/platform/src/kv_move.ts
@@ -54,12 +54,20 @@
   return `${source}/${handle}`;
 }
 
+/** Handles go into a header, so they have only visible characters. */
+const handlePattern = /^[\x21-\x7e]+$/;
+
+function readHandle(value: unknown): string | undefined {
+  const handle = typeof value === "number" ? String(value) : readString(value);
+  return handle !== undefined && handlePattern.test(handle)
+    ? handle
+    : undefined;
+}
+
 /** Parses the answer to a move call. */
 export function parseMove(status: number, text: string): MoveOutcome {
   const fields = readFields(parseJson(text));
-  const rawHandle = fields?.["kv-handle"];
-  const handle = readString(rawHandle) ??
-    (typeof rawHandle === "number" ? String(rawHandle) : undefined);
+  const handle = readHandle(fields?.["kv-handle"]);
   switch (status) {
     case 200: {
       if (handle === undefined) {
--- a/packages/platform/src/platform_store.ts
+++ b/packages/platform/src/platform_store.ts
@@ -109,7 +109,7 @@
     let after = "";
     let firstEra: number | undefined;
     while (true) {
-      const query = after === "" ? "" : `?after=${encodeURIComponent(after)}`;
+      const query = after === "" ? "" : `?after=${encodeName(after)}`;
       const answer = await this.#client.call({
         method: "GET",
         path: `/objects/${kind}${query}`,
@@ -139,6 +139,9 @@
           objects,
         });
       }
+      if (last === after) {
+        return Left(createBadAnswer("two pages of a list end with one name"));
+      }
       after = last;
     }
   }
@@ -287,7 +290,15 @@
 }
 
 function formatPath({ kind, name }: ObjectReference): string {
-  return `/objects/${kind}/${encodeURIComponent(name)}`;
+  return `/objects/${kind}/${encodeName(name)}`;
+}
+
+/**
+ * Encodes a name for a path or query. Another writer's name may have a lone
+ * surrogate, which has no encoding and goes as U+FFFD.
+ */
+function encodeName(name: string): string {
+  return encodeURIComponent(Buffer.from(name, "utf8").toString("utf8"));
 }
 
 function formatWrite(
--- a/packages/scenario/src/gateway_endless_answers_test.ts
+++ b/packages/scenario/src/gateway_endless_answers_test.ts
@@ -62,6 +62,7 @@
           version: "v1",
           slots: 8,
           state: "ready",
+          "cold-remaining-ms": 0,
           "seq-no": 1,
         });
       }
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -168,6 +168,7 @@
       version: this.#softwareVersions.get(id),
       slots: 8,
       state,
+      "cold-remaining-ms": 0,
       "seq-no": 1,
       ...more,
     });
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -54,6 +54,7 @@
   version: "v1",
   slots: 8,
   state: "ready",
+  "cold-remaining-ms": 0,
   "seq-no": 1,
 };
 /** Entries of another writer, which a node must neither use nor end by. */
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -210,6 +210,7 @@
       version: replica.software.version,
       slots: 8,
       state,
+      "cold-remaining-ms": 0,
       "seq-no": this.#sequenceNumber,
     });
   }
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -14,7 +14,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { parseAddress } from "@almondcrank/common/address.ts";
+import { formatAddress, parseAddress } from "@almondcrank/common/address.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
 import {
   answerStream,
@@ -155,8 +155,8 @@
   }
 
   get address(): string {
-    const { port } = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${port}`;
+    const { address, port } = this.#server.address() as AddressInfo;
+    return formatAddress(address, port);
   }
 
   /**
