ORDER: a stream without a length is not whole while its move is unanswered

Cause: a move stops its run first and answers when the copy is complete, behind other copies. After 700 ms without an answer the node took the move for one that had no effect, and the end of the connection for the end of the stream.

Change: a move ends as moved, not moved or unknown; after unknown, such a stream is resumed or cut off. A stream that only the moved run can continue waits 4 s for its handle, in place of being cut off after 700 ms.

--- a/packages/gateway/src/relay/stream_mover.ts
+++ b/packages/gateway/src/relay/stream_mover.ts
@@ -14,16 +14,26 @@
 } from "@almondcrank/platform/kv_move.ts";
 import { chooseEngine } from "../choice/engine_choice.ts";
 import type { ReplicaState } from "../choice/replica_state.ts";
+import { computeTimerMs } from "./timer_ms.ts";
 import type { RelayServices } from "./relay_services.ts";
 import type {
-  MoveTarget,
+  MoveEnd,
   RunningStream,
   StreamRegistry,
 } from "./stream_registry.ts";
 
 /** Time before a replica leaves at which its streams are moved. */
 const moveMarginMs = 800;
+/**
+ * Time that a stream waits for the answer to its move if it may be resumed: the
+ * run has stopped, and after this a new one is sooner there.
+ */
 const moveTimeoutMs = 700;
+/**
+ * The same for a stream that only the moved run can continue. Copies wait for each
+ * other, so that of many runs the last one is answered seconds later.
+ */
+const onlyMoveTimeoutMs = 4_000;
 const retryPauseMs = 150;
 
 /** Moves the streams of one node. */
@@ -119,15 +129,22 @@
     }, this.#services)?.state;
   }
 
+  /** Time for which the answer to a stream's move is of use. */
+  #computeTimeoutMs({ route, deadline }: RunningStream["request"]): number {
+    const waitMs = route.isResumable ? moveTimeoutMs : onlyMoveTimeoutMs;
+    const leftMs = computeTimerMs(deadline - this.#services.clock.now());
+    return Math.min(waitMs, leftMs);
+  }
+
   async #runMove(
     { source, destination, stream }: Move,
     requestId: string,
-  ): Promise<MoveTarget | undefined> {
+  ): Promise<MoveEnd> {
     const { sender, metrics } = this.#services;
     const response = await sender.callControl(
       source,
       formatMove(requestId, destination.replica.address),
-      moveTimeoutMs,
+      this.#computeTimeoutMs(stream.request),
     );
     const outcome = response === undefined
       ? { kind: "failed" as const, reason: "no answer" }
@@ -143,24 +160,29 @@
     );
     switch (outcome.kind) {
       case "moved":
-        return {
-          replicaKey: destination.key,
-          movedRun: formatMovedRun(source.replica.address, outcome.handle),
-        };
+        return composeMoved(source, destination, outcome.handle);
       case "stopped":
         source.limit.charge(this.#services.clock.now());
-        return {
-          replicaKey: source.key,
-          movedRun: formatMovedRun(source.replica.address, outcome.handle),
-        };
+        return composeMoved(source, source, outcome.handle);
       case "not_running":
+        return { kind: "not_moved" };
+      // The call stops the run first, and copies and answers later.
       case "busy":
       case "failed":
-        return undefined;
+        return { kind: "unknown" };
     }
   }
 }
 
+function composeMoved(
+  source: ReplicaState,
+  { key: replicaKey }: ReplicaState,
+  handle: string,
+): MoveEnd {
+  const movedRun = formatMovedRun(source.replica.address, handle);
+  return { kind: "moved", target: { replicaKey, movedRun } };
+}
+
 interface Move {
   readonly source: ReplicaState;
   readonly destination: ReplicaState;
--- a/packages/gateway/src/relay/stream_registry.ts
+++ b/packages/gateway/src/relay/stream_registry.ts
@@ -15,6 +15,15 @@
   readonly movedRun: string;
 }
 
+/** How the move of a run ended. */
+export type MoveEnd =
+  /** The run has stopped and can go on at the target. */
+  | { readonly kind: "moved"; readonly target: MoveTarget }
+  /** The run goes on where it is. */
+  | { readonly kind: "not_moved" }
+  /** The run may have stopped where it was, and nothing says where to go on. */
+  | { readonly kind: "unknown" };
+
 /** A stream that can be moved to another replica. */
 export interface RunningStream {
   readonly request: RoutedRequest;
@@ -22,8 +31,8 @@
   readonly hasStarted: boolean;
   /** Whether it is about to leave its current replica, so must not be moved. */
   readonly isMoving: boolean;
-  /** Sets the pending move; it resolves to `undefined` if the move fails. */
-  setMove(move: Promise<MoveTarget | undefined>): void;
+  /** Sets the pending move, which never rejects. */
+  setMove(move: Promise<MoveEnd>): void;
 }
 
 /** Running streams of one node. */
--- a/packages/gateway/src/relay/stream_relay.ts
+++ b/packages/gateway/src/relay/stream_relay.ts
@@ -13,6 +13,7 @@
 import type { RetryReason } from "./retry_reason.ts";
 import { relayEvents, type RelayOutcome } from "./event_relay.ts";
 import { listStreamHeaders } from "./message_headers.ts";
+import { SegmentMove } from "./segment_move.ts";
 import { sendBufferedResponse } from "./buffered_response.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import { readResponseBody } from "./response_body.ts";
@@ -38,6 +39,7 @@
 import { StreamStandby } from "./stream_standby.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type {
+  MoveEnd,
   MoveTarget,
   RunningStream,
   StreamRegistry,
@@ -58,7 +60,7 @@
   /** The send whose response is relayed. */
   #send: StreamSend | undefined;
   #standby: StreamStandby | undefined;
-  #move: Promise<MoveTarget | undefined> | undefined;
+  #move = SegmentMove.create();
   #lastId: number | undefined;
   /** Software version that began the stream; others can't continue it. */
   #version: string | undefined;
@@ -114,16 +116,12 @@
 
   /** A standby counts as a move: to abort it would give up what may serve. */
   get isMoving(): boolean {
-    return this.#move !== undefined || this.#standby?.isPending === true;
+    return this.#move.isPending || this.#standby?.isPending === true;
   }
 
   /** Sets the pending move; the relay follows it when the segment ends. */
-  setMove(move: Promise<MoveTarget | undefined>): void {
-    this.#move = move;
-    void move.then((target) => {
-      // A failed move leaves the run where it is and may be retried.
-      if (target === undefined && this.#move === move) this.#move = undefined;
-    });
+  setMove(move: Promise<MoveEnd>): void {
+    this.#move.set(move);
   }
 
   /** Relays the stream until the caller has its final response. */
@@ -229,7 +227,7 @@
   async #runSegment(send: StreamSend): Promise<SegmentEnd> {
     const { choice, pendingSend } = send;
     this.#send = send;
-    this.#move = undefined;
+    this.#move = SegmentMove.create();
     const standby = this.#standby = this.#createStandby(send);
     const registration = this.#registry.add(choice.state.key, this);
     try {
@@ -285,7 +283,7 @@
         this.#recorder.recordStart(send);
       },
     });
-    const isOwnEnd = send.aborter.signal.aborted || this.#move !== undefined;
+    const isOwnEnd = send.aborter.signal.aborted || this.#move.isAsked;
     this.#recorder.recordEnd(choice, { ...outcome, isOwnEnd }, this.#lastId);
     return await this.#endRelay(outcome, send);
   }
@@ -300,8 +298,9 @@
       case "complete": {
         state.failures.record(false, now);
         // A run that was moved away ends its connection like a whole stream.
-        const target = framing === "connection" ? await this.#move : undefined;
-        if (target !== undefined) return { kind: "moved", target };
+        const isStopped = framing === "connection" &&
+          (await this.#move.wait()).kind !== "not_moved";
+        if (isStopped) return await this.#followMove("lost");
         this.#response.end();
         this.#recorder.recordComplete();
         return { kind: "done", result: this.#ending.end(200, "answered") };
@@ -310,7 +309,7 @@
         aborter.abort();
         return { kind: "done", result: this.#ending.end(0, "caller_gone") };
       case "broken":
-        if (this.#move === undefined && !aborter.signal.aborted) {
+        if (!this.#move.isAsked && !aborter.signal.aborted) {
           state.failures.record(true, now);
         }
         return await this.#followMove("lost");
@@ -341,10 +340,9 @@
 
   /** Follows a move that ended the segment; otherwise retries the stream. */
   async #followMove(reason: RetryReason): Promise<SegmentEnd> {
-    const target = await this.#move;
-    this.#move = undefined;
-    if (target !== undefined && !this.#isOver()) {
-      return { kind: "moved", target };
+    const end = await this.#move.wait();
+    if (end.kind === "moved" && !this.#isOver()) {
+      return { kind: "moved", target: end.target };
     }
     return this.#endSegment(reason);
   }
@@ -397,7 +395,7 @@
   /** Sends the stream to a second replica, if one is left and a retry may be. */
   #openStandbySend(silent: StreamSend): StreamSend | undefined {
     if (this.#events === 0) this.#recorder.recordSilence(silent);
-    if (!this.#attempts.canResume || this.#move !== undefined) return undefined;
+    if (!this.#attempts.canResume || this.#move.isPending) return undefined;
     const choice = this.#choose({ target: undefined, mayReuse: false });
     if (choice === undefined) return undefined;
     if (!this.#retries.take("silent", this.#lastId)) return undefined;
--- a/packages/scenario/src/gateway_streams_test.ts
+++ b/packages/scenario/src/gateway_streams_test.ts
@@ -4,10 +4,12 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { RouteAnswer } from "@almondcrank/load/route_client.ts";
 import {
   exampleHostname,
   tenantKey,
 } from "@almondcrank/standin/platform/example_configuration.ts";
+import type { GatewaySetup } from "./testing/gateway_setup.ts";
 import {
   countRuns,
   formatEvents,
@@ -63,32 +65,73 @@
   });
 }
 
+/** Streams without a length at a replica that is about to leave. */
+const unframed = {
+  events: 60,
+  eventMs: 20,
+  streamFraming: "connection",
+} as const;
+
+/** Begins a stream at the replica `slow-1` and lets that one leave. */
+async function moveStream(
+  setup: GatewaySetup,
+  path: string,
+  moveMs: number,
+): Promise<RouteAnswer> {
+  const source = await setup.addReplica("slow-1", "models", unframed);
+  source.moveMs = moveMs;
+  setup.registerReplica("model-1", "models", "draining");
+  setup.registerReplica("model-2", "models", "draining");
+  await setup.waitUntil(async () => {
+    await setup.call({ path: "/once/stream", abortAfterMs: 100 });
+    return source.runs.length > 0;
+  });
+  const streaming = setup.call({ path, id: "moved", deadlineMs: 8_000 });
+  await setup.waitUntil(() => countRuns(setup, "moved") === 1);
+  await setup.addReplica("slow-2", "models", unframed);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  setup.registerReplica("slow-1", "models", "draining", { leaves_ms: 900 });
+  return await streaming;
+}
+
 test("a run that moves from a replica whose stream has no length is not complete there", async () => {
   await runWithSetup(1, async (setup) => {
-    const options = {
-      events: 60,
-      eventMs: 20,
-      streamFraming: "connection",
-    } as const;
-    await setup.addReplica("slow-1", "models", options);
-    setup.registerReplica("model-1", "models", "draining");
-    setup.registerReplica("model-2", "models", "draining");
-    await setup.waitUntil(async () => {
-      await setup.call({ path: "/once/stream", abortAfterMs: 100 });
-      return setup.findReplica("slow-1").runs.length > 0;
-    });
-    const streaming = setup.call({ path: "/once/stream", id: "moved" });
-    await setup.waitUntil(() => countRuns(setup, "moved") === 1);
-    await setup.addReplica("slow-2", "models", options);
-    await new Promise((resolve) => setTimeout(resolve, 200));
-    setup.registerReplica("slow-1", "models", "draining", { leaves_ms: 900 });
-    const answer = await streaming;
+    const answer = await moveStream(setup, "/once/stream", 0);
+    assert.is(answer.isComplete, true);
+    assert.is(answer.body, formatEvents(1, 60));
+    assert.is(countRuns(setup, "moved"), 2);
+  });
+});
+
+// Guards against a stream that ends as complete while its run is being moved.
+test("a stream that only its moved run can continue waits for a copy that takes long", async () => {
+  await runWithSetup(1, async (setup) => {
+    setup.configure({ timeoutMs: 8_000 });
+    const answer = await moveStream(setup, "/once/stream", 1_500);
     assert.is(answer.isComplete, true);
     assert.is(answer.body, formatEvents(1, 60));
     assert.is(countRuns(setup, "moved"), 2);
   });
 });
 
+test("a stream whose move is never answered does not end as complete", async () => {
+  await runWithSetup(1, async (setup) => {
+    setup.configure({ timeoutMs: 8_000 });
+    const answer = await moveStream(setup, "/once/stream", 20_000);
+    assert.is(answer.status, 200);
+    assert.is(answer.isComplete, false);
+  });
+});
+
+test("a stream that may be resumed goes on elsewhere if its move is not answered", async () => {
+  await runWithSetup(1, async (setup) => {
+    setup.configure({ timeoutMs: 8_000 });
+    const answer = await moveStream(setup, "/answer/stream", 20_000);
+    assert.is(answer.isComplete, true);
+    assert.is(answer.body, formatEvents(1, 60));
+  });
+});
+
 test("a stream resumed after a replica that stated a length is delivered whole", async () => {
   await runWithSetup(1, async (setup) => {
     const first = setup.findReplica("model-1");
--- a/packages/standin/src/platform/replica_standin.ts
+++ b/packages/standin/src/platform/replica_standin.ts
@@ -130,6 +130,8 @@
   chooseFault: ((run: FaultChoice) => ReplicaFault) | undefined;
   /** Time that each answer takes, in milliseconds. */
   workMs = 0;
+  /** Time from the stop of a moved run to the answer with its handle. */
+  moveMs = 0;
 
   private constructor(options: ReplicaStandinOptions) {
     this.id = options.id;
@@ -377,6 +379,7 @@
     const events = this.#lastEventIds.get(id);
     if (events === undefined) return sendJson(response, 404, {});
     this.#stoppedRuns.add(id);
+    if (this.moveMs > 0) await sleep(this.moveMs);
     const handle = `h${nextHandle}`;
     nextHandle += 1;
     movedRuns.set(handle, { events });
