DRAIN: a list in pages is complete up to its first page

Cause: the list had the revision of its last page, and the watch went on from there; a change on a page that had been read was in neither.

Change: the revision of the first page counts. Objects keep their newest state where the watch then repeats changes, and a peer's copy from between the pages no longer sets objects back.

--- a/packages/gateway/src/feed/feed_state.ts
+++ b/packages/gateway/src/feed/feed_state.ts
@@ -68,6 +68,8 @@
   readonly #objects = new Map<string, StoredObject>();
   readonly #changed = Emitter.create<void>();
   #asOf = 0;
+  /** Highest revision from which the copy has some change; at least `#asOf`. */
+  #knownTo = 0;
   #digest = 0;
   #confirmedAt = -Infinity;
   #lastReadAt = -Infinity;
@@ -163,11 +165,11 @@
 
   /** Applies a full list that was requested at `sentAt`. */
   applyList(list: ObjectList, sentAt: number): void {
-    // An older list that arrives late must not replace a newer copy.
-    if (list.version < this.#asOf) return;
+    if (list.version < this.#asOf) return this.#applyOlderList(list);
     this.#recordEra(list.version, sentAt);
     this.#replaceAll(list.objects, list.version);
     this.#watchRevision = list.version;
+    this.#knownTo = Math.max(this.#knownTo, list.endVersion ?? 0);
     this.#advance(list.version);
     this.confirm(sentAt);
   }
@@ -180,7 +182,7 @@
           this.#set(change.object);
           break;
         case "removed":
-          this.#objects.delete(change.key);
+          this.#remove(change.key, change.version);
           break;
       }
     }
@@ -196,10 +198,13 @@
 
   /**
    * Applies the copy of a peer that was received at `now`: replaces this node's
-   * copy if the peer's version is higher, else takes only newer objects from it.
+   * copy if the peer's includes all that this node knows, else takes only newer
+   * objects from it.
    */
   applySnapshot(snapshot: FeedSnapshot, now: number): void {
-    if (snapshot.asOf <= this.#asOf) return this.#merge(snapshot);
+    const isBehind = snapshot.asOf <= this.#asOf ||
+      snapshot.asOf < this.#knownTo;
+    if (isBehind) return this.#merge(snapshot);
     this.#recordEra(snapshot.asOf, now);
     this.#replaceAll(snapshot.objects, snapshot.asOf);
     this.#watchRevision = undefined;
@@ -237,6 +242,15 @@
     this.#restoredAt = Math.max(this.#restoredAt, now);
   }
 
+  /**
+   * A list that a newer copy has overtaken replaces nothing, but changes since the
+   * list can be watched for.
+   */
+  #applyOlderList({ version }: ObjectList): void {
+    const isOfThisEra = readStoreEra(version) === readStoreEra(this.#asOf);
+    if (isOfThisEra) this.#watchRevision ??= version;
+  }
+
   get #retainsObjects(): boolean {
     return this.#options.isNewer !== undefined;
   }
@@ -252,6 +266,7 @@
     this.#objects.clear();
     for (const object of objects) {
       const known = held.get(object.key);
+      this.#knownTo = Math.max(this.#knownTo, object.version);
       this.#objects.set(object.key, this.#chooseNewer(known, object));
       held.delete(object.key);
     }
@@ -263,11 +278,20 @@
     }
   }
 
+  /** Sets an object, unless a list had it in a newer state. */
   #set(object: StoredObject): void {
     const held = this.#objects.get(object.key);
+    if (held !== undefined && object.version < held.version) return;
     this.#objects.set(object.key, this.#chooseNewer(held, object));
   }
 
+  /** Removes an object, unless a list had it as created anew. */
+  #remove(key: string, version: number): void {
+    const held = this.#objects.get(key);
+    if (held !== undefined && version < held.version) return;
+    this.#objects.delete(key);
+  }
+
   /** Chooses between the object that this node holds and the store's one. */
   #chooseNewer(
     held: StoredObject | undefined,
@@ -295,6 +319,7 @@
 
   #advance(asOf: number): void {
     this.#asOf = Math.max(this.#asOf, asOf);
+    this.#knownTo = Math.max(this.#knownTo, asOf);
     const digest = this.#computeDigest();
     if (digest === this.#digest) return;
     this.#digest = digest;
--- a/packages/gateway/src/feed/feed_state_test.ts
+++ b/packages/gateway/src/feed/feed_state_test.ts
@@ -49,6 +49,74 @@
   assert.is(state.confirmedAt, 0);
 });
 
+/** Creates a list whose first page was read at one version and the last at another. */
+function createPagedList(
+  version: number,
+  endVersion: number,
+  objects: readonly StoredObject[],
+) {
+  return { version, endVersion, objects };
+}
+
+// Guards against a replica's leaving that is reported between two pages.
+test("a change between two pages of a list is watched for", () => {
+  const state = FeedState.create(hasher);
+  const onFirstPage = createObject("a", 90);
+  const onLastPage = createObject("b", 105);
+  state.applyList(createPagedList(100, 105, [onFirstPage, onLastPage]), 0);
+  assert.is(state.watchRevision, 100);
+  assert.is(state.version.asOf, 100);
+});
+
+test("changes that a list has in a newer state do not go back", () => {
+  const state = FeedState.create(hasher);
+  const objects = [createObject("a", 90), createObject("b", 105)];
+  state.applyList(createPagedList(100, 110, objects), 0);
+  state.applyBatch({
+    version: 103,
+    changes: [
+      { kind: "written", object: createObject("a", 101) },
+      { kind: "removed", key: "servers/b", version: 80 },
+      { kind: "written", object: createObject("b", 102) },
+    ],
+  }, 10);
+  const versions = state.listObjects().map(({ version }) => version);
+  assert.equal(versions, [101, 105]);
+});
+
+test("a peer's copy from between the pages of a list does not replace it", () => {
+  const state = FeedState.create(hasher);
+  const objects = [createObject("a", 90), createObject("b", 105)];
+  state.applyList(createPagedList(100, 110, objects), 0);
+  const older = [createObject("a", 90), createObject("b", 80)];
+  state.applySnapshot({ asOf: 103, digest: 1, objects: older }, 10);
+  assert.equal(state.listObjects(), objects);
+  const newer = [createObject("a", 111), createObject("b", 105)];
+  state.applySnapshot({ asOf: 111, digest: 2, objects: newer }, 20);
+  assert.equal(state.listObjects(), newer);
+});
+
+test("a peer takes such a copy over, and keeps what it has in a newer state", () => {
+  const peer = FeedState.create(hasher);
+  const objects = [createObject("a", 90), createObject("b", 105)];
+  peer.applySnapshot({ asOf: 100, digest: 1, objects }, 0);
+  const older = [createObject("a", 90), createObject("b", 80)];
+  peer.applySnapshot({ asOf: 103, digest: 2, objects: older }, 10);
+  assert.equal(peer.listObjects(), objects);
+});
+
+test("after a list that began before a peer's copy, the watch goes on from the list", () => {
+  const state = FeedState.create(hasher);
+  state.applySnapshot({
+    asOf: 103,
+    digest: 1,
+    objects: [createObject("a", 103)],
+  }, 0);
+  state.applyList(createPagedList(100, 105, [createObject("a", 90)]), 10);
+  assert.is(state.listObjects()[0]?.version, 103);
+  assert.is(state.watchRevision, 100);
+});
+
 const retaining = {
   isNewer: (held: StoredObject, restored: StoredObject): boolean =>
     Number(held.value) > Number(restored.value),
--- a/packages/infrastructure/src/object_store.ts
+++ b/packages/infrastructure/src/object_store.ts
@@ -42,9 +42,15 @@
   readonly status?: unknown;
 }
 
-/** All objects with a key prefix, as of `version` of the store. */
+/** All objects with a key prefix, as of `version` of the store or later. */
 export interface ObjectList {
+  /** Version up to which all changes are included; a watch goes on from it. */
   readonly version: number;
+  /**
+   * Version up to which some changes are included, for a list that was read in
+   * parts; by default the same.
+   */
+  readonly endVersion?: number;
   readonly objects: readonly StoredObject[];
 }
 
--- a/packages/platform/src/platform_store.ts
+++ b/packages/platform/src/platform_store.ts
@@ -56,6 +56,12 @@
   "store-revision": z.number(),
 });
 
+/** State of the store as the first page of a list was read. */
+interface ListStart {
+  readonly era: number;
+  readonly version: number;
+}
+
 /** Kind and name of an object, as on the wire. */
 interface ObjectReference {
   readonly kind: string;
@@ -107,7 +113,7 @@
     const kind = formatKind(prefix);
     const objects: StoredObject[] = [];
     let after = "";
-    let firstEra: number | undefined;
+    let first: ListStart | undefined;
     while (true) {
       const query = after === "" ? "" : `?after=${encodeName(after)}`;
       const answer = await this.#client.call({
@@ -120,8 +126,13 @@
       if (page.isLeft()) return page as Either<PlatformError, never>;
       const { items, ...rest } = page.extract() as z.infer<typeof listPage>;
       const { era } = this;
-      firstEra ??= era;
-      if (era !== firstEra) {
+      const endVersion = composeStoreVersion({
+        era,
+        revision: rest["store-revision"],
+      });
+      // What changes on a page once it is read is on no later one.
+      first ??= { era, version: endVersion };
+      if (era !== first.era) {
         return Left(
           createBadAnswer("the store was restored between two pages"),
         );
@@ -133,11 +144,7 @@
         readFields(readFields(items.at(-1))?.["metadata"])?.["name"],
       );
       if (rest["more-pages"] !== true || last === undefined) {
-        const revision = rest["store-revision"];
-        return Right({
-          version: composeStoreVersion({ era, revision }),
-          objects,
-        });
+        return Right({ version: first.version, endVersion, objects });
       }
       if (last === after) {
         return Left(createBadAnswer("two pages of a list end with one name"));
