ORDER: ids that jump within one chunk are seen

Cause: the splitter told the first and the last id of a chunk.

Change: it tells whether each id follows the one before; a jump ends the response as out of order, and the stream is resumed or cut off.

Measured: a new test of event_splitter_test and one of event_relay_test, which need the new field; the relay forwarded 2 and 4 before.

--- a/packages/gateway/src/relay/event_relay.ts
+++ b/packages/gateway/src/relay/event_relay.ts
@@ -103,10 +103,10 @@
       const chunkEvents = splitter.add(chunk);
       if (splitter.remainderBytes > maxEventBytes) return finish("broken");
       if (chunkEvents === undefined) return;
-      const { firstId, hasFields } = chunkEvents;
+      const { firstId, hasFields, isConsecutive } = chunkEvents;
       const isNext = firstId === undefined || lastId === undefined ||
         firstId === lastId + 1;
-      if (!isNext) return finish("out_of_order");
+      if (!isNext || !isConsecutive) return finish("out_of_order");
       lastId = chunkEvents.lastId ?? lastId;
       hasEvents ||= hasFields;
       writeHead();
--- a/packages/gateway/src/relay/event_relay_test.ts
+++ b/packages/gateway/src/relay/event_relay_test.ts
@@ -65,6 +65,16 @@
   assert.equal(progress, [1, 2]);
 });
 
+test("events that jump within one chunk end the relay of their response", async () => {
+  const { response, outcome, progress } = startRelay({
+    "transfer-encoding": "chunked",
+  });
+  await deliver(response, "id: 1\ndata: a\n\n");
+  await deliver(response, "id: 2\ndata: b\n\nid: 4\ndata: d\n\n");
+  assert.is((await outcome).end, "out_of_order");
+  assert.equal(progress, [1]);
+});
+
 test("the bytes of an event are no progress until it is whole", async () => {
   const { response, outcome, progress } = startRelay({
     "transfer-encoding": "chunked",
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -16,6 +16,8 @@
   readonly lastId: number | undefined;
   /** First id among these events. */
   readonly firstId: number | undefined;
+  /** Whether each id is the one before it plus 1. */
+  readonly isConsecutive: boolean;
   /** Number of events with an id. */
   readonly eventCount: number;
   /** Whether any event has a field; comments alone only keep a stream open. */
@@ -69,6 +71,7 @@
   let firstId: number | undefined;
   let lastId: number | undefined;
   let eventCount = 0;
+  let isConsecutive = true;
   const text = bytes.toString("latin1");
   // Unlike `matchAll`, this does not copy the pattern.
   idPattern.lastIndex = 0;
@@ -79,9 +82,10 @@
   ) {
     const id = Number(match[1]);
     firstId ??= id;
+    isConsecutive &&= lastId === undefined || id === lastId + 1;
     lastId = id;
     eventCount += 1;
   }
   const hasFields = eventCount > 0 || fieldPattern.test(text);
-  return { bytes, firstId, lastId, eventCount, hasFields };
+  return { bytes, firstId, lastId, isConsecutive, eventCount, hasFields };
 }
--- a/packages/gateway/src/relay/event_splitter_test.ts
+++ b/packages/gateway/src/relay/event_splitter_test.ts
@@ -40,6 +40,19 @@
   );
 });
 
+// Guards against a piece that is missing or comes twice within what arrives at once.
+test("ids that jump, repeat or go back within a chunk are seen", () => {
+  const isConsecutive = (ids: readonly number[]) => {
+    const text = ids.map((id) => `id: ${id}\ndata: a\n\n`).join("");
+    return EventSplitter.create().add(Buffer.from(text))?.isConsecutive;
+  };
+  assert.is(isConsecutive([1, 2, 3]), true);
+  assert.is(isConsecutive([7]), true);
+  assert.is(isConsecutive([1, 2, 4]), false);
+  assert.is(isConsecutive([1, 2, 2]), false);
+  assert.is(isConsecutive([2, 1]), false);
+});
+
 test("an incomplete event is kept as the remainder", () => {
   const splitter = EventSplitter.create();
   const events = splitter.add(Buffer.from("id: 4\ndata: a\n\nid: 5\nda"));
