FAULT: signals, held ports, odd settings and outputs end no node

Callers saw (the users' own runs, reproduced with real processes): a second SIGTERM cut what the first let finish; SIGHUP while the program loads, SIGUSR2, a reader of the log that ends, a port that is still held, settings that are being written, and anything that nothing catches ended the process.

Cause: what Node.js does by default at these events was never decided.

Change: signals are kept from the launcher's first line and handled for the life of the process, the log drops what nobody reads, starts wait for ports and settings, and an error that nothing catches drains the node before it ends with code 1. Both interfaces run by the same parts of common.

The bundle's stand-in for unused library modules is empty now: as an ES module, its assignment to module.exports took the program's exports away.

--- a/packages/cli/src/serve_command.ts
+++ b/packages/cli/src/serve_command.ts
@@ -6,7 +6,10 @@
 import { readFile } from "node:fs/promises";
 import process from "node:process";
 import { Command, Option } from "clipanion";
+import { LogOutput } from "@almondcrank/common/log_output.ts";
 import { TslogLog } from "@almondcrank/common/logs.ts";
+import { ProcessSignals } from "@almondcrank/common/process_signals.ts";
+import { runServerProcess } from "@almondcrank/common/server_process.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { Node } from "@almondcrank/node/node.ts";
 import { runGatewayProgram } from "@almondcrank/gateway/gateway_program.ts";
@@ -34,7 +37,7 @@
   }
 }
 
-/** Runs a node. SIGTERM and SIGINT drain it. */
+/** Runs a node. SIGTERM, SIGINT and SIGQUIT drain it. */
 export class ServeCommand extends Command {
   static override paths = [["serve"]];
   static override usage = Command.Usage({
@@ -63,23 +66,24 @@
         return Promise.resolve<number>(exitCodes.invalid);
       },
       Right: async (checked) => {
-        const log = TslogLog.create("node", checked.log);
-        const node = await Node.open({ settings: checked, log });
-        // The handler is set first: a reader of the line may signal at once.
-        const signal = waitForSignal();
-        process.stdout.write(`listening ${JSON.stringify(node.addresses)}\n`);
-        await signal;
-        await node.drain();
-        return exitCodes.done;
+        const output = LogOutput.create(process.stdout);
+        const logOutput = LogOutput.create(process.stderr);
+        const log = TslogLog.create("node", {
+          ...checked.log,
+          write: (line) => logOutput.write(`${line}\n`),
+        });
+        return await runServerProcess({
+          signals: ProcessSignals.create({ source: process, log }),
+          errors: process,
+          log,
+          open: async () => {
+            const node = await Node.open({ settings: checked, log });
+            output.write(`listening ${JSON.stringify(node.addresses)}\n`);
+            return node;
+          },
+          drain: (node) => node.drain(),
+        });
       },
     });
   }
 }
-
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      process.once(signal, () => resolve());
-    }
-  });
-}
--- a/packages/common/src/http_server.ts
+++ b/packages/common/src/http_server.ts
@@ -108,7 +108,7 @@
   readonly address: Address;
   readonly routes: readonly HttpRoute[];
   readonly limits?: Partial<HttpLimits>;
-  /** Called with the reason when a handler rejects. */
+  /** Called with the reason when a handler rejects or the listener fails. */
   readonly onHandlerError?: (error: unknown) => void;
 }
 
@@ -163,6 +163,7 @@
       server.once("error", reject);
       server.listen(parts.port, parts.host, () => {
         server.off("error", reject);
+        server.on("error", (error) => options.onHandlerError?.(error));
         resolve();
       });
     });
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -115,18 +115,17 @@
     });
   }
 
+  static create(options: ClusterOptions): Cluster {
+    return new Cluster(options);
+  }
+
   /**
-   * Starts sending, and listens on the control address if one is given; rejects
-   * when that cannot be bound.
+   * Listens on the control address if one is given, and starts sending; rejects
+   * when that cannot be bound, and may be called again then.
    */
-  static async open(
-    options: ClusterOptions,
-    address: string | undefined,
-  ): Promise<Cluster> {
-    const cluster = new Cluster(options);
-    if (address !== undefined) await cluster.#listen(address);
-    cluster.#start();
-    return cluster;
+  async open(address: string | undefined): Promise<void> {
+    if (address !== undefined) await this.#listen(address);
+    this.#start();
   }
 
   /** Sends before the next tick, at most once per 30 ms. */
--- a/packages/gateway/src/cluster/peer_socket.ts
+++ b/packages/gateway/src/cluster/peer_socket.ts
@@ -41,7 +41,11 @@
   /** Binds the socket; rejects when the port is taken. */
   static open(options: PeerSocketOptions): Promise<PeerSocket> {
     const peerSocket = new PeerSocket(options);
-    return new Promise((resolve, reject) => {
+    return new Promise((resolve, rejectOpen) => {
+      const reject = (error: Error): void => {
+        peerSocket.dispose();
+        rejectOpen(error);
+      };
       peerSocket.#socket.once("error", reject);
       peerSocket.#socket.bind(options.port, options.ip, () => {
         peerSocket.#socket.off("error", reject);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
  * One gateway process: connects its parts, starts them and drains them.
  */
 
+import { openWhenFree } from "@almondcrank/common/address_wait.ts";
 import { type Clock } from "@almondcrank/common/clock.ts";
 import {
   createDisposable,
@@ -89,8 +90,8 @@
   }
 
   /**
-   * Creates and starts all parts; rejects when an address cannot be bound, except
-   * that of the metrics.
+   * Creates and starts all parts; waits for addresses that are still held, and
+   * rejects when one cannot be bound, except that of the metrics.
    */
   static async open(options: GatewayOptions): Promise<Gateway> {
     const parts = await createParts(options);
@@ -140,12 +141,13 @@
       parts.rateLimiter.prepare(configuration.tenants ?? [], clock.now());
     });
     const { members, usage, store, feeds, suspensionClock } = parts;
-    const socket = await PeerSocket.open({
-      ip: settings.ip,
-      port: settings.peerPort,
-      log: services.log.createChild("cluster"),
-      metrics: services.metrics,
-    });
+    const socket = await this.#openWhenFree("peers", () =>
+      PeerSocket.open({
+        ip: settings.ip,
+        port: settings.peerPort,
+        log: services.log.createChild("cluster"),
+        metrics: services.metrics,
+      }));
     this.#lifetime.register(socket);
     const { origins } = parts;
     this.#lifetime.register(
@@ -177,7 +179,7 @@
       readFencingToken: () => this.#lease?.fencingToken,
       pullFeed: (kind, ip) => void clusterRef.cluster?.pullFeed(kind, ip),
     });
-    const cluster = await Cluster.open({
+    const cluster = Cluster.create({
       clock: suspensionClock,
       log: services.log.createChild("cluster"),
       socket,
@@ -197,9 +199,10 @@
         "/metrics": () => services.metrics.format(),
         "/status": () => JSON.stringify(this.#composeStatus(parts)),
       },
-    }, settings.control);
+    });
     clusterRef.cluster = cluster;
     this.#lifetime.register(cluster);
+    await this.#openWhenFree("control", () => cluster.open(settings.control));
     this.#startReaders(parts, () => exchange.topology);
     this.#lifetime.register(
       NodeDiscovery.create({
@@ -335,11 +338,22 @@
     { settings, server }: GatewayParts,
   ): Promise<void> {
     if (settings.readiness !== undefined) {
-      const readiness = ReadinessServer.create(() => this.#isReady());
+      const readiness = ReadinessServer.create({
+        log: this.#log,
+        isReady: () => this.#isReady(),
+      });
       this.#lifetime.register(readiness);
-      await readiness.open(settings.readiness);
+      const address = settings.readiness;
+      await this.#openWhenFree("readiness", () => readiness.open(address));
     }
-    if (settings.callers !== undefined) await server.open(settings.callers);
+    const address = settings.callers;
+    if (address === undefined) return;
+    await this.#openWhenFree("callers", () => server.open(address));
+  }
+
+  #openWhenFree<T>(listener: string, open: () => Promise<T>): Promise<T> {
+    const clock = this.#clock;
+    return openWhenFree(open, { clock, log: this.#log, listener });
   }
 
   async #openMetrics(port: number): Promise<void> {
--- a/packages/gateway/src/live_settings.ts
+++ b/packages/gateway/src/live_settings.ts
@@ -6,11 +6,13 @@
  * the next start of the process.
  */
 
-import type { Either } from "purify-ts";
+import { type Either, Left } from "purify-ts";
+import type { Clock } from "@almondcrank/common/clock.ts";
 import { Emitter, type Event } from "@almondcrank/common/emitter.ts";
+import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { GatewaySettings } from "@almondcrank/model/gateway_settings.ts";
-import type { SettingsError } from "@almondcrank/platform/decode_settings.ts";
+import { SettingsError } from "@almondcrank/platform/decode_settings.ts";
 
 /** Log, reader and decoder of the settings. */
 export interface LiveSettingsOptions {
@@ -20,6 +22,10 @@
   readonly decode: (text: string) => Either<SettingsError, GatewaySettings>;
 }
 
+/** Time in which a file that can't be used yet may become whole. */
+const firstReadMs = 2_000;
+const firstReadPollMs = 50;
+
 /** Current settings of one process. */
 export class LiveSettings {
   readonly #options: LiveSettingsOptions;
@@ -37,6 +43,22 @@
     this.#current = current;
   }
 
+  /**
+   * Reads the file at the start of the process. It may be about to be written, so
+   * one that is missing or invalid is read again for two seconds.
+   */
+  static async open(
+    options: LiveSettingsOptions,
+    clock: Clock,
+  ): Promise<Either<SettingsError, LiveSettings>> {
+    const endsAt = clock.now() + firstReadMs;
+    while (true) {
+      const settings = readFirst(options);
+      if (settings.isRight() || clock.now() >= endsAt) return settings;
+      await clock.sleep(firstReadPollMs);
+    }
+  }
+
   /** Reads the file; `Left` if it is invalid. Throws if it cannot be read. */
   static create(
     options: LiveSettingsOptions,
@@ -75,7 +97,7 @@
     try {
       return this.#options.readText();
     } catch (thrown) {
-      const reason = thrown instanceof Error ? thrown.message : String(thrown);
+      const reason = formatThrown(thrown);
       this.#options.log.error(
         "the settings file cannot be read, the current settings stay.",
         { reason },
@@ -96,3 +118,18 @@
     this.#changed.fire(settings);
   }
 }
+
+function readFirst(
+  options: LiveSettingsOptions,
+): Either<SettingsError, LiveSettings> {
+  try {
+    return LiveSettings.create(options);
+  } catch (thrown) {
+    const reason = formatThrown(thrown);
+    return Left(
+      SettingsError.create([
+        `the file cannot be read (${reason}); give the path of a readable one`,
+      ]),
+    );
+  }
+}
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -172,6 +172,8 @@
     isHanded = false,
   ): Promise<void> {
     this.#running += 1;
+    // A write after the end of a connection is reported there.
+    response.on("error", () => response.destroy());
     if (this.#isClosing) response.setHeader("Connection", "close");
     try {
       await this.#serve({ request, response }, isHanded);
--- a/packages/gateway/src/testing/test_system.ts
+++ b/packages/gateway/src/testing/test_system.ts
@@ -193,7 +193,7 @@
       readFencingToken: () => node.fencingToken,
       pullFeed: () => {},
     });
-    node.cluster = await Cluster.open({
+    node.cluster = Cluster.create({
       clock,
       log: createSilentLog(),
       socket: {
@@ -217,7 +217,8 @@
       answerUnknownOrigin: () => "",
       handleHanded: () => {},
       pages: {},
-    }, undefined);
+    });
+    await node.cluster.open(undefined);
   }
 
   kill(node: TestNode): void {
--- a/packages/membership/src/peer_server.ts
+++ b/packages/membership/src/peer_server.ts
@@ -92,6 +92,11 @@
       server.once("error", reject);
       server.listen(parts.port, parts.host, () => {
         server.off("error", reject);
+        server.on("error", (error) => {
+          options.log.warn("the listener for peers failed.", {
+            reason: error.message,
+          });
+        });
         resolve();
       });
     });
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -3,6 +3,7 @@
  * the exchange of the configuration.
  */
 
+import { openWhenFree } from "@almondcrank/common/address_wait.ts";
 import type { Configuration } from "@almondcrank/common/configuration.ts";
 import {
   type Disposable,
@@ -62,7 +63,7 @@
    * Nothing is sent to peers before `start`.
    */
   static async open(options: ClusterOptions): Promise<Cluster> {
-    const { settings, log, metrics } = options;
+    const { settings, clock, log, metrics } = options;
     const disposables = DisposableStore.create();
     const late = LateValue.create<ClusterParts>("membership");
     const router = createNodeRouter({
@@ -74,13 +75,14 @@
         late.read().configuration.handleConfigurationRequest(request),
     }, options.handlers);
     const server = disposables.register(
-      await PeerServer.open({
-        address: settings.listen.peers,
-        key: settings.peerKey,
-        router,
-        log: log.createChild("peers"),
-        metrics,
-      }),
+      await openWhenFree(() =>
+        PeerServer.open({
+          address: settings.listen.peers,
+          key: settings.peerKey,
+          router,
+          log: log.createChild("peers"),
+          metrics,
+        }), { clock, log, listener: "peers" }),
     );
     const parts = createParts(options, server.address, disposables);
     late.set(parts);
--- a/packages/node/src/http_listeners.ts
+++ b/packages/node/src/http_listeners.ts
@@ -2,6 +2,7 @@
  * HTTP listeners of a node for callers and for operators.
  */
 
+import { openWhenFree } from "@almondcrank/common/address_wait.ts";
 import type { Either } from "purify-ts";
 import {
   type Disposable,
@@ -54,12 +55,21 @@
     this.#disposables = disposables;
   }
 
-  /** Starts both listeners; rejects when an address cannot be bound. */
+  /**
+   * Starts both listeners, once their addresses are free; rejects when one cannot
+   * be bound.
+   */
   static async open(options: HttpListenersOptions): Promise<HttpListeners> {
     const disposables = DisposableStore.create();
-    const operators = disposables.register(await openOperators(options));
+    const { clock, log } = options;
+    const wait = (listener: string) => ({ clock, log, listener });
+    const operators = disposables.register(
+      await openWhenFree(() => openOperators(options), wait("operators")),
+    );
     try {
-      const callers = disposables.register(await openCallers(options));
+      const callers = disposables.register(
+        await openWhenFree(() => openCallers(options), wait("callers")),
+      );
       return new HttpListeners(callers, operators, disposables);
     } catch (thrown) {
       disposables.dispose();
--- a/packages/scenario/src/program_process.ts
+++ b/packages/scenario/src/program_process.ts
@@ -59,7 +59,7 @@
   }
 
   /** Sends a signal to the process. */
-  signal(signal: "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGTERM"): void {
+  signal(signal: NodeJS.Signals): void {
     this.#child.kill(signal);
   }
 
--- /dev/null
+++ b/packages/scenario/src/testing/gateway_process.ts
@@ -0,0 +1,180 @@
+/**
+ * One real process of a gateway node, with stand-ins of the platform and replicas,
+ * for tests of signals, starts and outputs.
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import {
+  type RouteAnswer,
+  type RouteRequest,
+  sendRouteRequest,
+} from "@almondcrank/load/route_client.ts";
+import { CloudStandin } from "@almondcrank/standin/platform/cloud_standin.ts";
+import {
+  createExampleConfiguration,
+  exampleHostname,
+  tenantKey,
+} from "@almondcrank/standin/platform/example_configuration.ts";
+import {
+  createNodePlace,
+  findSharedPorts,
+  formatNodeSettings,
+  type NodePlace,
+} from "@almondcrank/standin/platform/node_settings.ts";
+import { ReplicaStandin } from "@almondcrank/standin/platform/replica_standin.ts";
+import { StoreStandin } from "@almondcrank/standin/platform/store_standin.ts";
+
+const settingsVariable = "ALMONDCRANK_SETTINGS";
+const waitMs = 10_000;
+const pollMs = 10;
+
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: string | null;
+}
+
+let nextId = 1;
+
+/** A node that is started as a process, and what it speaks with. */
+export class GatewayProcess {
+  readonly place: NodePlace;
+  readonly booking: ReplicaStandin;
+  readonly #store: StoreStandin;
+  readonly #cloud: CloudStandin;
+  readonly #folder = mkdtempSync(join(tmpdir(), "gateway-process-"));
+  #child: ChildProcess | undefined;
+  output = "";
+  #end: ProcessEnd | undefined;
+
+  private constructor(
+    parts: Pick<GatewayProcess, "place" | "booking"> & {
+      readonly store: StoreStandin;
+      readonly cloud: CloudStandin;
+    },
+  ) {
+    this.place = parts.place;
+    this.booking = parts.booking;
+    this.#store = parts.store;
+    this.#cloud = parts.cloud;
+  }
+
+  /** Opens the stand-ins; `start` starts the process. */
+  static async open(): Promise<GatewayProcess> {
+    const store = await StoreStandin.open();
+    const cloud = await CloudStandin.open();
+    const booking = await ReplicaStandin.open({ id: "booking-1" });
+    store.put("config", "main", createExampleConfiguration(1, {}));
+    store.put("servers", "booking-1", {
+      service: "booking",
+      address: booking.address,
+      zone: "muc-a",
+      version: "v1",
+      slots: 8,
+      state: "ready",
+      "cold-remaining-ms": 0,
+      "seq-no": 1,
+    });
+    const place = await createNodePlace(0, await findSharedPorts(), {
+      storeAddress: store.address,
+      cloudAddress: cloud.address,
+    });
+    return new GatewayProcess({ place, booking, store, cloud });
+  }
+
+  get settingsText(): string {
+    return formatNodeSettings(this.place, { isFirstStart: true });
+  }
+
+  /** Writes the settings file, by default as the platform does. */
+  writeSettings(text: string = this.settingsText): void {
+    writeFileSync(join(this.#folder, "settings.json"), text);
+  }
+
+  /** Starts the process; does not wait for it. */
+  start(command: readonly string[]): void {
+    const child = spawn(process.execPath, command, {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: {
+        ...process.env,
+        [settingsVariable]: join(this.#folder, "settings.json"),
+      },
+    });
+    const record = (data: Buffer): void => void (this.output += `${data}`);
+    child.stdout.on("data", record);
+    child.stderr.on("data", record);
+    child.once("exit", (code, signal) => this.#end = { code, signal });
+    this.#child = child;
+  }
+
+  /** Closes this end of the process's outputs. */
+  closeOutputs(): void {
+    this.#child?.stdout?.destroy();
+    this.#child?.stderr?.destroy();
+  }
+
+  get hasEnded(): boolean {
+    return this.#end !== undefined;
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Sends a booking of which the answer is awaited for some seconds. */
+  book(more: Partial<RouteRequest> = {}): Promise<RouteAnswer> {
+    return sendRouteRequest({
+      key: tenantKey,
+      deadlineMs: 4_000,
+      id: `process-${nextId++}`,
+      path: "/book/x",
+      host: exampleHostname,
+      address: this.place.callers,
+      ...more,
+    });
+  }
+
+  /** Waits until the node answers a booking; throws if it ends before. */
+  async waitUntilServing(): Promise<void> {
+    const endsAt = performance.now() + waitMs;
+    while ((await this.book()).status !== 200) {
+      if (this.hasEnded || performance.now() > endsAt) {
+        throw new Error(`the node does not serve:\n${this.output}`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, pollMs));
+    }
+  }
+
+  /** Waits until the output has a text. */
+  async waitForOutput(text: string): Promise<void> {
+    const endsAt = performance.now() + waitMs;
+    while (!this.output.includes(text)) {
+      if (this.hasEnded || performance.now() > endsAt) {
+        throw new Error(`no "${text}" in the output:\n${this.output}`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, pollMs));
+    }
+  }
+
+  async waitForEnd(): Promise<ProcessEnd> {
+    if (this.#end === undefined && this.#child !== undefined) {
+      await once(this.#child, "exit");
+    }
+    return this.#end ?? { code: null, signal: null };
+  }
+
+  /** Kills the process and closes the stand-ins. */
+  async close(): Promise<void> {
+    this.signal("SIGKILL");
+    await this.waitForEnd();
+    this.booking.close();
+    this.#store.close();
+    this.#cloud.close();
+    rmSync(this.#folder, { recursive: true });
+  }
+}
--- a/scripts/bundle_gateway.mjs
+++ b/scripts/bundle_gateway.mjs
@@ -41,7 +41,7 @@
       { filter: /\.js$/ },
       ({ path }) =>
         unusedModules.some((pattern) => pattern.test(path))
-          ? { contents: "module.exports = {};" }
+          ? { contents: "" }
           : undefined,
     );
     bundle.onResolve({ filter: /^(undici|hdr-histogram-js)$/ }, ({ path }) => ({
