MIXED: an answer that names no request is none where answers name theirs

Cause: an answer without an id was paired with the request in work by its place on the connection alone.

--- a/packages/endpoint/src/foreign_answers_test.ts
+++ b/packages/endpoint/src/foreign_answers_test.ts
@@ -93,6 +93,26 @@
   assert.is(server.sockets.length, 2);
 });
 
+test("a plain call does not take an earlier answer that comes without its id", async () => {
+  let bare = "";
+  const server = await openServer((head, request) => {
+    const answer = composeAnswer(head, `answer ${request}`);
+    const earlier = bare;
+    bare = answer.replace(/x-call-id: .*\r\n/, "");
+    return request === 2 ? earlier + answer : answer;
+  });
+  const { address } = server;
+  const endpoint = HttpPlainEndpoint.create({ name: "b", address, clock });
+  const first = (await endpoint.call(call, never)).unsafeCoerce();
+  const second = await endpoint.call(call, never);
+  const third = (await endpoint.call(call, never)).unsafeCoerce();
+  endpoint.dispose();
+  await server.close();
+  assert.is(Buffer.from(first.body).toString(), "answer 1");
+  assert.is(second.swap().unsafeCoerce().run, "unknown");
+  assert.is(Buffer.from(third.body).toString(), "answer 3");
+});
+
 test("an engine's call does not take the second copy of an earlier answer", async () => {
   const composeState = (request: number) =>
     JSON.stringify({
--- a/packages/gateway/src/relay/hand_over.ts
+++ b/packages/gateway/src/relay/hand_over.ts
@@ -192,7 +192,7 @@
           "close",
         ],
         body: request.body,
-        requestId: undefined,
+        requestId: request.id,
         signal: aborter.signal,
         callerSignal: request.callerSignal,
         connectTimeoutMs,
--- a/packages/gateway/src/relay/repeated_refusal_test.ts
+++ b/packages/gateway/src/relay/repeated_answers_test.ts
@@ -1,6 +1,6 @@
 /**
- * A replica that writes an earlier refusal once more on a connection that is in use
- * again: the request that it is running must not count as refused.
+ * A replica that writes an earlier refusal or answer once more on a connection that
+ * is in use again: the request that it is running gets neither.
  */
 
 import { createServer, type Socket } from "node:net";
@@ -74,4 +74,69 @@
   assert.is(second?.kind, "lost");
 });
 
+/** Answers the first request of a connection, and later writes other bytes. */
+async function sendAnswers(
+  answers: readonly (string | undefined)[],
+  ids: readonly (string | undefined)[],
+): Promise<readonly SendOutcome[]> {
+  const sockets: Socket[] = [];
+  const left = [...answers];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      const id = left.shift();
+      const echo = id === undefined ? "" : `X-Request-Id: ${id}\r\n`;
+      socket.write(`HTTP/1.1 200 OK\r\n${echo}Content-Length: 1\r\n\r\na`);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+  const { port } = server.address() as AddressInfo;
+  const agent = ReplicaAgent.create(1);
+  const outcomes: SendOutcome[] = [];
+  for (const requestId of ids) {
+    const outcome = await sendToReplica({
+      address: `127.0.0.1:${port}`,
+      agent,
+      method: "POST",
+      path: "/",
+      composeHeaders: () => ["Host", "h", "Connection", "keep-alive"],
+      body: Buffer.from("x"),
+      requestId,
+      signal: new AbortController().signal,
+      connectTimeoutMs: 1_000,
+      callerSignal: new AbortController().signal,
+      isWanted: () => true,
+      onAnswer: () => {},
+    });
+    outcomes.push(outcome);
+    if (outcome.kind === "answered") outcome.response.resume();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  agent.destroy();
+  for (const socket of sockets) socket.destroy();
+  server.close();
+  return outcomes;
+}
+
+// Guards against callers that get another caller's answer.
+test("an answer without an id is another request's where answers have ids", async () => {
+  const outcomes = await sendAnswers(["a", undefined, "c"], ["a", "b", "c"]);
+  const kinds = outcomes.map(({ kind }) => kind);
+  assert.equal(kinds, ["answered", "lost", "answered"]);
+});
+
+test("an answer without an id is taken from a replica that names none", async () => {
+  const outcomes = await sendAnswers([undefined, undefined], ["a", "b"]);
+  const kinds = outcomes.map(({ kind }) => kind);
+  assert.equal(kinds, ["answered", "answered"]);
+});
+
+test("an answer with an id is no answer to a request without one", async () => {
+  const outcomes = await sendAnswers(["a", "a"], ["a", undefined]);
+  assert.is(outcomes[1]?.kind, "lost");
+});
+
 test.run();
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -222,6 +222,26 @@
   return "connection";
 }
 
+/** Open connections on which an answer has named its request. */
+const namingSockets = new WeakSet<Socket>();
+
+/**
+ * Whether an answer surely belongs to another request: it names another one, or it
+ * names none where the answers before it did. Bytes that a faulty replica sends
+ * late come where the answer to the next request on their connection is awaited.
+ */
+function isForeign(
+  { requestId }: ReplicaRequest,
+  { headers, socket }: IncomingMessage,
+): boolean {
+  const echoed = headers[requestIdHeader];
+  if (echoed !== undefined) {
+    namingSockets.add(socket);
+    return echoed !== requestId;
+  }
+  return requestId !== undefined && namingSockets.has(socket);
+}
+
 /** Ids of the requests that were refused on each open connection. */
 const refusedIds = new WeakMap<Socket, Set<string>>();
 
@@ -257,14 +277,11 @@
   outgoing: ClientRequest,
   response: IncomingMessage,
 ): SendOutcome {
-  const echoed = response.headers[requestIdHeader];
-  const isMismatched = echoed !== undefined && call.requestId !== undefined &&
-    echoed !== call.requestId;
-  if (isMismatched) {
+  if (isForeign(call, response)) {
     outgoing.destroy();
     return {
       kind: "lost",
-      reason: "the response carries the id of another request",
+      reason: "the response belongs to another request",
       isReset: false,
     };
   }
