CONFIG: a request whose replica switches protocols is answered

Cause: the send waited for a response or an error; for such an answer Node.js closes the connection with neither.

Change: the close of the request settles it, as lost.

--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -116,16 +116,24 @@
     let received: IncomingMessage | undefined;
     watchConnect(outgoing, call, () => isConnected = true);
     watchInterimResponses(outgoing);
-    outgoing.on("error", (error) => {
+    const fail = (error: Error): void => {
       const reason = error.message;
-      // When the connection is reset, Node.js ends a response without a length
-      // as if it were complete, unless the response was destroyed before.
-      received?.destroy(error);
       resolve(
         isConnected
           ? { kind: "lost", reason, isReset: isResetError(error) }
           : { kind: "not_sent", reason, isUnreached: isUnreachedError(error) },
       );
+    };
+    outgoing.on("error", (error) => {
+      // When the connection is reset, Node.js ends a response without a length
+      // as if it were complete, unless the response was destroyed before.
+      received?.destroy(error);
+      fail(error);
+    });
+    // After an answer that switches protocols, Node.js closes the connection with
+    // neither a response nor an error.
+    outgoing.on("close", () => {
+      fail(new Error("the connection closed without an answer"));
     });
     outgoing.on("response", (response) => {
       received = response;
--- a/packages/scenario/src/gateway_spoiled_heads_test.ts
+++ b/packages/scenario/src/gateway_spoiled_heads_test.ts
@@ -15,6 +15,12 @@
 const spoiledHeads: readonly ReplicaFault[] = [
   { kind: "spoil_head", line: "X-Weight Versions: 1" },
   { kind: "spoil_head", statusLine: "HTTP/1.1 099 Odd" },
+  { kind: "spoil_head", statusLine: "HTTP/1.1 101 Odd" },
+  {
+    kind: "spoil_head",
+    statusLine: "HTTP/1.1 101 Switching Protocols",
+    line: "Connection: Upgrade\r\nUpgrade: x",
+  },
 ];
 
 for (const fault of spoiledHeads) {
@@ -60,6 +66,7 @@
       }
       const answer = await setup.call({ path: "/book/x", id: "once" });
       assert.is(answer.status, 502);
+      assert.ok(answer.totalMs < 1_000, `answered after ${answer.totalMs} ms`);
       assert.match(answer.body, "answer_lost");
       assert.is(countRuns(setup, "once"), 1);
     });
