ORDER: a node that is out of step does not guess a stream's version

Other operators saw: during a release a machine was cut off or stood still while replicas of a new version joined; streams that had begun there were taken up at it and went on at the old version. It could happen here.

Cause: a stream of unknown origin goes on at the one version that the node's copy of the registrations has, however old that copy is.

Change: with a copy that is not current the node asks peers, and refuses what stays unknown as not run; current is what was confirmed within 3 s, or what a node that hears at least half of the others has.

--- a/packages/gateway/src/cluster/version_archive.ts
+++ b/packages/gateway/src/cluster/version_archive.ts
@@ -53,6 +53,8 @@
   readonly hasMixedService: boolean;
   /** Whether versions that served before this node's start are known. */
   readonly isComplete: boolean;
+  /** Whether versions that began lately are known, too. */
+  readonly isCurrent: boolean;
   /** Waits a short time for `isComplete`. */
   waitUntilComplete(): Promise<void>;
   /** Takes over the history that a peer composed, if this node has none. */
@@ -71,6 +73,8 @@
   readonly table: ReplicaTable;
   /** Whether the registrations have been received. */
   readonly isSynced: () => boolean;
+  /** Whether this node's copy of them is the present one. */
+  readonly isCopyCurrent: () => boolean;
   /** Time for which streams of a version that left may be taken up again. */
   readonly readHorizonMs: () => number;
   /** Rank of this node among those that may write; 0 comes first. */
@@ -139,6 +143,10 @@
       clock.now() - this.#startedAt > readHorizonMs();
   }
 
+  get isCurrent(): boolean {
+    return this.#options.isCopyCurrent();
+  }
+
   async waitUntilComplete(): Promise<void> {
     const { clock } = this.#options;
     const until = clock.now() + firstReadWaitMs;
--- a/packages/gateway/src/cluster/version_archive_test.ts
+++ b/packages/gateway/src/cluster/version_archive_test.ts
@@ -42,6 +42,7 @@
       readWallTime: () => clock.wallTime(),
       table,
       isSynced: () => true,
+      isCopyCurrent: () => true,
       readHorizonMs: () => horizonMs,
       readRank: () => rank,
       isFirstStart,
--- /dev/null
+++ b/packages/gateway/src/feed/copy_currency_test.ts
@@ -0,0 +1,20 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { isCopyCurrent } from "./copy_currency.ts";
+
+test("a copy that was confirmed lately is current", () => {
+  assert.ok(isCopyCurrent({ ageMs: 1_900, known: 8, heard: 0 }));
+});
+
+test("the copy of a node that stood still or is cut off is not", () => {
+  assert.not(isCopyCurrent({ ageMs: 4_000, known: 8, heard: 0 }));
+  // Cut off together with few others.
+  assert.not(isCopyCurrent({ ageMs: 4_000, known: 8, heard: 2 }));
+});
+
+test("in an outage of the store, copies of nodes that hear each other are", () => {
+  assert.ok(isCopyCurrent({ ageMs: 20_000, known: 8, heard: 8 }));
+  assert.ok(isCopyCurrent({ ageMs: 20_000, known: 0, heard: 0 }));
+});
+
+test.run();
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -32,6 +32,7 @@
 import { VersionArchive } from "./cluster/version_archive.ts";
 import { WorkMeter } from "./duties/work_meter.ts";
 import { UsageCounts } from "./duties/usage_counts.ts";
+import { isCopyCurrent } from "./feed/copy_currency.ts";
 import { type FeedKind, FeedState } from "./feed/feed_state.ts";
 import { StoreView } from "./feed/store_view.ts";
 import { TenantRateLimiter } from "./limits/tenant_rate_limiter.ts";
@@ -156,6 +157,14 @@
     ...archiveOptions,
     table,
     isSynced: () => view.hasSyncedReplicas,
+    isCopyCurrent: () => {
+      const now = suspensionClock.now();
+      return isCopyCurrent({
+        ageMs: now - feeds.replicas.confirmedAt,
+        known: members.listKnown(now).length,
+        heard: members.listAlive(now).length,
+      });
+    },
     readRank: () => members.readRank(suspensionClock.now(), false),
     isFirstStart: settings.isFirstStart,
   });
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -68,8 +68,8 @@
     "it is not known which software version began this stream, or this route " +
     "no longer has it; send the request again without Last-Event-ID",
   versions_not_read:
-    "this node has just started and the store has not told it yet which software " +
-    "version began this stream; the request has not run, try again",
+    "this node has just started or was cut off, and does not know yet which " +
+    "software version began this stream; the request has not run, try again",
   version_gone:
     "no replica of the software version that began this stream takes requests; " +
     "send the request again without Last-Event-ID",
--- a/packages/gateway/src/relay/stream_resume.ts
+++ b/packages/gateway/src/relay/stream_resume.ts
@@ -20,13 +20,16 @@
   | { readonly kind: "continues"; readonly origin: StreamOrigin }
   /** No replica of the service is known, so there is nothing to choose. */
   | { readonly kind: "unknown" }
-  /** The store has not told yet what was before this node started. */
+  /** This node does not know yet what was before its start, or joined lately. */
   | { readonly kind: "not_read" }
   | { readonly kind: "refused" };
 
 /** What the decision depends on. */
 export interface ResumeInputs {
-  readonly versions: Pick<VersionKnowledge, "listVersions" | "isComplete">;
+  readonly versions: Pick<
+    VersionKnowledge,
+    "listVersions" | "isComplete" | "isCurrent"
+  >;
   /** Whether the stored origins of before this node's start were read. */
   readonly hasReadStored: boolean;
   /** Service and version that began the stream, if known. */
@@ -36,7 +39,8 @@
 /**
  * Decides where a stream may go on. If it is not known who began it, only the
  * one version that serves or served lately can have done so; among several, a
- * guess would join what does not fit together.
+ * guess would join what does not fit together. A node that is out of step can't
+ * tell whether it knows them all.
  */
 export function decideResume(
   { route, service }: Pick<Routed, "route" | "service">,
@@ -52,7 +56,8 @@
   if (others.length > 0) {
     return { kind: hasReadStored ? "refused" : "not_read" };
   }
-  if (!versions.isComplete) return { kind: "not_read" };
+  const knowsAll = versions.isComplete && versions.isCurrent;
+  if (!knowsAll) return { kind: "not_read" };
   return { kind: "continues", origin: { service: service.name, version } };
 }
 
@@ -88,7 +93,7 @@
   const id = readHeader(request, resumedRequestHeader);
   if (!versions.isComplete) await versions.waitUntilComplete();
   const mayAsk = routed.route.targets.length > 1 || !versions.isComplete ||
-    versions.isMixed(routed.service.name);
+    !versions.isCurrent || versions.isMixed(routed.service.name);
   const origin = id === undefined ? undefined : await origins.find(id, mayAsk);
   const { hasReadStored } = origins;
   const verdict = decideResume(routed, { versions, origin, hasReadStored });
--- a/packages/gateway/src/relay/stream_resume_test.ts
+++ b/packages/gateway/src/relay/stream_resume_test.ts
@@ -27,6 +27,7 @@
   return {
     listVersions: (name: string) => table.listVersions(name),
     isComplete,
+    isCurrent: true,
   };
 }
 
@@ -82,6 +83,7 @@
   const versions = {
     listVersions: (name: string) => table.listVersions(name),
     isComplete: true,
+    isCurrent: true,
   };
   const decide = () =>
     decideResume({ route, service }, {
@@ -106,6 +108,16 @@
   assert.is(decide(known).kind, "continues");
 });
 
+// Guards against streams of a new version that go on at the old one.
+test("a node that is out of step does not guess", () => {
+  const versions = { ...createKnowledge(["v1"]), isCurrent: false };
+  const decide = (origin: StreamOrigin | undefined) =>
+    decideResume({ route, service }, { versions, hasReadStored: true, origin });
+  assert.is(decide(undefined).kind, "not_read");
+  const known = { service: "models", version: "v1" };
+  assert.is(decide(known).kind, "continues");
+});
+
 test("a node that has not read the stored origins says so among several versions", () => {
   const decide = (hasReadStored: boolean) =>
     decideResume({ route, service }, {
