FAULT: all bodies that are being read share one bound

Other operators saw: a faulty replica sent bytes without end, and the machine that had called it ran out of memory with all its requests. It could happen here with many calls at once.

Cause: each body has a limit of 8 MiB, all together had none; a control call took 16 MiB.

--- a/packages/endpoint/src/answer_limits.ts
+++ b/packages/endpoint/src/answer_limits.ts
@@ -2,25 +2,35 @@
  * Limits of answers: an endpoint in trouble may send bytes without end.
  */
 
+import { BodyBudget } from "@almondcrank/common/body_budget.ts";
+
 /** Interim answers (1xx) accepted before an answer; none are expected. */
 const maxInterimAnswers = 16;
 /** Largest body that is read whole, in bytes; cache exports are the largest. */
 const maxBodyBytes = 16 * 1_048_576;
 
+/** Bodies that are being read. */
+const budget = BodyBudget.create();
+
 /** Reads a body as text; throws, and closes its connection, above 16 MiB. */
 export async function readBodyText(
   body: AsyncIterable<Buffer>,
 ): Promise<string> {
   const chunks: Buffer[] = [];
+  const share = budget.open();
   let bytes = 0;
-  for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > maxBodyBytes) {
-      throw new Error(`the answer exceeds ${maxBodyBytes} bytes`);
+  try {
+    for await (const chunk of body) {
+      bytes += chunk.length;
+      if (!share.add(chunk.length) || bytes > maxBodyBytes) {
+        throw new Error(`the answer is too large (${bytes} bytes)`);
+      }
+      chunks.push(chunk);
     }
-    chunks.push(chunk);
+    return new TextDecoder().decode(Buffer.concat(chunks));
+  } finally {
+    share.release();
   }
-  return new TextDecoder().decode(Buffer.concat(chunks));
 }
 
 /** Creates an `onInfo` callback that fails a call with too many interim answers. */
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -11,6 +11,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
+import { BodyBudget } from "@almondcrank/common/body_budget.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
@@ -26,6 +27,8 @@
   PlainLoad,
 } from "./plain_service.ts";
 
+/** Answers that are being read. */
+const budget = BodyBudget.create();
 const defaultMaxAnswerBytes = 4_194_304;
 const connectTimeoutMs = 1_000;
 const loadTimeoutMs = 1_000;
@@ -223,6 +226,7 @@
   readonly #deadline: number;
   readonly #timer = new AbortController();
   readonly #chunks: Buffer[] = [];
+  readonly #share = budget.open();
   readonly #countInterim = createInterimLimit();
   #controller: Dispatcher.DispatchController | undefined;
   #size = 0;
@@ -293,6 +297,9 @@
     if (this.#size > this.#options.maxAnswerBytes) {
       const reason = `the answer exceeds ${this.#options.maxAnswerBytes} bytes`;
       this.#setFailure({ kind: "bad_answer", reason });
+    } else if (!this.#share.add(chunk.length)) {
+      const reason = "the answers that are being read exceed their memory";
+      this.#setFailure({ kind: "bad_answer", reason });
     }
   }
 
@@ -356,6 +363,8 @@
   #setResult(result: Either<Failure, ReceivedAnswer>): void {
     if (this.#finished) return;
     this.#finished = true;
+    this.#share.release();
+    this.#chunks.length = 0;
     this.#timer.abort();
     this.#options.exchange.signal.removeEventListener(
       "abort",
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -40,6 +40,8 @@
 const minSendIntervalMs = 30;
 /** Lost nodes to which an isolated node sends in one tick. */
 const lostNodesPerTick = 3;
+/** Largest encoded copy of a feed, in bytes. */
+const maxCopyBytes = 16 * 1_048_576;
 const pullTimeoutMs = 2_000;
 const snapshotPath = "/peer/copy/";
 const busyStatus = 503;
@@ -146,7 +148,11 @@
       const { clock, controlPort, feeds } = this.#options;
       const answer = await sendControlCall(
         { method: "GET", path: snapshotPath + kind, body: "" },
-        { address: `${ip}:${controlPort}`, timeoutMs: pullTimeoutMs },
+        {
+          address: `${ip}:${controlPort}`,
+          timeoutMs: pullTimeoutMs,
+          maxBytes: maxCopyBytes,
+        },
       );
       if (answer?.statusCode !== 200) return;
       const snapshot = await decodeFeedSnapshot(answer.body);
--- a/packages/gateway/src/relay/control_call.ts
+++ b/packages/gateway/src/relay/control_call.ts
@@ -11,7 +11,8 @@
 import { requireAddress } from "@almondcrank/common/address.ts";
 import type { ReplicaCall } from "@almondcrank/platform/kv_move.ts";
 
-const maxResponseBytes = 16 * 1_048_576;
+/** Largest response by default, in bytes: above any answer to a control call. */
+const defaultMaxBytes = 65_536;
 
 /** A buffered response. */
 export interface ControlResponse {
@@ -27,10 +28,12 @@
   readonly address: string;
   readonly timeoutMs: number;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Largest response that is read, in bytes; 64 KiB by default. */
+  readonly maxBytes?: number;
 }
 
 /**
- * Makes one call; `undefined` if no complete response of at most 16 MiB came in
+ * Makes one call; `undefined` if no complete response within its size came in
  * time.
  */
 export function sendControlCall(
@@ -44,7 +47,7 @@
     // Its path, a header or its address can't be used.
     return Promise.resolve(undefined);
   }
-  const { timeoutMs } = options;
+  const { timeoutMs, maxBytes = defaultMaxBytes } = options;
   return new Promise((resolve) => {
     const timer = setTimeout(() => outgoing.destroy(), timeoutMs);
     const finish = (response: ControlResponse | undefined): void => {
@@ -58,7 +61,7 @@
       let bytes = 0;
       response.on("data", (chunk: Buffer) => {
         bytes += chunk.length;
-        if (bytes > maxResponseBytes) outgoing.destroy();
+        if (bytes > maxBytes) outgoing.destroy();
         else chunks.push(chunk);
       });
       response.on("error", () => finish(undefined));
--- a/packages/gateway/src/relay/response_body.ts
+++ b/packages/gateway/src/relay/response_body.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import { BodyBudget } from "@almondcrank/common/body_budget.ts";
 
 /**
  * Largest body that is read whole, in bytes: above any answer, and small enough
@@ -16,9 +17,12 @@
 /** Time in which a discarded body must end, in milliseconds. */
 const discardMs = 1_000;
 
+/** Bodies that are being read. */
+const budget = BodyBudget.create();
+
 /**
- * Reads the whole body; `undefined` if the response is truncated or exceeds
- * 8 MiB. Its connection is closed then.
+ * Reads the whole body; `undefined` if the response is truncated, exceeds
+ * 8 MiB or what all bodies may hold together. Its connection is closed then.
  */
 export function readResponseBody(
   response: IncomingMessage,
@@ -26,18 +30,25 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    const share = budget.open();
+    const finish = (body: Buffer | undefined): void => {
+      share.release();
+      chunks.length = 0;
+      resolve(body);
+    };
     response.on("data", (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > maxBodyBytes) response.destroy();
-      else chunks.push(chunk);
+      const mayGrow = share.add(chunk.length) && bytes <= maxBodyBytes;
+      if (mayGrow) chunks.push(chunk);
+      else response.destroy();
     });
     response.on("end", () => {
-      resolve(response.complete ? Buffer.concat(chunks) : undefined);
+      finish(response.complete ? Buffer.concat(chunks) : undefined);
     });
-    response.on("error", () => resolve(undefined));
-    response.on("close", () => resolve(undefined));
+    response.on("error", () => finish(undefined));
+    response.on("close", () => finish(undefined));
     // It may have broken before anyone listened.
-    if (response.destroyed) resolve(undefined);
+    if (response.destroyed) finish(undefined);
   });
 }
 
--- a/packages/scenario/src/gateway_endless_answers_test.ts
+++ b/packages/scenario/src/gateway_endless_answers_test.ts
@@ -24,6 +24,8 @@
 const answerMs = 5_000;
 /** Streams sent together, so that each replica gets some. */
 const streamsAtOnce = 6;
+/** Calls sent together: as many as whose limits exceed the node's memory. */
+const callsAtOnce = 60;
 /** Growth of memory that the limits of all answers at once allow, in bytes. */
 const allowedGrowthBytes = 128 * 1_048_576;
 const servicesById = {
@@ -171,4 +173,23 @@
   });
 }
 
+// Guards against many faulty answers that fill the memory together.
+test("many answers without end at once hold no more than some", async () => {
+  const ids = ["booking-1", "booking-2"] as const;
+  await runWithEndless("body", ids, async (setup, server) => {
+    await checkMemory(async () => {
+      const answers = await Promise.all(
+        Array.from(
+          { length: callsAtOnce },
+          () => setup.call({ path: "/book/", deadlineMs }),
+        ),
+      );
+      for (const { status, isComplete } of answers) {
+        assert.ok(!isComplete || status === 502, `${status}`);
+      }
+      await setup.waitUntil(() => server.openConnections === 0);
+    });
+  });
+});
+
 test.run();
