LOST: a drain takes what it can end, and answers what it can't

Other operators saw: requests that came late in the grace of a planned stop were taken, passed on and cut at its end with no answer. It could happen here.

Cause: a node that drains takes whatever comes until its listener closes, and at the end closes the connections of what still runs.

Change: a call that may run once is taken only if its deadline lies before the end of the drain, else refused at once as not run; what still runs at the end is answered with 502, in both interfaces. The five listeners share one function now, which also owns their later errors.

--- a/packages/common/src/drainable_server.ts
+++ b/packages/common/src/drainable_server.ts
@@ -42,6 +42,11 @@
     return false;
   }
 
+  /** Responses to requests that have no answer yet. */
+  listUnanswered(): readonly ServerResponse[] {
+    return [...this.#responses].filter(({ headersSent }) => !headersSent);
+  }
+
   /**
    * Stops accepting connections, and closes each one once it is idle; resolves
    * when all have ended.
--- a/packages/common/src/http_server.ts
+++ b/packages/common/src/http_server.ts
@@ -12,12 +12,14 @@
 import type { Duplex } from "node:stream";
 import createRouter, { type HTTPVersion, type Instance } from "find-my-way";
 import { type Either, Left, Right } from "purify-ts";
-import { type Address, formatAddress, requireAddress } from "./address.ts";
+import { type Address, formatAddress } from "./address.ts";
 import { DrainableServer } from "./drainable_server.ts";
 import { formatThrown, KindError } from "./kind_error.ts";
+import { listen } from "./listen.ts";
 import {
   createClientError,
   createNoSuchPathError,
+  createStoppedError,
   formatServerError,
   type ServerError,
 } from "./server_error.ts";
@@ -137,7 +139,6 @@
    */
   static async open(options: HttpServerOptions): Promise<HttpServer> {
     const limits = { ...defaultHttpLimits, ...options.limits };
-    const parts = requireAddress(options.address);
     const server = DrainableServer.create({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: Math.min(
@@ -159,13 +160,8 @@
       if (!opened.#refused.has(request.socket)) listener(request, response);
       else refuseConnection(response, limits.maxConnections);
     });
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(parts.port, parts.host, () => {
-        server.off("error", reject);
-        server.on("error", (error) => options.onHandlerError?.(error));
-        resolve();
-      });
+    await listen(server, options.address, {
+      onError: (error) => options.onHandlerError?.(error),
     });
     return opened;
   }
@@ -189,6 +185,16 @@
     return this.#server.drain();
   }
 
+  /**
+   * Answers all requests that still run, before the process ends: a closed connection
+   * would tell their callers less.
+   */
+  failRunning(): void {
+    for (const response of this.#server.listUnanswered()) {
+      sendServerError(response, createStoppedError());
+    }
+  }
+
   /** Stops listening and destroys every connection. */
   dispose(): void {
     this.#server.close();
--- a/packages/common/src/http_server_test.ts
+++ b/packages/common/src/http_server_test.ts
@@ -74,4 +74,22 @@
   assert.ok(bytes > largeBytes, `${bytes}`);
 });
 
+// Guards against requests that are cut with no answer at the end of a drain.
+test("requests that still run as the process ends are answered", async () => {
+  const server = await HttpServer.open({
+    address: "127.0.0.1:0",
+    routes: [{ method: "ALL", path: "/*", handle: () => {} }],
+  });
+  const answer = fetch(`http://${server.address}/book`, { method: "POST" });
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  server.failRunning();
+  const { status } = await answer;
+  const { error } = await (await answer).json() as {
+    error: { readonly run: string };
+  };
+  server.dispose();
+  assert.is(status, 502);
+  assert.is(error.run, "unknown");
+});
+
 test.run();
--- a/packages/common/src/server_error.ts
+++ b/packages/common/src/server_error.ts
@@ -64,3 +64,14 @@
     run: "not_run",
   };
 }
+
+/** Creates the error for a request that still ran as its node ended. */
+export function createStoppedError(): ServerError {
+  return {
+    status: 502,
+    kind: "node_stopped",
+    message:
+      "the node stopped before the request ended; ask whether it ran before you repeat it",
+    run: "unknown",
+  };
+}
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -10,9 +10,9 @@
   type ServerResponse,
 } from "node:http";
 import type { Clock } from "@almondcrank/common/clock.ts";
-import { requireAddress } from "@almondcrank/common/address.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { Event } from "@almondcrank/common/emitter.ts";
+import { listen } from "@almondcrank/common/listen.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import {
   type FeedKind,
@@ -347,17 +347,11 @@
   }
 
   #listen(address: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ ...requireAddress(address) }, () => {
-        this.#server.off("error", reject);
-        this.#server.on("error", (error) => {
-          this.#options.log.warn("the control listener failed.", {
-            reason: error.message,
-          });
-        });
-        resolve();
-      });
+    return listen(this.#server, address, {
+      onError: ({ message }) =>
+        this.#options.log.warn("the control listener failed.", {
+          reason: message,
+        }),
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,6 +58,8 @@
 /** Time before the end of the grace period at which draining stops. */
 const graceMarginMs = 350;
 const drainPollMs = 25;
+/** Time for the last answers to leave. */
+const lastAnswersMs = 50;
 
 /** A running gateway. */
 export class Gateway {
@@ -112,7 +114,7 @@
       graceMarginMs;
     this.#isDraining = true;
     this.#log.info("draining.", { running: this.#server.running });
-    this.#server.drain();
+    this.#server.drain(deadline);
     void this.#lease?.release();
     await this.#clock.sleep(acceptDuringDrainMs);
     await this.#server.close();
@@ -121,6 +123,8 @@
       await this.#server.close();
     }
     this.#log.info("drained.", { cut: this.#server.running });
+    this.#server.failRunning();
+    await this.#clock.sleep(lastAnswersMs);
     this.#lifetime.dispose();
   }
 
--- a/packages/gateway/src/readiness_server.ts
+++ b/packages/gateway/src/readiness_server.ts
@@ -3,8 +3,8 @@
  */
 
 import { createServer, type Server } from "node:http";
-import { requireAddress } from "@almondcrank/common/address.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { listen } from "@almondcrank/common/listen.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 
 /** Log and verdict of a readiness server. */
@@ -32,17 +32,9 @@
 
   /** Listens on an address; rejects when it cannot be bound. */
   open(address: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ ...requireAddress(address) }, () => {
-        this.#server.off("error", reject);
-        this.#server.on("error", (error) => {
-          this.#log.error("the readiness server failed.", {
-            reason: error.message,
-          });
-        });
-        resolve();
-      });
+    return listen(this.#server, address, {
+      onError: ({ message }) =>
+        this.#log.error("the readiness server failed.", { reason: message }),
     });
   }
 
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -8,14 +8,15 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { abortResponse } from "@almondcrank/common/abort_response.ts";
-import { requireAddress } from "@almondcrank/common/address.ts";
 import { watchCaller } from "@almondcrank/common/caller_watch.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import { DrainableServer } from "@almondcrank/common/drainable_server.ts";
+import { listen } from "@almondcrank/common/listen.ts";
 import type { LogFields } from "@almondcrank/common/logs.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
 import { requestIdHeader } from "@almondcrank/platform/headers.ts";
+import { isTakenDuringDrain } from "@almondcrank/routing/admission/drain_admission.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
 import {
   type AdmissionContext,
@@ -77,7 +78,10 @@
   readonly #server: DrainableServer;
   #isClosing = false;
   #isClosed = false;
-  #running = 0;
+  /** Time at which a drain ends; undefined while there is none. */
+  #endsAt: number | undefined;
+  /** Responses to the requests in work. */
+  readonly #running = new Set<ServerResponse>();
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -101,30 +105,21 @@
 
   /** Number of requests without a final response. */
   get running(): number {
-    return this.#running;
+    return this.#running.size;
   }
 
   /** Whether a request runs, or an answer has not left completely. */
   get isBusy(): boolean {
-    return this.#running > 0 || this.#server.isSending;
+    return this.running > 0 || this.#server.isSending;
   }
 
   /** Listens on an address; rejects when it cannot be bound. */
   open(address: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(
-        { ...requireAddress(address), backlog: listenBacklog },
-        () => {
-          this.#server.off("error", reject);
-          this.#server.on("error", (error) => {
-            this.#options.services.log.error("the server for callers failed.", {
-              reason: error.message,
-            });
-          });
-          resolve();
-        },
-      );
+    const { log } = this.#options.services;
+    return listen(this.#server, address, {
+      backlog: listenBacklog,
+      onError: ({ message }) =>
+        log.error("the server for callers failed.", { reason: message }),
     });
   }
 
@@ -136,9 +131,24 @@
     server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Goes on serving, but closes each connection after its next response. */
-  drain(): void {
+  /**
+   * Goes on serving until `endsAt`, a monotonic time, but closes each connection
+   * after its next response.
+   */
+  drain(endsAt: number): void {
     this.#isClosing = true;
+    this.#endsAt = endsAt;
+  }
+
+  /**
+   * Answers all requests that still run, at the end of a drain: a closed connection
+   * would tell their callers less. Streams that have begun are cut off.
+   */
+  failRunning(): void {
+    for (const response of this.#running) {
+      if (response.headersSent) abortResponse(response);
+      else sendLocalReply(response, composeLocalReply(502, "answer_lost"));
+    }
   }
 
   /**
@@ -171,7 +181,7 @@
     response: ServerResponse,
     isHanded = false,
   ): Promise<void> {
-    this.#running += 1;
+    this.#running.add(response);
     // A write after the end of a connection is reported there.
     response.on("error", () => response.destroy());
     if (this.#isClosing) response.setHeader("Connection", "close");
@@ -184,7 +194,7 @@
       if (response.headersSent) abortResponse(response);
       else sendLocalReply(response, composeLocalReply(502, "answer_lost"));
     } finally {
-      this.#running -= 1;
+      this.#running.delete(response);
     }
   }
 
@@ -227,6 +237,10 @@
       return this.#refuse({ request, response }, resume.reply, resume.fields);
     }
     const { routed } = resume;
+    if (!this.#isTaken(routed, deadline)) {
+      const reply = composeLocalReply(503, "draining", drainingRetryMs);
+      return this.#refuse({ request, response }, reply);
+    }
     const { hasher } = services;
     const suspects = listSuspects(request, { routed, body: body.body, hasher });
     const blocked = findQuarantine(suspects, services);
@@ -267,6 +281,17 @@
     this.#recordEnd(admitted, result);
   }
 
+  /** Whether a request is taken; always, unless the node drains. */
+  #isTaken({ route }: Routed, deadline: number): boolean {
+    if (this.#endsAt === undefined) return true;
+    const now = this.#options.services.clock.now();
+    return isTakenDuringDrain({
+      leftMs: this.#endsAt - now,
+      limitMs: deadline - now,
+      mayRepeat: route.kind !== "unsafe",
+    });
+  }
+
   /** Refuses a request with what is known of the configuration. */
   #refuseRoute(
     exchange: Exchange,
--- a/packages/membership/src/peer_server.ts
+++ b/packages/membership/src/peer_server.ts
@@ -14,11 +14,8 @@
 import type { AddressInfo, Socket } from "node:net";
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
 import type { AnyRouter, TRPCError } from "@trpc/server";
-import {
-  type Address,
-  formatAddress,
-  parseAddress,
-} from "@almondcrank/common/address.ts";
+import { type Address, formatAddress } from "@almondcrank/common/address.ts";
+import { listen } from "@almondcrank/common/listen.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
@@ -67,12 +64,6 @@
   static async open<R extends AnyRouter>(
     options: PeerServerOptions<R>,
   ): Promise<PeerServer> {
-    const parts = parseAddress(options.address);
-    if (parts === undefined) {
-      throw new Error(
-        `peer address "${options.address}" is not an IP address with a port; write it like 127.0.0.1:7000`,
-      );
-    }
     const sockets = new Set<Socket>();
     const bytes = ByteMeter.create();
     const server = createServer({
@@ -88,17 +79,11 @@
       bytes.add(socket);
       socket.once("close", () => sockets.delete(socket));
     });
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(parts.port, parts.host, () => {
-        server.off("error", reject);
-        server.on("error", (error) => {
-          options.log.warn("the listener for peers failed.", {
-            reason: error.message,
-          });
-        });
-        resolve();
-      });
+    await listen(server, options.address, {
+      onError: ({ message }) =>
+        options.log.warn("the listener for peers failed.", {
+          reason: message,
+        }),
     });
     return new PeerServer(server, sockets, bytes);
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -36,6 +36,9 @@
 import { DataPlane } from "./data_plane.ts";
 import type { NodeSettings } from "./settings.ts";
 
+/** Time for the last answers to leave at the end of a drain. */
+const lastAnswersMs = 50;
+
 /** Options of `Node.open`. */
 export interface NodeOptions {
   readonly settings: NodeSettings;
@@ -293,6 +296,8 @@
       drainMs,
       close: () => this.#listeners?.callers.close() ?? Promise.resolve(),
     });
+    this.#listeners?.callers.failRunning();
+    await clock.sleep(lastAnswersMs);
     log.info("node has drained.");
     this.dispose();
   }
--- a/packages/scenario/src/gateway_process_test.ts
+++ b/packages/scenario/src/gateway_process_test.ts
@@ -59,6 +59,41 @@
   });
 });
 
+// Guards against requests that are taken late in the grace period and cut at its end.
+test("a node that drains takes no booking that may not end in time", async () => {
+  await runWithProcess(async (node) => {
+    node.booking.workMs = 200;
+    node.configure({ timeoutMs: 30_000 });
+    await sleep(500);
+    node.signal("SIGTERM");
+    await sleep(300);
+    const [long, short] = await Promise.all([
+      node.book({ deadlineMs: 20_000, id: "long" }),
+      node.book({ deadlineMs: 1_000, id: "short" }),
+    ]);
+    assert.is(long?.status, 503);
+    assert.match(long?.body ?? "", "draining");
+    assert.is(short?.status, 200);
+    assert.equal(node.booking.runs.filter(({ id }) => id === "long"), []);
+  });
+});
+
+// Guards against requests whose connection is closed without an answer.
+test("a request that outlasts the grace period is answered at its end", async () => {
+  await runWithProcess(async (node) => {
+    node.booking.workMs = 30_000;
+    node.configure({ timeoutMs: 30_000 });
+    await sleep(500);
+    const booking = node.book({ deadlineMs: 20_000 });
+    await sleep(300);
+    node.signal("SIGTERM");
+    const answer = await booking;
+    assert.is(answer.status, 502);
+    assert.ok(answer.isComplete);
+    assert.equal(await node.waitForEnd(), { code: 0, signal: null });
+  });
+});
+
 // Guards against signals whose default action ends the process.
 test("other signals end nothing and open no debugger", async () => {
   await runWithProcess(async (node) => {
--- a/packages/scenario/src/testing/gateway_process.ts
+++ b/packages/scenario/src/testing/gateway_process.ts
@@ -17,6 +17,7 @@
 import { CloudStandin } from "@almondcrank/standin/platform/cloud_standin.ts";
 import {
   createExampleConfiguration,
+  type ExampleConfigurationOptions,
   exampleHostname,
   tenantKey,
 } from "@almondcrank/standin/platform/example_configuration.ts";
@@ -112,6 +113,11 @@
     this.#child = child;
   }
 
+  /** Writes the second version of the configuration. */
+  configure(change: ExampleConfigurationOptions): void {
+    this.#store.put("config", "main", createExampleConfiguration(2, change));
+  }
+
   /** Closes this end of the process's outputs. */
   closeOutputs(): void {
     this.#child?.stdout?.destroy();
