Callers' server: what is recorded of requests stands in the request log

Counters, lines and the return of a stream's caller are recorded by RequestLog; no change of behaviour. gateway_calls_test (12), gateway_nodes_test (8) and caller_server_test (3) pass.

--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -85,8 +85,7 @@
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
-    const { clock, log } = options.services;
-    this.#log = RequestLog.create(clock, log);
+    this.#log = RequestLog.create(options.services);
     this.#server = DrainableServer.create({
       connectionsCheckingInterval: connectionsCheckMs,
       noDelay: true,
@@ -261,7 +260,7 @@
     });
     if (services.handOver.isDue(admitted)) {
       const handed = await services.handOver.run(admitted, response);
-      if (handed !== undefined) return this.#recordEnd(admitted, handed);
+      if (handed !== undefined) return this.#log.recordEnd(admitted, handed);
     }
     const charge = this.#charge(request, routed);
     const fields = this.#listAdmissionFields(routed, context, charge.cost);
@@ -272,13 +271,13 @@
       ...fields,
       fingerprint: suspects.own.at(-1),
     });
-    this.#recordResume(admitted);
+    this.#log.recordResume(admitted);
     services.budget.recordRequest(routed.service.name, receivedAt);
     const result = await this.#relay(admitted, response);
     if (!result.mayHaveRun && routed.tenant !== undefined) {
       this.#options.rateLimiter.refund(routed.tenant, charge.cost);
     }
-    this.#recordEnd(admitted, result);
+    this.#log.recordEnd(admitted, result);
   }
 
   /** Whether a request is taken; always, unless the node drains. */
@@ -317,18 +316,6 @@
     );
   }
 
-  #recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
-    if (resumeAfter === undefined) return;
-    const isNamed = resumedRequest !== undefined;
-    this.#options.services.metrics.count("streams_resumed_total", {
-      named: isNamed ? "yes" : "no",
-    });
-    trace.record("stream resumed by its caller.", {
-      after: resumeAfter,
-      resumes: resumedRequest,
-    });
-  }
-
   #relay(
     request: RoutedRequest,
     response: ServerResponse,
@@ -387,23 +374,12 @@
     response: ServerResponse,
     body: Exclude<BodyResult, { readonly kind: "read" }>,
   ): void {
-    switch (body.kind) {
-      case "gone":
-        response.destroy();
-        return;
-      case "too_large":
-        response.setHeader("Connection", "close");
-        return this.#refuse(
-          { request, response },
-          composeLocalReply(413, "body_too_large"),
-        );
-      case "timeout":
-        response.setHeader("Connection", "close");
-        return this.#refuse(
-          { request, response },
-          composeLocalReply(408, "body_timeout"),
-        );
-    }
+    if (body.kind === "gone") return void response.destroy();
+    response.setHeader("Connection", "close");
+    const reply = body.kind === "too_large"
+      ? composeLocalReply(413, "body_too_large")
+      : composeLocalReply(408, "body_timeout");
+    this.#refuse({ request, response }, reply);
   }
 
   #refuse(
@@ -411,23 +387,11 @@
     reply: LocalReply,
     fields: LogFields = {},
   ): void {
-    const { metrics } = this.#options.services;
-    metrics.count("refusals_total", { reason: reply.reason });
     const id = readHeader(request, requestIdHeader);
     this.#log.recordRefusal(id, reply, fields);
     request.resume();
     sendLocalReply(response, reply);
   }
-
-  #recordEnd(request: RoutedRequest, result: RelayResult): void {
-    const { metrics, clock } = this.#options.services;
-    const { route } = request;
-    const labels = { kind: route.kind, reason: result.reason };
-    metrics.count("requests_total", labels);
-    const ms = clock.now() - request.receivedAt;
-    metrics.recordDuration("request_seconds", ms, { kind: route.kind });
-    this.#log.recordEnd(request, result);
-  }
 }
 
 /** Rounds an age for the log; `undefined` if it is infinite. */
--- a/packages/gateway/src/relay/request_log.ts
+++ b/packages/gateway/src/relay/request_log.ts
@@ -1,5 +1,6 @@
 /**
- * Rate-limited log of requests, one line for each decision on a request.
+ * Records what becomes of requests: counters, and a rate-limited log with one line
+ * for each decision on a request.
  *
  * Requests over the rate limit are only counted, and the next logged request
  * carries the count, so a flood of requests cannot use up the node's processor
@@ -8,6 +9,7 @@
 
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Log, LogFields } from "@almondcrank/common/logs.ts";
+import type { Metrics } from "@almondcrank/common/metrics.ts";
 import type { LocalReply } from "./local_reply.ts";
 import type { RelayResult } from "./relay_services.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -15,25 +17,51 @@
 const requestsPerSecond = 10;
 const failuresPerSecond = 40;
 
+/** Dependencies of a request log. */
+export interface RequestLogOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
 /** Request log of one node. */
 export class RequestLog {
   readonly #clock: Clock;
   readonly #log: Log;
+  readonly #metrics: Metrics;
   #second = 0;
   #written = 0;
   #omitted = 0;
 
-  private constructor(clock: Clock, log: Log) {
+  private constructor({ clock, log, metrics }: RequestLogOptions) {
     this.#clock = clock;
     this.#log = log.createChild("relay");
+    this.#metrics = metrics;
+  }
+
+  static create(options: RequestLogOptions): RequestLog {
+    return new RequestLog(options);
   }
 
-  static create(clock: Clock, log: Log): RequestLog {
-    return new RequestLog(clock, log);
+  /** Records that the caller of a broken stream came back, if it is one. */
+  recordResume({ resumeAfter, resumedRequest, trace }: RoutedRequest): void {
+    if (resumeAfter === undefined) return;
+    const isNamed = resumedRequest !== undefined;
+    this.#metrics.count("streams_resumed_total", {
+      named: isNamed ? "yes" : "no",
+    });
+    trace.record("stream resumed by its caller.", {
+      after: resumeAfter,
+      resumes: resumedRequest,
+    });
   }
 
-  /** Logs the trace of a request and how it ended. */
+  /** Counts a request, and logs its trace and how it ended. */
   recordEnd(request: RoutedRequest, result: RelayResult): void {
+    const { kind } = request.route;
+    const ms = this.#clock.now() - request.receivedAt;
+    this.#metrics.count("requests_total", { kind, reason: result.reason });
+    this.#metrics.recordDuration("request_seconds", ms, { kind });
     const isFailure = result.reason !== "answered";
     if (!this.#takeQuota(isFailure)) return;
     const { id, trace } = request;
@@ -47,7 +75,7 @@
       status: result.status,
       reason: result.reason,
       sends: result.sends,
-      ms: Math.round(this.#clock.now() - request.receivedAt),
+      ms: Math.round(ms),
       omitted: this.#takeOmitted(),
     };
     if (isFailure) this.#log.warn("request ended without an answer.", fields);
@@ -55,7 +83,7 @@
   }
 
   /**
-   * Logs a request that was refused at admission.
+   * Counts and logs a request that was refused at admission.
    *
    * @param inputs Log fields that explain the refusal.
    */
@@ -64,6 +92,7 @@
     { status, reason, retryAfterMs }: LocalReply,
     inputs: LogFields,
   ): void {
+    this.#metrics.count("refusals_total", { reason });
     if (!this.#takeQuota(true)) return;
     this.#log.warn("request refused.", {
       request: id,
