LOST: a 204 announces no length

Cause: the length of a buffered answer was passed on for every status.

Change: a 204 goes without. The soak has two more odd registrations.

--- a/packages/gateway/src/relay/buffered_response.ts
+++ b/packages/gateway/src/relay/buffered_response.ts
@@ -3,7 +3,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { listResponseHeaders } from "./message_headers.ts";
+import { listResponseHeaders, removeHeader } from "./message_headers.ts";
 
 /** A response of a replica that was read to its end. */
 export interface BufferedResponse {
@@ -12,7 +12,9 @@
 }
 
 const unknownStatus = 502;
-const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
+/** A 304 states the length of a body that it does not have; a 204 has none. */
+const notModifiedStatus = 304;
+const noContentStatus = 204;
 
 /** Sends the response unless the caller has disconnected; returns its status. */
 export function sendBufferedResponse(
@@ -20,14 +22,25 @@
   { response, body }: BufferedResponse,
 ): number {
   const status = response.statusCode ?? unknownStatus;
-  const headers = listResponseHeaders(response);
-  const hasLength = response.headers["content-length"] !== undefined;
-  if (!hasLength && !bodylessStatuses.has(status)) {
-    headers.push("Content-Length", String(body.length));
-  }
+  const headers = composeHeaders(response, body);
   if (!callerResponse.destroyed) {
     callerResponse.writeHead(status, headers);
     callerResponse.end(body);
   }
   return status;
 }
+
+function composeHeaders(response: IncomingMessage, body: Buffer): string[] {
+  const headers = listResponseHeaders(response);
+  switch (response.statusCode) {
+    case noContentStatus:
+      // A caller would wait for the body that a length announces.
+      return removeHeader(headers, "content-length");
+    case notModifiedStatus:
+      return headers;
+  }
+  const hasLength = response.headers["content-length"] !== undefined;
+  return hasLength
+    ? headers
+    : [...headers, "Content-Length", String(body.length)];
+}
--- a/packages/gateway/src/relay/message_headers.ts
+++ b/packages/gateway/src/relay/message_headers.ts
@@ -172,7 +172,11 @@
   );
 }
 
-function removeHeader(headers: readonly string[], name: string): string[] {
+/** Removes a header, named in lower case, from alternating names and values. */
+export function removeHeader(
+  headers: readonly string[],
+  name: string,
+): string[] {
   const kept: string[] = [];
   for (let index = 0; index + 1 < headers.length; index += 2) {
     if ((headers[index] as string).toLowerCase() === name) continue;
--- a/packages/scenario/src/gateway_spoiled_heads_test.ts
+++ b/packages/scenario/src/gateway_spoiled_heads_test.ts
@@ -73,4 +73,19 @@
   });
 }
 
+// Guards against callers that wait for a body that an answer cannot have.
+test("an answer without content announces no length", async () => {
+  await runWithSetup(1, async (setup) => {
+    for (const id of ["booking-1", "booking-2"]) {
+      setup.findReplica(id).fault = {
+        kind: "spoil_head",
+        statusLine: "HTTP/1.1 204 No Content",
+      };
+    }
+    const answer = await setup.call({ path: "/book/x" });
+    assert.is(answer.status, 204);
+    assert.is(answer.headers["content-length"], undefined);
+  });
+});
+
 test.run();
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -64,6 +64,8 @@
   { ...soundEntry, slots: 1e300 },
   { ...soundEntry, state: "resting" },
   { ...soundEntry, more: createNested() },
+  { ...soundEntry, version: null },
+  { ...soundEntry, "cold-remaining-ms": "soon" },
   { service: 7 },
 ];
 
