--- a/packages/cli/src/gateway_fleet.ts
+++ b/packages/cli/src/gateway_fleet.ts
@@ -79,6 +79,7 @@
       service: replica.id.replace(/-\d+$/, ""),
       address: replica.address,
       zone: "muc-a",
+      version: "v1",
       slots: 8,
       state,
       "cold-remaining-ms": 0,
--- a/packages/scenario/src/testing/gateway_process.ts
+++ b/packages/scenario/src/testing/gateway_process.ts
@@ -65,15 +65,22 @@
     this.#cloud = parts.cloud;
   }
 
-  /** Opens the stand-ins; `start` starts the process. */
-  static async open(): Promise<GatewayProcess> {
+  /**
+   * Opens the stand-ins; `start` starts the process.
+   *
+   * @param link Opens a way to an address that the node takes in its place.
+   */
+  static async open(
+    link: (address: string) => Promise<string> = (address) =>
+      Promise.resolve(address),
+  ): Promise<GatewayProcess> {
     const store = await StoreStandin.open();
     const cloud = await CloudStandin.open();
     const booking = await ReplicaStandin.open({ id: "booking-1" });
     store.put("config", "main", createExampleConfiguration(1, {}));
     store.put("servers", "booking-1", {
       service: "booking",
-      address: booking.address,
+      address: await link(booking.address),
       zone: "muc-a",
       version: "v1",
       slots: 8,
@@ -82,8 +89,8 @@
       "seq-no": 1,
     });
     const place = await createNodePlace(0, await findSharedPorts(), {
-      storeAddress: store.address,
-      cloudAddress: cloud.address,
+      storeAddress: await link(store.address),
+      cloudAddress: await link(cloud.address),
     });
     return new GatewayProcess({ place, booking, store, cloud });
   }
