--- a/packages/scenario/src/gateway_process_test.ts
+++ b/packages/scenario/src/gateway_process_test.ts
@@ -225,10 +225,14 @@
       node.writeSettings();
       const program = "@almondcrank/gateway/gateway_program.ts";
       node.start([
-        ...["--import", "tsx", "--input-type", "module", "--eval"],
+        "--import",
+        "tsx",
+        "--input-type",
+        "module",
+        "--eval",
         `import { runGatewayProgram } from "${program}";
-        await runGatewayProgram(); process.on("SIGUSR2", () => { ${fault} });`
-          .replace("await runGatewayProgram();", "void runGatewayProgram();"),
+        void runGatewayProgram();
+        process.on("SIGUSR2", () => { ${fault} });`,
       ]);
       await node.waitUntilServing();
       node.booking.workMs = 2_000;
