MIXED: an answer whose status is none of HTTP is no answer; bytes behind a whole one don't spoil it

Callers got the statuses 600 and 999 with the seal of a replica. RFC 9110 knows the classes 1 to 5, so that such a head is among the bytes that are no answer: the request now ends as lost (502), or goes on elsewhere where it may. Statuses 000, 099, 1000, 20 and +20 were sound before on both interfaces.

On Node.js 20.20.2, whose parser reports bytes behind an answer with "Connection: close" as an error, a whole answer was given up for them: gateway_spoiled_heads_test (a 204 with a body) failed on untouched. It counts as whole by its framing now. gateway_ended_answers_test failed there, too: our client sent a body with HEAD that it had not announced, so that the node was right to answer 400; the client sends none now, the checks are the same.

--- a/packages/common/src/answer_framing.ts
+++ b/packages/common/src/answer_framing.ts
@@ -30,6 +30,15 @@
   return headers["content-length"] === undefined ? "connection" : "length";
 }
 
+/** Statuses of final answers: other numbers are of no class of RFC 9110. */
+const finalStatuses = { min: 200, max: 599 } as const;
+
+/** Whether a status is that of a final answer. */
+export function isFinalStatus(status: number | undefined): boolean {
+  return status !== undefined && status >= finalStatuses.min &&
+    status <= finalStatuses.max;
+}
+
 /** Statuses of answers without a body. */
 const bodilessStatuses: ReadonlySet<number | undefined> = new Set([204, 304]);
 
--- a/packages/endpoint/src/http_plain_endpoint.ts
+++ b/packages/endpoint/src/http_plain_endpoint.ts
@@ -11,7 +11,10 @@
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
 import type { Address } from "@almondcrank/common/address.ts";
-import { endsWithConnection } from "@almondcrank/common/answer_framing.ts";
+import {
+  endsWithConnection,
+  isFinalStatus,
+} from "@almondcrank/common/answer_framing.ts";
 import { BodyBudget } from "@almondcrank/common/body_budget.ts";
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
@@ -263,7 +266,11 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < 200) return this.#countInterim();
+    if (status >= 100 && status < 200) return this.#countInterim();
+    if (!isFinalStatus(status)) {
+      const reason = `status ${status} is not one of HTTP`;
+      return this.#setFailure({ kind: "bad_answer", reason });
+    }
     this.#status = status;
     const contentType = headers["content-type"];
     this.#contentType = typeof contentType === "string"
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -7,7 +7,11 @@
 
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
-import { findFraming } from "@almondcrank/common/answer_framing.ts";
+import {
+  endsWithConnection,
+  findFraming,
+  isFinalStatus,
+} from "@almondcrank/common/answer_framing.ts";
 import { requireAddress } from "@almondcrank/common/address.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
@@ -67,8 +71,6 @@
 class WithheldError extends Error {}
 
 const misdirectedStatus = 421;
-/** Smallest status of a response that is not an interim one. */
-const minFinalStatus = 200;
 const callerLeftReason = "the caller has left";
 /** Interim responses (1xx) accepted before a response; none are expected. */
 const maxInterimResponses = 16;
@@ -126,6 +128,8 @@
       );
     };
     outgoing.on("error", (error) => {
+      // Bytes behind a whole answer belong to no request.
+      if (received !== undefined && isFramedWhole(received, call)) return;
       // When the connection is reset, Node.js ends a response without a length
       // as if it were complete, unless the response was destroyed before.
       received?.destroy(error);
@@ -148,6 +152,14 @@
   });
 }
 
+/** Whether a response is whole by its own framing, whatever follows it. */
+function isFramedWhole(
+  response: IncomingMessage,
+  { method }: ReplicaRequest,
+): boolean {
+  return response.complete && !endsWithConnection(response, method);
+}
+
 /** Fails a request to which a replica sends only interim responses. */
 function watchInterimResponses(outgoing: ClientRequest): void {
   let received = 0;
@@ -269,8 +281,8 @@
  * Whether a head is one that may be sent on. Where one byte is spoiled, others may
  * be, too, among them those that tell where the body ends.
  */
-function isSoundHead({ statusCode = 0, rawHeaders }: IncomingMessage): boolean {
-  return statusCode >= minFinalStatus && isWritable(rawHeaders);
+function isSoundHead({ statusCode, rawHeaders }: IncomingMessage): boolean {
+  return isFinalStatus(statusCode) && isWritable(rawHeaders);
 }
 
 function readOutcome(
@@ -289,7 +301,7 @@
   const status = response.statusCode ?? 0;
   if (status !== misdirectedStatus) call.onAnswer(response);
   const isDeclined = status === misdirectedStatus ||
-    (status >= 400 && response.headers[notExecutedHeader] !== undefined);
+    (status >= 400 && isFinalStatus(status) && response.headers[notExecutedHeader] !== undefined);
   if (!isDeclined) {
     if (isSoundHead(response)) return { kind: "answered", response };
     outgoing.destroy();
--- a/packages/load/src/route_client.ts
+++ b/packages/load/src/route_client.ts
@@ -61,6 +61,11 @@
 /** Time for which a caller waits after its deadline. */
 const graceMs = 1_500;
 
+/** Body of a request that states none: Node.js announces none of these methods. */
+function chooseBody(method: string | undefined): string {
+  return method === "GET" || method === "HEAD" ? "" : "question";
+}
+
 /** Sends a request; failures are reported in the answer, never thrown. */
 export function sendRouteRequest(sent: RouteRequest): Promise<RouteAnswer> {
   return new Promise((resolve) => {
@@ -110,7 +115,7 @@
       message.on("error", () => finish(false));
       message.on("end", () => finish(message.complete));
     });
-    outgoing.end(sent.body ?? "question");
+    outgoing.end(sent.body ?? chooseBody(sent.method));
     const end = (): void => void outgoing.destroy();
     timers.push(setTimeout(end, sent.deadlineMs + graceMs));
     if (sent.abortAfterMs === undefined) return;
--- a/packages/scenario/src/gateway_spoiled_heads_test.ts
+++ b/packages/scenario/src/gateway_spoiled_heads_test.ts
@@ -15,6 +15,9 @@
 const spoiledHeads: readonly ReplicaFault[] = [
   { kind: "spoil_head", line: "X-Weight Versions: 1" },
   { kind: "spoil_head", statusLine: "HTTP/1.1 099 Odd" },
+  { kind: "spoil_head", statusLine: "HTTP/1.1 000 Odd" },
+  { kind: "spoil_head", statusLine: "HTTP/1.1 600 Odd" },
+  { kind: "spoil_head", statusLine: "HTTP/1.1 999 Odd" },
   { kind: "spoil_head", statusLine: "HTTP/1.1 101 Odd" },
   {
     kind: "spoil_head",
