FAULT: one tenant's bodies hold at most half of the room of all

The bodies of one tenant or team now hold half, with the same more for small ones, and make room for each other beyond that.

--- a/packages/common/src/body_budget.ts
+++ b/packages/common/src/body_budget.ts
@@ -4,7 +4,7 @@
  * Each body has a limit of its own, above any sound one. Many at once, each within
  * that limit, would still fill the memory of the process, and end the requests of
  * all others with it. Small bodies have room beside large ones, the smaller the
- * more. While there is too little, a body that still arrives gives way to more urgent
+ * more, and nobody holds more than half of all room. While there is too little, a body that still arrives gives way to more urgent
  * ones, and after some time to any other, as its sender may have stopped. So does one
  * that its receiver doesn't read.
  */
@@ -19,6 +19,8 @@
 const smallBytes = 262_144;
 /** Room of the smallest bodies beyond that of all, as a share of it. */
 const smallShare = 0.25;
+/** Room that the bodies of one group may hold together, as a share of all. */
+const groupShare = 0.5;
 /** Time in which a body passes even a slow link, in milliseconds. */
 const passageMs = 2_000;
 
@@ -33,6 +35,8 @@
 export interface BodyOwner {
   /** 0 first. */
   readonly priority: number;
+  /** Whose body it is; bodies without a group share the room of all alone. */
+  readonly group?: string | undefined;
   /** Called when the body gives way, its share released; without it, it doesn't. */
   readonly onDisplaced?: () => void;
 }
@@ -59,6 +63,7 @@
   ownBytes: number;
   /** Urgency at which it asks for room. */
   readonly priority: number;
+  readonly group: string | undefined;
   /** Undefined while it gives way to no other. */
   yielding: Yielding | undefined;
 }
@@ -87,6 +92,8 @@
   readonly #clock: Clock;
   readonly #holders = new Set<Holder>();
   #heldBytes = 0;
+  /** Bytes that the bodies of each group hold. */
+  readonly #groupBytes = new Map<string, number>();
   #displaced = 0;
 
   private constructor({ maxBytes, clock }: BodyBudgetOptions) {
@@ -114,19 +121,18 @@
   }
 
   /** Begins to keep a body; without an owner it is the least urgent one. */
-  open({ priority, onDisplaced }: BodyOwner = noOwner): BodyShare {
+  open({ priority, group, onDisplaced }: BodyOwner = noOwner): BodyShare {
     const since = this.#clock.now();
     const holder: Holder = {
       ownBytes: 0,
       priority,
+      group,
       yielding: onDisplaced && { priority, since, onDisplaced },
     };
     const add = (bytes: number): boolean => {
       this.#holders.add(holder);
-      holder.ownBytes += bytes;
-      this.#heldBytes += bytes;
-      return bytes <= 0 || this.#computeExcess(holder) <= 0 ||
-        this.#displaceFor(holder);
+      this.#count(holder, bytes);
+      return bytes <= 0 || this.#displaceFor(holder);
     };
     return {
       add,
@@ -142,21 +148,40 @@
 
   /** Bytes by which all bodies hold too much for one to be read further. */
   #computeExcess({ ownBytes }: Holder): number {
+    // A body within its own limit is read while there is no other.
+    if (this.#heldBytes === ownBytes) return 0;
+    return this.#heldBytes - this.#maxBytes - this.#computeSmallRoom(ownBytes);
+  }
+
+  /** Room that a body has beyond that of large ones. */
+  #computeSmallRoom(ownBytes: number): number {
     const smallness = Math.max(0, 1 - ownBytes / smallBytes);
-    const maxBytes = this.#maxBytes * (1 + smallShare * smallness);
-    return this.#heldBytes - maxBytes;
+    return this.#maxBytes * smallShare * smallness;
+  }
+
+  /** Bytes by which the bodies of its group hold too much for that. */
+  #computeGroupExcess({ group, ownBytes }: Holder): number {
+    if (group === undefined) return 0;
+    const heldBytes = this.#groupBytes.get(group) ?? 0;
+    if (heldBytes === ownBytes) return 0;
+    return heldBytes - this.#maxBytes * groupShare -
+      this.#computeSmallRoom(ownBytes);
   }
 
-  /** Makes others give way to a body if that makes enough room. */
+  /** Makes others give way to a body, if need be and if that makes enough room. */
   #displaceFor(holder: Holder): boolean {
     let excess = this.#computeExcess(holder);
+    let groupExcess = this.#computeGroupExcess(holder);
+    if (excess <= 0 && groupExcess <= 0) return true;
     const displaced: Holder[] = [];
     for (const other of this.#listYielding(holder)) {
-      if (excess <= 0) break;
+      const isOfGroup = other.group === holder.group;
+      if (excess <= 0 && (groupExcess <= 0 || !isOfGroup)) continue;
       displaced.push(other);
       excess -= other.ownBytes;
+      if (isOfGroup) groupExcess -= other.ownBytes;
     }
-    if (excess > 0) return false;
+    if (excess > 0 || groupExcess > 0) return false;
     for (const other of displaced) {
       const { yielding } = other;
       this.#release(other);
@@ -184,8 +209,17 @@
 
   #release(holder: Holder): void {
     this.#holders.delete(holder);
-    this.#heldBytes -= holder.ownBytes;
-    holder.ownBytes = 0;
+    this.#count(holder, -holder.ownBytes);
     holder.yielding = undefined;
   }
+
+  #count(holder: Holder, bytes: number): void {
+    holder.ownBytes += bytes;
+    this.#heldBytes += bytes;
+    const { group } = holder;
+    if (group === undefined) return;
+    const heldBytes = (this.#groupBytes.get(group) ?? 0) + bytes;
+    if (heldBytes > 0) this.#groupBytes.set(group, heldBytes);
+    else this.#groupBytes.delete(group);
+  }
 }
--- a/packages/common/src/body_budget_test.ts
+++ b/packages/common/src/body_budget_test.ts
@@ -110,4 +110,35 @@
   assert.ok(open(0).add(50_000));
 });
 
+// Guards against one tenant whose large bodies leave others no room.
+test("the bodies of one group hold half of all room, and make room for each other", async () => {
+  const clock = ManualClock.create();
+  const budget = BodyBudget.create({ maxBytes: 8 * mib, clock });
+  const displaced: string[] = [];
+  const open = (group: string): BodyShare =>
+    budget.open({
+      priority: 1,
+      group,
+      onDisplaced: () => displaced.push(group),
+    });
+  const large = Array.from({ length: 4 }, () => open("large"));
+  for (const share of large) assert.ok(share.add(mib));
+  const refused = open("large");
+  assert.not(refused.add(mib));
+  refused.release();
+  assert.ok(open("small").add(4 * mib));
+  await clock.advance(2_000);
+  assert.ok(open("large").add(mib), "its own oldest one has had its time");
+  assert.equal(displaced, ["large"]);
+});
+
+// Guards against a body within its limits that is refused each time.
+test("a body that is larger than all room is read while there is no other", () => {
+  const budget = BodyBudget.create({ maxBytes: mib });
+  const first = budget.open({ priority: 1, group: "a" });
+  assert.ok(first.add(4 * mib));
+  assert.not(budget.open({ priority: 1, group: "b" }).add(4 * mib));
+  first.release();
+});
+
 test.run();
--- a/packages/gateway/src/relay/request_bodies.ts
+++ b/packages/gateway/src/relay/request_bodies.ts
@@ -83,7 +83,8 @@
       maxBytes: routes.configuration.limits.maxBodyBytes,
       timeoutMs: computeTimerMs(deadline - receivedAt),
       openShare: (onDisplaced) => {
-        const share = this.#budget.open({ priority, onDisplaced });
+        const group = tenant?.name;
+        const share = this.#budget.open({ priority, group, onDisplaced });
         release = () => share.release();
         return share;
       },
--- a/packages/node/src/chat_handler.ts
+++ b/packages/node/src/chat_handler.ts
@@ -109,6 +109,7 @@
     }
     await this.#options.bodies.run(exchange, {
       priority: team.priority,
+      group: team.name,
       handle: (body) => this.#handleBody(exchange, team, body),
     });
   }
--- a/packages/node/src/listener_bodies.ts
+++ b/packages/node/src/listener_bodies.ts
@@ -33,6 +33,8 @@
 export interface BodyHandling {
   /** Urgency of the request, 0 first. */
   readonly priority: number;
+  /** Team of the caller. */
+  readonly group?: string;
   readonly handle: (body: Buffer) => Promise<void>;
 }
 
@@ -61,13 +63,13 @@
   /** Handles a request with its whole body; sends the error if it can't be used. */
   async run(
     exchange: HttpExchange,
-    { priority, handle }: BodyHandling,
+    { priority, group, handle }: BodyHandling,
   ): Promise<void> {
     let release = (): void => {};
     const body = await readBody(exchange.request, {
       maxBytes: this.#options.maxBodyBytes ?? defaultHttpLimits.maxBodyBytes,
       openShare: (onDisplaced) => {
-        const share = this.#budget.open({ priority, onDisplaced });
+        const share = this.#budget.open({ priority, group, onDisplaced });
         release = () => share.release();
         return share;
       },
--- a/packages/node/src/plain_handler.ts
+++ b/packages/node/src/plain_handler.ts
@@ -81,6 +81,7 @@
       readTimeout(request, service.timeoutMs);
     await this.#options.bodies.run(exchange, {
       priority: team.priority,
+      group: team.name,
       handle: async (body) => {
         const answer = await this.#options.router.call({
           team,
