FAULT: connections are read by turns, refused ones end at little cost

Callers saw a node that answered nobody, beside and after callers that send without end: one thread parses what all connections bring, 64 kB of one-byte chunks take it 7 ms, and each of 100 connections had that in each turn of the loop. What was refused (401, 404, 413) was parsed on, up to 16 MiB a connection or, with 401 and 404 of the routes, without a bound.

A connection is now read in parts of 8 KiB (ReadTurns, PacedSocket). The first part of a cheap one is read at once, 32 between two turns; the rest waits for a turn of 2 ms, cheap connections of the last second first, then those of the tenant that has cost least. The kernel is asked for no more while something waits. If more connections wait than a twentieth of the memory holds, the one that has cost most is given up: its request, not run, gets 503 memory_short. After an answer to a request that has not arrived in full our direction closes, and the rest is dropped unparsed, for 1 s and 16 MiB at most, and at once while too many others do so (EndingConnections). Too many open connections make room: one without a request that was taken, then an idle one, then one whose request has not arrived (OpenConnections); a request that runs keeps its own. It holds for the callers', control, readiness, metrics, operators' and peers' listeners. Limits can be set and are checked; counters and docs are there.

--- a/packages/common/src/drainable_server.ts
+++ b/packages/common/src/drainable_server.ts
@@ -15,8 +15,10 @@
   type ServerOptions,
   type ServerResponse,
 } from "node:http";
+import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
+import { PacedSocket } from "./paced_socket.ts";
 import { waitForPoll } from "./poll_phase.ts";
 
 const idleCheckMs = 25;
@@ -31,9 +33,14 @@
   readonly #refused = new WeakSet<Duplex>();
   /** Responses whose connections have not finished with them. */
   readonly #responses = new Set<ServerResponse>();
+  readonly #sockets = new Set<Socket>();
 
   private constructor(options: ServerOptions) {
     super(options);
+    this.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
     this.on("request", (_request: IncomingMessage, response) => {
       this.#responses.add(response);
       response.once("close", () => this.#responses.delete(response));
@@ -62,7 +69,7 @@
   /** Refuses a connection unless a request has arrived on it in time. */
   async #refuseLateHead(error: Error, connection: Duplex): Promise<void> {
     const count = this.#countRequests(connection);
-    await waitForPoll();
+    do await waitForPoll(); while (isWaiting(connection));
     if (this.#countRequests(connection) > count) return;
     this.#refused.add(connection);
     super.emit("clientError", error, connection);
@@ -80,6 +87,13 @@
     return false;
   }
 
+  /** Whether a request may have arrived that waits for its turn to be read. */
+  get #isReading(): boolean {
+    return [...this.#sockets].some((socket) =>
+      PacedSocket.find(socket)?.isWaitingCheaply
+    );
+  }
+
   /** Responses to requests that have no answer yet. */
   listUnanswered(): readonly ServerResponse[] {
     return [...this.#responses].filter(({ headersSent }) => !headersSent);
@@ -105,10 +119,15 @@
    * `waitForPoll`, so that requests that have arrived were read.
    */
   override closeIdleConnections(): void {
-    if (!this.isSending) super.closeIdleConnections();
+    if (!this.isSending && !this.#isReading) super.closeIdleConnections();
   }
 }
 
+function isWaiting(connection: Duplex): boolean {
+  return connection instanceof Socket &&
+    PacedSocket.find(connection)?.isWaiting === true;
+}
+
 function isHeadTimeout(error: unknown): error is Error {
   return error instanceof Error && "code" in error &&
     error.code === headTimeoutCode;
--- a/packages/common/src/http_server.ts
+++ b/packages/common/src/http_server.ts
@@ -8,17 +8,22 @@
   type ServerResponse,
   STATUS_CODES,
 } from "node:http";
-import { type AddressInfo, Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { getHeapStatistics } from "node:v8";
 import createRouter, { type HTTPVersion, type Instance } from "find-my-way";
 import { type Either, Left, Right } from "purify-ts";
 import { type Address, formatAddress } from "./address.ts";
+import { SystemClock } from "./clock.ts";
 import { DrainableServer } from "./drainable_server.ts";
 import { formatThrown, KindError } from "./kind_error.ts";
+import { endWithText, sendWhole } from "./ending_connections.ts";
 import { listen } from "./listen.ts";
 import { type BodyLimits, readRequestBody } from "./request_body.ts";
+import { ServerConnections } from "./server_connections.ts";
 import {
   createClientError,
+  createMemoryError,
   createNoSuchPathError,
   createStoppedError,
   formatServerError,
@@ -50,16 +55,9 @@
  * dropped.
  */
 const maxRefusedConnections = 64;
-/** Limit of the bytes of a refused body that are read and discarded. */
-const maxDiscardBytes = 16_777_216;
-/** Idle time after which a connection with a refused body is closed. */
-const lingerMs = 1_000;
 /** Time after which a caller that found no room tries again, in milliseconds. */
 const noRoomRetryMs = 500;
 
-/** Connections whose current request body is being discarded. */
-const discardingSockets = new WeakSet<Socket>();
-
 /** One request with the parameters of its route. */
 export interface HttpExchange {
   readonly request: IncomingMessage;
@@ -116,6 +114,10 @@
   readonly address: Address;
   readonly routes: readonly HttpRoute[];
   readonly limits?: Partial<HttpLimits>;
+  /** Name of the listener, for what its connections cost. */
+  readonly listener?: string;
+  /** Connections of the process; those of this server alone by default. */
+  readonly connections?: ServerConnections;
   /** Called with the reason when a handler rejects or the listener fails. */
   readonly onHandlerError?: (error: unknown) => void;
 }
@@ -160,6 +162,17 @@
       "clientError",
       (error, socket) => handleClientError(error, { socket, limits }),
     );
+    const connections = options.connections ?? ServerConnections.create({
+      clock: SystemClock.create(),
+      memoryBytes: getHeapStatistics().heap_size_limit,
+    });
+    connections.guard(server, {
+      listener: options.listener ?? "",
+      busyText: formatRawError(createMemoryError(), [
+        "retry-after: 1",
+        "x-run: not_run",
+      ]),
+    });
     const opened = new HttpServer(server, limits.maxConnections);
     const listener = createListener(options);
     server.on("request", (request, response) => {
@@ -285,30 +298,29 @@
   client: { readonly socket: Duplex; readonly limits: HttpLimits },
 ): void {
   const { socket, limits } = client;
-  if (
-    error.code === "ECONNRESET" || !socket.writable || isAnswered(socket)
-  ) {
+  if (error.code === "ECONNRESET" || !socket.writable) {
     socket.destroy();
     return;
   }
   const answer = createClientError(error.code, limits);
-  const body = JSON.stringify(formatServerError(answer));
-  const reason = STATUS_CODES[answer.status];
-  socket.end(
-    `HTTP/1.1 ${answer.status} ${reason}\r\ncontent-type: application/json; charset=utf-8\r\nconnection: close\r\ncontent-length: ${
-      Buffer.byteLength(body)
-    }\r\n\r\n${body}`,
-  );
-  if (socket instanceof Socket) {
-    socket.setTimeout(lingerMs, () => socket.destroy());
-  }
+  endWithText(socket, formatRawError(answer));
 }
 
-/**
- * Whether the current request is answered already, so that no error may follow.
- */
-function isAnswered(socket: Duplex): boolean {
-  return socket instanceof Socket && discardingSockets.has(socket);
+/** Formats an error as a whole answer, after which the connection closes. */
+function formatRawError(
+  error: ServerError,
+  headers: readonly string[] = [],
+): string {
+  const body = JSON.stringify(formatServerError(error));
+  return [
+    `HTTP/1.1 ${error.status} ${STATUS_CODES[error.status]}`,
+    "content-type: application/json; charset=utf-8",
+    "connection: close",
+    `content-length: ${Buffer.byteLength(body)}`,
+    ...headers,
+    "",
+    body,
+  ].join("\r\n");
 }
 
 /** Sends `value` as a JSON answer. */
@@ -319,12 +331,16 @@
   headers: Readonly<Record<string, string>> = {},
 ): void {
   const body = JSON.stringify(value);
-  response.writeHead(status, {
-    "content-type": "application/json; charset=utf-8",
-    "content-length": Buffer.byteLength(body),
-    ...headers,
+  const contentLength = Buffer.byteLength(body);
+  sendWhole(response, {
+    status,
+    headers: {
+      "content-type": "application/json; charset=utf-8",
+      "content-length": contentLength,
+      ...headers,
+    },
+    body,
   });
-  response.end(body);
 }
 
 /** Reads a whole body within its limits; they are read as `readRequestBody` does. */
@@ -352,30 +368,6 @@
   }
 }
 
-/**
- * Discards the rest of a refused body after the answer was sent, then closes
- * the connection.
- *
- * Closing a connection with unread bytes resets it, and the caller may lose the
- * answer. The rest is limited by `maxDiscardBytes` and `lingerMs`.
- */
-export function discardBody(request: IncomingMessage): void {
-  if (request.complete) return;
-  const { socket } = request;
-  let remainingBytes = maxDiscardBytes;
-  discardingSockets.add(socket);
-  request.on("data", (chunk: Buffer) => {
-    remainingBytes -= chunk.length;
-    if (remainingBytes < 0) socket.destroySoon();
-  });
-  request.once("end", () => socket.destroySoon());
-  // The server sets the timeout of the socket anew once the answer is sent.
-  const timer = setTimeout(() => socket.destroySoon(), lingerMs);
-  socket.once("close", () => clearTimeout(timer));
-  request.on("data", () => timer.refresh());
-  request.resume();
-}
-
 /** Parses bytes as JSON; invalid UTF-8 is an error. */
 export function parseJsonBody(body: Uint8Array): Either<BodyError, unknown> {
   let text: string;
--- a/packages/common/src/request_body.ts
+++ b/packages/common/src/request_body.ts
@@ -9,13 +9,14 @@
 import type { IncomingMessage } from "node:http";
 import type { BodyShare } from "./body_budget.ts";
 import { BodyBlocks } from "./body_blocks.ts";
+import { PacedSocket } from "./paced_socket.ts";
 
 /** Outcome of reading a body. */
 export type BodyResult =
   | { readonly kind: "read"; readonly body: Buffer }
   | { readonly kind: "too_large" }
   | { readonly kind: "timeout" }
-  /** The bodies of other requests leave no room for it. */
+  /** What others send leaves no room for it. */
   | { readonly kind: "no_room" }
   /** The caller disconnected before the body was complete. */
   | { readonly kind: "gone" };
@@ -42,6 +43,7 @@
   if ((declaredBytes ?? 0) > maxBytes) {
     return Promise.resolve({ kind: "too_large" });
   }
+  const connection = PacedSocket.find(request.socket);
   return new Promise((resolve) => {
     const timer = timeoutMs === undefined
       ? undefined
@@ -50,6 +52,7 @@
       clearTimeout(timer);
       // The rest of a body that is not wanted is not kept.
       request.off("data", addChunk);
+      connection?.setBodyReader(undefined);
       if (result.kind === "read") share.complete();
       else share.release();
       blocks = undefined;
@@ -66,6 +69,7 @@
       if (bytes > maxBytes) finish({ kind: "too_large" });
       else if (blocks?.add(chunk) === false) finish({ kind: "no_room" });
     };
+    connection?.setBodyReader(() => finish({ kind: "no_room" }));
     if (!share.add(declaredBytes ?? 0)) return finish({ kind: "no_room" });
     if (request.destroyed) return finish({ kind: "gone" });
     request.on("data", addChunk);
--- a/packages/common/src/server_error.ts
+++ b/packages/common/src/server_error.ts
@@ -55,6 +55,17 @@
   }
 }
 
+/** Creates the error for a caller who is given up before its request was read. */
+export function createMemoryError(): ServerError {
+  return {
+    status: 503,
+    kind: "memory_short",
+    message:
+      "requests of others leave no room for this one; send it again after the time in Retry-After, or to another node",
+    run: "not_run",
+  };
+}
+
 /** Creates the error for a path or method without a route. */
 export function createNoSuchPathError(): ServerError {
   return {
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -12,13 +12,16 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { Event } from "@almondcrank/common/emitter.ts";
+import { sendWhole } from "@almondcrank/common/ending_connections.ts";
 import { listen } from "@almondcrank/common/listen.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
+import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import {
   type FeedKind,
   feedKinds,
   type FeedState,
 } from "../feed/feed_state.ts";
+import { formatBareReply } from "../relay/client_error.ts";
 import { handOverPath } from "../relay/hand_over.ts";
 import { askForCopy, copyPath, FeedPulls } from "./feed_pulls.ts";
 import { FeedSnapshots } from "./feed_snapshots.ts";
@@ -65,6 +68,8 @@
   readonly isLeading: () => boolean;
   /** Speed of this node's link; undefined if it is not known. */
   readonly linkBytesPerMs: number | undefined;
+  /** Connections of all servers of the node. */
+  readonly connections: ServerConnections;
   /** Port of the control listener, the same on all nodes. */
   readonly controlPort: number;
   /** Answers a peer that asks for the origin of a stream. */
@@ -116,6 +121,10 @@
       request.url = url.slice(handOverPath.length);
       options.handleHanded(request, response);
     });
+    options.connections.guard(this.#server, {
+      listener: "control",
+      busyText: formatBareReply(busyStatus, "Service Unavailable"),
+    });
   }
 
   static create(options: ClusterOptions): Cluster {
@@ -365,13 +374,12 @@
     if (kind !== undefined) return await this.#answerSnapshot(kind, response);
     const text = this.#composeText(url);
     if (text === undefined) {
-      response.writeHead(404);
       const isQuestion = url.startsWith(originPath);
-      response.end(isQuestion ? this.#options.answerUnknownOrigin() : "");
-      return;
+      const body = isQuestion ? this.#options.answerUnknownOrigin() : "";
+      return sendWhole(response, { status: 404, headers: {}, body });
     }
-    response.setHeader("Content-Type", "text/plain; charset=utf-8");
-    response.end(text);
+    const headers = { "Content-Type": "text/plain; charset=utf-8" };
+    sendWhole(response, { status: 200, headers, body: text });
   }
 
   #composeText(url: string): string | undefined {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 } from "@almondcrank/common/disposables.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
+import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import { PlatformCloud } from "@almondcrank/platform/platform_cloud.ts";
 import {
   configurationKind,
@@ -70,6 +71,7 @@
   readonly #lifetime = DisposableStore.create();
   readonly #server: CallerServer;
   readonly #bodies: RequestBodies;
+  readonly #connections: ServerConnections;
   readonly #sender: ReplicaSender;
   readonly #table: ReplicaTable;
   readonly #view: StoreView;
@@ -86,6 +88,7 @@
     this.#clock = parts.clock;
     this.#server = parts.server;
     this.#bodies = parts.bodies;
+    this.#connections = parts.connections;
     this.#sender = parts.services.sender;
     this.#table = parts.services.table;
     this.#view = parts.view;
@@ -197,6 +200,7 @@
         this.#lease?.fencingToken !== undefined ||
         this.#readers.some((reader) => reader.isActiveReader),
       linkBytesPerMs: settings.linkBytesPerMs,
+      connections: parts.connections,
       controlPort: findControlPort(settings),
       answerOrigin: (id) => parts.origins.composeAnswer(id),
       answerUnknownOrigin: () => parts.versions.composeHistory(),
@@ -342,11 +346,12 @@
   }
 
   async #openServers(
-    { settings, server }: GatewayParts,
+    { settings, server, connections }: GatewayParts,
   ): Promise<void> {
     if (settings.readiness !== undefined) {
       const readiness = ReadinessServer.create({
         log: this.#log,
+        connections,
         isReady: () => this.#isReady(),
       });
       this.#lifetime.register(readiness);
@@ -366,6 +371,7 @@
   async #openMetrics(port: number): Promise<void> {
     const server = MetricsServer.create({
       log: this.#log,
+      connections: this.#connections,
       format: () => this.#metrics.format(),
     });
     this.#lifetime.register(server);
@@ -391,6 +397,7 @@
     this.#sender.retain((key) => this.#table.find(key) !== undefined);
     this.#metrics.setGauge("requests_running", this.#server.running);
     this.#bodies.recordMetrics(this.#metrics);
+    this.#connections.recordMetrics(this.#metrics);
     const ageMs = this.#table.computeAgeMs(this.#clock.now());
     this.#metrics.setGauge("registrations_age_ms", ageMs ?? -1);
     this.#metrics.setGauge("replicas_limited", this.#table.countLimited());
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -9,6 +9,7 @@
 import type { Log } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { Random } from "@almondcrank/common/random.ts";
+import { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import type { PlatformClientOptions } from "@almondcrank/infrastructure/platform_client.ts";
 import type {
   Bounds,
@@ -98,6 +99,8 @@
   readonly feeds: Readonly<Record<FeedKind, FeedState>>;
   readonly view: StoreView;
   readonly bodies: RequestBodies;
+  /** Connections of all servers of the node. */
+  readonly connections: ServerConnections;
   readonly server: CallerServer;
   /** What this node tells its peers beside the fixed parts of a report. */
   readonly tallySources: readonly TallySource[];
@@ -289,9 +292,16 @@
     startShare: settings.isFirstStart ? 1 : restartedLevelShare,
   });
   const bodies = RequestBodies.create({ clock, memoryBytes, answers });
+  const connections = ServerConnections.create({
+    ...settings.connections,
+    clock,
+    memoryBytes,
+  });
   const server = CallerServer.create({
     services,
     registry,
+    connections,
+    maxConnections: computeMaxConnections(settings),
     bodies,
     rateLimiter,
     readContext: () => ({
@@ -320,6 +330,7 @@
     feeds,
     view,
     bodies,
+    connections,
     server,
     tallySources: [
       services.costs.firstEvents,
@@ -335,6 +346,30 @@
   };
 }
 
+/** Descriptors that a node needs beside those of its connections. */
+const ownDescriptors = 200;
+/** Share of the descriptors that callers may have; others need the rest. */
+const callersDescriptorShare = 0.7;
+/** Share of the memory that the connections of callers may take. */
+const connectionsMemoryShare = 0.2;
+/** Memory of a connection whose head has arrived in part. */
+const connectionBytes = 32_768;
+
+/** Computes how many connections of callers may be open. */
+export function computeMaxConnections(
+  { connections, maxDescriptors, memoryMb }: Pick<
+    GatewaySettings,
+    "connections" | "maxDescriptors" | "memoryMb"
+  >,
+): number {
+  const byMemory = memoryMb * bytesPerMb * connectionsMemoryShare /
+    connectionBytes;
+  const byDescriptors = (maxDescriptors - ownDescriptors) *
+    callersDescriptorShare;
+  const most = Math.floor(Math.min(byMemory, byDescriptors));
+  return connections.max ?? Math.max(1, most);
+}
+
 /** Shortest time for which streams may be taken up again. */
 const minOriginHorizonMs = 60_000;
 /** Time in which callers come back, with an outage of all nodes. */
--- a/packages/gateway/src/metrics_server.ts
+++ b/packages/gateway/src/metrics_server.ts
@@ -4,7 +4,10 @@
 
 import { createServer, type Server } from "node:http";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
+import { sendWhole } from "@almondcrank/common/ending_connections.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
+import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
+import { formatBareReply } from "./relay/client_error.ts";
 
 /** Path of the metrics; all others answer 404. */
 export const metricsPath = "/metrics";
@@ -12,6 +15,8 @@
 /** Log and content of a metrics server. */
 export interface MetricsServerOptions {
   readonly log: Log;
+  /** Connections of all servers of the node. */
+  readonly connections: ServerConnections;
   /** Formats the current metrics as text. */
   readonly format: () => string;
 }
@@ -21,14 +26,21 @@
   readonly #server: Server;
   readonly #log: Log;
 
-  private constructor({ format, log }: MetricsServerOptions) {
+  private constructor({ format, log, connections }: MetricsServerOptions) {
     this.#log = log;
     this.#server = createServer((request, response) => {
       const isFound = request.url === metricsPath;
-      response.writeHead(isFound ? 200 : 404, {
-        "Content-Type": "text/plain; version=0.0.4; charset=utf-8",
+      sendWhole(response, {
+        status: isFound ? 200 : 404,
+        headers: {
+          "Content-Type": "text/plain; version=0.0.4; charset=utf-8",
+        },
+        body: isFound ? format() : "",
       });
-      response.end(isFound ? format() : "");
+    });
+    connections.guard(this.#server, {
+      listener: "metrics",
+      busyText: formatBareReply(503, "Service Unavailable"),
     });
   }
 
--- a/packages/gateway/src/relay/caller_server.ts
+++ b/packages/gateway/src/relay/caller_server.ts
@@ -14,6 +14,7 @@
 import { listen } from "@almondcrank/common/listen.ts";
 import type { LogFields } from "@almondcrank/common/logs.ts";
 import { waitForPoll } from "@almondcrank/common/poll_phase.ts";
+import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import type { Configuration } from "@almondcrank/model/configuration.ts";
 import { requestIdHeader } from "@almondcrank/platform/headers.ts";
 import { isTakenDuringDrain } from "@almondcrank/routing/admission/drain_admission.ts";
@@ -28,14 +29,14 @@
   type Routed,
 } from "./request_admission.ts";
 import { composeRequest, computeTimeoutMs } from "./request_composer.ts";
-import { sendEarlyReply } from "./early_reply.ts";
-import { handleClientError } from "./client_error.ts";
+import { formatBareReply, handleClientError } from "./client_error.ts";
 import { CallRelay } from "./call_relay.ts";
 import { findQuarantine, listSuspects } from "./quarantine_check.ts";
 import {
   composeLocalReply,
   type LocalReply,
   sendLocalReply,
+  sendUnreadReply,
 } from "./local_reply.ts";
 import type { RelayResult, RelayServices } from "./relay_services.ts";
 import {
@@ -55,6 +56,8 @@
 const connectionsCheckMs = 1_000;
 const listenBacklog = 2_048;
 const drainingRetryMs = 20;
+/** Time after which a caller whose request was not read tries again. */
+const busyRetryMs = 500;
 /** Longest wait of a request for the first configuration and replicas. */
 const initialSyncTimeoutMs = 250;
 
@@ -62,6 +65,10 @@
 export interface CallerServerOptions {
   readonly services: RelayServices;
   readonly registry: StreamRegistry;
+  /** Connections of all servers of the process. */
+  readonly connections: ServerConnections;
+  /** Connections of callers that may be open. */
+  readonly maxConnections: number;
   readonly bodies: RequestBodies;
   readonly rateLimiter: TenantRateLimiter;
   /** Reads the current state for admission. */
@@ -113,6 +120,11 @@
       (request, response) => void this.#handle(request, response),
     );
     this.#server.requestTimeout = 0;
+    options.connections.guard(this.#server, {
+      listener: "callers",
+      busyText: formatBareReply(503, "Service Unavailable", busyRetryMs),
+      maxConnections: options.maxConnections,
+    });
     this.#server.on("clientError", handleClientError);
   }
 
@@ -235,6 +247,8 @@
     if (early.kind === "refused") {
       return this.#refuseRoute({ request, response }, early.reply);
     }
+    const { connections } = this.#options;
+    connections.admit(request.socket, early.tenant?.name ?? early.route.name);
     const deadline = receivedAt + computeTimeoutMs(request, early);
     const body = await bodies.read(request, early, { receivedAt, deadline });
     if (body.kind !== "read") return this.#endUnread(request, response, body);
@@ -383,7 +397,7 @@
     const reply = composeUnreadReply(body.kind);
     const id = readHeader(request, requestIdHeader);
     this.#log.recordRefusal(id, reply, body.fields);
-    sendEarlyReply(response, reply);
+    sendUnreadReply(response, reply);
   }
 
   #refuse(
--- a/packages/gateway/src/relay/caller_server_test.ts
+++ b/packages/gateway/src/relay/caller_server_test.ts
@@ -13,6 +13,7 @@
 import { SystemClock } from "@almondcrank/common/clock.ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
+import { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import { decodeConfiguration } from "@almondcrank/platform/decode_configuration.ts";
 import { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
 import { RouteTable } from "../routes/route_table.ts";
@@ -85,6 +86,11 @@
       memoryBytes: 200_000_000,
       answers: BodyBudget.create(),
     }),
+    connections: ServerConnections.create({
+      clock: SystemClock.create(),
+      memoryBytes: 200_000_000,
+    }),
+    maxConnections: 100,
     rateLimiter: TenantRateLimiter.create(0),
     readContext,
     isSynced: () => true,
--- a/packages/gateway/src/relay/local_reply.ts
+++ b/packages/gateway/src/relay/local_reply.ts
@@ -6,6 +6,11 @@
  */
 
 import type { ServerResponse } from "node:http";
+import {
+  sendLast,
+  sendWhole,
+  type WholeAnswer,
+} from "@almondcrank/common/ending_connections.ts";
 
 /** Reason of a local reply; also the `reason` label of `refusals_total`. */
 export type LocalReplyReason =
@@ -133,15 +138,18 @@
   response: ServerResponse,
   reply: LocalReply,
 ): void {
-  if (response.headersSent || response.destroyed) return;
-  response.end(writeReplyHead(response, reply));
+  sendWhole(response, composeAnswer(reply));
 }
 
-/** Writes the head of a reply, and composes its body. */
-export function writeReplyHead(
+/** Sends a reply to a request whose body is not read, and ends its connection. */
+export function sendUnreadReply(
   response: ServerResponse,
   reply: LocalReply,
-): string {
+): void {
+  sendLast(response, composeAnswer(reply));
+}
+
+function composeAnswer(reply: LocalReply): WholeAnswer {
   const body = JSON.stringify({
     kind: reply.reason,
     message: reply.message,
@@ -153,6 +161,5 @@
   if (reply.retryAfterMs !== undefined) {
     headers["Retry-After"] = (reply.retryAfterMs / 1_000).toFixed(2);
   }
-  response.writeHead(reply.status, headers);
-  return body;
+  return { status: reply.status, headers, body };
 }
--- a/packages/gateway/src/relay/replica_request.ts
+++ b/packages/gateway/src/relay/replica_request.ts
@@ -301,7 +301,8 @@
   const status = response.statusCode ?? 0;
   if (status !== misdirectedStatus) call.onAnswer(response);
   const isDeclined = status === misdirectedStatus ||
-    (status >= 400 && isFinalStatus(status) && response.headers[notExecutedHeader] !== undefined);
+    (status >= 400 && isFinalStatus(status) &&
+      response.headers[notExecutedHeader] !== undefined);
   if (!isDeclined) {
     if (isSoundHead(response)) return { kind: "answered", response };
     outgoing.destroy();
--- a/packages/gateway/src/testing/test_system.ts
+++ b/packages/gateway/src/testing/test_system.ts
@@ -16,6 +16,7 @@
 import { WorkMeter } from "../duties/work_meter.ts";
 import { type FeedKind, FeedState } from "../feed/feed_state.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
+import { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
@@ -215,6 +216,10 @@
       feeds,
       isLeading: () => node.fencingToken !== undefined || node.isReading(),
       linkBytesPerMs: this.link?.bytesPerMs,
+      connections: ServerConnections.create({
+        clock,
+        memoryBytes: 200_000_000,
+      }),
       controlPort: 0,
       answerOrigin: () => undefined,
       answerUnknownOrigin: () => "",
--- a/packages/membership/src/peer_server.ts
+++ b/packages/membership/src/peer_server.ts
@@ -19,11 +19,13 @@
 import { type Address, formatAddress } from "@almondcrank/common/address.ts";
 import { BodyBudget, type BodyShare } from "@almondcrank/common/body_budget.ts";
 import { SystemClock } from "@almondcrank/common/clock.ts";
+import { sendLast } from "@almondcrank/common/ending_connections.ts";
 import { listen } from "@almondcrank/common/listen.ts";
 import { formatThrown } from "@almondcrank/common/kind_error.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
 import { type BodyError, readBody } from "@almondcrank/common/http_server.ts";
+import { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import { ByteMeter } from "./byte_meter.ts";
 import { decodeBody, encodeBody, peerEncoding } from "./peer_encoding.ts";
 import { isPeerProof } from "./peer_key.ts";
@@ -35,6 +37,8 @@
 const requestTimeoutMs = 30_000;
 const keepAliveTimeoutMs = 90_000;
 const maxConnections = 4_096;
+const busyText =
+  "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /** Options of a peer server. */
 export interface PeerServerOptions<R extends AnyRouter> {
@@ -45,6 +49,8 @@
   readonly router: R;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Connections of the process; those of this server alone by default. */
+  readonly connections?: ServerConnections | undefined;
 }
 
 /** A listening peer server. */
@@ -78,6 +84,11 @@
       noDelay: true,
     }, createListener(options));
     server.maxConnections = maxConnections;
+    const connections = options.connections ?? ServerConnections.create({
+      clock: SystemClock.create(),
+      memoryBytes: getHeapStatistics().heap_size_limit,
+    });
+    connections.guard(server, { listener: "peers", busyText });
     server.on("connection", (socket) => {
       sockets.add(socket);
       bytes.add(socket);
@@ -128,7 +139,7 @@
       log.warn("refused a call without the shared key.", {
         from: request.socket.remoteAddress,
       });
-      refuseCall(request, response);
+      refuseCall(response);
       return;
     }
     const share = bodies.open();
@@ -206,17 +217,19 @@
   options.log.error("a peer's call failed.", { path, error: error.message });
 }
 
-function refuseCall(request: IncomingMessage, response: ServerResponse): void {
+function refuseCall(response: ServerResponse): void {
   const body = JSON.stringify({
     error: {
       kind: "unauthorized",
       message: "the shared key is missing or wrong; set peers.key in settings",
     },
   });
-  response.writeHead(401, {
-    "content-type": "application/json",
-    "content-length": Buffer.byteLength(body),
-    "connection": "close",
+  sendLast(response, {
+    status: 401,
+    headers: {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+    },
+    body,
   });
-  response.end(body, () => request.destroy());
 }
--- a/packages/model/src/gateway_settings.ts
+++ b/packages/model/src/gateway_settings.ts
@@ -45,6 +45,16 @@
 /** Duties for the platform that one node at a time performs. */
 export type DutyName = "usage" | "scaling";
 
+/** Limits of the connections of one node; by its memory where undefined. */
+export interface ConnectionSettings {
+  /** Connections of callers that may be open. */
+  readonly max: number | undefined;
+  /** Connections whose bytes may wait to be read. */
+  readonly maxWaiting: number | undefined;
+  /** Refused connections whose bytes may be dropped at once. */
+  readonly maxEnding: number | undefined;
+}
+
 /** Settings of one node. */
 export interface GatewaySettings {
   readonly nodeName: string;
@@ -64,6 +74,8 @@
   readonly memoryMb: number;
   /** Limit on open file descriptors. */
   readonly maxDescriptors: number;
+  /** Limits of what callers' connections take; the node's own where undefined. */
+  readonly connections: ConnectionSettings;
   /** Speed of the host's link; undefined if it is not known. */
   readonly linkBytesPerMs: number | undefined;
   readonly storeAddress: string;
--- a/packages/node/src/callers_routes.ts
+++ b/packages/node/src/callers_routes.ts
@@ -10,6 +10,7 @@
   sendJson,
 } from "@almondcrank/common/http_server.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import { Refusal } from "@almondcrank/routing/admission/refusal.ts";
 import type { TeamDirectory } from "./authentication.ts";
 import type { ChatHandler } from "./chat_handler.ts";
@@ -32,6 +33,8 @@
   readonly plain: PlainHandler;
   readonly requests: RequestCounter;
   readonly metrics: Metrics;
+  /** Connections of all servers of the process. */
+  readonly connections: ServerConnections;
   readonly readiness: () => Readiness;
 }
 
@@ -111,6 +114,7 @@
         message: "bearer key is missing or unknown; send your team's key",
       });
     }
+    options.connections.admit(exchange.request.socket, team.name);
     const state = options.readiness();
     if (state.kind === "ready" || exchange.request.headers["last-event-id"]) {
       return await options.requests.run(() =>
--- a/packages/node/src/cluster.ts
+++ b/packages/node/src/cluster.ts
@@ -82,6 +82,7 @@
           router,
           log: log.createChild("peers"),
           metrics,
+          connections: options.connections,
         }), { clock, log, listener: "peers" }),
     );
     const parts = createParts(options, server.address, disposables);
--- a/packages/node/src/http_listeners.ts
+++ b/packages/node/src/http_listeners.ts
@@ -87,6 +87,8 @@
   const { settings, cluster, dataPlane } = options;
   return HttpServer.open({
     address: settings.listen.operators,
+    listener: "operators",
+    connections: options.connections,
     limits: settings.limits,
     routes: createOperatorsRoutes({
       ...options,
@@ -113,6 +115,8 @@
   };
   return HttpServer.open({
     address: settings.listen.callers,
+    listener: "callers",
+    connections: options.connections,
     limits: settings.limits,
     routes: createCallersRoutes({
       ...options,
--- a/packages/node/src/operators_routes.ts
+++ b/packages/node/src/operators_routes.ts
@@ -8,6 +8,7 @@
 import { type Either, EitherAsync } from "purify-ts";
 import type { z } from "zod";
 import type { ConfigurationSource } from "@almondcrank/common/configuration.ts";
+import { sendWhole } from "@almondcrank/common/ending_connections.ts";
 import {
   type BodyError,
   type HttpExchange,
@@ -16,6 +17,7 @@
   sendJson,
 } from "@almondcrank/common/http_server.ts";
 import type { Metrics } from "@almondcrank/common/metrics.ts";
+import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import { formatChange } from "@almondcrank/fleet/configuration_diff.ts";
 import type { ReleaseError } from "@almondcrank/fleet/release_error.ts";
 import { parseReleaseNote } from "@almondcrank/fleet/release_note.ts";
@@ -43,6 +45,8 @@
   readonly configuration: ConfigurationSource;
   readonly metrics: Metrics;
   readonly bodies: ListenerBodies;
+  /** Connections of all servers of the process. */
+  readonly connections: ServerConnections;
   readonly readiness: () => Readiness;
   readonly readStatus: () => NodeStatus;
   readonly listStreams: () => StreamList;
@@ -66,8 +70,12 @@
       method: "GET",
       path: "/metrics",
       handle: ({ response }) => {
-        response.setHeader("content-type", "text/plain; version=0.0.4");
-        response.end(metrics.format());
+        options.connections.recordMetrics(metrics, "almondcrank_");
+        sendWhole(response, {
+          status: 200,
+          headers: { "content-type": "text/plain; version=0.0.4" },
+          body: metrics.format(),
+        });
       },
     },
     {
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -78,6 +78,10 @@
     maxBodyBytes: z.int().min(1_024).max(67_108_864).default(4_194_304),
     maxHeaderBytes: z.int().min(1_024).max(1_048_576).default(16_384),
     maxConnections: z.int().min(1).max(1_000_000).default(4_096),
+    /** Connections whose bytes may wait to be read; by the heap's size if not set. */
+    maxWaitingConnections: z.int().min(1).max(1_000_000).optional(),
+    /** Refused connections whose bytes may be dropped at once; likewise. */
+    maxEndingConnections: z.int().min(1).max(1_000_000).optional(),
     /** Time a client has to send its whole request. */
     requestTimeoutMs: z.int().min(100).max(600_000).default(15_000),
   }).prefault({}),
--- a/packages/platform/src/decode_settings.ts
+++ b/packages/platform/src/decode_settings.ts
@@ -7,6 +7,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import type {
   Bounds,
+  ConnectionSettings,
   DutyName,
   ExposureBounds,
   GatewaySettings,
@@ -84,9 +85,24 @@
     if (address === undefined || parseAddress(address) !== undefined) continue;
     faults.push(`"listen.${key}" is no address; give it as IP:PORT`);
   }
+  const connections = readFields(fields[connectionsKey]) ?? {};
+  for (const key of ["max", "max-waiting", "max-ending"]) {
+    const limit = connections[key];
+    if (limit === undefined || isConnectionLimit(limit)) continue;
+    faults.push(
+      `"${connectionsKey}.${key}" is no whole number above 0; correct or omit it`,
+    );
+  }
   return faults;
 }
 
+/** Section with limits of the connections of a node, which may be omitted. */
+const connectionsKey = "connection-limits";
+
+function isConnectionLimit(value: unknown): boolean {
+  return typeof value === "number" && Number.isInteger(value) && value > 0;
+}
+
 function decodeFields(fields: Fields): GatewaySettings {
   const listen = readFields(fields["listen"]) ?? {};
   const limits = readFields(fields["limits"]) ?? {};
@@ -105,6 +121,7 @@
     isFirstStart: fields["bootstrap"] === true,
     memoryMb: readNumber(limits["memory-mb"]) ?? 256,
     maxDescriptors: readNumber(limits["fd-limit"]) ?? 1_024,
+    connections: decodeConnections(fields),
     linkBytesPerMs: decodeLinkSpeed(readNumber(limits["link-mbps"])),
     storeAddress: String(platform["address"]),
     cloudAddress: readString(cloud["address"]),
@@ -115,6 +132,15 @@
   };
 }
 
+function decodeConnections(fields: Fields): ConnectionSettings {
+  const connections = readFields(fields[connectionsKey]) ?? {};
+  return {
+    max: readNumber(connections["max"]),
+    maxWaiting: readNumber(connections["max-waiting"]),
+    maxEnding: readNumber(connections["max-ending"]),
+  };
+}
+
 /** Contract that lets operators order rollouts. */
 const rolloutContract = "rollout";
 
--- a/packages/platform/src/decode_test.ts
+++ b/packages/platform/src/decode_test.ts
@@ -85,19 +85,20 @@
   }
 });
 
+const settings = {
+  "node-name": "n",
+  ip: "10.0.0.1",
+  zone: "a",
+  "port-range": [1, 2],
+  platform: { address: "10.0.0.2:1" },
+  bounds: {
+    "exposure-share": 0.1,
+    "exposure-tolerance": 50,
+    "rollback-ms": 5_000,
+  },
+};
+
 test("bounds of exposure are read only under the contract that orders rollouts", () => {
-  const settings = {
-    "node-name": "n",
-    ip: "10.0.0.1",
-    zone: "a",
-    "port-range": [1, 2],
-    platform: { address: "10.0.0.2:1" },
-    bounds: {
-      "exposure-share": 0.1,
-      "exposure-tolerance": 50,
-      "rollback-ms": 5_000,
-    },
-  };
   const read = (contracts: readonly string[]) =>
     decodeSettings(JSON.stringify({ ...settings, contracts }))
       .map(({ exposure }) => exposure).extract();
@@ -116,6 +117,21 @@
   assert.match(decodeSettings("[").swap().unsafeCoerce().message, /JSON/);
 });
 
+test("limits of connections are checked, and may be omitted", () => {
+  const read = (limits: unknown) =>
+    decodeSettings(JSON.stringify({ ...settings, "connection-limits": limits }))
+      .map(({ connections }) => connections);
+  const none = { max: undefined, maxWaiting: undefined, maxEnding: undefined };
+  assert.equal(read(undefined).unsafeCoerce(), none);
+  const limits = { max: 3, "max-waiting": 2, "max-ending": 1 };
+  const set = { max: 3, maxWaiting: 2, maxEnding: 1 };
+  assert.equal(read(limits).unsafeCoerce(), set);
+  for (const wrong of [0, -1, 1.5, "4"]) {
+    const { message } = read({ "max-waiting": wrong }).swap().unsafeCoerce();
+    assert.match(message, "connection-limits.max-waiting");
+  }
+});
+
 test("malformed entries of prompt headers are left out", () => {
   assert.equal(parsePromptParts("a:10,b,c:x,d:5"), [
     { id: "a", tokens: 10 },
--- a/packages/scenario/src/testing/gateway_process.ts
+++ b/packages/scenario/src/testing/gateway_process.ts
@@ -151,6 +151,11 @@
     this.#child?.stderr?.destroy();
   }
 
+  /** Id of the process; 0 before its start. */
+  get pid(): number {
+    return this.#child?.pid ?? 0;
+  }
+
   get hasEnded(): boolean {
     return this.#end !== undefined;
   }
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -283,6 +283,11 @@
       isFirstStart: true,
       memoryMb: 350,
       maxDescriptors: 1_024,
+      connections: {
+        max: undefined,
+        maxWaiting: undefined,
+        maxEnding: undefined,
+      },
       linkBytesPerMs: undefined,
       storeAddress: this.store.address,
       cloudAddress: this.cloud.address,
