--- a/packages/scenario/src/gateway_crowds_test.ts
+++ b/packages/scenario/src/gateway_crowds_test.ts
@@ -26,6 +26,10 @@
 const crowdMs = 2_000;
 /** Calls of which at least one must be answered; each has 4 s. */
 const calls = 8;
+/** Callers of each kind where all kinds come at once. */
+const mixedCallers = 20;
+/** Time in which a node that runs answers a page. */
+const controlMs = 10_000;
 /** Descriptors of the node: those of its crowd, and what it needs itself. */
 const ownDescriptors = 200;
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -174,6 +178,17 @@
   },
 ];
 
+/** Whether the load balancer and operators are answered. */
+async function checkControl({ place }: GatewayProcess): Promise<void> {
+  const pages = [`${place.readiness}/readyz`, `${place.control}/metrics`];
+  for (const page of pages) {
+    const signal = AbortSignal.timeout(controlMs);
+    const answer = await fetch(`http://${page}`, { signal });
+    await answer.arrayBuffer();
+    assert.is(answer.status, 200, page);
+  }
+}
+
 /** Whether one of some calls in a row is answered with success. */
 async function isServed(node: GatewayProcess): Promise<boolean> {
   for (let at = 0; at < calls; at += 1) {
@@ -182,9 +197,20 @@
   return false;
 }
 
-async function checkCrowd(
+/** Opens a crowd at one of the node's listeners. */
+function openCrowd(
+  { place }: GatewayProcess,
+  { callers, head, part, parts, listener = "callers" }: CrowdCase,
+): Promise<Crowd> {
+  const address = place[listener];
+  const order: CrowdOrder = { address, callers, head, part, pauseMs };
+  return Crowd.open(parts === undefined ? order : { ...order, parts });
+}
+
+/** Checks a node beside crowds that come at the same time, and after them. */
+async function checkCrowds(
   node: GatewayProcess,
-  { callers, head, part, parts, listener = "callers", isSlow }: CrowdCase,
+  orders: readonly CrowdCase[],
 ): Promise<void> {
   const { place } = node;
   const watch = MemoryWatch.create(node.pid, [
@@ -192,21 +218,17 @@
     place.control,
     place.readiness,
   ]);
-  const order: CrowdOrder = {
-    address: place[listener],
-    callers,
-    head,
-    part,
-    pauseMs,
-    ...(parts === undefined ? {} : { parts }),
-  };
+  const isSlow = orders.some((order) => order.isSlow);
   const slow = isSlow ? slowDown(node, smallShare) : undefined;
-  const crowd = await Crowd.open(order);
+  const crowds = await Promise.all(
+    orders.map((order) => openCrowd(node, order)),
+  );
   try {
     await sleep(crowdMs);
     assert.ok(await isServed(node), "nobody was answered beside the crowd");
+    await checkControl(node);
   } finally {
-    await crowd.close();
+    for (const crowd of crowds) await crowd.close();
     slow?.dispose();
     watch.dispose();
   }
@@ -214,6 +236,7 @@
   assert.not(node.hasEnded, "the node ended by itself");
   const { bytes, descriptors } = watch.peaks;
   assert.ok(bytes < memoryBytes, `${bytes} bytes at the peak`);
+  const callers = orders.reduce((sum, order) => sum + order.callers, 0);
   const most = callers + ownDescriptors;
   assert.ok(descriptors <= most, `${descriptors} descriptors at the peak`);
 }
@@ -223,7 +246,21 @@
   test(`others are answered beside a crowd that sends ${crowd.name}`, async () => {
     await runWithDeployedNode(
       { maxBodyBytes, timeoutMs: deadlineMs },
-      (node) => checkCrowd(node, crowd),
+      (node) => checkCrowds(node, [crowd]),
+    );
+  });
+}
+
+for (const isSlow of [false, true]) {
+  const core = isSlow ? "a slow core" : "a whole core";
+  // Guards against crowds that together take what each alone does not.
+  test(`others are answered beside crowds of several kinds on ${core}`, async () => {
+    const mixed = cases
+      .filter((crowd) => crowd.isSlow !== true)
+      .map((crowd) => ({ ...crowd, callers: mixedCallers, isSlow }));
+    await runWithDeployedNode(
+      { maxBodyBytes, timeoutMs: deadlineMs },
+      (node) => checkCrowds(node, mixed),
     );
   });
 }
