--- a/packages/common/src/request_body.ts
+++ b/packages/common/src/request_body.ts
@@ -43,7 +43,9 @@
   if ((declaredBytes ?? 0) > maxBytes) {
     return Promise.resolve({ kind: "too_large" });
   }
-  const connection = PacedSocket.find(request.socket);
+  const connection = request.complete
+    ? undefined
+    : PacedSocket.start(request.socket);
   return new Promise((resolve) => {
     const timer = timeoutMs === undefined
       ? undefined
