--- a/packages/common/src/ending_connections.ts
+++ b/packages/common/src/ending_connections.ts
@@ -49,7 +49,7 @@
     });
     let bytes = 0;
     socket.end();
-    PacedSocket.start(socket)?.drop((dropped) => {
+    PacedSocket.find(socket)?.drop((dropped) => {
       bytes += dropped;
       if (bytes > maxDroppedBytes) socket.destroySoon();
     });
@@ -99,7 +99,7 @@
   if (response.headersSent || response.destroyed) return;
   const { socket } = response.req;
   // Nothing that follows on the connection is a request of its own any more.
-  PacedSocket.start(socket)?.stop();
+  PacedSocket.find(socket)?.stop();
   response.setHeader("Connection", "close");
   response.writeHead(status, headers);
   // The answer to HEAD has no body that would take the head with it.
@@ -117,7 +117,7 @@
 /** Sends text that ends a connection on which no request is in work. */
 export function endWithText(connection: Duplex, text: string): void {
   if (!(connection instanceof Socket)) return void connection.end(text);
-  PacedSocket.start(connection)?.stop();
+  PacedSocket.find(connection)?.stop();
   connection.write(text, () => endAnswered(connection));
 }
 
--- a/packages/common/src/paced_socket.ts
+++ b/packages/common/src/paced_socket.ts
@@ -3,9 +3,8 @@
  *
  * The bytes of a socket pass through `push` from the kernel to its listeners. They are
  * held there, and the kernel is asked for no more while some are: the rest then waits
- * with the sender. Node's HTTP server reads from the kernel by itself, at less cost; it
- * leaves that to the socket once somebody listens to its data. So pacing starts when
- * a connection brings more than whole requests, one by one.
+ * with the sender. Node's HTTP server would read from the kernel by itself; it leaves
+ * that to the socket once somebody listens to its data.
  */
 
 import type { Socket } from "node:net";
@@ -21,14 +20,6 @@
   /** That answer has left, and what still arrives is dropped. */
   | "dropping";
 
-/** How a connection is paced once that is needed. */
-interface Pacing {
-  readonly turn: ReadTurn;
-  /** Called when what it sends is not read any more. */
-  readonly onGivenUp: () => void;
-}
-
-const pacings = new WeakMap<Socket, Pacing>();
 const pacedSockets = new WeakMap<Socket, PacedSocket>();
 
 /** One accepted connection. */
@@ -47,7 +38,7 @@
   /** Called in place of `#onGivenUp` while a body is read. */
   #bodyReader: (() => void) | undefined;
 
-  private constructor(socket: Socket, { turn, onGivenUp }: Pacing) {
+  private constructor(socket: Socket, turn: ReadTurn, onGivenUp: () => void) {
     this.#socket = socket;
     this.#turn = turn;
     this.#onGivenUp = onGivenUp;
@@ -60,27 +51,21 @@
     socket.on("data", () => {});
     socket.on("resume", () => {
       if (this.#isHolding) turn.wait(this);
-      else this.#readMore();
     });
     socket.once("close", () => this.stop());
   }
 
-  /** Says how a connection is to be paced; it is read as usual until then. */
-  static prepare(socket: Socket, pacing: Pacing): void {
-    pacings.set(socket, pacing);
-  }
-
-  /** What a connection has cost, if it is prepared. */
-  static findTurn(socket: Socket): ReadTurn | undefined {
-    return pacings.get(socket)?.turn;
-  }
-
-  /** Paces a connection from now on, if it is prepared. */
-  static start(socket: Socket): PacedSocket | undefined {
-    const known = pacedSockets.get(socket);
-    const pacing = pacings.get(socket);
-    if (known !== undefined || pacing === undefined) return known;
-    const paced = new PacedSocket(socket, pacing);
+  /**
+   * Begins to pace a connection from which nothing was read.
+   *
+   * @param onGivenUp Called when what it sends is not read any more.
+   */
+  static open(
+    socket: Socket,
+    turn: ReadTurn,
+    onGivenUp: () => void,
+  ): PacedSocket {
+    const paced = new PacedSocket(socket, turn, onGivenUp);
     pacedSockets.set(socket, paced);
     return paced;
   }
@@ -90,6 +75,11 @@
     return pacedSockets.get(socket);
   }
 
+  /** What the connection has cost. */
+  get turn(): ReadTurn {
+    return this.#turn;
+  }
+
   /** Whether bytes have arrived that nobody has read. */
   get isWaiting(): boolean {
     return this.#isHolding || this.#hasEnded;
--- a/packages/common/src/read_turns.ts
+++ b/packages/common/src/read_turns.ts
@@ -17,8 +17,6 @@
 const turnMs = 2;
 /** Parts that are read at once between two turns. */
 const partsAtOnce = 32;
-/** Parts after which a turn is due: one for each part would wake the loop for it. */
-const partsBeforeTurn = 8;
 /** Time in which what a connection has cost decays to 1/e, in milliseconds. */
 const costDecayMs = 1_000;
 /** Cost below which a connection is read before all that are above it. */
@@ -57,8 +55,6 @@
   readonly #turns: ReadTurns;
   readonly #cost = DecayingValue.create(costDecayMs);
   #group: DecayingValue;
-  /** Requests whose cost was not counted yet. */
-  #requests = 0;
 
   /** Called by `ReadTurns.open`. */
   constructor(turns: ReadTurns, group: DecayingValue) {
@@ -92,15 +88,12 @@
     const startedAt = clock.now();
     work();
     const endedAt = clock.now();
-    const ms = endedAt - startedAt + this.#requests * requestMs;
-    this.#requests = 0;
-    this.#cost.add(ms, endedAt);
-    this.#group.add(ms, endedAt);
+    this.#charge(endedAt - startedAt, endedAt);
   }
 
   /** Counts a request that the connection has brought. */
   recordRequest(): void {
-    this.#requests += 1;
+    this.#charge(requestMs, this.#turns.clock.now());
   }
 
   /** Counts further costs to those of a tenant, too. */
@@ -122,6 +115,11 @@
       ? this.#cost.read(now) > other.#cost.read(now)
       : this.#group.read(now) > other.#group.read(now);
   }
+
+  #charge(ms: number, now: number): void {
+    this.#cost.add(ms, now);
+    this.#group.add(ms, now);
+  }
 }
 
 /** Turns of all connections of one process. */
@@ -172,9 +170,11 @@
   }
 
   takeAtOnce(turn: ReadTurn): boolean {
-    if (this.#readAtOnce >= partsAtOnce || !turn.isCheap()) return false;
+    if (this.#readAtOnce >= partsAtOnce || !turn.isCheap(this.clock.now())) {
+      return false;
+    }
     this.#readAtOnce += 1;
-    if (this.#readAtOnce >= partsBeforeTurn) this.#scheduleTurn();
+    this.#scheduleTurn();
     return true;
   }
 
--- a/packages/common/src/request_body.ts
+++ b/packages/common/src/request_body.ts
@@ -43,9 +43,7 @@
   if ((declaredBytes ?? 0) > maxBytes) {
     return Promise.resolve({ kind: "too_large" });
   }
-  const connection = request.complete
-    ? undefined
-    : PacedSocket.start(request.socket);
+  const connection = PacedSocket.find(request.socket);
   return new Promise((resolve) => {
     const timer = timeoutMs === undefined
       ? undefined
--- a/packages/common/src/server_connections.ts
+++ b/packages/common/src/server_connections.ts
@@ -7,7 +7,6 @@
 
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import process from "node:process";
 import type { Clock } from "./clock.ts";
 import {
   EndingConnections,
@@ -83,11 +82,8 @@
     );
     server.on("connection", (socket) => {
       setEnding(socket, this.ending);
-      PacedSocket.prepare(socket, {
-        turn: this.turns.open(listener),
-        onGivenUp: () => {
-          if (this.#countRunning(socket) === 0) endWithText(socket, busyText);
-        },
+      PacedSocket.open(socket, this.turns.open(listener), () => {
+        if (this.#countRunning(socket) === 0) endWithText(socket, busyText);
       });
       open.use(socket);
       socket.once("close", () => open.remove(socket));
@@ -98,15 +94,9 @@
       else this.#displace(displaced);
     });
     server.on("request", ({ socket }) => open.use(socket));
-    server.prependListener("request", (request, response) => {
-      const { socket } = request;
-      PacedSocket.findTurn(socket)?.recordRequest();
-      const running = this.#countRunning(socket) + 1;
-      this.#running.set(socket, running);
-      // What came with its head has been read then.
-      process.nextTick(() => {
-        if (running > 1 || !request.complete) PacedSocket.start(socket);
-      });
+    server.prependListener("request", ({ socket }, response) => {
+      PacedSocket.find(socket)?.turn.recordRequest();
+      this.#running.set(socket, this.#countRunning(socket) + 1);
       response.once("close", () => {
         this.#running.set(socket, this.#countRunning(socket) - 1);
       });
@@ -116,7 +106,7 @@
   /** Counts what a connection brings to a tenant, whose request was taken. */
   admit(socket: Socket, tenant: string): void {
     this.#admitted.add(socket);
-    PacedSocket.findTurn(socket)?.joinGroup(tenant);
+    PacedSocket.find(socket)?.turn.joinGroup(tenant);
   }
 
   /** Sets the gauges of connections that are read by turns, or ending. */
