QUOTA: each node logs a tenant's sums while it is refused

Cause: the logs of the incident could not tell late news from charges that were lost or taken back: only troubled requests are logged, bounded, and admitted ones when they end.

Change: while a tenant is refused, and 10 s after, each node logs once a second what it admitted, refused and refunded, what it heard of its peers, its level, credit, part and share.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import { DutyLease } from "./duties/duty_lease.ts";
 import { Autoscaler } from "./duties/autoscaler.ts";
 import { UsageReporter } from "./duties/usage_reporter.ts";
+import { AllowanceLog } from "./limits/allowance_log.ts";
 import { FeedReader } from "./feed/feed_reader.ts";
 import { StoreView } from "./feed/store_view.ts";
 import { RolloutDuty } from "./rollouts/rollout_duty.ts";
@@ -239,9 +240,15 @@
       hasher: services.hasher,
       log: services.log.createChild("relay"),
     }));
+    const allowances = AllowanceLog.create({
+      rateLimiter: parts.rateLimiter,
+      clock,
+      log: services.log.createChild("limits"),
+    });
     const maintenanceTimer = setInterval(
       () => {
         this.#runMaintenance();
+        allowances.tellDue();
         origins.tellDue();
       },
       maintenanceIntervalMs,
--- a/packages/gateway/src/limits/tenant_bucket.ts
+++ b/packages/gateway/src/limits/tenant_bucket.ts
@@ -25,6 +25,10 @@
   admitted: number;
   /** Part of `admitted` that the peers know. */
   reported: number;
+  /** Sum of what was refused, what was refunded, and what peers admitted. */
+  refused: number;
+  refunded: number;
+  heard: number;
   /** Share of the allowance that this node and the peers it hears from may use. */
   share: number;
   /** This node's share of the level. */
@@ -61,6 +65,9 @@
     pendingRetryCost: 0,
     admitted: 0,
     reported: 0,
+    refused: 0,
+    refunded: 0,
+    heard: 0,
     share: 1,
     creditShare: 1,
     credit: 0,
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -56,6 +56,24 @@
   readonly priority: number;
 }
 
+/** What one node knows of a tenant's allowance; amounts in the tenant's unit. */
+export interface TenantUse {
+  readonly tenant: string;
+  /** Sums since this node started: its own, and what its peers admitted. */
+  readonly admitted: number;
+  readonly refused: number;
+  readonly refunded: number;
+  readonly heard: number;
+  readonly level: number;
+  readonly credit: number;
+  /** This node's share of the level. */
+  readonly part: number;
+  /** Share of the allowance that this node and the peers it hears may use. */
+  readonly share: number;
+  readonly peersKnown: number;
+  readonly peersHeard: number;
+}
+
 /** Use added to the known use of each node, as a share of the burst. */
 const assumedUseShare = 0.02;
 /** Weight of recent use in a partition's share; the rest is even among the nodes. */
@@ -119,6 +137,7 @@
       bucket.unheard.recordAdmitted(cost);
       return { kind: "admitted" };
     }
+    bucket.refused += cost;
     const rate = bucket.rate * bucket.share;
     // The retry comes after those of earlier refusals, so that retries are spread.
     const retryAfterMs = (missing + bucket.pendingRetryCost) / rate * 1_000;
@@ -217,6 +236,27 @@
     };
   }
 
+  /** Lists the sums of each tenant since this node started, for the log. */
+  listUse(now: number): readonly TenantUse[] {
+    const { known, heard } = this.#peers;
+    return [...this.#buckets].map(([tenant, bucket]) => {
+      this.#refillBucket(bucket, now);
+      return {
+        tenant,
+        admitted: Math.round(bucket.admitted + bucket.refunded),
+        refused: Math.round(bucket.refused),
+        refunded: Math.round(bucket.refunded),
+        heard: Math.round(bucket.heard),
+        level: Math.round(bucket.level),
+        credit: Math.round(bucket.credit),
+        part: bucket.creditShare,
+        share: bucket.share,
+        peersKnown: known.length,
+        peersHeard: heard.length,
+      };
+    });
+  }
+
   /** Refunds the charge of a request that did not run. */
   refund(tenant: Tenant, cost: number): void {
     const bucket = this.#buckets.get(tenant.name);
@@ -224,6 +264,7 @@
     bucket.level += cost;
     bucket.credit += cost;
     bucket.admitted -= cost;
+    bucket.refunded += cost;
     bucket.unheard.recordAdmitted(-cost);
   }
 
@@ -234,6 +275,7 @@
     if (bucket === undefined) return;
     this.#refillBucket(bucket, now);
     bucket.level -= cost;
+    bucket.heard += cost;
     const use = bucket.peerUse.get(peer) ?? DecayingValue.create(useDecayMs);
     bucket.peerUse.set(peer, use);
     use.add(cost, now);
