QUOTA: nodes that don't hear of each other spend their parts and no more

What callers saw: a hot tenant got 6,779,370 tokens in 8 s where 6,446,944 were allowed; no node was cut or down.

Cause: under the surge the relays' reports were lost, and nodes that hear nobody spent too much. Over relays nearly all use was recorded under the name "summed", which counted as heard whoever was heard: with three of 76 peers heard a node took half of the rate for its side, and a seventh of that for itself. A cut counted after 1.2 to 1.8 s only; until then a node exceeded its part by what it took for room, and in a small system the urgent needed no part at all. What a node had spent of its part was given again when the level was scaled to the share, and the excess allowed by the contract was used on purpose, although one request a node beyond its part needs it.

Change: PeerUse counts the sum only in the part of its nodes that are heard. A node counts as heard for one round and half a second. A node that isn't in touch leaves the excess alone, takes the whole rate for used while reports are late, keeps its debt, and admits a request when half of it is left. What a share leaves to others is withheld and comes back with the news of their use, where each cut cost the rest before.

What nodes tell each other is unchanged.

--- a/packages/gateway/src/cluster/member_table.ts
+++ b/packages/gateway/src/cluster/member_table.ts
@@ -40,6 +40,10 @@
 const minAliveWindowMs = 1_200;
 /** Rounds of datagrams that may be lost before a node is not alive. */
 const lostRounds = 3;
+/** Rounds of datagrams after which what a node admitted counts as not heard of. */
+const heardRounds = 1;
+/** Time that a round may take longer: a datagram is lost, or a node is busy. */
+const heardSlackMs = 500;
 /** Time without a sign of life after which a node no longer shares limits. */
 const knownWithinMs = 12_000;
 /**
@@ -158,6 +162,14 @@
     return this.#listSeenWithin(this.#aliveWithinMs, now);
   }
 
+  /** Members of which this node hears what they admit: in nearly each round. */
+  listHeard(now: number): readonly Member[] {
+    return this.#listSeenWithin(
+      this.#roundMs * heardRounds + heardSlackMs,
+      now,
+    );
+  }
+
   /**
    * Members that may be alive: seen within 12 s, not counting suspensions. Right
    * after one this node would else take itself for the only one, and for itself
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -22,7 +22,7 @@
 } from "./peer_messages.ts";
 import { applyLimits } from "./replica_reports.ts";
 import { RelayWatch } from "./relay_watch.ts";
-import { ReportCollector, summedPeers } from "./report_collector.ts";
+import { ReportCollector } from "./report_collector.ts";
 import {
   ReportComposer,
   type ReportComposerOptions,
@@ -265,17 +265,15 @@
   }
 
   #refreshLimits(alive: readonly Member[], known: readonly Member[]): void {
-    const { rateLimiter, budget, limitsClock } = this.#options;
+    const { rateLimiter, budget, members, clock, limitsClock } = this.#options;
     const now = limitsClock.now();
     const isMesh = this.#topology.kind === "mesh";
     const reportsPerRound = isMesh ? 1 : reportsToCrossZones;
-    const listNames = (members: readonly Member[]): readonly string[] => {
-      const names = members.map(({ node }) => node).sort();
-      return isMesh ? names : [...names, summedPeers];
-    };
+    const listNames = (list: readonly Member[]): readonly string[] =>
+      list.map(({ node }) => node).sort();
     rateLimiter.setPeers({
       known: listNames(known),
-      heard: listNames(alive),
+      heard: listNames(members.listHeard(clock.now())),
       reportsPerRound,
       reportMs: chooseTickMs(this.#topology),
     }, now);
--- a/packages/gateway/src/cluster/report_collector.ts
+++ b/packages/gateway/src/cluster/report_collector.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { WorkMeter } from "../duties/work_meter.ts";
 import type { UsageCounts, UsageSource } from "../duties/usage_counts.ts";
+import { summedPeers } from "../limits/peer_use.ts";
 import type { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
 import type { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import type { Member, MemberTable } from "./member_table.ts";
@@ -31,9 +32,6 @@
 const justStartedMs = 1_500;
 /** Age up to which a sum of loads is used. */
 const maxLoadAgeMs = 2_400;
-/** Name under which all nodes count that are only known from sums. */
-export const summedPeers = "summed";
-
 /** Whose reports a node collects. */
 export type CollectorRole =
   /** Those of all nodes. */
@@ -277,6 +275,7 @@
   #applyChanges(peer: string, zone: string, changes: Counters): void {
     const { rateLimiter, budget, work, tallies, limitsClock } = this.#options;
     const now = limitsClock.now();
+    rateLimiter.recordHeard(now);
     for (const [key, change] of changes) {
       const { kind, name } = parseCounterKey(key);
       switch (kind) {
--- a/packages/gateway/src/limits/tenant_bucket.ts
+++ b/packages/gateway/src/limits/tenant_bucket.ts
@@ -2,12 +2,9 @@
  * Token bucket of one tenant at one node.
  */
 
-import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import { PriorityShares } from "@almondcrank/routing/limits/priority_shares.ts";
 import { UnheardUse } from "@almondcrank/routing/limits/unheard_use.ts";
-
-/** Time in which recent use decays to 1/e. */
-export const useDecayMs = 8_000;
+import { PeerUse } from "./peer_use.ts";
 
 /** Bucket of one tenant. Amounts are in the tenant's unit. */
 export interface Bucket {
@@ -15,8 +12,10 @@
   level: number;
   /** Whether the level of a longer-running peer was adopted. */
   isLevelAdopted: boolean;
-  /** Refill per second of the whole system. */
+  /** Refill per second of the whole system, with what is exceeded on purpose. */
   rate: number;
+  /** The same, without. */
+  plainRate: number;
   burst: number;
   updatedAt: number;
   /** Cost of refused requests that are expected to retry, less the refill. */
@@ -31,6 +30,8 @@
   heard: number;
   /** Share of the allowance that this node and the peers it hears from may use. */
   share: number;
+  /** Amount left to the nodes that this one does not hear, if they use nothing. */
+  withheld: number;
   /** This node's share of the level. */
   creditShare: number;
   /** Cost that this node may still admit before the next report. */
@@ -41,10 +42,8 @@
   assumedPerMs: number;
   readonly unheard: UnheardUse;
   readonly priorities: PriorityShares;
-  /** Recent cost that this node admitted and reported. */
-  readonly ownUse: DecayingValue;
-  /** Recent cost that each peer reported, by the peer's name. */
-  readonly peerUse: Map<string, DecayingValue>;
+  /** Recent cost that this node and its peers reported. */
+  readonly use: PeerUse;
 }
 
 /** Creates a bucket of a tenant that this node has not met. */
@@ -60,6 +59,7 @@
     level: burst * startShare,
     isLevelAdopted: false,
     rate,
+    plainRate: rate,
     burst,
     updatedAt: now,
     pendingRetryCost: 0,
@@ -69,13 +69,13 @@
     refunded: 0,
     heard: 0,
     share: 1,
+    withheld: 0,
     creditShare: 1,
     credit: 0,
     heardPerMs: 0,
     assumedPerMs: startShare >= 1 ? 0 : rate / 1_000,
     unheard: UnheardUse.create(now),
     priorities: PriorityShares.create(),
-    ownUse: DecayingValue.create(useDecayMs),
-    peerUse: new Map(),
+    use: PeerUse.create(),
   };
 }
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -17,14 +17,14 @@
  * soon as it is refilled.
  */
 
-import { DecayingValue } from "@almondcrank/common/decaying_value.ts";
 import type { Tenant } from "@almondcrank/model/configuration.ts";
 import {
   AllowanceMargins,
   type AllowanceTerms,
   plainTerms,
 } from "@almondcrank/routing/limits/allowance_margins.ts";
-import { type Bucket, createBucket, useDecayMs } from "./tenant_bucket.ts";
+import { useDecayMs } from "./peer_use.ts";
+import { type Bucket, createBucket } from "./tenant_bucket.ts";
 
 /** Outcome of the rate limit check of one request. */
 export type RateLimitVerdict =
@@ -154,25 +154,28 @@
     { cost, priority }: Charge,
     now: number,
   ): number {
-    const minLevel = -this.#margins.computeOverdraft(bucket, now) *
-      bucket.share;
-    const cappedCost = Math.min(cost, bucket.burst);
-    const missingForCost = Math.max(0, minLevel + cappedCost - bucket.level);
+    const minLevel = -this.#computeOverdraft(bucket, now);
+    const levelCost = this.#computeNeeded(bucket, cost, now);
+    const missingForCost = Math.max(0, minLevel + levelCost - bucket.level);
     const isPreferred = priority === 0 &&
       bucket.priorities.isUrgentPreferred(now);
     const isSmall = cost < bucket.burst * smallCostShare;
     const floor = isPreferred || isSmall
       ? minLevel
-      : -this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
+      : -this.#computeNormalOverdraft(bucket, now);
     const isAboveFloor = isSmall || bucket.level > floor;
     // Where all peers hear of it at once, these may spend what others leave unused.
-    const isMesh = this.#peers.reportsPerRound <= 1;
     const needsCredit = bucket.creditShare < 1 &&
-      !(isMesh && (isPreferred || isSmall));
+      !(this.#isHeardAtOnce(now) && (isPreferred || isSmall));
     // After a restart of all nodes even one request a node would be too much.
     const upShare = this.#margins.computeUpShare(now);
     const preferredCost = isPreferred ? bucket.unheard.meanCost : 0;
-    const minCredit = cost * (1 - upShare) - preferredCost * upShare;
+    const minCredit = this.#isInTouch(now)
+      ? cost * (1 - upShare) - preferredCost * upShare
+      : Math.max(
+        cost * (1 - upShare),
+        computeHalf(cost, bucket.burst * bucket.share * bucket.creditShare),
+      );
     const isCreditSpent = needsCredit && bucket.credit <= minCredit &&
       !this.#hasRoomForAll(bucket, now);
     return Math.max(
@@ -185,15 +188,62 @@
   /**
    * Whether what all nodes may have admitted unheard fits into the bucket, so that
    * this node may exceed its part. It is estimated from what was heard last, raised
-   * in the proportion in which this node itself exceeds its usual.
+   * in the proportion in which this node itself exceeds its usual. Beyond the time
+   * in which reports come as a rule, the others may use the whole rate.
    */
   #hasRoomForAll(bucket: Bucket, now: number): boolean {
-    const usual = bucket.assumedPerMs * this.#computeUnheardMs(now);
+    const lateMs = this.#computeLateMs(now);
+    const usualMs = this.#computeUnheardMs(now) - lateMs;
+    const usual = bucket.assumedPerMs * Math.max(0, usualMs);
+    const late = bucket.rate / 1_000 * lateMs * bucket.share;
     const usualHere = usual / (this.#peers.heard.length + 1);
     const surge = bucket.unheard.computeSurge(usualHere);
-    const overdraft = this.#margins.computeOverdraft(bucket, now) *
-      bucket.share;
-    return usual * surge <= bucket.level + overdraft;
+    const overdraft = this.#computeOverdraft(bucket, now);
+    return usual * surge + late <= bucket.level + overdraft;
+  }
+
+  /**
+   * Whether this node hears of all others in time. Only then is the allowance
+   * exceeded on purpose: else that covers one request a node beyond its part.
+   */
+  #isInTouch(now: number): boolean {
+    const { known, heard } = this.#peers;
+    return heard.length >= known.length && this.#computeLateMs(now) === 0;
+  }
+
+  /**
+   * Amount that must be left for a request: its cost. At nodes that are not in touch
+   * it is half of that, so that all of them together spend their parts and no more
+   * on average, though a part may be smaller than one request.
+   */
+  #computeNeeded({ burst, share }: Bucket, cost: number, now: number): number {
+    return this.#isInTouch(now)
+      ? Math.min(cost, burst)
+      : computeHalf(cost, burst * share);
+  }
+
+  #computeOverdraft(bucket: Bucket, now: number): number {
+    return this.#isInTouch(now)
+      ? this.#margins.computeOverdraft(bucket, now)
+      : 0;
+  }
+
+  #computeNormalOverdraft(bucket: Bucket, now: number): number {
+    return this.#isInTouch(now)
+      ? this.#margins.computeNormalOverdraft(bucket, now)
+      : 0;
+  }
+
+  /** Whether this node has just heard of all others what they admitted. */
+  #isHeardAtOnce(now: number): boolean {
+    return this.#peers.reportsPerRound <= 1 && this.#isInTouch(now);
+  }
+
+  /** Time for which reports are overdue. */
+  #computeLateMs(now: number): number {
+    if (this.#peers.known.length === 0) return 0;
+    const sinceMs = Math.min(maxUnheardMs, now - this.#heardAt);
+    return Math.max(0, sinceMs - this.#roundMs);
   }
 
   /** Longest time in which a report reaches all nodes. */
@@ -268,6 +318,11 @@
     bucket.unheard.recordAdmitted(-cost);
   }
 
+  /** Records that a report arrived, whatever it changes. */
+  recordHeard(now: number): void {
+    this.#heardAt = now;
+  }
+
   /** Charges what a peer admitted since its last report. */
   applyPeerCharge({ peer, tenant, cost }: PeerCharge, now: number): void {
     this.#heardAt = now;
@@ -276,9 +331,7 @@
     this.#refillBucket(bucket, now);
     bucket.level -= cost;
     bucket.heard += cost;
-    const use = bucket.peerUse.get(peer) ?? DecayingValue.create(useDecayMs);
-    bucket.peerUse.set(peer, use);
-    use.add(cost, now);
+    bucket.use.add(peer, cost, now);
   }
 
   /**
@@ -308,15 +361,34 @@
     this.#peers = peers;
     for (const bucket of this.#buckets.values()) {
       this.#refillBucket(bucket, now);
-      const share = this.#computeShare(bucket, now);
-      if (share < bucket.share && bucket.level > 0) {
-        bucket.level *= share / bucket.share;
-      }
-      bucket.share = share;
+      this.#setShare(bucket, this.#computeShare(bucket, now));
       this.#setCredit(bucket, now);
     }
   }
 
+  /**
+   * Sets the share of the nodes that hear each other. What it leaves to the others
+   * is withheld, and comes back with the news of what they used.
+   */
+  #setShare(bucket: Bucket, share: number): void {
+    if (share < bucket.share) {
+      // The others spend their parts, and so this node has at most its own left.
+      const { credit } = bucket;
+      const own = credit < 0 ? credit : credit / bucket.creditShare * share;
+      const level = Math.min(bucket.level / bucket.share * share, own);
+      if (level < bucket.level) {
+        bucket.withheld += bucket.level - level;
+        bucket.level = level;
+      }
+    } else if (share > bucket.share) {
+      const released = bucket.withheld * (share - bucket.share) /
+        (1 - bucket.share);
+      bucket.level += released;
+      bucket.withheld -= released;
+    }
+    bucket.share = share;
+  }
+
   /** Creates buckets, so that peers' reports are charged before a first request. */
   prepare(tenants: readonly Tenant[], now: number): void {
     for (const tenant of tenants) {
@@ -335,7 +407,7 @@
     const heardUntil = Math.min(now, this.#heardAt) - this.#roundMs;
     return [...this.#buckets].map(([name, bucket]) => {
       this.#refillBucket(bucket, now);
-      bucket.ownUse.add(bucket.admitted - bucket.reported, now);
+      bucket.use.addOwn(bucket.admitted - bucket.reported, now);
       bucket.reported = bucket.admitted;
       bucket.unheard.recordReport(now, heardUntil);
       this.#setCredit(bucket, now);
@@ -351,7 +423,7 @@
   #setCredit(bucket: Bucket, now: number): void {
     const { heard } = this.#peers;
     const evenShare = 1 / (heard.length + 1);
-    const own = this.#readUse(bucket, bucket.ownUse, now);
+    const own = bucket.burst * assumedUseShare + bucket.use.readOwn(now);
     const heardUse = this.#sumUse(bucket, heard, now);
     const assumedUse = bucket.burst * assumedUseShare * (heard.length + 1);
     const use = heardUse - assumedUse;
@@ -362,7 +434,7 @@
       ? 0
       : bucket.unheard.readCost();
     const left = bucket.level + unheard +
-      this.#margins.computeNormalOverdraft(bucket, now) * bucket.share;
+      this.#computeNormalOverdraft(bucket, now);
     const factor = 1 + unevenShare * this.#margins.computeUpShare(now);
     bucket.credit = left * bucket.creditShare * factor - unheard;
   }
@@ -387,21 +459,13 @@
     return useWeight * useShare + (1 - useWeight) * evenShare;
   }
 
-  /** Sums the recent use of this node and of some peers. */
+  /**
+   * Sums the recent use of this node and of some peers, with a fixed amount for the
+   * use of each that is not yet reported.
+   */
   #sumUse(bucket: Bucket, peers: readonly string[], now: number): number {
-    return peers.reduce(
-      (sum, peer) => sum + this.#readUse(bucket, bucket.peerUse.get(peer), now),
-      this.#readUse(bucket, bucket.ownUse, now),
-    );
-  }
-
-  /** Reads the use of one node, plus a fixed amount for use not yet reported. */
-  #readUse(
-    { burst }: Bucket,
-    use: DecayingValue | undefined,
-    now: number,
-  ): number {
-    return burst * assumedUseShare + (use?.read(now) ?? 0);
+    const assumed = bucket.burst * assumedUseShare * (peers.length + 1);
+    return assumed + bucket.use.sum(peers, this.#peers.known, now);
   }
 
   #refill(tenant: Tenant, now: number): Bucket {
@@ -418,6 +482,7 @@
     const isLowered = burst < bucket.burst;
     this.#refillBucket(bucket, now);
     bucket.rate = rate;
+    bucket.plainRate = tenant.ratePerSecond;
     bucket.burst = burst;
     if (isLowered) bucket.level = Math.min(bucket.level, burst * bucket.share);
     return bucket;
@@ -425,7 +490,8 @@
 
   #refillBucket(bucket: Bucket, now: number): void {
     const elapsedSeconds = Math.max(0, now - bucket.updatedAt) / 1_000;
-    const refillAmount = elapsedSeconds * bucket.rate * bucket.share;
+    const rate = this.#isInTouch(now) ? bucket.rate : bucket.plainRate;
+    const refillAmount = elapsedSeconds * rate * bucket.share;
     const refilled = bucket.level + refillAmount;
     const { pendingRetryCost } = bucket;
     bucket.pendingRetryCost = Math.max(0, pendingRetryCost - refillAmount);
@@ -434,8 +500,16 @@
     const unheard = this.#peers.reportsPerRound <= 1
       ? 0
       : bucket.heardPerMs * this.#computeUnheardMs(now);
-    const maxLevel = (bucket.burst + unheard) * bucket.share;
-    bucket.level = Math.min(maxLevel, refilled);
+    const maxLevel = bucket.burst + unheard;
+    bucket.level = Math.min(maxLevel * bucket.share, refilled);
+    const withheld = bucket.withheld +
+      elapsedSeconds * rate * (1 - bucket.share);
+    bucket.withheld = Math.min(maxLevel * (1 - bucket.share), withheld);
     bucket.updatedAt = now;
   }
 }
+
+/** Computes half of a cost, or of the whole part of a node if that is less. */
+function computeHalf(cost: number, part: number): number {
+  return Math.min(cost, part) / 2;
+}
