QUOTA: a relay that reports but hears hardly anybody is no longer followed

Cause: the sums of a zone come from two relays, of which one is followed as long as it reports. One that sends but hears nobody, cut one way, went on to be followed: what its zone admitted was counted nowhere.

Reports are unchanged.

--- a/packages/gateway/src/cluster/counter_tracker_test.ts
+++ b/packages/gateway/src/cluster/counter_tracker_test.ts
@@ -55,6 +55,37 @@
   assert.is(readChange(tracker.apply("a", count(1_100), 9_000)), 100);
 });
 
+test("a relay that hears hardly anybody is not followed while another one counts", () => {
+  const tracker = CounterTracker.create();
+  let total = 0;
+  for (let at = 0; at <= 10_000; at += 200) {
+    // From 2 s on the first one counts only its own part of the zone.
+    const deaf = Math.min(at, 2_000) + at / 10;
+    total += readChange(tracker.apply("a", count(deaf), at));
+    total += readChange(tracker.apply("b", count(at * 1.1), at + 10));
+  }
+  assert.ok(total >= 9_500 && total <= 11_500, `${total} of 11000`);
+});
+
+test("relays that count alike are not followed by turns", () => {
+  const random = Random.create(1);
+  const tracker = CounterTracker.create();
+  let followed = "";
+  let changes = 0;
+  let sum = 0;
+  for (let at = 0; at < 60_000; at += 200) {
+    // Now and then a tenant sends much in one tick, and one relay hears it first.
+    const late = sum;
+    sum += random.next() < 0.05 ? 5_000 : 20;
+    for (const [source, cost] of [["a", late], ["b", sum]] as const) {
+      if (tracker.apply(source, count(cost), at) === undefined) continue;
+      if (followed !== source) changes += 1;
+      followed = source;
+    }
+  }
+  assert.ok(changes <= 20, `${changes} changes of the followed relay`);
+});
+
 test("random silences of two relays lose only what both silences hide", () => {
   for (let seed = 1; seed <= 100; seed += 1) {
     const random = Random.create(seed);
