QUOTA: a node that starts anew behind a cut takes a part, not the whole

Cause: a restarted node that hears nobody knew no peers, so that its share of each allowance was the whole.

Change: while it hears nobody, the addresses at which nodes may run (seeds, and those in the store, for 12 s) count as sharers, and it takes three tenths of its even part, as the store names 24 addresses at most and use tells nothing.

--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -269,11 +269,16 @@
     const now = limitsClock.now();
     const isMesh = this.#topology.kind === "mesh";
     const reportsPerRound = isMesh ? 1 : reportsToCrossZones;
+    const heard = members.listHeard(clock.now());
+    // A node that hears nobody after its start does not know who shares its limits.
+    const unconfirmed = heard.length === 0
+      ? members.listUnconfirmed(clock.now())
+      : [];
     const listNames = (list: readonly Member[]): readonly string[] =>
       list.map(({ node }) => node).sort();
     rateLimiter.setPeers({
-      known: listNames(known),
-      heard: listNames(members.listHeard(clock.now())),
+      known: [...listNames(known), ...unconfirmed],
+      heard: listNames(heard),
       reportsPerRound,
       reportMs: chooseTickMs(this.#topology),
     }, now);
--- a/packages/gateway/src/limits/tenant_cut_test.ts
+++ b/packages/gateway/src/limits/tenant_cut_test.ts
@@ -70,6 +70,7 @@
   { count, zones, rate }: Size,
   cut: Cut,
   demand: (at: number) => number,
+  restartsAt: readonly number[] = [],
 ): Promise<Outcome> {
   const tenant: Tenant = {
     name: "q",
@@ -106,6 +107,11 @@
   for (let at = 0; at < durationMs; at += stepMs) {
     await clock.advance(stepMs);
     const now = clock.now();
+    for (const [index, node] of nodes.entries()) {
+      if (restartsAt[index] !== at) continue;
+      await system.restart(node, "2");
+      node.limiter.prepare([tenant], now);
+    }
     let wanted = demand(at) * rate * stepMs / 1_000 / meanCost;
     for (; wanted > 0; wanted -= 1) {
       if (wanted < 1 && random.next() > wanted) break;
@@ -144,4 +150,25 @@
   }
 }
 
+for (const size of sizes) {
+  test(`nodes that start anew behind a cut keep the allowance, ${size.count} nodes`, async () => {
+    const restarted = Array.from({ length: size.count }, (_, at) => at)
+      .filter((at) => size.count < 20 || at % 20 < 7);
+    const gapMs = Math.floor(cutMs / restarted.length / stepMs) * stepMs;
+    const restartsAt: number[] = [];
+    for (const [turn, at] of restarted.entries()) {
+      restartsAt[at] = calmMs + turn * gapMs;
+    }
+    const { worst } = await runCut(
+      size,
+      (from, to, nodes) =>
+        restarted.includes(nodes.indexOf(from)) ||
+        restarted.includes(nodes.indexOf(to)),
+      (at) => at < calmMs ? 0.6 : 4,
+      restartsAt,
+    );
+    assert.ok(worst <= 1, `${worst} of what is allowed in a window`);
+  });
+}
+
 test.run();
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -87,6 +87,8 @@
  * theirs, as requests don't come evenly.
  */
 const unevenShare = 0.15;
+/** Part of its even share that a restarted node takes while it hears nobody. */
+const lostShare = 0.3;
 /** Time for which a restarted node assumes that the whole rate is used. */
 const assumedUseMs = 1_000;
 /** Interval between the reports of a node in a large zone. */
@@ -454,6 +456,9 @@
     const { known, heard } = this.#peers;
     const evenShare = (heard.length + 1) / (known.length + 1);
     if (evenShare >= 1) return 1;
+    // Nothing tells this node what the others use, nor how many there are.
+    const isLost = this.#margins.isRestart && heard.length === 0;
+    if (isLost) return evenShare * lostShare;
     const useShare = this.#sumUse(bucket, heard, now) /
       this.#sumUse(bucket, known, now);
     return useWeight * useShare + (1 - useWeight) * evenShare;
@@ -476,7 +481,7 @@
     if (bucket === undefined) {
       const { startShare } = this.#margins;
       bucket = createBucket({ rate, burst, startShare }, now);
-      bucket.share = this.#computeShare(bucket, now);
+      this.#setShare(bucket, this.#computeShare(bucket, now));
       this.#buckets.set(name, bucket);
     }
     const isLowered = burst < bucket.burst;
--- a/packages/gateway/src/testing/test_system.ts
+++ b/packages/gateway/src/testing/test_system.ts
@@ -18,7 +18,10 @@
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import { ServerConnections } from "@almondcrank/common/server_connections.ts";
 import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
-import type { AllowanceTerms } from "@almondcrank/routing/limits/allowance_margins.ts";
+import {
+  type AllowanceTerms,
+  plainTerms,
+} from "@almondcrank/routing/limits/allowance_margins.ts";
 import { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import { RetryBudget } from "@almondcrank/routing/repeats/retry_budget.ts";
 import { TenantRateLimiter } from "../limits/tenant_rate_limiter.ts";
@@ -46,6 +49,9 @@
 export const replicaKey = "r/1";
 export const delayMs = 5;
 export const windowMs = 5_000;
+const restartedLevelShare = 0.1;
+/** Nodes whose addresses are in the store. */
+const storedNodes = 24;
 
 /** Counts events of one name, its own and those of peers. */
 export class TestTally implements TallySource {
@@ -67,8 +73,8 @@
   readonly node: string;
   readonly ip: string;
   readonly zone: string;
-  readonly members: MemberTable;
-  readonly limiter: TenantRateLimiter;
+  members: MemberTable;
+  limiter: TenantRateLimiter;
   readonly table = ReplicaTable.create({ drainMs: 1_000 });
   readonly usage: UsageCounts;
   quarantine = createQuarantine();
@@ -247,6 +253,21 @@
     await node.cluster.open(undefined);
   }
 
+  /** Starts a node anew, which has forgotten the others and what was used. */
+  async restart(node: TestNode, incarnation: string): Promise<void> {
+    this.kill(node);
+    node.members = MemberTable.create(node.node);
+    node.limiter = TenantRateLimiter.create(this.limits.tolerance, {
+      ...plainTerms,
+      ...this.limits.terms,
+      startShare: restartedLevelShare,
+    });
+    for (const other of this.nodes.slice(0, storedNodes)) {
+      if (other !== node) node.members.addAddress(other.ip, this.clock.now());
+    }
+    await this.start(node, incarnation);
+  }
+
   kill(node: TestNode): void {
     node.cluster?.dispose();
     node.cluster = undefined;
