--- a/packages/gateway/src/cluster/cluster_links_test.ts
+++ b/packages/gateway/src/cluster/cluster_links_test.ts
@@ -79,6 +79,23 @@
   });
 }
 
+for (
+  const { count, zones } of [{ count: 66, zones: 3 }, { count: 76, zones: 5 }]
+) {
+  test(`a relay of ${count} nodes leaves callers most of its link`, async () => {
+    const system = await openLoaded(count, zones);
+    const { nodes, clock } = system;
+    const before = nodes.map(({ bytesSent }) => bytesSent);
+    await clock.advance(4_000);
+    const rates = nodes.map(({ bytesSent }, at) =>
+      (bytesSent - (before[at] ?? 0)) / 4_000
+    );
+    const most = Math.max(...rates) / narrowLink.bytesPerMs;
+    assert.ok(most <= 0.2, `${most} of the link`);
+    system.close();
+  });
+}
+
 test("what reports tell while they are spread over a tick does not grow younger", async () => {
   const system = await openLoaded(66, 3, slowLink);
   const { nodes, clock } = system;
--- a/packages/gateway/src/cluster/report_topology.ts
+++ b/packages/gateway/src/cluster/report_topology.ts
@@ -20,8 +20,8 @@
 const shortTickMs = 200;
 /** The same where a relay has many nodes to hear and to tell. */
 const longTickMs = 400;
-/** Largest number of nodes in a zone that report in the short interval. */
-const maxShortTickNodes = 16;
+/** Number of neighbours in a zone from which on its nodes report in the long interval. */
+const maxShortTickNodes = 12;
 
 /** Place of this node. */
 export interface TopologyNode {
