--- a/packages/gateway/src/limits/tenant_surge_test.ts
+++ b/packages/gateway/src/limits/tenant_surge_test.ts
@@ -24,15 +24,21 @@
 }
 
 /** Large prompts, urgent questions and short checks. */
-const kinds: readonly Kind[] = [
+const usualKinds: readonly Kind[] = [
   { share: 0.25, cost: 6_500, priority: 2 },
   { share: 0.26, cost: 900, priority: 0 },
   { share: 0.49, cost: 1_100, priority: 1 },
 ];
-const meanCost = kinds.reduce((sum, kind) => sum + kind.share * kind.cost, 0);
+/** The same where the largest prompts are the most urgent. */
+const largeUrgentKinds: readonly Kind[] = [
+  { share: 0.2, cost: 12_400, priority: 0 },
+  { share: 0.21, cost: 1_100, priority: 1 },
+  { share: 0.59, cost: 1_800, priority: 2 },
+];
 
 /** A replay; times in milliseconds. */
 interface Replay {
+  readonly kinds?: readonly Kind[];
   readonly nodes: number;
   readonly rate: number;
   /** Demand at a time, relative to the rate. */
@@ -59,7 +65,11 @@
 }
 
 function runReplay(replay: Replay): Outcome {
-  const { nodes, rate, durationMs, delayMs } = replay;
+  const { nodes, rate, durationMs, delayMs, kinds = usualKinds } = replay;
+  const meanCost = kinds.reduce(
+    (sum, { share, cost }) => sum + share * cost,
+    0,
+  );
   const tenant: Tenant = {
     name: "t",
     keys: [],
@@ -118,8 +128,7 @@
     while (wanted > 0) {
       if (wanted < 1 && draw() > wanted) break;
       wanted -= 1;
-      const kindDraw = draw();
-      const k = kindDraw < 0.25 ? 0 : kindDraw < 0.51 ? 1 : 2;
+      const k = chooseKind(kinds, draw());
       const kind = kinds[k] as Kind;
       const cost = Math.round(kind.cost * (0.5 + draw()));
       const node = all[Math.floor(draw() * nodes)] as typeof all[number];
@@ -185,6 +194,13 @@
   };
 }
 
+/** Chooses a kind by a random number in [0, 1). */
+function chooseKind(kinds: readonly Kind[], draw: number): number {
+  let left = draw;
+  const found = kinds.findIndex(({ share }) => (left -= share) < 0);
+  return found < 0 ? kinds.length - 1 : found;
+}
+
 function createSurge(usual: number, times: number) {
   return (at: number): number =>
     at >= 10_000 && at < 18_000 ? usual * times : usual;
@@ -210,6 +226,22 @@
   });
 }
 
+test("a surge of large urgent requests from near the rate stays within the allowance", () => {
+  for (const seed of [1, 2, 3]) {
+    const { worst, admitted, owed } = runReplay({
+      ...surge,
+      seed,
+      nodes: 76,
+      rate: 637_000,
+      kinds: largeUrgentKinds,
+      demand: createSurge(0.8, 7.5),
+      delayMs: [200, 600],
+    });
+    assert.ok(worst <= 1, `${worst} of what is allowed in a window`);
+    assert.ok(admitted >= owed * 0.98, `${admitted} of ${owed}`);
+  }
+});
+
 test("a small tenant's surge stays within the allowance", () => {
   for (const rate of [36_000, 120_000, 400_000]) {
     const { worst, admitted, owed } = runReplay({ ...surge, rate });
