BUDGET: each side of a cut leaves the others their part of the retries

When nodes stopped hearing of each other, each went on with the requests and retries that all had counted before, so that what was left of a budget was spent by each side; and a peer counted as heard for 1.2 to 2.4 s.

Change: what peers counted is kept apart, and shrinks to the share of the peers that are still heard; those are the ones of the last round.

What nodes tell each other is unchanged.

--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -176,7 +176,6 @@
   refresh(): ReportTopology {
     const { members, clock, node, zone, isDraining } = this.#options;
     const now = clock.now();
-    const alive = members.listAlive(now);
     const known = members.listKnown(now);
     const self = { node, zone, isDraining: isDraining() };
     this.#topology = chooseTopology(
@@ -192,7 +191,7 @@
     const tickMs = chooseTickMs(this.#topology);
     // Signs of life pass over relays.
     members.setRoundMs(isMesh ? tickMs : Math.max(minRoundMs, tickMs * 2));
-    this.#refreshLimits(alive, known);
+    this.#refreshLimits(known);
     this.#refreshReplicas(known);
     return this.#topology;
   }
@@ -264,7 +263,7 @@
     return this.#topology.kind === "zones" && this.#topology.isRelay;
   }
 
-  #refreshLimits(alive: readonly Member[], known: readonly Member[]): void {
+  #refreshLimits(known: readonly Member[]): void {
     const { rateLimiter, budget, members, clock, limitsClock } = this.#options;
     const now = limitsClock.now();
     const isMesh = this.#topology.kind === "mesh";
@@ -284,7 +283,7 @@
     }, now);
     budget.refresh({
       known: known.length + 1,
-      heard: alive.length + 1,
+      heard: heard.length + 1,
       refreshesPerRound: reportsPerRound,
     }, now);
   }
--- a/packages/routing/src/limits/sliding_window_counter.ts
+++ b/packages/routing/src/limits/sliding_window_counter.ts
@@ -32,6 +32,14 @@
     return this.#total;
   }
 
+  /** Multiplies all that is counted by a factor. */
+  scale(factor: number): void {
+    for (const [index, amount] of this.#slots.entries()) {
+      this.#slots[index] = amount * factor;
+    }
+    this.#total *= factor;
+  }
+
   #advance(now: number): void {
     const slot = Math.floor(now / this.#slotMs);
     const steps = Math.min(slot - this.#current, this.#slots.length);
--- a/packages/routing/src/repeats/retry_budget.ts
+++ b/packages/routing/src/repeats/retry_budget.ts
@@ -27,6 +27,9 @@
 interface RetryCounts {
   readonly requests: SlidingWindowCounter;
   readonly retries: SlidingWindowCounter;
+  /** Those of the peers. */
+  readonly peerRequests: SlidingWindowCounter;
+  readonly peerRetries: SlidingWindowCounter;
   ownRequests: number;
   ownRetries: number;
   /** Retries that this node may still take before the next refresh. */
@@ -81,17 +84,23 @@
     now: number,
   ): void {
     const counts = this.#find(name);
-    counts.requests.add(delta.requests, now);
-    counts.retries.add(delta.retries, now);
+    counts.peerRequests.add(delta.requests, now);
+    counts.peerRetries.add(delta.retries, now);
   }
 
   /**
    * Sets the nodes that share the budgets, and gives this node its part of what is
-   * left. Call it at each report.
+   * left. Call it at each report. What peers counted that are no longer heard is left
+   * to them, so that the sides of a cut don't spend it each.
    */
   refresh(sharers: BudgetSharers, now: number): void {
+    const factor = computePeerShare(sharers) / computePeerShare(this.#sharers);
     this.#sharers = sharers;
     for (const counts of this.#counts.values()) {
+      if (factor < 1) {
+        counts.peerRequests.scale(factor);
+        counts.peerRetries.scale(factor);
+      }
       counts.credit = this.#computeCredit(counts, now);
     }
   }
@@ -104,12 +113,14 @@
   }
 
   /** Computes how many retries are left to all nodes that hear each other. */
-  #computeLeft({ requests, retries }: RetryCounts, now: number): number {
+  #computeLeft(counts: RetryCounts, now: number): number {
+    const requests = counts.requests.read(now) + counts.peerRequests.read(now);
+    const retries = counts.retries.read(now) + counts.peerRetries.read(now);
     const { ratio, extra, usedShare } = this.#options;
     const { heard, known } = this.#sharers;
     const share = Math.min(1, heard / known);
-    const budget = ratio * requests.read(now) + extra * share;
-    return budget * usedShare - retries.read(now);
+    const budget = ratio * requests + extra * share;
+    return budget * usedShare - retries;
   }
 
   /**
@@ -133,6 +144,8 @@
     const counts = {
       requests: SlidingWindowCounter.create(windowMs),
       retries: SlidingWindowCounter.create(windowMs),
+      peerRequests: SlidingWindowCounter.create(windowMs),
+      peerRetries: SlidingWindowCounter.create(windowMs),
       ownRequests: 0,
       ownRetries: 0,
       credit: this.#sharers.refreshesPerRound <= 1 ? Infinity : 1,
@@ -151,3 +164,10 @@
     }
   }
 }
+
+/** Share of the peers that is heard; above 0, so that it can be compared. */
+function computePeerShare({ known, heard }: BudgetSharers): number {
+  return known <= 1
+    ? 1
+    : Math.max(1e-9, Math.min(1, (heard - 1) / (known - 1)));
+}
