--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -24,6 +24,7 @@
   plainTerms,
 } from "@almondcrank/routing/limits/allowance_margins.ts";
 import { useDecayMs } from "./peer_use.ts";
+import { PeerContact, type PeerVisibility } from "./peer_contact.ts";
 import { type Bucket, createBucket } from "./tenant_bucket.ts";
 
 /** Outcome of the rate limit check of one request. */
@@ -31,16 +32,6 @@
   | { readonly kind: "admitted" }
   | { readonly kind: "over"; readonly retryAfterMs: number };
 
-/** Names of the peers that may be running, and of those this node hears from. */
-export interface PeerVisibility {
-  readonly known: readonly string[];
-  readonly heard: readonly string[];
-  /** Number of reports that this node sends until every peer has received one. */
-  readonly reportsPerRound: number;
-  /** Interval between the reports of a node, in milliseconds. */
-  readonly reportMs?: number;
-}
-
 /** Cost that a peer admitted for a tenant since its last report. */
 export interface PeerCharge {
   readonly peer: string;
@@ -91,21 +82,11 @@
 const lostShare = 0.3;
 /** Time for which a restarted node assumes that the whole rate is used. */
 const assumedUseMs = 1_000;
-/** Interval between the reports of a node in a large zone. */
-const longReportMs = 400;
-/** Time that the reports of a round take beyond their intervals. */
-const roundSlackMs = 300;
-/** Time without reports beyond which what was heard last says nothing. */
-const maxUnheardMs = 4_000;
-
 /** Token buckets of all tenants. Times are monotonic, in milliseconds. */
 export class TenantRateLimiter {
   readonly #buckets = new Map<string, Bucket>();
   readonly #margins: AllowanceMargins;
-  /** Time of the last charge of any peer. */
-  #heardAt = -Infinity;
-  #peers: PeerVisibility = { known: [], heard: [], reportsPerRound: 1 };
-  #peersKey = "|";
+  readonly #contact = PeerContact.create();
 
   private constructor(margins: AllowanceMargins) {
     this.#margins = margins;
@@ -167,12 +148,13 @@
       : -this.#computeNormalOverdraft(bucket, now);
     const isAboveFloor = isSmall || bucket.level > floor;
     // Where all peers hear of it at once, these may spend what others leave unused.
+    const isHeardAtOnce = this.#contact.isMesh && this.#contact.isInTouch(now);
     const needsCredit = bucket.creditShare < 1 &&
-      !(this.#isHeardAtOnce(now) && (isPreferred || isSmall));
+      !(isHeardAtOnce && (isPreferred || isSmall));
     // After a restart of all nodes even one request a node would be too much.
     const upShare = this.#margins.computeUpShare(now);
     const preferredCost = isPreferred ? bucket.unheard.meanCost : 0;
-    const minCredit = this.#isInTouch(now)
+    const minCredit = this.#contact.isInTouch(now)
       ? cost * (1 - upShare) - preferredCost * upShare
       : Math.max(
         cost * (1 - upShare),
@@ -194,72 +176,39 @@
    * in which reports come as a rule, the others may use the whole rate.
    */
   #hasRoomForAll(bucket: Bucket, now: number): boolean {
-    const lateMs = this.#computeLateMs(now);
-    const usualMs = this.#computeUnheardMs(now) - lateMs;
+    const lateMs = this.#contact.computeLateMs(now);
+    const usualMs = this.#contact.computeUnheardMs(now) - lateMs;
     const usual = bucket.assumedPerMs * Math.max(0, usualMs);
     const late = bucket.rate / 1_000 * lateMs * bucket.share;
-    const usualHere = usual / (this.#peers.heard.length + 1);
+    const usualHere = usual / (this.#contact.heard.length + 1);
     const surge = bucket.unheard.computeSurge(usualHere);
     const overdraft = this.#computeOverdraft(bucket, now);
     return usual * surge + late <= bucket.level + overdraft;
   }
 
-  /**
-   * Whether this node hears of all others in time. Only then is the allowance
-   * exceeded on purpose: else that covers one request a node beyond its part.
-   */
-  #isInTouch(now: number): boolean {
-    const { known, heard } = this.#peers;
-    return heard.length >= known.length && this.#computeLateMs(now) === 0;
-  }
-
   /**
    * Amount that must be left for a request: its cost. At nodes that are not in touch
    * it is half of that, so that all of them together spend their parts and no more
    * on average, though a part may be smaller than one request.
    */
   #computeNeeded({ burst, share }: Bucket, cost: number, now: number): number {
-    return this.#isInTouch(now)
+    return this.#contact.isInTouch(now)
       ? Math.min(cost, burst)
       : computeHalf(cost, burst * share);
   }
 
   #computeOverdraft(bucket: Bucket, now: number): number {
-    return this.#isInTouch(now)
+    return this.#contact.isInTouch(now)
       ? this.#margins.computeOverdraft(bucket, now)
       : 0;
   }
 
   #computeNormalOverdraft(bucket: Bucket, now: number): number {
-    return this.#isInTouch(now)
+    return this.#contact.isInTouch(now)
       ? this.#margins.computeNormalOverdraft(bucket, now)
       : 0;
   }
 
-  /** Whether this node has just heard of all others what they admitted. */
-  #isHeardAtOnce(now: number): boolean {
-    return this.#peers.reportsPerRound <= 1 && this.#isInTouch(now);
-  }
-
-  /** Time for which reports are overdue. */
-  #computeLateMs(now: number): number {
-    if (this.#peers.known.length === 0) return 0;
-    const sinceMs = Math.min(maxUnheardMs, now - this.#heardAt);
-    return Math.max(0, sinceMs - this.#roundMs);
-  }
-
-  /** Longest time in which a report reaches all nodes. */
-  get #roundMs(): number {
-    const { reportsPerRound, reportMs = longReportMs } = this.#peers;
-    return reportsPerRound * reportMs + roundSlackMs;
-  }
-
-  /** Time of which this node has not heard what the others admitted. */
-  #computeUnheardMs(now: number): number {
-    const sinceMs = Math.max(0, now - this.#heardAt);
-    return Math.min(maxUnheardMs, sinceMs + this.#roundMs);
-  }
-
   /** Lists the amount left in each tenant's bucket, rounded. */
   listLevels(now: number): readonly (readonly [string, number])[] {
     return [...this.#buckets].map(([name, bucket]) => {
@@ -280,7 +229,7 @@
     now: number,
   ): Readonly<Record<string, number | undefined>> {
     const bucket = this.#buckets.get(tenant);
-    const heardMs = now - this.#heardAt;
+    const heardMs = now - this.#contact.heardAt;
     return {
       allowanceLeft: this.readLevel(tenant),
       creditLeft: bucket && Math.round(bucket.credit),
@@ -290,7 +239,7 @@
 
   /** Lists the sums of each tenant since this node started, for the log. */
   listUse(now: number): readonly TenantUse[] {
-    const { known, heard } = this.#peers;
+    const { known, heard } = this.#contact;
     return [...this.#buckets].map(([tenant, bucket]) => {
       this.#refillBucket(bucket, now);
       return {
@@ -322,12 +271,12 @@
 
   /** Records that a report arrived, whatever it changes. */
   recordHeard(now: number): void {
-    this.#heardAt = now;
+    this.#contact.recordHeard(now);
   }
 
   /** Charges what a peer admitted since its last report. */
   applyPeerCharge({ peer, tenant, cost }: PeerCharge, now: number): void {
-    this.#heardAt = now;
+    this.#contact.recordHeard(now);
     const bucket = this.#buckets.get(tenant);
     if (bucket === undefined) return;
     this.#refillBucket(bucket, now);
@@ -356,11 +305,7 @@
 
   /** Sets the peers, and recomputes the shares if they changed. */
   setPeers(peers: PeerVisibility, now: number): void {
-    const { known, heard, reportsPerRound, reportMs } = peers;
-    const peersKey = [known, heard, reportsPerRound, reportMs].join("|");
-    if (peersKey === this.#peersKey) return;
-    this.#peersKey = peersKey;
-    this.#peers = peers;
+    if (!this.#contact.set(peers)) return;
     for (const bucket of this.#buckets.values()) {
       this.#refillBucket(bucket, now);
       this.#setShare(bucket, this.#computeShare(bucket, now));
@@ -406,7 +351,8 @@
    * compute with the same figures.
    */
   reportLevels(now: number): readonly (readonly [string, number, number])[] {
-    const heardUntil = Math.min(now, this.#heardAt) - this.#roundMs;
+    const heardUntil = Math.min(now, this.#contact.heardAt) -
+      this.#contact.roundMs;
     return [...this.#buckets].map(([name, bucket]) => {
       this.#refillBucket(bucket, now);
       bucket.use.addOwn(bucket.admitted - bucket.reported, now);
@@ -423,7 +369,7 @@
    * may not have heard of theirs.
    */
   #setCredit(bucket: Bucket, now: number): void {
-    const { heard } = this.#peers;
+    const { heard } = this.#contact;
     const evenShare = 1 / (heard.length + 1);
     const own = bucket.burst * assumedUseShare + bucket.use.readOwn(now);
     const heardUse = this.#sumUse(bucket, heard, now);
@@ -432,9 +378,7 @@
     bucket.heardPerMs = Math.min(bucket.rate / 1_000, use / useDecayMs);
     bucket.assumedPerMs = this.#computePerMs(bucket, use, now);
     bucket.creditShare = (own / heardUse + evenShare) / 2;
-    const unheard = this.#peers.reportsPerRound <= 1
-      ? 0
-      : bucket.unheard.readCost();
+    const unheard = this.#contact.isMesh ? 0 : bucket.unheard.readCost();
     const left = bucket.level + unheard +
       this.#computeNormalOverdraft(bucket, now);
     const factor = 1 + unevenShare * this.#margins.computeUpShare(now);
@@ -445,7 +389,10 @@
   #computePerMs({ rate }: Bucket, use: number, now: number): number {
     if (!this.#margins.isRestart) return use / useDecayMs;
     const perMs = rate / 1_000;
-    const heardMs = Math.max(0, this.#margins.computeUpMs(now) - this.#roundMs);
+    const heardMs = Math.max(
+      0,
+      this.#margins.computeUpMs(now) - this.#contact.roundMs,
+    );
     const forgotten = Math.exp(-heardMs / useDecayMs);
     const assumed = assumedUseMs * forgotten;
     const observedMs = useDecayMs * (1 - forgotten);
@@ -453,7 +400,7 @@
   }
 
   #computeShare(bucket: Bucket, now: number): number {
-    const { known, heard } = this.#peers;
+    const { known, heard } = this.#contact;
     const evenShare = (heard.length + 1) / (known.length + 1);
     if (evenShare >= 1) return 1;
     // Nothing tells this node what the others use, nor how many there are.
@@ -470,7 +417,7 @@
    */
   #sumUse(bucket: Bucket, peers: readonly string[], now: number): number {
     const assumed = bucket.burst * assumedUseShare * (peers.length + 1);
-    return assumed + bucket.use.sum(peers, this.#peers.known, now);
+    return assumed + bucket.use.sum(peers, this.#contact.known, now);
   }
 
   #refill(tenant: Tenant, now: number): Bucket {
@@ -495,16 +442,16 @@
 
   #refillBucket(bucket: Bucket, now: number): void {
     const elapsedSeconds = Math.max(0, now - bucket.updatedAt) / 1_000;
-    const rate = this.#isInTouch(now) ? bucket.rate : bucket.plainRate;
+    const rate = this.#contact.isInTouch(now) ? bucket.rate : bucket.plainRate;
     const refillAmount = elapsedSeconds * rate * bucket.share;
     const refilled = bucket.level + refillAmount;
     const { pendingRetryCost } = bucket;
     bucket.pendingRetryCost = Math.max(0, pendingRetryCost - refillAmount);
     bucket.credit += refillAmount * bucket.creditShare;
     // What the others admitted unheard is still to be taken out of the level.
-    const unheard = this.#peers.reportsPerRound <= 1
+    const unheard = this.#contact.isMesh
       ? 0
-      : bucket.heardPerMs * this.#computeUnheardMs(now);
+      : bucket.heardPerMs * this.#contact.computeUnheardMs(now);
     const maxLevel = bucket.burst + unheard;
     bucket.level = Math.min(maxLevel * bucket.share, refilled);
     const withheld = bucket.withheld +
