QUOTA: a node that starts keeps the burst that it has not spent

Cause: a bucket was split between this node and those not yet heard before its credit was set, so that the part of the first seemed spent: a third of the burst was gone at the start of a system, until it was refilled.

Change: the credit is set first.

--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -428,6 +428,7 @@
     if (bucket === undefined) {
       const { startShare } = this.#margins;
       bucket = createBucket({ rate, burst, startShare }, now);
+      this.#setCredit(bucket, now);
       this.#setShare(bucket, this.#computeShare(bucket, now));
       this.#buckets.set(name, bucket);
     }
