A replica's limit is split among all nodes also behind a cut, after a start and a drain

A node that starts and hears nobody took itself for the only one and so the whole limit; the sides of a cut passed unused shares on at different times; and a node that ended as announced counted as a sharer for 12 s, so that the others kept to less.

Change: PeerExchange lists the sharers once, for allowances, retry budgets and replicas' limits. One that drained and is silent is none; addresses that a lost node knows are. Unused shares pass on only while all are heard.

--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -58,6 +58,14 @@
   readonly pullFeed: (kind: FeedKind, ip: string) => void;
 }
 
+/** Names of the nodes that share limits with this one, and of those it hears. */
+interface Sharers {
+  readonly known: readonly string[];
+  readonly heard: readonly string[];
+  /** Whether this node has just started and hears nobody. */
+  readonly isLost: boolean;
+}
+
 /** What a header says of the report behind it. */
 export interface HeaderOptions {
   readonly scope: ReportScope;
@@ -191,21 +199,26 @@
     const tickMs = chooseTickMs(this.#topology);
     // Signs of life pass over relays.
     members.setRoundMs(isMesh ? tickMs : Math.max(minRoundMs, tickMs * 2));
-    this.#refreshLimits(known);
-    this.#refreshReplicas(known);
+    const sharers = this.#listSharers(known);
+    this.#refreshLimits(sharers);
+    this.#refreshReplicas(sharers);
     return this.#topology;
   }
 
   /** Updates the peers' load of each replica, and this node's share of its limit. */
-  #refreshReplicas(known: readonly Member[]): void {
+  #refreshReplicas({ known, heard, isLost }: Sharers): void {
     const { table, limitsClock, limitShares, node, members, isDraining } =
       this.#options;
     const now = limitsClock.now();
     // On average a load is told half a round after it was measured.
     const ageMs = members.roundMs / 2;
-    const sharers = known.filter((member) => !member.isDraining)
-      .map((member) => member.node);
-    limitShares.setNodes(isDraining() ? sharers : [...sharers, node]);
+    const sharers = known.filter((name) =>
+      members.find(name)?.isDraining !== true
+    );
+    limitShares.setNodes(isDraining() ? sharers : [...sharers, node], {
+      areHeard: heard.length >= known.length,
+      isLost,
+    });
     const loads = this.#collector.sumLoads();
     for (const state of table.listAll()) {
       state.setPeerLoad(loads.read(state.key), { now, ageMs });
@@ -263,21 +276,14 @@
     return this.#topology.kind === "zones" && this.#topology.isRelay;
   }
 
-  #refreshLimits(known: readonly Member[]): void {
-    const { rateLimiter, budget, members, clock, limitsClock } = this.#options;
+  #refreshLimits({ known, heard }: Sharers): void {
+    const { rateLimiter, budget, limitsClock } = this.#options;
     const now = limitsClock.now();
     const isMesh = this.#topology.kind === "mesh";
     const reportsPerRound = isMesh ? 1 : reportsToCrossZones;
-    const heard = members.listHeard(clock.now());
-    // A node that hears nobody after its start does not know who shares its limits.
-    const unconfirmed = heard.length === 0
-      ? members.listUnconfirmed(clock.now())
-      : [];
-    const listNames = (list: readonly Member[]): readonly string[] =>
-      list.map(({ node }) => node).sort();
     rateLimiter.setPeers({
-      known: [...listNames(known), ...unconfirmed],
-      heard: listNames(heard),
+      known,
+      heard,
       reportsPerRound,
       reportMs: chooseTickMs(this.#topology),
     }, now);
@@ -288,6 +294,28 @@
     }, now);
   }
 
+  /**
+   * Lists the names of those that share limits with this node. One that ended as
+   * announced no longer does.
+   */
+  #listSharers(known: readonly Member[]): Sharers {
+    const { members, clock } = this.#options;
+    const heard = members.listHeard(clock.now()).map(({ node }) => node);
+    const heardNames = new Set(heard);
+    const sharers = known.filter(({ node, isDraining }) =>
+      !isDraining || heardNames.has(node)
+    ).map(({ node }) => node);
+    // A node that hears nobody after its start does not know who shares its limits.
+    const unconfirmed = heard.length === 0
+      ? members.listUnconfirmed(clock.now())
+      : [];
+    return {
+      known: [...sharers.sort(), ...unconfirmed],
+      heard: heard.sort(),
+      isLost: sharers.length === 0 && unconfirmed.length > 0,
+    };
+  }
+
   #applyReport(message: PeerMessage, report: PeerReport, now: number): void {
     const { members, table, quarantine, news, limitsClock } = this.#options;
     // Ages count from the time at which the report was composed.
--- a/packages/gateway/src/testing/test_system.ts
+++ b/packages/gateway/src/testing/test_system.ts
@@ -95,6 +95,7 @@
   isReading: () => boolean = () => false;
   bytesSent = 0;
   fencingToken: number | undefined;
+  isDraining = false;
   /** Time at which its link has sent all that waits for it. */
   linkFreeAt = 0;
 
@@ -216,7 +217,7 @@
         compose: () => node.newsOut,
         apply: (told) => node.newsIn = told,
       }], Metrics.create()),
-      isDraining: () => false,
+      isDraining: () => node.isDraining,
       isStoreUnreachable: () => false,
       readFencingToken: () => node.fencingToken,
       pullFeed: (kind, ip) => this.onPull(node, kind, ip),
--- a/packages/routing/src/limits/limit_shares.ts
+++ b/packages/routing/src/limits/limit_shares.ts
@@ -20,16 +20,33 @@
  * never be known that a limit has ended.
  */
 const minPerSecond = 0.2;
+/**
+ * Part of its even share that a node takes which has just started and hears nobody:
+ * there may be more nodes than the addresses that it knows.
+ */
+export const lostShare = 0.3;
 /** Time in which a share counts as unused, beside that of two of its requests. */
 const unusedMs = 3_000;
 const requestsUntilUnused = 2;
 
+/** How well a node knows those that share its limits. */
+export interface SharersView {
+  /**
+   * Whether it hears of all of them. Else it can't tell which shares are unused, and
+   * those that hear each other would not agree with the rest.
+   */
+  readonly areHeard: boolean;
+  /** Whether it has just started and hears nobody. */
+  readonly isLost: boolean;
+}
+
 /** Shares of one node. Times are monotonic, in milliseconds. */
 export class LimitShares {
   readonly #hasher: Hasher;
   readonly #self: string;
   /** Nodes that share the limits, in order of their names. */
   #nodes: readonly string[] = [];
+  #view: SharersView = { areHeard: true, isLost: false };
   /** Order of the nodes for each replica. */
   readonly #orders = new Map<string, readonly string[]>();
 
@@ -44,7 +61,11 @@
   }
 
   /** Sets the nodes that share the limits; this one is among them unless it drains. */
-  setNodes(names: readonly string[]): void {
+  setNodes(
+    names: readonly string[],
+    view: SharersView = { areHeard: true, isLost: false },
+  ): void {
+    this.#view = view;
     const nodes = [...names].sort();
     const isSame = nodes.length === this.#nodes.length &&
       nodes.every((name, at) => name === this.#nodes[at]);
@@ -71,9 +92,11 @@
       length,
       Math.max(1, Math.floor(perSecond / minSharePerSecond)),
     );
-    const share = perSecond / sharers;
+    const share = perSecond / sharers * (this.#view.isLost ? lostShare : 1);
     const turnMs = unusedMs + requestsUntilUnused * 1_000 / share;
-    const turn = Math.max(0, Math.floor(idleMs / turnMs));
+    const turn = this.#view.areHeard
+      ? Math.max(0, Math.floor(idleMs / turnMs))
+      : 0;
     const rank = this.#findOrder(key).indexOf(this.#self);
     if (rank < 0) return 0;
     const place = (rank + length - (turn * sharers) % length) % length;
