A told level is split like a node's own; the limiter's parts in a file of their own

Cause: a node that starts takes the level that a longer-running peer tells, which was then cut to its share and, when that rose, not given back.

Change: what the share leaves to the others is withheld, as elsewhere. AllowanceParts has shares and credits, moved from the limiter without change.

--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -23,7 +23,7 @@
   type AllowanceTerms,
   plainTerms,
 } from "@almondcrank/routing/limits/allowance_margins.ts";
-import { useDecayMs } from "./peer_use.ts";
+import { AllowanceParts } from "./allowance_parts.ts";
 import { PeerContact, type PeerVisibility } from "./peer_contact.ts";
 import { type Bucket, createBucket } from "./tenant_bucket.ts";
 
@@ -65,31 +65,20 @@
   readonly peersHeard: number;
 }
 
-/** Use added to the known use of each node, as a share of the burst. */
-const assumedUseShare = 0.02;
-/** Weight of recent use in a partition's share; the rest is even among the nodes. */
-const useWeight = 0.75;
 /** Longest time over which the retries of refused requests are spread. */
 const maxRetrySpreadMs = 20_000;
 /** Share of the burst below which a request counts as small. */
 const smallCostShare = 0.005;
-/**
- * Share by which a node's part of the level is raised: never do all nodes use
- * theirs, as requests don't come evenly.
- */
-const unevenShare = 0.15;
-/** Part of its even share that a restarted node takes while it hears nobody. */
-const lostShare = 0.3;
-/** Time for which a restarted node assumes that the whole rate is used. */
-const assumedUseMs = 1_000;
 /** Token buckets of all tenants. Times are monotonic, in milliseconds. */
 export class TenantRateLimiter {
   readonly #buckets = new Map<string, Bucket>();
   readonly #margins: AllowanceMargins;
   readonly #contact = PeerContact.create();
+  readonly #parts: AllowanceParts;
 
   private constructor(margins: AllowanceMargins) {
     this.#margins = margins;
+    this.#parts = AllowanceParts.create(this.#contact, margins);
   }
 
   /** @param tolerance Cost by which a tenant may exceed its allowance in a window. */
@@ -137,7 +126,7 @@
     { cost, priority }: Charge,
     now: number,
   ): number {
-    const minLevel = -this.#computeOverdraft(bucket, now);
+    const minLevel = -this.#parts.computeOverdraft(bucket, now);
     const levelCost = this.#computeNeeded(bucket, cost, now);
     const missingForCost = Math.max(0, minLevel + levelCost - bucket.level);
     const isPreferred = priority === 0 &&
@@ -145,7 +134,7 @@
     const isSmall = cost < bucket.burst * smallCostShare;
     const floor = isPreferred || isSmall
       ? minLevel
-      : -this.#computeNormalOverdraft(bucket, now);
+      : -this.#parts.computeNormalOverdraft(bucket, now);
     const isAboveFloor = isSmall || bucket.level > floor;
     // Where all peers hear of it at once, these may spend what others leave unused.
     const isHeardAtOnce = this.#contact.isMesh && this.#contact.isInTouch(now);
@@ -182,7 +171,7 @@
     const late = bucket.rate / 1_000 * lateMs * bucket.share;
     const usualHere = usual / (this.#contact.heard.length + 1);
     const surge = bucket.unheard.computeSurge(usualHere);
-    const overdraft = this.#computeOverdraft(bucket, now);
+    const overdraft = this.#parts.computeOverdraft(bucket, now);
     return usual * surge + late <= bucket.level + overdraft;
   }
 
@@ -197,18 +186,6 @@
       : computeHalf(cost, burst * share);
   }
 
-  #computeOverdraft(bucket: Bucket, now: number): number {
-    return this.#contact.isInTouch(now)
-      ? this.#margins.computeOverdraft(bucket, now)
-      : 0;
-  }
-
-  #computeNormalOverdraft(bucket: Bucket, now: number): number {
-    return this.#contact.isInTouch(now)
-      ? this.#margins.computeNormalOverdraft(bucket, now)
-      : 0;
-  }
-
   /** Lists the amount left in each tenant's bucket, rounded. */
   listLevels(now: number): readonly (readonly [string, number])[] {
     return [...this.#buckets].map(([name, bucket]) => {
@@ -295,7 +272,9 @@
     if (bucket === undefined || bucket.isLevelAdopted) return;
     bucket.isLevelAdopted = true;
     const isGuess = this.#margins.startShare < 1;
-    if (isGuess || level < bucket.level) bucket.level = level;
+    if (!isGuess && level >= bucket.level + bucket.withheld) return;
+    bucket.level = level * bucket.share;
+    bucket.withheld = level * (1 - bucket.share);
   }
 
   /** Records how long a peer has run that tells its levels. */
@@ -308,34 +287,11 @@
     if (!this.#contact.set(peers)) return;
     for (const bucket of this.#buckets.values()) {
       this.#refillBucket(bucket, now);
-      this.#setShare(bucket, this.#computeShare(bucket, now));
-      this.#setCredit(bucket, now);
+      this.#parts.refreshShare(bucket, now);
+      this.#parts.refreshCredit(bucket, now);
     }
   }
 
-  /**
-   * Sets the share of the nodes that hear each other. What it leaves to the others
-   * is withheld, and comes back with the news of what they used.
-   */
-  #setShare(bucket: Bucket, share: number): void {
-    if (share < bucket.share) {
-      // The others spend their parts, and so this node has at most its own left.
-      const { credit } = bucket;
-      const own = credit < 0 ? credit : credit / bucket.creditShare * share;
-      const level = Math.min(bucket.level / bucket.share * share, own);
-      if (level < bucket.level) {
-        bucket.withheld += bucket.level - level;
-        bucket.level = level;
-      }
-    } else if (share > bucket.share) {
-      const released = bucket.withheld * (share - bucket.share) /
-        (1 - bucket.share);
-      bucket.level += released;
-      bucket.withheld -= released;
-    }
-    bucket.share = share;
-  }
-
   /** Creates buckets, so that peers' reports are charged before a first request. */
   prepare(tenants: readonly Tenant[], now: number): void {
     for (const tenant of tenants) {
@@ -358,68 +314,11 @@
       bucket.use.addOwn(bucket.admitted - bucket.reported, now);
       bucket.reported = bucket.admitted;
       bucket.unheard.recordReport(now, heardUntil);
-      this.#setCredit(bucket, now);
+      this.#parts.refreshCredit(bucket, now);
       return [name, Math.round(bucket.level), bucket.admitted];
     });
   }
 
-  /**
-   * Sets this node's credit to its part of the level. What it admitted that its
-   * peers may not have heard of counts against it, over the same time for which it
-   * may not have heard of theirs.
-   */
-  #setCredit(bucket: Bucket, now: number): void {
-    const { heard } = this.#contact;
-    const evenShare = 1 / (heard.length + 1);
-    const own = bucket.burst * assumedUseShare + bucket.use.readOwn(now);
-    const heardUse = this.#sumUse(bucket, heard, now);
-    const assumedUse = bucket.burst * assumedUseShare * (heard.length + 1);
-    const use = heardUse - assumedUse;
-    bucket.heardPerMs = Math.min(bucket.rate / 1_000, use / useDecayMs);
-    bucket.assumedPerMs = this.#computePerMs(bucket, use, now);
-    bucket.creditShare = (own / heardUse + evenShare) / 2;
-    const unheard = this.#contact.isMesh ? 0 : bucket.unheard.readCost();
-    const left = bucket.level + unheard +
-      this.#computeNormalOverdraft(bucket, now);
-    const factor = 1 + unevenShare * this.#margins.computeUpShare(now);
-    bucket.credit = left * bucket.creditShare * factor - unheard;
-  }
-
-  /** Computes the cost a millisecond from recent use; the whole rate at a start. */
-  #computePerMs({ rate }: Bucket, use: number, now: number): number {
-    if (!this.#margins.isRestart) return use / useDecayMs;
-    const perMs = rate / 1_000;
-    const heardMs = Math.max(
-      0,
-      this.#margins.computeUpMs(now) - this.#contact.roundMs,
-    );
-    const forgotten = Math.exp(-heardMs / useDecayMs);
-    const assumed = assumedUseMs * forgotten;
-    const observedMs = useDecayMs * (1 - forgotten);
-    return Math.min(perMs, (use + perMs * assumed) / (observedMs + assumed));
-  }
-
-  #computeShare(bucket: Bucket, now: number): number {
-    const { known, heard } = this.#contact;
-    const evenShare = (heard.length + 1) / (known.length + 1);
-    if (evenShare >= 1) return 1;
-    // Nothing tells this node what the others use, nor how many there are.
-    const isLost = this.#margins.isRestart && heard.length === 0;
-    if (isLost) return evenShare * lostShare;
-    const useShare = this.#sumUse(bucket, heard, now) /
-      this.#sumUse(bucket, known, now);
-    return useWeight * useShare + (1 - useWeight) * evenShare;
-  }
-
-  /**
-   * Sums the recent use of this node and of some peers, with a fixed amount for the
-   * use of each that is not yet reported.
-   */
-  #sumUse(bucket: Bucket, peers: readonly string[], now: number): number {
-    const assumed = bucket.burst * assumedUseShare * (peers.length + 1);
-    return assumed + bucket.use.sum(peers, this.#contact.known, now);
-  }
-
   #refill(tenant: Tenant, now: number): Bucket {
     const { name, burst } = tenant;
     this.#margins.start(now);
@@ -428,8 +327,8 @@
     if (bucket === undefined) {
       const { startShare } = this.#margins;
       bucket = createBucket({ rate, burst, startShare }, now);
-      this.#setCredit(bucket, now);
-      this.#setShare(bucket, this.#computeShare(bucket, now));
+      this.#parts.refreshCredit(bucket, now);
+      this.#parts.refreshShare(bucket, now);
       this.#buckets.set(name, bucket);
     }
     const isLowered = burst < bucket.burst;
--- a/packages/gateway/src/limits/tenant_rate_limiter_test.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter_test.ts
@@ -183,6 +183,16 @@
   assert.is(limiter.readLevel("t"), 9_000, "only the first one counts");
 });
 
+test("a level that a peer tells is split like one of this node's own", () => {
+  const terms = { overage: 0.1, windowMs: 8_000, startShare: 0.1 };
+  const limiter = TenantRateLimiter.create(0, terms);
+  limiter.setPeers({ known: ["p"], heard: [], reportsPerRound: 1 }, 0);
+  limiter.prepare([createTenant(1_000, 10_000)], 0);
+  limiter.adoptLevel("t", 9_000);
+  limiter.setPeers({ known: ["p"], heard: ["p"], reportsPerRound: 1 }, 0);
+  assert.is(limiter.readLevel("t"), 9_000);
+});
+
 test("nodes with late reports stay within allowance and tolerance", () => {
   const rate = 1_000;
   const burst = 2_000;
