Registrations of replicas are composed in the platform's package

Change: composeReplicaEntry and replicaFields in packages/platform; the kind of these objects is replicasKind, except in tests that remove one.

--- a/packages/bench/src/node_cost.ts
+++ b/packages/bench/src/node_cost.ts
@@ -10,6 +10,8 @@
  * Processor time is that of all threads, read from the kernel in units of 10 ms.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { Agent } from "node:http";
 import { tmpdir } from "node:os";
@@ -77,16 +79,15 @@
       const id = `${service}-${at}`;
       const replica = await ReplicaStandin.open({ id, events, eventMs: 2 });
       replicas.push(replica);
-      store.put("servers", id, {
-        service,
-        address: replica.address,
-        zone: "muc-a",
-        version: "v1",
-        slots: 8,
-        state: "ready",
-        "cold-remaining-ms": 0,
-        "seq-no": replicas.length,
-      });
+      store.put(
+        replicasKind,
+        id,
+        composeReplicaEntry({
+          service,
+          address: replica.address,
+          sequenceNumber: replicas.length,
+        }),
+      );
     }
   }
   store.put("config", "main", createExampleConfiguration(1, {}));
--- a/packages/cli/src/gateway_fleet.ts
+++ b/packages/cli/src/gateway_fleet.ts
@@ -3,6 +3,8 @@
  * this program, and stand-ins of the store, the cloud and the replicas.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { mkdtempSync, rmSync } from "node:fs";
 import { isSea } from "node:sea";
 import { tmpdir } from "node:os";
@@ -75,16 +77,10 @@
 
   /** Stores a replica's registration. */
   registerReplica(replica: ReplicaStandin, state: "ready" | "draining"): void {
-    this.store.put("servers", replica.id, {
-      service: replica.id.replace(/-\d+$/, ""),
-      address: replica.address,
-      zone: "muc-a",
-      version: "v1",
-      slots: 8,
-      state,
-      "cold-remaining-ms": 0,
-      "seq-no": 1,
-    });
+    const service = replica.id.replace(/-\d+$/, "");
+    const { address } = replica;
+    const entry = composeReplicaEntry({ service, address, state });
+    this.store.put(replicasKind, replica.id, entry);
   }
 
   /** Finds the replica that runs a request now. */
--- a/packages/gateway/src/testing/feed_system.ts
+++ b/packages/gateway/src/testing/feed_system.ts
@@ -3,6 +3,8 @@
  * that take a while, and a node sends only a few copies at the same time.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
 import type { FeedKind } from "../feed/feed_state.ts";
 import { FeedReader } from "../feed/feed_reader.ts";
@@ -66,21 +68,21 @@
 
   putReplica(index: number, state: "ready" | "draining"): void {
     const id = formatId(index);
-    this.store.put(`servers/${id}`, {
-      service: "s",
-      address: "10.1.0.1:80",
-      zone: "a",
-      version: "v1",
-      slots: 4,
-      state,
-      "cold-remaining-ms": 0,
-      "seq-no": 1,
-      born: 1,
-    });
+    this.store.put(
+      `${replicasKind}/${id}`,
+      composeReplicaEntry({
+        service: "s",
+        address: "10.1.0.1:80",
+        zone: "a",
+        slots: 4,
+        state,
+        startedAtMs: 1,
+      }),
+    );
   }
 
   removeReplica(index: number): void {
-    this.store.withdraw(`servers/${formatId(index)}`);
+    this.store.withdraw(`${replicasKind}/${formatId(index)}`);
   }
 
   /**
@@ -136,7 +138,7 @@
     );
     const reader = FeedReader.create({
       kind: "replicas",
-      prefix: "servers",
+      prefix: replicasKind,
       state: feeds.replicas,
       store: this.store,
       clock,
--- a/packages/scenario/src/early_answers_test.ts
+++ b/packages/scenario/src/early_answers_test.ts
@@ -4,6 +4,8 @@
  * and the endpoints of the program's own interface.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { SystemClock } from "@almondcrank/common/clock.ts";
@@ -26,18 +28,13 @@
   address: string,
 ): Promise<void> {
   for (const id of ["model-1", "model-2", "booking-1", "booking-2"]) {
-    setup.store.remove("servers", id);
+    setup.store.remove(replicasKind, id);
   }
-  setup.store.put("servers", "early-1", {
-    service,
-    address,
-    zone: "muc-a",
-    version: "v1",
-    slots: 8,
-    state: "ready",
-    "cold-remaining-ms": 0,
-    "seq-no": 1,
-  });
+  setup.store.put(
+    replicasKind,
+    "early-1",
+    composeReplicaEntry({ service, address }),
+  );
   await new Promise((resolve) => setTimeout(resolve, 400));
 }
 
--- a/packages/scenario/src/gateway_endless_answers_test.ts
+++ b/packages/scenario/src/gateway_endless_answers_test.ts
@@ -4,6 +4,8 @@
  * its caller waits for the deadline.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { GatewayStatus } from "@almondcrank/model/gateway_status.ts";
@@ -56,17 +58,15 @@
     await runWithSetup(1, async (setup) => {
       setup.configure({ timeoutMs: deadlineMs });
       for (const id of ids) {
-        setup.store.remove("servers", id);
-        setup.store.put("servers", `endless-${id}`, {
-          service: servicesById[id],
-          address: server.address,
-          zone: "muc-a",
-          version: "v1",
-          slots: 8,
-          state: "ready",
-          "cold-remaining-ms": 0,
-          "seq-no": 1,
-        });
+        setup.store.remove(replicasKind, id);
+        setup.store.put(
+          replicasKind,
+          `endless-${id}`,
+          composeReplicaEntry({
+            service: servicesById[id],
+            address: server.address,
+          }),
+        );
       }
       // Removed replicas serve for the drain time but get no new requests.
       await new Promise((resolve) => setTimeout(resolve, 500));
--- a/packages/scenario/src/gateway_killed_replicas_test.ts
+++ b/packages/scenario/src/gateway_killed_replicas_test.ts
@@ -3,6 +3,8 @@
  * kernel ends their connections without an error.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { fileURLToPath } from "node:url";
@@ -24,16 +26,15 @@
     stdio: ["ignore", "pipe", "inherit"],
   });
   const [line] = await once(child.stdout!, "data") as [Buffer];
-  setup.store.put("servers", id, {
-    service: "models",
-    address: line.toString("utf8").trim(),
-    zone: "muc-a",
-    version: "v1",
-    slots: 32,
-    state: "ready",
-    "cold-remaining-ms": 0,
-    "seq-no": 1,
-  });
+  setup.store.put(
+    replicasKind,
+    id,
+    composeReplicaEntry({
+      service: "models",
+      address: line.toString("utf8").trim(),
+      slots: 32,
+    }),
+  );
   return child;
 }
 
@@ -44,7 +45,7 @@
     const other = await startReplica(setup, "other");
     try {
       for (const id of ["model-1", "model-2"]) {
-        setup.store.remove("servers", id);
+        setup.store.remove(replicasKind, id);
       }
       await new Promise((resolve) => setTimeout(resolve, 300));
       const streams = Array.from(
--- a/packages/scenario/src/gateway_odd_input_test.ts
+++ b/packages/scenario/src/gateway_odd_input_test.ts
@@ -3,22 +3,21 @@
  * name no replica to use, odd requests are refused, all others are served.
  */
 
+import {
+  composeReplicaEntry,
+  replicaFields,
+} from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { exampleHostname } from "@almondcrank/standin/platform/example_configuration.ts";
 import type { GatewaySetup } from "./testing/gateway_setup.ts";
 import { runWithSetup } from "./testing/gateway_helpers.ts";
 
-const sound = {
+const sound = composeReplicaEntry({
   service: "booking",
   address: "127.0.0.1:9",
-  zone: "muc-a",
-  version: "v1",
-  slots: 8,
-  state: "ready",
-  "cold-remaining-ms": 0,
-  "seq-no": 1,
-};
+});
 
 /** Entries of another writer by their ids. */
 const oddEntries: Readonly<Record<string, unknown>> = {
@@ -34,8 +33,8 @@
   "i-list": [sound],
   "i-text": "x".repeat(10_000),
   "i-no-version": { ...sound, version: undefined },
-  "i-no-cold": { ...sound, "cold-remaining-ms": undefined },
-  "i-no-number": { ...sound, "seq-no": undefined },
+  "i-no-cold": { ...sound, [replicaFields.coldMs]: undefined },
+  "i-no-number": { ...sound, [replicaFields.sequenceNumber]: undefined },
   "i-no-service": { ...sound, service: "__proto__" },
   "i-other-service": { ...sound, service: "nobody" },
   "i-zone": { ...sound, zone: { a: 1 } },
@@ -50,7 +49,7 @@
 /** Puts entries with ids that no URL could name. */
 function putOddEntries(setup: GatewaySetup): void {
   for (const [id, entry] of Object.entries(oddEntries)) {
-    setup.store.put("servers", id, entry);
+    setup.store.put(replicasKind, id, entry);
   }
 }
 
@@ -83,8 +82,8 @@
   await runWithSetup(1, async (setup) => {
     const address = "[::1]:0";
     await setup.addReplica("six", "models", { address });
-    setup.store.remove("servers", "model-1");
-    setup.store.remove("servers", "model-2");
+    setup.store.remove(replicasKind, "model-1");
+    setup.store.remove(replicasKind, "model-2");
     await setup.waitUntil(async () => {
       await setup.call({ path: "/answer/stream" });
       return setup.findReplica("six").runs.length > 0;
--- a/packages/scenario/src/gateway_restore_test.ts
+++ b/packages/scenario/src/gateway_restore_test.ts
@@ -4,6 +4,7 @@
  * the platform.
  */
 
+import { replicaFields } from "@almondcrank/platform/replica_entry.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { tenantKey } from "@almondcrank/standin/platform/example_configuration.ts";
@@ -140,7 +141,9 @@
     });
     const last = leaving.arrivals.length;
     // Its registration still says that it is ready, and is written once more.
-    setup.registerReplica("booking-1", "booking", "ready", { "seq-no": 2 });
+    setup.registerReplica("booking-1", "booking", "ready", {
+      [replicaFields.sequenceNumber]: 2,
+    });
     await sleep(500);
     // The second node heard of it from the first.
     for (let at = 0; at < 6; at += 1) await sendBookings(setup, at % 2);
--- a/packages/scenario/src/testing/gateway_process.ts
+++ b/packages/scenario/src/testing/gateway_process.ts
@@ -3,6 +3,8 @@
  * for tests of signals, starts and outputs.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
@@ -83,7 +85,7 @@
     const booking = await ReplicaStandin.open({ id: "booking-1" });
     store.put("config", "main", createExampleConfiguration(1, {}));
     store.put(
-      "servers",
+      replicasKind,
       "booking-1",
       createEntry(await link(booking.address)),
     );
@@ -127,9 +129,9 @@
 
   /** Registers other replicas for bookings in place of the first one. */
   replaceReplicas(addresses: readonly string[]): void {
-    this.#store.remove("servers", "booking-1");
+    this.#store.remove(replicasKind, "booking-1");
     for (const [at, address] of addresses.entries()) {
-      this.#store.put("servers", `large-${at}`, createEntry(address));
+      this.#store.put(replicasKind, `large-${at}`, createEntry(address));
     }
   }
 
@@ -229,14 +231,5 @@
 }
 
 function createEntry(address: string): unknown {
-  return {
-    service: "booking",
-    address,
-    zone: "muc-a",
-    version: "v1",
-    slots: 8,
-    state: "ready",
-    "cold-remaining-ms": 0,
-    "seq-no": 1,
-  };
+  return composeReplicaEntry({ service: "booking", address });
 }
--- a/packages/scenario/src/testing/gateway_setup.ts
+++ b/packages/scenario/src/testing/gateway_setup.ts
@@ -3,6 +3,8 @@
  * the replicas and of the platform.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { connect } from "node:net";
 import { Right } from "purify-ts";
 import { createSilentLog } from "@almondcrank/common/logs.ts";
@@ -161,15 +163,13 @@
     state: string,
     more: Readonly<Record<string, unknown>> = {},
   ): void {
-    this.store.put("servers", id, {
-      service,
-      address: this.findReplica(id).address,
-      zone: "muc-a",
-      version: this.#softwareVersions.get(id),
-      slots: 8,
-      state,
-      "cold-remaining-ms": 0,
-      "seq-no": 1,
+    this.store.put(replicasKind, id, {
+      ...composeReplicaEntry({
+        service,
+        address: this.findReplica(id).address,
+        softwareVersion: this.#softwareVersions.get(id),
+        state,
+      }),
       ...more,
     });
   }
--- a/packages/soak/src/fault_runner.ts
+++ b/packages/soak/src/fault_runner.ts
@@ -2,6 +2,11 @@
  * Injects the faults of a plan and records when each began and ended.
  */
 
+import {
+  composeReplicaEntry,
+  replicaFields,
+} from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { sleep } from "@almondcrank/standin/platform/replica_fault.ts";
 import type { StoreFault } from "@almondcrank/standin/platform/store_standin.ts";
 import {
@@ -50,16 +55,10 @@
   return value;
 }
 
-const soundEntry = {
+const soundEntry = composeReplicaEntry({
   service: "models",
   address: "127.0.0.1:1",
-  zone: "muc-a",
-  version: "v1",
-  slots: 8,
-  state: "ready",
-  "cold-remaining-ms": 0,
-  "seq-no": 1,
-};
+});
 /** Entries of another writer, which a node must neither use nor end by. */
 const oddRegistrations: readonly Readonly<Record<string, unknown>>[] = [
   { ...soundEntry, address: "127.0.0.1:99999" },
@@ -68,7 +67,7 @@
   { ...soundEntry, state: "resting" },
   { ...soundEntry, more: createNested() },
   { ...soundEntry, version: null },
-  { ...soundEntry, "cold-remaining-ms": "soon" },
+  { ...soundEntry, [replicaFields.coldMs]: "soon" },
   { service: 7 },
 ];
 
@@ -251,10 +250,10 @@
     const { store } = this.#system;
     const names = oddRegistrations.map((_, at) => `odd-${target}-${at}`);
     for (const [at, entry] of oddRegistrations.entries()) {
-      store.put("servers", names[at] ?? "", entry);
+      store.put(replicasKind, names[at] ?? "", entry);
     }
     await sleep(durationMs);
-    for (const name of names) store.remove("servers", name);
+    for (const name of names) store.remove(replicasKind, name);
   }
 
   #pickNode(target: number): SoakNode {
--- a/packages/soak/src/soak_system.ts
+++ b/packages/soak/src/soak_system.ts
@@ -3,6 +3,8 @@
  * of replicas, and proxies that inject network faults on the links to them.
  */
 
+import { composeReplicaEntry } from "@almondcrank/platform/replica_entry.ts";
+import { replicasKind } from "@almondcrank/platform/platform_store.ts";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -248,23 +250,24 @@
   /** Writes a replica's registration to the store. */
   register(replica: SoakReplica, state: "ready" | "draining"): void {
     this.#sequenceNumber += 1;
-    this.store.put("servers", replica.standin.id, {
-      service: replica.service,
-      address: replica.address,
-      zone: "muc-a",
-      version: replica.software.version,
-      slots: 8,
-      state,
-      "cold-remaining-ms": 0,
-      "seq-no": this.#sequenceNumber,
-      born: replica.startedAtMs,
-    });
+    this.store.put(
+      replicasKind,
+      replica.standin.id,
+      composeReplicaEntry({
+        service: replica.service,
+        address: replica.address,
+        softwareVersion: replica.software.version,
+        state,
+        sequenceNumber: this.#sequenceNumber,
+        startedAtMs: replica.startedAtMs,
+      }),
+    );
   }
 
   /** Removes a replica's registration from the store. */
   unregister(replica: SoakReplica): void {
     replica.isRegistered = false;
-    this.store.remove("servers", replica.standin.id);
+    this.store.remove(replicasKind, replica.standin.id);
   }
 
   /** Writes the next version of the configuration to the store. */
