--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -12,20 +12,14 @@
 import type { Clock } from "@almondcrank/common/clock.ts";
 import type { Disposable } from "@almondcrank/common/disposables.ts";
 import type { Event } from "@almondcrank/common/emitter.ts";
-import { sendWhole } from "@almondcrank/common/ending_connections.ts";
 import { listen } from "@almondcrank/common/listen.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
-import {
-  type FeedKind,
-  feedKinds,
-  type FeedState,
-} from "../feed/feed_state.ts";
+import { type FeedKind, feedKinds } from "../feed/feed_state.ts";
 import { formatBareReply } from "../relay/client_error.ts";
 import { handOverPath } from "../relay/hand_over.ts";
-import { askForCopy, copyPath, FeedPulls } from "./feed_pulls.ts";
-import { FeedSnapshots } from "./feed_snapshots.ts";
-import { originPath } from "./origin_exchange.ts";
+import { ControlPages, type ControlPagesOptions } from "./control_pages.ts";
+import { askForCopy, FeedPulls } from "./feed_pulls.ts";
 import type { Member, MemberTable } from "./member_table.ts";
 import {
   encodePeerReport,
@@ -57,13 +51,12 @@
 }
 
 /** Dependencies of a cluster. */
-export interface ClusterOptions {
+export interface ClusterOptions extends ControlPagesOptions {
   readonly clock: Clock;
   readonly log: Log;
   readonly socket: DatagramSocket;
   readonly members: MemberTable;
   readonly exchange: PeerExchange;
-  readonly feeds: Readonly<Record<FeedKind, FeedState>>;
   /** Whether this node currently reads the store or does duties for the others. */
   readonly isLeading: () => boolean;
   /** Speed of this node's link; undefined if it is not known. */
@@ -72,24 +65,18 @@
   readonly connections: ServerConnections;
   /** Port of the control listener, the same on all nodes. */
   readonly controlPort: number;
-  /** Answers a peer that asks for the origin of a stream. */
-  readonly answerOrigin: (id: string) => string | undefined;
-  /** What such a peer gets to know if the origin is not known here. */
-  readonly answerUnknownOrigin: () => string;
   /** Handles requests that other nodes hand over, below `handOverPath`. */
   readonly handleHanded: (
     request: IncomingMessage,
     response: ServerResponse,
   ) => void;
-  /** Further text pages of the control listener, by path. */
-  readonly pages: Readonly<Record<string, () => string>>;
 }
 
 /** Peer communication of one node. */
 export class Cluster implements Disposable {
   readonly #options: ClusterOptions;
   readonly #server: Server;
-  readonly #snapshots: FeedSnapshots;
+  readonly #pages: ControlPages;
   readonly #stopped = new AbortController();
   readonly #spreadSends: SpreadSends;
   readonly #pulls: FeedPulls;
@@ -103,7 +90,7 @@
 
   private constructor(options: ClusterOptions) {
     this.#options = options;
-    this.#snapshots = FeedSnapshots.create(options.feeds);
+    this.#pages = ControlPages.create(options);
     this.#pulls = FeedPulls.create({
       ...options,
       askPeer: (kind, ip) => askForCopy(kind, `${ip}:${options.controlPort}`),
@@ -116,7 +103,7 @@
     this.#server = createServer((request, response) => {
       const url = request.url ?? "/";
       if (!url.startsWith(`${handOverPath}/`)) {
-        return void this.#answer(url, response);
+        return void this.#pages.answer(url, response);
       }
       request.url = url.slice(handOverPath.length);
       options.handleHanded(request, response);
@@ -368,39 +355,4 @@
         }),
     });
   }
-
-  async #answer(url: string, response: ServerResponse): Promise<void> {
-    const kind = feedKinds.find((kind) => url === copyPath + kind);
-    if (kind !== undefined) return await this.#answerSnapshot(kind, response);
-    const text = this.#composeText(url);
-    if (text === undefined) {
-      const isQuestion = url.startsWith(originPath);
-      const body = isQuestion ? this.#options.answerUnknownOrigin() : "";
-      return sendWhole(response, { status: 404, headers: {}, body });
-    }
-    const headers = { "Content-Type": "text/plain; charset=utf-8" };
-    sendWhole(response, { status: 200, headers, body: text });
-  }
-
-  #composeText(url: string): string | undefined {
-    const { answerOrigin, pages } = this.#options;
-    return url.startsWith(originPath)
-      ? answerOrigin(url.slice(originPath.length))
-      : pages[url]?.();
-  }
-
-  async #answerSnapshot(
-    kind: FeedKind,
-    response: ServerResponse,
-  ): Promise<void> {
-    if (!this.#snapshots.takeTransfer(kind)) {
-      response.writeHead(busyStatus);
-      response.end();
-      return;
-    }
-    response.once("close", () => this.#snapshots.endTransfer(kind));
-    const bytes = await this.#snapshots.encode(kind);
-    response.setHeader("Content-Type", "application/octet-stream");
-    response.end(bytes);
-  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,10 +4,7 @@
 
 import { openWhenFree } from "@almondcrank/common/address_wait.ts";
 import { type Clock } from "@almondcrank/common/clock.ts";
-import {
-  createDisposable,
-  DisposableStore,
-} from "@almondcrank/common/disposables.ts";
+import { DisposableStore } from "@almondcrank/common/disposables.ts";
 import type { Log } from "@almondcrank/common/logs.ts";
 import { Metrics } from "@almondcrank/common/metrics.ts";
 import type { ServerConnections } from "@almondcrank/common/server_connections.ts";
@@ -19,9 +16,7 @@
 import { createRolloutOrders } from "@almondcrank/platform/rollout_orders.ts";
 import { LimitShares } from "@almondcrank/routing/limits/limit_shares.ts";
 import { QuarantineArchive } from "@almondcrank/routing/quarantine/quarantine_archive.ts";
-import type { PartQuarantine } from "@almondcrank/routing/quarantine/part_quarantine.ts";
 import type { GatewayStatus } from "@almondcrank/model/gateway_status.ts";
-import { ReplicaTable } from "./choice/replica_table.ts";
 import { Cluster } from "./cluster/cluster.ts";
 import { NodeDiscovery } from "./cluster/node_discovery.ts";
 import { PeerSocket } from "./cluster/peer_socket.ts";
@@ -32,18 +27,15 @@
 import { DutyLease } from "./duties/duty_lease.ts";
 import { Autoscaler } from "./duties/autoscaler.ts";
 import { UsageReporter } from "./duties/usage_reporter.ts";
-import { AllowanceLog } from "./limits/allowance_log.ts";
+import { startMaintenance } from "./gateway_maintenance.ts";
 import { FeedReader } from "./feed/feed_reader.ts";
 import { StoreView } from "./feed/store_view.ts";
 import { RolloutDuty } from "./rollouts/rollout_duty.ts";
-import type { RolloutParts } from "./rollouts/rollout_parts.ts";
 import { composeGatewayStatus } from "./gateway_status.ts";
 import type { LiveSettings } from "./live_settings.ts";
 import { MetricsServer } from "./metrics_server.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { CallerServer } from "./relay/caller_server.ts";
-import type { RequestBodies } from "./relay/request_bodies.ts";
-import { ReplicaSender } from "./relay/replica_sender.ts";
 import { StreamMover } from "./relay/stream_mover.ts";
 import {
   createClientOptions,
@@ -53,7 +45,6 @@
   type GatewayParts,
 } from "./gateway_parts.ts";
 
-const maintenanceIntervalMs = 250;
 /** Time that a confirmation of a feed takes over relays. */
 const relayedStatusDelayMs = 900;
 /** Time from the start of a drain until connections are no longer accepted. */
@@ -71,31 +62,21 @@
   readonly #clock: Clock;
   readonly #lifetime = DisposableStore.create();
   readonly #server: CallerServer;
-  readonly #bodies: RequestBodies;
   readonly #connections: ServerConnections;
-  readonly #sender: ReplicaSender;
-  readonly #table: ReplicaTable;
   readonly #view: StoreView;
-  readonly #quarantine: PartQuarantine;
   readonly #metrics = Metrics.create();
   #isDraining = false;
   readonly #readers: FeedReader[] = [];
   #lease: DutyLease | undefined;
-  readonly #rollouts: RolloutParts | undefined;
 
   private constructor(options: GatewayOptions, parts: GatewayParts) {
     this.#settings = options.settings;
     this.#log = options.log;
     this.#clock = parts.clock;
     this.#server = parts.server;
-    this.#bodies = parts.bodies;
     this.#connections = parts.connections;
-    this.#sender = parts.services.sender;
-    this.#table = parts.services.table;
     this.#view = parts.view;
-    this.#quarantine = parts.services.quarantine;
     this.#metrics = parts.services.metrics;
-    this.#rollouts = parts.rollouts;
   }
 
   /**
@@ -240,22 +221,7 @@
       hasher: services.hasher,
       log: services.log.createChild("relay"),
     }));
-    const allowances = AllowanceLog.create({
-      rateLimiter: parts.rateLimiter,
-      clock,
-      log: services.log.createChild("limits"),
-    });
-    const maintenanceTimer = setInterval(
-      () => {
-        this.#runMaintenance();
-        allowances.tellDue();
-        origins.tellDue();
-      },
-      maintenanceIntervalMs,
-    );
-    this.#lifetime.register(
-      createDisposable(() => clearInterval(maintenanceTimer)),
-    );
+    this.#lifetime.register(startMaintenance(parts));
     await this.#openServers(parts);
   }
 
@@ -397,17 +363,4 @@
     return !this.#isDraining && this.#view.routes !== undefined &&
       this.#view.hasSyncedReplicas && this.#view.hasFreshConfiguration;
   }
-
-  #runMaintenance(): void {
-    this.#table.expire(this.#clock.now());
-    this.#rollouts?.gate.check();
-    this.#sender.retain((key) => this.#table.find(key) !== undefined);
-    this.#metrics.setGauge("requests_running", this.#server.running);
-    this.#bodies.recordMetrics(this.#metrics);
-    this.#connections.recordMetrics(this.#metrics);
-    const ageMs = this.#table.computeAgeMs(this.#clock.now());
-    this.#metrics.setGauge("registrations_age_ms", ageMs ?? -1);
-    this.#metrics.setGauge("replicas_limited", this.#table.countLimited());
-    this.#metrics.setGauge("parts_quarantined", this.#quarantine.size);
-  }
 }
