--- a/packages/gateway/src/cluster/counter_tracker.ts
+++ b/packages/gateway/src/cluster/counter_tracker.ts
@@ -18,7 +18,7 @@
 /** Time over which sources are compared by how much they count. */
 const progressDecayMs = 1_500;
 /** How many times as much another source counts if the followed one hears too few. */
-const deafFactor = 2.5;
+const behindFactor = 2.5;
 /** Age beyond which a source's last report says nothing of the present. */
 const maxBaseAgeMs = 800;
 
@@ -80,7 +80,7 @@
   /** Whether the followed source counts so much less that it hears too few. */
   #isBehind(followed: string, other: Source, now: number): boolean {
     const counted = this.#sources.get(followed)?.progress.read(now) ?? 0;
-    return other.progress.read(now) > counted * deafFactor;
+    return other.progress.read(now) > counted * behindFactor;
   }
 }
 
--- a/packages/gateway/src/cluster/counter_tracker_test.ts
+++ b/packages/gateway/src/cluster/counter_tracker_test.ts
@@ -60,8 +60,8 @@
   let total = 0;
   for (let at = 0; at <= 10_000; at += 200) {
     // From 2 s on the first one counts only its own part of the zone.
-    const deaf = Math.min(at, 2_000) + at / 10;
-    total += readChange(tracker.apply("a", count(deaf), at));
+    const behind = Math.min(at, 2_000) + at / 10;
+    total += readChange(tracker.apply("a", count(behind), at));
     total += readChange(tracker.apply("b", count(at * 1.1), at + 10));
   }
   assert.ok(total >= 9_500 && total <= 11_500, `${total} of 11000`);
--- a/packages/gateway/src/cluster/peer_exchange.ts
+++ b/packages/gateway/src/cluster/peer_exchange.ts
@@ -63,7 +63,7 @@
   readonly known: readonly string[];
   readonly heard: readonly string[];
   /** Whether this node has just started and hears nobody. */
-  readonly isLost: boolean;
+  readonly isAlone: boolean;
 }
 
 /** What a header says of the report behind it. */
@@ -206,7 +206,7 @@
   }
 
   /** Updates the peers' load of each replica, and this node's share of its limit. */
-  #refreshReplicas({ known, heard, isLost }: Sharers): void {
+  #refreshReplicas({ known, heard, isAlone }: Sharers): void {
     const { table, limitsClock, limitShares, node, members, isDraining } =
       this.#options;
     const now = limitsClock.now();
@@ -217,7 +217,7 @@
     );
     limitShares.setNodes(isDraining() ? sharers : [...sharers, node], {
       areHeard: heard.length >= known.length,
-      isLost,
+      isAlone,
     });
     const loads = this.#collector.sumLoads();
     for (const state of table.listAll()) {
@@ -312,7 +312,7 @@
     return {
       known: [...sharers.sort(), ...unconfirmed],
       heard: heard.sort(),
-      isLost: sharers.length === 0 && unconfirmed.length > 0,
+      isAlone: sharers.length === 0 && unconfirmed.length > 0,
     };
   }
 
--- a/packages/gateway/src/limits/allowance_parts.ts
+++ b/packages/gateway/src/limits/allowance_parts.ts
@@ -9,7 +9,7 @@
 
 import type { AllowanceMargins } from "@almondcrank/routing/limits/allowance_margins.ts";
 
-import { lostShare } from "@almondcrank/routing/limits/limit_shares.ts";
+import { aloneShare } from "@almondcrank/routing/limits/limit_shares.ts";
 import type { PeerContact } from "./peer_contact.ts";
 import { useDecayMs } from "./peer_use.ts";
 import type { Bucket } from "./tenant_bucket.ts";
@@ -43,16 +43,16 @@
     return new AllowanceParts(contact, margins);
   }
 
-  /** Cost by which a bucket may be overdrawn; 0 at a node that is not in touch. */
+  /** Cost by which a bucket may be overdrawn; 0 while a node does not hear all others in time. */
   computeOverdraft(bucket: Bucket, now: number): number {
-    return this.#contact.isInTouch(now)
+    return this.#contact.isCurrent(now)
       ? this.#margins.computeOverdraft(bucket, now)
       : 0;
   }
 
   /** The same for requests without preference. */
   computeNormalOverdraft(bucket: Bucket, now: number): number {
-    return this.#contact.isInTouch(now)
+    return this.#contact.isCurrent(now)
       ? this.#margins.computeNormalOverdraft(bucket, now)
       : 0;
   }
@@ -120,8 +120,8 @@
     const evenShare = (heard.length + 1) / (known.length + 1);
     if (evenShare >= 1) return 1;
     // Nothing tells this node what the others use, nor how many there are.
-    const isLost = this.#margins.isRestart && heard.length === 0;
-    if (isLost) return evenShare * lostShare;
+    const isAlone = this.#margins.isRestart && heard.length === 0;
+    if (isAlone) return evenShare * aloneShare;
     const useShare = this.#sumUse(bucket, heard, now) /
       this.#sumUse(bucket, known, now);
     return useWeight * useShare + (1 - useWeight) * evenShare;
--- a/packages/gateway/src/limits/peer_contact.ts
+++ b/packages/gateway/src/limits/peer_contact.ts
@@ -1,5 +1,5 @@
 /**
- * How well a node is in touch with those that it shares allowances with.
+ * How current a node's view is of those that it shares allowances with.
  */
 
 /** Names of the peers that may be running, and of those this node hears from. */
@@ -71,7 +71,7 @@
   }
 
   /** Whether this node hears of all others in time. */
-  isInTouch(now: number): boolean {
+  isCurrent(now: number): boolean {
     return this.heard.length >= this.known.length &&
       this.computeLateMs(now) === 0;
   }
--- a/packages/gateway/src/limits/tenant_rate_limiter.ts
+++ b/packages/gateway/src/limits/tenant_rate_limiter.ts
@@ -137,13 +137,13 @@
       : -this.#parts.computeNormalOverdraft(bucket, now);
     const isAboveFloor = isSmall || bucket.level > floor;
     // Where all peers hear of it at once, these may spend what others leave unused.
-    const isHeardAtOnce = this.#contact.isMesh && this.#contact.isInTouch(now);
+    const isHeardAtOnce = this.#contact.isMesh && this.#contact.isCurrent(now);
     const needsCredit = bucket.creditShare < 1 &&
       !(isHeardAtOnce && (isPreferred || isSmall));
     // After a restart of all nodes even one request a node would be too much.
     const upShare = this.#margins.computeUpShare(now);
     const preferredCost = isPreferred ? bucket.unheard.meanCost : 0;
-    const minCredit = this.#contact.isInTouch(now)
+    const minCredit = this.#contact.isCurrent(now)
       ? cost * (1 - upShare) - preferredCost * upShare
       : Math.max(
         cost * (1 - upShare),
@@ -176,12 +176,12 @@
   }
 
   /**
-   * Amount that must be left for a request: its cost. At nodes that are not in touch
-   * it is half of that, so that all of them together spend their parts and no more
+   * Amount that must be left for a request: its cost. While a node does not hear all
+   * others it is half of that, so that all of them together spend their parts and no more
    * on average, though a part may be smaller than one request.
    */
   #computeNeeded({ burst, share }: Bucket, cost: number, now: number): number {
-    return this.#contact.isInTouch(now)
+    return this.#contact.isCurrent(now)
       ? Math.min(cost, burst)
       : computeHalf(cost, burst * share);
   }
@@ -342,7 +342,7 @@
 
   #refillBucket(bucket: Bucket, now: number): void {
     const elapsedSeconds = Math.max(0, now - bucket.updatedAt) / 1_000;
-    const rate = this.#contact.isInTouch(now) ? bucket.rate : bucket.plainRate;
+    const rate = this.#contact.isCurrent(now) ? bucket.rate : bucket.plainRate;
     const refillAmount = elapsedSeconds * rate * bucket.share;
     const refilled = bucket.level + refillAmount;
     const { pendingRetryCost } = bucket;
--- a/packages/routing/src/limits/limit_shares.ts
+++ b/packages/routing/src/limits/limit_shares.ts
@@ -24,7 +24,7 @@
  * Part of its even share that a node takes which has just started and hears nobody:
  * there may be more nodes than the addresses that it knows.
  */
-export const lostShare = 0.3;
+export const aloneShare = 0.3;
 /** Time in which a share counts as unused, beside that of two of its requests. */
 const unusedMs = 3_000;
 const requestsUntilUnused = 2;
@@ -37,7 +37,7 @@
    */
   readonly areHeard: boolean;
   /** Whether it has just started and hears nobody. */
-  readonly isLost: boolean;
+  readonly isAlone: boolean;
 }
 
 /** Shares of one node. Times are monotonic, in milliseconds. */
@@ -46,7 +46,7 @@
   readonly #self: string;
   /** Nodes that share the limits, in order of their names. */
   #nodes: readonly string[] = [];
-  #view: SharersView = { areHeard: true, isLost: false };
+  #view: SharersView = { areHeard: true, isAlone: false };
   /** Order of the nodes for each replica. */
   readonly #orders = new Map<string, readonly string[]>();
 
@@ -63,7 +63,7 @@
   /** Sets the nodes that share the limits; this one is among them unless it drains. */
   setNodes(
     names: readonly string[],
-    view: SharersView = { areHeard: true, isLost: false },
+    view: SharersView = { areHeard: true, isAlone: false },
   ): void {
     this.#view = view;
     const nodes = [...names].sort();
@@ -92,7 +92,7 @@
       length,
       Math.max(1, Math.floor(perSecond / minSharePerSecond)),
     );
-    const share = perSecond / sharers * (this.#view.isLost ? lostShare : 1);
+    const share = perSecond / sharers * (this.#view.isAlone ? aloneShare : 1);
     const turnMs = unusedMs + requestsUntilUnused * 1_000 / share;
     const turn = this.#view.areHeard
       ? Math.max(0, Math.floor(idleMs / turnMs))
