FAULT: refused callers that send on take no place of a body that is read

What callers saw: a request whose body was being read got 503 while a crowd of callers that were refused already went on sending; more of the refused lost their connection early.

Cause: connections whose bytes are dropped wait for a turn, too, and counted among those that hold bytes. They hold nothing, but beyond 76 of them (on a small machine) the most expensive one is given up: the one that is read. The class: a bound of memory that counts what holds none. Their own bound is that of ending connections.

Change: they wait in the same order, and aren't counted.

--- a/packages/common/src/paced_socket.ts
+++ b/packages/common/src/paced_socket.ts
@@ -113,7 +113,7 @@
     this.#mode = "dropping";
     this.#onDropped = onDropped;
     if (this.#hasEnded) this.#socket.destroySoon();
-    else this.#turn.wait(this);
+    else this.#turn.waitToDrop(this);
   }
 
   readPart(): PartOutcome {
@@ -131,7 +131,6 @@
   }
 
   giveUp(): void {
-    if (this.#mode === "dropping") return void this.#socket.destroy();
     this.stop();
     const tell = this.#bodyReader ?? this.#onGivenUp;
     tell();
@@ -150,7 +149,7 @@
       case "stopped":
         return false;
       case "dropping":
-        this.#turn.wait(this);
+        this.#turn.waitToDrop(this);
         this.#onDropped?.(chunk.length);
         return false;
     }
--- a/packages/common/src/paced_socket_test.ts
+++ b/packages/common/src/paced_socket_test.ts
@@ -176,6 +176,25 @@
   });
 });
 
+// Guards against a request in work that is given up for those that were refused.
+test("refused callers that send on don't take the place of a body that is read", async () => {
+  await runGuarded({ maxWaiting: 3, maxEnding: 20 }, async (port) => {
+    const head =
+      "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n";
+    const refused = await Promise.all(
+      Array.from({ length: 10 }, () => flood(port, head)),
+    );
+    const body = createBody(300_000);
+    const socket = await openClient(port);
+    socket.write(
+      "POST /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n",
+    );
+    socket.write(formatChunks(body, 1));
+    assert.match(await readAll(socket), `/a ${summarize(body)}`);
+    for (const other of refused) other.destroy();
+  });
+});
+
 test("a caller that ends its direction gets its answer", async () => {
   await runGuarded({}, async (port) => {
     const socket = await openClient(port);
--- a/packages/common/src/read_turns.ts
+++ b/packages/common/src/read_turns.ts
@@ -72,6 +72,11 @@
     this.#turns.wait(this, source);
   }
 
+  /** Waits for a turn to be asked for more, holding nothing, as that is dropped. */
+  waitToDrop(source: ReadSource): void {
+    this.#turns.waitToDrop(this, source);
+  }
+
   /** Holds bytes that its reader doesn't take; `wait` ends that. */
   pause(source: ReadSource): void {
     this.#turns.pause(this, source);
@@ -128,6 +133,8 @@
   readonly #maxWaiting: number;
   readonly #schedule: (run: () => void) => void;
   readonly #waiting = new Map<ReadTurn, ReadSource>();
+  /** Those that wait and hold nothing. */
+  readonly #dropping = new Set<ReadTurn>();
   /** Connections that hold bytes which their readers don't take at present. */
   readonly #paused = new Map<ReadTurn, ReadSource>();
   readonly #groups = new Map<string, DecayingValue>();
@@ -147,7 +154,7 @@
 
   /** Number of connections that hold bytes which were not read. */
   get waiting(): number {
-    return this.#waiting.size + this.#paused.size;
+    return this.#waiting.size - this.#dropping.size + this.#paused.size;
   }
 
   /** Number of connections that were given up. */
@@ -180,20 +187,29 @@
 
   wait(turn: ReadTurn, source: ReadSource): void {
     this.#paused.delete(turn);
+    this.#dropping.delete(turn);
     this.#waiting.set(turn, source);
     this.#scheduleTurn();
     if (this.waiting > this.#maxWaiting) this.#giveUpLast();
   }
 
+  waitToDrop(turn: ReadTurn, source: ReadSource): void {
+    this.#paused.delete(turn);
+    this.#waiting.set(turn, source);
+    this.#dropping.add(turn);
+    this.#scheduleTurn();
+  }
+
   /** Holds bytes that wait until `wait` is called. */
   pause(turn: ReadTurn, source: ReadSource): void {
-    this.#waiting.delete(turn);
+    this.leave(turn);
     this.#paused.set(turn, source);
     if (this.waiting > this.#maxWaiting) this.#giveUpLast();
   }
 
   leave(turn: ReadTurn): void {
     this.#waiting.delete(turn);
+    this.#dropping.delete(turn);
     this.#paused.delete(turn);
   }
 
@@ -219,7 +235,7 @@
     const source = turn && this.#waiting.get(turn);
     if (turn === undefined || source === undefined) return;
     // Those of equal cost come in the order in which they began to wait.
-    this.#waiting.delete(turn);
+    this.leave(turn);
     switch (source.readPart()) {
       case "more":
         this.#waiting.set(turn, source);
@@ -247,6 +263,7 @@
     const now = this.clock.now();
     let last: readonly [ReadTurn, ReadSource] | undefined;
     for (const entry of [...this.#waiting, ...this.#paused]) {
+      if (this.#dropping.has(entry[0])) continue;
       if (last === undefined || !last[0].isBehind(entry[0], now)) last = entry;
     }
     if (last === undefined) return;
