--- a/review/lib-2/replica.cjs
+++ b/review/lib-2/replica.cjs
@@ -2,11 +2,14 @@
  * A model replica as a process of its own: streams of numbered events, some answers
  * with chunks and some without a length, which end with their channel.
  *
- * Arguments: id, start time (Unix ms). It prints its port. SIGKILL is its crash.
+ * Arguments: id, start time (Unix ms), port (a free one by default), slots (no limit by
+ * default; a full replica answers 503 and when to come back). It prints its port. SIGKILL
+ * is its crash.
  */
 "use strict";
 const { createServer } = require("node:http");
-const [id, born] = process.argv.slice(2);
+const [id, born, port = "0", slots = "Infinity"] = process.argv.slice(2);
+let running = 0;
 const server = createServer({ keepAliveTimeout: 0 }, async (request, response) => {
   for await (const chunk of request) void chunk;
   const { headers, url, socket } = request;
@@ -27,6 +30,13 @@
     response.writeHead(200, { "Content-Type": "application/json", "X-Replica-Id": id });
     return response.end(body);
   }
+  if (running >= Number(slots)) {
+    response.writeHead(503, { ...echo, "X-Not-Executed": "1", "Retry-After": "2" });
+    return response.end();
+  }
+  running += 1;
+  socket.setMaxListeners(0);
+  response.once("close", () => running -= 1);
   // The path tells the framing, the events and the time between them.
   const [, , framing, events, eventMs] = url.split("/");
   const first = Number(headers["last-event-id"] ?? 0) + 1;
@@ -43,7 +53,7 @@
     await new Promise((resolve) => setTimeout(resolve, Number(eventMs)));
     if (socket.destroyed) return;
   }
-  if (isUnframed) socket.end();
+  if (isUnframed) socket.end(() => response.destroy());
   else response.end();
 });
-server.listen(0, "127.0.0.1", () => console.log(server.address().port));
+server.listen(Number(port), "127.0.0.1", () => console.log(server.address().port));
